--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# The two commands of the README are `make demo` and `make test`.
+PACKAGES := base http route member state node ctl standin bench
+DIRS := $(foreach p,$(PACKAGES),$(if $(wildcard $(p)/makefile),$(p)))
+SHELL := /bin/bash
+
+all: $(DIRS:%=build-%)
+
+# Libraries in order of use; the programs link what stands before them.
+build-%:
+	@$(MAKE) --no-print-directory -C $*
+build-http build-route build-member build-state: build-base
+build-node build-ctl build-standin build-bench: \
+	$(foreach p,base http route member state,$(if $(wildcard $(p)/makefile),build-$(p)))
+build-bench: $(foreach p,node standin,$(if $(wildcard $(p)/makefile),build-$(p)))
+
+# Install what packages.apt lists, when something is missing.
+setup:
+	@mk/setup.sh
+
+demo: setup
+	@$(MAKE) --no-print-directory -j all >/dev/null
+	@demo/run.sh $(CHATS)
+
+test: setup
+	@$(MAKE) --no-print-directory -j all
+	@mk/test.sh
+
+lint: setup
+	@mk/lint.sh
+
+format:
+	@clang-format -i $$(mk/sources.sh)
+
+gen:
+	@schema/gen.sh
+
+bench: setup
+	@$(MAKE) --no-print-directory -j all >/dev/null
+	@mk/bench.sh
+
+clean:
+	rm -rf build bin demo/run
+
+.PHONY: all setup demo test lint format gen bench clean
--- /dev/null
+++ b/base/settings.c
@@ -0,0 +1,167 @@
+#include <errno.h>
+#include <ini.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/base.h"
+
+/* State of one load; inih calls back once for each "key = value" line. */
+struct load {
+	const char *path;
+	FILE *file;
+	int line;
+	struct settings *out;
+	GPtrArray *errors;
+	bool *seen;
+};
+
+static void *field(struct settings *s, const struct setting_info *d)
+{
+	return (char *)s + d->offset;
+}
+
+static void describe_allowed(const struct setting_info *d, char *buf, size_t n)
+{
+	if (d->type == SETTING_BOOL) {
+		snprintf(buf, n, "true or false is allowed");
+		return;
+	}
+	snprintf(buf, n, "a %s from %" PRId64 " to %" PRId64 " is allowed",
+		 d->type == SETTING_STRING ? "string with a length"
+		 : d->type == SETTING_MS   ? "whole number of milliseconds"
+					   : "whole number",
+		 d->min, d->max);
+}
+
+static bool parse_int(const char *value, int64_t *out)
+{
+	char *end;
+
+	errno = 0;
+	*out = g_ascii_strtoll(value, &end, 10);
+	return !errno && end != value && !*end;
+}
+
+static bool store(struct settings *s, const struct setting_info *d,
+		  const char *value)
+{
+	int64_t len = (int64_t)strlen(value);
+	int64_t n;
+
+	switch (d->type) {
+	case SETTING_STRING:
+		if (len < d->min || len > d->max)
+			return false;
+		g_free(*(char **)field(s, d));
+		*(char **)field(s, d) = g_strdup(value);
+		return true;
+	case SETTING_BOOL:
+		if (strcmp(value, "true") && strcmp(value, "false"))
+			return false;
+		*(bool *)field(s, d) = !strcmp(value, "true");
+		return true;
+	case SETTING_INT:
+	case SETTING_MS:
+		if (!parse_int(value, &n) || n < d->min || n > d->max)
+			return false;
+		*(int64_t *)field(s, d) = n;
+		return true;
+	}
+	return false;
+}
+
+static const struct setting_info *find(const char *section, const char *key)
+{
+	for (size_t i = 0; i < setting_count; i++) {
+		if (!strcmp(setting_infos[i].section, section) &&
+		    !strcmp(setting_infos[i].key, key))
+			return &setting_infos[i];
+	}
+	return NULL;
+}
+
+static void add_error(struct load *l, int line, const char *section,
+		      const char *key, const char *what)
+{
+	g_ptr_array_add(l->errors, g_strdup_printf("%s:%d: %s.%s: %s", l->path,
+						   line, section, key, what));
+}
+
+static int on_value(void *user, const char *section, const char *key,
+		    const char *value)
+{
+	struct load *l = user;
+	const struct setting_info *d = find(section, key);
+	char allowed[128];
+
+	if (!d) {
+		add_error(l, l->line, section, key, "unknown key");
+		return 1;
+	}
+	if (l->seen[d - setting_infos]) {
+		add_error(l, l->line, section, key, "given twice");
+		return 1;
+	}
+	l->seen[d - setting_infos] = true;
+	if (store(l->out, d, value))
+		return 1;
+	describe_allowed(d, allowed, sizeof(allowed));
+	add_error(l, l->line, section, key, allowed);
+	return 1;
+}
+
+static char *read_line(char *buf, int n, void *user)
+{
+	struct load *l = user;
+	char *s = fgets(buf, n, l->file);
+
+	if (s)
+		l->line++;
+	return s;
+}
+
+bool settings_load(const char *path, struct settings *out, GPtrArray *errors)
+{
+	struct load l = {.path = path, .out = out, .errors = errors};
+	guint before = errors->len;
+	int bad_line;
+
+	memset(out, 0, sizeof(*out));
+	l.file = fopen(path, "r");
+	if (!l.file) {
+		g_ptr_array_add(errors, g_strdup_printf("%s: %s", path,
+							g_strerror(errno)));
+		return false;
+	}
+	l.seen = g_new0(bool, setting_count);
+	bad_line = ini_parse_stream(read_line, &l, on_value, &l);
+	fclose(l.file);
+	if (bad_line > 0)
+		g_ptr_array_add(errors,
+				g_strdup_printf("%s:%d: not \"key = value\", "
+						"a section or a comment",
+						path, bad_line));
+	for (size_t i = 0; i < setting_count; i++) {
+		const struct setting_info *d = &setting_infos[i];
+
+		if (l.seen[i])
+			continue;
+		if (d->value)
+			store(out, d, d->value);
+		else
+			add_error(&l, l.line, d->section, d->key,
+				  "required but missing");
+	}
+	g_free(l.seen);
+	return errors->len == before;
+}
+
+void settings_clear(struct settings *s)
+{
+	for (size_t i = 0; i < setting_count; i++) {
+		if (setting_infos[i].type == SETTING_STRING)
+			g_clear_pointer((char **)field(s, &setting_infos[i]),
+					g_free);
+	}
+}
--- /dev/null
+++ b/base/test-log.c
@@ -0,0 +1,48 @@
+#include <string.h>
+
+#include "base/base.h"
+
+static void log_a_line_break(void)
+{
+	log_event(EV_NODE_STARTED, "name=%s", "a\nb");
+}
+
+static void test_one_line_an_event(void)
+{
+	if (g_test_subprocess()) {
+		log_a_line_break();
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_passed();
+	g_test_trap_assert_stderr("*info 1001 node_started name=a b\n");
+}
+
+static void test_level_hides(void)
+{
+	if (g_test_subprocess()) {
+		log_set_level("error");
+		log_a_line_break();
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_stderr_unmatched("*node_started*");
+}
+
+static void test_numbers_are_unique(void)
+{
+	for (int i = 0; i < EV_COUNT; i++) {
+		for (int j = i + 1; j < EV_COUNT; j++)
+			g_assert_cmpint(log_events[i].number, !=,
+					log_events[j].number);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/base/log/one-line", test_one_line_an_event);
+	g_test_add_func("/base/log/level", test_level_hides);
+	g_test_add_func("/base/log/numbers", test_numbers_are_unique);
+	return g_test_run();
+}
--- /dev/null
+++ b/base/test-settings.c
@@ -0,0 +1,76 @@
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "base/base.h"
+
+#define GOOD                                                                   \
+	"[node]\nname = a\nzone = z1\nport = 8000\n"                           \
+	"[platform]\ntable = http://127.0.0.1:1\n"
+
+static bool load(const char *text, struct settings *s, GPtrArray *errors)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+	bool ok;
+
+	g_close(fd, NULL);
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	ok = settings_load(path, s, errors);
+	g_unlink(path);
+	g_free(path);
+	return ok;
+}
+
+static void test_defaults(void)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	struct settings s;
+
+	g_assert_true(load(GOOD, &s, errors));
+	g_assert_cmpstr(s.node_address, ==, "127.0.0.1");
+	g_assert_cmpint(s.platform_poll_ms, ==, 1000);
+	settings_clear(&s);
+	g_ptr_array_unref(errors);
+}
+
+static void test_errors(void)
+{
+	static const struct {
+		const char *text;
+		const char *want[3]; /* in order, each once */
+	} cases[] = {
+		{GOOD "[limits]\nbody = 12\n",
+		 {":8: limits.body: ", "from 1024 to"}},
+		{GOOD "[limits]\nbody = 9x\nbogus = 1\n",
+		 {":8: limits.body: ", ":9: limits.bogus: unknown key"}},
+		{"[node]\nname = a\n",
+		 {"node.zone: required", "node.port: required",
+		  "platform.table: required"}},
+		{GOOD "[limits]\nbody = 2000\nbody = 2001\n",
+		 {":9: limits.body: given twice"}},
+		{GOOD "rubbish\n", {":7: not \"key = value\""}},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+		struct settings s;
+		char *all;
+
+		g_assert_false(load(cases[i].text, &s, errors));
+		g_ptr_array_add(errors, NULL);
+		all = g_strjoinv("\n", (char **)errors->pdata);
+		for (int k = 0; k < 3 && cases[i].want[k]; k++)
+			g_assert_nonnull(strstr(all, cases[i].want[k]));
+		g_free(all);
+		settings_clear(&s);
+		g_ptr_array_unref(errors);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/base/settings/defaults", test_defaults);
+	g_test_add_func("/base/settings/errors", test_errors);
+	return g_test_run();
+}
--- /dev/null
+++ b/demo/lib.sh
@@ -0,0 +1,63 @@
+# Shared by demo and tests: start stand-ins and nodes, end them by their ids.
+# shellcheck shell=bash
+top=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+run=${RUN_DIR:-$top/demo/run}
+standin=$top/build/standin
+pids=()
+
+# wait_file FILE: until it is there, at most 10 s.
+wait_file() {
+	for _ in $(seq 1000); do
+		[ -s "$1" ] && return 0
+		sleep 0.01
+	done
+	echo "no $1 after 10 s" >&2
+	return 1
+}
+
+# start NAME PROGRAM ARGS...: run it; its port is in $run/NAME.port.
+start() {
+	local name=$1
+	shift
+	rm -f "$run/$name.port"
+	"$@" --port-file "$run/$name.port" 2>"$run/$name.log" &
+	echo $! >"$run/$name.pid"
+	pids+=($!)
+	wait_file "$run/$name.port"
+}
+
+port() { cat "$run/$1.port"; }
+pid() { cat "$run/$1.pid"; }
+
+# settings NAME ZONE: write a node's settings file.
+settings() {
+	cat >"$run/$1.conf" <<-EOF
+		[node]
+		name = $1
+		zone = $2
+		port = 0
+		[platform]
+		table = http://127.0.0.1:$(port platform)
+		poll = 100
+		[entries]
+		valid = 500
+	EOF
+}
+
+# wait_ready NAME: until the node has its configuration, at most 10 s.
+wait_ready() {
+	for _ in $(seq 200); do
+		"$standin/call" GET "http://127.0.0.1:$(port "$1")/ready" \
+			>/dev/null && return 0
+		sleep 0.05
+	done
+	echo "$1 is not ready after 10 s" >&2
+	return 1
+}
+
+stop_all() {
+	for p in "${pids[@]}"; do
+		kill -KILL "$p" 2>/dev/null
+	done
+	wait 2>/dev/null
+}
--- /dev/null
+++ b/http/pull.c
@@ -0,0 +1,206 @@
+#include <curl/curl.h>
+#include <string.h>
+
+#include "http/http.h"
+
+#define POOL_MAX      256
+#define POOLED_AGE_S  5L /* a pooled connection is dropped after this */
+#define RECEIVE_BYTES 4096L
+#define BUFFERED_MAX  (256 * 1024)
+
+struct pull {
+	CURLM *multi;
+	CURL *easy;
+	struct curl_slist *headers;
+	GByteArray *bytes;
+	GHashTable *answer_headers; /* lower-case name -> value */
+	bool paused;
+	bool ended;
+	CURLcode result;
+};
+
+/*
+ * Idle multi handles with their pooled connections. The last one returned is
+ * taken first, so that few connections stay warm and the others age out.
+ */
+static GMutex pool_lock;
+static CURLM *pool[POOL_MAX];
+static unsigned pool_len;
+
+static CURLM *take_multi(void)
+{
+	CURLM *m = NULL;
+
+	g_mutex_lock(&pool_lock);
+	if (pool_len)
+		m = pool[--pool_len];
+	g_mutex_unlock(&pool_lock);
+	if (m)
+		return m;
+	m = curl_multi_init();
+	curl_multi_setopt(m, CURLMOPT_MAXCONNECTS, 4L);
+	return m;
+}
+
+static void give_multi(CURLM *m)
+{
+	g_mutex_lock(&pool_lock);
+	if (pool_len < POOL_MAX) {
+		pool[pool_len++] = m;
+		m = NULL;
+	}
+	g_mutex_unlock(&pool_lock);
+	if (m)
+		curl_multi_cleanup(m);
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct pull *p = arg;
+
+	/* A caller that reads slowly must not fill the node's memory. */
+	if (p->bytes->len > BUFFERED_MAX) {
+		p->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	g_byte_array_append(p->bytes, (const guint8 *)data, (guint)(size * n));
+	return size * n;
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct pull *p = arg;
+	char *line = g_strndup(data, size * n);
+	char *colon = strchr(line, ':');
+
+	if (g_str_has_prefix(line, "HTTP/"))
+		g_hash_table_remove_all(p->answer_headers);
+	else if (colon) {
+		*colon = '\0';
+		g_hash_table_replace(p->answer_headers,
+				     g_ascii_strdown(line, -1),
+				     g_strdup(g_strstrip(colon + 1)));
+	}
+	g_free(line);
+	return size * n;
+}
+
+struct pull *pull_open(const struct pull_request *q)
+{
+	struct pull *p = g_new0(struct pull, 1);
+
+	p->multi = take_multi();
+	p->easy = curl_easy_init();
+	p->bytes = g_byte_array_new();
+	p->answer_headers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (const char *const *h = q->headers; h && *h; h++)
+		p->headers = curl_slist_append(p->headers, *h);
+	p->headers = curl_slist_append(p->headers, "Expect:");
+	curl_easy_setopt(p->easy, CURLOPT_URL, q->url);
+	curl_easy_setopt(p->easy, CURLOPT_CUSTOMREQUEST, q->method);
+	curl_easy_setopt(p->easy, CURLOPT_HTTPHEADER, p->headers);
+	curl_easy_setopt(p->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(p->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(p->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(p->easy, CURLOPT_BUFFERSIZE, RECEIVE_BYTES);
+	curl_easy_setopt(p->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)q->connect_ms);
+	curl_easy_setopt(p->easy, CURLOPT_MAXAGE_CONN, POOLED_AGE_S);
+	curl_easy_setopt(p->easy, CURLOPT_FRESH_CONNECT, q->fresh ? 1L : 0L);
+	curl_easy_setopt(p->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(p->easy, CURLOPT_WRITEDATA, p);
+	curl_easy_setopt(p->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(p->easy, CURLOPT_HEADERDATA, p);
+	if (q->body.len) {
+		curl_easy_setopt(p->easy, CURLOPT_POSTFIELDS, q->body.data);
+		curl_easy_setopt(p->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)q->body.len);
+	}
+	curl_multi_add_handle(p->multi, p->easy);
+	return p;
+}
+
+static void read_messages(struct pull *p)
+{
+	CURLMsg *m;
+	int left;
+
+	while ((m = curl_multi_info_read(p->multi, &left))) {
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		p->ended = true;
+		p->result = m->data.result;
+	}
+}
+
+static void step(struct pull *p)
+{
+	int running;
+
+	if (p->paused && p->bytes->len <= BUFFERED_MAX) {
+		p->paused = false;
+		curl_easy_pause(p->easy, CURLPAUSE_CONT);
+	}
+	curl_multi_perform(p->multi, &running);
+	read_messages(p);
+}
+
+enum pull_event pull_wait(struct pull *p, int64_t until_ms)
+{
+	for (;;) {
+		int64_t left;
+
+		step(p);
+		if (p->bytes->len)
+			return PULL_DATA;
+		if (p->ended)
+			return p->result == CURLE_OK ? PULL_END : PULL_FAILED;
+		left = until_ms - time_mono_ms();
+		if (left <= 0)
+			return PULL_TIMEOUT;
+		curl_multi_poll(p->multi, NULL, 0, (int)MIN(left, 60000), NULL);
+	}
+}
+
+int pull_status(const struct pull *p)
+{
+	long status = 0;
+
+	curl_easy_getinfo(p->easy, CURLINFO_RESPONSE_CODE, &status);
+	return (int)status;
+}
+
+const char *pull_header(const struct pull *p, const char *name)
+{
+	char *lower = g_ascii_strdown(name, -1);
+	const char *v = g_hash_table_lookup(p->answer_headers, lower);
+
+	g_free(lower);
+	return v;
+}
+
+GByteArray *pull_bytes(struct pull *p)
+{
+	return p->bytes;
+}
+
+bool pull_maybe_sent(const struct pull *p)
+{
+	curl_off_t connected = 0;
+
+	curl_easy_getinfo(p->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
+	return connected > 0;
+}
+
+void pull_close(struct pull *p)
+{
+	/* Removal closes the connection unless the answer was whole. */
+	curl_multi_remove_handle(p->multi, p->easy);
+	curl_easy_cleanup(p->easy);
+	give_multi(p->multi);
+	curl_slist_free_all(p->headers);
+	g_byte_array_unref(p->bytes);
+	g_hash_table_unref(p->answer_headers);
+	g_free(p);
+}
--- /dev/null
+++ b/http/test-client.c
@@ -0,0 +1,164 @@
+#include <curl/curl.h>
+#include <string.h>
+
+#include "http/http.h"
+
+/* A server that answers, stays silent or breaks off, by path. */
+static int on_echo(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	(void)ctx;
+	u_map_put(r->map_header, "X-Method", q->http_verb);
+	ulfius_set_binary_body_response(r, 200, q->binary_body,
+					q->binary_body_length);
+	return U_CALLBACK_COMPLETE;
+}
+
+static int on_silent(const struct _u_request *q, struct _u_response *r,
+		     void *ctx)
+{
+	(void)q;
+	(void)ctx;
+	g_usleep(300 * 1000);
+	ulfius_set_string_body_response(r, 200, "late");
+	return U_CALLBACK_COMPLETE;
+}
+
+static const struct server_route routes[] = {
+	{"*", "/echo", on_echo},
+	{"GET", "/silent", on_silent},
+};
+
+static struct server server;
+
+static char *url(const char *path)
+{
+	return g_strdup_printf("http://127.0.0.1:%d%s", server.port, path);
+}
+
+static struct pull *open_path(const char *path, const char *body)
+{
+	char *u = url(path);
+	struct pull_request q = {.method = body ? "POST" : "GET",
+				 .url = u,
+				 .body = str_c(body),
+				 .connect_ms = 1000};
+	struct pull *p = pull_open(&q);
+
+	g_free(u);
+	return p;
+}
+
+static void test_pull_whole(void)
+{
+	struct pull *p = open_path("/echo", "abc");
+
+	g_assert_cmpint(pull_wait(p, time_mono_ms() + 5000), ==, PULL_DATA);
+	g_assert_cmpmem(pull_bytes(p)->data, pull_bytes(p)->len, "abc", 3);
+	g_assert_cmpint(pull_status(p), ==, 200);
+	g_assert_cmpstr(pull_header(p, "x-method"), ==, "POST");
+	g_byte_array_set_size(pull_bytes(p), 0);
+	g_assert_cmpint(pull_wait(p, time_mono_ms() + 5000), ==, PULL_END);
+	pull_close(p);
+}
+
+static void test_pull_silence(void)
+{
+	struct pull *p = open_path("/silent", NULL);
+
+	g_assert_cmpint(pull_wait(p, time_mono_ms() + 50), ==, PULL_TIMEOUT);
+	g_assert_true(pull_maybe_sent(p));
+	pull_close(p);
+}
+
+static void test_pull_refused(void)
+{
+	struct pull_request q = {.method = "GET",
+				 .url = "http://127.0.0.1:1/",
+				 .connect_ms = 1000};
+	struct pull *p = pull_open(&q);
+
+	g_assert_cmpint(pull_wait(p, time_mono_ms() + 5000), ==, PULL_FAILED);
+	g_assert_false(pull_maybe_sent(p));
+	pull_close(p);
+}
+
+struct seen {
+	bool done;
+	int status;
+	bool maybe_sent;
+	char body[16];
+};
+
+static void on_done(const struct fetch_result *r, void *arg)
+{
+	struct seen *s = arg;
+
+	s->done = true;
+	s->status = r->status;
+	s->maybe_sent = r->maybe_sent;
+	if (r->body.len < sizeof(s->body))
+		memcpy(s->body, r->body.data ? r->body.data : "", r->body.len);
+}
+
+static void test_fetch(void)
+{
+	static const struct {
+		const char *path, *body;
+		int64_t timeout_ms;
+		int status;
+		bool maybe_sent;
+	} cases[] = {
+		{"/echo", "hi", 5000, 200, true},
+		{"/silent", NULL, 50, 0, true},
+		{"/nowhere", NULL, 5000, 404, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fetcher *f = fetcher_new();
+		struct seen s = {0};
+		char *u = url(cases[i].path);
+
+		fetch(f, cases[i].body ? "POST" : "GET", u,
+		      str_c(cases[i].body), cases[i].timeout_ms, on_done, &s);
+		while (!s.done)
+			fetcher_poll(f, NULL, 0, 100);
+		g_assert_cmpint(s.status, ==, cases[i].status);
+		g_assert_true(s.maybe_sent == cases[i].maybe_sent);
+		if (cases[i].body)
+			g_assert_cmpstr(s.body, ==, cases[i].body);
+		g_free(u);
+		fetcher_free(f);
+	}
+}
+
+static void test_fetch_refused(void)
+{
+	struct fetcher *f = fetcher_new();
+	struct seen s = {.maybe_sent = true};
+
+	fetch(f, "GET", "http://127.0.0.1:1/", str_c(NULL), 1000, on_done, &s);
+	while (!s.done)
+		fetcher_poll(f, NULL, 0, 100);
+	g_assert_false(s.maybe_sent);
+	fetcher_free(f);
+}
+
+int main(int argc, char **argv)
+{
+	struct server_options o = {0};
+	int failed;
+
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_ALL);
+	block_stop_signals();
+	g_assert_true(
+		server_start(&server, &o, routes, G_N_ELEMENTS(routes), NULL));
+	g_test_add_func("/http/pull/whole", test_pull_whole);
+	g_test_add_func("/http/pull/silence", test_pull_silence);
+	g_test_add_func("/http/pull/refused", test_pull_refused);
+	g_test_add_func("/http/fetch/table", test_fetch);
+	g_test_add_func("/http/fetch/refused", test_fetch_refused);
+	failed = g_test_run();
+	server_stop(&server);
+	return failed;
+}
--- /dev/null
+++ b/mk/common.mk
@@ -0,0 +1,47 @@
+# Shared by every package's makefile. A package sets LIB and/or PROGS, TESTS,
+# SRCS and USES (the libraries of this workspace that it links, in link order).
+TOP := $(dir $(lastword $(MAKEFILE_LIST)))..
+OUT := $(TOP)/build
+BIN := $(TOP)/bin
+PKGS := glib-2.0 jansson talloc libsodium libxxhash libtirpc libulfius \
+	libmicrohttpd libcurl inih argtable2
+# One pkg-config call for all flags: it is slow on a cold machine.
+PC_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PC_LIBS := $(shell pkg-config --libs $(PKGS))
+CC := cc
+OPT ?= -O2 -g
+CFLAGS := -std=gnu11 $(OPT) -Wall -Wextra -Werror -Wshadow \
+	-Wstrict-prototypes -Wmissing-prototypes -D_GNU_SOURCE \
+	-I$(TOP) $(patsubst -I%,-isystem %,$(PC_CFLAGS)) -pthread $(SAN)
+LDFLAGS := -pthread $(SAN)
+LDLIBS := $(PC_LIBS) -lm
+# rpcgen's output is committed as rpcgen writes it, warnings included.
+GEN_CFLAGS := -Wno-unused-variable -Wno-unused-parameter -Wno-cast-function-type \
+	-Wno-missing-prototypes
+
+PKG := $(notdir $(CURDIR))
+OBJ := $(OUT)/$(PKG)
+LIBFILE := $(if $(LIB),$(OUT)/lib$(LIB).a)
+USELIBS := $(LIBFILE) $(patsubst %,$(OUT)/lib%.a,$(USES))
+
+all: $(LIBFILE) $(addprefix $(BIN)/,$(BINS)) $(addprefix $(OBJ)/,$(PROGS)) \
+	$(addprefix $(OBJ)/,$(TESTS))
+
+$(OBJ)/%.o: %.c
+	@mkdir -p $(OBJ)
+	@$(CC) $(CFLAGS) $(if $(findstring -gen,$<),$(GEN_CFLAGS)) -MMD -c -o $@ $<
+
+$(LIBFILE): $(SRCS:%.c=$(OBJ)/%.o)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(addprefix $(OBJ)/,$(PROGS) $(TESTS)): $(OBJ)/%: $(OBJ)/%.o $(USELIBS)
+	@$(CC) $(LDFLAGS) -o $@ $< $(USELIBS) $(LDLIBS)
+
+$(addprefix $(BIN)/,$(BINS)): $(BIN)/%: $(OBJ)/%.o $(USELIBS)
+	@mkdir -p $(BIN)
+	@$(CC) $(LDFLAGS) -o $@ $< $(USELIBS) $(LDLIBS)
+
+-include $(wildcard $(OBJ)/*.d)
+.PHONY: all
+.SECONDARY:
--- /dev/null
+++ b/mk/sources.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# List the sources that are written by hand.
+cd "$(dirname "$0")/.." || exit 1
+git ls-files --cached --others --exclude-standard '*.c' '*.h' |
+	grep -v -e '-gen\.[ch]$' | while read -r f; do
+	[ -e "$f" ] && echo "$f"
+done
--- /dev/null
+++ b/node/auburnramp.c
@@ -0,0 +1,117 @@
+/* The program: command line, settings, start and graceful shutdown. */
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <sodium.h>
+#include <stdio.h>
+
+#include "node/node.h"
+
+#define DRAIN_POLL_US (20 * 1000)
+
+static const struct server_route routes[] = {
+	{"POST", "/v1/chat/completions", on_chat},
+	{"GET", "/v1/entries", on_entries},
+	{"*", "/v1/services/:service/*", on_plain},
+	{"GET", "/metrics", on_metrics},
+	{"GET", "/ready", on_ready},
+};
+
+static bool load_settings(const char *path, struct settings *s)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	bool ok = settings_load(path, s, errors);
+
+	for (guint i = 0; i < errors->len; i++)
+		fprintf(stderr, "%s\n", (char *)g_ptr_array_index(errors, i));
+	g_ptr_array_unref(errors);
+	if (ok && !log_set_level(s->log_level)) {
+		fprintf(stderr,
+			"%s: log.level: debug, info, warning or error "
+			"is allowed\n",
+			path);
+		return false;
+	}
+	return ok;
+}
+
+static bool listen_for_callers(struct node *n)
+{
+	struct server_options o = {
+		.address = n->set.node_address,
+		.port = (int)n->set.node_port,
+		.connections = (unsigned)n->set.limits_connections,
+		.idle_s = (unsigned)(n->set.limits_idle_ms + 999) / 1000,
+		.header_bytes = (size_t)n->set.limits_headers,
+		/* One more than allowed, so that a longer body shows. */
+		.body_bytes = (size_t)n->set.limits_body + 1,
+	};
+
+	if (!server_start(&n->server, &o, routes, G_N_ELEMENTS(routes), n)) {
+		log_event(EV_LISTEN_FAILED, "address=%s port=%d error=\"%s\"",
+			  o.address, o.port, g_strerror(errno));
+		return false;
+	}
+	n->address =
+		g_strdup_printf("%s:%d", n->set.node_address, n->server.port);
+	return true;
+}
+
+/* Serve what is in progress to its end; callers were told of other entries. */
+static void drain(struct node *n)
+{
+	atomic_store(&n->leaving, true);
+	log_event(EV_NODE_STOPPING, "running=%d", atomic_load(&n->running));
+	g_usleep((gulong)n->set.entries_valid_ms * 1000);
+	server_quiesce(&n->server);
+	while (atomic_load(&n->running) > 0)
+		g_usleep(DRAIN_POLL_US);
+}
+
+static int run(struct node *n, const char *port_file)
+{
+	GThread *control;
+
+	if (!listen_for_callers(n) || !server_write_port(&n->server, port_file))
+		return 1;
+	control = g_thread_new("control", control_run, n);
+	log_event(EV_NODE_STARTED, "name=%s zone=%s address=%s",
+		  n->set.node_name, n->set.node_zone, n->address);
+	wait_for_stop();
+	drain(n);
+	atomic_store(&n->stop_control, true);
+	g_thread_join(control);
+	server_stop(&n->server);
+	log_event(EV_NODE_STOPPED, "name=%s", n->set.node_name);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *file =
+		arg_file1("s", "settings", "FILE", "settings, in INI form");
+	struct arg_lit *check = arg_lit0(NULL, "check", "check settings only");
+	struct arg_file *port_file = arg_file0(NULL, "port-file", "FILE",
+					       "write the port taken to FILE");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {file, check, port_file, end};
+	static struct node n;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, argv[0]);
+		fprintf(stderr, "usage: %s", argv[0]);
+		arg_print_syntax(stderr, table, "\n");
+		return 2;
+	}
+	if (!load_settings(file->filename[0], &n.set))
+		return 2;
+	if (check->count)
+		return 0;
+	block_stop_signals();
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL)) {
+		fprintf(stderr, "%s: libraries can't start\n", argv[0]);
+		return 1;
+	}
+	g_mutex_init(&n.lock);
+	return run(&n, port_file->count ? port_file->filename[0] : NULL);
+}
--- /dev/null
+++ b/node/entries.c
@@ -0,0 +1,68 @@
+/* GET /v1/entries, /ready and /metrics. */
+#include <string.h>
+
+#include "node/node.h"
+
+/* Order of a node for a caller: its own availability zone first. */
+static int distance(const struct peer *p, const char *zone)
+{
+	return zone && strcmp(p->zone, zone) ? 1 : 0;
+}
+
+static json_t *entry(const struct peer *p)
+{
+	return json_pack("{s:s,s:s,s:s}", "name", p->name, "address",
+			 p->address, "zone", p->zone);
+}
+
+int on_entries(const struct _u_request *q, struct _u_response *r, void *node)
+{
+	struct node *n = node;
+	const char *zone = u_map_get(q->map_url, "zone");
+	struct fleet *f = node_fleet(n);
+	json_t *list = json_array();
+
+	for (int d = 0; f && d < 2; d++) {
+		for (guint i = 0; i < f->peers->len; i++) {
+			const struct peer *p = g_ptr_array_index(f->peers, i);
+
+			if (!p->leaving && distance(p, zone) == d)
+				json_array_append_new(list, entry(p));
+		}
+	}
+	fleet_unref(f);
+	return answer_json(r, 200,
+			   json_pack("{s:o,s:I}", "entries", list,
+				     "valid_until_ms",
+				     time_now_ms() + n->set.entries_valid_ms));
+}
+
+int on_metrics(const struct _u_request *q, struct _u_response *r, void *node)
+{
+	char *s = metrics_text();
+
+	(void)q;
+	(void)node;
+	ulfius_set_string_body_response(r, 200, s);
+	u_map_put(r->map_header, "Content-Type", "text/plain; version=0.0.4");
+	g_free(s);
+	return U_CALLBACK_COMPLETE;
+}
+
+int on_ready(const struct _u_request *q, struct _u_response *r, void *node)
+{
+	struct node *n = node;
+	struct config *c = node_config(n);
+	struct fleet *f = node_fleet(n);
+	bool ready = c && f && !atomic_load(&n->leaving);
+	int64_t rev = c ? c->revision : 0;
+
+	(void)q;
+	config_unref(c);
+	fleet_unref(f);
+	return answer_json(r, ready ? 200 : 503,
+			   json_pack("{s:s,s:b,s:I,s:b}", "name",
+				     n->set.node_name, "ready", ready,
+				     "revision", rev, "leaving",
+				     (int)atomic_load(&n->leaving)));
+}
--- /dev/null
+++ b/node/fleet.c
@@ -0,0 +1,106 @@
+#include <string.h>
+
+#include "node/node.h"
+
+static void free_target(void *p)
+{
+	struct target *t = p;
+
+	g_free(t->name);
+	g_free(t->pool);
+	g_free(t->address);
+	g_free(t->zone);
+	g_free(t);
+}
+
+static void free_peer(void *p)
+{
+	struct peer *e = p;
+
+	g_free(e->name);
+	g_free(e->address);
+	g_free(e->zone);
+	g_free(e->region);
+	g_free(e);
+}
+
+static const char *text(const json_t *j, const char *name)
+{
+	const char *s = json_string_value(json_object_get(j, name));
+
+	return s ? s : "";
+}
+
+static void add_target(struct fleet *f, const json_t *j)
+{
+	struct target *t = g_new0(struct target, 1);
+
+	t->name = g_strdup(text(j, "name"));
+	t->pool = g_strdup(text(j, "pool"));
+	t->address = g_strdup(text(j, "address"));
+	t->zone = g_strdup(text(j, "zone"));
+	t->id = str_hash(str_c(t->name), 0);
+	t->leaving = !strcmp(text(j, "state"), "leaving");
+	g_ptr_array_add(f->targets, t);
+}
+
+static void add_peer(struct fleet *f, const json_t *j)
+{
+	struct peer *p = g_new0(struct peer, 1);
+
+	p->name = g_strdup(text(j, "name"));
+	p->address = g_strdup(text(j, "address"));
+	p->zone = g_strdup(text(j, "zone"));
+	p->region = g_strdup(text(j, "region"));
+	p->leaving = !strcmp(text(j, "state"), "leaving");
+	g_ptr_array_add(f->peers, p);
+}
+
+struct fleet *fleet_from_instances(const json_t *instances)
+{
+	struct fleet *f = g_atomic_rc_box_new0(struct fleet);
+	size_t i;
+	json_t *j;
+
+	f->targets = g_ptr_array_new_with_free_func(free_target);
+	f->peers = g_ptr_array_new_with_free_func(free_peer);
+	json_array_foreach (instances, i, j) {
+		if (!*text(j, "name") || !*text(j, "address"))
+			continue;
+		if (!strcmp(text(j, "role"), "node"))
+			add_peer(f, j);
+		else
+			add_target(f, j);
+	}
+	return f;
+}
+
+struct fleet *fleet_ref(struct fleet *f)
+{
+	return g_atomic_rc_box_acquire(f);
+}
+
+static void clear(void *p)
+{
+	struct fleet *f = p;
+
+	g_ptr_array_unref(f->targets);
+	g_ptr_array_unref(f->peers);
+}
+
+void fleet_unref(struct fleet *f)
+{
+	if (f)
+		g_atomic_rc_box_release_full(f, clear);
+}
+
+const struct target *fleet_target(const struct fleet *f, const char *name)
+{
+	for (guint i = 0; i < f->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(f->targets, i);
+
+		if (!strcmp(t->name, name))
+			return t;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/node/node.h
@@ -0,0 +1,149 @@
+/*
+ * node: the auburnramp process. All nodes are alike: entry for callers, relay
+ * of answers, resource API and control.
+ */
+#ifndef NODE_H
+#define NODE_H
+
+#include <stdatomic.h>
+
+#include "base/base.h"
+#include "http/http.h"
+#include "route/route.h"
+#include "state/state.h"
+
+/* An instance that does work: an engine or one of a plain service. */
+struct target {
+	char *name;
+	char *pool;
+	char *address; /* "IP:port" */
+	char *zone;
+	uint64_t id; /* hash of the name */
+	bool leaving;
+};
+
+/* Another node, or this one. */
+struct peer {
+	char *name;
+	char *address;
+	char *zone;
+	char *region;
+	bool leaving;
+};
+
+/* The instances as this node sees them now. Immutable; reference-counted. */
+struct fleet {
+	GPtrArray *targets; /* struct target */
+	GPtrArray *peers;   /* struct peer */
+};
+
+struct fleet *fleet_from_instances(const json_t *instances);
+struct fleet *fleet_ref(struct fleet *f);
+void fleet_unref(struct fleet *f);
+/* Name a target, or NULL. */
+const struct target *fleet_target(const struct fleet *f, const char *name);
+
+struct node {
+	struct settings set;
+	struct server server;
+	char *address; /* "IP:port" that callers use */
+	atomic_bool leaving;
+	atomic_bool stop_control;
+	atomic_int running; /* requests in progress */
+
+	GMutex lock; /* for the two below; the control thread replaces them */
+	struct config *config;
+	struct fleet *fleet;
+};
+
+/* References to what is in force; config is NULL before the first read. */
+struct config *node_config(struct node *n);
+struct fleet *node_fleet(struct node *n);
+void node_set_config(struct node *n, struct config *c);
+void node_set_fleet(struct node *n, struct fleet *f);
+
+/* control.c: the control thread; ends when stop_control is set. */
+void *control_run(void *node);
+
+/* plat.c: the platform's services over HTTP. */
+struct plat_http;
+/* With a fetcher: calls end in fetcher_poll. Without: before they return. */
+struct plat_http *plat_http_new(const struct settings *s, struct fetcher *f,
+				struct platform *out);
+void plat_http_free(struct plat_http *p);
+
+/*
+ * One request of a caller, from its headers to the end of its answer. All
+ * that belongs to it lives in its arena.
+ */
+struct request {
+	void *arena;
+	struct node *node;
+	struct config *config;
+	struct fleet *fleet;
+	const struct key_owner *owner;
+	const struct service *service;
+	const struct intent *intent; /* or NULL */
+	struct str id;               /* identity that the target echoes */
+	struct str key;              /* idempotency key, or empty */
+	const char *chat;            /* identity of the chat, or NULL */
+	int64_t deadline_ms;         /* wall clock */
+	int64_t priority;
+	struct str body; /* as the target is sent it */
+	bool stream;
+};
+
+/*
+ * Read what every request has: key, identity, deadline.
+ *
+ * Return: RAMP_OK, or why it is refused; *out is set in both cases and is
+ * freed by request_free.
+ */
+enum ramp_error request_begin(struct node *n, const struct _u_request *q,
+			      struct request **out);
+void request_free(struct request *rq);
+/* Answer with an error kind, as base's table says, and log it. */
+int request_refuse(struct request *rq, struct _u_response *r, enum ramp_error e,
+		   const char *detail);
+/* Count the outcome of an ended request. */
+void request_ended(enum outcome o);
+/* Look up the service and the intent that holds; false when not declared. */
+bool request_bind(struct request *rq, const char *service);
+/* Monotonic time of the deadline. */
+int64_t request_until(const struct request *rq);
+
+/* relay.c: one answer of a target, event by event, each exactly once. */
+struct relay;
+
+/*
+ * Send the request to a target and wait until it has begun to answer.
+ *
+ * Return: RAMP_OK, or an error kind whose outcome says whether it may run
+ * elsewhere.
+ */
+enum ramp_error relay_open(struct request *rq, const struct target *t,
+			   struct relay **out);
+/*
+ * Next event of the answer; the strings live until the next call. A silent or
+ * broken connection is replaced and the answer resumed.
+ *
+ * Return: RAMP_OK; *ended is set at the end of the answer. Any other kind
+ * ends the relay.
+ */
+enum ramp_error relay_next(struct relay *rl, struct sse_event *e, bool *ended);
+/* Cancels the work at the target unless the answer has ended. */
+void relay_close(struct relay *rl);
+
+/* dispatch.c: choose a target, try it, and try others where that is safe. */
+enum ramp_error dispatch(struct request *rq, struct relay **out);
+/* Targets for the request in order of preference; an array in its arena. */
+const struct target **dispatch_order(struct request *rq, size_t *n);
+
+/* Handlers of the HTTP server. */
+int on_chat(const struct _u_request *q, struct _u_response *r, void *node);
+int on_plain(const struct _u_request *q, struct _u_response *r, void *node);
+int on_entries(const struct _u_request *q, struct _u_response *r, void *node);
+int on_metrics(const struct _u_request *q, struct _u_response *r, void *node);
+int on_ready(const struct _u_request *q, struct _u_response *r, void *node);
+
+#endif
--- /dev/null
+++ b/node/plain.c
@@ -0,0 +1,128 @@
+/* /v1/services/:service/...: calls to plain services. */
+#include <string.h>
+#include <talloc.h>
+
+#include "node/node.h"
+
+#define CONNECT_MS   500
+#define ATTEMPTS_MAX 3
+
+/* Methods that HTTP itself calls idempotent. */
+static bool is_safe_method(const char *m)
+{
+	return !strcmp(m, "GET") || !strcmp(m, "HEAD") || !strcmp(m, "PUT") ||
+	       !strcmp(m, "DELETE");
+}
+
+static const char *rest_of_path(const struct _u_request *q)
+{
+	const char *p = strstr(q->http_url, "/v1/services/");
+
+	p = p ? strchr(p + strlen("/v1/services/"), '/') : NULL;
+	return p ? p : "/";
+}
+
+static enum ramp_error read_answer(struct request *rq, struct pull *p,
+				   GByteArray *all)
+{
+	enum pull_event ev;
+
+	while ((ev = pull_wait(p, request_until(rq))) == PULL_DATA) {
+		GByteArray *b = pull_bytes(p);
+
+		g_byte_array_append(all, b->data, b->len);
+		g_byte_array_set_size(b, 0);
+	}
+	if (ev == PULL_END)
+		return pull_status(p) == 503 ? RAMP_ERR_OVERLOADED : RAMP_OK;
+	if (!pull_maybe_sent(p))
+		return RAMP_ERR_NO_TARGET;
+	return ev == PULL_TIMEOUT ? RAMP_ERR_TIMED_OUT
+				  : RAMP_ERR_OUTCOME_UNKNOWN;
+}
+
+static enum ramp_error call_target(struct request *rq,
+				   const struct _u_request *q, bool idempotent,
+				   const struct target *t,
+				   struct _u_response *r)
+{
+	char *url = talloc_asprintf(rq->arena, "http://%s%s", t->address,
+				    rest_of_path(q));
+	const char *type = u_map_get_case(q->map_header, "Content-Type");
+	const char *headers[] = {
+		talloc_asprintf(rq->arena, "Content-Type: %s",
+				type ? type : "application/octet-stream"),
+		talloc_asprintf(rq->arena, "Request-Id: " STR_FMT,
+				STR_ARG(rq->id)),
+		rq->key.len ? talloc_asprintf(rq->arena,
+					      "Idempotency-Key: " STR_FMT,
+					      STR_ARG(rq->key))
+			    : NULL,
+		NULL};
+	struct pull_request pq = {.method = q->http_verb,
+				  .url = url,
+				  .headers = headers,
+				  .body = rq->body,
+				  .connect_ms = CONNECT_MS,
+				  .fresh = !idempotent};
+	GByteArray *all = g_byte_array_new();
+	struct pull *p = pull_open(&pq);
+	enum ramp_error e = read_answer(rq, p, all);
+
+	if (e == RAMP_OK) {
+		const char *ct = pull_header(p, "Content-Type");
+
+		if (ct)
+			u_map_put(r->map_header, "Content-Type", ct);
+		ulfius_set_binary_body_response(r, (unsigned)pull_status(p),
+						(char *)all->data, all->len);
+	}
+	pull_close(p);
+	g_byte_array_unref(all);
+	return e;
+}
+
+static enum ramp_error call_any(struct request *rq, const struct _u_request *q,
+				struct _u_response *r)
+{
+	bool idempotent =
+		rq->service->idempotent || is_safe_method(q->http_verb);
+	enum ramp_error e = RAMP_ERR_NO_TARGET;
+	size_t n;
+	const struct target **order = dispatch_order(rq, &n);
+
+	for (size_t i = 0; i < n && i < ATTEMPTS_MAX; i++) {
+		if (i)
+			metric_add(M_RETRIES_TOTAL, 1);
+		e = call_target(rq, q, idempotent, order[i], r);
+		if (e == RAMP_OK || e == RAMP_ERR_TIMED_OUT ||
+		    (!idempotent &&
+		     error_answers[e].outcome != OUTCOME_NOT_RUN))
+			return e;
+	}
+	return e;
+}
+
+int on_plain(const struct _u_request *q, struct _u_response *r, void *node)
+{
+	struct request *rq;
+	enum ramp_error e = request_begin(node, q, &rq);
+
+	if (e == RAMP_OK &&
+	    (!request_bind(rq, u_map_get(q->map_url, "service")) ||
+	     rq->service->kind != SERVICE_PLAIN))
+		e = RAMP_ERR_NOT_FOUND;
+	if (e == RAMP_OK) {
+		rq->body = (struct str){q->binary_body, q->binary_body_length};
+		e = call_any(rq, q, r);
+	}
+	if (e == RAMP_OK) {
+		request_ended(OUTCOME_COMPLETE);
+		u_map_put(r->map_header, "Ramp-Outcome",
+			  outcome_name(OUTCOME_COMPLETE));
+	} else {
+		request_refuse(rq, r, e, NULL);
+	}
+	request_free(rq);
+	return U_CALLBACK_COMPLETE;
+}
--- /dev/null
+++ b/node/request.c
@@ -0,0 +1,139 @@
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "node/node.h"
+
+#define ID_BYTES       16
+#define RETRY_AFTER_MS 1000
+
+static const char *header(const struct _u_request *q, const char *name)
+{
+	return u_map_get_case(q->map_header, name);
+}
+
+static const struct key_owner *authenticate(const struct request *rq,
+					    const struct _u_request *q)
+{
+	const char *h = header(q, "Authorization");
+
+	if (!h || !g_str_has_prefix(h, "Bearer "))
+		return NULL;
+	return config_key_owner(rq->config, str_c(h + strlen("Bearer ")));
+}
+
+static struct str new_id(void *arena)
+{
+	unsigned char raw[ID_BYTES];
+	char hex[ID_BYTES * 2 + 1];
+
+	randombytes_buf(raw, sizeof(raw));
+	sodium_bin2hex(hex, sizeof(hex), raw, sizeof(raw));
+	return str_dup(arena, str_c(hex));
+}
+
+/* Header "Ramp-Deadline": wall-clock milliseconds. */
+static bool read_deadline(struct request *rq, const struct _u_request *q)
+{
+	const char *h = header(q, "Ramp-Deadline");
+	int64_t latest = time_now_ms() + rq->node->set.limits_request_ms;
+	char *end;
+
+	rq->deadline_ms = latest;
+	if (!h)
+		return true;
+	rq->deadline_ms = MIN(g_ascii_strtoll(h, &end, 10), latest);
+	return end != h && !*end;
+}
+
+enum ramp_error request_begin(struct node *n, const struct _u_request *q,
+			      struct request **out)
+{
+	void *arena = talloc_new(NULL);
+	struct request *rq = talloc_zero(arena, struct request);
+
+	atomic_fetch_add(&n->running, 1);
+	metric_add(M_REQUESTS_TOTAL, 1);
+	metric_set(M_REQUESTS_RUNNING, atomic_load(&n->running));
+	*out = rq;
+	rq->arena = arena;
+	rq->node = n;
+	rq->id = new_id(arena);
+	rq->config = node_config(n);
+	rq->fleet = node_fleet(n);
+	if (!rq->config || !rq->fleet)
+		return RAMP_ERR_NOT_READY;
+	rq->owner = authenticate(rq, q);
+	if (!rq->owner)
+		return RAMP_ERR_UNAUTHORIZED;
+	if ((int64_t)q->binary_body_length > n->set.limits_body)
+		return RAMP_ERR_TOO_LARGE;
+	if (!read_deadline(rq, q))
+		return RAMP_ERR_BAD_REQUEST;
+	if (rq->deadline_ms <= time_now_ms())
+		return RAMP_ERR_DEADLINE_PASSED;
+	rq->key = str_dup(arena, str_c(header(q, "Idempotency-Key")));
+	if (header(q, "Ramp-Chat"))
+		rq->chat = talloc_strdup(arena, header(q, "Ramp-Chat"));
+	return RAMP_OK;
+}
+
+void request_free(struct request *rq)
+{
+	struct node *n = rq->node;
+
+	config_unref(rq->config);
+	fleet_unref(rq->fleet);
+	talloc_free(rq->arena);
+	atomic_fetch_sub(&n->running, 1);
+	metric_set(M_REQUESTS_RUNNING, atomic_load(&n->running));
+}
+
+void request_ended(enum outcome o)
+{
+	static const enum metric_id ids[] = {
+		[OUTCOME_COMPLETE] = M_ANSWERS_COMPLETE_TOTAL,
+		[OUTCOME_NOT_RUN] = M_ANSWERS_NOT_RUN_TOTAL,
+		[OUTCOME_FAILED] = M_ANSWERS_FAILED_TOTAL,
+		[OUTCOME_UNKNOWN] = M_ANSWERS_UNKNOWN_TOTAL,
+	};
+
+	metric_add(ids[o], 1);
+}
+
+int request_refuse(struct request *rq, struct _u_response *r, enum ramp_error e,
+		   const char *detail)
+{
+	const struct error_answer *a = &error_answers[e];
+	int64_t at = a->retry ? time_now_ms() + RETRY_AFTER_MS : 0;
+
+	request_ended(a->outcome);
+	log_event(a->outcome == OUTCOME_NOT_RUN ? EV_REQUEST_REFUSED
+						: EV_REQUEST_FAILED,
+		  "request=" STR_FMT " error=%s outcome=%s", STR_ARG(rq->id),
+		  a->name, outcome_name(a->outcome));
+	u_map_put(r->map_header, "Ramp-Outcome", outcome_name(a->outcome));
+	if (at) {
+		char s[24];
+
+		g_snprintf(s, sizeof(s), "%d", (RETRY_AFTER_MS + 999) / 1000);
+		u_map_put(r->map_header, "Retry-After", s);
+	}
+	return answer_json(r, a->http_status, ramp_error_json(e, detail, at));
+}
+
+bool request_bind(struct request *rq, const char *service)
+{
+	rq->service = config_service(rq->config, service);
+	if (!rq->service)
+		return false;
+	rq->intent = config_intent(rq->config, service,
+				   rq->owner->organisation->name);
+	rq->priority = rq->intent ? rq->intent->priority : 0;
+	return true;
+}
+
+int64_t request_until(const struct request *rq)
+{
+	return time_mono_ms() + rq->deadline_ms - time_now_ms();
+}
--- /dev/null
+++ b/node/test-fleet.c
@@ -0,0 +1,27 @@
+#include "node/node.h"
+
+static void test_roles(void)
+{
+	json_t *j = json_loads(
+		"[{\"name\":\"e1\",\"role\":\"engine\",\"pool\":\"p\","
+		"\"address\":\"127.0.0.1:1\",\"state\":\"leaving\"},"
+		"{\"name\":\"n1\",\"role\":\"node\","
+		"\"address\":\"127.0.0.1:2\"},"
+		"{\"name\":\"broken\"},17]",
+		0, NULL);
+	struct fleet *f = fleet_from_instances(j);
+
+	g_assert_cmpuint(f->targets->len, ==, 1);
+	g_assert_cmpuint(f->peers->len, ==, 1);
+	g_assert_true(fleet_target(f, "e1")->leaving);
+	g_assert_null(fleet_target(f, "n1"));
+	fleet_unref(f);
+	json_decref(j);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/node/fleet/roles", test_roles);
+	return g_test_run();
+}
--- /dev/null
+++ b/schema/gen.sh
@@ -0,0 +1,141 @@
+#!/bin/sh
+# Generate base/*-gen.[ch], docs/EVENTS.md and the settings part of the manual
+# from the tables in this directory. Output is committed; `make lint` compares.
+set -eu
+cd "$(dirname "$0")/.."
+out=${1:-.}
+mkdir -p "$out/base" "$out/docs" "$out/man"
+body() { grep -v '^#' "schema/$1.tbl"; }
+
+# errors
+{
+	echo '/* Generated from schema/errors.tbl by schema/gen.sh. */'
+	echo '#ifndef ERRORS_GEN_H'
+	echo '#define ERRORS_GEN_H'
+	printf 'enum ramp_error {\n\tRAMP_OK = -1,\n'
+	body errors | awk -F'\t' '{ printf "\tRAMP_ERR_%s,\n", toupper($1) }'
+	printf '\tRAMP_ERR_COUNT\n};\n#endif\n'
+} >"$out/base/errors-gen.h"
+{
+	echo '/* Generated from schema/errors.tbl by schema/gen.sh. */'
+	echo '#include "base/base.h"'
+	echo 'const struct error_answer error_answers[RAMP_ERR_COUNT] = {'
+	body errors | awk -F'\t' '{
+		o = toupper($3); gsub("-", "_", o)
+		printf "\t{ \"%s\", %s, OUTCOME_%s, %s,\n\t  \"%s\" },\n",
+			$1, $2, o, $4 == "yes" ? "true" : "false", $5 }'
+	echo '};'
+} >"$out/base/errors-gen.c"
+
+# events
+{
+	echo '/* Generated from schema/events.tbl by schema/gen.sh. */'
+	echo '#ifndef EVENTS_GEN_H'
+	echo '#define EVENTS_GEN_H'
+	echo 'enum log_event_id {'
+	body events | awk -F'\t' '{ printf "\tEV_%s,\n", toupper($3) }'
+	printf '\tEV_COUNT\n};\n#endif\n'
+} >"$out/base/events-gen.h"
+{
+	echo '/* Generated from schema/events.tbl by schema/gen.sh. */'
+	echo '#include "base/base.h"'
+	echo 'const struct log_event_info log_events[EV_COUNT] = {'
+	body events | awk -F'\t' '{
+		printf "\t{ %s, LOG_%s, \"%s\" },\n", $1, toupper($2), $3 }'
+	echo '};'
+} >"$out/base/events-gen.c"
+{
+	echo '# Log events'
+	echo
+	echo 'Generated from `schema/events.tbl`. One line each in the log:'
+	echo '`time level number name key=value ...`.'
+	echo
+	echo '| number | level | name | meaning |'
+	echo '| --- | --- | --- | --- |'
+	body events | awk -F'\t' '{ printf "| %s | %s | %s | %s |\n", $1, $2, $3, $4 }'
+} >"$out/docs/EVENTS.md"
+
+# metrics
+{
+	echo '/* Generated from schema/metrics.tbl by schema/gen.sh. */'
+	echo '#ifndef METRICS_GEN_H'
+	echo '#define METRICS_GEN_H'
+	echo 'enum metric_id {'
+	body metrics | awk -F'\t' '{ printf "\tM_%s,\n", toupper($1) }'
+	printf '\tM_COUNT\n};\n#endif\n'
+} >"$out/base/metrics-gen.h"
+{
+	echo '/* Generated from schema/metrics.tbl by schema/gen.sh. */'
+	echo '#include "base/base.h"'
+	echo 'const struct metric_info metric_infos[M_COUNT] = {'
+	body metrics | awk -F'\t' '{
+		printf "\t{ \"ramp_%s\", \"%s\",\n\t  \"%s\" },\n", $1, $2, $3 }'
+	echo '};'
+} >"$out/base/metrics-gen.c"
+
+# settings
+{
+	echo '/* Generated from schema/settings.tbl by schema/gen.sh. */'
+	echo '#ifndef SETTINGS_GEN_H'
+	echo '#define SETTINGS_GEN_H'
+	echo '#include <stdbool.h>'
+	echo '#include <stdint.h>'
+	echo 'struct settings {'
+	body settings | awk -F'\t' '{
+		t = "int64_t "; n = $1 "_" $2
+		if ($3 == "string") t = "char *"
+		if ($3 == "bool") t = "bool "
+		if ($3 == "ms") n = n "_ms"
+		printf "\t%s%s;\n", t, n }'
+	printf '};\n#endif\n'
+} >"$out/base/settings-gen.h"
+{
+	echo '/* Generated from schema/settings.tbl by schema/gen.sh. */'
+	echo '#include <stddef.h>'
+	echo '#include "base/base.h"'
+	echo 'const struct setting_info setting_infos[] = {'
+	body settings | awk -F'\t' '{
+		n = $1 "_" $2; if ($3 == "ms") n = n "_ms"
+		d = $4 == "-" ? "NULL" : "\"" $4 "\""
+		printf "\t{ \"%s\", \"%s\", SETTING_%s, %s, %s, %s,\n\t  offsetof(struct settings, %s),\n\t  \"%s\" },\n",
+			$1, $2, toupper($3), d, $5, $6, n, $7 }'
+	echo '};'
+	echo 'const size_t setting_count ='
+	printf '\tsizeof(setting_infos) / sizeof(setting_infos[0]);\n'
+} >"$out/base/settings-gen.c"
+{
+	echo '.TH AUBURNRAMP.CONF 5'
+	echo '.SH NAME'
+	echo 'auburnramp.conf \- settings of an auburnramp node'
+	echo '.SH SYNOPSIS'
+	echo '.B auburnramp \-\-settings'
+	echo '.I file'
+	echo '.SH DESCRIPTION'
+	echo 'An INI file. An unknown key, a wrong type or a value out of range is an'
+	echo 'error; all errors are listed at once.'
+	body settings | awk -F'\t' '{
+		if ($1 != s) { printf ".SS [%s]\n", $1; s = $1 }
+		d = $4 == "-" ? "required" : "default " ($4 == "" ? "empty" : $4)
+		r = $3 == "string" ? "length" : "value"
+		printf ".TP\n.B %s\n%s (%s, %s from %s to %s, %s)\n", $2, $7, $3, r, $5, $6, d }'
+	echo '.SH BUGS'
+	echo 'A change of settings needs a restart of the node.'
+} >"$out/man/auburnramp.conf.5"
+
+# resources
+mkdir -p "$out/state"
+{
+	echo '/* Generated from schema/resources.tbl by schema/gen.sh. */'
+	echo '#include "state/schema.h"'
+	echo 'const struct field_info field_infos[] = {'
+	body resources | awk -F'\t' '{
+		t[2] = ""; split($3, t, ":")
+		printf "\t{ KIND_%s, \"%s\", FIELD_%s, \"%s\", %s, %s, %s,\n\t  \"%s\" },\n",
+			toupper($1), $2, toupper(t[1]), t[2],
+			$4 == "yes" ? "true" : "false", $5, $6,
+			gensub_quotes($7) }
+		function gensub_quotes(s) { gsub("\"", "\\\"", s); return s }'
+	echo '};'
+	echo 'const size_t field_count ='
+	printf '\tsizeof(field_infos) / sizeof(field_infos[0]);\n'
+} >"$out/state/resources-gen.c"
--- /dev/null
+++ b/standin/call.c
@@ -0,0 +1,33 @@
+/* call METHOD URL [BODY]: one HTTP call for scripts; prints the answer. */
+#include <curl/curl.h>
+#include <stdio.h>
+
+#include "standin/standin.h"
+
+#define WAIT_MS 10000
+
+static void on_done(const struct fetch_result *r, void *arg)
+{
+	*(int *)arg = r->status ? r->status : -1;
+	fwrite(r->body.data ? r->body.data : "", 1, r->body.len, stdout);
+	putchar('\n');
+}
+
+int main(int argc, char **argv)
+{
+	struct fetcher *f;
+	int status = 0;
+
+	if (argc < 3 || argc > 4) {
+		fprintf(stderr, "usage: %s METHOD URL [BODY]\n", argv[0]);
+		return 2;
+	}
+	block_stop_signals();
+	curl_global_init(CURL_GLOBAL_ALL);
+	f = fetcher_new();
+	fetch(f, argv[1], argv[2], str_c(argv[3]), WAIT_MS, on_done, &status);
+	while (!status)
+		fetcher_poll(f, NULL, 0, 100);
+	fetcher_free(f);
+	return status >= 200 && status < 300 ? 0 : 1;
+}
--- /dev/null
+++ b/standin/caller.c
@@ -0,0 +1,395 @@
+/*
+ * A caller that checks its answers: it asks for the entries, sends the chats
+ * of a file turn by turn, compares every answer with the one that the stand-in
+ * engines must give, and counts what was lost, doubled, crossed or cut.
+ */
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "standin/standin.h"
+
+#define TRIES_MAX    40
+#define TRY_PAUSE_US (100 * 1000)
+#define ANSWER_MS    30000
+#define SILENCE_MS   5000
+#define CONNECT_MS   1000
+#define ENTRIES_MAX  64
+#define WORKERS      32
+
+/* The entries last heard of; shared by all workers. */
+struct entries {
+	GMutex lock;
+	char *address[ENTRIES_MAX];
+	int n;
+	int64_t valid_until_ms;
+	char **seeds; /* addresses known from the start */
+	int seed_count;
+};
+
+struct totals {
+	GMutex lock;
+	int64_t asked, answered, lost, doubled, crossed, cut;
+};
+
+struct chat {
+	char *organisation, *name, *service;
+	json_t *turns;
+	struct entries *entries;
+	struct totals *totals;
+};
+
+/* One answer as it arrives. */
+struct answer {
+	const char *prompt;
+	GString *text;
+	int64_t words; /* right words so far */
+	bool done;     /* [DONE] came */
+	bool refused;  /* truly not run: may be asked again */
+	bool broken;   /* the connection ended early */
+	bool crossed;  /* a word of another answer */
+	char *resume;  /* identity to go on with at another entry */
+};
+
+static void read_entries(struct entries *e, const json_t *j)
+{
+	const json_t *list = json_object_get(j, "entries");
+	size_t i;
+	json_t *x;
+
+	g_mutex_lock(&e->lock);
+	for (int k = 0; k < e->n; k++)
+		g_free(e->address[k]);
+	e->n = 0;
+	json_array_foreach (list, i, x) {
+		if (e->n < ENTRIES_MAX)
+			e->address[e->n++] = g_strdup(json_string_value(
+				json_object_get(x, "address")));
+	}
+	e->valid_until_ms =
+		json_integer_value(json_object_get(j, "valid_until_ms"));
+	g_mutex_unlock(&e->lock);
+}
+
+/* GET url; the caller owns the JSON, NULL when there is none. */
+static json_t *get_json(const char *url)
+{
+	struct pull_request q = {
+		.method = "GET", .url = url, .connect_ms = CONNECT_MS};
+	struct pull *p = pull_open(&q);
+	int64_t until = time_mono_ms() + SILENCE_MS;
+	json_t *j = NULL;
+	guint seen = 0;
+
+	/* The body is small: wait until it has stopped growing. */
+	while (pull_wait(p, until) == PULL_DATA && time_mono_ms() < until) {
+		if (pull_bytes(p)->len == seen) {
+			g_usleep(1000);
+			continue;
+		}
+		seen = pull_bytes(p)->len;
+		json_decref(j);
+		j = json_loadb((char *)pull_bytes(p)->data, seen, 0, NULL);
+		if (j)
+			break;
+	}
+	pull_close(p);
+	return j;
+}
+
+static void ask_entries(struct entries *e)
+{
+	for (int i = 0; i < e->n + e->seed_count; i++) {
+		const char *a = i < e->n ? e->address[i] : e->seeds[i - e->n];
+		char *url = g_strdup_printf("http://%s/v1/entries", a);
+		json_t *j = get_json(url);
+
+		g_free(url);
+		if (!j)
+			continue;
+		read_entries(e, j);
+		json_decref(j);
+		return;
+	}
+}
+
+/* Entry number i in order of preference. Free with g_free. */
+static char *pick_entry(struct entries *e, int i)
+{
+	char *a = NULL;
+
+	if (time_now_ms() >= e->valid_until_ms || !e->n)
+		ask_entries(e);
+	g_mutex_lock(&e->lock);
+	if (e->n)
+		a = g_strdup(e->address[i % e->n]);
+	g_mutex_unlock(&e->lock);
+	return a ? a : g_strdup(e->seeds[i % e->seed_count]);
+}
+
+static void check_word(struct answer *a, const char *s)
+{
+	char want[32];
+
+	answer_word(a->prompt, a->words, want, sizeof(want));
+	if (strcmp(s, want)) {
+		a->crossed = true;
+		return;
+	}
+	g_string_append(a->text, s);
+	a->words++;
+}
+
+static void read_event(struct answer *a, const struct sse_event *e)
+{
+	const json_t *choice, *error;
+	const char *s;
+	json_t *j;
+
+	if (str_eq(e->data, STR_LIT("[DONE]"))) {
+		a->done = true;
+		return;
+	}
+	j = json_loadb(e->data.data, e->data.len, 0, NULL);
+	choice = json_array_get(json_object_get(j, "choices"), 0);
+	error = json_object_get(j, "error");
+	s = json_string_value(
+		json_object_get(json_object_get(choice, "delta"), "content"));
+	if (error)
+		a->broken = true;
+	else if (s)
+		check_word(a, s);
+	json_decref(j);
+}
+
+static void read_events(struct answer *a, struct pull *p)
+{
+	GByteArray *b = pull_bytes(p);
+	struct sse_event e;
+	size_t used;
+
+	while (!a->done && !a->broken &&
+	       (used = sse_next((char *)b->data, b->len, &e))) {
+		read_event(a, &e);
+		g_byte_array_remove_range(b, 0, (guint)used);
+	}
+}
+
+static void read_answer(struct answer *a, struct pull *p)
+{
+	int64_t until = time_mono_ms() + ANSWER_MS;
+	enum pull_event ev = PULL_DATA;
+	guint before;
+
+	while (!a->done && !a->broken && !a->crossed && ev == PULL_DATA) {
+		ev = pull_wait(p, MIN(until, time_mono_ms() + SILENCE_MS));
+		if (pull_status(p) && pull_status(p) != 200) {
+			const char *o = pull_header(p, "Ramp-Outcome");
+
+			a->refused = o && !strcmp(o, "not-run");
+			return;
+		}
+		before = pull_bytes(p)->len;
+		read_events(a, p);
+		/* Half an event: wait for the rest of it. */
+		if (ev == PULL_DATA && pull_bytes(p)->len == before)
+			g_usleep(1000);
+	}
+	if (!a->resume && pull_header(p, "Ramp-Resume"))
+		a->resume = g_strdup(pull_header(p, "Ramp-Resume"));
+	if (!a->done)
+		a->broken = true;
+}
+
+static char *chat_body(const struct chat *c, json_t *messages)
+{
+	json_t *j = json_pack("{s:s,s:b,s:O}", "model", c->service, "stream", 1,
+			      "messages", messages);
+	char *s = json_dumps(j, JSON_COMPACT);
+
+	json_decref(j);
+	return s;
+}
+
+static void send_chat(const struct chat *c, const char *entry, const char *body,
+		      struct answer *a)
+{
+	char *url = a->resume ? g_strdup_printf("http://%s/v1/streams/%s",
+						entry, a->resume)
+			      : g_strdup_printf("http://%s/v1/chat/completions",
+						entry);
+	char *auth = g_strdup_printf("Authorization: Bearer key-%s",
+				     c->organisation);
+	char *chat = g_strdup_printf("Ramp-Chat: %s", c->name);
+	char *last = g_strdup_printf("Last-Event-ID: %" G_GINT64_FORMAT,
+				     a->words - 1);
+	const char *headers[] = {auth, chat, "Content-Type: application/json",
+				 last, NULL};
+	struct pull_request q = {.method = a->resume ? "GET" : "POST",
+				 .url = url,
+				 .headers = headers,
+				 .body = a->resume ? str_c(NULL) : str_c(body),
+				 .connect_ms = CONNECT_MS};
+	struct pull *p;
+
+	if (!a->words || !a->resume)
+		headers[3] = NULL;
+	p = pull_open(&q);
+	read_answer(a, p);
+	pull_close(p);
+	g_free(url);
+	g_free(auth);
+	g_free(chat);
+	g_free(last);
+}
+
+static void count(struct totals *t, const struct answer *a)
+{
+	g_mutex_lock(&t->lock);
+	t->asked++;
+	if (a->done)
+		t->answered++;
+	else if (a->words)
+		t->cut++;
+	else
+		t->lost++;
+	if (a->crossed)
+		t->crossed++;
+	g_mutex_unlock(&t->lock);
+}
+
+/* Ask until the whole answer is there; a broken answer starts anew unless
+ * the entry gave an identity to resume it with. */
+static char *ask(const struct chat *c, json_t *messages)
+{
+	char *prompt = prompt_text(messages);
+	char *body = chat_body(c, messages);
+	struct answer a = {.prompt = prompt, .text = g_string_new(NULL)};
+
+	for (int i = 0; i < TRIES_MAX && !a.done && !a.crossed; i++) {
+		char *entry = pick_entry(c->entries, i);
+
+		if (i)
+			g_usleep(TRY_PAUSE_US);
+		if (a.broken && !a.resume) {
+			a.words = 0;
+			g_string_truncate(a.text, 0);
+		}
+		a.broken = a.refused = false;
+		send_chat(c, entry, body, &a);
+		if (a.resume && !a.done && !a.broken)
+			g_clear_pointer(&a.resume, g_free);
+		g_free(entry);
+	}
+	count(c->totals, &a);
+	free(body);
+	g_free(prompt);
+	g_free(a.resume);
+	return g_string_free(a.text, FALSE);
+}
+
+static void run_chat(void *data, void *unused)
+{
+	struct chat *c = data;
+	json_t *messages = json_array();
+	size_t i;
+	json_t *turn;
+
+	(void)unused;
+	json_array_foreach (c->turns, i, turn) {
+		char *text;
+
+		json_array_append_new(messages,
+				      json_pack("{s:s,s:O}", "role", "user",
+						"content", turn));
+		text = ask(c, messages);
+		json_array_append_new(messages,
+				      json_pack("{s:s,s:s}", "role",
+						"assistant", "content", text));
+		g_free(text);
+	}
+	json_decref(messages);
+}
+
+/* Returns NULL when the line is not a chat. */
+static struct chat *read_chat(const char *line)
+{
+	json_t *j = json_loads(line, 0, NULL);
+	const char *org, *name, *service;
+	struct chat *c = NULL;
+	json_t *turns;
+
+	if (!json_unpack(j, "{s:s,s:s,s:s,s:o}", "organisation", &org, "chat",
+			 &name, "service", &service, "turns", &turns)) {
+		c = g_new0(struct chat, 1);
+		c->organisation = g_strdup(org);
+		c->name = g_strdup(name);
+		c->service = g_strdup(service);
+		c->turns = json_incref(turns);
+	}
+	json_decref(j);
+	return c;
+}
+
+static bool run_file(const char *path, struct entries *e, struct totals *t)
+{
+	GThreadPool *pool =
+		g_thread_pool_new(run_chat, NULL, WORKERS, FALSE, NULL);
+	char *text = NULL;
+	char **lines;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL)) {
+		fprintf(stderr, "%s: can't be read\n", path);
+		return false;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	g_free(text);
+	for (int i = 0; lines[i]; i++) {
+		struct chat *c;
+
+		if (!*lines[i])
+			continue;
+		c = read_chat(lines[i]);
+		if (!c) {
+			fprintf(stderr, "%s:%d: not a chat\n", path, i + 1);
+			return false;
+		}
+		c->entries = e;
+		c->totals = t;
+		g_thread_pool_push(pool, c, NULL);
+	}
+	g_strfreev(lines);
+	g_thread_pool_free(pool, FALSE, TRUE);
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *seed = arg_strn("e", "entry", "IP:PORT", 1, 64,
+					"an entry known from the start");
+	struct arg_file *chats = arg_file1(NULL, NULL, "CHATS", "jsonl file");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {seed, chats, end};
+	struct entries e = {0};
+	struct totals t = {0};
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 2;
+	}
+	block_stop_signals();
+	curl_global_init(CURL_GLOBAL_ALL);
+	e.seeds = (char **)seed->sval;
+	e.seed_count = seed->count;
+	if (!run_file(chats->filename[0], &e, &t))
+		return 2;
+	printf("asked=%" G_GINT64_FORMAT " answered=%" G_GINT64_FORMAT
+	       " lost=%" G_GINT64_FORMAT " doubled=%" G_GINT64_FORMAT
+	       " crossed=%" G_GINT64_FORMAT " cut=%" G_GINT64_FORMAT "\n",
+	       t.asked, t.answered, t.lost, t.doubled, t.crossed, t.cut);
+	return t.asked == t.answered && !t.lost && !t.doubled && !t.crossed &&
+			       !t.cut
+		       ? 0
+		       : 1;
+}
--- /dev/null
+++ b/state/schema.h
@@ -0,0 +1,36 @@
+/* Private to state: the table of resource fields and the check against it. */
+#ifndef STATE_SCHEMA_H
+#define STATE_SCHEMA_H
+
+#include "state/state.h"
+
+enum field_type {
+	FIELD_STRING,
+	FIELD_STRINGS,
+	FIELD_INT,
+	FIELD_NUMBER,
+	FIELD_BOOL,
+	FIELD_ENUM, /* extra: the names, separated by commas */
+	FIELD_REF,  /* extra: the kind referred to */
+	FIELD_KEYS,
+};
+
+struct field_info {
+	enum resource_kind kind;
+	const char *name;
+	enum field_type type;
+	const char *extra;
+	bool required;
+	double min; /* of the value, the string's length or the list's */
+	double max;
+	const char *doc;
+};
+
+extern const struct field_info field_infos[];
+extern const size_t field_count;
+
+/* Check a spec field by field; every fault becomes one string in errors. */
+bool schema_check(enum resource_kind k, const char *name, const json_t *spec,
+		  GPtrArray *errors);
+
+#endif
