node: run control as a table of modules

Cause: configuration, membership, load reports and leases all need the one control thread, and would each have had to edit its loop.

Ruled out: a thread for each part; they would share state behind locks.

No behaviour changes.

Conclusion: each part of control is now one file and one table row.

--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -61,7 +61,7 @@
 	for (size_t i = 0; i < n && i < ATTEMPTS_MAX; i++) {
 		if (i)
 			metric_add(M_RETRIES_TOTAL, 1);
-		e = relay_open(rq, order[i], out);
+		e = relay_open(rq, order[i], NULL, out);
 		if (e == RAMP_OK || !may_retry(rq, e))
 			return e;
 	}
--- a/node/node.h
+++ b/node/node.h
@@ -51,6 +51,9 @@
 	atomic_bool stop_control;
 	atomic_int running; /* requests in progress */
 
+	/* Newest configuration revision that another node has told of. */
+	atomic_int_least64_t heard_revision;
+
 	GMutex lock; /* for the two below; the control thread replaces them */
 	struct config *config;
 	struct fleet *fleet;
@@ -62,6 +65,27 @@
 void node_set_config(struct node *n, struct config *c);
 void node_set_fleet(struct node *n, struct fleet *f);
 
+/* What the control thread's modules share. */
+struct control_env {
+	struct node *node;
+	struct fetcher *fetcher; /* for calls to targets and other nodes */
+	struct platform plat;
+};
+
+/* A part of control; all its functions run on the control thread. */
+struct control_module {
+	void *(*start)(struct control_env *env);
+	/* Called at least every 20 ms with the monotonic time. */
+	void (*tick)(void *ctx, int64_t now_ms);
+	/* Optional: a descriptor to wait on and what to do when it is ready. */
+	int (*fd)(void *ctx);
+	void (*readable)(void *ctx);
+	void (*stop)(void *ctx);
+};
+
+extern const struct control_module config_module; /* config.c */
+extern const struct control_module list_module;   /* list.c */
+
 /* control.c: the control thread; ends when stop_control is set. */
 void *control_run(void *node);
 
@@ -116,13 +140,16 @@
 struct relay;
 
 /*
- * Send the request to a target and wait until it has begun to answer.
+ * Send the request to a target and wait until it has begun to answer. With
+ * via, the base URL of another node's /internal/targets/<target>, it goes
+ * through that node; the rest of a broken answer always comes from the target
+ * itself. Only the entry cancels work, never a node in between.
  *
  * Return: RAMP_OK, or an error kind whose outcome says whether it may run
  * elsewhere.
  */
 enum ramp_error relay_open(struct request *rq, const struct target *t,
-			   struct relay **out);
+			   const char *via, struct relay **out);
 /*
  * Next event of the answer; the strings live until the next call. A silent or
  * broken connection is replaced and the answer resumed.
--- a/node/relay.c
+++ b/node/relay.c
@@ -34,7 +34,7 @@
 	rl->headers[n] = NULL;
 }
 
-static void connect_first(struct relay *rl)
+static void connect_first(struct relay *rl, const char *via)
 {
 	struct pull_request q = {.method = "POST",
 				 .headers = rl->headers,
@@ -42,9 +42,11 @@
 				 .connect_ms = CONNECT_MS,
 				 .fresh = !rl->rq->service->idempotent};
 
-	rl->url =
-		talloc_asprintf(rl->rq->arena, "http://%s/v1/chat/completions",
-				rl->target->address);
+	rl->url = via ? talloc_asprintf(rl->rq->arena, "%s/v1/chat/completions",
+					via)
+		      : talloc_asprintf(rl->rq->arena,
+					"http://%s/v1/chat/completions",
+					rl->target->address);
 	q.url = rl->url;
 	rl->pull = pull_open(&q);
 }
@@ -222,7 +224,7 @@
 }
 
 enum ramp_error relay_open(struct request *rq, const struct target *t,
-			   struct relay **out)
+			   const char *via, struct relay **out)
 {
 	struct relay *rl = talloc_zero(rq->arena, struct relay);
 	enum ramp_error err = RAMP_OK;
@@ -231,7 +233,7 @@
 	rl->rq = rq;
 	rl->target = t;
 	set_headers(rl);
-	connect_first(rl);
+	connect_first(rl, via);
 	ev = pull_wait(rl->pull, silence_until(rl));
 	if (ev == PULL_FAILED && !pull_maybe_sent(rl->pull))
 		err = RAMP_ERR_NO_TARGET;
--- a/state/state.h
+++ b/state/state.h
@@ -3,6 +3,21 @@
  * for calls that run at most once, leases and orders. All of it stands on the
  * platform's table service and object store behind struct platform. No I/O,
  * threads or wall clock in here: they come in by callbacks.
+ *
+ * Rows of the table (all values are JSON objects):
+ *
+ *   head/config        revision: N, the number of changes so far
+ *   res/<kind>/<name>  spec, generation, revision of its last change
+ *   chg/<N, 20 digits> id, revision, who, from, at_ms, kind, name, was, is:
+ *                      the audit trail, and what nodes and watches follow
+ *   cid/<change id>    revision: settles a change whose answer was lost
+ *   claim/<hash>       a call that runs at most once
+ *   lease/<target>     holder, fence, deadline_ms
+ *   order/<target>     the intended state of a target
+ *
+ * A change is one transaction that checks head/config and the resource's row
+ * and writes the first four. The table's own revision also counts claims and
+ * leases, so it is never used as the configuration's.
  */
 #ifndef STATE_H
 #define STATE_H
