bench: measure slopes of configuration, fleet view and ordering

Change: package bench with a least-squares fit and rows; `make capacity` measures in process: configuration per organisation, fleet per node, rendezvous order per target.

Ruled out: timing by wall clock; CPU time of the process is steadier on a machine that others use.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,11 @@
 	@$(MAKE) --no-print-directory -j all >/dev/null
 	@mk/bench.sh
 
+capacity: setup
+	@$(MAKE) --no-print-directory -j all >/dev/null
+	@build/bench/capacity
+
 clean:
 	rm -rf build bin demo/run
 
-.PHONY: all setup demo test lint format gen bench clean
+.PHONY: all setup demo test lint format gen bench capacity clean
