--- /dev/null
+++ b/route/choose.c
@@ -0,0 +1,42 @@
+#include "route/route.h"
+
+#define MS_PER_S 1000.0
+
+static bool is_among(const struct choose_input *in, uint64_t id)
+{
+	for (size_t i = 0; i < in->count; i++)
+		if (in->targets[i].id == id)
+			return true;
+	return false;
+}
+
+static size_t add(uint64_t *out, size_t n, uint64_t id)
+{
+	for (size_t i = 0; i < n; i++)
+		if (out[i] == id)
+			return n;
+	if (n < CHOOSE_MAX)
+		out[n++] = id;
+	return n;
+}
+
+size_t choose_targets(const struct choose_input *in, uint64_t *out)
+{
+	struct route_rank top[CHOOSE_MAX];
+	size_t k = route_top(in->key, in->targets, in->count, top, CHOOSE_MAX);
+	size_t n = 0;
+
+	if (in->hint && is_among(in, in->hint->target))
+		n = add(out, n, in->hint->target);
+	if (in->indexed && is_among(in, in->indexed))
+		n = add(out, n, in->indexed);
+	for (size_t i = 0; i < k; i++)
+		n = add(out, n, top[i].id);
+	return n;
+}
+
+int64_t choose_wait_ms(int64_t cached_tokens, double prefill_tokens_per_s)
+{
+	return (int64_t)((double)cached_tokens * MS_PER_S /
+			 prefill_tokens_per_s);
+}
--- /dev/null
+++ b/route/hint.c
@@ -0,0 +1,46 @@
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "route/route.h"
+
+#define DIGITS     16 /* of each number, in base 16 */
+#define HINT_CHARS (2 * DIGITS + 1)
+
+void hint_encode(const struct hint *h, char out[HINT_SIZE])
+{
+	snprintf(out, HINT_SIZE, "%016" PRIx64 "-%016" PRIx64, h->target,
+		 (uint64_t)h->at_ms);
+}
+
+static int digit(char c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+static bool number(const char *s, uint64_t *out)
+{
+	*out = 0;
+	for (int i = 0; i < DIGITS; i++) {
+		int d = digit(s[i]);
+
+		if (d < 0)
+			return false;
+		*out = *out << 4 | (uint64_t)d;
+	}
+	return true;
+}
+
+bool hint_decode(const char *s, size_t len, struct hint *out)
+{
+	uint64_t at;
+
+	if (len != HINT_CHARS || s[DIGITS] != '-')
+		return false;
+	if (!number(s, &out->target) || !number(s + DIGITS + 1, &at) ||
+	    at > INT64_MAX)
+		return false;
+	out->at_ms = (int64_t)at;
+	return true;
+}
--- /dev/null
+++ b/route/p2c.c
@@ -0,0 +1,26 @@
+#include "route/route.h"
+
+static int64_t load(const struct p2c_load *l)
+{
+	return l->work + l->sent;
+}
+
+static size_t pick(size_t n, struct route_random random)
+{
+	size_t i = (size_t)(random.next(random.ctx) * (double)n);
+
+	return i < n ? i : n - 1;
+}
+
+size_t p2c_choose(const struct p2c_load *l, size_t n, size_t preferred,
+		  int64_t bound, struct route_random random)
+{
+	size_t a = preferred;
+	size_t b = pick(n, random);
+
+	if (a < n && load(&l[a]) < bound)
+		return a;
+	if (a >= n)
+		a = pick(n, random);
+	return load(&l[a]) < load(&l[b]) ? a : b;
+}
--- a/route/rendezvous.c
+++ b/route/rendezvous.c
@@ -12,10 +12,48 @@
 	return x->id < y->id ? -1 : x->id > y->id;
 }
 
+static uint64_t score(uint64_t key, uint64_t id)
+{
+	return XXH3_64bits_withSeed(&id, sizeof(id), key);
+}
+
 void route_order(uint64_t key, struct route_rank *r, size_t n)
 {
 	for (size_t i = 0; i < n; i++)
-		r[i].score =
-			XXH3_64bits_withSeed(&r[i].id, sizeof(r[i].id), key);
+		r[i].score = score(key, r[i].id);
 	qsort(r, n, sizeof(*r), compare);
 }
+
+size_t route_top(uint64_t key, struct route_rank *r, size_t n,
+		 struct route_rank *out, size_t k)
+{
+	size_t m = 0;
+
+	if (!k)
+		return 0;
+	for (size_t i = 0; i < n; i++) {
+		size_t j;
+
+		r[i].score = score(key, r[i].id);
+		if (m == k && compare(&r[i], &out[m - 1]) > 0)
+			continue;
+		j = m < k ? m++ : m - 1;
+		for (; j > 0 && compare(&r[i], &out[j - 1]) < 0; j--)
+			out[j] = out[j - 1];
+		out[j] = r[i];
+	}
+	return m;
+}
+
+size_t route_admitter(uint64_t target, const uint64_t *nodes, size_t n)
+{
+	struct route_rank best = {0};
+
+	for (size_t i = 0; i < n; i++) {
+		struct route_rank r = {nodes[i], i, score(target, nodes[i])};
+
+		if (i == 0 || compare(&r, &best) < 0)
+			best = r;
+	}
+	return best.index;
+}
--- a/route/route.h
+++ b/route/route.h
@@ -100,6 +100,7 @@
 enum refusal {
 	REFUSAL_NONE,
 	REFUSAL_NO_ROOM,     /* over the bound; another target may have room */
+	REFUSAL_FULL,        /* over target_work; the fleet may be full too */
 	REFUSAL_OVER_SHARE,  /* the rest is kept for other organisations */
 	REFUSAL_LATE,        /* can not end before its deadline */
 	REFUSAL_NOT_HERE,    /* this node does not admit to the target */
@@ -193,7 +194,7 @@
 
 /*
  * Grants of an earlier holder of the pool may be out until quiet_until_ms;
- * nothing is granted before.
+ * nothing new is granted before.
  */
 struct limit_pool *limit_pool_new(struct limit_rates declared,
 				  int64_t quiet_until_ms);
@@ -201,12 +202,15 @@
 /* A lower limit binds once the grants that are out have ended. */
 void limit_pool_declare(struct limit_pool *p, struct limit_rates declared);
 /*
- * Grant a node its weighted max-min part by demand (requests a second). All
- * grants that have not ended never exceed the declared limit in sum.
+ * Grant a node its max-min part by demand (requests a second). held is the
+ * grant that the node has, or NULL; in the quiet time that one is extended
+ * unchanged. All grants that have not ended never exceed the declared limit
+ * in sum.
  */
 struct limit_grant limit_pool_grant(struct limit_pool *p, uint64_t node,
-				    double demand, int64_t now_ms,
-				    int64_t until_ms);
+				    double demand,
+				    const struct limit_grant *held,
+				    int64_t now_ms, int64_t until_ms);
 
 /* A node's spending of its grant. Zeroed memory is a bucket with no grant. */
 struct limit_bucket {
--- /dev/null
+++ b/route/test-admit.c
@@ -0,0 +1,223 @@
+/* The admitting node's count: bound, reports, change of hands. */
+#include "route/test-random.h"
+
+#define TARGETS 9
+#define NOWAIT  0
+
+static struct admit_limits limits(void)
+{
+	struct admit_limits l = admit_limits_default;
+
+	l.floor_work = 1000;
+	return l;
+}
+
+static struct ask ask_of(uint64_t target, int64_t work)
+{
+	return (struct ask){.target = target,
+			    .weight = 1,
+			    .work = work,
+			    .deadline_ms = INT64_MAX / 2};
+}
+
+static struct admit *own(GRand *r, const struct admit_limits *l, int targets)
+{
+	struct admit *a = admit_new(l, random_of(r));
+
+	for (int i = 1; i <= targets; i++)
+		admit_take_over(a, (uint64_t)i, 0, 0, 1);
+	return a;
+}
+
+static enum verdict ask(struct admit *a, struct ask q, int64_t now_ms)
+{
+	struct decision d;
+
+	admit_ask(a, &q, now_ms, &d);
+	return d.verdict;
+}
+
+/* Every verdict is that of plain sums over all that runs. */
+static void test_naive(void)
+{
+	GRand *r = g_rand_new_with_seed(41);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, TARGETS);
+	int64_t load[TARGETS + 1] = {0}, sum = 0;
+	GArray *runs = g_array_new(FALSE, FALSE, sizeof(struct ask));
+	unsigned refused = 0;
+
+	for (int64_t now = 0; now < 20000; now++) {
+		uint64_t t = (uint64_t)g_rand_int_range(r, 1, TARGETS + 1);
+		struct ask q = ask_of(t, g_rand_int_range(r, 10, 900));
+		double bound = 1.25 * (double)sum / (TARGETS + 1);
+		bool room = load[t] == 0 ||
+			    load[t] + q.work <= MAX((int64_t)bound, 1000);
+
+		g_assert_cmpint(ask(a, q, now), ==,
+				room ? VERDICT_ADMIT : VERDICT_REFUSE);
+		refused += !room;
+		if (room) {
+			g_array_append_val(runs, q);
+			load[t] += q.work;
+			sum += q.work;
+		}
+		while (runs->len > 60) {
+			guint i = (guint)g_rand_int_range(r, 0, 60);
+			struct ask e = g_array_index(runs, struct ask, i);
+
+			admit_done(a, e.target, 0, e.work, now);
+			load[e.target] -= e.work;
+			sum -= e.work;
+			g_array_remove_index_fast(runs, i);
+		}
+	}
+	g_assert_cmpuint(refused, >, 1000);
+	g_array_unref(runs);
+	admit_free(a);
+	g_rand_free(r);
+}
+
+/* A refusal names a later time, and no two of many come back together. */
+static void test_refusal(void)
+{
+	GRand *r = g_rand_new_with_seed(5);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, 1);
+	unsigned tenth[10] = {0};
+
+	g_assert_cmpint(ask(a, ask_of(1, 5000), 7), ==, VERDICT_ADMIT);
+	for (int i = 0; i < 1000; i++) {
+		struct ask q = ask_of(1, 5000);
+		struct decision d;
+		int64_t at;
+
+		admit_ask(a, &q, 7, &d);
+		g_assert_cmpint(d.verdict, ==, VERDICT_REFUSE);
+		g_assert_cmpint(d.refusal, ==, REFUSAL_NO_ROOM);
+		at = d.retry_at_ms - 7 - l.retry_min_ms;
+		g_assert_cmpint(at, >=, 0);
+		tenth[MIN(at * 10 / (20 * l.retry_spread_ms), 9)]++;
+	}
+	for (int i = 0; i < 10; i++)
+		g_assert_cmpuint(tenth[i], >, 20);
+	admit_free(a);
+	g_rand_free(r);
+}
+
+/* Work that another node sent is seen in the target's report. */
+static void test_foreign(void)
+{
+	GRand *r = g_rand_new_with_seed(6);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, 1);
+	struct load_report late = {1, 2, 0, 200, 900};
+	struct load_report strange = {1, 9, 0, 900, 1950};
+
+	g_assert_cmpint(ask(a, ask_of(1, 100), 100), ==, VERDICT_ADMIT);
+	g_assert_cmpint(ask(a, ask_of(1, 100), 500), ==, VERDICT_ADMIT);
+	admit_done(a, 1, 0, 100, 1500);
+	/* True when it was taken; what ended since is no one else's. */
+	admit_report(a, &late, 1900);
+	g_assert_cmpint(admit_load(a, 1), ==, 100);
+	admit_report(a, &strange, 2000);
+	g_assert_cmpint(admit_load(a, 1), ==, 900);
+	g_assert_cmpint(ask(a, ask_of(1, 200), 2000), ==, VERDICT_REFUSE);
+	admit_report(a, &late, 2100);
+	g_assert_cmpint(admit_load(a, 1), ==, 900);
+	admit_free(a);
+	g_rand_free(r);
+}
+
+/*
+ * Two nodes hold the same target for 5 s and hear of its load 1 s late: what
+ * both admit stays under the bound.
+ */
+static void test_two_admitters(void)
+{
+	GRand *r = g_rand_new_with_seed(7);
+	struct admit_limits l = limits();
+	struct admit *a[2];
+	int64_t work[7000 + 1] = {0}; /* begun by that time; nothing ends */
+	int64_t sum = 0, early = 0;
+
+	for (int i = 0; i < 2; i++) {
+		a[i] = admit_new(&l, random_of(r));
+		admit_take_over(a[i], 1, 1000, 6000, 2);
+		admit_set_fleet(a[i], 80000, 9); /* bound: 10,000 */
+	}
+	for (int64_t now = 1000; now < 6000; now++) {
+		for (int i = 0; i < 2; i++) {
+			struct load_report rep = {1, work[now - 1000] / 100, 0,
+						  0, now - 1000};
+
+			if (now % 200 == 0)
+				admit_report(a[i], &rep, now);
+			if (ask(a[i], ask_of(1, 100), now) == VERDICT_ADMIT)
+				sum += 100;
+		}
+		work[now] = sum;
+		if (now < 2000)
+			early += sum;
+	}
+	g_assert_cmpint(early, ==, 0);
+	g_assert_cmpint(sum, >, 5000);
+	g_assert_cmpint(sum, <=, admit_bound(a[0]));
+	for (int i = 0; i < 2; i++)
+		admit_free(a[i]);
+	g_rand_free(r);
+}
+
+/* A target handed back while old work runs is still counted whole. */
+static void test_hand_back(void)
+{
+	GRand *r = g_rand_new_with_seed(8);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, 1);
+
+	g_assert_cmpint(ask(a, ask_of(1, 600), 0), ==, VERDICT_ADMIT);
+	admit_give_up(a, 1);
+	g_assert_cmpint(admit_load(a, 1), ==, -1);
+	g_assert_cmpint(ask(a, ask_of(1, 1), 1), ==, VERDICT_REFUSE);
+	admit_take_over(a, 1, 2, 0, 1);
+	g_assert_cmpint(ask(a, ask_of(1, 600), 3), ==, VERDICT_REFUSE);
+	admit_done(a, 1, 0, 600, 4);
+	g_assert_cmpint(ask(a, ask_of(1, 600), 5), ==, VERDICT_ADMIT);
+	admit_free(a);
+	g_rand_free(r);
+}
+
+/* An empty target joins: those that were full are within the multiple. */
+static void test_join(void)
+{
+	GRand *r = g_rand_new_with_seed(9);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, TARGETS);
+	int64_t work, most = 0;
+	size_t n;
+
+	for (int i = 0; i < 100000; i++)
+		ask(a, ask_of((uint64_t)g_rand_int_range(r, 1, TARGETS + 1), 9),
+		    i);
+	admit_take_over(a, TARGETS + 1, 100000, 0, 1);
+	admit_sums(a, &work, &n);
+	for (uint64_t t = 1; t <= TARGETS; t++)
+		most = MAX(most, admit_load(a, t));
+	g_assert_cmpuint(n, ==, TARGETS + 1);
+	g_assert_cmpint(most, >, 1000);
+	g_assert_cmpfloat((double)most, <=, 1.25 * (double)work / (double)n);
+	admit_free(a);
+	g_rand_free(r);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/route/admit/naive", test_naive);
+	g_test_add_func("/route/admit/refusal", test_refusal);
+	g_test_add_func("/route/admit/foreign", test_foreign);
+	g_test_add_func("/route/admit/two-admitters", test_two_admitters);
+	g_test_add_func("/route/admit/hand-back", test_hand_back);
+	g_test_add_func("/route/admit/join", test_join);
+	return g_test_run();
+}
