--- a/route/limit.c
+++ b/route/limit.c
@@ -21,7 +21,7 @@
 	uint64_t node;
 	double demand;
 	struct part now;
-	struct part before; /* a larger grant that this one replaced */
+	struct part before; /* what it held when now was granted */
 };
 
 struct limit_pool {
@@ -58,7 +58,7 @@
 	return x.until_ms > now_ms ? x : (struct part){0};
 }
 
-/* The node may still spend the larger grant if the newer answer was lost. */
+/* The node may still spend what it held if the newer answer was lost. */
 static struct part booked(const struct holder *h, int64_t now_ms)
 {
 	struct part a = live(h->now, now_ms);
@@ -157,11 +157,11 @@
 	return left;
 }
 
-static struct part quiet_part(const struct limit_pool *p,
-			      const struct limit_grant *held, int64_t now_ms,
-			      int64_t until_ms)
+/* The grant that a node says it has, in parts of the limit. */
+static struct part held_part(const struct limit_pool *p,
+			     const struct limit_grant *held, int64_t now_ms)
 {
-	struct part x = {.until_ms = until_ms};
+	struct part x = {0};
 
 	if (!held || held->until_ms <= now_ms)
 		return x;
@@ -171,6 +171,7 @@
 	else if (p->declared.tokens_per_s > 0)
 		x.rate = held->rates.tokens_per_s / p->declared.tokens_per_s;
 	x.slots = held->rates.concurrent;
+	x.until_ms = held->until_ms;
 	return x;
 }
 
@@ -184,31 +185,26 @@
 	return (struct part){rate, MAX(slots, 1), until_ms};
 }
 
-static void replace(struct holder *h, struct part x, int64_t now_ms)
-{
-	struct part b = booked(h, now_ms);
-
-	h->before = b.rate > x.rate || b.slots > x.slots ? b : (struct part){0};
-	h->now = x;
-}
-
 struct limit_grant limit_pool_grant(struct limit_pool *p, uint64_t node,
 				    double demand,
 				    const struct limit_grant *held,
 				    int64_t now_ms, int64_t until_ms)
 {
-	struct part x, left;
+	struct part x = held_part(p, held, now_ms);
+	struct part left;
 	guint k;
 
 	drop_ended(p, now_ms);
 	k = find_or_add(p, node);
 	holder_at(p, k)->demand = MAX(demand, DEMAND_FLOOR);
-	x = now_ms < p->quiet_until_ms ? quiet_part(p, held, now_ms, until_ms)
-				       : new_part(p, k, until_ms);
+	holder_at(p, k)->before = x;
+	x.until_ms = until_ms;
+	if (now_ms >= p->quiet_until_ms)
+		x = new_part(p, k, until_ms);
 	left = free_part(p, k, now_ms);
 	x.rate = MIN(x.rate, left.rate);
 	x.slots = MIN(x.slots, left.slots);
-	replace(holder_at(p, k), x, now_ms);
+	holder_at(p, k)->now = x;
 	return (struct limit_grant){
 		.rates = {x.rate * p->declared.requests_per_s,
 			  x.rate * p->declared.tokens_per_s, x.slots},
--- a/route/route.h
+++ b/route/route.h
@@ -203,9 +203,10 @@
 void limit_pool_declare(struct limit_pool *p, struct limit_rates declared);
 /*
  * Grant a node its max-min part by demand (requests a second). held is the
- * grant that the node has, or NULL; in the quiet time that one is extended
- * unchanged. All grants that have not ended never exceed the declared limit
- * in sum.
+ * grant that the node has, or NULL: it stays booked until its end, as this
+ * answer may be lost, and in the quiet time it is extended unchanged. A node
+ * drops an answer whose until_ms is earlier than that of the grant it has. All
+ * grants that have not ended never exceed the declared limit in sum.
  */
 struct limit_grant limit_pool_grant(struct limit_pool *p, uint64_t node,
 				    double demand,
--- /dev/null
+++ b/route/test-choose.c
@@ -0,0 +1,119 @@
+/* Which targets are asked, the caller's hint, and the fallback. */
+#include <string.h>
+
+#include "route/test-random.h"
+
+static void test_order(void)
+{
+	struct route_rank t[12], sorted[12];
+	struct hint h = {.target = 5};
+	struct choose_input in = {.key = 77, .targets = t, .count = 12};
+	uint64_t out[CHOOSE_MAX];
+
+	for (size_t i = 0; i < 12; i++)
+		t[i] = (struct route_rank){.id = i + 1, .index = i};
+	memcpy(sorted, t, sizeof(t));
+	route_order(77, sorted, 12);
+	g_assert_cmpuint(choose_targets(&in, out), ==, CHOOSE_MAX);
+	for (int i = 0; i < CHOOSE_MAX; i++)
+		g_assert_cmpuint(out[i], ==, sorted[i].id);
+	in.hint = &h;
+	in.indexed = 9;
+	g_assert_cmpuint(choose_targets(&in, out), ==, CHOOSE_MAX);
+	g_assert_cmpuint(out[0], ==, 5);
+	g_assert_cmpuint(out[1], ==, 9);
+	for (int i = 0; i < CHOOSE_MAX; i++)
+		for (int k = 0; k < i; k++)
+			g_assert_cmpuint(out[i], !=, out[k]);
+	/* A hint or an entry of the index for a target that left is nothing. */
+	h.target = 99;
+	in.indexed = 98;
+	choose_targets(&in, out);
+	g_assert_cmpuint(out[0], ==, sorted[0].id);
+}
+
+static void test_hint(void)
+{
+	GRand *r = g_rand_new_with_seed(61);
+	struct hint out;
+	char s[HINT_SIZE];
+
+	for (int i = 0; i < 1000; i++) {
+		struct hint h = {(uint64_t)g_rand_int(r) << 32 | g_rand_int(r),
+				 (int64_t)g_rand_int(r) << 20};
+		int k = g_rand_int_range(r, 0, HINT_SIZE - 3);
+
+		hint_encode(&h, s);
+		g_assert_true(hint_decode(s, strlen(s), &out));
+		g_assert_cmpuint(out.target, ==, h.target);
+		g_assert_cmpint(out.at_ms, ==, h.at_ms);
+		g_assert_false(hint_decode(s, (size_t)k, &out));
+		s[k] = "gG -z\n\x80Z"[i % 8];
+		g_assert_true(k == 16 && s[k] == '-'
+				      ? hint_decode(s, strlen(s), &out)
+				      : !hint_decode(s, strlen(s), &out));
+	}
+	g_assert_false(hint_decode("", 0, &out));
+	g_rand_free(r);
+}
+
+static void test_wait(void)
+{
+	g_assert_cmpint(choose_wait_ms(0, 8000), ==, 0);
+	g_assert_cmpint(choose_wait_ms(4000, 8000), ==, 500);
+}
+
+/* Balls into bins: the two choices keep the fullest far below one choice's. */
+static void test_p2c(void)
+{
+	GRand *r = g_rand_new_with_seed(62);
+	struct p2c_load l[100], one[100];
+	int64_t most = 0, most_one = 0;
+
+	for (uint64_t i = 0; i < 100; i++)
+		l[i] = one[i] = (struct p2c_load){.target = i};
+	for (int i = 0; i < 10000; i++) {
+		l[p2c_choose(l, 100, SIZE_MAX, 0, random_of(r))].sent++;
+		one[g_rand_int_range(r, 0, 100)].sent++;
+	}
+	for (int i = 0; i < 100; i++) {
+		most = MAX(most, l[i].sent);
+		most_one = MAX(most_one, one[i].sent);
+	}
+	g_assert_cmpint(most, <=, 105);
+	g_assert_cmpint(most_one, >, 120);
+	l[3].work = 50;
+	l[3].sent = 0;
+	g_assert_cmpuint(p2c_choose(l, 100, 3, 51, random_of(r)), ==, 3);
+	for (int i = 0; i < 50; i++)
+		g_assert_cmpuint(p2c_choose(l, 2, 1, 0, random_of(r)), <, 2);
+	g_rand_free(r);
+}
+
+/* Moving pays from the length at which its set-up is earned back. */
+static void test_kv(void)
+{
+	struct kv_costs fast = {8000, 160000, 3e9, 31, 0.5};
+	struct kv_costs slow = {8000, 160000, 1e9, 30, 0.5};
+	int64_t min = kv_move_min(&fast);
+	double recompute = 1000.0 * (double)min / 8000;
+	double move = 1.5 * (31 + 1000.0 * (double)min * 160000 / 3e9);
+
+	g_assert_true(kv_move_pays(&fast, min));
+	g_assert_false(kv_move_pays(&fast, min - 1));
+	g_assert_cmpfloat(move, <, recompute);
+	g_assert_cmpfloat(move + 1, >, recompute);
+	g_assert_cmpint(kv_move_min(&slow), ==, INT64_MAX);
+	g_assert_false(kv_move_pays(&slow, 1000000));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/route/choose/order", test_order);
+	g_test_add_func("/route/choose/wait", test_wait);
+	g_test_add_func("/route/hint", test_hint);
+	g_test_add_func("/route/p2c", test_p2c);
+	g_test_add_func("/route/kv", test_kv);
+	return g_test_run();
+}
--- /dev/null
+++ b/route/test-outlier.c
@@ -0,0 +1,109 @@
+#include "route/test-random.h"
+
+#define POOL 9
+
+static struct outliers *setup(const struct outlier_policy *p)
+{
+	struct outliers *o = outliers_new(p);
+	uint64_t ids[POOL];
+
+	for (uint64_t i = 0; i < POOL; i++)
+		ids[i] = i + 1;
+	outliers_set_pool(o, ids, POOL);
+	return o;
+}
+
+/* A third fails for 30 s: never more than the part is aside; all come back. */
+static void test_third_fails(void)
+{
+	GRand *r = g_rand_new_with_seed(31);
+	struct outliers *o = setup(&outlier_policy_default);
+	unsigned sent = 0, failed = 0;
+
+	for (int64_t now = 0; now < 300000; now++) {
+		uint64_t t = (uint64_t)g_rand_int_range(r, 1, POOL + 1);
+
+		g_assert_cmpuint(outliers_aside(o, now), <=, 3);
+		if (!outliers_allow(o, t, now, random_of(r)))
+			continue;
+		if (now < 30000 && t <= 3)
+			outliers_error(o, t, now);
+		else
+			outliers_ok(o, t, 100, now);
+		sent += now < 30000;
+		failed += now < 30000 && t <= 3;
+	}
+	g_assert_cmpuint(failed * 50, <, sent);
+	g_assert_cmpuint(outliers_aside(o, 300000), ==, 0);
+	for (uint64_t t = 1; t <= 3; t++)
+		g_assert_true(outliers_allow(o, t, 300000, random_of(r)));
+	outliers_free(o);
+	g_rand_free(r);
+}
+
+/* All targets fail: most of the pool stays in use. */
+static void test_all_fail(void)
+{
+	struct outliers *o = setup(&outlier_policy_default);
+
+	for (int64_t now = 0; now < 1000; now++)
+		outliers_error(o, (uint64_t)(now % POOL) + 1, now);
+	g_assert_cmpuint(outliers_aside(o, 1000), ==, 3);
+	outliers_free(o);
+}
+
+/* A slow target is set aside though it makes no errors. */
+static void test_slow(void)
+{
+	GRand *r = g_rand_new_with_seed(32);
+	struct outliers *o = setup(&outlier_policy_default);
+
+	for (int64_t now = 0; now < 1000; now++) {
+		uint64_t t = (uint64_t)(now % POOL) + 1;
+
+		outliers_ok(o, t, t == 5 ? 500 : 100, now);
+	}
+	g_assert_cmpuint(outliers_aside(o, 1000), ==, 1);
+	g_assert_false(outliers_allow(o, 5, 1000, random_of(r)));
+	outliers_free(o);
+	g_rand_free(r);
+}
+
+/* After its time aside a target gets a growing part; one error sends it back
+ * for longer. */
+static void test_ramp(void)
+{
+	GRand *r = g_rand_new_with_seed(33);
+	const struct outlier_policy *p = &outlier_policy_default;
+	struct outliers *o = setup(p);
+	int64_t back = p->aside_ms;
+	unsigned early = 0, late = 0;
+
+	for (int i = 0; i < p->errors; i++)
+		outliers_error(o, 1, 0);
+	g_assert_false(outliers_allow(o, 1, back - 1, random_of(r)));
+	for (int i = 0; i < 1000; i++) {
+		early += outliers_allow(o, 1, back + 1, random_of(r));
+		late += outliers_allow(o, 1, back + p->ramp_ms / 2,
+				       random_of(r));
+	}
+	g_assert_cmpuint(early, >, 50);
+	g_assert_cmpuint(early, <, 150);
+	g_assert_cmpuint(late, >, 400);
+	g_assert_cmpuint(late, <, 600);
+	outliers_error(o, 1, back + 1);
+	g_assert_false(
+		outliers_allow(o, 1, back + 2 * p->aside_ms, random_of(r)));
+	outliers_free(o);
+	g_rand_free(r);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/route/outlier/third-fails", test_third_fails);
+	g_test_add_func("/route/outlier/all-fail", test_all_fail);
+	g_test_add_func("/route/outlier/slow", test_slow);
+	g_test_add_func("/route/outlier/ramp", test_ramp);
+	return g_test_run();
+}
--- /dev/null
+++ b/route/test-prefix.c
@@ -0,0 +1,107 @@
+#include "route/test-random.h"
+
+#define TARGETS  4
+#define PREFIXES 500
+
+/* Holder of each prefix by the events that came; 0: none. */
+struct naive {
+	uint64_t holder[PREFIXES];
+	uint64_t seq[TARGETS + 1];
+};
+
+static void feed_naive(struct naive *n, const struct cache_change *c)
+{
+	if (c->seq <= n->seq[c->target])
+		return;
+	n->seq[c->target] = c->seq;
+	if (c->stored)
+		n->holder[c->prefix] = c->target;
+	else if (n->holder[c->prefix] == c->target)
+		n->holder[c->prefix] = 0;
+}
+
+/* A tenth of the events is lost and some come twice or in the wrong order. */
+static void test_naive(void)
+{
+	GRand *r = g_rand_new_with_seed(51);
+	struct prefix_index *x = prefix_index_new(16384);
+	struct naive n = {0};
+	uint64_t seq[TARGETS + 1] = {0};
+
+	for (int i = 0; i < 50000; i++) {
+		uint64_t t = (uint64_t)g_rand_int_range(r, 1, TARGETS + 1);
+		uint64_t back = g_rand_int_range(r, 0, 20) ? 0 : MIN(seq[t], 3);
+		struct cache_change c = {
+			.target = t,
+			.seq = seq[t] + 1 - back,
+			.prefix = (uint64_t)g_rand_int_range(r, 0, PREFIXES),
+			.stored = g_rand_boolean(r),
+		};
+		uint64_t p = (uint64_t)g_rand_int_range(r, 0, PREFIXES);
+		size_t depth;
+
+		seq[t]++;
+		if (g_rand_int_range(r, 0, 10) == 0)
+			continue;
+		if (g_rand_int_range(r, 0, 5000) == 0) {
+			prefix_index_forget(x, t);
+			for (int k = 0; k < PREFIXES; k++)
+				if (n.holder[k] == t)
+					n.holder[k] = 0;
+			n.seq[t] = 0;
+		}
+		prefix_index_feed(x, &c);
+		feed_naive(&n, &c);
+		g_assert_cmpuint(prefix_index_find(x, &p, 1, &depth), ==,
+				 n.holder[p]);
+	}
+	prefix_index_free(x);
+	g_rand_free(r);
+}
+
+static void test_longest(void)
+{
+	struct prefix_index *x = prefix_index_new(64);
+	uint64_t chat[] = {30, 20, 10};
+	struct cache_change c[] = {{1, 1, 10, true}, {2, 1, 20, true}};
+	size_t depth = 9;
+
+	g_assert_cmpuint(prefix_index_find(x, chat, 3, &depth), ==, 0);
+	prefix_index_feed(x, &c[0]);
+	g_assert_cmpuint(prefix_index_find(x, chat, 3, &depth), ==, 1);
+	prefix_index_feed(x, &c[1]);
+	g_assert_cmpuint(prefix_index_find(x, chat, 3, &depth), ==, 2);
+	g_assert_cmpuint(depth, ==, 1);
+	prefix_index_free(x);
+}
+
+/* Full, it keeps what is in use and drops the rest. */
+static void test_bounded(void)
+{
+	struct prefix_index *x = prefix_index_new(1024);
+	uint64_t kept = 7;
+	size_t depth, held = 0;
+
+	for (uint64_t i = 1; i <= 100000; i++) {
+		struct cache_change c = {1, i, i, true};
+
+		prefix_index_feed(x, &c);
+		if (i > kept)
+			g_assert_cmpuint(prefix_index_find(x, &kept, 1, &depth),
+					 ==, 1);
+	}
+	for (uint64_t i = 1; i <= 100000; i++)
+		held += prefix_index_find(x, &i, 1, &depth) != 0;
+	g_assert_cmpuint(held, <=, 1024);
+	g_assert_cmpuint(held, >, 900);
+	prefix_index_free(x);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/route/prefix/naive", test_naive);
+	g_test_add_func("/route/prefix/longest", test_longest);
+	g_test_add_func("/route/prefix/bounded", test_bounded);
+	return g_test_run();
+}
