route: bound fresh requests lower, and correct counts at first token

Cause: requests that reuse nothing lose nothing elsewhere, so that they should leave a target's last room to those whose prefix it holds; and an engine tells at its first event how much it reused. Change: fresh_factor and admit_adjust.

--- a/route/admit.c
+++ b/route/admit.c
@@ -8,6 +8,7 @@
 
 const struct admit_limits admit_limits_default = {
 	.load_factor = 1.25,
+	.fresh_factor = 1.1,
 	.join_reserve = 0.04,
 	.floor_work = 16384,
 	.target_work = 0,
@@ -172,19 +173,19 @@
 }
 
 /* Bound by the mean that the fleet would have if empty targets joined. */
-static int64_t relative_bound(const struct admit *a)
+static int64_t relative_bound(const struct admit *a, double factor)
 {
 	size_t n = a->fleet_targets ? a->fleet_targets : a->own_targets;
 	double join = MAX(ceil(a->limits.join_reserve * (double)n), 1);
 	double work = (double)(a->fleet_work - a->fleet_own + a->own_work);
-	double bound = a->limits.load_factor * work / ((double)n + join);
+	double bound = factor * work / ((double)n + join);
 
 	return MAX((int64_t)bound, a->limits.floor_work);
 }
 
 int64_t admit_bound(const struct admit *a)
 {
-	int64_t bound = relative_bound(a);
+	int64_t bound = relative_bound(a, a->limits.load_factor);
 
 	return a->limits.target_work ? MIN(bound, a->limits.target_work)
 				     : bound;
@@ -216,21 +217,24 @@
 }
 
 enum refusal counted_room(const struct admit *a, const struct counted *t,
-			  int64_t work, bool within, int64_t now_ms)
+			  const struct ask *q, int64_t now_ms)
 {
-	int64_t load = counted_load(t);
-	double full = (double)a->limits.target_work;
+	const struct admit_limits *l = &a->limits;
+	double factor = q->fresh ? MIN(l->fresh_factor, l->load_factor)
+				 : l->load_factor;
+	double full = (double)l->target_work;
+	int64_t after = counted_load(t) + q->work;
 
-	if (now_ms < t->until_ms && !has_part(a, t, work))
+	if (now_ms < t->until_ms && !has_part(a, t, q->work))
 		return REFUSAL_NO_ROOM;
-	if (load == 0)
+	if (after == q->work)
 		return REFUSAL_NONE; /* one request may pass any bound */
-	if (full > 0 && (double)(load + work) > full)
+	if (full > 0 && (double)after > full)
 		return REFUSAL_FULL;
-	if (load + work > relative_bound(a))
+	if (after > relative_bound(a, factor))
 		return REFUSAL_NO_ROOM;
-	if (full > 0 && !within &&
-	    (double)(load + work) > full * (1 - a->limits.share_reserve))
+	if (full > 0 && (double)after > full * (1 - l->share_reserve) &&
+	    !share_allows(a, t, q))
 		return REFUSAL_OVER_SHARE;
 	return REFUSAL_NONE;
 }
@@ -290,7 +294,7 @@
 		refuse(a, q, REFUSAL_LATE, now_ms, d);
 		return;
 	}
-	why = counted_room(a, t, q->work, share_allows(a, t, q), now_ms);
+	why = counted_room(a, t, q, now_ms);
 	if (why == REFUSAL_NONE && queue_goes_first(a, t, q))
 		why = REFUSAL_NO_ROOM;
 	if (why) {
@@ -334,3 +338,21 @@
 	}
 	forget_if_unused(a, t);
 }
+
+void admit_adjust(struct admit *a, uint64_t target, uint32_t organisation,
+		  int64_t was, int64_t is)
+{
+	struct counted *t = counted_find(a, target);
+	struct usage *u;
+	int64_t change;
+
+	if (!t || t->requests == 0)
+		return;
+	change = MAX(is - was, -t->work);
+	t->work += change;
+	if (t->mine)
+		a->own_work += change;
+	u = usage_find(t, organisation);
+	if (u)
+		u->work = MAX(u->work + change, 0);
+}
--- a/route/admit.h
+++ b/route/admit.h
@@ -64,12 +64,9 @@
 struct counted *counted_find(const struct admit *a, uint64_t target);
 /* Work at the target, with what others admitted. */
 int64_t counted_load(const struct counted *t);
-/*
- * Why the work can not begin now, or REFUSAL_NONE. within says whether the
- * organisation stays within its share.
- */
+/* Why the work can not begin now, or REFUSAL_NONE. */
 enum refusal counted_room(const struct admit *a, const struct counted *t,
-			  int64_t work, bool within, int64_t now_ms);
+			  const struct ask *q, int64_t now_ms);
 /* Count the work as begun. */
 void counted_add(struct admit *a, struct counted *t, const struct ask *q,
 		 int64_t now_ms);
--- a/route/queue.c
+++ b/route/queue.c
@@ -182,7 +182,7 @@
 	guint first = find_end(a, t, false);
 	struct ask q = at(t, first)->ask;
 
-	if (counted_room(a, t, q.work, share_allows(a, t, &q), now_ms))
+	if (counted_room(a, t, &q, now_ms))
 		return false;
 	take_out(t, first);
 	counted_add(a, t, &q, now_ms);
--- a/route/route.h
+++ b/route/route.h
@@ -65,6 +65,11 @@
 
 struct admit_limits {
 	double load_factor; /* most load of a target / mean of the fleet */
+	/*
+	 * The same for requests that reuse nothing at the target: they go on
+	 * to another before room is short for those that do.
+	 */
+	double fresh_factor;
 	/*
 	 * Part of the fleet that may join at once, empty, without the bound
 	 * being passed; at least one target is reckoned with.
@@ -118,6 +123,7 @@
 	int64_t run_ms; /* expected time from admission to the end */
 	int64_t deadline_ms;
 	int64_t wait_until_ms; /* queue no longer than this; 0: do not queue */
+	bool fresh;            /* bound by fresh_factor */
 };
 
 struct decision {
@@ -163,6 +169,9 @@
 /* The work has ended, or did not begin. */
 void admit_done(struct admit *a, uint64_t target, uint32_t organisation,
 		int64_t work, int64_t now_ms);
+/* The engine told how much it really reused: correct the count of work. */
+void admit_adjust(struct admit *a, uint64_t target, uint32_t organisation,
+		  int64_t was, int64_t is);
 /* A waiting request was withdrawn. Returns false when it does not wait. */
 bool admit_cancel(struct admit *a, uint64_t ticket);
 /*
