state: run a call at most once by a claim row or a node's own key

Cause: a call that must not be repeated had no protection against a repeat through another node. Ruled out: taking over a claim that may have been dispatched (targets don't check who calls), and telling by clocks whether a repeat began after a release (a request may wait in a paused node's socket). After: 22 cases in a table and 2000 seeded schedules hold; the same schedules without claims show doubles.

--- /dev/null
+++ b/state/test-claim.c
@@ -0,0 +1,281 @@
+#include <string.h>
+
+#include "state/test-calls.h"
+
+#define SCHEDULES 2000
+
+/* Faults that hit the first send only. */
+enum fault {
+	FAULT_NONE,
+	FAULT_LOST,         /* the claim is written, its answer is lost */
+	FAULT_NEVER,        /* the claim is not written, its answer is lost */
+	FAULT_LATE,         /* the claim is written after it was given up */
+	FAULT_DOWN,         /* the store is down throughout */
+	FAULT_STALE,        /* the second send's reads are from the past */
+	FAULT_DOWN_AT_END,  /* the store goes down before the answer is kept */
+	FAULT_DOWN_BETWEEN, /* down for the first send only */
+};
+
+struct row {
+	const char *name;
+	enum fault fault;
+	enum target_does target;
+	int64_t kill_at, pause_at, pause_ms; /* of the first node */
+	int64_t second_ms, second_attempt;   /* after the first send */
+	enum told first, second;             /* at the end */
+	guint runs;
+};
+
+/* Steps of a node in one send: arrive, claim written, dispatch, answer. */
+static const struct row rows[] = {
+	{"repeat through another node", FAULT_NONE, TARGET_ANSWERS, 0, 0, 0,
+	 500, 0, TOLD_COMPLETE, TOLD_COMPLETE, 1},
+	{"two nodes at once", FAULT_NONE, TARGET_ANSWERS, 0, 0, 0, 0, 0,
+	 TOLD_COMPLETE, TOLD_RUNNING, 1},
+	{"dies before the claim", FAULT_NONE, TARGET_ANSWERS, 1, 0, 0, 500, 0,
+	 TOLD_NOTHING, TOLD_COMPLETE, 1},
+	{"dies as the claim is written", FAULT_NONE, TARGET_ANSWERS, 2, 0, 0,
+	 500, 0, TOLD_NOTHING, TOLD_RUNNING, 0},
+	{"dies between claim and dispatch", FAULT_NONE, TARGET_ANSWERS, 3, 0, 0,
+	 6000, 0, TOLD_NOTHING, TOLD_UNKNOWN, 0},
+	{"dies after dispatch", FAULT_NONE, TARGET_ANSWERS, 4, 0, 0, 500, 0,
+	 TOLD_NOTHING, TOLD_RUNNING, 1},
+	{"dies after dispatch, asked late", FAULT_NONE, TARGET_ANSWERS, 4, 0, 0,
+	 6000, 0, TOLD_NOTHING, TOLD_UNKNOWN, 1},
+	{"dies before it tells", FAULT_NONE, TARGET_ANSWERS, 5, 0, 0, 500, 0,
+	 TOLD_NOTHING, TOLD_COMPLETE, 1},
+	{"claim's answer lost", FAULT_LOST, TARGET_ANSWERS, 0, 0, 0, 1000, 0,
+	 TOLD_COMPLETE, TOLD_RUNNING, 1},
+	{"claim lost", FAULT_NEVER, TARGET_ANSWERS, 0, 0, 0, 1000, 0,
+	 TOLD_COMPLETE, TOLD_COMPLETE, 1},
+	{"claim written late", FAULT_LATE, TARGET_ANSWERS, 0, 0, 0, 1000, 0,
+	 TOLD_COMPLETE, TOLD_COMPLETE, 1},
+	{"paused before dispatch, wakes in time", FAULT_NONE, TARGET_ANSWERS, 0,
+	 3, 1000, 500, 0, TOLD_COMPLETE, TOLD_RUNNING, 1},
+	{"paused before dispatch, wakes late", FAULT_NONE, TARGET_ANSWERS, 0, 3,
+	 9000, 6000, 0, TOLD_NOT_RUN, TOLD_UNKNOWN, 0},
+	{"paused before the claim", FAULT_NONE, TARGET_ANSWERS, 0, 1, 3000, 500,
+	 0, TOLD_COMPLETE, TOLD_COMPLETE, 1},
+	{"paused while the target works", FAULT_NONE, TARGET_ANSWERS, 0, 4,
+	 9000, 6000, 0, TOLD_COMPLETE, TOLD_UNKNOWN, 1},
+	{"store down", FAULT_DOWN, TARGET_ANSWERS, 0, 0, 0, 500, 0,
+	 TOLD_NO_STORE, TOLD_NO_STORE, 0},
+	{"store down for the first", FAULT_DOWN_BETWEEN, TARGET_ANSWERS, 0, 0,
+	 0, 1000, 0, TOLD_NO_STORE, TOLD_COMPLETE, 1},
+	{"store down before the answer is kept", FAULT_DOWN_AT_END,
+	 TARGET_ANSWERS, 0, 0, 0, 6000, 0, TOLD_COMPLETE, TOLD_UNKNOWN, 1},
+	{"stale read", FAULT_STALE, TARGET_ANSWERS, 0, 0, 0, 500, 0,
+	 TOLD_COMPLETE, TOLD_NO_STORE, 1},
+	{"target's answer lost", FAULT_NONE, TARGET_LOSES, 0, 0, 0, 500, 0,
+	 TOLD_UNKNOWN, TOLD_UNKNOWN, 1},
+	{"target refuses, same attempt", FAULT_NONE, TARGET_BUSY, 0, 0, 0, 500,
+	 0, TOLD_NOT_RUN, TOLD_NOT_RUN, 0},
+	{"target refuses, next attempt", FAULT_NONE, TARGET_BUSY, 0, 0, 0, 500,
+	 1, TOLD_NOT_RUN, TOLD_COMPLETE, 1},
+};
+
+struct world {
+	struct fake *fake;
+	struct calls *calls;
+};
+
+static void clear_faults(void *arg)
+{
+	struct world *w = arg;
+
+	w->fake->faults.lose_answer = 0;
+	w->fake->faults.lose_request = 0;
+	w->fake->faults.late_effect = 0;
+	w->calls->target = TARGET_ANSWERS;
+}
+
+static void set_stale(void *arg)
+{
+	struct world *w = arg;
+
+	w->fake->faults.stale = 1;
+	w->fake->faults.stale_revisions = 1000;
+}
+
+static void set_faults(struct world *w, const struct row *r)
+{
+	struct fake_faults *f = &w->fake->faults;
+	int64_t now = w->fake->now_ms;
+
+	f->lose_answer = r->fault == FAULT_LOST;
+	f->lose_request = r->fault == FAULT_NEVER;
+	f->late_effect = r->fault == FAULT_LATE;
+	if (r->fault == FAULT_DOWN)
+		f->down_until_ms = now + 600000;
+	if (r->fault == FAULT_DOWN_BETWEEN)
+		f->down_until_ms = now + 500;
+	if (r->fault == FAULT_DOWN_AT_END) {
+		f->down_from_ms = now + 15;
+		f->down_until_ms = now + 3000;
+	}
+	if (r->fault == FAULT_STALE)
+		fake_after(w->fake, -1, 400, set_stale, w);
+	fake_after(w->fake, -1, 400, clear_faults, w);
+}
+
+static void test_case(const struct row *r)
+{
+	struct fake *f = fake_new(1);
+	struct calls *c = calls_new(f);
+	struct world w = {f, c};
+	struct verdicts v = {0};
+	int64_t start = f->now_ms;
+	struct send *first, *second;
+
+	c->target = r->target;
+	f->procs[0].kill_at = r->kill_at;
+	f->procs[0].pause_at = r->pause_at;
+	f->procs[0].pause_ms = r->pause_ms;
+	set_faults(&w, r);
+	first = calls_send(c, 0, 0, start + 5000);
+	fake_run(f, start + r->second_ms);
+	second = calls_send(c, 1, r->second_attempt, f->now_ms + 5000);
+	fake_run(f, start + 60000);
+	calls_check(c, &v);
+	if (first->told != r->first || second->told != r->second ||
+	    c->runs->len != r->runs)
+		g_test_message("%s: told %d, %d; %u runs", r->name, first->told,
+			       second->told, c->runs->len);
+	g_assert_cmpint(first->told, ==, r->first);
+	g_assert_cmpint(second->told, ==, r->second);
+	g_assert_cmpuint(c->runs->len, ==, r->runs);
+	g_assert_cmpint(v.false_not_run, ==, 0);
+	calls_free(c);
+	fake_free(f);
+}
+
+static void test_cases(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		test_case(&rows[i]);
+}
+
+static void test_schedules(void)
+{
+	struct verdicts v = {0};
+
+	for (uint32_t seed = 1; seed <= SCHEDULES; seed++) {
+		calls_schedule(seed, false, &v);
+		if (v.double_runs || v.false_not_run || v.false_complete)
+			g_test_message("seed %u", seed);
+		g_assert_cmpint(v.double_runs, ==, 0);
+		g_assert_cmpint(v.false_not_run, ==, 0);
+		g_assert_cmpint(v.false_complete, ==, 0);
+	}
+	/* Every kind of answer was given, so the check saw each. */
+	for (int t = 0; t < TOLD_COUNT; t++)
+		g_assert_cmpint(v.told[t], >, SCHEDULES / 100);
+}
+
+/* The same schedules without claims break each promise. */
+static void test_naive(void)
+{
+	struct verdicts v = {0};
+
+	for (uint32_t seed = 1; seed <= SCHEDULES; seed++)
+		calls_schedule(seed, true, &v);
+	g_assert_cmpint(v.double_runs, >, 0);
+	g_assert_cmpint(v.false_not_run, >, 0);
+}
+
+static struct claim_result seen;
+
+static void on_result(const struct claim_result *r, void *arg)
+{
+	seen = *r;
+	*(char **)arg = g_strndup(r->answer.body.data, r->answer.body.len);
+}
+
+static void on_end(void *arg)
+{
+	(void)arg;
+}
+
+static int64_t now_of(void *ctx)
+{
+	return ((struct fake *)ctx)->now_ms;
+}
+
+static struct claim *begin(struct fake *f, const char *call,
+			   const char *request, char **body)
+{
+	struct claim_request q = {.name = "key",
+				  .call = call,
+				  .request = request,
+				  .latest_ms = f->now_ms + 5000};
+	struct claim *c = claim_begin(fake_platform(f, 0), &q, now_of, f,
+				      on_result, body);
+
+	fake_run(f, f->now_ms + 1000);
+	return c;
+}
+
+static void check_repeat(struct fake *f, const struct claim_answer *a,
+			 const char *want)
+{
+	char *body = NULL;
+	struct claim *c = begin(f, "two", "request", &body);
+
+	g_assert_cmpint(seen.verdict, ==, CLAIM_STORED);
+	g_assert_cmpint(seen.answer.status, ==, a->status);
+	g_assert_true(seen.answer.kept == (want != NULL));
+	if (want)
+		g_assert_cmpstr(body, ==, want);
+	claim_free(c);
+	g_free(body);
+	c = begin(f, "three", "another request", &body);
+	g_assert_cmpint(seen.verdict, ==, CLAIM_MISMATCH);
+	claim_free(c);
+	g_free(body);
+}
+
+/* The stored answer is the one that was given, or is said not to be kept. */
+static void test_answer(void)
+{
+	for (size_t len = 3; len <= CLAIM_BODY_MAX + 1; len += CLAIM_BODY_MAX) {
+		struct fake *f = fake_new(1);
+		char *big = g_strnfill(len, 'x');
+		char *body = NULL;
+		struct claim *c = begin(f, "one", "request", &body);
+		struct claim_answer a = {418, "text/plain", {big, len}, true};
+
+		g_assert_cmpint(seen.verdict, ==, CLAIM_RUN);
+		claim_end(c, CLAIM_ENDED_DONE, &a, on_end, NULL);
+		fake_run(f, f->now_ms + 1000);
+		check_repeat(f, &a, len <= CLAIM_BODY_MAX ? big : NULL);
+		claim_free(c);
+		g_free(body);
+		g_free(big);
+		fake_free(f);
+	}
+}
+
+/* Organisation, service and key are told apart wherever their bounds lie. */
+static void test_name(void)
+{
+	char *a = claim_name("o", "s", STR_LIT("k"));
+	char *b = claim_name("os", "", STR_LIT("k"));
+	char *c = claim_name("o", "s", STR_LIT("k"));
+
+	g_assert_cmpstr(a, !=, b);
+	g_assert_cmpstr(a, ==, c);
+	g_free(a);
+	g_free(b);
+	g_free(c);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/state/claim/cases", test_cases);
+	g_test_add_func("/state/claim/schedules", test_schedules);
+	g_test_add_func("/state/claim/naive", test_naive);
+	g_test_add_func("/state/claim/answer", test_answer);
+	g_test_add_func("/state/claim/name", test_name);
+	return g_test_run();
+}
--- /dev/null
+++ b/state/test-issue.c
@@ -0,0 +1,119 @@
+#include <string.h>
+
+#include "state/issue.h"
+
+static struct claim_request request(const char *body, int64_t attempt)
+{
+	return (struct claim_request){.name = "name",
+				      .request = body,
+				      .attempt = attempt,
+				      .latest_ms = 5000};
+}
+
+static enum claim_verdict ask(struct issue *is, const char *key,
+			      const char *body, int64_t attempt, int64_t now,
+			      struct claim_result *out)
+{
+	struct claim_request q = request(body, attempt);
+
+	return issue_begin(is, str_c(key), &q, now, out);
+}
+
+/* What a repeat is told, by how the first send ended. */
+static void test_repeats(void)
+{
+	static const struct {
+		int how; /* enum claim_end; -1: still running */
+		int64_t attempt;
+		const char *body;
+		enum claim_verdict want;
+	} rows[] = {
+		{-1, 0, "b", CLAIM_RUNNING},
+		{-1, 1, "b", CLAIM_RUNNING},
+		{CLAIM_ENDED_DONE, 0, "b", CLAIM_STORED},
+		{CLAIM_ENDED_DONE, 1, "b", CLAIM_STORED},
+		{CLAIM_ENDED_DONE, 0, "other", CLAIM_MISMATCH},
+		{CLAIM_ENDED_UNKNOWN, 0, "b", CLAIM_UNKNOWN},
+		{CLAIM_ENDED_UNKNOWN, 1, "b", CLAIM_UNKNOWN},
+		{CLAIM_ENDED_NOT_RUN, 0, "b", CLAIM_RELEASED},
+		{CLAIM_ENDED_NOT_RUN, 1, "b", CLAIM_RUN},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct issue *is = issue_new(7);
+		char *key = issue_key(is, 1, 1000);
+		struct claim_answer a = {201, "t", STR_LIT("answer"), true};
+		struct claim_result r;
+
+		g_assert_true(issue_is_key(str_c(key)));
+		g_assert_cmpint(ask(is, key, "b", 0, 2000, &r), ==, CLAIM_RUN);
+		if (rows[i].how >= 0)
+			issue_end(is, "name", (enum claim_end)rows[i].how, &a);
+		g_assert_cmpint(
+			ask(is, key, rows[i].body, rows[i].attempt, 3000, &r),
+			==, rows[i].want);
+		if (rows[i].want == CLAIM_STORED) {
+			g_assert_cmpint(r.answer.status, ==, 201);
+			g_assert_true(str_eq(r.answer.body, a.body));
+		}
+		g_free(key);
+		issue_free(is);
+	}
+}
+
+/* Another incarnation, or the same one after the key's time, never runs it. */
+static void test_bound(void)
+{
+	struct issue *a = issue_new(7), *b = issue_new(8);
+	char *key = issue_key(a, 1, 1000);
+	struct claim_result r;
+
+	g_assert_cmpint(ask(b, key, "b", 0, 2000, &r), ==, CLAIM_UNKNOWN);
+	g_assert_cmpint(ask(a, key, "b", 0, 1000 + ISSUE_VALID_MS, &r), ==,
+			CLAIM_UNKNOWN);
+	g_assert_cmpint(ask(a, key, "b", 0, 2000, &r), ==, CLAIM_RUN);
+	issue_end(a, "name", CLAIM_ENDED_NOT_RUN, NULL);
+	g_assert_cmpint(ask(a, key, "b", 1, 1000 + ISSUE_VALID_MS, &r), ==,
+			CLAIM_UNKNOWN);
+	g_assert_false(issue_is_key(STR_LIT("ramp-")));
+	g_assert_false(issue_is_key(STR_LIT("my-own-key")));
+	g_free(key);
+	issue_free(a);
+	issue_free(b);
+}
+
+/* Memory is bounded: new keys wait, and expired ones make room. */
+static void test_full(void)
+{
+	struct issue *is = issue_new(7);
+	char *key = issue_key(is, 1, 0);
+	char *later = issue_key(is, 1, ISSUE_VALID_MS);
+	struct claim_result r;
+
+	for (int i = 0; i <= ISSUE_KEPT_MAX; i++) {
+		char *name = g_strdup_printf("%d", i);
+		struct claim_request q = request("b", 0);
+
+		q.name = name;
+		g_assert_cmpint(issue_begin(is, str_c(key), &q, 1, &r), ==,
+				i < ISSUE_KEPT_MAX ? CLAIM_RUN
+						   : CLAIM_NO_STORE);
+		if (i < ISSUE_KEPT_MAX)
+			issue_end(is, name, CLAIM_ENDED_UNKNOWN, NULL);
+		g_free(name);
+	}
+	g_assert_cmpint(ask(is, later, "b", 0, ISSUE_VALID_MS + 1, &r), ==,
+			CLAIM_RUN);
+	g_free(key);
+	g_free(later);
+	issue_free(is);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/state/issue/repeats", test_repeats);
+	g_test_add_func("/state/issue/bound", test_bound);
+	g_test_add_func("/state/issue/full", test_full);
+	return g_test_run();
+}
