node: claim calls of plain and non-idempotent model services

Cause: plain calls were repeated through any node without regard to an earlier send, and every call to /v1/services/ ended the node: ulfius leaves path variables empty when a route ends in a wildcard, so the service's name was NULL (found by test-claims, SIGSEGV in g_str_hash; ruled out: the method and the body, which made no difference). Change: node/claims.c binds state/claim.c and state/issue.c; POST /v1/keys issues a key that works without the store; the service's name is read from the path.

--- a/base/errors-gen.c
+++ b/base/errors-gen.c
@@ -43,4 +43,8 @@
 	  "the table service is down and nothing was sent" },
 	{ "internal", 500, OUTCOME_FAILED, false,
 	  "internal error" },
+	{ "key_released", 409, OUTCOME_NOT_RUN, false,
+	  "this attempt did not run and will not; raise Ramp-Attempt to run it" },
+	{ "key_reused", 422, OUTCOME_NOT_RUN, false,
+	  "the key was used for another request" },
 };
--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -27,4 +27,6 @@
 	  "Bytes sent to other nodes for control." },
 	{ "ramp_control_bytes_received_total", "counter",
 	  "Bytes received from other nodes for control." },
+	{ "ramp_claims_repeated_total", "counter",
+	  "Calls that were not run because their key was held or spent." },
 };
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -12,6 +12,7 @@
 static const struct server_route routes[] = {
 	{"POST", "/v1/chat/completions", on_chat},
 	{"GET", "/v1/entries", on_entries},
+	{"POST", "/v1/keys", on_keys},
 	{"*", "/v1/services/:service/*", on_plain},
 	{"GET", "/metrics", on_metrics},
 	{"GET", "/ready", on_ready},
--- a/node/chat.c
+++ b/node/chat.c
@@ -2,10 +2,13 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "node/node.h"
+#include "node/claims.h"
 
 #define BLOCK_BYTES 4096
 
+/* The answer of a chat is not stored for a repeat: it may be long. */
+static const struct claim_answer not_kept = {.status = 200};
+
 /* The state of a streamed answer; it belongs to the connection's thread. */
 struct stream {
 	struct request *rq;
@@ -84,6 +87,7 @@
 	}
 	log_event(EV_STREAM_LOST, "request=" STR_FMT " error=%s",
 		  STR_ARG(s->rq->id), error_answers[err].name);
+	claims_end(s->rq, err, NULL);
 	request_ended(error_answers[err].outcome);
 	append_error(s->out, err);
 	s->ended = true;
@@ -110,8 +114,10 @@
 {
 	struct stream *s = ctx;
 
-	if (s->ended && !s->failed)
+	if (s->ended && !s->failed) {
+		claims_end(s->rq, RAMP_OK, &not_kept);
 		request_ended(OUTCOME_COMPLETE);
+	}
 	relay_close(s->relay);
 	g_string_free(s->out, TRUE);
 	request_free(s->rq);
@@ -180,6 +186,7 @@
 	if (err != RAMP_OK) {
 		request_refuse(rq, r, err, NULL);
 	} else {
+		claims_end(rq, RAMP_OK, &not_kept);
 		request_ended(OUTCOME_COMPLETE);
 		u_map_put(r->map_header, "Ramp-Outcome",
 			  outcome_name(OUTCOME_COMPLETE));
@@ -217,15 +224,43 @@
 	return RAMP_OK;
 }
 
+/*
+ * For services whose calls may not be repeated.
+ *
+ * Return: RAMP_OK; *stored when the chat has run, so that r is its answer.
+ */
+static enum ramp_error claim_chat(struct request *rq,
+				  const struct _u_request *q,
+				  struct _u_response *r, bool *stored)
+{
+	struct claim_answer a;
+	enum ramp_error e;
+
+	if (rq->service->idempotent)
+		return RAMP_OK;
+	e = claims_begin(rq, q, "chat", stored, &a);
+	if (e == RAMP_OK && *stored)
+		claims_answer(rq, r, &a);
+	return e;
+}
+
 int on_chat(const struct _u_request *q, struct _u_response *r, void *node)
 {
 	const char *why = NULL;
 	struct request *rq;
 	struct relay *rl;
+	bool stored = false;
 	enum ramp_error e = request_begin(node, q, &rq);
 
 	if (e == RAMP_OK)
 		e = read_chat(rq, q, &why);
+	if (e == RAMP_OK)
+		e = claim_chat(rq, q, r, &stored);
+	if (e == RAMP_OK && stored) {
+		request_ended(OUTCOME_COMPLETE);
+		request_free(rq);
+		return U_CALLBACK_COMPLETE;
+	}
 	if (e == RAMP_OK)
 		e = dispatch(rq, &rl);
 	if (e != RAMP_OK) {
--- /dev/null
+++ b/node/claims.c
@@ -0,0 +1,276 @@
+#include "node/claims.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#define KEY_MAX 255 /* bytes of a caller's key */
+
+/* The claim of one request. */
+struct call_claim {
+	char *name;
+	bool issued;
+	bool open; /* to be ended */
+	struct claim *claim;
+	struct platform plat;
+	struct plat_http *http;
+};
+
+/* The keys of this process; all traffic threads use them. */
+static GMutex lock;
+static struct issue *issued;
+
+static uint64_t random_number(void)
+{
+	uint64_t n;
+
+	randombytes_buf(&n, sizeof(n));
+	return n;
+}
+
+/* With the lock held. The incarnation is drawn at the first use. */
+static struct issue *issued_keys(void)
+{
+	if (!issued)
+		issued = issue_new(random_number());
+	return issued;
+}
+
+static char *new_key(void)
+{
+	char *key;
+
+	g_mutex_lock(&lock);
+	key = issue_key(issued_keys(), random_number(), time_mono_ms());
+	g_mutex_unlock(&lock);
+	return key;
+}
+
+static int64_t now(void *ctx)
+{
+	(void)ctx;
+	return time_now_ms();
+}
+
+static const char *hash_of(struct request *rq, const char *what)
+{
+	GString *s = g_string_new(what);
+	char *h;
+	const char *out;
+
+	g_string_append_c(s, '\0');
+	g_string_append_len(s, rq->body.data, (gssize)rq->body.len);
+	h = key_hash((struct str){s->str, s->len});
+	out = talloc_strdup(rq->arena, h);
+	g_free(h);
+	g_string_free(s, TRUE);
+	return out;
+}
+
+/* Header "Ramp-Attempt": 0 when missing. */
+static bool read_attempt(const struct _u_request *q, int64_t *attempt)
+{
+	const char *h = u_map_get_case(q->map_header, "Ramp-Attempt");
+	char *end;
+
+	*attempt = h ? g_ascii_strtoll(h, &end, 10) : 0;
+	return !h || (end != h && !*end && *attempt >= 0);
+}
+
+static enum ramp_error error_of(enum claim_verdict v)
+{
+	static const enum ramp_error of[] = {
+		[CLAIM_RUN] = RAMP_OK,
+		[CLAIM_STORED] = RAMP_OK,
+		[CLAIM_RUNNING] = RAMP_ERR_IN_PROGRESS,
+		[CLAIM_UNKNOWN] = RAMP_ERR_OUTCOME_UNKNOWN,
+		[CLAIM_RELEASED] = RAMP_ERR_KEY_RELEASED,
+		[CLAIM_MISMATCH] = RAMP_ERR_KEY_REUSED,
+		[CLAIM_NO_STORE] = RAMP_ERR_STORE_UNAVAILABLE,
+	};
+
+	return of[v];
+}
+
+static struct claim_answer copy_answer(void *arena,
+				       const struct claim_answer *a)
+{
+	return (struct claim_answer){
+		a->status, a->type ? talloc_strdup(arena, a->type) : NULL,
+		str_dup(arena, a->body), a->kept};
+}
+
+struct waiting {
+	struct request *rq;
+	struct claim_result result;
+};
+
+static void on_result(const struct claim_result *r, void *arg)
+{
+	struct waiting *w = arg;
+
+	w->result = *r;
+	w->result.answer = copy_answer(w->rq->arena, &r->answer);
+}
+
+static enum claim_verdict begin_row(struct request *rq,
+				    const struct claim_request *q,
+				    struct claim_result *out)
+{
+	struct call_claim *c = rq->claim;
+	struct waiting w = {.rq = rq};
+
+	c->http = plat_http_new(&rq->node->set, NULL, &c->plat);
+	c->claim = claim_begin(&c->plat, q, now, NULL, on_result, &w);
+	*out = w.result;
+	return out->verdict;
+}
+
+static enum claim_verdict begin_issued(struct request *rq,
+				       struct claim_request *q,
+				       struct claim_result *out)
+{
+	enum claim_verdict v;
+
+	q->latest_ms = request_until(rq);
+	g_mutex_lock(&lock);
+	v = issue_begin(issued_keys(), rq->key, q, time_mono_ms(), out);
+	out->answer = copy_answer(rq->arena, &out->answer);
+	g_mutex_unlock(&lock);
+	return v;
+}
+
+static int free_claim(struct call_claim *c)
+{
+	claim_free(c->claim);
+	if (c->http)
+		plat_http_free(c->http);
+	g_free(c->name);
+	return 0;
+}
+
+static struct call_claim *new_claim(struct request *rq)
+{
+	struct call_claim *c = talloc_zero(rq->arena, struct call_claim);
+
+	talloc_set_destructor(c, free_claim);
+	c->name = claim_name(rq->owner->organisation->name, rq->service->name,
+			     rq->key);
+	c->issued = issue_is_key(rq->key);
+	return c;
+}
+
+static void take_key(struct request *rq)
+{
+	char *key;
+
+	if (rq->key.len)
+		return;
+	key = new_key();
+	rq->key = str_dup(rq->arena, str_c(key));
+	g_free(key);
+}
+
+static enum ramp_error check_deadline(struct request *rq)
+{
+	if (time_now_ms() < rq->deadline_ms)
+		return RAMP_OK;
+	claims_end(rq, RAMP_ERR_DEADLINE_PASSED, NULL);
+	return RAMP_ERR_DEADLINE_PASSED;
+}
+
+enum ramp_error claims_begin(struct request *rq, const struct _u_request *q,
+			     const char *what, bool *stored,
+			     struct claim_answer *out)
+{
+	struct claim_request cr = {.call = rq->id.data,
+				   .request = hash_of(rq, what),
+				   .latest_ms = rq->deadline_ms};
+	struct claim_result res = {0};
+	enum claim_verdict v;
+
+	*stored = false;
+	if (!read_attempt(q, &cr.attempt) || rq->key.len > KEY_MAX)
+		return RAMP_ERR_BAD_REQUEST;
+	take_key(rq);
+	rq->claim = new_claim(rq);
+	cr.name = rq->claim->name;
+	v = rq->claim->issued ? begin_issued(rq, &cr, &res)
+			      : begin_row(rq, &cr, &res);
+	*stored = v == CLAIM_STORED;
+	*out = res.answer;
+	rq->claim->open = v == CLAIM_RUN;
+	if (v == CLAIM_RUN)
+		return check_deadline(rq);
+	metric_add(M_CLAIMS_REPEATED_TOTAL, 1);
+	/* A full table of issued keys: this key has not been used here. */
+	if (v == CLAIM_NO_STORE && rq->claim->issued)
+		return RAMP_ERR_OVERLOADED;
+	return error_of(v);
+}
+
+static void on_ended(void *arg)
+{
+	(void)arg;
+}
+
+static enum claim_end how_of(enum ramp_error e)
+{
+	if (e == RAMP_OK)
+		return CLAIM_ENDED_DONE;
+	return error_answers[e].outcome == OUTCOME_NOT_RUN
+		       ? CLAIM_ENDED_NOT_RUN
+		       : CLAIM_ENDED_UNKNOWN;
+}
+
+void claims_end(struct request *rq, enum ramp_error e,
+		const struct claim_answer *a)
+{
+	struct call_claim *c = rq->claim;
+
+	if (!c || !c->open)
+		return;
+	c->open = false;
+	if (!c->issued) {
+		claim_end(c->claim, how_of(e), a, on_ended, NULL);
+		return;
+	}
+	g_mutex_lock(&lock);
+	issue_end(issued_keys(), c->name, how_of(e), a);
+	g_mutex_unlock(&lock);
+}
+
+int claims_answer(struct request *rq, struct _u_response *r,
+		  const struct claim_answer *a)
+{
+	if (a->type)
+		u_map_put(r->map_header, "Content-Type", a->type);
+	u_map_put(r->map_header, "Ramp-Answer", a->kept ? "stored" : "lost");
+	u_map_put(r->map_header, "Ramp-Request", rq->id.data);
+	ulfius_set_binary_body_response(r, (unsigned)a->status, a->body.data,
+					a->body.len);
+	return U_CALLBACK_COMPLETE;
+}
+
+/* POST /v1/keys: a key that this node runs at most once, without the store. */
+int on_keys(const struct _u_request *q, struct _u_response *r, void *node)
+{
+	struct request *rq;
+	enum ramp_error e = request_begin(node, q, &rq);
+	char *key;
+
+	if (e != RAMP_OK) {
+		request_refuse(rq, r, e, NULL);
+		request_free(rq);
+		return U_CALLBACK_COMPLETE;
+	}
+	key = new_key();
+	answer_json(r, 200,
+		    json_pack("{s:s,s:s,s:I}", "key", key, "entry",
+			      rq->node->address, "valid_until_ms",
+			      time_now_ms() + ISSUE_VALID_MS));
+	request_ended(OUTCOME_COMPLETE);
+	g_free(key);
+	request_free(rq);
+	return U_CALLBACK_COMPLETE;
+}
--- a/node/node.h
+++ b/node/node.h
@@ -115,6 +115,7 @@
 	int64_t priority;
 	struct str body; /* as the target is sent it */
 	bool stream;
+	struct call_claim *claim; /* or NULL */
 };
 
 /*
@@ -169,6 +170,7 @@
 /* Handlers of the HTTP server. */
 int on_chat(const struct _u_request *q, struct _u_response *r, void *node);
 int on_plain(const struct _u_request *q, struct _u_response *r, void *node);
+int on_keys(const struct _u_request *q, struct _u_response *r, void *node);
 int on_entries(const struct _u_request *q, struct _u_response *r, void *node);
 int on_metrics(const struct _u_request *q, struct _u_response *r, void *node);
 int on_ready(const struct _u_request *q, struct _u_response *r, void *node);
--- a/node/plain.c
+++ b/node/plain.c
@@ -2,7 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "node/node.h"
+#include "node/claims.h"
 
 #define CONNECT_MS   500
 #define ATTEMPTS_MAX 3
@@ -14,11 +14,22 @@
 	       !strcmp(m, "DELETE");
 }
 
+#define PREFIX "/v1/services/"
+
+/* ulfius fills in no path variables when the route ends in a wildcard. */
+static const char *service_of_path(void *arena, const struct _u_request *q)
+{
+	const char *p = strstr(q->http_url, PREFIX);
+
+	p = p ? p + strlen(PREFIX) : "";
+	return talloc_strndup(arena, p, strcspn(p, "/?"));
+}
+
 static const char *rest_of_path(const struct _u_request *q)
 {
-	const char *p = strstr(q->http_url, "/v1/services/");
+	const char *p = strstr(q->http_url, PREFIX);
 
-	p = p ? strchr(p + strlen("/v1/services/"), '/') : NULL;
+	p = p ? strchr(p + strlen(PREFIX), '/') : NULL;
 	return p ? p : "/";
 }
 
@@ -71,11 +82,16 @@
 
 	if (e == RAMP_OK) {
 		const char *ct = pull_header(p, "Content-Type");
+		struct claim_answer a = {pull_status(p),
+					 ct,
+					 {(char *)all->data, all->len},
+					 true};
 
+		claims_end(rq, RAMP_OK, &a);
 		if (ct)
 			u_map_put(r->map_header, "Content-Type", ct);
-		ulfius_set_binary_body_response(r, (unsigned)pull_status(p),
-						(char *)all->data, all->len);
+		ulfius_set_binary_body_response(r, (unsigned)a.status,
+						a.body.data, a.body.len);
 	}
 	pull_close(p);
 	g_byte_array_unref(all);
@@ -83,10 +99,8 @@
 }
 
 static enum ramp_error call_any(struct request *rq, const struct _u_request *q,
-				struct _u_response *r)
+				bool idempotent, struct _u_response *r)
 {
-	bool idempotent =
-		rq->service->idempotent || is_safe_method(q->http_verb);
 	enum ramp_error e = RAMP_ERR_NO_TARGET;
 	size_t n;
 	const struct target **order = dispatch_order(rq, &n);
@@ -103,19 +117,46 @@
 	return e;
 }
 
+/* A call that may not be repeated runs only with a claim. */
+static enum ramp_error call_once(struct request *rq, const struct _u_request *q,
+				 struct _u_response *r)
+{
+	const char *what = talloc_asprintf(rq->arena, "%s %s", q->http_verb,
+					   rest_of_path(q));
+	struct claim_answer a;
+	bool stored;
+	enum ramp_error e = claims_begin(rq, q, what, &stored, &a);
+
+	if (rq->key.len)
+		u_map_put(r->map_header, "Idempotency-Key", rq->key.data);
+	if (e != RAMP_OK)
+		return e;
+	if (!stored)
+		return call_any(rq, q, false, r);
+	claims_answer(rq, r, &a);
+	return RAMP_OK;
+}
+
+static enum ramp_error call_service(struct request *rq,
+				    const struct _u_request *q,
+				    struct _u_response *r)
+{
+	rq->body = (struct str){q->binary_body, q->binary_body_length};
+	if (rq->service->idempotent || is_safe_method(q->http_verb))
+		return call_any(rq, q, true, r);
+	return call_once(rq, q, r);
+}
+
 int on_plain(const struct _u_request *q, struct _u_response *r, void *node)
 {
 	struct request *rq;
 	enum ramp_error e = request_begin(node, q, &rq);
 
-	if (e == RAMP_OK &&
-	    (!request_bind(rq, u_map_get(q->map_url, "service")) ||
-	     rq->service->kind != SERVICE_PLAIN))
+	if (e == RAMP_OK && (!request_bind(rq, service_of_path(rq->arena, q)) ||
+			     rq->service->kind != SERVICE_PLAIN))
 		e = RAMP_ERR_NOT_FOUND;
-	if (e == RAMP_OK) {
-		rq->body = (struct str){q->binary_body, q->binary_body_length};
-		e = call_any(rq, q, r);
-	}
+	if (e == RAMP_OK)
+		e = call_service(rq, q, r);
 	if (e == RAMP_OK) {
 		request_ended(OUTCOME_COMPLETE);
 		u_map_put(r->map_header, "Ramp-Outcome",
--- a/node/request.c
+++ b/node/request.c
@@ -2,7 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "node/node.h"
+#include "node/claims.h"
 
 #define ID_BYTES       16
 #define RETRY_AFTER_MS 1000
@@ -82,6 +82,7 @@
 {
 	struct node *n = rq->node;
 
+	claims_end(rq, RAMP_ERR_OUTCOME_UNKNOWN, NULL);
 	config_unref(rq->config);
 	fleet_unref(rq->fleet);
 	talloc_free(rq->arena);
@@ -107,6 +108,7 @@
 	const struct error_answer *a = &error_answers[e];
 	int64_t at = a->retry ? time_now_ms() + RETRY_AFTER_MS : 0;
 
+	claims_end(rq, e, NULL);
 	request_ended(a->outcome);
 	log_event(a->outcome == OUTCOME_NOT_RUN ? EV_REQUEST_REFUSED
 						: EV_REQUEST_FAILED,
--- a/state/test-calls.c
+++ b/state/test-calls.c
@@ -11,7 +11,7 @@
 
 	c->fake = f;
 	c->work_ms = 20;
-	c->runs = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	c->runs = g_array_new(FALSE, FALSE, sizeof(struct run));
 	c->sends = g_ptr_array_new();
 	return c;
 }
@@ -40,7 +40,6 @@
 static void tell(struct send *s, enum told t)
 {
 	s->told = t;
-	s->told_ms = s->calls->fake->now_ms;
 }
 
 static void on_ended(void *arg)
@@ -88,9 +87,10 @@
 	};
 	struct send *s = arg;
 	struct calls *c = s->calls;
+	struct run r = {s->attempt, c->fake->now_ms};
 
 	if (c->target != TARGET_BUSY)
-		g_array_append_val(c->runs, s->attempt);
+		g_array_append_val(c->runs, r);
 	fake_after(c->fake, s->proc, c->work_ms, then[c->target], s);
 }
 
@@ -131,6 +131,7 @@
 				  .attempt = s->attempt,
 				  .latest_ms = s->latest_ms};
 
+	s->arrived_ms = s->calls->fake->now_ms;
 	s->claim = claim_begin(&s->calls->fake->procs[s->proc].plat, &q,
 			       clock_of, s, on_verdict, s);
 }
@@ -151,11 +152,16 @@
 	return s;
 }
 
-/* "not run" holds for all runs of that attempt or an earlier one. */
+/*
+ * "not run" says that nothing had run when the send arrived, and that no send
+ * of that attempt or an earlier one will ever run.
+ */
 static bool is_false_not_run(const struct calls *c, const struct send *s)
 {
 	for (guint i = 0; s->told == TOLD_NOT_RUN && i < c->runs->len; i++) {
-		if (g_array_index(c->runs, int64_t, i) <= s->attempt)
+		const struct run *r = &g_array_index(c->runs, struct run, i);
+
+		if (r->attempt <= s->attempt || r->at_ms < s->arrived_ms)
 			return true;
 	}
 	return false;
--- a/state/test-calls.h
+++ b/state/test-calls.h
@@ -25,12 +25,17 @@
 	TARGET_BUSY,  /* refuses; nothing runs */
 };
 
+struct run {
+	int64_t attempt;
+	int64_t at_ms;
+};
+
 struct calls {
 	struct fake *fake;
 	enum target_does target;
 	int64_t work_ms;
 	bool naive;       /* dispatch without regard to the verdict */
-	GArray *runs;     /* int64_t: attempt of each run at the target */
+	GArray *runs;     /* struct run, at the target */
 	GPtrArray *sends; /* struct send */
 	int serial;
 };
@@ -43,7 +48,7 @@
 	char *id;
 	enum claim_end how;
 	enum told told;
-	int64_t told_ms;
+	int64_t arrived_ms;
 };
 
 /* What the history of one key shows. */
--- a/state/test-issue.c
+++ b/state/test-issue.c
@@ -23,20 +23,20 @@
 static void test_repeats(void)
 {
 	static const struct {
-		int how; /* enum claim_end; -1: still running */
 		int64_t attempt;
 		const char *body;
+		int how; /* enum claim_end; -1: still running */
 		enum claim_verdict want;
 	} rows[] = {
-		{-1, 0, "b", CLAIM_RUNNING},
-		{-1, 1, "b", CLAIM_RUNNING},
-		{CLAIM_ENDED_DONE, 0, "b", CLAIM_STORED},
-		{CLAIM_ENDED_DONE, 1, "b", CLAIM_STORED},
-		{CLAIM_ENDED_DONE, 0, "other", CLAIM_MISMATCH},
-		{CLAIM_ENDED_UNKNOWN, 0, "b", CLAIM_UNKNOWN},
-		{CLAIM_ENDED_UNKNOWN, 1, "b", CLAIM_UNKNOWN},
-		{CLAIM_ENDED_NOT_RUN, 0, "b", CLAIM_RELEASED},
-		{CLAIM_ENDED_NOT_RUN, 1, "b", CLAIM_RUN},
+		{0, "b", -1, CLAIM_RUNNING},
+		{1, "b", -1, CLAIM_RUNNING},
+		{0, "b", CLAIM_ENDED_DONE, CLAIM_STORED},
+		{1, "b", CLAIM_ENDED_DONE, CLAIM_STORED},
+		{0, "other", CLAIM_ENDED_DONE, CLAIM_MISMATCH},
+		{0, "b", CLAIM_ENDED_UNKNOWN, CLAIM_UNKNOWN},
+		{1, "b", CLAIM_ENDED_UNKNOWN, CLAIM_UNKNOWN},
+		{0, "b", CLAIM_ENDED_NOT_RUN, CLAIM_RELEASED},
+		{1, "b", CLAIM_ENDED_NOT_RUN, CLAIM_RUN},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
