member: detect failures and spread news between nodes under a byte budget

Cause: nodes knew of each other only by the platform's list, which lags. Change: SWIM-like decision part on a virtual clock, codec over ONC RPC with an authenticator, target view, tests.

--- /dev/null
+++ b/member/member.c
@@ -0,0 +1,223 @@
+/* The state machine's public calls. */
+#include <string.h>
+
+#include "member/internal.h"
+
+/* Nodes that are told when this one goes. */
+#define FAREWELLS 3
+
+struct member *member_new(const struct member_options *o, int64_t now_ms)
+{
+	struct member *m = g_new0(struct member, 1);
+
+	m->cb = o->callbacks;
+	m->budget = o->budget_bytes_s;
+	m->now_ms = now_ms;
+	m->ticked_ms = now_ms;
+	m->peers = g_ptr_array_new_with_free_func(peers_free);
+	m->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	m->ring = g_array_new(false, false, sizeof(uint64_t));
+	m->news = g_ptr_array_new();
+	m->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   targets_free);
+	m->self = peers_add(m, &o->self, MAX(o->incarnation, 1));
+	/* Nodes that start together do not probe in step. */
+	m->probe_ms = now_ms + (int64_t)member_random(m, PROBE_PERIOD_MS);
+	m->news_ms = now_ms + (int64_t)member_random(m, NEWS_MS);
+	m->reconnect_ms = now_ms + (int64_t)member_random(m, RECONNECT_MS);
+	news_start(m);
+	news_queue(m, &m->self->news, NEWS_JOIN, true);
+	return m;
+}
+
+void member_free(struct member *m)
+{
+	g_hash_table_unref(m->targets);
+	g_hash_table_unref(m->by_id);
+	g_ptr_array_unref(m->news);
+	g_ptr_array_unref(m->peers);
+	g_array_unref(m->ring);
+	g_free(m);
+}
+
+/*
+ * After this process was stopped or starved, what it waited for may long have
+ * come: nothing is concluded from that time.
+ */
+static void note_stall(struct member *m, int64_t gap_ms)
+{
+	if (gap_ms < STALL_MS)
+		return;
+	probe_abandon(m);
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct node_entry *e = g_ptr_array_index(m->peers, i);
+
+		e->suspect_until_ms += gap_ms;
+		e->unheard = 0;
+	}
+}
+
+static void sweep(struct member *m)
+{
+	if (m->now_ms < m->sweep_ms)
+		return;
+	sums_leak(m, SWEEP_MS);
+	m->sweep_ms = m->now_ms + SWEEP_MS;
+	peers_sweep(m);
+	targets_sweep(m);
+}
+
+static void advance(struct member *m, int64_t now_ms)
+{
+	int64_t gap_ms = now_ms - m->ticked_ms;
+
+	if (gap_ms <= 0)
+		return;
+	m->now_ms = now_ms;
+	m->ticked_ms = now_ms;
+	note_stall(m, gap_ms);
+	news_refill(m, gap_ms);
+}
+
+void member_tick(struct member *m, int64_t now_ms)
+{
+	if (m->stopped)
+		return;
+	advance(m, now_ms);
+	sweep(m);
+	probe_tick(m);
+	news_tick(m);
+}
+
+static void hear_revision(struct member *m, uint64_t revision)
+{
+	if (revision > INT64_MAX || (int64_t)revision <= m->revision)
+		return;
+	m->revision = (int64_t)revision;
+	m->revision_sent = 0;
+}
+
+void member_receive(struct member *m, int64_t now_ms,
+		    const struct member_message *msg)
+{
+	struct node_entry *from;
+	uint64_t self = m->self->seen.id;
+
+	if (m->stopped || msg->from == self || (msg->to && msg->to != self))
+		return;
+	advance(m, now_ms);
+	for (u_int i = 0; i < msg->records.records_len; i++)
+		peers_merge(m, &msg->records.records_val[i]);
+	for (u_int i = 0; i < msg->targets.targets_len; i++)
+		targets_merge(m, &msg->targets.targets_val[i]);
+	hear_revision(m, msg->revision);
+	sums_merge(m, msg);
+	from = peers_find(m, msg->from);
+	if (!from)
+		return;
+	peers_heard(m, from);
+	from->differs = msg->digest != m->digest;
+	probe_receive(m, from, msg);
+}
+
+void member_introduce(struct member *m, const char *control)
+{
+	news_send(m, NULL, control, MEMBER_PING, ++m->seq, 0);
+}
+
+void member_leave(struct member *m)
+{
+	struct member_peer *p = &m->self->seen;
+	struct member_record r = {
+		.id = p->id,
+		.incarnation = p->incarnation + 1,
+		.leaving = true,
+	};
+
+	if (p->leaving)
+		return;
+	peers_set_self(m, &r);
+}
+
+void member_stop(struct member *m)
+{
+	struct member_peer *p = &m->self->seen;
+	struct member_record r = {
+		.id = p->id,
+		.incarnation = p->incarnation + 1,
+		.state = MEMBER_LEFT,
+		.leaving = true,
+	};
+
+	peers_set_self(m, &r);
+	for (int i = 0; i < FAREWELLS; i++) {
+		struct node_entry *e = peers_pick(m, 0);
+
+		if (e)
+			news_send(m, e, e->seen.info.control, MEMBER_NEWS, 0,
+				  0);
+	}
+	m->stopped = true;
+}
+
+void member_set_revision(struct member *m, int64_t revision)
+{
+	if (revision > 0)
+		hear_revision(m, (uint64_t)revision);
+}
+
+int64_t member_revision(const struct member *m)
+{
+	return m->revision;
+}
+
+uint64_t member_view_number(const struct member *m)
+{
+	return m->view;
+}
+
+size_t member_count(const struct member *m)
+{
+	return m->peers->len;
+}
+
+const struct member_peer *member_at(const struct member *m, size_t i)
+{
+	struct node_entry *e = g_ptr_array_index(m->peers, i);
+
+	return &e->seen;
+}
+
+const struct member_peer *member_find(const struct member *m, uint64_t id)
+{
+	struct node_entry *e = peers_find(m, id);
+
+	return e ? &e->seen : NULL;
+}
+
+void member_seen(const struct member *m, size_t *live, size_t *known)
+{
+	*live = 0;
+	*known = 0;
+	for (guint i = 0; i < m->peers->len; i++) {
+		const struct node_entry *e = g_ptr_array_index(m->peers, i);
+
+		if (e->seen.state != MEMBER_LEFT)
+			(*known)++;
+		if (peers_is_up(e))
+			(*live)++;
+	}
+}
+
+bool member_is_minority(const struct member *m)
+{
+	size_t live, known;
+
+	member_seen(m, &live, &known);
+	return 2 * live < known;
+}
+
+int64_t member_bytes_sent(const struct member *m)
+{
+	return m->bytes_sent;
+}
--- /dev/null
+++ b/member/peers.c
@@ -0,0 +1,321 @@
+/* The table of nodes and what changes an entry. */
+#include <string.h>
+
+#include "member/internal.h"
+
+#define PICK_TRIES 16
+/* One pick in so many may leave the region. */
+#define FAR_PICKS 4
+
+uint64_t member_id(const char *name)
+{
+	uint64_t id = str_hash(str_c(name), 0);
+
+	return id ? id : 1;
+}
+
+uint64_t member_random(struct member *m, uint64_t below)
+{
+	return below ? m->cb.random(m->cb.ctx) % below : 0;
+}
+
+static void info_copy(struct member_info *to, const struct member_info *from)
+{
+	to->name = g_strdup(from->name);
+	to->address = g_strdup(from->address);
+	to->control = g_strdup(from->control);
+	to->zone = g_strdup(from->zone);
+	to->region = g_strdup(from->region);
+}
+
+static void info_clear(struct member_info *i)
+{
+	g_free(i->name);
+	g_free(i->address);
+	g_free(i->control);
+	g_free(i->zone);
+	g_free(i->region);
+}
+
+void peers_free(void *entry)
+{
+	struct node_entry *e = entry;
+
+	info_clear(&e->seen.info);
+	g_free(e);
+}
+
+struct node_entry *peers_find(const struct member *m, uint64_t id)
+{
+	return g_hash_table_lookup(m->by_id, &id);
+}
+
+bool peers_is_up(const struct node_entry *e)
+{
+	return e->seen.state == MEMBER_LIVE || e->seen.state == MEMBER_SUSPECT;
+}
+
+/* Contribution to the digest; dead members are not part of it. */
+static uint64_t entry_hash(const struct node_entry *e)
+{
+	uint64_t key[2] = {e->seen.id, e->seen.incarnation};
+
+	if (!peers_is_up(e))
+		return 0;
+	return str_hash((struct str){(char *)key, sizeof(key)}, 0);
+}
+
+static void set_state(struct member *m, struct node_entry *e,
+		      uint32_t incarnation, enum member_state state,
+		      bool leaving)
+{
+	struct member_peer *p = &e->seen;
+
+	if (p->state != state || p->leaving != leaving)
+		m->view++;
+	m->digest ^= entry_hash(e);
+	p->incarnation = incarnation;
+	p->state = state;
+	p->leaving = leaving;
+	m->digest ^= entry_hash(e);
+	if (!peers_is_up(e))
+		e->gone_ms = m->now_ms;
+}
+
+struct node_entry *peers_add(struct member *m, const struct member_info *info,
+			     uint32_t incarnation)
+{
+	struct node_entry *e = g_new0(struct node_entry, 1);
+
+	e->seen.id = member_id(info->name);
+	e->seen.state = MEMBER_DEAD;
+	e->news = (struct news){.kind = NEWS_PEER, .owner = e};
+	info_copy(&e->seen.info, info);
+	g_ptr_array_add(m->peers, e);
+	g_hash_table_insert(m->by_id, &e->seen.id, e);
+	set_state(m, e, incarnation, MEMBER_LIVE, false);
+	return e;
+}
+
+/* Returns whether anything is new. */
+static bool update_info(struct node_entry *e, const struct member_info *info)
+{
+	struct member_info old = e->seen.info;
+
+	bool changed = strcmp(old.address, info->address) ||
+		       strcmp(old.control, info->control) ||
+		       strcmp(old.zone, info->zone) ||
+		       strcmp(old.region, info->region);
+
+	info_copy(&e->seen.info, info);
+	info_clear(&old);
+	return changed;
+}
+
+/* Another node says that this one is suspect or gone: say otherwise. */
+static void refute(struct member *m, const struct member_record *r)
+{
+	struct node_entry *e = m->self;
+	uint32_t incarnation = e->seen.incarnation;
+
+	if (r->state == MEMBER_LIVE && r->incarnation <= incarnation)
+		return;
+	if (r->incarnation >= incarnation)
+		set_state(m, e, r->incarnation + 1, MEMBER_LIVE,
+			  e->seen.leaving);
+	else if (e->news.queued)
+		return;
+	news_queue(m, &e->news, NEWS_URGENT, e->news.full);
+}
+
+void peers_set_self(struct member *m, const struct member_record *r)
+{
+	set_state(m, m->self, r->incarnation, r->state, r->leaving);
+	news_queue(m, &m->self->news, NEWS_URGENT, m->self->news.full);
+}
+
+static bool is_newer(const struct node_entry *e, const struct member_record *r)
+{
+	if (r->incarnation != e->seen.incarnation)
+		return r->incarnation > e->seen.incarnation;
+	return r->state > e->seen.state;
+}
+
+static void merge_known(struct member *m, struct node_entry *e,
+			const struct member_record *r)
+{
+	bool was_up = peers_is_up(e);
+	bool joins, moved = false;
+
+	if (!is_newer(e, r))
+		return;
+	if (r->state == MEMBER_SUSPECT && e->seen.state == MEMBER_LIVE)
+		e->suspect_until_ms = m->now_ms + SUSPECT_MS;
+	if (r->info && r->incarnation > e->seen.incarnation)
+		moved = update_info(e, r->info);
+	joins = r->state == MEMBER_LIVE && !r->leaving &&
+		(!was_up || !e->seen.incarnation);
+	/* A dead member that is suspected anew has not been heard of. */
+	if (r->state == MEMBER_SUSPECT && !was_up)
+		return;
+	set_state(m, e, r->incarnation, r->state, r->leaving);
+	if (r->state != MEMBER_SUSPECT)
+		e->unheard = 0;
+	news_queue(m, &e->news, joins ? NEWS_JOIN : NEWS_URGENT, moved);
+}
+
+void peers_merge(struct member *m, const struct member_record *r)
+{
+	struct node_entry *e = peers_find(m, r->id);
+
+	if (e == m->self) {
+		refute(m, r);
+		return;
+	}
+	if (e) {
+		merge_known(m, e, r);
+		return;
+	}
+	if (!r->info || r->state != MEMBER_LIVE)
+		return;
+	e = peers_add(m, r->info, r->incarnation);
+	set_state(m, e, r->incarnation, MEMBER_LIVE, r->leaving);
+	news_queue(m, &e->news, NEWS_JOIN, true);
+}
+
+void peers_suspect(struct member *m, struct node_entry *e)
+{
+	if (e->seen.state != MEMBER_LIVE)
+		return;
+	e->suspect_until_ms = m->now_ms + SUSPECT_MS;
+	set_state(m, e, e->seen.incarnation, MEMBER_SUSPECT, e->seen.leaving);
+	news_queue(m, &e->news, NEWS_URGENT, false);
+	/* Tell it, so that it can answer at once. */
+	news_send(m, e, e->seen.info.control, MEMBER_PING, ++m->seq, 0);
+}
+
+void peers_heard(struct member *m, struct node_entry *e)
+{
+	e->unheard = 0;
+	if (e->seen.state == MEMBER_SUSPECT)
+		e->suspect_until_ms = m->now_ms + SUSPECT_MS;
+	if (!peers_is_up(e))
+		m->merging_until_ms = m->now_ms + MERGE_FOR_MS;
+}
+
+static bool is_forgotten(const struct member *m, const struct node_entry *e)
+{
+	int64_t keep_ms = LOST_FOR_MS;
+
+	if (peers_is_up(e) || e == m->self)
+		return false;
+	if (e->seen.state == MEMBER_LEFT)
+		keep_ms = LEFT_FOR_MS;
+	return m->now_ms >= e->gone_ms + keep_ms;
+}
+
+void peers_sweep(struct member *m)
+{
+	for (guint i = m->peers->len; i-- > 0;) {
+		struct node_entry *e = g_ptr_array_index(m->peers, i);
+
+		if (e->seen.state == MEMBER_SUSPECT &&
+		    m->now_ms >= e->suspect_until_ms) {
+			news_drop(m, &e->news);
+			set_state(m, e, e->seen.incarnation, MEMBER_DEAD,
+				  e->seen.leaving);
+		}
+		if (!is_forgotten(m, e))
+			continue;
+		news_drop(m, &e->news);
+		g_hash_table_remove(m->by_id, &e->seen.id);
+		g_ptr_array_remove_index_fast(m->peers, i);
+		m->view++;
+	}
+}
+
+static bool is_named(const struct node_entry *e,
+		     const struct member_info *infos, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (!strcmp(infos[i].name, e->seen.info.name))
+			return true;
+	}
+	return false;
+}
+
+/* A dead member that the list has dropped is not waited for. */
+static void forget_unlisted(struct member *m, const struct member_info *infos,
+			    size_t n)
+{
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct node_entry *e = g_ptr_array_index(m->peers, i);
+		bool named = is_named(e, infos, n);
+
+		if (e->listed && !named && e->seen.state == MEMBER_DEAD)
+			set_state(m, e, e->seen.incarnation, MEMBER_LEFT,
+				  e->seen.leaving);
+		e->listed = named;
+	}
+}
+
+void member_seed(struct member *m, int64_t now_ms,
+		 const struct member_info *infos, size_t n)
+{
+	m->now_ms = MAX(m->now_ms, now_ms);
+	for (size_t i = 0; i < n; i++) {
+		if (!peers_find(m, member_id(infos[i].name)))
+			peers_add(m, &infos[i], 0);
+	}
+	forget_unlisted(m, infos, n);
+}
+
+static bool is_pick(const struct member *m, const struct node_entry *e,
+		    uint64_t skip, bool near, bool up)
+{
+	if (e == m->self || e->seen.id == skip || peers_is_up(e) != up)
+		return false;
+	if (!up && e->seen.state != MEMBER_DEAD)
+		return false;
+	return !near || !strcmp(e->seen.info.region, m->self->seen.info.region);
+}
+
+static struct node_entry *pick(struct member *m, uint64_t skip, bool near,
+			       bool up)
+{
+	guint n = m->peers->len;
+	guint at = 0;
+
+	for (int i = 0; i < PICK_TRIES; i++) {
+		at = (guint)member_random(m, n);
+		if (is_pick(m, g_ptr_array_index(m->peers, at), skip, near, up))
+			return g_ptr_array_index(m->peers, at);
+	}
+	for (guint i = 0; i < n; i++) {
+		struct node_entry *e =
+			g_ptr_array_index(m->peers, (at + i) % n);
+
+		if (is_pick(m, e, skip, near, up))
+			return e;
+	}
+	return NULL;
+}
+
+struct node_entry *peers_pick(struct member *m, uint64_t skip)
+{
+	return pick(m, skip, false, true);
+}
+
+struct node_entry *peers_pick_near(struct member *m)
+{
+	struct node_entry *e = NULL;
+
+	if (member_random(m, FAR_PICKS))
+		e = pick(m, 0, true, true);
+	return e ? e : pick(m, 0, false, true);
+}
+
+struct node_entry *peers_pick_dead(struct member *m)
+{
+	return pick(m, 0, false, false);
+}
--- /dev/null
+++ b/member/test-member.c
@@ -0,0 +1,333 @@
+/* Members on a virtual clock: faults in a table, and single faults at length.
+ */
+#include <sodium.h>
+#include <string.h>
+
+#include "member/test-net.h"
+
+#define WARM_MS   20000
+#define SECOND_MS 1000
+#define MINUTE_MS (60 * SECOND_MS)
+#define HOUR_MS   (60 * MINUTE_MS)
+
+static struct net *warm(const struct net_options *o)
+{
+	struct net *t = net_new(o);
+
+	net_run(t, WARM_MS);
+	return t;
+}
+
+/* Nothing sent may break the budget, whatever happened. */
+static void done(struct net *t)
+{
+	for (size_t i = 0; i < t->o.n; i++)
+		g_assert_cmpint(t->nodes[i].worst, <=, 4096);
+	g_assert_cmpint(t->rejected, ==, 0);
+	net_free(t);
+}
+
+static bool sees_dead(struct net *t, void *whom)
+{
+	return net_all_see_dead(t, *(size_t *)whom);
+}
+
+static bool sees_live(struct net *t, void *arg)
+{
+	(void)arg;
+	return net_all_see_live(t);
+}
+
+/* A killed member is found out by all; no other one is evicted. */
+static void test_kill(void)
+{
+	static const struct net_options table[] = {
+		{.n = 2, .regions = 1, .seed = 1},
+		{.n = 3, .regions = 1, .seed = 2},
+		{.n = 9, .regions = 1, .seed = 3},
+		{.n = 50, .regions = 2, .seed = 4},
+		{.n = 50, .regions = 2, .seed = 5, .loss_percent = 10},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(table); i++) {
+		struct net *t = warm(&table[i]);
+		size_t whom = 1;
+
+		net_kill(t, whom);
+		g_assert_cmpint(net_until(t, sees_dead, &whom, MINUTE_MS), >=,
+				0);
+		g_assert_cmpuint(t->false_evictions, ==, 0);
+		done(t);
+	}
+}
+
+/* Two members that can't reach each other do not give each other up. */
+static void test_bad_link(void)
+{
+	struct net *t = warm(&(struct net_options){
+		.n = 9, .regions = 1, .seed = 6, .loss_percent = 2});
+
+	net_cut(t, 2, 5);
+	net_run(t, 5 * MINUTE_MS);
+	g_assert_cmpint(net_sees(t, 2, 5)->state, ==, MEMBER_LIVE);
+	g_assert_cmpint(net_sees(t, 5, 2)->state, ==, MEMBER_LIVE);
+	g_assert_cmpuint(t->false_evictions, ==, 0);
+	done(t);
+}
+
+/* A frozen member is given up, wakes, and evicts nobody; all meet again. */
+static void test_frozen(void)
+{
+	static const int64_t frozen_ms[] = {2000, 5000, 30000, 600000};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(frozen_ms); i++) {
+		struct net *t = warm(&(struct net_options){
+			.n = 20, .regions = 1, .seed = 7 + i});
+
+		t->nodes[3].frozen = true;
+		t->nodes[3].exempt = true;
+		net_run(t, frozen_ms[i]);
+		t->nodes[3].frozen = false;
+		g_assert_cmpint(net_until(t, sees_live, NULL, MINUTE_MS), >=,
+				0);
+		t->nodes[3].exempt = false;
+		net_run(t, MINUTE_MS);
+		g_assert_cmpuint(t->false_evictions, ==, 0);
+		done(t);
+	}
+}
+
+/* What wakes must not evict: its own view is checked, not only the others'. */
+static void test_frozen_evicts_nobody(void)
+{
+	struct net *t =
+		warm(&(struct net_options){.n = 20, .regions = 1, .seed = 12});
+
+	t->nodes[3].frozen = true;
+	net_run(t, MINUTE_MS);
+	t->nodes[3].frozen = false;
+	for (int s = 0; s < 30; s++) {
+		net_run(t, SECOND_MS);
+		for (size_t j = 0; j < t->o.n; j++)
+			g_assert_cmpint(net_sees(t, 3, j)->state, !=,
+					MEMBER_DEAD);
+	}
+	done(t);
+}
+
+static void test_loss(void)
+{
+	struct net *t = warm(&(struct net_options){
+		.n = 100, .regions = 2, .seed = 20, .loss_percent = 10});
+
+	net_run(t, 5 * MINUTE_MS);
+	g_assert_cmpuint(t->false_evictions, ==, 0);
+	done(t);
+}
+
+/* Bytes sent by all in the next second. */
+static int64_t bytes_in_second(struct net *t)
+{
+	int64_t n = 0;
+
+	for (size_t i = 0; i < t->o.n; i++)
+		n -= member_bytes_sent(t->nodes[i].member);
+	net_run(t, SECOND_MS);
+	for (size_t i = 0; i < t->o.n; i++)
+		n += member_bytes_sent(t->nodes[i].member);
+	return n;
+}
+
+/*
+ * Regions part for an hour: each holds on to its own, knows that it sees no
+ * majority, and both merge again within a minute and under the budget.
+ */
+static void test_regions(void)
+{
+	struct net *t =
+		warm(&(struct net_options){.n = 40, .regions = 2, .seed = 30});
+	size_t live, known;
+
+	t->parted = true;
+	net_run(t, HOUR_MS);
+	for (size_t i = 0; i < t->o.n; i++) {
+		member_seen(t->nodes[i].member, &live, &known);
+		g_assert_cmpuint(live, ==, 20);
+		g_assert_cmpuint(known, ==, 40);
+		g_assert_false(member_is_minority(t->nodes[i].member));
+	}
+	t->parted = false;
+	g_assert_cmpint(net_until(t, sees_live, NULL, MINUTE_MS), >=, 0);
+	net_run(t, 2 * MINUTE_MS);
+	g_assert_cmpuint(t->false_evictions, ==, 0);
+	/* Quiet again: less than a fifth of the budget. */
+	g_assert_cmpint(bytes_in_second(t), <, 40 * 4096 / 5);
+	g_assert_true(net_all_see_live(t));
+	done(t);
+}
+
+/* A few that are cut off know that they are, and come back. */
+static void test_minority(void)
+{
+	struct net *t =
+		warm(&(struct net_options){.n = 9, .regions = 3, .seed = 31});
+	size_t live, known;
+
+	t->parted = true;
+	net_run(t, 3 * MINUTE_MS);
+	for (size_t i = 0; i < t->o.n; i++) {
+		member_seen(t->nodes[i].member, &live, &known);
+		g_assert_cmpuint(live, ==, 3);
+		g_assert_true(member_is_minority(t->nodes[i].member));
+	}
+	t->parted = false;
+	g_assert_cmpint(net_until(t, sees_live, NULL, MINUTE_MS), >=, 0);
+	for (size_t i = 0; i < t->o.n; i++)
+		g_assert_false(member_is_minority(t->nodes[i].member));
+	done(t);
+}
+
+/* All processes start anew at once, under their old names. */
+static void test_mass_restart(void)
+{
+	struct net *t =
+		warm(&(struct net_options){.n = 60, .regions = 2, .seed = 32});
+
+	for (size_t i = 0; i < t->o.n; i++)
+		net_kill(t, i);
+	net_run(t, SECOND_MS);
+	for (size_t i = 0; i < t->o.n; i++)
+		net_start(t, i);
+	g_assert_cmpint(net_until(t, sees_live, NULL, MINUTE_MS), >=, 0);
+	net_run(t, MINUTE_MS);
+	g_assert_cmpuint(t->false_evictions, ==, 0);
+	done(t);
+}
+
+/* One of four availability zones dies at once. */
+static void test_zone_loss(void)
+{
+	struct net *t =
+		warm(&(struct net_options){.n = 40, .regions = 1, .seed = 33});
+
+	for (size_t i = 0; i < t->o.n; i += 4)
+		net_kill(t, i);
+	for (size_t i = 0; i < t->o.n; i += 4)
+		g_assert_cmpint(net_until(t, sees_dead, &i, MINUTE_MS), >=, 0);
+	g_assert_cmpuint(t->false_evictions, ==, 0);
+	done(t);
+}
+
+static bool all_know_all(struct net *t, void *arg)
+{
+	(void)arg;
+	for (size_t i = 0; i < t->o.n; i++) {
+		if (member_count(t->nodes[i].member) != t->o.n)
+			return false;
+	}
+	return net_all_see_live(t);
+}
+
+/* Without a list, one known address is enough to meet all others. */
+static void test_peers_only(void)
+{
+	struct net *t = net_new(&(struct net_options){
+		.n = 30, .regions = 1, .seed = 34, .unlisted = true});
+
+	g_assert_cmpint(net_until(t, all_know_all, NULL, 2 * MINUTE_MS), >=, 0);
+	done(t);
+}
+
+static bool leaving_known(struct net *t, void *whom)
+{
+	for (size_t i = 0; i < t->o.n; i++) {
+		if (!net_sees(t, i, *(size_t *)whom)->leaving)
+			return false;
+	}
+	return true;
+}
+
+static void test_leave(void)
+{
+	struct net *t = warm(&(struct net_options){
+		.n = 50, .regions = 2, .seed = 35, .loss_percent = 5});
+	size_t whom = 7;
+
+	member_leave(t->nodes[whom].member);
+	g_assert_cmpint(net_until(t, leaving_known, &whom, 5 * SECOND_MS), >=,
+			0);
+	net_run(t, MINUTE_MS);
+	g_assert_true(leaving_known(t, &whom));
+	t->nodes[whom].exempt = true;
+	member_stop(t->nodes[whom].member);
+	net_run(t, SECOND_MS);
+	net_kill(t, whom);
+	g_assert_cmpint(net_until(t, sees_dead, &whom, 5 * SECOND_MS), >=, 0);
+	done(t);
+}
+
+/* The list, however late, revives nobody, and what it drops is forgotten. */
+static void test_late_list(void)
+{
+	struct net *t =
+		warm(&(struct net_options){.n = 9, .regions = 1, .seed = 36});
+	struct member_info infos[9];
+	size_t whom = 8;
+
+	for (size_t i = 0; i < 9; i++)
+		infos[i] = t->nodes[i].info;
+	net_kill(t, whom);
+	g_assert_cmpint(net_until(t, sees_dead, &whom, MINUTE_MS), >=, 0);
+	member_seed(t->nodes[0].member, t->now_ms, infos, 9);
+	g_assert_cmpint(net_sees(t, 0, whom)->state, ==, MEMBER_DEAD);
+	member_seed(t->nodes[0].member, t->now_ms, infos, 8);
+	net_run(t, 2 * MINUTE_MS);
+	g_assert_null(net_sees(t, 0, whom));
+	done(t);
+}
+
+/* The mean of all nodes' loads, against the sum over the whole fleet. */
+static void test_mean_load(void)
+{
+	struct net *t = warm(&(struct net_options){
+		.n = 50, .regions = 2, .seed = 37, .loss_percent = 10});
+	double work = 0, targets = 0, mean;
+
+	for (size_t i = 0; i < t->o.n; i++) {
+		double w = (double)(i % 5) * 100;
+		unsigned k = i % 3;
+
+		work += w;
+		targets += k;
+		member_set_load(t->nodes[i].member, "llm", w, k);
+	}
+	net_run(t, MINUTE_MS);
+	for (size_t i = 0; i < t->o.n; i++) {
+		g_assert_true(
+			member_mean_load(t->nodes[i].member, "llm", &mean));
+		g_assert_cmpfloat_with_epsilon(mean * targets / work, 1, 0.1);
+	}
+	g_assert_false(member_mean_load(t->nodes[0].member, "no", &mean));
+	done(t);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	g_test_add_func("/member/kill", test_kill);
+	g_test_add_func("/member/bad-link", test_bad_link);
+	g_test_add_func("/member/frozen", test_frozen);
+	g_test_add_func("/member/frozen-evicts-nobody",
+			test_frozen_evicts_nobody);
+	g_test_add_func("/member/loss", test_loss);
+	g_test_add_func("/member/regions", test_regions);
+	g_test_add_func("/member/minority", test_minority);
+	g_test_add_func("/member/mass-restart", test_mass_restart);
+	g_test_add_func("/member/zone-loss", test_zone_loss);
+	g_test_add_func("/member/peers-only", test_peers_only);
+	g_test_add_func("/member/leave", test_leave);
+	g_test_add_func("/member/late-list", test_late_list);
+	g_test_add_func("/member/mean-load", test_mean_load);
+	return g_test_run();
+}
--- a/schema/gen.sh
+++ b/schema/gen.sh
@@ -139,3 +139,13 @@
 	echo 'const size_t field_count ='
 	printf '\tsizeof(field_infos) / sizeof(field_infos[0]);\n'
 } >"$out/state/resources-gen.c"
+
+# messages between nodes; rpcgen takes the name of its header from the input's
+mkdir -p "$out/member"
+for kind in h c; do
+	rpcgen -$kind schema/member.x | sed \
+		-e 's|"schema/member.h"|"member/member-gen.h"|' \
+		-e 's|"member.h"|"member/member-gen.h"|' \
+		-e 's|_SCHEMA/MEMBER_H_RPCGEN\|_MEMBER_H_RPCGEN|MEMBER_GEN_H|' \
+		>"$out/member/member-gen.$kind"
+done
