http: hand path names to handlers, wait for further bytes

Cause: routes were registered as ulfius url prefixes, and ulfius fills map_url only from the format part. Every ':name' of a path was NULL: PUT /objects/x and GET /v1/streams/x ended the process, plain services were always not_found. pull_wait returned at once while half an event was unread, so its users spun or polled. A status was told before all headers had arrived. A drain could not know whether an answer had gone out.

Ruled out: a fault in ulfius's matching (handlers were found, only the map was empty, seen in gdb).

Change: routes are formats; pull_wait_more and pull_wait_headers; a status counts once its headers are whole; server_busy counts requests from their first line to the end of their answer.

Before: /http/server/path-names failed ("(none)" in place of "abc").

--- a/http/http.h
+++ b/http/http.h
@@ -8,6 +8,7 @@
 
 #include <jansson.h>
 #include <poll.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <ulfius.h>
@@ -19,6 +20,7 @@
 	struct _u_instance inst;
 	int fd;
 	int port;
+	atomic_int busy; /* requests between their first line and their end */
 };
 
 /* How a server listens; zero values take the defaults. */
@@ -47,6 +49,11 @@
  */
 bool server_start(struct server *s, const struct server_options *o,
 		  const struct server_route *routes, size_t n, void *ctx);
+/*
+ * Whether any request is in progress: its first line has been read and the
+ * last byte of its answer not yet been handed to the system.
+ */
+bool server_busy(struct server *s);
 /* Stop accepting connections; open ones go on until server_stop. */
 void server_quiesce(struct server *s);
 void server_stop(struct server *s);
@@ -112,7 +119,11 @@
 struct pull *pull_open(const struct pull_request *q);
 /* Wait until there are unread bytes, the end, or until_ms (monotonic). */
 enum pull_event pull_wait(struct pull *p, int64_t until_ms);
-/* HTTP status, or 0 while no headers have arrived. */
+/* The same, but unread bytes of before don't count: waits for further ones. */
+enum pull_event pull_wait_more(struct pull *p, int64_t until_ms);
+/* The same, but PULL_DATA also means that all headers have arrived. */
+enum pull_event pull_wait_headers(struct pull *p, int64_t until_ms);
+/* HTTP status, or 0 while not all headers have arrived. */
 int pull_status(const struct pull *p);
 /* Value of an answer header, or NULL. Names compare without case. */
 const char *pull_header(const struct pull *p, const char *name);
--- a/http/pull.c
+++ b/http/pull.c
@@ -15,6 +15,7 @@
 	GByteArray *bytes;
 	GHashTable *answer_headers; /* lower-case name -> value */
 	bool paused;
+	bool headers_done; /* of the last answer, after any 1xx */
 	bool ended;
 	CURLcode result;
 };
@@ -73,9 +74,12 @@
 	char *line = g_strndup(data, size * n);
 	char *colon = strchr(line, ':');
 
-	if (g_str_has_prefix(line, "HTTP/"))
+	if (g_str_has_prefix(line, "HTTP/")) {
 		g_hash_table_remove_all(p->answer_headers);
-	else if (colon) {
+		p->headers_done = false;
+	} else if (!*g_strchomp(line)) {
+		p->headers_done = true;
+	} else if (colon) {
 		*colon = '\0';
 		g_hash_table_replace(p->answer_headers,
 				     g_ascii_strdown(line, -1),
@@ -146,13 +150,15 @@
 	read_messages(p);
 }
 
-enum pull_event pull_wait(struct pull *p, int64_t until_ms)
+/* Wait for more than n bytes, the end, until_ms or, if asked, the headers. */
+static enum pull_event wait_for(struct pull *p, guint n, bool headers,
+				int64_t until_ms)
 {
 	for (;;) {
 		int64_t left;
 
 		step(p);
-		if (p->bytes->len)
+		if (p->bytes->len > n || (headers && pull_status(p)))
 			return PULL_DATA;
 		if (p->ended)
 			return p->result == CURLE_OK ? PULL_END : PULL_FAILED;
@@ -163,12 +169,29 @@
 	}
 }
 
+enum pull_event pull_wait(struct pull *p, int64_t until_ms)
+{
+	return wait_for(p, 0, false, until_ms);
+}
+
+enum pull_event pull_wait_more(struct pull *p, int64_t until_ms)
+{
+	return wait_for(p, p->bytes->len, false, until_ms);
+}
+
+enum pull_event pull_wait_headers(struct pull *p, int64_t until_ms)
+{
+	return wait_for(p, 0, true, until_ms);
+}
+
 int pull_status(const struct pull *p)
 {
 	long status = 0;
 
-	curl_easy_getinfo(p->easy, CURLINFO_RESPONSE_CODE, &status);
-	return (int)status;
+	if (p->headers_done)
+		curl_easy_getinfo(p->easy, CURLINFO_RESPONSE_CODE, &status);
+	/* An interim answer is none yet. */
+	return status >= 200 ? (int)status : 0;
 }
 
 const char *pull_header(const struct pull *p, const char *name)
@@ -188,9 +211,11 @@
 bool pull_maybe_sent(const struct pull *p)
 {
 	curl_off_t connected = 0;
+	long sent = 0;
 
 	curl_easy_getinfo(p->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
-	return connected > 0;
+	curl_easy_getinfo(p->easy, CURLINFO_REQUEST_SIZE, &sent);
+	return connected > 0 || sent > 0;
 }
 
 void pull_close(struct pull *p)
--- a/http/server.c
+++ b/http/server.c
@@ -41,14 +41,34 @@
 	return fd;
 }
 
+static void *on_begin(void *ctx, const char *uri)
+{
+	struct server *s = ctx;
+
+	atomic_fetch_add(&s->busy, 1);
+	return ulfius_uri_logger(NULL, uri);
+}
+
+static void on_end(void *ctx, struct MHD_Connection *c, void **request,
+		   enum MHD_RequestTerminationCode why)
+{
+	struct server *s = ctx;
+
+	mhd_request_completed(NULL, c, request, why);
+	atomic_fetch_sub(&s->busy, 1);
+}
+
+bool server_busy(struct server *s)
+{
+	return atomic_load(&s->busy) > 0;
+}
+
 bool server_start(struct server *s, const struct server_options *o,
 		  const struct server_route *routes, size_t n, void *ctx)
 {
 	struct MHD_OptionItem ops[] = {
-		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed,
-		 NULL},
-		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger,
-		 NULL},
+		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_end, s},
+		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_begin, s},
 		{MHD_OPTION_LISTEN_SOCKET, 0, NULL},
 		{MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK_BYTES, NULL},
 		{MHD_OPTION_CONNECTION_LIMIT, DEFAULT_CONNECTIONS, NULL},
@@ -77,9 +97,9 @@
 	s->inst.max_post_body_size = o->body_bytes;
 	s->inst.allowed_post_processor = U_POST_PROCESS_NONE;
 	for (size_t i = 0; i < n; i++)
-		ulfius_add_endpoint_by_val(&s->inst, routes[i].method,
-					   routes[i].path, NULL, 0,
-					   routes[i].handle, ctx);
+		ulfius_add_endpoint_by_val(&s->inst, routes[i].method, NULL,
+					   routes[i].path, 0, routes[i].handle,
+					   ctx);
 	return ulfius_start_framework_with_mhd_options(
 		       &s->inst,
 		       MHD_USE_THREAD_PER_CONNECTION |
--- a/http/test-client.c
+++ b/http/test-client.c
@@ -23,7 +23,49 @@
 	return U_CALLBACK_COMPLETE;
 }
 
+static atomic_bool second_half;
+
+/* A first half of an event, then, once second_half is set, the other one. */
+static ssize_t read_halves(void *ctx, uint64_t off, char *buf, size_t max)
+{
+	static const char *const halves[] = {"data: a", "b\n\n"};
+	int *i = ctx;
+	size_t n;
+
+	(void)off;
+	if (*i == G_N_ELEMENTS(halves))
+		return U_STREAM_END;
+	while (*i && !atomic_load(&second_half))
+		g_usleep(1000);
+	n = MIN(max, strlen(halves[*i]));
+	memcpy(buf, halves[(*i)++], n);
+	return (ssize_t)n;
+}
+
+static int on_halves(const struct _u_request *q, struct _u_response *r,
+		     void *ctx)
+{
+	(void)q;
+	(void)ctx;
+	u_map_put(r->map_header, "X-Kind", "halves");
+	ulfius_set_stream_response(r, 200, read_halves, g_free,
+				   U_STREAM_SIZE_UNKNOWN, 64, g_new0(int, 1));
+	return U_CALLBACK_COMPLETE;
+}
+
+static int on_named(const struct _u_request *q, struct _u_response *r,
+		    void *ctx)
+{
+	const char *name = u_map_get(q->map_url, "name");
+
+	(void)ctx;
+	ulfius_set_string_body_response(r, 200, name ? name : "(none)");
+	return U_CALLBACK_COMPLETE;
+}
+
 static const struct server_route routes[] = {
+	{"GET", "/halves", on_halves},
+	{"GET", "/things/:name/part", on_named},
 	{"*", "/echo", on_echo},
 	{"GET", "/silent", on_silent},
 };
@@ -82,6 +124,57 @@
 	pull_close(p);
 }
 
+/* Half an event waits for further bytes and doesn't end the wait at once. */
+static void test_pull_more(void)
+{
+	int64_t until = time_mono_ms() + 5000;
+	struct pull *p;
+
+	atomic_store(&second_half, false);
+	p = open_path("/halves", NULL);
+	g_assert_cmpint(pull_wait_headers(p, until), ==, PULL_DATA);
+	g_assert_cmpstr(pull_header(p, "x-kind"), ==, "halves");
+	while (pull_bytes(p)->len < strlen("data: a"))
+		g_assert_cmpint(pull_wait_more(p, until), ==, PULL_DATA);
+	g_assert_cmpint(pull_wait_more(p, time_mono_ms()), ==, PULL_TIMEOUT);
+	atomic_store(&second_half, true);
+	g_assert_cmpint(pull_wait(p, until), ==, PULL_DATA);
+	g_assert_cmpint(pull_wait_more(p, until), ==, PULL_DATA);
+	g_assert_cmpmem(pull_bytes(p)->data, pull_bytes(p)->len, "data: ab\n\n",
+			10);
+	g_assert_cmpint(pull_wait_more(p, until), ==, PULL_END);
+	pull_close(p);
+}
+
+/* The handler gets the parts of the path that its route names. */
+static void test_path_names(void)
+{
+	struct pull *p = open_path("/things/abc/part", NULL);
+
+	g_assert_cmpint(pull_wait(p, time_mono_ms() + 5000), ==, PULL_DATA);
+	g_assert_cmpmem(pull_bytes(p)->data, pull_bytes(p)->len, "abc", 3);
+	pull_close(p);
+}
+
+/* A request counts as in progress until its answer has gone out. */
+static void test_busy(void)
+{
+	int64_t until = time_mono_ms() + 5000;
+	struct pull *p;
+
+	atomic_store(&second_half, false);
+	p = open_path("/halves", NULL);
+	g_assert_cmpint(pull_wait(p, until), ==, PULL_DATA);
+	g_assert_true(server_busy(&server));
+	atomic_store(&second_half, true);
+	while (pull_wait_more(p, until) == PULL_DATA)
+		;
+	while (server_busy(&server) && time_mono_ms() < until)
+		g_usleep(1000);
+	g_assert_false(server_busy(&server));
+	pull_close(p);
+}
+
 struct seen {
 	bool done;
 	int status;
@@ -156,6 +249,9 @@
 	g_test_add_func("/http/pull/whole", test_pull_whole);
 	g_test_add_func("/http/pull/silence", test_pull_silence);
 	g_test_add_func("/http/pull/refused", test_pull_refused);
+	g_test_add_func("/http/pull/more", test_pull_more);
+	g_test_add_func("/http/server/path-names", test_path_names);
+	g_test_add_func("/http/server/busy", test_busy);
 	g_test_add_func("/http/fetch/table", test_fetch);
 	g_test_add_func("/http/fetch/refused", test_fetch_refused);
 	failed = g_test_run();
