state: commit a change as one checked transaction

Cause: nothing wrote resources but scripts that put rows by hand, so two operators could overwrite each other and a lost answer left doubt.

Change: change_commit reads head/config, res/ and cid/<id>, decides against these rows (condition, schema, references, key owners, what an admin may set; all faults at once) and writes head, resource, identity and audit row in one transaction that checks the first three. Row sets count only once their revision has reached the head's version; refusals are confirmed by a transaction that only checks the head.

Ruled out: treating a resend as settled when the store is down.

--- a/state/state.h
+++ b/state/state.h
@@ -168,6 +168,68 @@
 	void (*instances)(void *ctx, plat_done_fn *done, void *arg);
 };
 
+/* What must hold of the resource when a change is made. */
+enum change_condition {
+	CHANGE_IF_ABSENT,
+	CHANGE_IF_VERSION,
+	CHANGE_ALWAYS,
+};
+
+/* A change of one resource, as an operator or an admin asks for it. */
+struct change {
+	const char *id; /* identity; the same one never makes two changes */
+	bool first;     /* the identity was never sent before */
+	enum resource_kind kind;
+	const char *name;
+	const json_t *spec; /* NULL: delete */
+	enum change_condition condition;
+	int64_t version;          /* of CHANGE_IF_VERSION */
+	const char *organisation; /* an admin's own; NULL: an operator */
+	const char *who;          /* both for the audit trail */
+	const char *from;
+	int64_t at_ms; /* wall clock */
+};
+
+/*
+ * What became of a change. Errors beside RAMP_OK: conflict (version is the
+ * present one), not_found, forbidden, bad_request (errors says why),
+ * overloaded (lost every race), store_down (nothing was done) and
+ * store_unavailable (it may have been done, or be done soon; ask again with
+ * the same identity).
+ */
+struct change_result {
+	enum ramp_error error;
+	const GPtrArray *errors; /* all faults, one string each */
+	int64_t revision;        /* of the accepted change */
+	int64_t version;         /* of the resource; 0: absent */
+	int64_t generation;      /* how often its spec was accepted */
+	bool repeated;           /* an earlier send made the change */
+};
+
+typedef void change_done_fn(const struct change_result *r, void *arg);
+
+/*
+ * Make a change. Everything that c and p point to must live until done is
+ * called, which happens once: before the return when p answers at once.
+ */
+void change_commit(const struct platform *p, const struct change *c,
+		   change_done_fn *done, void *arg);
+/* Whether s may be the identity of a change: 1 to 64 of A-Za-z0-9-_. */
+bool change_id_valid(const char *s);
+/*
+ * Whether an organisation's admin may see a resource with this spec: its own
+ * organisation and intents that name it.
+ */
+bool scope_sees(const char *organisation, enum resource_kind k,
+		const char *name, const json_t *spec);
+/*
+ * Whether the admin may change the resource from was to is (either may be
+ * NULL). Why not goes into errors.
+ */
+bool scope_allows(const char *organisation, enum resource_kind k,
+		  const char *name, const json_t *was, const json_t *is,
+		  GPtrArray *errors);
+
 /* Key of a resource's row in the table: "res/<kind>/<name>". */
 char *resource_key(enum resource_kind k, const char *name);
 /* The reverse. Returns false when the key is not one of a resource. */
--- /dev/null
+++ b/state/test-change.c
@@ -0,0 +1,246 @@
+#include "state/test-table.h"
+
+#define SERVICE  "{\"kind\":\"model\",\"pool\":\"p\"}"
+#define SERVICE2 "{\"kind\":\"model\",\"pool\":\"q\"}"
+#define INTENT   "{\"service\":\"s\",\"organisation\":\"o\"}"
+
+/* Rows that each case starts from: o, s and an intent on both. */
+static struct fake *seeded(void)
+{
+	struct fake *f = fake_new();
+
+	g_assert_cmpint(make(f, "s1", KIND_ORGANISATION, "o", "{\"keys\":[]}",
+			     CHANGE_IF_ABSENT, 0, NULL),
+			==, RAMP_OK);
+	g_assert_cmpint(make(f, "s2", KIND_SERVICE, "s", SERVICE,
+			     CHANGE_IF_ABSENT, 0, NULL),
+			==, RAMP_OK);
+	g_assert_cmpint(make(f, "s3", KIND_INTENT, "i", INTENT,
+			     CHANGE_IF_ABSENT, 0, NULL),
+			==, RAMP_OK);
+	return f;
+}
+
+static void test_conditions(void)
+{
+	static const struct {
+		const char *name, *spec;
+		enum resource_kind kind;
+		enum change_condition condition;
+		int64_t version;
+		int64_t present;
+		enum ramp_error error;
+	} cases[] = {
+		{"s", SERVICE2, KIND_SERVICE, CHANGE_IF_VERSION, 2, 4, RAMP_OK},
+		{"s", SERVICE2, KIND_SERVICE, CHANGE_ALWAYS, 0, 4, RAMP_OK},
+		{"t", SERVICE2, KIND_SERVICE, CHANGE_ALWAYS, 0, 4, RAMP_OK},
+		{"s", SERVICE2, KIND_SERVICE, CHANGE_IF_VERSION, 1, 2,
+		 RAMP_ERR_CONFLICT},
+		{"s", SERVICE2, KIND_SERVICE, CHANGE_IF_ABSENT, 0, 2,
+		 RAMP_ERR_CONFLICT},
+		{"t", SERVICE2, KIND_SERVICE, CHANGE_IF_VERSION, 2, 0,
+		 RAMP_ERR_CONFLICT},
+		{"i", NULL, KIND_INTENT, CHANGE_IF_VERSION, 3, 0, RAMP_OK},
+		{"i", NULL, KIND_INTENT, CHANGE_IF_VERSION, 2, 3,
+		 RAMP_ERR_CONFLICT},
+		{"j", NULL, KIND_INTENT, CHANGE_ALWAYS, 0, 0,
+		 RAMP_ERR_NOT_FOUND},
+		{"s", NULL, KIND_SERVICE, CHANGE_ALWAYS, 0, 2,
+		 RAMP_ERR_BAD_REQUEST},
+		{"o", NULL, KIND_ORGANISATION, CHANGE_ALWAYS, 0, 1,
+		 RAMP_ERR_BAD_REQUEST},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake *f = seeded();
+		struct change_result r;
+		guint before = f->tables->len;
+
+		g_assert_cmpint(make(f, "c", cases[i].kind, cases[i].name,
+				     cases[i].spec, cases[i].condition,
+				     cases[i].version, &r),
+				==, cases[i].error);
+		g_assert_cmpint(r.version, ==, cases[i].present);
+		g_assert_cmpint(r.revision, ==,
+				cases[i].error == RAMP_OK ? 4 : 0);
+		if (cases[i].error == RAMP_OK)
+			g_assert_cmpuint(f->tables->len, ==, before + 1);
+		g_assert_cmpint(!!version_of(f, "cid/c"), ==,
+				cases[i].error == RAMP_OK);
+		fake_free(f);
+	}
+}
+
+static void test_faults(void)
+{
+	static const struct {
+		enum resource_kind kind;
+		const char *name, *spec;
+		const char *want[3];
+	} cases[] = {
+		{KIND_INTENT,
+		 "j",
+		 "{\"service\":\"x\",\"organisation\":\"y\"}",
+		 {"no service \"x\"", "no organisation \"y\""}},
+		{KIND_SERVICE,
+		 "t",
+		 "{\"kind\":\"modl\",\"poll\":1}",
+		 {"kind: one of", "poll: unknown field", "pool: required"}},
+		{KIND_SERVICE, "s", NULL, {"intent/i: service: no service"}},
+		{KIND_ORGANISATION,
+		 "o",
+		 NULL,
+		 {"intent/i: organisation: no organisation"}},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *spec = cases[i].spec;
+		struct asked a = {.change = {.kind = cases[i].kind,
+					     .name = cases[i].name,
+					     .condition = CHANGE_ALWAYS},
+				  .id = "c",
+				  .spec = spec ? json_loads(spec, 0, NULL)
+					       : NULL};
+		struct fake *f = seeded();
+
+		ask(f, &a);
+		drain(f);
+		g_assert_cmpint(a.result.error, ==, RAMP_ERR_BAD_REQUEST);
+		for (int k = 0; k < 3 && cases[i].want[k]; k++)
+			g_assert_nonnull(strstr(a.errors, cases[i].want[k]));
+		asked_clear(&a);
+		fake_free(f);
+	}
+}
+
+/* A hash that another organisation holds, and one given twice. */
+static void test_key_owners(void)
+{
+	struct fake *f = fake_new();
+	char *hash = key_hash(STR_LIT("k"));
+	char *one = g_strdup_printf(
+		"{\"keys\":[{\"hash\":\"%s\",\"role\":\"caller\"}]}", hash);
+	char *twice = g_strdup_printf(
+		"{\"keys\":[{\"hash\":\"%s\",\"role\":\"caller\"},"
+		"{\"hash\":\"%s\",\"role\":\"admin\"}]}",
+		hash, hash);
+
+	g_assert_cmpint(make(f, "a", KIND_ORGANISATION, "o", twice,
+			     CHANGE_ALWAYS, 0, NULL),
+			==, RAMP_ERR_BAD_REQUEST);
+	g_assert_cmpint(make(f, "b", KIND_ORGANISATION, "o", one, CHANGE_ALWAYS,
+			     0, NULL),
+			==, RAMP_OK);
+	g_assert_cmpint(make(f, "c", KIND_ORGANISATION, "p", one, CHANGE_ALWAYS,
+			     0, NULL),
+			==, RAMP_ERR_BAD_REQUEST);
+	g_assert_cmpint(make(f, "d", KIND_ORGANISATION, "o", one, CHANGE_ALWAYS,
+			     0, NULL),
+			==, RAMP_OK);
+	g_free(hash);
+	g_free(one);
+	g_free(twice);
+	fake_free(f);
+}
+
+/* One fault at the commit; then the same identity is sent again. */
+static void test_lost_answers(void)
+{
+	static const struct {
+		enum fault fault;
+		enum ramp_error first;
+		bool repeated; /* of the second send */
+	} cases[] = {
+		{FAULT_NONE, RAMP_OK, true},
+		{FAULT_LOST, RAMP_OK, true},
+		{FAULT_LATE, RAMP_OK, true},
+		{FAULT_REFUSED, RAMP_ERR_STORE_DOWN, false},
+		{FAULT_UNSENT, RAMP_ERR_STORE_DOWN, false},
+		{FAULT_STALE, RAMP_OK, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake *f = seeded();
+		struct change_result r;
+
+		f->next = cases[i].fault;
+		g_assert_cmpint(make(f, "c", KIND_SERVICE, "s", SERVICE2,
+				     CHANGE_IF_VERSION, 2, &r),
+				==, cases[i].first);
+		g_assert_cmpint(make(f, "c", KIND_SERVICE, "s", SERVICE2,
+				     CHANGE_IF_VERSION, 2, &r),
+				==, RAMP_OK);
+		g_assert_cmpint(r.repeated, ==, cases[i].repeated);
+		g_assert_cmpint(r.version, ==, 4);
+		g_assert_cmpint(r.generation, ==, 2);
+		/* Only one change was made, whatever was sent. */
+		g_assert_cmpint(version_of(f, "chg/00000000000000000005"), ==,
+				0);
+		g_assert_cmpint(make(f, "c", KIND_SERVICE, "s", SERVICE,
+				     CHANGE_ALWAYS, 0, &r),
+				==, RAMP_ERR_BAD_REQUEST);
+		fake_free(f);
+	}
+}
+
+static void unsettled(void *ctx, const char *prefix, const char *after,
+		      plat_done_fn *done, void *arg)
+{
+	struct fake *f = ctx;
+	struct plat_result down = {.status = PLAT_UNREACHABLE};
+
+	if (f->txns > 3) /* the commit has been answered or lost */
+		done(&down, arg);
+	else
+		fake_scan(ctx, prefix, after, done, arg);
+}
+
+/* Effect without answer, and then the store can't be asked any more. */
+static void test_unknown(void)
+{
+	struct asked a = {.change = {.kind = KIND_SERVICE,
+				     .name = "s",
+				     .condition = CHANGE_IF_VERSION,
+				     .version = 2},
+			  .id = "c"};
+	struct fake *f = seeded();
+	struct change_result r;
+
+	f->plat.scan = unsettled;
+	f->next = FAULT_LOST;
+	g_assert_cmpint(make(f, "c", KIND_SERVICE, "s", SERVICE2,
+			     CHANGE_IF_VERSION, 2, &r),
+			==, RAMP_ERR_STORE_UNAVAILABLE);
+	/* Sent again while the store is down: still not "not run". */
+	a.spec = json_loads(SERVICE2, 0, NULL);
+	ask(f, &a);
+	drain(f);
+	g_assert_cmpint(a.result.error, ==, RAMP_ERR_STORE_UNAVAILABLE);
+	asked_clear(&a);
+	f->plat.scan = fake_scan;
+	g_assert_cmpint(make(f, "c", KIND_SERVICE, "s", SERVICE2,
+			     CHANGE_IF_VERSION, 2, &r),
+			==, RAMP_OK);
+	g_assert_true(r.repeated);
+	fake_free(f);
+}
+
+static void test_id(void)
+{
+	g_assert_true(change_id_valid("a-1_B.c"));
+	g_assert_false(change_id_valid(""));
+	g_assert_false(change_id_valid("a/b"));
+	g_assert_false(change_id_valid("a b"));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/state/change/conditions", test_conditions);
+	g_test_add_func("/state/change/faults", test_faults);
+	g_test_add_func("/state/change/key-owners", test_key_owners);
+	g_test_add_func("/state/change/lost-answers", test_lost_answers);
+	g_test_add_func("/state/change/unknown", test_unknown);
+	g_test_add_func("/state/change/id", test_id);
+	return g_test_run();
+}
