--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,8 @@
 build-http build-route build-member build-state: build-base
 build-node build-ctl build-standin build-bench: \
 	$(foreach p,base http route member state,$(if $(wildcard $(p)/makefile),build-$(p)))
+# The tests of node run stand-ins and link their helpers.
+build-node: build-standin
 build-bench: $(foreach p,node standin,$(if $(wildcard $(p)/makefile),build-$(p)))
 
 # Install what packages.apt lists, when something is missing.
--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -18,4 +18,8 @@
 	{ 4003, LOG_INFO, "stream_resumed" },
 	{ 4004, LOG_WARNING, "stream_lost" },
 	{ 4005, LOG_INFO, "request_refused" },
+	{ 4006, LOG_WARNING, "stream_run_again" },
+	{ 4007, LOG_INFO, "caller_left" },
+	{ 4008, LOG_ERROR, "secret_unreadable" },
+	{ 4009, LOG_INFO, "answer_adopted" },
 };
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -23,6 +23,7 @@
 	int64_t limits_request_ms;
 	int64_t streams_silence_ms;
 	int64_t entries_valid_ms;
+	int64_t entries_spread_ms;
 	char *log_level;
 };
 #endif
--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -41,6 +41,7 @@
 		poll = 100
 		[entries]
 		valid = 500
+		spread = 500
 	EOF
 }
 
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -57,5 +57,9 @@
 kill -TERM "$(pid n2)"
 wait $caller
 status=$?
+wait "$(pid n2)" || {
+	echo "demo: the drained node ended with $?" >&2
+	status=1
+}
 echo "demo: $(cat "$run/result")"
 exit $status
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -36,7 +36,7 @@
 	@ar rcs $@ $^
 
 $(addprefix $(OBJ)/,$(PROGS) $(TESTS)): $(OBJ)/%: $(OBJ)/%.o $(USELIBS)
-	@$(CC) $(LDFLAGS) -o $@ $< $(USELIBS) $(LDLIBS)
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(USELIBS) $(LDLIBS)
 
 $(addprefix $(BIN)/,$(BINS)): $(BIN)/%: $(OBJ)/%.o $(USELIBS)
 	@mkdir -p $(BIN)
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -7,10 +7,12 @@
 
 #include "node/node.h"
 
-#define DRAIN_POLL_US (20 * 1000)
+#define DRAIN_POLL_MS  20
+#define DRAIN_QUIET_MS 500 /* without a request, before the port closes */
 
 static const struct server_route routes[] = {
 	{"POST", "/v1/chat/completions", on_chat},
+	{"GET", "/v1/streams/:resume", on_resume},
 	{"GET", "/v1/entries", on_entries},
 	{"*", "/v1/services/:service/*", on_plain},
 	{"GET", "/metrics", on_metrics},
@@ -57,15 +59,32 @@
 	return true;
 }
 
-/* Serve what is in progress to its end; callers were told of other entries. */
+/* Wait until no request has been in progress for a while. */
+static void wait_quiet(struct node *n, int64_t quiet_ms)
+{
+	int64_t since = time_mono_ms();
+
+	while (time_mono_ms() - since < quiet_ms) {
+		g_usleep(DRAIN_POLL_MS * 1000);
+		if (server_busy(&n->server) || atomic_load(&n->running))
+			since = time_mono_ms();
+	}
+}
+
+/*
+ * Serve on until no caller can hold a list of entries that names this node,
+ * and what is in progress to its end.
+ */
 static void drain(struct node *n)
 {
+	int64_t named_ms = n->set.entries_spread_ms + n->set.entries_valid_ms;
+
 	atomic_store(&n->leaving, true);
 	log_event(EV_NODE_STOPPING, "running=%d", atomic_load(&n->running));
-	g_usleep((gulong)n->set.entries_valid_ms * 1000);
+	g_usleep((gulong)named_ms * 1000);
+	wait_quiet(n, DRAIN_QUIET_MS);
 	server_quiesce(&n->server);
-	while (atomic_load(&n->running) > 0)
-		g_usleep(DRAIN_POLL_US);
+	wait_quiet(n, DRAIN_POLL_MS);
 }
 
 static int run(struct node *n, const char *port_file)
@@ -82,6 +101,7 @@
 	atomic_store(&n->stop_control, true);
 	g_thread_join(control);
 	server_stop(&n->server);
+	cancels_finish(n->cancels);
 	log_event(EV_NODE_STOPPED, "name=%s", n->set.node_name);
 	return 0;
 }
@@ -112,6 +132,13 @@
 		fprintf(stderr, "%s: libraries can't start\n", argv[0]);
 		return 1;
 	}
+	n.resume_key = resume_key_load(n.set.node_secret_file);
+	if (!n.resume_key) {
+		log_event(EV_SECRET_UNREADABLE, "file=%s",
+			  n.set.node_secret_file);
+		return 2;
+	}
+	n.cancels = cancels_new();
 	g_mutex_init(&n.lock);
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
--- /dev/null
+++ b/node/cancel.c
@@ -0,0 +1,54 @@
+/*
+ * Cancelling work at targets, on threads of its own: a request that is given
+ * up on is answered at once, whether its target can be reached or not.
+ */
+#include "node/node.h"
+
+#define THREADS    4
+#define CONNECT_MS 500
+#define ANSWER_MS  2000
+
+struct cancel {
+	char *url;
+	char *reader; /* header */
+};
+
+static void run(void *data, void *unused)
+{
+	struct cancel *c = data;
+	const char *headers[] = {c->reader, NULL};
+	struct pull_request q = {.method = "DELETE",
+				 .url = c->url,
+				 .headers = headers,
+				 .connect_ms = CONNECT_MS,
+				 .fresh = true};
+	struct pull *p = pull_open(&q);
+
+	(void)unused;
+	pull_wait_headers(p, time_mono_ms() + ANSWER_MS);
+	pull_close(p);
+	g_free(c->url);
+	g_free(c->reader);
+	g_free(c);
+}
+
+GThreadPool *cancels_new(void)
+{
+	return g_thread_pool_new(run, NULL, THREADS, FALSE, NULL);
+}
+
+void cancels_finish(GThreadPool *p)
+{
+	g_thread_pool_free(p, FALSE, TRUE);
+}
+
+void cancel_work(GThreadPool *p, const struct target *t, struct str request,
+		 const char *reader)
+{
+	struct cancel *c = g_new0(struct cancel, 1);
+
+	c->url = g_strdup_printf("http://%s/v1/streams/" STR_FMT, t->address,
+				 STR_ARG(request));
+	c->reader = g_strdup(reader);
+	g_thread_pool_push(p, c, NULL);
+}
--- a/node/chat.c
+++ b/node/chat.c
@@ -112,14 +112,34 @@
 
 	if (s->ended && !s->failed)
 		request_ended(OUTCOME_COMPLETE);
+	if (!s->ended)
+		log_event(EV_CALLER_LEFT, "request=" STR_FMT,
+			  STR_ARG(s->rq->id));
 	relay_close(s->relay);
 	g_string_free(s->out, TRUE);
 	request_free(s->rq);
 	g_free(s);
 }
 
-static int answer_stream(struct request *rq, struct relay *rl,
+/* With which the caller gets the rest of this answer from any entry. */
+static void put_identity(struct request *rq, const struct target *t,
 			 struct _u_response *r)
+{
+	struct resume s = {
+		.organisation = rq->owner->organisation->name,
+		.service = rq->service->name,
+		.target = t->name,
+		.address = t->address,
+		.request = rq->id.data,
+		.deadline_ms = rq->deadline_ms,
+	};
+
+	u_map_put(r->map_header, "Ramp-Request", rq->id.data);
+	u_map_put(r->map_header, "Ramp-Resume",
+		  resume_seal(rq->arena, rq->node->resume_key, &s));
+}
+
+int answer_stream(struct request *rq, struct relay *rl, struct _u_response *r)
 {
 	struct stream *s = g_new0(struct stream, 1);
 
@@ -127,7 +147,7 @@
 	s->relay = rl;
 	s->out = g_string_new(NULL);
 	u_map_put(r->map_header, "Content-Type", "text/event-stream");
-	u_map_put(r->map_header, "Ramp-Request", rq->id.data);
+	put_identity(rq, relay_target(rl), r);
 	ulfius_set_stream_response(r, 200, read_stream, close_stream,
 				   U_STREAM_SIZE_UNKNOWN, BLOCK_BYTES, s);
 	return U_CALLBACK_COMPLETE;
--- a/node/node.h
+++ b/node/node.h
@@ -50,6 +50,8 @@
 	atomic_bool leaving;
 	atomic_bool stop_control;
 	atomic_int running; /* requests in progress */
+	struct resume_key *resume_key;
+	GThreadPool *cancels; /* cancel.c */
 
 	/* Newest configuration revision that another node has told of. */
 	atomic_int_least64_t heard_revision;
@@ -115,6 +117,8 @@
 	int64_t priority;
 	struct str body; /* as the target is sent it */
 	bool stream;
+	bool resumed; /* asks for the rest of an answer, so the work has begun
+		       */
 };
 
 /*
@@ -136,6 +140,59 @@
 /* Monotonic time of the deadline. */
 int64_t request_until(const struct request *rq);
 
+/*
+ * pace.c: the pace of one stream, from which the time follows after which its
+ * silence is suspect. Mean and mean deviation of the gaps, as TCP keeps them
+ * for its retransmission timer (RFC 6298).
+ */
+struct pace {
+	double mean_ms;
+	double deviation_ms;
+	unsigned gaps;
+	unsigned doublings; /* silences in a row */
+};
+
+/* A gap between two arrivals has ended. */
+void pace_note(struct pace *p, int64_t gap_ms);
+/* The bound passed without a byte: the next one is twice as long. */
+void pace_silent(struct pace *p);
+/* Time without a byte after which to suspect the connection, at most max_ms. */
+int64_t pace_bound_ms(const struct pace *p, int64_t max_ms);
+/* Pause before attempt n (from 0), spread by a random number. */
+int64_t pace_pause_ms(unsigned n, uint32_t random);
+
+/*
+ * resume.c: the identity with which a caller gets the rest of an answer from
+ * any entry. It is sealed (encrypted and authenticated) with a key that the
+ * nodes share.
+ */
+struct resume {
+	const char *organisation;
+	const char *service;
+	const char *target;
+	const char *address;
+	const char *request; /* identity of the request */
+	int64_t deadline_ms; /* wall clock */
+};
+
+/*
+ * Key from node.secret_file; a fixed one for tests when that is empty.
+ *
+ * Return: NULL when the file can't be read. Free with g_free.
+ */
+struct resume_key *resume_key_load(const char *path);
+/* The identity as text for a header or a URL, in the arena. */
+char *resume_seal(void *arena, const struct resume_key *k,
+		  const struct resume *r);
+/* Return: false when text isn't an identity sealed with this key. */
+bool resume_open(void *arena, const struct resume_key *k, const char *text,
+		 struct resume *out);
+/*
+ * Number of the event to go on with after the one that Last-Event-ID names,
+ * as "N" or "<request>:N"; 0 without the header, -1 when malformed.
+ */
+int64_t resume_position(const char *last_event_id, const char *request);
+
 /* relay.c: one answer of a target, event by event, each exactly once. */
 struct relay;
 
@@ -150,9 +207,16 @@
  */
 enum ramp_error relay_open(struct request *rq, const struct target *t,
 			   const char *via, struct relay **out);
+/* Go on with an answer that has begun at a target, from event pos on. */
+enum ramp_error relay_resume(struct request *rq, const struct target *t,
+			     int64_t pos, struct relay **out);
+/* The target that the answer comes from now. */
+const struct target *relay_target(const struct relay *rl);
 /*
  * Next event of the answer; the strings live until the next call. A silent or
- * broken connection is replaced and the answer resumed.
+ * broken connection is replaced and the answer resumed. If the target has lost
+ * the answer and the service is idempotent, the request runs anew elsewhere,
+ * and the new answer is gone on with only if it starts with what was given out.
  *
  * Return: RAMP_OK; *ended is set at the end of the answer. Any other kind
  * ends the relay.
@@ -161,12 +225,24 @@
 /* Cancels the work at the target unless the answer has ended. */
 void relay_close(struct relay *rl);
 
+/* cancel.c: cancels work at targets without waiting for them. */
+GThreadPool *cancels_new(void);
+/* Waits for what is under way. */
+void cancels_finish(GThreadPool *p);
+/* reader is the header that the connections to the target carried. */
+void cancel_work(GThreadPool *p, const struct target *t, struct str request,
+		 const char *reader);
+
 /* dispatch.c: choose a target, try it, and try others where that is safe. */
 enum ramp_error dispatch(struct request *rq, struct relay **out);
 /* Targets for the request in order of preference; an array in its arena. */
 const struct target **dispatch_order(struct request *rq, size_t *n);
 
+/* chat.c: stream what the relay gives; takes the request and the relay. */
+int answer_stream(struct request *rq, struct relay *rl, struct _u_response *r);
+
 /* Handlers of the HTTP server. */
+int on_resume(const struct _u_request *q, struct _u_response *r, void *node);
 int on_chat(const struct _u_request *q, struct _u_response *r, void *node);
 int on_plain(const struct _u_request *q, struct _u_response *r, void *node);
 int on_entries(const struct _u_request *q, struct _u_response *r, void *node);
--- /dev/null
+++ b/node/pace.c
@@ -0,0 +1,50 @@
+#include <math.h>
+
+#include "node/node.h"
+
+#define MEAN_GAIN       0.125 /* of RFC 6298, as are the next two */
+#define DEVIATION_GAIN  0.25
+#define DEVIATIONS      4
+#define BOUND_FLOOR_MS  250
+#define GAPS_MIN        4 /* before the pace counts as known */
+#define DOUBLINGS_MAX   8
+#define FIRST_PAUSE_MS  25
+#define PAUSE_DOUBLINGS 5
+
+void pace_note(struct pace *p, int64_t gap_ms)
+{
+	double gap = (double)gap_ms;
+
+	p->doublings = 0;
+	if (!p->gaps++) {
+		p->mean_ms = gap;
+		p->deviation_ms = gap / 2;
+		return;
+	}
+	p->deviation_ms +=
+		DEVIATION_GAIN * (fabs(gap - p->mean_ms) - p->deviation_ms);
+	p->mean_ms += MEAN_GAIN * (gap - p->mean_ms);
+}
+
+void pace_silent(struct pace *p)
+{
+	if (p->doublings < DOUBLINGS_MAX)
+		p->doublings++;
+}
+
+int64_t pace_bound_ms(const struct pace *p, int64_t max_ms)
+{
+	double bound = p->mean_ms + DEVIATIONS * p->deviation_ms;
+
+	if (p->gaps < GAPS_MIN)
+		return max_ms;
+	bound = MAX(bound, BOUND_FLOOR_MS) * (1 << p->doublings);
+	return bound < (double)max_ms ? (int64_t)bound : max_ms;
+}
+
+int64_t pace_pause_ms(unsigned n, uint32_t random)
+{
+	int64_t base = (int64_t)FIRST_PAUSE_MS << MIN(n, PAUSE_DOUBLINGS);
+
+	return base / 2 + (int64_t)(random % (uint64_t)base);
+}
--- a/node/relay.c
+++ b/node/relay.c
@@ -1,3 +1,4 @@
+#include <sodium.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -5,25 +6,42 @@
 
 #define CONNECT_MS     500
 #define RECONNECTS_MAX 4 /* in a row, without any sign of life */
+#define RUNS_MAX       3 /* of one request, each on another target */
+#define READER_BYTES   8
 
 struct relay {
 	struct request *rq;
 	const struct target *target;
 	struct pull *pull;
-	char *url; /* of the request, or of the rest of its answer */
 	const char *headers[8];
-	int64_t pos;     /* number of the next event */
+	const char *reader; /* names this relay's connections to the target */
+	int64_t pos;        /* number of the next event to give out */
+	int64_t next; /* ... to take; behind pos while a run is compared */
+	uint64_t given_hash; /* of the events given out */
+	uint64_t taken_hash; /* of the events of the run in progress */
 	size_t consumed; /* bytes of the last event, freed by the next call */
 	unsigned reconnects;
-	bool alive; /* this connection has answered */
+	struct pace pace;
+	const struct target *used[RUNS_MAX]; /* may still be at work */
+	unsigned runs;
+	bool resuming;  /* the connection asks for the rest of an answer */
+	bool alive;     /* it has answered */
+	bool moved;     /* it has brought the answer on */
+	bool refused;   /* the work never began */
+	bool different; /* a further run gave another answer */
 	bool ended;
 };
 
 static void set_headers(struct relay *rl)
 {
+	unsigned char raw[READER_BYTES];
+	char hex[READER_BYTES * 2 + 1];
 	struct request *rq = rl->rq;
 	int n = 0;
 
+	randombytes_buf(raw, sizeof(raw));
+	sodium_bin2hex(hex, sizeof(hex), raw, sizeof(raw));
+	rl->reader = talloc_asprintf(rq->arena, "Reader: %s", hex);
 	rl->headers[n++] = "Content-Type: application/json";
 	rl->headers[n++] = talloc_asprintf(rq->arena, "Request-Id: " STR_FMT,
 					   STR_ARG(rq->id));
@@ -31,9 +49,19 @@
 		rq->arena, "Priority: %" G_GINT64_FORMAT, rq->priority);
 	rl->headers[n++] = talloc_asprintf(
 		rq->arena, "Deadline: %" G_GINT64_FORMAT, rq->deadline_ms);
+	rl->headers[n++] = rl->reader;
 	rl->headers[n] = NULL;
 }
 
+static struct relay *new_relay(struct request *rq)
+{
+	struct relay *rl = talloc_zero(rq->arena, struct relay);
+
+	rl->rq = rq;
+	set_headers(rl);
+	return rl;
+}
+
 static void connect_first(struct relay *rl, const char *via)
 {
 	struct pull_request q = {.method = "POST",
@@ -42,36 +70,43 @@
 				 .connect_ms = CONNECT_MS,
 				 .fresh = !rl->rq->service->idempotent};
 
-	rl->url = via ? talloc_asprintf(rl->rq->arena, "%s/v1/chat/completions",
-					via)
-		      : talloc_asprintf(rl->rq->arena,
-					"http://%s/v1/chat/completions",
-					rl->target->address);
-	q.url = rl->url;
+	q.url = via ? talloc_asprintf(rl->rq->arena, "%s/v1/chat/completions",
+				      via)
+		    : talloc_asprintf(rl->rq->arena,
+				      "http://%s/v1/chat/completions",
+				      rl->target->address);
 	rl->pull = pull_open(&q);
+	rl->resuming = false;
+	rl->alive = false;
+	rl->moved = false;
+	rl->consumed = 0;
 }
 
 static void connect_rest(struct relay *rl)
 {
+	char *url = g_strdup_printf(
+		"http://%s/v1/streams/" STR_FMT "?from=%" G_GINT64_FORMAT,
+		rl->target->address, STR_ARG(rl->rq->id), rl->next);
 	struct pull_request q = {.method = "GET",
+				 .url = url,
 				 .headers = rl->headers,
 				 .connect_ms = CONNECT_MS,
 				 .fresh = true};
 
-	rl->url = talloc_asprintf(
-		rl->rq->arena,
-		"http://%s/v1/streams/" STR_FMT "?from=%" G_GINT64_FORMAT,
-		rl->target->address, STR_ARG(rl->rq->id), rl->pos);
-	q.url = rl->url;
 	rl->pull = pull_open(&q);
-	rl->consumed = 0;
+	rl->resuming = true;
 	rl->alive = false;
+	rl->moved = false;
+	rl->consumed = 0;
+	g_free(url);
 }
 
 static int64_t silence_until(const struct relay *rl)
 {
-	return MIN(time_mono_ms() + rl->rq->node->set.streams_silence_ms,
-		   request_until(rl->rq));
+	int64_t bound =
+		pace_bound_ms(&rl->pace, rl->rq->node->set.streams_silence_ms);
+
+	return MIN(time_mono_ms() + bound, request_until(rl->rq));
 }
 
 static bool is_late(const struct relay *rl)
@@ -79,18 +114,34 @@
 	return time_now_ms() >= rl->rq->deadline_ms;
 }
 
+static void note_crossed(const struct relay *rl)
+{
+	metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
+	log_event(EV_ANSWER_CROSSED, "request=" STR_FMT " target=%s",
+		  STR_ARG(rl->rq->id), rl->target->name);
+}
+
+/* Whether the answer's header names this request. */
 static bool echoes_id(const struct relay *rl)
 {
 	const char *id = pull_header(rl->pull, "Request-Id");
 
-	return id && str_eq(str_c(id), rl->rq->id);
+	if (id && str_eq(str_c(id), rl->rq->id))
+		return true;
+	if (id)
+		note_crossed(rl);
+	return false;
 }
 
-static void note_crossed(const struct relay *rl)
+/* Pause before a further attempt; the request's identity is the seed. */
+static void pause_before(const struct relay *rl, unsigned attempt)
 {
-	metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
-	log_event(EV_ANSWER_CROSSED, "request=" STR_FMT " target=%s",
-		  STR_ARG(rl->rq->id), rl->target->name);
+	uint32_t random = (uint32_t)str_hash(rl->rq->id, attempt);
+	int64_t left = request_until(rl->rq) - time_mono_ms();
+	int64_t pause = MIN(pace_pause_ms(attempt, random), left);
+
+	if (pause > 0)
+		g_usleep((gulong)pause * 1000);
 }
 
 /* Drop the connection and ask for the rest of the answer on a new one. */
@@ -98,19 +149,32 @@
 {
 	if (is_late(rl))
 		return RAMP_ERR_TIMED_OUT;
-	if (!rl->alive && rl->reconnects++ >= RECONNECTS_MAX)
-		return RAMP_ERR_OUTCOME_UNKNOWN;
-	if (rl->alive)
+	if (rl->moved)
 		rl->reconnects = 0;
+	else if (rl->reconnects >= RECONNECTS_MAX)
+		return RAMP_ERR_OUTCOME_UNKNOWN;
 	pull_close(rl->pull);
+	rl->pull = NULL;
+	if (rl->reconnects)
+		pause_before(rl, rl->reconnects - 1);
+	rl->reconnects++;
 	connect_rest(rl);
 	metric_add(M_STREAMS_RESUMED_TOTAL, 1);
 	log_event(EV_STREAM_RESUMED,
 		  "request=" STR_FMT " target=%s position=%" G_GINT64_FORMAT,
-		  STR_ARG(rl->rq->id), rl->target->name, rl->pos);
+		  STR_ARG(rl->rq->id), rl->target->name, rl->next);
 	return RAMP_OK;
 }
 
+/* What the status says of a request that was just sent. */
+static enum ramp_error first_status(int status)
+{
+	/* By contract a target that refuses with 503 has not begun. */
+	if (status == 503)
+		return RAMP_ERR_OVERLOADED;
+	return status == 400 ? RAMP_ERR_BAD_REQUEST : RAMP_ERR_TARGET_FAILED;
+}
+
 /* What the answer's status says, once its headers have arrived. */
 static enum ramp_error check_status(struct relay *rl)
 {
@@ -120,17 +184,10 @@
 		rl->alive = true;
 		return RAMP_OK;
 	}
-	if (status == 200) {
-		note_crossed(rl);
+	if (status == 200 || (rl->resuming && status == 503))
 		return reconnect(rl);
-	}
-	/* By contract a target that refuses with 503 has not begun. */
-	if (status == 503)
-		return rl->pos ? RAMP_ERR_OUTCOME_UNKNOWN : RAMP_ERR_OVERLOADED;
-	if (status == 400)
-		return RAMP_ERR_BAD_REQUEST;
-	return status == 404 ? RAMP_ERR_OUTCOME_UNKNOWN
-			     : RAMP_ERR_TARGET_FAILED;
+	/* The work had begun; nothing the target says now undoes that. */
+	return rl->resuming ? RAMP_ERR_OUTCOME_UNKNOWN : first_status(status);
 }
 
 /* "id: <request identity>:<number>". */
@@ -146,104 +203,189 @@
 	return end == id.data + id.len;
 }
 
-/*
- * Take the next event that is this request's own and has not been seen.
- *
- * Return: false when there is none yet; *crossed tells of a foreign event.
- */
-static bool take_event(struct relay *rl, struct sse_event *e, bool *crossed)
+/* Hash of an event's answer; what stands before differs between targets. */
+static uint64_t hash_event(struct str data, uint64_t seed)
+{
+	static const char start[] = "\"choices\"";
+	const char *s = memmem(data.data, data.len, start, sizeof(start) - 1);
+	size_t skip = s ? (size_t)(s - data.data) : 0;
+
+	return str_hash((struct str){data.data + skip, data.len - skip}, seed);
+}
+
+enum taken {
+	TAKEN_NONE,    /* no whole event yet */
+	TAKEN_EVENT,   /* one to give out, or the end */
+	TAKEN_PASSED,  /* one that was given out before */
+	TAKEN_FOREIGN, /* one of another request, or out of order */
+};
+
+/* The run in progress has come to event number next; is it the same answer? */
+static enum taken compare(struct relay *rl, const struct sse_event *e)
+{
+	rl->taken_hash = hash_event(e->data, rl->taken_hash);
+	rl->next++;
+	rl->moved = true;
+	if (rl->next > rl->pos) {
+		rl->pos = rl->next;
+		rl->given_hash = rl->taken_hash;
+		return TAKEN_EVENT;
+	}
+	if (rl->next == rl->pos && rl->taken_hash != rl->given_hash)
+		rl->different = true;
+	return TAKEN_PASSED;
+}
+
+static enum taken take_event(struct relay *rl, struct sse_event *e)
 {
 	GByteArray *b = pull_bytes(rl->pull);
-	size_t used;
-	int64_t pos;
+	int64_t number;
 
-	*crossed = false;
 	if (rl->consumed)
 		g_byte_array_remove_range(b, 0, (guint)rl->consumed);
-	rl->consumed = 0;
-	while ((used = sse_next((char *)b->data, b->len, e))) {
-		rl->consumed = used;
-		if (str_eq(e->data, STR_LIT("[DONE]"))) {
-			rl->ended = true;
-			return true;
-		}
-		if (!parse_id(rl, e->id, &pos) || pos > rl->pos) {
-			*crossed = true;
-			return false;
-		}
-		if (pos == rl->pos) {
-			rl->pos++;
-			return true;
-		}
-		g_byte_array_remove_range(b, 0, (guint)used);
-		rl->consumed = 0;
+	rl->consumed = sse_next((char *)b->data, b->len, e);
+	if (!rl->consumed)
+		return TAKEN_NONE;
+	if (str_eq(e->data, STR_LIT("[DONE]"))) {
+		rl->different = rl->next < rl->pos;
+		rl->ended = !rl->different;
+		return rl->ended ? TAKEN_EVENT : TAKEN_PASSED;
 	}
-	return false;
+	if (!parse_id(rl, e->id, &number) || number > rl->next)
+		return TAKEN_FOREIGN;
+	return number < rl->next ? TAKEN_PASSED : compare(rl, e);
+}
+
+static enum ramp_error wait_headers(struct relay *rl)
+{
+	pull_wait_headers(rl->pull, silence_until(rl));
+	if (pull_status(rl->pull))
+		return check_status(rl);
+	if (!rl->resuming && !pull_maybe_sent(rl->pull))
+		return RAMP_ERR_NO_TARGET;
+	return reconnect(rl);
 }
 
 static enum ramp_error wait_more(struct relay *rl)
 {
-	enum pull_event ev = pull_wait(rl->pull, silence_until(rl));
+	int64_t from = time_mono_ms();
+	enum pull_event ev = pull_wait_more(rl->pull, silence_until(rl));
 
-	if (ev == PULL_DATA && !rl->alive)
-		return check_status(rl);
-	if (ev == PULL_DATA)
+	if (ev == PULL_DATA) {
+		pace_note(&rl->pace, time_mono_ms() - from);
 		return RAMP_OK;
-	if (ev == PULL_TIMEOUT && pull_status(rl->pull) == 200 && !rl->alive)
-		check_status(rl);
-	if (ev == PULL_END && !rl->alive && pull_status(rl->pull) != 200)
-		return check_status(rl);
+	}
+	if (ev == PULL_TIMEOUT) {
+		/* It may be queueing: an open connection is a sign of life. */
+		rl->moved = !pull_bytes(rl->pull)->len;
+		pace_silent(&rl->pace);
+	}
 	return reconnect(rl);
 }
 
-enum ramp_error relay_next(struct relay *rl, struct sse_event *e, bool *ended)
+static enum ramp_error wait_alive(struct relay *rl)
+{
+	enum ramp_error err = RAMP_OK;
+
+	while (err == RAMP_OK && !rl->alive)
+		err = wait_headers(rl);
+	return err;
+}
+
+static bool was_used(const struct relay *rl, const struct target *t)
+{
+	for (unsigned i = 0; i < rl->runs; i++) {
+		if (rl->used[i]->id == t->id)
+			return true;
+	}
+	return false;
+}
+
+static void use_target(struct relay *rl, const struct target *t)
+{
+	rl->target = t;
+	rl->used[rl->runs++] = t;
+	rl->next = 0;
+	rl->taken_hash = 0;
+	rl->reconnects = 0;
+	rl->pace = (struct pace){0};
+}
+
+/* Running again is safe, and its body and what was given out are known. */
+static bool may_run_again(const struct relay *rl)
+{
+	return rl->rq->service->idempotent && !rl->rq->resumed &&
+	       !rl->different && rl->runs < RUNS_MAX && !is_late(rl);
+}
+
+/* The target has lost the answer: run the request on another one. */
+static enum ramp_error run_again(struct relay *rl, enum ramp_error err)
+{
+	size_t n;
+	const struct target **order = dispatch_order(rl->rq, &n);
+
+	for (size_t i = 0; i < n && may_run_again(rl); i++) {
+		if (was_used(rl, order[i]))
+			continue;
+		log_event(EV_STREAM_RUN_AGAIN,
+			  "request=" STR_FMT " lost=%s target=%s",
+			  STR_ARG(rl->rq->id), rl->target->name,
+			  order[i]->name);
+		metric_add(M_RETRIES_TOTAL, 1);
+		pull_close(rl->pull);
+		use_target(rl, order[i]);
+		connect_first(rl, NULL);
+		if (wait_alive(rl) == RAMP_OK)
+			return RAMP_OK;
+	}
+	return err;
+}
+
+/* Work on the connection until there is more to take. */
+static enum ramp_error more(struct relay *rl, enum taken taken)
 {
 	enum ramp_error err;
-	bool crossed;
-	guint before;
+
+	if (rl->different)
+		return RAMP_ERR_OUTCOME_UNKNOWN;
+	if (!rl->alive) {
+		err = wait_headers(rl);
+	} else if (taken == TAKEN_FOREIGN) {
+		note_crossed(rl);
+		err = reconnect(rl);
+	} else {
+		err = wait_more(rl);
+	}
+	return err == RAMP_OK || err == RAMP_ERR_TIMED_OUT ? err
+							   : run_again(rl, err);
+}
+
+enum ramp_error relay_next(struct relay *rl, struct sse_event *e, bool *ended)
+{
+	enum ramp_error err = RAMP_OK;
 
 	*ended = false;
-	for (;;) {
-		if (rl->alive && take_event(rl, e, &crossed)) {
+	while (err == RAMP_OK) {
+		enum taken taken = TAKEN_NONE;
+
+		if (rl->alive)
+			taken = take_event(rl, e);
+		if (taken == TAKEN_EVENT) {
 			*ended = rl->ended;
 			return RAMP_OK;
 		}
-		if (rl->alive && crossed) {
-			note_crossed(rl);
-			err = reconnect(rl);
-		} else {
-			before = pull_bytes(rl->pull)->len;
-			err = wait_more(rl);
-			if (err == RAMP_OK && before &&
-			    pull_bytes(rl->pull)->len == before)
-				err = reconnect(rl);
-		}
-		if (err != RAMP_OK)
-			return err;
+		if (taken != TAKEN_PASSED || rl->different)
+			err = more(rl, taken);
 	}
+	return err;
 }
 
-enum ramp_error relay_open(struct request *rq, const struct target *t,
-			   const char *via, struct relay **out)
+static enum ramp_error open_relay(struct relay *rl, struct relay **out)
 {
-	struct relay *rl = talloc_zero(rq->arena, struct relay);
-	enum ramp_error err = RAMP_OK;
-	enum pull_event ev;
+	enum ramp_error err = wait_alive(rl);
 
-	rl->rq = rq;
-	rl->target = t;
-	set_headers(rl);
-	connect_first(rl, via);
-	ev = pull_wait(rl->pull, silence_until(rl));
-	if (ev == PULL_FAILED && !pull_maybe_sent(rl->pull))
-		err = RAMP_ERR_NO_TARGET;
-	else if (pull_status(rl->pull))
-		err = check_status(rl);
-	else
-		err = reconnect(rl);
-	while (err == RAMP_OK && !rl->alive)
-		err = wait_more(rl);
 	if (err != RAMP_OK) {
+		rl->refused = error_answers[err].outcome == OUTCOME_NOT_RUN;
 		relay_close(rl);
 		return err;
 	}
@@ -251,26 +393,49 @@
 	return RAMP_OK;
 }
 
-static void cancel(const struct relay *rl)
+enum ramp_error relay_open(struct request *rq, const struct target *t,
+			   const char *via, struct relay **out)
 {
-	char *url = g_strdup_printf("http://%s/v1/streams/" STR_FMT,
-				    rl->target->address, STR_ARG(rl->rq->id));
-	struct pull_request q = {.method = "DELETE",
-				 .url = url,
-				 .connect_ms = CONNECT_MS,
-				 .fresh = true};
-	struct pull *p = pull_open(&q);
+	struct relay *rl = new_relay(rq);
 
-	pull_wait(p, time_mono_ms() + CONNECT_MS);
-	pull_close(p);
-	g_free(url);
+	use_target(rl, t);
+	connect_first(rl, via);
+	return open_relay(rl, out);
+}
+
+enum ramp_error relay_resume(struct request *rq, const struct target *t,
+			     int64_t pos, struct relay **out)
+{
+	struct relay *rl = new_relay(rq);
+
+	use_target(rl, t);
+	rl->pos = pos;
+	rl->next = pos;
+	connect_rest(rl);
+	return open_relay(rl, out);
+}
+
+const struct target *relay_target(const struct relay *rl)
+{
+	return rl->target;
+}
+
+/*
+ * The target refuses when a newer connection, of an entry to which the caller
+ * has moved, reads the answer.
+ */
+static void cancel(const struct relay *rl, const struct target *t)
+{
+	cancel_work(rl->rq->node->cancels, t, rl->rq->id, rl->reader);
 }
 
 void relay_close(struct relay *rl)
 {
-	bool sent = pull_maybe_sent(rl->pull);
+	bool sent = rl->resuming || pull_maybe_sent(rl->pull);
 
 	pull_close(rl->pull);
-	if (sent && !rl->ended)
-		cancel(rl);
+	for (unsigned i = 0; i + 1 < rl->runs; i++)
+		cancel(rl, rl->used[i]);
+	if (sent && !rl->ended && !rl->refused)
+		cancel(rl, rl->target);
 }
--- a/node/request.c
+++ b/node/request.c
@@ -5,7 +5,7 @@
 #include "node/node.h"
 
 #define ID_BYTES       16
-#define RETRY_AFTER_MS 1000
+#define RETRY_AFTER_MS 1000 /* mean; spread by half to both sides */
 
 static const char *header(const struct _u_request *q, const char *name)
 {
@@ -101,25 +101,45 @@
 	metric_add(ids[o], 1);
 }
 
+/* A refusal to go on with an answer says nothing of the work that began. */
+static enum outcome refusal_outcome(const struct request *rq,
+				    const struct error_answer *a)
+{
+	if (rq->resumed && a->outcome == OUTCOME_NOT_RUN)
+		return OUTCOME_UNKNOWN;
+	return a->outcome;
+}
+
+/* Callers that were refused together don't come back together. */
+static int64_t retry_after_ms(const struct request *rq)
+{
+	return RETRY_AFTER_MS / 2 +
+	       (int64_t)(str_hash(rq->id, 0) % RETRY_AFTER_MS);
+}
+
 int request_refuse(struct request *rq, struct _u_response *r, enum ramp_error e,
 		   const char *detail)
 {
 	const struct error_answer *a = &error_answers[e];
-	int64_t at = a->retry ? time_now_ms() + RETRY_AFTER_MS : 0;
+	enum outcome o = refusal_outcome(rq, a);
+	int64_t after = a->retry ? retry_after_ms(rq) : 0;
+	json_t *j = ramp_error_json(e, detail,
+				    a->retry ? time_now_ms() + after : 0);
 
-	request_ended(a->outcome);
-	log_event(a->outcome == OUTCOME_NOT_RUN ? EV_REQUEST_REFUSED
-						: EV_REQUEST_FAILED,
+	request_ended(o);
+	log_event(o == OUTCOME_NOT_RUN ? EV_REQUEST_REFUSED : EV_REQUEST_FAILED,
 		  "request=" STR_FMT " error=%s outcome=%s", STR_ARG(rq->id),
-		  a->name, outcome_name(a->outcome));
-	u_map_put(r->map_header, "Ramp-Outcome", outcome_name(a->outcome));
-	if (at) {
+		  a->name, outcome_name(o));
+	json_object_set_new(json_object_get(j, "error"), "outcome",
+			    json_string(outcome_name(o)));
+	u_map_put(r->map_header, "Ramp-Outcome", outcome_name(o));
+	if (a->retry) {
 		char s[24];
 
-		g_snprintf(s, sizeof(s), "%d", (RETRY_AFTER_MS + 999) / 1000);
+		g_snprintf(s, sizeof(s), "%d", (int)(after + 999) / 1000);
 		u_map_put(r->map_header, "Retry-After", s);
 	}
-	return answer_json(r, a->http_status, ramp_error_json(e, detail, at));
+	return answer_json(r, a->http_status, j);
 }
 
 bool request_bind(struct request *rq, const char *service)
--- /dev/null
+++ b/node/test-streams.c
@@ -0,0 +1,347 @@
+/*
+ * Streams through failures, with real processes: whatever breaks between
+ * caller and engine, the caller gets each token of its answer once, or the
+ * outcome as it is.
+ */
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+
+#include "node/test-harness.h"
+
+#define TOKENS 150
+#define SOME   20
+/* Silence bounds short enough to be passed, long enough for a busy machine. */
+#define SETTINGS "[streams]\nsilence = 1000\n"
+
+static struct rig *rig_started(unsigned engines, unsigned nodes)
+{
+	struct rig *g = rig_new(engines, nodes, SETTINGS);
+
+	rig_start(g);
+	return g;
+}
+
+static void assert_whole(const struct ask *a, int64_t tokens)
+{
+	g_assert_false(a->wrong);
+	g_assert_cmpstr(a->outcome, ==, NULL);
+	g_assert_true(a->done);
+	g_assert_cmpint(a->words, ==, tokens);
+}
+
+/* The entry is killed; another one gives the rest. */
+static void test_entry_killed(void)
+{
+	struct rig *g = rig_started(2, 2);
+	struct ask *a = ask_open(g->nodes[0].port, "assistant", "one", TOKENS);
+
+	ask_read(a, SOME);
+	g_assert_cmpint(a->words, ==, SOME);
+	proc_signal(&g->nodes[0], SIGKILL);
+	proc_wait(&g->nodes[0]);
+	ask_read(a, TOKENS); /* what is still on its way */
+	ask_resume(a, g->nodes[1].port, "key-recif");
+	g_assert_cmpint(a->status, ==, 200);
+	ask_read(a, TOKENS + 1);
+	assert_whole(a, TOKENS);
+	g_assert_cmpint(rig_runs(g), ==, 1);
+	ask_free(a);
+	rig_free(g);
+}
+
+/*
+ * The entry is frozen, the caller goes on elsewhere, and the entry wakes: it
+ * finds its caller gone and must not cancel the answer that another one reads.
+ */
+static void test_entry_frozen(void)
+{
+	struct rig *g = rig_started(1, 2);
+	struct ask *a =
+		ask_open(g->nodes[0].port, "assistant", "two", 5 * TOKENS);
+
+	ask_read(a, SOME);
+	proc_signal(&g->nodes[0], SIGSTOP);
+	ask_resume(a, g->nodes[1].port, "key-recif");
+	ask_read(a, a->words + SOME);
+	proc_signal(&g->nodes[0], SIGCONT);
+	WAIT_UNTIL(rig_logged(g, &g->nodes[0], "caller_left") == 1);
+	ask_read(a, 5 * TOKENS + 1);
+	assert_whole(a, 5 * TOKENS);
+	g_assert_cmpint(rig_runs(g), ==, 1);
+	g_assert_cmpint(rig_cancelled(g), ==, 0);
+	ask_free(a);
+	rig_free(g);
+}
+
+/* Faults of an engine: the answer is whole and each request ran once. */
+static void test_engine_faults(void)
+{
+	static const struct {
+		const char *faults;
+		const char *logged; /* at least once */
+	} cases[] = {
+		{"{\"silent\":1,\"silent_at\":10}", "stream_resumed"},
+		{"{\"silent\":2,\"silent_at\":0}", "stream_resumed"},
+		{"{\"lose\":1}", "stream_resumed"},
+		{"{\"cross\":1}", "answer_crossed"},
+		{"{\"slow\":20}", NULL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rig *g = rig_started(1, 1);
+		struct ask *a;
+
+		proc_faults(&g->engines[0], cases[i].faults);
+		a = ask_open(g->nodes[0].port, "report", "three", SOME);
+		g_assert_cmpint(a->status, ==, 200);
+		ask_read(a, SOME + 1);
+		assert_whole(a, SOME);
+		g_assert_cmpint(rig_runs(g), ==, 1);
+		if (cases[i].logged)
+			g_assert_cmpint(
+				rig_logged(g, &g->nodes[0], cases[i].logged),
+				>=, 1);
+		ask_free(a);
+		rig_free(g);
+	}
+}
+
+/* One engine refuses or is down: another one runs the request, once. */
+static void test_engine_refuses(void)
+{
+	static const char *const faults[] = {"{\"fail\":1000}",
+					     "{\"down\":true}"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		struct rig *g = rig_started(2, 1);
+
+		proc_faults(&g->engines[0], faults[i]);
+		for (int k = 0; k < 8; k++) {
+			char *question = g_strdup_printf("four %d", k);
+			struct ask *a = ask_open(g->nodes[0].port, "report",
+						 question, SOME);
+
+			ask_read(a, SOME + 1);
+			assert_whole(a, SOME);
+			ask_free(a);
+			g_free(question);
+		}
+		g_assert_cmpint(rig_runs(g), ==, 8);
+		rig_free(g);
+	}
+}
+
+/*
+ * The engine takes the request, its answer is lost, and then it refuses: that
+ * refusal doesn't mean that the request did not run.
+ */
+static void test_engine_vanishes(void)
+{
+	static const char *const headers[] = {"Authorization: Bearer key-recif",
+					      NULL};
+	struct rig *g = rig_started(2, 1);
+	struct reply r;
+
+	proc_faults(&g->engines[0], "{\"vanish\":1}");
+	proc_faults(&g->engines[1], "{\"vanish\":1}");
+	r = call_port(g->nodes[0].port, "POST", "/v1/chat/completions", headers,
+		      "{\"model\":\"report\",\"messages\":"
+		      "[{\"role\":\"user\",\"content\":\"lost\"}]}");
+	g_assert_cmpint(r.status, ==, 502);
+	g_assert_cmpstr(r.outcome, ==, "unknown");
+	g_assert_cmpint(rig_runs(g), ==, 1);
+	reply_clear(&r);
+	rig_free(g);
+}
+
+/* All refuse: "not run" is true, and the caller is told when to come back. */
+static void test_all_down(void)
+{
+	static const char *const headers[] = {"Authorization: Bearer key-recif",
+					      NULL};
+	struct rig *g = rig_started(2, 1);
+	struct reply r;
+
+	proc_faults(&g->engines[0], "{\"down\":true}");
+	proc_faults(&g->engines[1], "{\"fail\":1000}");
+	r = call_port(g->nodes[0].port, "POST", "/v1/chat/completions", headers,
+		      "{\"model\":\"assistant\",\"messages\":"
+		      "[{\"role\":\"user\",\"content\":\"five\"}]}");
+	g_assert_cmpint(r.status, ==, 503);
+	g_assert_cmpstr(r.outcome, ==, "not-run");
+	g_assert_nonnull(r.retry_after);
+	g_assert_cmpint(rig_runs(g), ==, 0);
+	g_assert_cmpint(rig_cancelled(g), ==, 0);
+	reply_clear(&r);
+	rig_free(g);
+}
+
+/* The connection to the engine goes silent for good; a new one works. */
+static void test_blackhole(void)
+{
+	struct rig *g = rig_new(1, 1, SETTINGS);
+	struct hole *h = hole_new(g->engines[0].port);
+	struct ask *a;
+
+	g->engines[0].shown_port = hole_port(h);
+	rig_start(g);
+	a = ask_open(g->nodes[0].port, "report", "six", TOKENS);
+	ask_read(a, SOME);
+	hole_set(h, HOLE_BLIND);
+	ask_read(a, TOKENS + 1);
+	assert_whole(a, TOKENS);
+	g_assert_cmpint(rig_runs(g), ==, 1);
+	g_assert_cmpint(rig_logged(g, &g->nodes[0], "stream_resumed"), >=, 1);
+	ask_free(a);
+	rig_free(g);
+	hole_free(h);
+}
+
+/* The engine that runs the request, by its load. */
+static struct proc *engine_at_work(struct rig *g)
+{
+	for (unsigned i = 0; i < g->engine_count; i++) {
+		json_t *j = get_json(g->engines[i].port, "/standin/counts");
+		int64_t runs = json_integer_value(json_object_get(j, "runs"));
+
+		json_decref(j);
+		if (runs)
+			return &g->engines[i];
+	}
+	g_assert_not_reached();
+}
+
+/* The engine dies in mid-answer; what follows depends on the service. */
+static void test_engine_killed(void)
+{
+	static const struct {
+		const char *service;
+		bool differ; /* the other engine would say something else */
+		bool whole;
+	} cases[] = {
+		{"assistant", false, true},
+		{"assistant", true, false},
+		{"report", false, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rig *g = rig_started(2, 1);
+		struct ask *a = ask_open(g->nodes[0].port, cases[i].service,
+					 "seven", TOKENS);
+		struct proc *at_work;
+
+		ask_read(a, SOME);
+		at_work = engine_at_work(g);
+		for (unsigned k = 0; k < 2 && cases[i].differ; k++) {
+			if (&g->engines[k] != at_work)
+				proc_faults(&g->engines[k],
+					    "{\"differ\":true}");
+		}
+		proc_signal(at_work, SIGKILL);
+		proc_wait(at_work);
+		ask_read(a, TOKENS + 1);
+		if (cases[i].whole) {
+			assert_whole(a, TOKENS);
+		} else {
+			g_assert_false(a->wrong);
+			g_assert_false(a->done);
+			g_assert_cmpstr(a->outcome, ==, "unknown");
+		}
+		g_assert_cmpint(rig_runs(g), ==,
+				strcmp(cases[i].service, "report") ? 1 : 0);
+		ask_free(a);
+		rig_free(g);
+	}
+}
+
+/* A caller that leaves ends the work at the engine. */
+static void test_caller_leaves(void)
+{
+	struct rig *g = rig_started(1, 1);
+	struct ask *a =
+		ask_open(g->nodes[0].port, "assistant", "eight", 100 * TOKENS);
+
+	ask_read(a, SOME);
+	ask_close(a);
+	WAIT_UNTIL(rig_cancelled(g) == 1);
+	ask_free(a);
+	rig_free(g);
+}
+
+static int resume_status(struct ask *a, int port, const char *key,
+			 char **outcome)
+{
+	char *auth = g_strdup_printf("Authorization: Bearer %s", key);
+	const char *headers[] = {auth, NULL};
+	char *path = g_strdup_printf("/v1/streams/%s", a->resume);
+	struct reply r = call_port(port, "GET", path, headers, NULL);
+	int status = r.status;
+
+	*outcome = g_strdup(r.outcome);
+	reply_clear(&r);
+	g_free(path);
+	g_free(auth);
+	return status;
+}
+
+/* Who may resume what; a refusal never says that the work did not run. */
+static void test_resume_refused(void)
+{
+	struct rig *g = rig_started(1, 1);
+	int port = g->nodes[0].port;
+	struct ask *a = ask_open(port, "assistant", "nine", SOME);
+	char *outcome;
+
+	ask_read(a, SOME + 1);
+	g_assert_cmpint(resume_status(a, port, "key-ferreyra", &outcome), ==,
+			403);
+	g_assert_cmpstr(outcome, ==, "unknown");
+	g_free(outcome);
+	g_assert_cmpint(resume_status(a, port, "key-none", &outcome), ==, 401);
+	g_free(outcome);
+	g_assert_cmpint(resume_status(a, port, "key-recif", &outcome), ==, 200);
+	g_free(outcome);
+	a->resume[5] = a->resume[5] == 'A' ? 'B' : 'A';
+	g_assert_cmpint(resume_status(a, port, "key-recif", &outcome), ==, 403);
+	g_free(outcome);
+	ask_free(a);
+	rig_free(g);
+}
+
+/* The engine has forgotten the answer: its outcome is unknown. */
+static void test_resume_unknown(void)
+{
+	struct rig *g = rig_started(1, 1);
+	int port = g->nodes[0].port;
+	struct ask *a = ask_open(port, "assistant", "ten", 100 * TOKENS);
+	char *outcome;
+
+	ask_read(a, SOME);
+	ask_close(a);
+	WAIT_UNTIL(rig_cancelled(g) == 1);
+	g_assert_cmpint(resume_status(a, port, "key-recif", &outcome), ==, 502);
+	g_assert_cmpstr(outcome, ==, "unknown");
+	g_free(outcome);
+	ask_free(a);
+	rig_free(g);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_ALL);
+	block_stop_signals();
+	g_test_add_func("/streams/entry-killed", test_entry_killed);
+	g_test_add_func("/streams/entry-frozen", test_entry_frozen);
+	g_test_add_func("/streams/engine-faults", test_engine_faults);
+	g_test_add_func("/streams/engine-refuses", test_engine_refuses);
+	g_test_add_func("/streams/engine-vanishes", test_engine_vanishes);
+	g_test_add_func("/streams/all-down", test_all_down);
+	g_test_add_func("/streams/blackhole", test_blackhole);
+	g_test_add_func("/streams/engine-killed", test_engine_killed);
+	g_test_add_func("/streams/caller-leaves", test_caller_leaves);
+	g_test_add_func("/streams/resume-refused", test_resume_refused);
+	g_test_add_func("/streams/resume-unknown", test_resume_unknown);
+	return g_test_run();
+}
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -45,10 +45,12 @@
 	const char *prompt;
 	GString *text;
 	int64_t words; /* right words so far */
+	char *last_id; /* of the last event */
 	bool done;     /* [DONE] came */
-	bool refused;  /* truly not run: may be asked again */
+	bool gone;     /* it can't be resumed: must be asked anew */
 	bool broken;   /* the connection ended early */
 	bool crossed;  /* a word of another answer */
+	bool doubled;  /* an event came twice */
 	char *resume;  /* identity to go on with at another entry */
 };
 
@@ -80,20 +82,10 @@
 	struct pull *p = pull_open(&q);
 	int64_t until = time_mono_ms() + SILENCE_MS;
 	json_t *j = NULL;
-	guint seen = 0;
 
-	/* The body is small: wait until it has stopped growing. */
-	while (pull_wait(p, until) == PULL_DATA && time_mono_ms() < until) {
-		if (pull_bytes(p)->len == seen) {
-			g_usleep(1000);
-			continue;
-		}
-		seen = pull_bytes(p)->len;
-		json_decref(j);
-		j = json_loadb((char *)pull_bytes(p)->data, seen, 0, NULL);
-		if (j)
-			break;
-	}
+	while (!j && pull_wait_more(p, until) == PULL_DATA)
+		j = json_loadb((char *)pull_bytes(p)->data, pull_bytes(p)->len,
+			       0, NULL);
 	pull_close(p);
 	return j;
 }
@@ -141,6 +133,18 @@
 	a->words++;
 }
 
+/* Events are numbered from 0, one a word; the last one has no word. */
+static void check_id(struct answer *a, struct str id)
+{
+	const char *colon = memrchr(id.data, ':', id.len);
+	int64_t n = colon ? g_ascii_strtoll(colon + 1, NULL, 10) : -1;
+
+	if (n >= 0 && n < a->words)
+		a->doubled = true;
+	g_free(a->last_id);
+	a->last_id = g_strndup(id.data, id.len);
+}
+
 static void read_event(struct answer *a, const struct sse_event *e)
 {
 	const json_t *choice, *error;
@@ -151,6 +155,8 @@
 		a->done = true;
 		return;
 	}
+	if (e->id.len)
+		check_id(a, e->id);
 	j = json_loadb(e->data.data, e->data.len, 0, NULL);
 	choice = json_array_get(json_object_get(j, "choices"), 0);
 	error = json_object_get(j, "error");
@@ -176,30 +182,35 @@
 	}
 }
 
+/* An answer other than 200: another entry may know more, or nobody does. */
+static void read_refusal(struct answer *a, const struct pull *p)
+{
+	int status = pull_status(p);
+
+	a->broken = true;
+	a->gone = a->resume && status != 503 && status != 504;
+}
+
 static void read_answer(struct answer *a, struct pull *p)
 {
 	int64_t until = time_mono_ms() + ANSWER_MS;
-	enum pull_event ev = PULL_DATA;
-	guint before;
-
-	while (!a->done && !a->broken && !a->crossed && ev == PULL_DATA) {
-		ev = pull_wait(p, MIN(until, time_mono_ms() + SILENCE_MS));
-		if (pull_status(p) && pull_status(p) != 200) {
-			const char *o = pull_header(p, "Ramp-Outcome");
 
-			a->refused = o && !strcmp(o, "not-run");
-			return;
-		}
-		before = pull_bytes(p)->len;
-		read_events(a, p);
-		/* Half an event: wait for the rest of it. */
-		if (ev == PULL_DATA && pull_bytes(p)->len == before)
-			g_usleep(1000);
+	pull_wait_headers(p, until);
+	if (pull_status(p) != 200) {
+		read_refusal(a, p);
+		return;
 	}
 	if (!a->resume && pull_header(p, "Ramp-Resume"))
 		a->resume = g_strdup(pull_header(p, "Ramp-Resume"));
-	if (!a->done)
-		a->broken = true;
+	read_events(a, p);
+	while (!a->done && !a->broken && !a->crossed) {
+		int64_t next = MIN(until, time_mono_ms() + SILENCE_MS);
+
+		if (pull_wait_more(p, next) != PULL_DATA)
+			break;
+		read_events(a, p);
+	}
+	a->broken = !a->done;
 }
 
 static char *chat_body(const struct chat *c, json_t *messages)
@@ -222,8 +233,8 @@
 	char *auth = g_strdup_printf("Authorization: Bearer key-%s",
 				     c->organisation);
 	char *chat = g_strdup_printf("Ramp-Chat: %s", c->name);
-	char *last = g_strdup_printf("Last-Event-ID: %" G_GINT64_FORMAT,
-				     a->words - 1);
+	char *last = g_strdup_printf("Last-Event-ID: %s",
+				     a->last_id ? a->last_id : "");
 	const char *headers[] = {auth, chat, "Content-Type: application/json",
 				 last, NULL};
 	struct pull_request q = {.method = a->resume ? "GET" : "POST",
@@ -233,7 +244,7 @@
 				 .connect_ms = CONNECT_MS};
 	struct pull *p;
 
-	if (!a->words || !a->resume)
+	if (!a->last_id || !a->resume)
 		headers[3] = NULL;
 	p = pull_open(&q);
 	read_answer(a, p);
@@ -256,11 +267,25 @@
 		t->lost++;
 	if (a->crossed)
 		t->crossed++;
+	if (a->doubled)
+		t->doubled++;
 	g_mutex_unlock(&t->lock);
 }
 
-/* Ask until the whole answer is there; a broken answer starts anew unless
- * the entry gave an identity to resume it with. */
+/* Forget a broken answer that can't be resumed. */
+static void start_anew(struct answer *a)
+{
+	a->words = 0;
+	a->gone = false;
+	g_string_truncate(a->text, 0);
+	g_clear_pointer(&a->resume, g_free);
+	g_clear_pointer(&a->last_id, g_free);
+}
+
+/*
+ * Ask until the whole answer is there: a broken answer is resumed through the
+ * next entry, and asked for anew only when no entry can go on with it.
+ */
 static char *ask(const struct chat *c, json_t *messages)
 {
 	char *prompt = prompt_text(messages);
@@ -272,20 +297,17 @@
 
 		if (i)
 			g_usleep(TRY_PAUSE_US);
-		if (a.broken && !a.resume) {
-			a.words = 0;
-			g_string_truncate(a.text, 0);
-		}
-		a.broken = a.refused = false;
+		if (a.gone || !a.resume)
+			start_anew(&a);
+		a.broken = false;
 		send_chat(c, entry, body, &a);
-		if (a.resume && !a.done && !a.broken)
-			g_clear_pointer(&a.resume, g_free);
 		g_free(entry);
 	}
 	count(c->totals, &a);
 	free(body);
 	g_free(prompt);
 	g_free(a.resume);
+	g_free(a.last_id);
 	return g_string_free(a.text, FALSE);
 }
 
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -24,10 +24,12 @@
 	bool ignore_fence; /* take orders with an old fencing number */
 	int64_t cross;     /* next answers carry another's identity */
 	int64_t lose;      /* next requests run, answer lost */
+	int64_t vanish;    /* as lose, and down from then on */
 	int64_t silent;    /* next streams go silent */
 	int64_t silent_at; /* ... after this many tokens */
 	int64_t slow;      /* factor on the step time */
 	int64_t fail;      /* next requests are refused */
+	bool differ;       /* other words than the other engines */
 	bool down;         /* refuse everything */
 };
 
@@ -41,6 +43,7 @@
 	int64_t target_tokens;
 	int64_t done_tokens;
 	int64_t priority;
+	char *reader; /* whose connection is the newest, or NULL */
 	bool cancelled;
 	int64_t finished_ms; /* 0 while it runs */
 	int refs;
@@ -61,6 +64,7 @@
 	struct report reports[REPORTS_KEPT];
 	uint64_t report_count;
 	struct faults faults;
+	int64_t cancelled; /* jobs that were cancelled while they ran */
 	int64_t step_ms;
 	int64_t batch;
 	int64_t fence;  /* highest fencing number seen */
@@ -85,6 +89,7 @@
 {
 	g_free(j->id);
 	g_free(j->prompt);
+	g_free(j->reader);
 	g_free(j);
 }
 
@@ -223,7 +228,8 @@
 	char word[32];
 
 	if (rd->pos < j->done_tokens) {
-		answer_word(j->prompt, rd->pos, word, sizeof(word));
+		answer_word(rd->e->faults.differ ? "" : j->prompt, rd->pos,
+			    word, sizeof(word));
 		rd->len = (size_t)snprintf(
 			rd->buf, sizeof(rd->buf),
 			"id: %s:%" G_GINT64_FORMAT
@@ -233,6 +239,10 @@
 			"\"delta\":{\"content\":\"%s\"},"
 			"\"finish_reason\":null}]}\n\n",
 			id, rd->pos, id, rd->e->model, word);
+	} else if (rd->pos > j->done_tokens) {
+		rd->len = (size_t)snprintf(rd->buf, sizeof(rd->buf),
+					   "data: [DONE]\n\n");
+		rd->ended = true;
 	} else {
 		rd->len = (size_t)snprintf(
 			rd->buf, sizeof(rd->buf),
@@ -313,10 +323,12 @@
 
 /* Call with the lock held. */
 static int stream_from(struct engine *e, struct job *j, int64_t pos,
-		       struct _u_response *r)
+		       const char *name, struct _u_response *r)
 {
 	struct reader *rd = g_new0(struct reader, 1);
 
+	g_free(j->reader);
+	j->reader = g_strdup(name);
 	rd->e = e;
 	rd->job = j;
 	rd->pos = pos;
@@ -380,9 +392,12 @@
 	count_run(e, id);
 	g_hash_table_replace(e->jobs, j->id, j);
 	enqueue(e, j);
-	lose = take(&e->faults.lose);
+	if (take(&e->faults.vanish))
+		e->faults.down = lose = true;
+	else
+		lose = take(&e->faults.lose);
 	if (!lose)
-		stream_from(e, j, 0, r);
+		stream_from(e, j, 0, header(q, "Reader"), r);
 	g_mutex_unlock(&e->lock);
 	json_decref(body);
 	return lose ? answer_lost(r) : U_CALLBACK_COMPLETE;
@@ -404,22 +419,31 @@
 		g_mutex_unlock(&e->lock);
 		return refuse(r, down ? 503 : 404, down ? "down" : "unknown");
 	}
-	stream_from(e, j, from ? g_ascii_strtoll(from, NULL, 10) : 0, r);
+	stream_from(e, j, from ? g_ascii_strtoll(from, NULL, 10) : 0,
+		    header(q, "Reader"), r);
 	g_mutex_unlock(&e->lock);
 	return U_CALLBACK_COMPLETE;
 }
 
+/* DELETE /v1/streams/:id, unless another reader has taken over. */
 static int on_cancel(const struct _u_request *q, struct _u_response *r,
 		     void *ctx)
 {
 	struct engine *e = ctx;
+	const char *reader = header(q, "Reader");
+	bool taken_over;
 	struct job *j;
 
 	g_mutex_lock(&e->lock);
 	j = g_hash_table_lookup(e->jobs, u_map_get(q->map_url, "id"));
-	if (j && !j->finished_ms)
+	taken_over = j && reader && j->reader && strcmp(reader, j->reader);
+	if (j && !j->finished_ms && !taken_over) {
 		j->cancelled = true;
+		e->cancelled++;
+	}
 	g_mutex_unlock(&e->lock);
+	if (taken_over)
+		return refuse(r, 409, "another_reader");
 	return answer_json(r, j ? 200 : 404, json_object());
 }
 
@@ -558,18 +582,20 @@
 	struct engine *e = ctx;
 	json_t *body = ulfius_get_json_body_request(q, NULL);
 	struct faults f = {0};
-	int ignore = 0, down = 0;
+	int ignore = 0, down = 0, differ = 0;
 	int bad = json_unpack(
-		body, "{s?I,s?I,s?b,s?I,s?I,s?I,s?I,s?I,s?I,s?b !}", "lag_ms",
-		&f.lag_ms, "gap", &f.gap, "ignore_fence", &ignore, "cross",
-		&f.cross, "lose", &f.lose, "silent", &f.silent, "silent_at",
-		&f.silent_at, "slow", &f.slow, "fail", &f.fail, "down", &down);
+		body, "{s?I,s?I,s?b,s?I,s?I,s?I,s?I,s?I,s?I,s?b,s?b,s?I !}",
+		"lag_ms", &f.lag_ms, "gap", &f.gap, "ignore_fence", &ignore,
+		"cross", &f.cross, "lose", &f.lose, "silent", &f.silent,
+		"silent_at", &f.silent_at, "slow", &f.slow, "fail", &f.fail,
+		"down", &down, "differ", &differ, "vanish", &f.vanish);
 
 	json_decref(body);
 	if (bad)
 		return refuse(r, 400, "unknown fault");
 	f.ignore_fence = ignore;
 	f.down = down;
+	f.differ = differ;
 	g_mutex_lock(&e->lock);
 	e->faults = f;
 	g_mutex_unlock(&e->lock);
@@ -594,6 +620,27 @@
 	return answer_json(r, 200, runs);
 }
 
+/* GET /standin/counts: runs in all, and how many of them were cancelled. */
+static int on_counts(const struct _u_request *q, struct _u_response *r,
+		     void *ctx)
+{
+	struct engine *e = ctx;
+	int64_t runs = 0, cancelled;
+	GHashTableIter it;
+	gpointer key, n;
+
+	(void)q;
+	g_mutex_lock(&e->lock);
+	g_hash_table_iter_init(&it, e->runs);
+	while (g_hash_table_iter_next(&it, &key, &n))
+		runs += GPOINTER_TO_INT(n);
+	cancelled = e->cancelled;
+	g_mutex_unlock(&e->lock);
+	return answer_json(
+		r, 200,
+		json_pack("{s:I,s:I}", "runs", runs, "cancelled", cancelled));
+}
+
 static const struct server_route routes[] = {
 	{"POST", "/v1/chat/completions", on_chat},
 	{"GET", "/v1/streams/:id", on_resume},
@@ -605,6 +652,7 @@
 	{"GET", "/orders", on_orders},
 	{"PUT", "/standin/faults", on_faults},
 	{"GET", "/standin/runs", on_runs},
+	{"GET", "/standin/counts", on_counts},
 };
 
 static void init(struct engine *e, int64_t step_ms, int64_t batch,
