--- a/state/test-fake.c
+++ b/state/test-fake.c
@@ -183,6 +183,11 @@
 		write_row(f, key, v);
 }
 
+void fake_delete(struct fake *f, const char *key)
+{
+	write_row(f, key, NULL);
+}
+
 static void do_txn(struct call *c)
 {
 	struct fake *f = c->proc->fake;
--- a/state/test-fake.h
+++ b/state/test-fake.h
@@ -68,6 +68,7 @@
 void fake_run(struct fake *f, int64_t until_ms);
 /* Write rows at once, without faults: {"key": value, ...}. */
 void fake_seed(struct fake *f, const json_t *rows);
+void fake_delete(struct fake *f, const char *key);
 /* Present value of a row, or NULL; borrowed. */
 json_t *fake_row(const struct fake *f, const char *key);
 
--- /dev/null
+++ b/state/test-learn.c
@@ -0,0 +1,412 @@
+#include <string.h>
+
+#include "state/test-nodes.h"
+
+#define OUTAGE_MS    600000
+#define SCHEDULES    200
+#define FAULTY_MS    40000
+#define SETTLE_MS    60000
+#define NODES_FAULTY 6
+
+static void start_nodes(struct nodes *ns, int n)
+{
+	for (int i = 0; i < n; i++)
+		nodes_start(ns);
+}
+
+static void check_honest(const struct nodes *ns)
+{
+	for (int i = 0; i < ns->count; i++) {
+		g_assert_cmpint(ns->node[i].reverts, ==, 0);
+		g_assert_cmpint(ns->node[i].wrong, ==, 0);
+	}
+}
+
+static void finish(struct nodes *ns)
+{
+	struct fake *f = ns->fake;
+
+	check_honest(ns);
+	nodes_free(ns);
+	fake_free(f);
+}
+
+static void down(struct nodes *ns, int64_t ms)
+{
+	ns->fake->faults.down_from_ms = ns->fake->now_ms;
+	ns->fake->faults.down_until_ms = ns->fake->now_ms + ms;
+}
+
+/* Changes come into force on all nodes, by the table alone. */
+static void test_follow(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = nodes_change_weight(ns, "a", 1);
+
+	start_nodes(ns, 9);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, SETTLE_MS);
+	n = nodes_change_weight(ns, "b", 2);
+	n = nodes_change(ns, KIND_ORGANISATION, "a", NULL);
+	/* The slowest poll is 4 s; the target is 5 s. */
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 5000);
+	g_assert_null(config_organisation(ns->node[8].config, "a"));
+	g_assert_nonnull(config_organisation(ns->node[8].config, "b"));
+	finish(ns);
+}
+
+/* Nodes that hear of a revision fetch it before their own poll is due. */
+static void test_heard(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = nodes_change_weight(ns, "a", 1);
+
+	ns->poll_ms = 20000;
+	ns->gossip_ms = 200;
+	start_nodes(ns, 9);
+	nodes_settle(ns, n, SETTLE_MS);
+	n = nodes_change_weight(ns, "b", 2);
+	while (nodes_behind(ns, n) == 9)
+		fake_run(ns->fake, ns->fake->now_ms + 10);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 5000);
+	finish(ns);
+}
+
+/* A table that answers from the past never moves a node back. */
+static void test_stale(void)
+{
+	struct nodes *ns = nodes_new(fake_new(3));
+	int64_t n = 0;
+
+	ns->fake->faults.stale = 0.7;
+	ns->fake->faults.stale_revisions = 40;
+	start_nodes(ns, 5);
+	for (int i = 0; i < 60; i++) {
+		n = nodes_change_weight(ns, i % 2 ? "a" : "b", 1 + i);
+		fake_run(ns->fake, ns->fake->now_ms + 300);
+	}
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, SETTLE_MS);
+	finish(ns);
+}
+
+static void delete_changes(struct nodes *ns, int64_t from, int64_t to)
+{
+	for (int64_t i = from; i <= to; i++) {
+		char *key = g_strdup_printf("chg/%020" G_GINT64_FORMAT, i);
+
+		fake_delete(ns->fake, key);
+		g_free(key);
+	}
+}
+
+/* With changes missing, everything is read again. */
+static void test_gap(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = nodes_change_weight(ns, "a", 1);
+
+	start_nodes(ns, 4);
+	nodes_settle(ns, n, SETTLE_MS);
+	for (int i = 0; i < 5; i++)
+		n = nodes_change_weight(ns, i % 2 ? "a" : "b", 2 + i);
+	delete_changes(ns, 2, n - 1);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, SETTLE_MS);
+	g_assert_cmpfloat(config_organisation(ns->node[3].config, "b")->weight,
+			  ==, 6);
+	finish(ns);
+}
+
+/*
+ * Ten minutes without the platform: all keep what they hold, the newest
+ * change spreads from the one node that read it, and a new node takes all
+ * from its peers.
+ */
+static void test_outage(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = nodes_change_weight(ns, "a", 1);
+	int64_t until;
+	int late;
+
+	ns->gossip_ms = 200;
+	start_nodes(ns, 9);
+	nodes_settle(ns, n, SETTLE_MS);
+	n = nodes_change_weight(ns, "a", 2);
+	while (nodes_behind(ns, n) == 9)
+		fake_run(ns->fake, ns->fake->now_ms + 1);
+	down(ns, OUTAGE_MS);
+	until = ns->fake->now_ms + OUTAGE_MS;
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 5000);
+	late = nodes_start(ns);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 10000);
+	g_assert_cmpint(ns->node[late].in_force, ==, n);
+	fake_run(ns->fake, until - 1);
+	g_assert_cmpint(nodes_behind(ns, n), ==, 0);
+	n = nodes_change_weight(ns, "a", 3);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 10000);
+	finish(ns);
+}
+
+/* Alone and without the platform a node serves nothing, snapshot or not. */
+static void test_alone(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	struct snapshot s = {1, json_object(), json_object()};
+	int64_t n = nodes_change_weight(ns, "a", 1);
+	size_t len;
+	char *text = snapshot_encode(&s, &len);
+
+	g_hash_table_insert(ns->fake->objects, g_strdup("config-0"),
+			    g_bytes_new(text, len));
+	down(ns, OUTAGE_MS);
+	nodes_start(ns);
+	fake_run(ns->fake, ns->fake->now_ms + OUTAGE_MS - 1);
+	g_assert_cmpint(ns->node[0].in_force, ==, -1);
+	g_assert_null(learn_whole(ns->node[0].learn));
+	g_hash_table_remove_all(ns->fake->objects);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 10000);
+	snapshot_clear(&s);
+	g_free(text);
+	finish(ns);
+}
+
+/* A node that starts behind a stale table waits for what its peers hold. */
+static void test_start_stale(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = 0;
+	int late;
+
+	for (int i = 0; i < 20; i++)
+		n = nodes_change_weight(ns, "a", 1 + i);
+	start_nodes(ns, 3);
+	nodes_settle(ns, n, SETTLE_MS);
+	ns->fake->faults.stale = 1;
+	ns->fake->faults.stale_revisions = 15;
+	late = nodes_start(ns);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, SETTLE_MS);
+	g_assert_cmpint(ns->node[late].in_force, ==, n);
+	finish(ns);
+}
+
+/* While the instance list is not known, nothing is served. */
+static void test_peers_unknown(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = nodes_change_weight(ns, "a", 1);
+
+	ns->peers_known = false;
+	nodes_start(ns);
+	fake_run(ns->fake, ns->fake->now_ms + 20000);
+	g_assert_cmpint(ns->node[0].in_force, ==, -1);
+	ns->peers_known = true;
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 10000);
+	finish(ns);
+}
+
+static GBytes *object(struct nodes *ns, const char *name)
+{
+	return g_hash_table_lookup(ns->fake->objects, name);
+}
+
+static void damage(struct nodes *ns, const char *name)
+{
+	GBytes *b = object(ns, name);
+	gsize n;
+	const void *data = g_bytes_get_data(b, &n);
+
+	g_hash_table_replace(ns->fake->objects, g_strdup(name),
+			     g_bytes_new(data, n / 2));
+}
+
+static int64_t snapshot_revision(struct nodes *ns, const char *name)
+{
+	struct snapshot s;
+	gsize n;
+	const char *data = g_bytes_get_data(object(ns, name), &n);
+	int64_t r;
+
+	g_assert_true(snapshot_decode((struct str){data, n}, &s));
+	r = s.revision;
+	snapshot_clear(&s);
+	return r;
+}
+
+static int64_t change_many(struct nodes *ns, int count)
+{
+	int64_t n = 0;
+
+	for (int i = 0; i < count; i++) {
+		n = nodes_change_weight(ns, i % 3 ? "a" : "b", 1 + i % 500);
+		fake_run(ns->fake, ns->fake->now_ms + 50);
+	}
+	nodes_settle(ns, n, SETTLE_MS);
+	fake_run(ns->fake, ns->fake->now_ms + 5000);
+	return n;
+}
+
+/*
+ * Snapshots are written in turn; the newest, half written, is passed over,
+ * and a start from the other one follows the changes since.
+ */
+static void test_snapshots(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n;
+	int late;
+
+	start_nodes(ns, 4);
+	n = change_many(ns, 3 * SNAPSHOT_CHANGES + 10);
+	g_assert_nonnull(object(ns, "config-0"));
+	g_assert_nonnull(object(ns, "config-1"));
+	g_assert_cmpint(snapshot_revision(ns, "config-0"), !=,
+			snapshot_revision(ns, "config-1"));
+	damage(ns, snapshot_revision(ns, "config-0") >
+				   snapshot_revision(ns, "config-1")
+			   ? "config-0"
+			   : "config-1");
+	/* The changes before the older snapshot are gone from the table. */
+	delete_changes(ns, 1, SNAPSHOT_CHANGES);
+	late = nodes_start(ns);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 5000);
+	g_assert_cmpint(ns->node[late].in_force, ==, n);
+	finish(ns);
+}
+
+/* A row that can't be read stays at the version before; others go on. */
+static void test_unreadable(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = nodes_change_weight(ns, "a", 3);
+	int late;
+
+	start_nodes(ns, 2);
+	nodes_settle(ns, n, SETTLE_MS);
+	nodes_change(ns, KIND_ORGANISATION, "a", "{\"from_the_future\":1}");
+	n = nodes_change_weight(ns, "b", 5);
+	nodes_settle(ns, n, SETTLE_MS);
+	for (int i = 0; i < 2; i++) {
+		struct config *c = ns->node[i].config;
+
+		g_assert_cmpfloat(config_organisation(c, "a")->weight, ==, 3);
+		g_assert_cmpfloat(config_organisation(c, "b")->weight, ==, 5);
+		g_assert_cmpint(ns->node[i].unreadable, >, 0);
+	}
+	/* A node that starts without peers knows no version before. */
+	ns->fake->procs[0].dead = true;
+	ns->fake->procs[1].dead = true;
+	late = nodes_start(ns);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 10000);
+	g_assert_null(config_organisation(ns->node[late].config, "a"));
+	g_assert_cmpint(ns->node[late].unreadable, >, 0);
+	n = nodes_change_weight(ns, "a", 4);
+	nodes_settle(ns, n, SETTLE_MS);
+	g_assert_cmpfloat(
+		config_organisation(ns->node[late].config, "a")->weight, ==, 4);
+	finish(ns);
+}
+
+/* From peers the version before is taken along. */
+static void test_unreadable_from_peer(void)
+{
+	struct nodes *ns = nodes_new(fake_new(1));
+	int64_t n = nodes_change_weight(ns, "a", 3);
+	int late;
+
+	start_nodes(ns, 2);
+	nodes_settle(ns, n, SETTLE_MS);
+	n = nodes_change(ns, KIND_ORGANISATION, "a", "{\"unknown\":1}");
+	nodes_settle(ns, n, SETTLE_MS);
+	down(ns, OUTAGE_MS);
+	late = nodes_start(ns);
+	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 10000);
+	g_assert_cmpfloat(
+		config_organisation(ns->node[late].config, "a")->weight, ==, 3);
+	finish(ns);
+}
+
+static bool chance(struct fake *f, double p)
+{
+	return g_rand_double(f->rand) < p;
+}
+
+static void draw_faults(struct fake *f)
+{
+	f->faults.lose_answer = chance(f, 0.5) ? 0.2 : 0;
+	f->faults.lose_request = chance(f, 0.5) ? 0.2 : 0;
+	f->faults.refuse = chance(f, 0.5) ? 0.3 : 0;
+	f->faults.stale = chance(f, 0.7) ? 0.5 : 0;
+	f->faults.stale_revisions = 30;
+	f->faults.delay_max_ms = chance(f, 0.3) ? 1500 : 10;
+	f->faults.down_from_ms = f->now_ms + g_rand_int_range(f->rand, 0, 9000);
+	f->faults.down_until_ms =
+		f->faults.down_from_ms + g_rand_int_range(f->rand, 0, 20000);
+	for (int p = 0; p < NODES_FAULTY; p++) {
+		f->procs[p].kill_at =
+			chance(f, 0.2) ? g_rand_int_range(f->rand, 1, 900) : 0;
+		f->procs[p].pause_at =
+			chance(f, 0.4) ? g_rand_int_range(f->rand, 1, 900) : 0;
+		f->procs[p].pause_ms = g_rand_int_range(f->rand, 100, 15000);
+	}
+}
+
+static void change_at_random(struct nodes *ns)
+{
+	struct fake *f = ns->fake;
+	char name[2] = {(char)('a' + g_rand_int_range(f->rand, 0, 5)), 0};
+
+	if (chance(f, 0.2))
+		nodes_change(ns, KIND_ORGANISATION, name, NULL);
+	else
+		nodes_change_weight(ns, name,
+				    1 + g_rand_int_range(f->rand, 0, 900));
+	if (chance(f, 0.1))
+		delete_changes(ns, 1, nodes_head(ns) - 3);
+}
+
+static void schedule(uint32_t seed)
+{
+	struct fake *f = fake_new(seed);
+	struct nodes *ns = nodes_new(f);
+	int64_t until = f->now_ms + FAULTY_MS;
+
+	ns->gossip_ms = chance(f, 0.5) ? 200 : 0;
+	draw_faults(f);
+	start_nodes(ns, 3);
+	while (f->now_ms < until) {
+		change_at_random(ns);
+		if (ns->count < NODES_FAULTY && chance(f, 0.1))
+			nodes_start(ns);
+		fake_run(f, f->now_ms + g_rand_int_range(f->rand, 1, 1000));
+	}
+	f->faults = (struct fake_faults){
+		.delay_min_ms = 1, .delay_max_ms = 5, .timeout_ms = 2000};
+	if (nodes_settle(ns, nodes_head(ns), SETTLE_MS) >= SETTLE_MS)
+		g_test_message("seed %u: not settled", seed);
+	g_assert_cmpint(nodes_behind(ns, nodes_head(ns)), ==, 0);
+	finish(ns);
+}
+
+static void test_schedules(void)
+{
+	for (uint32_t seed = 1; seed <= SCHEDULES; seed++)
+		schedule(seed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/state/learn/follow", test_follow);
+	g_test_add_func("/state/learn/heard", test_heard);
+	g_test_add_func("/state/learn/stale", test_stale);
+	g_test_add_func("/state/learn/gap", test_gap);
+	g_test_add_func("/state/learn/outage", test_outage);
+	g_test_add_func("/state/learn/alone", test_alone);
+	g_test_add_func("/state/learn/start-stale", test_start_stale);
+	g_test_add_func("/state/learn/peers-unknown", test_peers_unknown);
+	g_test_add_func("/state/learn/snapshots", test_snapshots);
+	g_test_add_func("/state/learn/unreadable", test_unreadable);
+	g_test_add_func("/state/learn/unreadable-from-peer",
+			test_unreadable_from_peer);
+	g_test_add_func("/state/learn/schedules", test_schedules);
+	return g_test_run();
+}
--- /dev/null
+++ b/state/test-nodes.c
@@ -0,0 +1,292 @@
+#include "state/test-nodes.h"
+
+#include <string.h>
+
+#define ASK_TIMEOUT_MS 500
+#define FANOUT         2
+#define WRITERS        1
+
+struct peer_call {
+	struct sim_node *from, *to;
+	bool whole;
+	int64_t after;
+	learn_peer_fn *done;
+	void *arg;
+	json_t *answer;
+	bool settled;
+};
+
+struct nodes *nodes_new(struct fake *f)
+{
+	struct nodes *ns = g_new0(struct nodes, 1);
+
+	ns->fake = f;
+	ns->poll_ms = 1000;
+	ns->tick_ms = 20;
+	ns->peers_known = true;
+	ns->truth = g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
+	ns->calls = g_ptr_array_new();
+	g_ptr_array_add(ns->truth, json_object());
+	return ns;
+}
+
+void nodes_free(struct nodes *ns)
+{
+	for (int i = 0; i < ns->count; i++) {
+		learn_free(ns->node[i].learn);
+		config_unref(ns->node[i].config);
+	}
+	for (guint i = 0; i < ns->calls->len; i++) {
+		struct peer_call *c = g_ptr_array_index(ns->calls, i);
+
+		json_decref(c->answer);
+		g_free(c);
+	}
+	g_ptr_array_unref(ns->calls);
+	g_ptr_array_unref(ns->truth);
+	g_free(ns);
+}
+
+int64_t nodes_head(const struct nodes *ns)
+{
+	return (int64_t)ns->truth->len - 1;
+}
+
+static json_t *change_rows(const char *res, int64_t n, enum resource_kind k,
+			   const char *name, json_t *spec)
+{
+	char *chg = g_strdup_printf("chg/%020" G_GINT64_FORMAT, n);
+	json_t *rows = json_pack("{s:{s:I},s:{s:s,s:I,s:I,s:s,s:s,s:o}}",
+				 "head/config", "revision", n, chg, "id", chg,
+				 "revision", n, "generation", n, "kind",
+				 kind_name(k), "name", name, "is",
+				 spec ? json_incref(spec) : json_null());
+
+	if (spec)
+		json_object_set_new(rows, res,
+				    json_pack("{s:O,s:I,s:I}", "spec", spec,
+					      "generation", n, "revision", n));
+	g_free(chg);
+	return rows;
+}
+
+int64_t nodes_change(struct nodes *ns, enum resource_kind k, const char *name,
+		     const char *spec)
+{
+	int64_t n = nodes_head(ns) + 1;
+	char *res = resource_key(k, name);
+	json_t *j = spec ? json_loads(spec, 0, NULL) : NULL;
+	json_t *rows = change_rows(res, n, k, name, j);
+	json_t *truth = json_copy(g_ptr_array_index(ns->truth, n - 1));
+
+	fake_seed(ns->fake, rows);
+	if (j) {
+		json_object_set(truth, res, json_object_get(rows, res));
+	} else {
+		fake_delete(ns->fake, res);
+		json_object_del(truth, res);
+	}
+	g_ptr_array_add(ns->truth, truth);
+	json_decref(rows);
+	json_decref(j);
+	g_free(res);
+	return n;
+}
+
+int64_t nodes_change_weight(struct nodes *ns, const char *name, double weight)
+{
+	char *spec = g_strdup_printf("{\"weight\":%.3f,\"keys\":[]}", weight);
+	int64_t n = nodes_change(ns, KIND_ORGANISATION, name, spec);
+
+	g_free(spec);
+	return n;
+}
+
+/* Calls between nodes. */
+
+static void settle(struct peer_call *c, const json_t *answer)
+{
+	if (c->settled)
+		return;
+	c->settled = true;
+	c->done(answer, c->arg);
+}
+
+static void on_timeout(void *arg)
+{
+	settle(arg, NULL);
+}
+
+static void on_answer(void *arg)
+{
+	struct peer_call *c = arg;
+
+	settle(c, c->answer);
+}
+
+static void on_asked(void *arg)
+{
+	struct peer_call *c = arg;
+	struct learn *l = c->to->learn;
+	json_t *j = c->whole ? learn_whole(l) : learn_changes(l, c->after);
+
+	c->answer = json_deep_copy(j);
+	json_decref(j);
+	fake_after(c->from->nodes->fake, c->from->proc, 1, on_answer, c);
+}
+
+static void call(struct sim_node *s, unsigned i, bool whole, int64_t after,
+		 learn_peer_fn *done, void *arg)
+{
+	struct nodes *ns = s->nodes;
+	struct peer_call *c = g_new0(struct peer_call, 1);
+	int to = (int)i + ((int)i >= s->proc);
+
+	*c = (struct peer_call){s,    &ns->node[to], whole, after,
+				done, arg,           NULL,  false};
+	g_ptr_array_add(ns->calls, c);
+	fake_after(ns->fake, to, 1, on_asked, c);
+	fake_after(ns->fake, s->proc, ASK_TIMEOUT_MS, on_timeout, c);
+}
+
+static void ask_changes(void *ctx, unsigned i, int64_t after,
+			learn_peer_fn *done, void *arg)
+{
+	call(ctx, i, false, after, done, arg);
+}
+
+static void ask_whole(void *ctx, unsigned i, learn_peer_fn *done, void *arg)
+{
+	call(ctx, i, true, 0, done, arg);
+}
+
+static int peers(void *ctx)
+{
+	struct sim_node *s = ctx;
+
+	return s->nodes->peers_known ? s->nodes->count - 1 : -1;
+}
+
+static bool is_reader(void *ctx)
+{
+	return ((struct sim_node *)ctx)->proc < LEARN_READERS;
+}
+
+static bool is_writer(void *ctx)
+{
+	return ((struct sim_node *)ctx)->proc < WRITERS;
+}
+
+static uint32_t random_of(void *ctx)
+{
+	return g_rand_int(((struct sim_node *)ctx)->nodes->fake->rand);
+}
+
+static bool holds_truth(const struct sim_node *s, struct learn *l, int64_t n)
+{
+	json_t *whole = learn_whole(l);
+	bool same = n <= nodes_head(s->nodes) &&
+		    json_equal(json_object_get(whole, "rows"),
+			       g_ptr_array_index(s->nodes->truth, n));
+
+	json_decref(whole);
+	return same;
+}
+
+static void publish(void *ctx, struct config *c, struct learn *l)
+{
+	struct sim_node *s = ctx;
+
+	s->reverts += c->revision <= s->in_force;
+	s->wrong += !holds_truth(s, l, c->revision);
+	config_unref(s->config);
+	s->config = c;
+	s->in_force = c->revision;
+	s->in_force_ms = s->nodes->fake->now_ms;
+}
+
+static void unreadable(void *ctx, const char *error)
+{
+	(void)error;
+	((struct sim_node *)ctx)->unreadable++;
+}
+
+static void store(void *ctx, bool ok)
+{
+	((struct sim_node *)ctx)->store_failures += !ok;
+}
+
+/* A round of gossip: some others hear of this node's revision. */
+static void gossip(struct sim_node *s)
+{
+	struct nodes *ns = s->nodes;
+
+	if (!ns->gossip_ms || ns->fake->now_ms < s->next_gossip_ms)
+		return;
+	s->next_gossip_ms = ns->fake->now_ms + ns->gossip_ms;
+	for (int i = 0; i < FANOUT; i++) {
+		int to = g_rand_int_range(ns->fake->rand, 0, ns->count);
+
+		if (!ns->fake->procs[to].dead && ns->node[to].learn)
+			learn_heard(ns->node[to].learn, s->in_force);
+	}
+}
+
+static void tick(void *arg)
+{
+	struct sim_node *s = arg;
+	struct fake *f = s->nodes->fake;
+
+	learn_tick(s->learn, f->now_ms);
+	gossip(s);
+	fake_after(f, s->proc, s->nodes->tick_ms, tick, s);
+}
+
+int nodes_start(struct nodes *ns)
+{
+	int p = ns->count++;
+	struct sim_node *s = &ns->node[p];
+	struct learn_ops ops = {
+		.ctx = s,
+		.plat = fake_platform(ns->fake, p),
+		.poll_ms = ns->poll_ms,
+		.peers = peers,
+		.ask_changes = ask_changes,
+		.ask_whole = ask_whole,
+		.is_reader = is_reader,
+		.is_writer = is_writer,
+		.random = random_of,
+		.publish = publish,
+		.unreadable = unreadable,
+		.store = store,
+	};
+
+	s->nodes = ns;
+	s->proc = p;
+	s->in_force = -1;
+	s->learn = learn_new(&ops);
+	fake_after(ns->fake, p,
+		   g_rand_int_range(ns->fake->rand, 0, (int)ns->poll_ms), tick,
+		   s);
+	return p;
+}
+
+int nodes_behind(const struct nodes *ns, int64_t revision)
+{
+	int n = 0;
+
+	for (int i = 0; i < ns->count; i++)
+		n += !ns->fake->procs[i].dead &&
+		     ns->node[i].in_force < revision;
+	return n;
+}
+
+int64_t nodes_settle(struct nodes *ns, int64_t revision, int64_t most_ms)
+{
+	struct fake *f = ns->fake;
+	int64_t start = f->now_ms;
+
+	while (nodes_behind(ns, revision) && f->now_ms < start + most_ms)
+		fake_run(f, f->now_ms + 10);
+	return f->now_ms - start;
+}
