node: administration API, rampctl and a truly stale stand-in

Cause: operators had no way in but rows put by hand, and the stand-in's "stale" fault paired old revision numbers with new rows, which no real stale read does.

Change: /v1/resources, /v1/changes, /v1/nodes and /v1/drain (node/api.c, resource.c, audit.c, watch.c, status.c); bin/rampctl; the learner takes the configuration's own revision from head/config instead of the table's; the stand-in keeps older rows and answers rows and revision of one past moment, and has a fault "cut" (effect, no answer, then down).

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -18,4 +18,9 @@
 	{ 4003, LOG_INFO, "stream_resumed" },
 	{ 4004, LOG_WARNING, "stream_lost" },
 	{ 4005, LOG_INFO, "request_refused" },
+	{ 8001, LOG_INFO, "change_accepted" },
+	{ 8002, LOG_INFO, "change_refused" },
+	{ 8003, LOG_WARNING, "change_unknown" },
+	{ 8004, LOG_INFO, "drain_asked" },
+	{ 8005, LOG_WARNING, "api_denied" },
 };
--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -62,6 +62,9 @@
 	{ "log", "level", SETTING_STRING, "info", 4, 7,
 	  offsetof(struct settings, log_level),
 	  "Lowest level that is logged: debug, info, warning or error." },
+	{ "admin", "bootstrap_hash", SETTING_STRING, "", 0, 64,
+	  offsetof(struct settings, admin_bootstrap_hash),
+	  "Hash of an operator key that always works (rampctl hash-key prints it); empty means none." },
 };
 const size_t setting_count =
 	sizeof(setting_infos) / sizeof(setting_infos[0]);
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -24,5 +24,6 @@
 	int64_t streams_silence_ms;
 	int64_t entries_valid_ms;
 	char *log_level;
+	char *admin_bootstrap_hash;
 };
 #endif
--- /dev/null
+++ b/ctl/rampctl.c
@@ -0,0 +1,189 @@
+/* The program: command line, and the commands that need no node. */
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl/ctl.h"
+
+#define NODES_MAX         64
+#define ARGS_MAX          4
+#define DEFAULT_TIMEOUT_S 30
+#define KEY_MAX_BYTES     4096
+
+static enum ctl_exit check_settings(const struct ctl *c)
+{
+	GPtrArray *errors;
+	struct settings s;
+	bool ok;
+
+	if (c->arg_count != 1) {
+		fprintf(stderr, "usage: rampctl check-settings FILE\n");
+		return CTL_USAGE;
+	}
+	errors = g_ptr_array_new_with_free_func(g_free);
+	ok = settings_load(c->args[0], &s, errors);
+	for (guint i = 0; i < errors->len; i++)
+		fprintf(stderr, "%s\n", (char *)g_ptr_array_index(errors, i));
+	g_ptr_array_unref(errors);
+	settings_clear(&s);
+	return ok ? CTL_OK : CTL_USAGE;
+}
+
+/* The key comes from a file or standard input, never from an argument. */
+static char *read_key(const char *path)
+{
+	char buf[KEY_MAX_BYTES] = "";
+	FILE *f = strcmp(path, "-") ? fopen(path, "r") : stdin;
+
+	if (!f || !fgets(buf, sizeof(buf), f)) {
+		fprintf(stderr, "rampctl: no key in %s\n", path);
+		if (f && f != stdin)
+			fclose(f);
+		return NULL;
+	}
+	if (f != stdin)
+		fclose(f);
+	return g_strdup(g_strstrip(buf));
+}
+
+static enum ctl_exit hash_key(const struct ctl *c)
+{
+	char *key = read_key(c->arg_count ? c->args[0] : "-");
+	char *hash;
+
+	if (!key)
+		return CTL_USAGE;
+	hash = key_hash(str_c(key));
+	puts(hash);
+	g_free(hash);
+	g_free(key);
+	return CTL_OK;
+}
+
+static const struct {
+	const char *name;
+	enum ctl_exit (*run)(const struct ctl *c);
+	bool needs_node;
+	const char *help;
+} commands[] = {
+	{"get", ctl_cmd_get, true, "KIND [NAME]: show resources"},
+	{"put", ctl_cmd_put, true, "-f FILE: create or replace resources"},
+	{"delete", ctl_cmd_delete, true, "KIND NAME: delete a resource"},
+	{"watch", ctl_cmd_watch, true, "KIND: show changes as they come"},
+	{"status", ctl_cmd_status, true,
+	 "[KIND NAME]: show nodes, or where a resource is in force"},
+	{"changes", ctl_cmd_changes, true, "[ID]: show the audit trail"},
+	{"drain", ctl_cmd_drain, true, "NODE: stop a node gracefully"},
+	{"check-settings", check_settings, false, "FILE: check only"},
+	{"hash-key", hash_key, false, "[FILE]: hash of a key, for resources"},
+};
+
+static enum ctl_exit run_command(const char *name, const struct ctl *c)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, name))
+			continue;
+		if (commands[i].needs_node && !c->node_count) {
+			fprintf(stderr, "rampctl: --node or RAMP_NODES is "
+					"required\n");
+			return CTL_USAGE;
+		}
+		return commands[i].run(c);
+	}
+	fprintf(stderr, "rampctl: %s: unknown command\n", name);
+	return CTL_USAGE;
+}
+
+static void print_help(void **table)
+{
+	printf("usage: rampctl");
+	arg_print_syntax(stdout, table, "\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		printf("  %s %s\n", commands[i].name, commands[i].help);
+	arg_print_glossary(stdout, table, "  %-24s %s\n");
+}
+
+/* Nodes of the command line, else of RAMP_NODES, separated by commas. */
+static void set_nodes(struct ctl *c, const struct arg_str *node)
+{
+	static const char *from_env[NODES_MAX + 1];
+	const char *env = g_getenv("RAMP_NODES");
+
+	c->nodes = node->sval;
+	c->node_count = node->count;
+	if (node->count || !env)
+		return;
+	c->nodes = from_env;
+	for (char *s = strtok(g_strdup(env), ","); s && c->node_count < 64;
+	     s = strtok(NULL, ","))
+		from_env[c->node_count++] = s;
+}
+
+static int64_t value_or(const struct arg_int *a, int64_t otherwise)
+{
+	return a->count ? a->ival[0] : otherwise;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_str *node = arg_strn("n", "node", "IP:PORT", 0, NODES_MAX,
+					"nodes, tried in this order");
+	struct arg_file *key =
+		arg_file0("k", "key-file", "FILE", "key; RAMP_KEY otherwise");
+	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
+	struct arg_lit *wait =
+		arg_lit0("w", "wait", "until in force on every node");
+	struct arg_int *timeout =
+		arg_int0("t", "timeout", "S", "longest wait, in seconds");
+	struct arg_file *file =
+		arg_file0("f", "file", "FILE", "resources in JSON; - is input");
+	struct arg_int *version =
+		arg_int0(NULL, "version", "N", "change only this version");
+	struct arg_lit *force = arg_lit0(NULL, "force", "change any version");
+	struct arg_str *change = arg_str0(NULL, "change", "ID",
+					  "identity of a change sent again");
+	struct arg_int *after =
+		arg_int0("a", "after", "N", "changes after this revision");
+	struct arg_int *count =
+		arg_int0("c", "count", "N", "end after so many changes");
+	struct arg_str *command = arg_str1(NULL, NULL, "COMMAND", NULL);
+	struct arg_str *args = arg_strn(NULL, NULL, "ARG", 0, ARGS_MAX, NULL);
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help,    node,  key,     json,  wait,
+			 timeout, file,  version, force, change,
+			 after,   count, command, args,  end};
+	int errors = arg_parse(argc, argv, table);
+	struct ctl c = {.version = -1, .after = -1};
+
+	if (help->count) {
+		print_help(table);
+		return CTL_OK;
+	}
+	if (errors) {
+		arg_print_errors(stderr, end, "rampctl");
+		fprintf(stderr, "try \"rampctl --help\"\n");
+		return CTL_USAGE;
+	}
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL))
+		return CTL_FAILED;
+	set_nodes(&c, node);
+	c.args = args->sval;
+	c.arg_count = args->count;
+	c.file = file->count ? file->filename[0] : NULL;
+	c.change = change->count ? change->sval[0] : NULL;
+	c.version = value_or(version, -1);
+	c.after = value_or(after, -1);
+	c.count = value_or(count, 0);
+	c.timeout_ms = value_or(timeout, DEFAULT_TIMEOUT_S) * 1000;
+	c.json = json->count;
+	c.wait = wait->count;
+	c.force = force->count;
+	c.key = key->count ? read_key(key->filename[0])
+			   : g_strdup(g_getenv("RAMP_KEY"));
+	if (key->count && !c.key)
+		return CTL_USAGE;
+	return (int)run_command(command->sval[0], &c);
+}
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -15,6 +15,15 @@
 	{"*", "/v1/services/:service/*", on_plain},
 	{"GET", "/metrics", on_metrics},
 	{"GET", "/ready", on_ready},
+	{"GET", "/v1/resources/:kind", on_resource_list},
+	{"GET", "/v1/resources/:kind/:name", on_resource_get},
+	{"PUT", "/v1/resources/:kind/:name", on_resource_put},
+	{"DELETE", "/v1/resources/:kind/:name", on_resource_delete},
+	{"GET", "/v1/resources/:kind/:name/status", on_resource_status},
+	{"GET", "/v1/changes", on_change_list},
+	{"GET", "/v1/changes/:id", on_change_get},
+	{"GET", "/v1/nodes", on_nodes},
+	{"POST", "/v1/drain", on_drain},
 };
 
 static bool load_settings(const char *path, struct settings *s)
--- a/node/config.c
+++ b/node/config.c
@@ -4,7 +4,8 @@
 struct learner {
 	struct control_env *env;
 	json_t *rows;          /* of a scan in progress */
-	int64_t scan_revision; /* revision of the scan's first page */
+	int64_t scan_revision; /* of the head that began the scan */
+	int64_t head_version;  /* the table's revision that wrote the head */
 	bool scanning;
 	bool store_ok;
 	int64_t next_read_ms; /* monotonic */
@@ -42,13 +43,13 @@
 	json_t *last;
 
 	note_store(l, r);
-	if (r->status != PLAT_OK || !json_is_array(rows)) {
+	/* A page from before the head would lack what the head tells of. */
+	if (r->status != PLAT_OK || !json_is_array(rows) ||
+	    json_integer_value(json_object_get(r->json, "revision")) <
+		    l->head_version) {
 		l->scanning = false;
 		return;
 	}
-	if (!json_array_size(l->rows))
-		l->scan_revision = json_integer_value(
-			json_object_get(r->json, "revision"));
 	json_array_extend(l->rows, rows);
 	last = json_array_get(rows, json_array_size(rows) - 1);
 	if (json_is_true(json_object_get(r->json, "more")) && last) {
@@ -67,10 +68,12 @@
 	p->scan(p->ctx, "res/", after, on_rows, l);
 }
 
-static void on_revision(const struct plat_result *r, void *arg)
+static void on_head(const struct plat_result *r, void *arg)
 {
 	struct learner *l = arg;
-	int64_t rev = json_integer_value(json_object_get(r->json, "revision"));
+	const json_t *row = json_array_get(json_object_get(r->json, "rows"), 0);
+	int64_t rev = json_integer_value(
+		json_object_get(json_object_get(row, "value"), "revision"));
 	struct config *now;
 	bool newer;
 
@@ -83,6 +86,8 @@
 	if (!newer)
 		return;
 	json_array_clear(l->rows);
+	l->scan_revision = rev;
+	l->head_version = json_integer_value(json_object_get(row, "version"));
 	scan_from(l, NULL);
 }
 
@@ -104,7 +109,7 @@
 	if (now_ms < l->next_read_ms)
 		return;
 	l->next_read_ms = now_ms + l->env->node->set.platform_poll_ms;
-	p->revision(p->ctx, on_revision, l);
+	p->scan(p->ctx, "head/config", NULL, on_head, l);
 }
 
 static void stop(void *ctx)
--- a/node/entries.c
+++ b/node/entries.c
@@ -49,20 +49,24 @@
 	return U_CALLBACK_COMPLETE;
 }
 
+/* GET /ready?revision=N: N asks whether that revision is in force here. */
 int on_ready(const struct _u_request *q, struct _u_response *r, void *node)
 {
 	struct node *n = node;
+	const char *asked = u_map_get(q->map_url, "revision");
 	struct config *c = node_config(n);
 	struct fleet *f = node_fleet(n);
 	bool ready = c && f && !atomic_load(&n->leaving);
 	int64_t rev = c ? c->revision : 0;
+	int64_t since = node_in_force_since(
+		n, asked ? g_ascii_strtoll(asked, NULL, 10) : rev);
 
-	(void)q;
 	config_unref(c);
 	fleet_unref(f);
 	return answer_json(r, ready ? 200 : 503,
-			   json_pack("{s:s,s:b,s:I,s:b}", "name",
+			   json_pack("{s:s,s:b,s:I,s:I,s:b,s:i}", "name",
 				     n->set.node_name, "ready", ready,
-				     "revision", rev, "leaving",
-				     (int)atomic_load(&n->leaving)));
+				     "revision", rev, "since_ms", since,
+				     "leaving", (int)atomic_load(&n->leaving),
+				     "running", atomic_load(&n->running)));
 }
--- a/node/node.h
+++ b/node/node.h
@@ -43,6 +43,14 @@
 /* Name a target, or NULL. */
 const struct target *fleet_target(const struct fleet *f, const char *name);
 
+#define APPLIED_MAX 64 /* revisions whose time of arrival is remembered */
+
+/* A configuration revision and when it came into force here. */
+struct applied {
+	int64_t revision;
+	int64_t at_ms; /* wall clock */
+};
+
 struct node {
 	struct settings set;
 	struct server server;
@@ -54,9 +62,11 @@
 	/* Newest configuration revision that another node has told of. */
 	atomic_int_least64_t heard_revision;
 
-	GMutex lock; /* for the two below; the control thread replaces them */
+	GMutex lock; /* for those below; the control thread replaces them */
 	struct config *config;
 	struct fleet *fleet;
+	struct applied applied[APPLIED_MAX]; /* oldest first */
+	unsigned applied_count;
 };
 
 /* References to what is in force; config is NULL before the first read. */
@@ -64,6 +74,12 @@
 struct fleet *node_fleet(struct node *n);
 void node_set_config(struct node *n, struct config *c);
 void node_set_fleet(struct node *n, struct fleet *f);
+/*
+ * Wall-clock time since which a revision, or a newer one, has been in force
+ * here; 0 when it is not. For revisions of long ago it is the oldest time
+ * remembered.
+ */
+int64_t node_in_force_since(struct node *n, int64_t revision);
 
 /* What the control thread's modules share. */
 struct control_env {
@@ -172,5 +188,22 @@
 int on_entries(const struct _u_request *q, struct _u_response *r, void *node);
 int on_metrics(const struct _u_request *q, struct _u_response *r, void *node);
 int on_ready(const struct _u_request *q, struct _u_response *r, void *node);
+/* The administration API; docs/API.md. */
+int on_resource_list(const struct _u_request *q, struct _u_response *r,
+		     void *node);
+int on_resource_get(const struct _u_request *q, struct _u_response *r,
+		    void *node);
+int on_resource_put(const struct _u_request *q, struct _u_response *r,
+		    void *node);
+int on_resource_delete(const struct _u_request *q, struct _u_response *r,
+		       void *node);
+int on_resource_status(const struct _u_request *q, struct _u_response *r,
+		       void *node);
+int on_change_list(const struct _u_request *q, struct _u_response *r,
+		   void *node);
+int on_change_get(const struct _u_request *q, struct _u_response *r,
+		  void *node);
+int on_nodes(const struct _u_request *q, struct _u_response *r, void *node);
+int on_drain(const struct _u_request *q, struct _u_response *r, void *node);
 
 #endif
--- /dev/null
+++ b/node/status.c
@@ -0,0 +1,203 @@
+/*
+ * Where a change is in force: nodes are asked for the revision that they
+ * serve, all at once, by the connection's thread.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "node/api.h"
+
+#define ASK_MS 1000
+
+/* One node's answer to GET /ready. */
+struct asked_node {
+	const struct peer *peer; /* NULL: this node, which isn't listed yet */
+	json_t *ready;           /* NULL: no answer */
+	int *waiting;
+};
+
+static void on_ready_answer(const struct fetch_result *r, void *arg)
+{
+	struct asked_node *a = arg;
+
+	if (r->status)
+		a->ready = json_loadb(r->body.data, r->body.len, 0, NULL);
+	--*a->waiting;
+}
+
+static json_t *describe(const struct node *n, const struct asked_node *a)
+{
+	const struct peer *p = a->peer;
+	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:b}", "name",
+			      p ? p->name : n->set.node_name, "address",
+			      p ? p->address : n->address, "zone",
+			      p ? p->zone : n->set.node_zone, "region",
+			      p ? p->region : n->set.node_region, "reachable",
+			      json_is_object(a->ready));
+
+	if (json_is_object(a->ready))
+		json_object_update_missing(j, a->ready);
+	else
+		json_object_set_new(j, "leaving",
+				    json_boolean(p && p->leaving));
+	return j;
+}
+
+static void ask(struct fetcher *f, const char *address, const char *query,
+		struct asked_node *a)
+{
+	char *url = g_strdup_printf("http://%s/ready%s", address, query);
+
+	fetch(f, "GET", url, str_c(NULL), ASK_MS, on_ready_answer, a);
+	g_free(url);
+}
+
+/* What every node says of itself; since_ms is that of the revision, if any. */
+static json_t *ask_nodes(struct api_call *c, int64_t revision)
+{
+	struct fleet *fleet = node_fleet(c->node);
+	guint n = fleet ? fleet->peers->len : 0;
+	struct asked_node *asked = g_new0(struct asked_node, n + 1);
+	struct fetcher *f = fetcher_new();
+	json_t *list = json_array();
+	char query[64] = "";
+	int waiting = (int)MAX(n, 1);
+
+	if (revision >= 0)
+		g_snprintf(query, sizeof(query), "?revision=%" PRId64,
+			   revision);
+	for (guint i = 0; i < MAX(n, 1); i++) {
+		asked[i].waiting = &waiting;
+		asked[i].peer = n ? g_ptr_array_index(fleet->peers, i) : NULL;
+		ask(f, n ? asked[i].peer->address : c->node->address, query,
+		    &asked[i]);
+	}
+	while (waiting > 0)
+		fetcher_poll(f, NULL, 0, ASK_MS);
+	for (guint i = 0; i < MAX(n, 1); i++) {
+		json_array_append_new(list, describe(c->node, &asked[i]));
+		json_decref(asked[i].ready);
+	}
+	fetcher_free(f);
+	g_free(asked);
+	fleet_unref(fleet);
+	return list;
+}
+
+/* GET /v1/nodes */
+int on_nodes(const struct _u_request *q, struct _u_response *r, void *node)
+{
+	struct api_call c;
+
+	if (!api_begin(&c, node, q, r, ROLE_OPERATOR))
+		return U_CALLBACK_COMPLETE;
+	return api_answer(&c, 200,
+			  json_pack("{s:o}", "nodes", ask_nodes(&c, -1)));
+}
+
+/*
+ * Count the nodes that take requests and those with the revision in force;
+ * mark each node. Returns since when it is in force on all, or 0.
+ */
+static int64_t count_in_force(json_t *nodes, int64_t revision, int *live,
+			      int *in_force)
+{
+	int64_t since = 0;
+	size_t i;
+	json_t *n;
+
+	*live = 0;
+	*in_force = 0;
+	json_array_foreach (nodes, i, n) {
+		int64_t has =
+			json_integer_value(json_object_get(n, "revision"));
+		int64_t at = json_integer_value(json_object_get(n, "since_ms"));
+		bool yes = json_is_true(json_object_get(n, "reachable")) &&
+			   has >= revision && at;
+
+		json_object_set_new(n, "in_force", json_boolean(yes));
+		if (json_is_true(json_object_get(n, "leaving")))
+			continue;
+		++*live;
+		*in_force += yes;
+		since = yes ? MAX(since, at) : since;
+	}
+	return *live && *in_force == *live ? since : 0;
+}
+
+static json_t *status_json(struct api_call *c, enum resource_kind k,
+			   const char *name, const json_t *value,
+			   int64_t revision)
+{
+	json_t *nodes = ask_nodes(c, revision);
+	int live, in_force;
+	int64_t since = count_in_force(nodes, revision, &live, &in_force);
+
+	return json_pack("{s:s,s:s,s:I,s:O*,s:i,s:i,s:b,s:I,s:o}", "kind",
+			 kind_name(k), "name", name, "revision", revision,
+			 "generation", json_object_get(value, "generation"),
+			 "live", live, "in_force", in_force, "everywhere",
+			 live && in_force == live, "since_ms", since, "nodes",
+			 nodes);
+}
+
+/*
+ * GET /v1/resources/:kind/:name/status; ?revision=N asks about a change that
+ * may have deleted the resource.
+ */
+int on_resource_status(const struct _u_request *q, struct _u_response *r,
+		       void *node)
+{
+	const char *name = u_map_get(q->map_url, "name");
+	int64_t revision = 0;
+	struct api_call c;
+	enum resource_kind k;
+	enum ramp_error e;
+	struct rows rows;
+	const json_t *value;
+	json_t *j = NULL;
+	char *key;
+
+	if (!api_begin(&c, node, q, r, ROLE_ADMIN))
+		return U_CALLBACK_COMPLETE;
+	k = api_kind(&c);
+	if (k == KIND_COUNT)
+		return api_refuse(&c, RAMP_ERR_NOT_FOUND, "no such collection");
+	if (!api_query_int(&c, "revision", &revision))
+		return api_refuse(&c, RAMP_ERR_BAD_REQUEST,
+				  "revision: a number is required");
+	key = resource_key(k, name);
+	e = read_rows(&c.plat, key, NULL, true, &rows);
+	value = json_object_get(rows_find(&rows, key), "value");
+	g_free(key);
+	if (value &&
+	    !api_sees(c.organisation, k, name, json_object_get(value, "spec")))
+		value = NULL;
+	if (value && !revision)
+		revision =
+			json_integer_value(json_object_get(value, "revision"));
+	if (e == RAMP_OK && revision)
+		j = status_json(&c, k, name, value, revision);
+	rows_clear(&rows);
+	if (!j)
+		return api_refuse(&c, e != RAMP_OK ? e : RAMP_ERR_NOT_FOUND,
+				  NULL);
+	return api_answer(&c, 200, j);
+}
+
+/* POST /v1/drain: the same as SIGTERM to this node. */
+int on_drain(const struct _u_request *q, struct _u_response *r, void *node)
+{
+	struct api_call c;
+
+	if (!api_begin(&c, node, q, r, ROLE_OPERATOR))
+		return U_CALLBACK_COMPLETE;
+	log_event(EV_DRAIN_ASKED, "who=%s from=%s", c.who, c.from);
+	kill(getpid(), SIGTERM);
+	return api_answer(&c, 202,
+			  json_pack("{s:s,s:b}", "name", c.node->set.node_name,
+				    "leaving", 1));
+}
--- a/node/view.c
+++ b/node/view.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "node/node.h"
 
 struct config *node_config(struct node *n)
@@ -20,6 +22,30 @@
 	return f;
 }
 
+/* The lock is held. */
+static void note_applied(struct node *n, int64_t revision)
+{
+	if (n->applied_count == APPLIED_MAX)
+		memmove(n->applied, n->applied + 1,
+			--n->applied_count * sizeof(n->applied[0]));
+	n->applied[n->applied_count++] =
+		(struct applied){revision, time_now_ms()};
+}
+
+int64_t node_in_force_since(struct node *n, int64_t revision)
+{
+	int64_t since = 0;
+
+	g_mutex_lock(&n->lock);
+	for (unsigned i = n->applied_count; i-- > 0;) {
+		if (n->applied[i].revision < revision)
+			break;
+		since = n->applied[i].at_ms;
+	}
+	g_mutex_unlock(&n->lock);
+	return since;
+}
+
 /* Takes the reference. A revision older than the one held is dropped. */
 void node_set_config(struct node *n, struct config *c)
 {
@@ -31,6 +57,8 @@
 		old = c;
 	else
 		n->config = c;
+	if (old != c)
+		note_applied(n, c->revision);
 	g_mutex_unlock(&n->lock);
 	if (old != c) {
 		metric_set(M_CONFIG_REVISION, c->revision);
--- /dev/null
+++ b/node/watch.c
@@ -0,0 +1,243 @@
+/*
+ * Watches: changes of a collection as server-sent events, read from the audit
+ * trail. A watch asks the table only when this node has learned of a change,
+ * and now and then besides, so idle watches cost the table almost nothing.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "node/api.h"
+
+#define HEARTBEAT_MS 5000
+#define POLL_US      (20 * 1000)
+#define BLOCK_BYTES  4096
+
+/* A watch in progress; it belongs to the connection's thread. */
+struct watch {
+	struct node *node;
+	struct platform plat;
+	struct plat_http *http;
+	enum resource_kind kind;
+	char *organisation;   /* an admin's own; NULL: an operator */
+	int64_t after;        /* newest change that was looked at */
+	int64_t learned;      /* configuration revision at the last read */
+	int64_t next_beat_ms; /* monotonic */
+	GString *out;
+	size_t off;
+	bool ended;
+};
+
+static int64_t get_int(const json_t *j, const char *name)
+{
+	return json_integer_value(json_object_get(j, name));
+}
+
+/* The event of a change: what the resource is now, or null. */
+static void append_change(struct watch *w, const json_t *view)
+{
+	bool deleted = json_is_null(json_object_get(view, "is"));
+	json_t *j =
+		json_pack("{s:O,s:O,s:O,s:O,s:O,s:I,s:O,s:O}", "revision",
+			  json_object_get(view, "revision"), "change",
+			  json_object_get(view, "id"), "kind",
+			  json_object_get(view, "kind"), "name",
+			  json_object_get(view, "name"), "spec",
+			  json_object_get(view, "is"), "version",
+			  deleted ? (json_int_t)0 : get_int(view, "revision"),
+			  "generation", json_object_get(view, "generation"),
+			  "at_ms", json_object_get(view, "at_ms"));
+	char *s = json_dumps(j, JSON_COMPACT);
+
+	g_string_append_printf(w->out, "id: %" PRId64 "\ndata: %s\n\n",
+			       w->after, s);
+	free(s);
+	json_decref(j);
+}
+
+/* An event without data moves the position of the reader and no more. */
+static void append_heartbeat(struct watch *w)
+{
+	g_string_append_printf(w->out, ": heartbeat\nid: %" PRId64 "\n\n",
+			       w->after);
+	w->next_beat_ms = time_mono_ms() + HEARTBEAT_MS;
+}
+
+static void append_end(struct watch *w, enum ramp_error e)
+{
+	json_t *j = ramp_error_json(e, NULL, 0);
+	char *s = json_dumps(j, JSON_COMPACT);
+
+	g_string_append_printf(w->out, "data: %s\n\n", s);
+	free(s);
+	json_decref(j);
+	w->ended = true;
+}
+
+static void take_row(struct watch *w, const json_t *value)
+{
+	json_t *view = audit_view(value, w->organisation);
+	const char *kind = json_string_value(json_object_get(view, "kind"));
+
+	w->after = get_int(value, "revision");
+	if (view && kind_from_name(kind) == w->kind)
+		append_change(w, view);
+	json_decref(view);
+}
+
+/*
+ * Read the changes after the position.
+ *
+ * Return: RAMP_OK, RAMP_ERR_GONE when the next one is no longer kept, or
+ * RAMP_ERR_STORE_DOWN.
+ */
+static enum ramp_error read_changes(struct watch *w)
+{
+	char *key = audit_key(w->after);
+	struct rows rows;
+	enum ramp_error e;
+	size_t i;
+	json_t *row;
+
+	e = read_rows(&w->plat, "chg/", key, true, &rows);
+	g_free(key);
+	if (e == RAMP_OK && rows.head > w->after &&
+	    !json_array_size(rows.items))
+		e = RAMP_ERR_GONE;
+	json_array_foreach (rows.items, i, row) {
+		const json_t *value = json_object_get(row, "value");
+
+		if (e == RAMP_OK && get_int(value, "revision") != w->after + 1)
+			e = RAMP_ERR_GONE;
+		if (e == RAMP_OK)
+			take_row(w, value);
+	}
+	/* A full page may not be the last one. */
+	if (e == RAMP_OK && rows.head > w->after)
+		w->learned = -1;
+	rows_clear(&rows);
+	return e;
+}
+
+static int64_t learned_revision(struct node *n)
+{
+	struct config *c = node_config(n);
+	int64_t rev = c ? c->revision : 0;
+
+	config_unref(c);
+	return rev;
+}
+
+/* Wait for events, the heartbeat or the end; something is in out after. */
+static void fill(struct watch *w)
+{
+	g_string_truncate(w->out, 0);
+	w->off = 0;
+	while (!w->out->len && !w->ended) {
+		int64_t learned = learned_revision(w->node);
+		bool beat = time_mono_ms() >= w->next_beat_ms;
+		enum ramp_error e = RAMP_OK;
+
+		if (atomic_load(&w->node->leaving)) {
+			w->ended = true;
+			return;
+		}
+		if (learned != w->learned || beat) {
+			w->learned = learned;
+			e = read_changes(w);
+		}
+		if (e == RAMP_ERR_GONE)
+			append_end(w, e);
+		else if (beat)
+			append_heartbeat(w);
+		if (!w->out->len)
+			g_usleep(POLL_US);
+	}
+}
+
+static ssize_t read_watch(void *ctx, uint64_t off, char *buf, size_t max)
+{
+	struct watch *w = ctx;
+	size_t n;
+
+	(void)off;
+	if (w->off == w->out->len && !w->ended)
+		fill(w);
+	if (w->off == w->out->len)
+		return U_STREAM_END;
+	n = MIN(max, w->out->len - w->off);
+	memcpy(buf, w->out->str + w->off, n);
+	w->off += n;
+	return (ssize_t)n;
+}
+
+static void close_watch(void *ctx)
+{
+	struct watch *w = ctx;
+
+	metric_add(M_WATCHES_OPEN, -1);
+	plat_http_free(w->http);
+	g_string_free(w->out, TRUE);
+	g_free(w->organisation);
+	g_free(w);
+}
+
+/* Where to begin: ?after=N, else the header of a reconnecting reader. */
+static bool read_position(const struct api_call *c, int64_t *after)
+{
+	const char *last = u_map_get_case(c->q->map_header, "Last-Event-ID");
+	char *end;
+
+	*after = -1;
+	if (u_map_get(c->q->map_url, "after"))
+		return api_query_int(c, "after", after);
+	if (!last)
+		return true;
+	*after = g_ascii_strtoll(last, &end, 10);
+	return end != last && !*end && *after >= 0;
+}
+
+/* Without a position the watch begins at the newest change. */
+static enum ramp_error begin_at(struct watch *w, int64_t after)
+{
+	struct rows rows;
+	enum ramp_error e;
+
+	w->after = after;
+	if (after >= 0)
+		return read_changes(w);
+	e = read_rows(&w->plat, "head/config", NULL, true, &rows);
+	w->after = rows.head;
+	rows_clear(&rows);
+	return e;
+}
+
+int watch_begin(struct api_call *c, enum resource_kind k)
+{
+	struct watch *w;
+	int64_t after;
+	enum ramp_error e;
+
+	if (!read_position(c, &after))
+		return api_refuse(c, RAMP_ERR_BAD_REQUEST,
+				  "after: a revision is required");
+	w = g_new0(struct watch, 1);
+	w->node = c->node;
+	w->kind = k;
+	w->organisation = g_strdup(c->organisation);
+	w->out = g_string_new(NULL);
+	w->http = plat_http_new(&c->node->set, NULL, &w->plat);
+	w->learned = learned_revision(c->node);
+	metric_add(M_WATCHES_OPEN, 1);
+	e = begin_at(w, after);
+	if (e != RAMP_OK) {
+		close_watch(w);
+		return api_refuse(c, e, NULL);
+	}
+	append_heartbeat(w);
+	u_map_put(c->r->map_header, "Content-Type", "text/event-stream");
+	ulfius_set_stream_response(c->r, 200, read_watch, close_watch,
+				   U_STREAM_SIZE_UNKNOWN, BLOCK_BYTES, w);
+	/* A watch is not work to wait for when the node leaves. */
+	api_end(c);
+	return U_CALLBACK_COMPLETE;
+}
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -9,16 +9,19 @@
 
 #include "standin/standin.h"
 
+/* A row as one transaction left it; older ones are kept for stale reads. */
 struct row {
-	json_t *value;
+	json_t *value;   /* NULL: deleted */
 	int64_t version; /* revision of the transaction that wrote it */
+	struct row *older;
 };
 
 struct faults {
 	bool down;         /* refuse every call */
 	int64_t slow_ms;   /* wait before every call */
 	int64_t lose;      /* drop this many answers to writes */
-	int64_t stale;     /* scans answer as of so many ago */
+	bool cut;          /* drop the next write's answer, then be down */
+	int64_t stale;     /* reads answer as of so many revisions ago */
 	int64_t lag_ms;    /* the instance list shows the past */
 	int64_t weight_ms; /* time that a weight read takes */
 };
@@ -44,8 +47,21 @@
 {
 	struct row *r = p;
 
-	json_decref(r->value);
-	g_free(r);
+	while (r) {
+		struct row *older = r->older;
+
+		json_decref(r->value);
+		g_free(r);
+		r = older;
+	}
+}
+
+/* The row as of a revision, or NULL when it was absent. */
+static const struct row *row_at(const struct row *r, int64_t revision)
+{
+	while (r && r->version > revision)
+		r = r->older;
+	return r && r->value ? r : NULL;
 }
 
 static int compare_keys(const void *a, const void *b, void *unused)
@@ -80,7 +96,8 @@
 	json_array_foreach (checks, i, c) {
 		const char *key = json_string_value(json_object_get(c, "key"));
 		json_t *want = json_object_get(c, "version");
-		struct row *row = key ? g_tree_lookup(p->rows, key) : NULL;
+		const struct row *row = row_at(
+			key ? g_tree_lookup(p->rows, key) : NULL, p->revision);
 
 		if (json_integer_value(want) != (row ? row->version : 0))
 			return c;
@@ -88,24 +105,33 @@
 	return NULL;
 }
 
+/* Takes the reference to value. */
+static void write_row(struct platform *p, const char *key, json_t *value)
+{
+	struct row *row = g_new0(struct row, 1);
+	gpointer old_key, old;
+
+	row->value = value;
+	row->version = p->revision;
+	if (g_tree_lookup_extended(p->rows, key, &old_key, &old)) {
+		row->older = old;
+		g_tree_steal(p->rows, key);
+		g_free(old_key);
+	}
+	g_tree_insert(p->rows, g_strdup(key), row);
+}
+
 static void apply(struct platform *p, const json_t *puts, const json_t *dels)
 {
 	size_t i;
 	json_t *x;
 
 	p->revision++;
-	json_array_foreach (puts, i, x) {
-		struct row *row = g_new0(struct row, 1);
-
-		row->value = json_incref(json_object_get(x, "value"));
-		row->version = p->revision;
-		g_tree_replace(
-			p->rows,
-			g_strdup(json_string_value(json_object_get(x, "key"))),
-			row);
-	}
+	json_array_foreach (puts, i, x)
+		write_row(p, json_string_value(json_object_get(x, "key")),
+			  json_incref(json_object_get(x, "value")));
 	json_array_foreach (dels, i, x)
-		g_tree_remove(p->rows, json_string_value(x));
+		write_row(p, json_string_value(x), NULL);
 }
 
 static bool well_formed(const json_t *body)
@@ -152,9 +178,11 @@
 		g_ptr_array_add(p->history, json_incref(body));
 	}
 	rev = p->revision;
-	lose = p->faults.lose > 0;
-	if (lose)
+	lose = p->faults.lose > 0 || p->faults.cut;
+	if (p->faults.lose > 0)
 		p->faults.lose--;
+	if (p->faults.cut)
+		p->faults = (struct faults){.down = true};
 	g_mutex_unlock(&p->lock);
 	if (bad)
 		answer_json(r, 409,
@@ -172,6 +200,7 @@
 	const char *prefix;
 	const char *after;
 	int64_t limit;
+	int64_t revision; /* rows as of then */
 	json_t *rows;
 	bool more;
 };
@@ -179,11 +208,11 @@
 static gboolean scan_row(void *key, void *value, void *ctx)
 {
 	struct scan *s = ctx;
-	struct row *row = value;
+	const struct row *row = row_at(value, s->revision);
 
 	if (!g_str_has_prefix(key, s->prefix))
 		return strcmp(key, s->prefix) > 0;
-	if (s->after && strcmp(key, s->after) <= 0)
+	if (!row || (s->after && strcmp(key, s->after) <= 0))
 		return FALSE;
 	if ((int64_t)json_array_size(s->rows) == s->limit) {
 		s->more = true;
@@ -211,7 +240,6 @@
 			 .prefix = u_map_get(q->map_url, "prefix"),
 			 .limit = query_int(q, "limit", 1000),
 			 .rows = json_array()};
-	int64_t rev;
 
 	if (!s.prefix)
 		s.prefix = "";
@@ -221,12 +249,12 @@
 	}
 	g_mutex_lock(&p->lock);
 	p->reads++;
+	s.revision = MAX(p->revision - p->faults.stale, 0);
 	g_tree_foreach(p->rows, scan_row, &s);
-	rev = MAX(p->revision - p->faults.stale, 0);
 	g_mutex_unlock(&p->lock);
 	return answer_json(r, 200,
-			   json_pack("{s:I,s:o,s:b}", "revision", rev, "rows",
-				     s.rows, "more", s.more));
+			   json_pack("{s:I,s:o,s:b}", "revision", s.revision,
+				     "rows", s.rows, "more", s.more));
 }
 
 /* GET /table/revision: the newest revision alone, which is cheap to poll. */
@@ -358,16 +386,18 @@
 	json_t *body = ulfius_get_json_body_request(q, NULL);
 	struct faults f = {0};
 	int down = 0;
+	int cut = 0;
 
-	if (json_unpack(body, "{s?b,s?I,s?I,s?I,s?I,s?I !}", "down", &down,
-			"slow_ms", &f.slow_ms, "lose", &f.lose, "stale",
-			&f.stale, "lag_ms", &f.lag_ms, "weight_ms",
+	if (json_unpack(body, "{s?b,s?I,s?I,s?b,s?I,s?I,s?I !}", "down", &down,
+			"slow_ms", &f.slow_ms, "lose", &f.lose, "cut", &cut,
+			"stale", &f.stale, "lag_ms", &f.lag_ms, "weight_ms",
 			&f.weight_ms)) {
 		json_decref(body);
 		return refuse(r, 400, "unknown fault");
 	}
 	json_decref(body);
 	f.down = down;
+	f.cut = cut;
 	g_mutex_lock(&p->lock);
 	p->faults = f;
 	g_mutex_unlock(&p->lock);
--- a/state/config.c
+++ b/state/config.c
@@ -191,7 +191,7 @@
 		[KIND_INTENT] = add_intent,
 	};
 
-	if (!schema_check(k, name, spec, errors))
+	if (!resource_check(k, name, spec, errors))
 		return false;
 	add[k](c, name, spec);
 	return true;
--- a/state/schema.c
+++ b/state/schema.c
@@ -145,8 +145,8 @@
 	       strspn(s, "abcdefghijklmnopqrstuvwxyz0123456789-.") == n;
 }
 
-bool schema_check(enum resource_kind k, const char *name, const json_t *spec,
-		  GPtrArray *errors)
+bool resource_check(enum resource_kind k, const char *name, const json_t *spec,
+		    GPtrArray *errors)
 {
 	struct check c = {k, name, errors};
 	guint before = errors->len;
--- a/state/schema.h
+++ b/state/schema.h
@@ -29,8 +29,4 @@
 extern const struct field_info field_infos[];
 extern const size_t field_count;
 
-/* Check a spec field by field; every fault becomes one string in errors. */
-bool schema_check(enum resource_kind k, const char *name, const json_t *spec,
-		  GPtrArray *errors);
-
 #endif
--- a/state/state.h
+++ b/state/state.h
@@ -109,6 +109,9 @@
 bool config_add(struct config *c, enum resource_kind k, const char *name,
 		const json_t *spec, GPtrArray *errors);
 bool config_check_refs(const struct config *c, GPtrArray *errors);
+/* Only the check of a resource by itself. */
+bool resource_check(enum resource_kind k, const char *name, const json_t *spec,
+		    GPtrArray *errors);
 const struct organisation *config_organisation(const struct config *c,
 					       const char *name);
 const struct service *config_service(const struct config *c, const char *name);
