--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -37,4 +37,6 @@
 	  "Changes of configuration whose outcome could not be learned." },
 	{ "ramp_watches_open", "gauge",
 	  "Watches of resources in progress." },
+	{ "ramp_claims_repeated_total", "counter",
+	  "Calls that were not run because their key was held or spent." },
 };
--- a/ctl/change.c
+++ b/ctl/change.c
@@ -31,9 +31,12 @@
  * them knows the outcome. Only a node that answers a probe is sent it, so a
  * change that was sent to none is known not to have been made.
  */
-static enum ctl_exit settle(const struct ctl *c, struct ctl_request *q,
+static enum ctl_exit settle(const struct ctl *c,
+			    const struct ctl_request *asked,
 			    struct ctl_reply *r)
 {
+	struct ctl_request own = *asked;
+	struct ctl_request *q = &own;
 	int tries = MAX(ATTEMPTS_MIN, 2 * c->node_count);
 	char id[ID_BYTES * 2 + 1];
 	int sent = c->change ? 1 : 0;
@@ -187,10 +190,19 @@
 	if (!all)
 		return CTL_USAGE;
 	list = json_is_object(all) ? json_object_get(all, "items") : all;
+	if (c->change && json_array_size(list) > 1) {
+		fprintf(stderr, "rampctl: --change is for one resource\n");
+		json_decref(all);
+		return CTL_USAGE;
+	}
 	if (!list)
 		code = put_one(c, all);
 	json_array_foreach (list, i, one) {
-		code = put_one(c, one);
+		struct ctl each = *c;
+
+		/* The last revision in force brings those before it. */
+		each.wait = c->wait && i + 1 == json_array_size(list);
+		code = put_one(&each, one);
 		if (code == CTL_OK)
 			continue;
 		if (i + 1 < json_array_size(list))
--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -3,6 +3,7 @@
 top=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 run=${RUN_DIR:-$top/demo/run}
 standin=$top/build/standin
+admin_key=demo-operator # the key that always works at demo nodes
 pids=()
 
 # wait_file FILE: until it is there, at most 10 s.
@@ -41,6 +42,8 @@
 		poll = 100
 		[entries]
 		valid = 500
+		[admin]
+		bootstrap_hash = $("$top/bin/rampctl" hash-key <<<"$admin_key")
 	EOF
 }
 
@@ -55,6 +58,15 @@
 	return 1
 }
 
+# ramp ARGS...: rampctl as the operator, through every node that was started.
+ramp() {
+	local nodes=() f
+	for f in "$run"/n[0-9]*.port; do
+		nodes+=(--node "127.0.0.1:$(cat "$f")")
+	done
+	RAMP_KEY=$admin_key "$top/bin/rampctl" "${nodes[@]}" "$@"
+}
+
 stop_all() {
 	for p in "${pids[@]}"; do
 		kill -KILL "$p" 2>/dev/null
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -14,9 +14,15 @@
 		"$(port "$1")"
 }
 
-org() { # NAME HASH
-	printf '{"key":"res/organisation/%s","value":{"spec":{"keys":' "$1"
-	printf '[{"hash":"%s","role":"caller"}]}}}' "$2"
+org() { # NAME KEY
+	printf '{"kind":"organisation","name":"%s","spec":{"keys":' "$1"
+	printf '[{"hash":"%s","role":"caller"}]}}' \
+		"$("$top/bin/rampctl" hash-key <<<"$2")"
+}
+
+service() { # NAME KIND POOL
+	printf '{"kind":"service","name":"%s","spec":{"kind":"%s","pool":"%s"}}' \
+		"$1" "$2" "$3"
 }
 
 start platform "$standin/platform" || exit 1
@@ -37,17 +43,13 @@
 	printf ','
 done)
 "$standin/call" PUT "$platform/standin/instances" "[${list%,}]" >/dev/null
-"$standin/call" POST "$platform/table/txn" "$(printf \
-	'{"id":"demo","puts":[%s,%s,%s,%s,%s]}' \
-	"$(org recif "$("$standin/keyhash" key-recif)")" \
-	"$(org ferreyra "$("$standin/keyhash" key-ferreyra)")" \
-	'{"key":"res/service/assistant","value":{"spec":{"kind":"model","pool":"llm"}}}' \
-	'{"key":"res/service/report","value":{"spec":{"kind":"model","pool":"llm"}}}' \
-	'{"key":"res/service/forum","value":{"spec":{"kind":"plain","pool":"forum"}}}')" \
-	>/dev/null
 for n in n1 n2 n3; do
 	wait_ready $n || exit 1
 done
+printf '[%s,%s,%s,%s,%s]' "$(org recif key-recif)" \
+	"$(org ferreyra key-ferreyra)" "$(service assistant model llm)" \
+	"$(service report model llm)" "$(service forum plain forum)" |
+	ramp put -f - --wait || exit 1
 "$standin/caller" -e "127.0.0.1:$(port n1)" -e "127.0.0.1:$(port n2)" \
 	-e "127.0.0.1:$(port n3)" "$chats" >"$run/result" &
 caller=$!
--- a/node/api.c
+++ b/node/api.c
@@ -123,8 +123,11 @@
 enum resource_kind api_kind(const struct api_call *c)
 {
 	const char *name = u_map_get(c->q->map_url, "kind");
-	enum resource_kind k = kind_from_name(name ? name : "");
+	enum resource_kind k;
 
+	if (!name)
+		return KIND_COUNT;
+	k = kind_from_name(name);
 	/* Only the plural names a collection. */
 	return k != KIND_COUNT && !strcmp(kind_plural(k), name) ? k
 								: KIND_COUNT;
