--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # Libraries in order of use; the programs link what stands before them.
 build-%:
-	@$(MAKE) --no-print-directory -C $*
+	@$(MAKE) -s --no-print-directory -C $*
 build-http build-route build-member build-state: build-base
 build-node build-ctl build-standin build-bench: \
 	$(foreach p,base http route member state,$(if $(wildcard $(p)/makefile),build-$(p)))
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -25,5 +25,6 @@
 	int64_t entries_valid_ms;
 	int64_t entries_spread_ms;
 	char *log_level;
+	char *admin_bootstrap_hash;
 };
 #endif
