--- /dev/null
+++ b/node/test-drain.c
@@ -0,0 +1,184 @@
+/* Planned stops and replacement of nodes under load, with real processes. */
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+
+#include "node/test-harness.h"
+
+#define NODES  3
+#define CHATS  16
+#define TURNS  4
+#define TOKENS 150
+
+/* A stop lets the answer in progress end, and the process ends with 0. */
+static void test_answer_in_progress(void)
+{
+	struct rig *g = rig_new(1, 1, NULL);
+	struct ask *a;
+
+	rig_start(g);
+	/* Longer than the node has to go on anyway. */
+	a = ask_open(g->nodes[0].port, "assistant", "long", 5 * TOKENS);
+	ask_read(a, 1);
+	proc_signal(&g->nodes[0], SIGTERM);
+	ask_read(a, 5 * TOKENS + 1);
+	g_assert_true(a->done);
+	g_assert_false(a->wrong);
+	g_assert_cmpint(a->words, ==, 5 * TOKENS);
+	g_assert_cmpint(proc_wait(&g->nodes[0]), ==, 0);
+	ask_free(a);
+	rig_free(g);
+}
+
+/*
+ * A leaving node serves on while callers may hold its address: the others take
+ * up to entries.spread to know, and their answers hold for entries.valid.
+ */
+static void test_serves_on(void)
+{
+	struct rig *g = rig_new(1, 1, NULL);
+	int64_t since;
+	struct ask *a;
+
+	rig_start(g);
+	since = time_mono_ms();
+	proc_signal(&g->nodes[0], SIGTERM);
+	WAIT_UNTIL(rig_logged(g, &g->nodes[0], "node_stopping") == 1);
+	a = ask_open(g->nodes[0].port, "assistant", "late", 10);
+	g_assert_cmpint(a->status, ==, 200);
+	ask_read(a, 11);
+	g_assert_true(a->done);
+	g_assert_cmpint(proc_wait(&g->nodes[0]), ==, 0);
+	g_assert_cmpint(time_mono_ms() - since, >=,
+			RIG_SPREAD_MS + RIG_VALID_MS);
+	ask_free(a);
+	rig_free(g);
+}
+
+static char *write_chats(const struct rig *g)
+{
+	char *path = g_build_filename(g->dir, "chats.jsonl", NULL);
+	GString *s = g_string_new(NULL);
+
+	for (int c = 0; c < CHATS; c++) {
+		g_string_append_printf(s,
+				       "{\"organisation\":\"recif\","
+				       "\"chat\":\"c%d\",\"service\":"
+				       "\"assistant\",\"turns\":[",
+				       c);
+		for (int t = 0; t < TURNS; t++)
+			g_string_append_printf(s, "%s\"question %d of %d\"",
+					       t ? "," : "", t, c);
+		g_string_append(s, "]}\n");
+	}
+	g_assert_true(g_file_set_contents(path, s->str, -1, NULL));
+	g_string_free(s, TRUE);
+	return path;
+}
+
+/* The caller stand-in; its line of totals goes to out, its code to *code. */
+struct load {
+	GPtrArray *argv;
+	char *out;
+	int status;
+};
+
+static void *run_load(void *arg)
+{
+	struct load *l = arg;
+	GError *err = NULL;
+
+	g_spawn_sync(NULL, (char **)l->argv->pdata, NULL, G_SPAWN_DEFAULT, NULL,
+		     NULL, &l->out, NULL, &l->status, &err);
+	g_assert_no_error(err);
+	return NULL;
+}
+
+static GThread *start_load(struct rig *g, struct load *l)
+{
+	char *exe = g_file_read_link("/proc/self/exe", NULL);
+	char *dir = g_path_get_dirname(exe);
+
+	l->argv = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(l->argv,
+			g_build_filename(dir, "../standin/caller", NULL));
+	for (int i = 0; i < NODES; i++) {
+		g_ptr_array_add(l->argv, g_strdup("-e"));
+		g_ptr_array_add(l->argv, g_strdup_printf("127.0.0.1:%d",
+							 g->nodes[i].port));
+	}
+	g_ptr_array_add(l->argv, g_strdup("--until"));
+	g_ptr_array_add(l->argv, g_build_filename(g->dir, "enough", NULL));
+	g_ptr_array_add(l->argv, write_chats(g));
+	g_ptr_array_add(l->argv, NULL);
+	g_free(exe);
+	g_free(dir);
+	return g_thread_new("load", run_load, l);
+}
+
+static void end_load(const struct rig *g)
+{
+	char *path = g_build_filename(g->dir, "enough", NULL);
+
+	g_assert_true(g_file_set_contents(path, "", -1, NULL));
+	g_free(path);
+}
+
+static int logged_by_all(const struct rig *g, const char *event)
+{
+	int n = 0;
+
+	for (unsigned i = 0; i < g->node_count; i++)
+		n += rig_logged(g, &g->nodes[i], event);
+	return n;
+}
+
+static void replace(struct rig *g, unsigned i)
+{
+	g->nodes[i].leaving = true;
+	rig_list(g);
+	proc_signal(&g->nodes[i], SIGTERM);
+	g_assert_cmpint(proc_wait(&g->nodes[i]), ==, 0);
+	rig_start_node(g, i);
+}
+
+/*
+ * All nodes are replaced one after the other under load: every answer comes
+ * whole from the entry that began it, and no request runs twice.
+ */
+static void test_rolling(void)
+{
+	struct rig *g = rig_new(3, NODES, NULL);
+	struct load l = {0};
+	int asked = 0;
+	GThread *t;
+
+	rig_start(g);
+	t = start_load(g, &l);
+	for (unsigned i = 0; i < NODES; i++)
+		replace(g, i);
+	end_load(g);
+	g_thread_join(t);
+	g_test_message("%s", l.out);
+	g_assert_cmpint(sscanf(l.out, "asked=%d", &asked), ==, 1);
+	g_assert_cmpint(asked, >=, CHATS * TURNS);
+	g_assert_true(g_spawn_check_wait_status(l.status, NULL));
+	g_assert_nonnull(strstr(l.out, "lost=0 doubled=0 crossed=0 cut=0"));
+	g_assert_cmpint(logged_by_all(g, "answer_adopted"), ==, 0);
+	g_assert_cmpint(logged_by_all(g, "caller_left"), ==, 0);
+	g_assert_cmpint(rig_runs(g), ==, asked);
+	g_ptr_array_unref(l.argv);
+	g_free(l.out);
+	rig_free(g);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_ALL);
+	block_stop_signals();
+	g_test_add_func("/drain/answer-in-progress", test_answer_in_progress);
+	g_test_add_func("/drain/serves-on", test_serves_on);
+	g_test_add_func("/drain/rolling", test_rolling);
+	return g_test_run();
+}
--- a/node/test-harness.c
+++ b/node/test-harness.c
@@ -216,9 +216,10 @@
 	char *text = g_strdup_printf("[node]\nname = %s\nzone = a\nport = 0\n"
 				     "[platform]\n"
 				     "table = http://127.0.0.1:%d\npoll = 50\n"
-				     "[entries]\nvalid = 500\nspread = 500\n"
+				     "[entries]\nvalid = %d\nspread = %d\n"
 				     "%s",
-				     name, g->platform.port, g->extra);
+				     name, g->platform.port, RIG_VALID_MS,
+				     RIG_SPREAD_MS, g->extra);
 
 	g_assert_true(g_file_set_contents(file, text, -1, NULL));
 	proc_start(g, &g->nodes[i], name, "bin/auburnramp", "--settings", file,
--- a/node/test-harness.h
+++ b/node/test-harness.h
@@ -10,8 +10,10 @@
 #include "http/http.h"
 #include "standin/standin.h"
 
-#define RIG_MAX 4
-#define WAIT_MS 30000 /* after which anything waited for counts as failed */
+#define RIG_MAX       4
+#define RIG_VALID_MS  500   /* entries.valid */
+#define RIG_SPREAD_MS 500   /* entries.spread */
+#define WAIT_MS       30000 /* then anything waited for has failed */
 
 /* Wait until the condition holds; the test fails after WAIT_MS. */
 #define WAIT_UNTIL(cond)                                                       \
--- /dev/null
+++ b/node/test-outcomes.c
@@ -0,0 +1,147 @@
+/* Calls to plain services that may not be repeated, with real processes. */
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+
+#include "node/test-harness.h"
+
+#define PATH "/v1/services/forum/app/posts"
+
+static struct reply send_plain(int port, const char *method, const char *key)
+{
+	char *k = g_strdup_printf("Idempotency-Key: %s", key);
+	const char *headers[] = {"Authorization: Bearer key-recif",
+				 "Content-Type: application/json", k, NULL};
+	struct reply r =
+		call_port(port, method, PATH, headers,
+			  strcmp(method, "POST") ? NULL : "{\"text\":\"hi\"}");
+
+	g_free(k);
+	return r;
+}
+
+/* How often a call with this key ran, at all instances. */
+static int64_t runs_of(const struct rig *g, const char *key)
+{
+	int64_t sum = 0;
+
+	for (unsigned i = 0; i < g->service_count; i++) {
+		json_t *j = get_json(g->services[i].port, "/standin/runs");
+
+		sum += json_integer_value(json_object_get(j, key));
+		json_decref(j);
+	}
+	return sum;
+}
+
+/* What a service does, and what the caller of a POST must then be told. */
+static void test_post(void)
+{
+	static const struct {
+		const char *faults;
+		int status;
+		const char *outcome;
+		int64_t runs;
+	} cases[] = {
+		{"{}", 200, "complete", 1},
+		{"{\"lose\":1}", 502, "unknown", 1},
+		{"{\"silent\":1}", 504, "unknown", 1},
+		{"{\"down\":true}", 503, "not-run", 0},
+	};
+	struct rig *g = rig_new(1, 1, "[limits]\nrequest = 1500\n");
+
+	rig_start(g);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *key = g_strdup_printf("post-%zu", i);
+		struct reply r;
+
+		proc_faults(&g->services[0], cases[i].faults);
+		proc_faults(&g->services[1], cases[i].faults);
+		r = send_plain(g->nodes[0].port, "POST", key);
+		g_assert_cmpint(r.status, ==, cases[i].status);
+		g_assert_cmpstr(r.outcome, ==, cases[i].outcome);
+		g_assert_true((r.retry_after != NULL) == (r.status == 503));
+		g_assert_cmpint(runs_of(g, key), ==, cases[i].runs);
+		reply_clear(&r);
+		g_free(key);
+	}
+	rig_free(g);
+}
+
+/* One instance refuses or is gone: the other one runs the call, once. */
+static void test_post_elsewhere(void)
+{
+	for (int killed = 0; killed < 2; killed++) {
+		struct rig *g = rig_new(1, 1, NULL);
+
+		rig_start(g);
+		if (killed) {
+			proc_signal(&g->services[0], SIGKILL);
+			proc_wait(&g->services[0]);
+		} else {
+			proc_faults(&g->services[0], "{\"down\":true}");
+		}
+		for (int i = 0; i < 8; i++) {
+			char *key = g_strdup_printf("p%d", i);
+			struct reply r =
+				send_plain(g->nodes[0].port, "POST", key);
+			json_t *j =
+				get_json(g->services[1].port, "/standin/runs");
+
+			g_assert_cmpint(r.status, ==, 200);
+			g_assert_cmpint(
+				json_integer_value(json_object_get(j, key)), ==,
+				1);
+			json_decref(j);
+			reply_clear(&r);
+			g_free(key);
+		}
+		rig_free(g);
+	}
+}
+
+/*
+ * A pooled connection that its peer closes on the next request: libcurl would
+ * send that request again by itself, although the service has taken it.
+ */
+static void test_pooled(void)
+{
+	struct rig *g = rig_new(1, 1, NULL);
+	struct hole *holes[2];
+	struct reply r;
+
+	for (int i = 0; i < 2; i++) {
+		holes[i] = hole_new(g->services[i].port);
+		g->services[i].shown_port = hole_port(holes[i]);
+	}
+	rig_start(g);
+	/* Calls that leave a connection to each instance in the pool. */
+	for (int i = 0;
+	     !hole_connections(holes[0]) || !hole_connections(holes[1]); i++) {
+		g_assert_cmpint(i, <, 1000);
+		r = send_plain(g->nodes[0].port, "GET", "none");
+		g_assert_cmpint(r.status, ==, 200);
+		reply_clear(&r);
+	}
+	hole_set(holes[0], HOLE_CUT);
+	hole_set(holes[1], HOLE_CUT);
+	r = send_plain(g->nodes[0].port, "POST", "once");
+	g_assert_cmpint(r.status, ==, 502);
+	g_assert_cmpstr(r.outcome, ==, "unknown");
+	g_assert_cmpint(runs_of(g, "once"), ==, 1);
+	reply_clear(&r);
+	rig_free(g);
+	hole_free(holes[0]);
+	hole_free(holes[1]);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_ALL);
+	block_stop_signals();
+	g_test_add_func("/outcomes/post", test_post);
+	g_test_add_func("/outcomes/post-elsewhere", test_post_elsewhere);
+	g_test_add_func("/outcomes/pooled", test_pooled);
+	return g_test_run();
+}
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "standin/standin.h"
 
@@ -390,9 +391,12 @@
 {
 	struct arg_str *seed = arg_strn("e", "entry", "IP:PORT", 1, 64,
 					"an entry known from the start");
+	struct arg_file *until = arg_file0(NULL, "until", "FILE",
+					   "send the chats over and over "
+					   "until FILE exists");
 	struct arg_file *chats = arg_file1(NULL, NULL, "CHATS", "jsonl file");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {seed, chats, end};
+	void *table[] = {seed, until, chats, end};
 	struct entries e = {0};
 	struct totals t = {0};
 
@@ -404,8 +408,10 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	e.seeds = (char **)seed->sval;
 	e.seed_count = seed->count;
-	if (!run_file(chats->filename[0], &e, &t))
-		return 2;
+	do {
+		if (!run_file(chats->filename[0], &e, &t))
+			return 2;
+	} while (until->count && access(until->filename[0], F_OK));
 	printf("asked=%" G_GINT64_FORMAT " answered=%" G_GINT64_FORMAT
 	       " lost=%" G_GINT64_FORMAT " doubled=%" G_GINT64_FORMAT
 	       " crossed=%" G_GINT64_FORMAT " cut=%" G_GINT64_FORMAT "\n",
