--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -18,4 +18,5 @@
 	{ 4003, LOG_INFO, "stream_resumed" },
 	{ 4004, LOG_WARNING, "stream_lost" },
 	{ 4005, LOG_INFO, "request_refused" },
+	{ 6001, LOG_WARNING, "peer_refused" },
 };
--- a/base/events-gen.h
+++ b/base/events-gen.h
@@ -19,6 +19,7 @@
 	EV_STREAM_RESUMED,
 	EV_STREAM_LOST,
 	EV_REQUEST_REFUSED,
+	EV_PEER_REFUSED,
 	EV_COUNT
 };
 #endif
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -11,6 +11,7 @@
 	int64_t node_control_port;
 	char *node_region;
 	char *node_secret_file;
+	char *node_peers;
 	char *platform_table;
 	char *platform_objects;
 	char *platform_instances;
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -14,9 +14,21 @@
 		"$(port "$1")"
 }
 
-org() { # NAME HASH
-	printf '{"key":"res/organisation/%s","value":{"spec":{"keys":' "$1"
-	printf '[{"hash":"%s","role":"caller"}]}}}' "$2"
+# change N KIND NAME SPEC: rows of change number N, as state/state.h lists them.
+change() {
+	printf '{"key":"res/%s/%s","value":{"spec":%s,"generation":1,' \
+		"$2" "$3" "$4"
+	printf '"revision":%d}},{"key":"chg/%020d","value":{"id":"demo-%d",' \
+		"$1" "$1" "$1"
+	printf '"revision":%d,"generation":1,"kind":"%s","name":"%s",' \
+		"$1" "$2" "$3"
+	printf '"was":null,"is":%s}},' "$4"
+}
+
+org() { # N NAME KEY
+	change "$1" organisation "$2" "$(printf \
+		'{"keys":[{"hash":"%s","role":"caller"}]}' \
+		"$("$standin/keyhash" "$3")")"
 }
 
 start platform "$standin/platform" || exit 1
@@ -24,12 +36,19 @@
 	start $e "$standin/engine" || exit 1
 done
 start s1 "$standin/service" || exit 1
+platform=http://127.0.0.1:$(port platform)
+"$standin/call" POST "$platform/table/txn" "$(printf \
+	'{"id":"demo","puts":[%s%s%s%s%s%s]}' \
+	"$(org 1 recif key-recif)" "$(org 2 ferreyra key-ferreyra)" \
+	"$(change 3 service assistant '{"kind":"model","pool":"llm"}')" \
+	"$(change 4 service report '{"kind":"model","pool":"llm"}')" \
+	"$(change 5 service forum '{"kind":"plain","pool":"forum"}')" \
+	'{"key":"head/config","value":{"revision":5}}')" >/dev/null
 for n in n1:a n2:a n3:b; do
 	settings "${n%:*}" "${n#*:}"
 	start "${n%:*}" "$top/bin/auburnramp" \
 		--settings "$run/${n%:*}.conf" || exit 1
 done
-platform=http://127.0.0.1:$(port platform)
 list=$(for i in e1:engine:llm:a e2:engine:llm:b e3:engine:llm:b \
 	s1:service:forum:a n1:node::a n2:node::a n3:node::b; do
 	IFS=: read -r name role pool zone <<<"$i"
@@ -37,14 +56,6 @@
 	printf ','
 done)
 "$standin/call" PUT "$platform/standin/instances" "[${list%,}]" >/dev/null
-"$standin/call" POST "$platform/table/txn" "$(printf \
-	'{"id":"demo","puts":[%s,%s,%s,%s,%s]}' \
-	"$(org recif "$("$standin/keyhash" key-recif)")" \
-	"$(org ferreyra "$("$standin/keyhash" key-ferreyra)")" \
-	'{"key":"res/service/assistant","value":{"spec":{"kind":"model","pool":"llm"}}}' \
-	'{"key":"res/service/report","value":{"spec":{"kind":"model","pool":"llm"}}}' \
-	'{"key":"res/service/forum","value":{"spec":{"kind":"plain","pool":"forum"}}}')" \
-	>/dev/null
 for n in n1 n2 n3; do
 	wait_ready $n || exit 1
 done
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -5,7 +5,7 @@
 #include <sodium.h>
 #include <stdio.h>
 
-#include "node/node.h"
+#include "node/spread.h"
 
 #define DRAIN_POLL_US (20 * 1000)
 
@@ -14,6 +14,9 @@
 	{"GET", "/v1/entries", on_entries},
 	{"POST", "/v1/keys", on_keys},
 	{"*", "/v1/services/:service/*", on_plain},
+	{"GET", "/internal/changes", on_peer_changes},
+	{"GET", "/internal/config", on_peer_config},
+	{"GET", "/internal/instances", on_peer_instances},
 	{"GET", "/metrics", on_metrics},
 	{"GET", "/ready", on_ready},
 };
@@ -113,6 +116,11 @@
 		fprintf(stderr, "%s: libraries can't start\n", argv[0]);
 		return 1;
 	}
+	if (!spread_load_secret(&n.set)) {
+		fprintf(stderr, "%s: node.secret_file can't be read\n",
+			file->filename[0]);
+		return 2;
+	}
 	g_mutex_init(&n.lock);
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -75,6 +75,36 @@
 	return f;
 }
 
+static json_t *instance(const char *role, const char *name, const char *pool,
+			const char *address, const char *zone, bool leaving)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:s}", "role", role, "name",
+			 name, "pool", pool, "address", address, "zone", zone,
+			 "state", leaving ? "leaving" : "live");
+}
+
+json_t *fleet_to_instances(const struct fleet *f)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < f->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(f->targets, i);
+
+		json_array_append_new(list, instance("target", t->name, t->pool,
+						     t->address, t->zone,
+						     t->leaving));
+	}
+	for (guint i = 0; i < f->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(f->peers, i);
+		json_t *j = instance("node", p->name, "", p->address, p->zone,
+				     p->leaving);
+
+		json_object_set_new(j, "region", json_string(p->region));
+		json_array_append_new(list, j);
+	}
+	return list;
+}
+
 struct fleet *fleet_ref(struct fleet *f)
 {
 	return g_atomic_rc_box_acquire(f);
--- a/node/node.h
+++ b/node/node.h
@@ -38,6 +38,8 @@
 };
 
 struct fleet *fleet_from_instances(const json_t *instances);
+/* The reverse; without what a target's role and region were. */
+json_t *fleet_to_instances(const struct fleet *f);
 struct fleet *fleet_ref(struct fleet *f);
 void fleet_unref(struct fleet *f);
 /* Name a target, or NULL. */
--- /dev/null
+++ b/node/spread.c
@@ -0,0 +1,250 @@
+#include "node/spread.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define SIGNED_FOR_MS 30000 /* validity, clock differences included */
+#define MAC_BYTES     16
+
+struct change {
+	int64_t revision;
+	char *text; /* JSON */
+};
+
+/* What is in force, as text, for the traffic threads. */
+static struct {
+	GMutex lock;
+	int64_t revision; /* -1: nothing yet */
+	GBytes *whole;
+	GQueue changes; /* struct change, oldest first */
+} told = {.revision = -1, .changes = G_QUEUE_INIT};
+
+static struct {
+	bool is_set;
+	unsigned char bytes[crypto_generichash_KEYBYTES];
+} secret;
+
+bool spread_load_secret(const struct settings *s)
+{
+	char *text;
+	gsize n;
+
+	if (!*s->node_secret_file)
+		return true;
+	if (!g_file_get_contents(s->node_secret_file, &text, &n, NULL))
+		return false;
+	g_strstrip(text);
+	crypto_generichash(secret.bytes, sizeof(secret.bytes),
+			   (const unsigned char *)text, strlen(text), NULL, 0);
+	secret.is_set = true;
+	sodium_memzero(text, n);
+	g_free(text);
+	return true;
+}
+
+static char *mac_of(const char *path, const char *after, const char *at)
+{
+	unsigned char mac[MAC_BYTES];
+	char hex[MAC_BYTES * 2 + 1];
+	char *text = g_strdup_printf("%s\n%s\n%s", path, after, at);
+
+	crypto_generichash(mac, sizeof(mac), (const unsigned char *)text,
+			   strlen(text), secret.bytes, sizeof(secret.bytes));
+	g_free(text);
+	return g_strdup(sodium_bin2hex(hex, sizeof(hex), mac, sizeof(mac)));
+}
+
+char *spread_url(const char *address, const char *path, const char *after)
+{
+	char at[24];
+	char *mac, *url;
+
+	g_snprintf(at, sizeof(at), "%" G_GINT64_FORMAT, time_now_ms());
+	mac = mac_of(path, after, at);
+	url = g_strdup_printf("http://%s%s?after=%s&at=%s&mac=%s", address,
+			      path, after, at, mac);
+	g_free(mac);
+	return url;
+}
+
+static const char *param(const struct _u_request *q, const char *name)
+{
+	const char *s = u_map_get(q->map_url, name);
+
+	return s ? s : "";
+}
+
+bool spread_is_signed(const struct _u_request *q)
+{
+	const char *at = param(q, "at");
+	const char *mac = param(q, "mac");
+	int64_t age = time_now_ms() - g_ascii_strtoll(at, NULL, 10);
+	char *want;
+	bool ok;
+
+	if (!secret.is_set)
+		return true;
+	want = mac_of(q->url_path, param(q, "after"), at);
+	ok = ABS(age) <= SIGNED_FOR_MS && strlen(mac) == strlen(want) &&
+	     !sodium_memcmp(mac, want, strlen(want));
+	g_free(want);
+	return ok;
+}
+
+static void free_change(void *p)
+{
+	struct change *c = p;
+
+	g_free(c->text);
+	g_free(c);
+}
+
+/* The lock is held. */
+static void add_changes(const json_t *list)
+{
+	size_t i;
+	json_t *j;
+
+	json_array_foreach (list, i, j) {
+		struct change *c = g_new(struct change, 1);
+		char *text = json_dumps(j, JSON_COMPACT);
+
+		c->revision =
+			json_integer_value(json_object_get(j, "revision"));
+		c->text = g_strdup(text);
+		free(text);
+		g_queue_push_tail(&told.changes, c);
+	}
+	while (g_queue_get_length(&told.changes) > LEARN_CHANGES_MAX)
+		free_change(g_queue_pop_head(&told.changes));
+}
+
+void spread_publish(const struct learn *l, int64_t revision)
+{
+	json_t *whole = learn_whole(l);
+	json_t *list = learn_changes(l, told.revision);
+	char *text = json_dumps(whole, JSON_COMPACT);
+	GBytes *b = g_bytes_new(text, strlen(text));
+
+	g_mutex_lock(&told.lock);
+	if (told.whole)
+		g_bytes_unref(told.whole);
+	told.whole = b;
+	if (json_is_true(json_object_get(list, "gap")))
+		g_queue_clear_full(&told.changes, free_change);
+	add_changes(json_object_get(list, "changes"));
+	told.revision = revision;
+	g_mutex_unlock(&told.lock);
+	free(text);
+	json_decref(list);
+	json_decref(whole);
+}
+
+/* The lock is held. Whether the changes kept reach back to the one after. */
+static bool reaches(int64_t after)
+{
+	const struct change *c = g_queue_peek_head(&told.changes);
+
+	return after >= told.revision || (c && c->revision <= after + 1);
+}
+
+static char *changes_text(int64_t after)
+{
+	GString *s = g_string_new(NULL);
+	bool first = true;
+
+	g_string_printf(s, "{\"revision\":%" G_GINT64_FORMAT, told.revision);
+	if (!reaches(after)) {
+		g_string_append(s, ",\"gap\":true}");
+		return g_string_free(s, FALSE);
+	}
+	g_string_append(s, ",\"changes\":[");
+	for (GList *i = told.changes.head; i; i = i->next) {
+		const struct change *c = i->data;
+
+		if (c->revision <= after)
+			continue;
+		g_string_append_printf(s, "%s%s", first ? "" : ",", c->text);
+		first = false;
+	}
+	g_string_append(s, "]}");
+	return g_string_free(s, FALSE);
+}
+
+static int refuse(struct _u_response *r, enum ramp_error e)
+{
+	return answer_json(r, error_answers[e].http_status,
+			   ramp_error_json(e, NULL, 0));
+}
+
+static int answer_text(struct _u_response *r, const char *text, size_t n)
+{
+	u_map_put(r->map_header, "Content-Type", "application/json");
+	ulfius_set_binary_body_response(r, 200, text, n);
+	return U_CALLBACK_COMPLETE;
+}
+
+/* Whether the call may be answered; if not, the refusal is in r. */
+static bool admit(const struct _u_request *q, struct _u_response *r)
+{
+	if (!spread_is_signed(q)) {
+		log_event(EV_PEER_REFUSED, "path=%s", q->url_path);
+		refuse(r, RAMP_ERR_UNAUTHORIZED);
+		return false;
+	}
+	g_mutex_lock(&told.lock);
+	if (told.revision >= 0)
+		return true;
+	g_mutex_unlock(&told.lock);
+	refuse(r, RAMP_ERR_NOT_READY);
+	return false;
+}
+
+int on_peer_changes(const struct _u_request *q, struct _u_response *r,
+		    void *node)
+{
+	char *text;
+
+	(void)node;
+	if (!admit(q, r))
+		return U_CALLBACK_COMPLETE;
+	text = changes_text(g_ascii_strtoll(param(q, "after"), NULL, 10));
+	g_mutex_unlock(&told.lock);
+	answer_text(r, text, strlen(text));
+	g_free(text);
+	return U_CALLBACK_COMPLETE;
+}
+
+int on_peer_config(const struct _u_request *q, struct _u_response *r,
+		   void *node)
+{
+	GBytes *b;
+	gsize n;
+	const char *text;
+
+	(void)node;
+	if (!admit(q, r))
+		return U_CALLBACK_COMPLETE;
+	b = g_bytes_ref(told.whole);
+	g_mutex_unlock(&told.lock);
+	text = g_bytes_get_data(b, &n);
+	answer_text(r, text, n);
+	g_bytes_unref(b);
+	return U_CALLBACK_COMPLETE;
+}
+
+int on_peer_instances(const struct _u_request *q, struct _u_response *r,
+		      void *node)
+{
+	struct fleet *f;
+
+	if (!spread_is_signed(q))
+		return refuse(r, RAMP_ERR_UNAUTHORIZED);
+	f = node_fleet(node);
+	if (!f)
+		return refuse(r, RAMP_ERR_NOT_READY);
+	answer_json(r, 200,
+		    json_pack("{s:o}", "instances", fleet_to_instances(f)));
+	fleet_unref(f);
+	return U_CALLBACK_COMPLETE;
+}
--- a/state/test-fake.h
+++ b/state/test-fake.h
@@ -21,6 +21,7 @@
 	int64_t delay_min_ms, delay_max_ms; /* of each way */
 	int64_t timeout_ms;                 /* then a call is PLAT_UNKNOWN */
 	int64_t down_from_ms, down_until_ms;
+	bool table_only; /* the other services stay up then */
 };
 
 struct fake_proc {
--- a/state/test-learn.c
+++ b/state/test-learn.c
@@ -146,11 +146,11 @@
 	finish(ns);
 }
 
-/* Alone and without the platform a node serves nothing, snapshot or not. */
-static void test_alone(void)
+/* Alone and without the table a node serves nothing. */
+static void start_alone(bool snapshot)
 {
 	struct nodes *ns = nodes_new(fake_new(1));
-	struct snapshot s = {1, json_object(), json_object()};
+	struct snapshot s = {0, json_object(), json_object()};
 	int64_t n = nodes_change_weight(ns, "a", 1);
 	size_t len;
 	char *text = snapshot_encode(&s, &len);
@@ -158,6 +158,7 @@
 	g_hash_table_insert(ns->fake->objects, g_strdup("config-0"),
 			    g_bytes_new(text, len));
 	down(ns, OUTAGE_MS);
+	ns->fake->faults.table_only = snapshot;
 	nodes_start(ns);
 	fake_run(ns->fake, ns->fake->now_ms + OUTAGE_MS - 1);
 	g_assert_cmpint(ns->node[0].in_force, ==, -1);
@@ -169,8 +170,14 @@
 	finish(ns);
 }
 
+static void test_alone(void)
+{
+	start_alone(false);
+	start_alone(true);
+}
+
 /* A node that starts behind a stale table waits for what its peers hold. */
-static void test_start_stale(void)
+static void start_stale(bool whole_fails)
 {
 	struct nodes *ns = nodes_new(fake_new(1));
 	int64_t n = 0;
@@ -180,14 +187,22 @@
 		n = nodes_change_weight(ns, "a", 1 + i);
 	start_nodes(ns, 3);
 	nodes_settle(ns, n, SETTLE_MS);
-	ns->fake->faults.stale = 1;
+	ns->fake->faults.stale = 0.9;
 	ns->fake->faults.stale_revisions = 15;
+	ns->whole_fails = whole_fails;
 	late = nodes_start(ns);
-	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, SETTLE_MS);
+	while (ns->node[late].in_force < 0)
+		fake_run(ns->fake, ns->fake->now_ms + 10);
 	g_assert_cmpint(ns->node[late].in_force, ==, n);
 	finish(ns);
 }
 
+static void test_start_stale(void)
+{
+	start_stale(false);
+	start_stale(true);
+}
+
 /* While the instance list is not known, nothing is served. */
 static void test_peers_unknown(void)
 {
--- a/state/test-nodes.c
+++ b/state/test-nodes.c
@@ -129,8 +129,9 @@
 	struct peer_call *c = arg;
 	struct learn *l = c->to->learn;
 	json_t *j = c->whole ? learn_whole(l) : learn_changes(l, c->after);
+	bool fails = c->whole && c->from->nodes->whole_fails;
 
-	c->answer = json_deep_copy(j);
+	c->answer = fails ? NULL : json_deep_copy(j);
 	json_decref(j);
 	fake_after(c->from->nodes->fake, c->from->proc, 1, on_answer, c);
 }
--- a/state/test-nodes.h
+++ b/state/test-nodes.h
@@ -30,6 +30,7 @@
 	int64_t poll_ms, tick_ms;
 	int64_t gossip_ms; /* between rounds; 0: nodes hear nothing */
 	bool peers_known;
+	bool whole_fails; /* peers never answer with all they hold */
 	GPtrArray *truth; /* json_t: rows of each revision, from 0 */
 	GPtrArray *calls;
 };
