--- a/base/events-gen.h
+++ b/base/events-gen.h
@@ -28,6 +28,7 @@
 	EV_CHANGE_UNKNOWN,
 	EV_DRAIN_ASKED,
 	EV_API_DENIED,
+	EV_PEER_REFUSED,
 	EV_COUNT
 };
 #endif
