docs: administration API, with examples that a test runs

Cause: nothing told an operator how to use the API. Change: docs/API.md; /node/doc/examples sends every request of it, in order, to a node and compares the answers.

--- a/node/test-doc.c
+++ b/node/test-doc.c
@@ -1,4 +1,229 @@
-int main(void)
+/*
+ * The examples of docs/API.md, in their order against one node. A block
+ * "http request" is sent; the block after it says what must come back.
+ */
+#include <curl/curl.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "node/test-admin.h"
+
+#define HEADERS_MAX 8
+#define FENCE       "```"
+
+static const char *argv0;
+
+/* Whether the actual value holds all that the expected one has. */
+static bool holds(const json_t *want, const json_t *got)
 {
-	return 0;
+	const char *key;
+	size_t i;
+	json_t *v;
+
+	if (json_is_string(want) && !strcmp(json_string_value(want), "..."))
+		return got != NULL;
+	if (json_is_array(want)) {
+		if (json_array_size(want) != json_array_size(got))
+			return false;
+		json_array_foreach (want, i, v) {
+			if (!holds(v, json_array_get(got, i)))
+				return false;
+		}
+		return true;
+	}
+	if (!json_is_object(want))
+		return json_equal(want, got);
+	json_object_foreach ((json_t *)want, key, v) {
+		if (!holds(v, json_object_get(got, key)))
+			return false;
+	}
+	return true;
+}
+
+static void expect(const char *want_text, const json_t *got, const char *what)
+{
+	json_error_t at;
+	json_t *want = json_loads(want_text, 0, &at);
+	char *text = json_dumps(got, JSON_COMPACT | JSON_ENCODE_ANY);
+
+	g_test_message("%s: %s", what, text);
+	g_assert_cmpstr(want ? "" : at.text, ==, "");
+	g_assert_true(holds(want, got));
+	free(text);
+	json_decref(want);
+}
+
+/* A request block taken apart; the strings belong to the lines. */
+struct example {
+	char **lines;
+	char *method, *path;
+	const char *headers[HEADERS_MAX];
+	char *body;
+};
+
+static void example_read(struct example *e, const char *block)
+{
+	int n = 0;
+	int i = 1;
+
+	memset(e, 0, sizeof(*e));
+	e->lines = g_strsplit(block, "\n", -1);
+	e->method = e->lines[0];
+	e->path = strchr(e->lines[0], ' ');
+	*e->path++ = '\0';
+	for (; e->lines[i] && *e->lines[i]; i++) {
+		g_assert_cmpint(n, <, HEADERS_MAX - 1);
+		e->headers[n++] =
+			strcmp(e->lines[i], "Authorization: Bearer KEY")
+				? e->lines[i]
+				: "Authorization: Bearer " OPERATOR_KEY;
+	}
+	if (e->lines[i])
+		e->body = g_strjoinv("\n", e->lines + i + 1);
+}
+
+static void example_clear(struct example *e)
+{
+	g_strfreev(e->lines);
+	g_free(e->body);
+}
+
+static void run_call(const struct proc *node, const struct example *e,
+		     const char *answer)
+{
+	const char *body = e->body && *e->body ? e->body : NULL;
+	struct reply *r =
+		procs_call(node, e->method, e->path, e->headers, body);
+
+	g_assert_cmpint(r->status, ==, atoi(answer));
+	expect(strchr(answer, '\n'), r->json, e->path);
+	reply_free(r);
+}
+
+/* Wait for the next event that has data. */
+static json_t *next_event(struct pull *p, int64_t *id)
+{
+	int64_t until = time_mono_ms() + WAIT_MS;
+	json_t *j = NULL;
+
+	while (!j) {
+		GByteArray *b = pull_bytes(p);
+		struct sse_event e;
+		size_t n = sse_next((char *)b->data, b->len, &e);
+
+		if (n && e.data.len) {
+			*id = g_ascii_strtoll(e.id.data, NULL, 10);
+			j = json_loadb(e.data.data, e.data.len, 0, NULL);
+		}
+		if (n)
+			g_byte_array_remove_range(b, 0, (guint)n);
+		else
+			g_assert_cmpint(pull_wait(p, until), ==, PULL_DATA);
+	}
+	return j;
+}
+
+/* Events of the block, one after an empty line; data lines are joined. */
+static void run_watch(const struct proc *node, const struct example *e,
+		      const char *answer)
+{
+	char *url =
+		g_strdup_printf("http://127.0.0.1:%d%s", node->port, e->path);
+	struct pull_request q = {.method = "GET",
+				 .url = url,
+				 .headers = e->headers,
+				 .connect_ms = WAIT_MS,
+				 .fresh = true};
+	struct pull *p = pull_open(&q);
+	char **events = g_strsplit(answer, "\n\n", -1);
+
+	for (int i = 0; events[i]; i++) {
+		char **parts = g_strsplit(events[i], "\ndata: ", -1);
+		char *want = g_strjoinv("\n", parts + 1);
+		int64_t id = 0;
+		json_t *got = next_event(p, &id);
+
+		g_assert_cmpint(
+			id, ==,
+			g_ascii_strtoll(parts[0] + strlen("id: "), NULL, 10));
+		expect(want, got, "event");
+		json_decref(got);
+		g_free(want);
+		g_strfreev(parts);
+	}
+	g_strfreev(events);
+	pull_close(p);
+	g_free(url);
+}
+
+/* Text of the block of this kind at *at, which moves past it; or NULL. */
+static char *take_block(const char **at, const char *kind)
+{
+	char *open = g_strconcat(FENCE "http ", kind, "\n", NULL);
+	const char *start = strstr(*at, open);
+	const char *stop;
+	char *text;
+
+	if (!start) {
+		g_free(open);
+		return NULL;
+	}
+	start += strlen(open);
+	g_free(open);
+	stop = strstr(start, "\n" FENCE);
+	g_assert_nonnull(stop);
+	text = g_strndup(start, (gsize)(stop - start));
+	*at = stop + strlen("\n" FENCE);
+	return text;
+}
+
+static int run_all(const struct proc *node, const char *doc)
+{
+	char *request;
+	int n = 0;
+
+	while ((request = take_block(&doc, "request"))) {
+		const char *after = doc;
+		bool watch = strstr(request, "watch=true") != NULL;
+		char *answer = take_block(&after, watch ? "events" : "answer");
+		struct example e;
+
+		g_assert_nonnull(answer);
+		example_read(&e, request);
+		(watch ? run_watch : run_call)(node, &e, answer);
+		example_clear(&e);
+		g_free(answer);
+		g_free(request);
+		doc = after;
+		n++;
+	}
+	return n;
+}
+
+static void test_examples(void)
+{
+	struct world w;
+	char *path, *doc;
+	int blocks = 0;
+
+	world_start(&w, argv0, 1);
+	path = g_build_filename(w.procs->top, "docs/API.md", NULL);
+	g_assert_true(g_file_get_contents(path, &doc, NULL, NULL));
+	for (const char *s = doc; (s = strstr(s, FENCE "http request")); s++)
+		blocks++;
+	g_assert_cmpint(blocks, >, 10);
+	g_assert_cmpint(run_all(w.nodes[0], doc), ==, blocks);
+	g_free(doc);
+	g_free(path);
+	world_stop(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	argv0 = argv[0];
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL))
+		return 1;
+	g_test_add_func("/node/doc/examples", test_examples);
+	return g_test_run();
 }
