--- a/base/base.h
+++ b/base/base.h
@@ -113,14 +113,17 @@
 	SETTING_INT,
 	SETTING_MS,
 	SETTING_BOOL,
+	SETTING_ENUM,
+	SETTING_HASH, /* of a key, in hexadecimal digits; may be empty */
 };
 
 struct setting_info {
 	const char *section;
 	const char *key;
 	enum setting_type type;
-	const char *value; /* default; NULL when required */
-	int64_t min;       /* of the value, or of a string's length */
+	const char *allowed; /* values of an enum, separated by commas */
+	const char *value;   /* default; NULL when required */
+	int64_t min;         /* of the value, or of a string's length */
 	int64_t max;
 	size_t offset; /* in struct settings */
 	const char *doc;
--- a/base/settings.c
+++ b/base/settings.c
@@ -6,6 +6,8 @@
 
 #include "base/base.h"
 
+#define HASH_DIGITS 64
+
 /* State of one load; inih calls back once for each "key = value" line. */
 struct load {
 	const char *path;
@@ -23,15 +25,48 @@
 
 static void describe_allowed(const struct setting_info *d, char *buf, size_t n)
 {
-	if (d->type == SETTING_BOOL) {
+	static const char *const kinds[] = {
+		[SETTING_STRING] = "a string with a length",
+		[SETTING_INT] = "a whole number",
+		[SETTING_MS] = "a whole number of milliseconds",
+	};
+
+	switch (d->type) {
+	case SETTING_STRING:
+	case SETTING_INT:
+	case SETTING_MS:
+		snprintf(buf, n,
+			 "%s from %" PRId64 " to %" PRId64 " is allowed",
+			 kinds[d->type], d->min, d->max);
+		return;
+	case SETTING_BOOL:
 		snprintf(buf, n, "true or false is allowed");
 		return;
+	case SETTING_ENUM:
+		snprintf(buf, n, "one of %s is allowed", d->allowed);
+		return;
+	case SETTING_HASH:
+		snprintf(buf, n, "%d hexadecimal digits or nothing is allowed",
+			 HASH_DIGITS);
+		return;
 	}
-	snprintf(buf, n, "a %s from %" PRId64 " to %" PRId64 " is allowed",
-		 d->type == SETTING_STRING ? "string with a length"
-		 : d->type == SETTING_MS   ? "whole number of milliseconds"
-					   : "whole number",
-		 d->min, d->max);
+}
+
+static bool is_hash(const char *s)
+{
+	size_t n = strlen(s);
+
+	return !n || (n == HASH_DIGITS &&
+		      strspn(s, "0123456789abcdef") == HASH_DIGITS);
+}
+
+static bool is_one_of(const char *list, const char *s)
+{
+	char **names = g_strsplit(list, ",", -1);
+	bool found = g_strv_contains((const char *const *)names, s);
+
+	g_strfreev(names);
+	return found;
 }
 
 static bool parse_int(const char *value, int64_t *out)
@@ -43,6 +78,13 @@
 	return !errno && end != value && !*end;
 }
 
+static void store_string(struct settings *s, const struct setting_info *d,
+			 const char *value)
+{
+	g_free(*(char **)field(s, d));
+	*(char **)field(s, d) = g_strdup(value);
+}
+
 static bool store(struct settings *s, const struct setting_info *d,
 		  const char *value)
 {
@@ -51,10 +93,14 @@
 
 	switch (d->type) {
 	case SETTING_STRING:
-		if (len < d->min || len > d->max)
+	case SETTING_ENUM:
+	case SETTING_HASH:
+		if (len < d->min || len > d->max ||
+		    (d->type == SETTING_ENUM &&
+		     !is_one_of(d->allowed, value)) ||
+		    (d->type == SETTING_HASH && !is_hash(value)))
 			return false;
-		g_free(*(char **)field(s, d));
-		*(char **)field(s, d) = g_strdup(value);
+		store_string(s, d, value);
 		return true;
 	case SETTING_BOOL:
 		if (strcmp(value, "true") && strcmp(value, "false"))
@@ -157,10 +203,15 @@
 	return errors->len == before;
 }
 
+static bool is_text(enum setting_type t)
+{
+	return t == SETTING_STRING || t == SETTING_ENUM || t == SETTING_HASH;
+}
+
 void settings_clear(struct settings *s)
 {
 	for (size_t i = 0; i < setting_count; i++) {
-		if (setting_infos[i].type == SETTING_STRING)
+		if (is_text(setting_infos[i].type))
 			g_clear_pointer((char **)field(s, &setting_infos[i]),
 					g_free);
 	}
--- a/base/test-settings.c
+++ b/base/test-settings.c
@@ -49,6 +49,10 @@
 		{GOOD "[limits]\nbody = 2000\nbody = 2001\n",
 		 {":9: limits.body: given twice"}},
 		{GOOD "rubbish\n", {":7: not \"key = value\""}},
+		{GOOD "[log]\nlevel = loud\n",
+		 {":8: log.level: one of debug,info,warning,error"}},
+		{GOOD "[admin]\nbootstrap_hash = abc\n",
+		 {":8: admin.bootstrap_hash: 64 hexadecimal digits"}},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -35,14 +35,7 @@
 	for (guint i = 0; i < errors->len; i++)
 		fprintf(stderr, "%s\n", (char *)g_ptr_array_index(errors, i));
 	g_ptr_array_unref(errors);
-	if (ok && !log_set_level(s->log_level)) {
-		fprintf(stderr,
-			"%s: log.level: debug, info, warning or error "
-			"is allowed\n",
-			path);
-		return false;
-	}
-	return ok;
+	return ok && log_set_level(s->log_level);
 }
 
 static bool listen_for_callers(struct node *n)
--- a/schema/gen.sh
+++ b/schema/gen.sh
@@ -83,7 +83,7 @@
 	echo 'struct settings {'
 	body settings | awk -F'\t' '{
 		t = "int64_t "; n = $1 "_" $2
-		if ($3 == "string") t = "char *"
+		if ($3 ~ /^(string|hash|enum:.*)$/) t = "char *"
 		if ($3 == "bool") t = "bool "
 		if ($3 == "ms") n = n "_ms"
 		printf "\t%s%s;\n", t, n }'
@@ -97,8 +97,10 @@
 	body settings | awk -F'\t' '{
 		n = $1 "_" $2; if ($3 == "ms") n = n "_ms"
 		d = $4 == "-" ? "NULL" : "\"" $4 "\""
-		printf "\t{ \"%s\", \"%s\", SETTING_%s, %s, %s, %s,\n\t  offsetof(struct settings, %s),\n\t  \"%s\" },\n",
-			$1, $2, toupper($3), d, $5, $6, n, $7 }'
+		t[2] = ""; split($3, t, ":")
+		a = t[2] == "" ? "NULL" : "\"" t[2] "\""
+		printf "\t{ \"%s\", \"%s\", SETTING_%s, %s, %s, %s, %s,\n\t  offsetof(struct settings, %s),\n\t  \"%s\" },\n",
+			$1, $2, toupper(t[1]), a, d, $5, $6, n, $7 }'
 	echo '};'
 	echo 'const size_t setting_count ='
 	printf '\tsizeof(setting_infos) / sizeof(setting_infos[0]);\n'
@@ -117,7 +119,11 @@
 		if ($1 != s) { printf ".SS [%s]\n", $1; s = $1 }
 		d = $4 == "-" ? "required" : "default " ($4 == "" ? "empty" : $4)
 		r = $3 == "string" ? "length" : "value"
-		printf ".TP\n.B %s\n%s (%s, %s from %s to %s, %s)\n", $2, $7, $3, r, $5, $6, d }'
+		r = r " from " $5 " to " $6
+		t[2] = ""; split($3, t, ":")
+		if (t[1] == "enum") { r = "one of " t[2]; gsub(",", ", ", r) }
+		if (t[1] == "hash") r = "64 hexadecimal digits or empty"
+		printf ".TP\n.B %s\n%s (%s, %s, %s)\n", $2, $7, t[1], r, d }'
 	echo '.SH BUGS'
 	echo 'A change of settings needs a restart of the node.'
 } >"$out/man/auburnramp.conf.5"
