--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # Libraries in order of use; the programs link what stands before them.
 build-%:
-	@$(MAKE) --no-print-directory -C $*
+	@$(MAKE) -s --no-print-directory -C $*
 build-http build-route build-member build-state: build-base
 build-node build-ctl build-standin build-bench: \
 	$(foreach p,base http route member state,$(if $(wildcard $(p)/makefile),build-$(p)))
@@ -40,7 +40,11 @@
 	@$(MAKE) --no-print-directory -j all >/dev/null
 	@mk/bench.sh
 
+capacity: setup
+	@$(MAKE) --no-print-directory -j all >/dev/null
+	@build/bench/capacity
+
 clean:
 	rm -rf build bin demo/run
 
-.PHONY: all setup demo test lint format gen bench clean
+.PHONY: all setup demo test lint format gen bench capacity clean
--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -23,6 +23,9 @@
 	{ "node", "secret_file", SETTING_STRING, "", 0, 4096,
 	  offsetof(struct settings, node_secret_file),
 	  "File with the key that nodes share; empty means an unauthenticated test fleet." },
+	{ "node", "peers", SETTING_STRING, "", 0, 4096,
+	  offsetof(struct settings, node_peers),
+	  "Addresses of other nodes, IP:port with commas between, for a start while the instance list can not be read." },
 	{ "platform", "table", SETTING_STRING, NULL, 1, 4096,
 	  offsetof(struct settings, platform_table),
 	  "Base URL of the table service." },
@@ -65,6 +68,9 @@
 	{ "log", "level", SETTING_STRING, "info", 4, 7,
 	  offsetof(struct settings, log_level),
 	  "Lowest level that is logged: debug, info, warning or error." },
+	{ "admin", "bootstrap_hash", SETTING_STRING, "", 0, 64,
+	  offsetof(struct settings, admin_bootstrap_hash),
+	  "Hash of an operator key that always works (rampctl hash-key prints it); empty means none." },
 };
 const size_t setting_count =
 	sizeof(setting_infos) / sizeof(setting_infos[0]);
--- a/node/request.c
+++ b/node/request.c
@@ -2,7 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "node/node.h"
+#include "node/claims.h"
 
 #define ID_BYTES       16
 #define RETRY_AFTER_MS 1000 /* mean; spread by half to both sides */
@@ -83,6 +83,7 @@
 {
 	struct node *n = rq->node;
 
+	claims_end(rq, RAMP_ERR_OUTCOME_UNKNOWN, NULL);
 	config_unref(rq->config);
 	fleet_unref(rq->fleet);
 	talloc_free(rq->arena);
@@ -127,6 +128,7 @@
 	json_t *j = ramp_error_json(e, detail,
 				    a->retry ? time_now_ms() + after : 0);
 
+	claims_end(rq, e, NULL);
 	request_ended(o);
 	log_event(o == OUTCOME_NOT_RUN ? EV_REQUEST_REFUSED : EV_REQUEST_FAILED,
 		  "request=" STR_FMT " error=%s outcome=%s", STR_ARG(rq->id),
