node: leave silent pooled connections; demo: post through a claim

Cause: an idempotent call on a pooled connection that had gone silent for good waited until its deadline (600 s by default). The demo sent no calls that may run once only and did not ask the engines how often each request ran, so doubled=0 said little.

Change: such a call is made again on a new connection after streams.silence without an answer. standin/poster posts with idempotency keys through the kill and the drain and compares what it was told with the service's own count; the caller adds up the engines' runs.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -51,17 +51,25 @@
 	"$(service report model llm)" "$(service forum plain forum)" |
 	ramp put -f - --wait || exit 1
 "$standin/caller" -e "127.0.0.1:$(port n1)" -e "127.0.0.1:$(port n2)" \
-	-e "127.0.0.1:$(port n3)" "$chats" >"$run/result" &
+	-e "127.0.0.1:$(port n3)" -g "127.0.0.1:$(port e1)" \
+	-g "127.0.0.1:$(port e2)" -g "127.0.0.1:$(port e3)" \
+	"$chats" >"$run/result" &
 caller=$!
+"$standin/poster" -e "127.0.0.1:$(port n1)" -e "127.0.0.1:$(port n2)" \
+	-e "127.0.0.1:$(port n3)" -s "127.0.0.1:$(port s1)" -n 100 \
+	>"$run/posts" &
+poster=$!
 sleep 0.3
 kill -KILL "$(pid n1)"
 sleep 0.2
 kill -TERM "$(pid n2)"
 wait $caller
 status=$?
+wait $poster || status=1
 wait "$(pid n2)" || {
 	echo "demo: the drained node ended with $?" >&2
 	status=1
 }
+cat "$run/posts"
 echo "demo: $(cat "$run/result")"
 exit $status
--- a/node/plain.c
+++ b/node/plain.c
@@ -33,17 +33,12 @@
 	return p ? p : "/";
 }
 
-static enum ramp_error read_answer(struct request *rq, struct pull *p,
-				   GByteArray *all)
+static enum ramp_error read_answer(struct request *rq, struct pull *p)
 {
 	enum pull_event ev;
 
-	while ((ev = pull_wait(p, request_until(rq))) == PULL_DATA) {
-		GByteArray *b = pull_bytes(p);
-
-		g_byte_array_append(all, b->data, b->len);
-		g_byte_array_set_size(b, 0);
-	}
+	while ((ev = pull_wait_more(p, request_until(rq))) == PULL_DATA)
+		;
 	if (ev == PULL_END)
 		return pull_status(p) == 503 ? RAMP_ERR_OVERLOADED : RAMP_OK;
 	if (!pull_maybe_sent(p))
@@ -52,6 +47,54 @@
 				  : RAMP_ERR_OUTCOME_UNKNOWN;
 }
 
+static const char *const *headers_for(struct request *rq,
+				      const struct _u_request *q)
+{
+	const char *type = u_map_get_case(q->map_header, "Content-Type");
+	const char **h = talloc_zero_array(rq->arena, const char *, 4);
+
+	h[0] = talloc_asprintf(rq->arena, "Content-Type: %s",
+			       type ? type : "application/octet-stream");
+	h[1] = talloc_asprintf(rq->arena, "Request-Id: " STR_FMT,
+			       STR_ARG(rq->id));
+	if (rq->key.len)
+		h[2] = talloc_asprintf(rq->arena, "Idempotency-Key: " STR_FMT,
+				       STR_ARG(rq->key));
+	return h;
+}
+
+/*
+ * Only an idempotent call takes a pooled connection, which may have gone
+ * silent for good: after streams.silence without an answer it is made again
+ * on a new one.
+ */
+static struct pull *send_call(struct request *rq, struct pull_request *pq)
+{
+	int64_t silence = time_mono_ms() + rq->node->set.streams_silence_ms;
+	struct pull *p = pull_open(pq);
+
+	if (pq->fresh || pull_wait_headers(p, silence) != PULL_TIMEOUT)
+		return p;
+	pull_close(p);
+	pq->fresh = true;
+	return pull_open(pq);
+}
+
+static void give_answer(struct request *rq, struct pull *p,
+			struct _u_response *r)
+{
+	const char *type = pull_header(p, "Content-Type");
+	GByteArray *all = pull_bytes(p);
+	struct claim_answer a = {
+		pull_status(p), type, {(char *)all->data, all->len}, true};
+
+	claims_end(rq, RAMP_OK, &a);
+	if (type)
+		u_map_put(r->map_header, "Content-Type", type);
+	ulfius_set_binary_body_response(r, (unsigned)a.status, a.body.data,
+					a.body.len);
+}
+
 static enum ramp_error call_target(struct request *rq,
 				   const struct _u_request *q, bool idempotent,
 				   const struct target *t,
@@ -59,42 +102,18 @@
 {
 	char *url = talloc_asprintf(rq->arena, "http://%s%s", t->address,
 				    rest_of_path(q));
-	const char *type = u_map_get_case(q->map_header, "Content-Type");
-	const char *headers[] = {
-		talloc_asprintf(rq->arena, "Content-Type: %s",
-				type ? type : "application/octet-stream"),
-		talloc_asprintf(rq->arena, "Request-Id: " STR_FMT,
-				STR_ARG(rq->id)),
-		rq->key.len ? talloc_asprintf(rq->arena,
-					      "Idempotency-Key: " STR_FMT,
-					      STR_ARG(rq->key))
-			    : NULL,
-		NULL};
 	struct pull_request pq = {.method = q->http_verb,
 				  .url = url,
-				  .headers = headers,
+				  .headers = headers_for(rq, q),
 				  .body = rq->body,
 				  .connect_ms = CONNECT_MS,
 				  .fresh = !idempotent};
-	GByteArray *all = g_byte_array_new();
-	struct pull *p = pull_open(&pq);
-	enum ramp_error e = read_answer(rq, p, all);
+	struct pull *p = send_call(rq, &pq);
+	enum ramp_error e = read_answer(rq, p);
 
-	if (e == RAMP_OK) {
-		const char *ct = pull_header(p, "Content-Type");
-		struct claim_answer a = {pull_status(p),
-					 ct,
-					 {(char *)all->data, all->len},
-					 true};
-
-		claims_end(rq, RAMP_OK, &a);
-		if (ct)
-			u_map_put(r->map_header, "Content-Type", ct);
-		ulfius_set_binary_body_response(r, (unsigned)a.status,
-						a.body.data, a.body.len);
-	}
+	if (e == RAMP_OK)
+		give_answer(rq, p, r);
 	pull_close(p);
-	g_byte_array_unref(all);
 	return e;
 }
 
--- a/node/test-outcomes.c
+++ b/node/test-outcomes.c
@@ -100,16 +100,8 @@
 	}
 }
 
-/*
- * A pooled connection that its peer closes on the next request: libcurl would
- * send that request again by itself, although the service has taken it.
- */
-static void test_pooled(void)
+static void through_holes(struct rig *g, struct hole **holes)
 {
-	struct rig *g = rig_new(1, 1, NULL);
-	struct hole *holes[2];
-	struct reply r;
-
 	for (int i = 0; i < 2; i++) {
 		holes[i] = hole_new(g->services[i].port);
 		g->services[i].shown_port = hole_port(holes[i]);
@@ -118,11 +110,45 @@
 	/* Calls that leave a connection to each instance in the pool. */
 	for (int i = 0;
 	     !hole_connections(holes[0]) || !hole_connections(holes[1]); i++) {
+		struct reply r = send_plain(g->nodes[0].port, "GET", "none");
+
 		g_assert_cmpint(i, <, 1000);
-		r = send_plain(g->nodes[0].port, "GET", "none");
 		g_assert_cmpint(r.status, ==, 200);
 		reply_clear(&r);
 	}
+}
+
+/* Pooled connections have gone silent for good: a call takes a new one. */
+static void test_pooled_silent(void)
+{
+	struct rig *g = rig_new(1, 1, NULL);
+	struct hole *holes[2];
+
+	through_holes(g, holes);
+	hole_set(holes[0], HOLE_BLIND);
+	hole_set(holes[1], HOLE_BLIND);
+	for (int i = 0; i < 4; i++) {
+		struct reply r = send_plain(g->nodes[0].port, "GET", "none");
+
+		g_assert_cmpint(r.status, ==, 200);
+		reply_clear(&r);
+	}
+	rig_free(g);
+	hole_free(holes[0]);
+	hole_free(holes[1]);
+}
+
+/*
+ * A pooled connection that its peer closes on the next request: libcurl would
+ * send that request again by itself, although the service has taken it.
+ */
+static void test_pooled(void)
+{
+	struct rig *g = rig_new(1, 1, NULL);
+	struct hole *holes[2];
+	struct reply r;
+
+	through_holes(g, holes);
 	hole_set(holes[0], HOLE_CUT);
 	hole_set(holes[1], HOLE_CUT);
 	r = send_plain(g->nodes[0].port, "POST", "once");
@@ -143,5 +169,6 @@
 	g_test_add_func("/outcomes/post", test_post);
 	g_test_add_func("/outcomes/post-elsewhere", test_post_elsewhere);
 	g_test_add_func("/outcomes/pooled", test_pooled);
+	g_test_add_func("/outcomes/pooled-silent", test_pooled_silent);
 	return g_test_run();
 }
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -387,16 +387,45 @@
 	return true;
 }
 
+/* Count what any engine ran more than once, or what two engines ran. */
+static void count_runs(const struct arg_str *engines, struct totals *t)
+{
+	GHashTable *all =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (int i = 0; i < engines->count; i++) {
+		char *url = g_strdup_printf("http://%s/standin/runs",
+					    engines->sval[i]);
+		json_t *runs = get_json(url);
+		const char *id;
+		json_t *n;
+
+		json_object_foreach (runs, id, n) {
+			if (json_integer_value(n) > 1 ||
+			    !g_hash_table_add(all, g_strdup(id)))
+				t->doubled++;
+		}
+		if (!runs)
+			t->lost++;
+		json_decref(runs);
+		g_free(url);
+	}
+	g_hash_table_unref(all);
+}
+
 int main(int argc, char **argv)
 {
 	struct arg_str *seed = arg_strn("e", "entry", "IP:PORT", 1, 64,
 					"an entry known from the start");
+	struct arg_str *engines =
+		arg_strn("g", "engine", "IP:PORT", 0, 64,
+			 "an engine to ask how often each request ran");
 	struct arg_file *until = arg_file0(NULL, "until", "FILE",
 					   "send the chats over and over "
 					   "until FILE exists");
 	struct arg_file *chats = arg_file1(NULL, NULL, "CHATS", "jsonl file");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {seed, until, chats, end};
+	void *table[] = {seed, engines, until, chats, end};
 	struct entries e = {0};
 	struct totals t = {0};
 
@@ -412,6 +441,7 @@
 		if (!run_file(chats->filename[0], &e, &t))
 			return 2;
 	} while (until->count && access(until->filename[0], F_OK));
+	count_runs(engines, &t);
 	printf("asked=%" G_GINT64_FORMAT " answered=%" G_GINT64_FORMAT
 	       " lost=%" G_GINT64_FORMAT " doubled=%" G_GINT64_FORMAT
 	       " crossed=%" G_GINT64_FORMAT " cut=%" G_GINT64_FORMAT "\n",
