--- a/node/node.h
+++ b/node/node.h
@@ -135,6 +135,8 @@
 	int64_t priority;
 	struct str body; /* as the target is sent it */
 	bool stream;
+	int caller_fd; /* the caller's connection, for watching, or -1 */
+	bool gone;     /* the caller has left */
 	struct call_claim *claim; /* or NULL */
 	bool resumed; /* asks for the rest of an answer, so the work has begun
 		       */
