--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -11,6 +11,7 @@
 	int64_t node_control_port;
 	char *node_region;
 	char *node_secret_file;
+	char *node_peers;
 	char *platform_table;
 	char *platform_objects;
 	char *platform_instances;
@@ -23,6 +24,8 @@
 	int64_t limits_request_ms;
 	int64_t streams_silence_ms;
 	int64_t entries_valid_ms;
+	int64_t entries_spread_ms;
 	char *log_level;
+	char *admin_bootstrap_hash;
 };
 #endif
