node: join members by UDP, merge their view with the instance list

Cause: a dead or leaving node was named to callers until the list, which lags, said so. Change: control module gossip (one-way ONC RPC datagrams), fleet_merge, entries by availability zone and load, settings node.control_any and node.control_budget. Control takes the number of the TCP port.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -28,4 +28,11 @@
 	{ 8004, LOG_INFO, "drain_asked" },
 	{ 8005, LOG_WARNING, "api_denied" },
 	{ 6001, LOG_WARNING, "peer_refused" },
+	{ 7001, LOG_ERROR, "control_unbound" },
+	{ 7002, LOG_INFO, "node_seen" },
+	{ 7003, LOG_INFO, "node_suspected" },
+	{ 7004, LOG_WARNING, "node_lost" },
+	{ 7005, LOG_INFO, "node_left" },
+	{ 7006, LOG_WARNING, "minority_seen" },
+	{ 7007, LOG_INFO, "majority_seen" },
 };
--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -39,4 +39,8 @@
 	  "Watches of resources in progress." },
 	{ "ramp_claims_repeated_total", "counter",
 	  "Calls that were not run because their key was held or spent." },
+	{ "ramp_control_malformed_total", "counter",
+	  "Control messages dropped because they could not be decoded." },
+	{ "ramp_control_not_authentic_total", "counter",
+	  "Control messages dropped because they were not made with the shared key." },
 };
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -11,6 +11,8 @@
 	int64_t node_control_port;
 	char *node_region;
 	char *node_secret_file;
+	bool node_control_any;
+	int64_t node_control_budget;
 	char *node_peers;
 	char *platform_table;
 	char *platform_objects;
--- a/member/member.h
+++ b/member/member.h
@@ -107,6 +107,10 @@
  */
 bool member_mean_load(const struct member *m, const char *pool, double *mean);
 
+/* One node's part as last heard; false and 0 when unknown. */
+bool member_node_load(const struct member *m, uint64_t node, const char *pool,
+		      double *work);
+
 /* What happened between this node and a target. */
 enum target_note {
 	TARGET_ANSWERED, /* on any connection */
--- a/member/peers.c
+++ b/member/peers.c
@@ -252,21 +252,35 @@
 		struct node_entry *e = g_ptr_array_index(m->peers, i);
 		bool named = is_named(e, infos, n);
 
-		if (e->listed && !named && e->seen.state == MEMBER_DEAD)
+		if (e->listed && !named && e != m->self &&
+		    e->seen.state == MEMBER_DEAD)
 			set_state(m, e, e->seen.incarnation, MEMBER_LEFT,
 				  e->seen.leaving);
 		e->listed = named;
 	}
 }
 
+static void seed_one(struct member *m, const struct member_info *info)
+{
+	struct node_entry *e = peers_find(m, member_id(info->name));
+
+	if (!e) {
+		peers_add(m, info, 0);
+		return;
+	}
+	/* A new process may have taken the name of one that is gone. */
+	if (peers_is_up(e) || !strcmp(e->seen.info.address, info->address))
+		return;
+	update_info(e, info);
+	set_state(m, e, 0, MEMBER_LIVE, false);
+}
+
 void member_seed(struct member *m, int64_t now_ms,
 		 const struct member_info *infos, size_t n)
 {
 	m->now_ms = MAX(m->now_ms, now_ms);
-	for (size_t i = 0; i < n; i++) {
-		if (!peers_find(m, member_id(infos[i].name)))
-			peers_add(m, &infos[i], 0);
-	}
+	for (size_t i = 0; i < n; i++)
+		seed_one(m, &infos[i]);
 	forget_unlisted(m, infos, n);
 }
 
--- a/member/shares.c
+++ b/member/shares.c
@@ -90,6 +90,16 @@
 	return true;
 }
 
+bool member_node_load(const struct member *m, uint64_t node, const char *pool,
+		      double *work)
+{
+	uint64_t key = share_key((uint32_t)node, pool_id(pool));
+	const struct share_entry *s = g_hash_table_lookup(m->shares, &key);
+
+	*work = s ? s->work : 0;
+	return s;
+}
+
 void shares_merge(struct member *m, const struct member_message *msg)
 {
 	for (u_int i = 0; i < msg->shares.shares_len; i++) {
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -151,5 +151,6 @@
 		return 2;
 	}
 	g_mutex_init(&n.lock);
+	n.target_events = g_async_queue_new();
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
--- a/node/config.c
+++ b/node/config.c
@@ -192,7 +192,7 @@
 
 	l->asking_list = false;
 	if (!f && json_is_array(list))
-		node_set_fleet(l->env->node, fleet_from_instances(list));
+		node_set_listed(l->env->node, fleet_from_instances(list));
 	fleet_unref(f);
 }
 
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -7,7 +7,7 @@
 
 static bool is_allowed(const struct request *rq, const struct target *t)
 {
-	if (strcmp(t->pool, rq->service->pool) || t->leaving)
+	if (strcmp(t->pool, rq->service->pool) || t->leaving || t->down)
 		return false;
 	return !rq->intent || !rq->intent->targets ||
 	       g_strv_contains((const char *const *)rq->intent->targets,
--- a/node/entries.c
+++ b/node/entries.c
@@ -1,13 +1,8 @@
 /* GET /v1/entries, /ready and /metrics. */
+#include <sodium.h>
 #include <string.h>
 
-#include "node/node.h"
-
-/* Order of a node for a caller: its own availability zone first. */
-static int distance(const struct peer *p, const char *zone)
-{
-	return zone && strcmp(p->zone, zone) ? 1 : 0;
-}
+#include "node/gossip.h"
 
 static json_t *entry(const struct peer *p)
 {
@@ -15,21 +10,38 @@
 			 p->address, "zone", p->zone);
 }
 
+static double random_of(void *ctx)
+{
+	(void)ctx;
+	return (randombytes_random() + 1.0) / (UINT32_MAX + 1.0);
+}
+
+/* Whether this node itself may be named; it knows first that it leaves. */
+static bool is_named(const struct node *n, const struct peer *p)
+{
+	return strcmp(p->name, n->set.node_name) || !atomic_load(&n->leaving);
+}
+
 int on_entries(const struct _u_request *q, struct _u_response *r, void *node)
 {
 	struct node *n = node;
 	const char *zone = u_map_get(q->map_url, "zone");
+	struct entries_query eq = {
+		.zone = zone ? zone : n->set.node_zone,
+		.region = n->set.node_region,
+		.random = random_of,
+	};
 	struct fleet *f = node_fleet(n);
+	GPtrArray *order = f ? entries_order(f, &eq) : g_ptr_array_new();
 	json_t *list = json_array();
 
-	for (int d = 0; f && d < 2; d++) {
-		for (guint i = 0; i < f->peers->len; i++) {
-			const struct peer *p = g_ptr_array_index(f->peers, i);
+	for (guint i = 0; i < order->len; i++) {
+		const struct peer *p = g_ptr_array_index(order, i);
 
-			if (!p->leaving && distance(p, zone) == d)
-				json_array_append_new(list, entry(p));
-		}
+		if (is_named(n, p))
+			json_array_append_new(list, entry(p));
 	}
+	g_ptr_array_unref(order);
 	fleet_unref(f);
 	return answer_json(r, 200,
 			   json_pack("{s:o,s:I}", "entries", list,
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -21,6 +21,7 @@
 	g_free(e->address);
 	g_free(e->zone);
 	g_free(e->region);
+	g_free(e->control);
 	g_free(e);
 }
 
@@ -44,26 +45,77 @@
 	g_ptr_array_add(f->targets, t);
 }
 
-static void add_peer(struct fleet *f, const json_t *j)
+struct peer *fleet_add_peer(struct fleet *f, const struct member_info *info)
 {
 	struct peer *p = g_new0(struct peer, 1);
 
-	p->name = g_strdup(text(j, "name"));
-	p->address = g_strdup(text(j, "address"));
-	p->zone = g_strdup(text(j, "zone"));
-	p->region = g_strdup(text(j, "region"));
-	p->leaving = !strcmp(text(j, "state"), "leaving");
+	p->name = g_strdup(info->name);
+	p->address = g_strdup(info->address);
+	p->control = g_strdup(info->control);
+	p->zone = g_strdup(info->zone);
+	p->region = g_strdup(info->region);
 	g_ptr_array_add(f->peers, p);
+	return p;
 }
 
-struct fleet *fleet_from_instances(const json_t *instances)
+static void add_peer(struct fleet *f, const json_t *j)
+{
+	const char *address = text(j, "address");
+	const char *control = text(j, "control");
+	struct member_info info = {
+		.name = (char *)text(j, "name"),
+		.address = (char *)address,
+		.control = (char *)(*control ? control : address),
+		.zone = (char *)text(j, "zone"),
+		.region = (char *)text(j, "region"),
+	};
+
+	fleet_add_peer(f, &info)->leaving =
+		!strcmp(text(j, "state"), "leaving");
+}
+
+static struct fleet *fleet_new(void)
 {
 	struct fleet *f = g_atomic_rc_box_new0(struct fleet);
-	size_t i;
-	json_t *j;
 
 	f->targets = g_ptr_array_new_with_free_func(free_target);
 	f->peers = g_ptr_array_new_with_free_func(free_peer);
+	return f;
+}
+
+static void copy_target(struct fleet *f, const struct target *from)
+{
+	struct target *t = g_memdup2(from, sizeof(*from));
+
+	t->name = g_strdup(from->name);
+	t->pool = g_strdup(from->pool);
+	t->address = g_strdup(from->address);
+	t->zone = g_strdup(from->zone);
+	g_ptr_array_add(f->targets, t);
+}
+
+struct fleet *fleet_copy(const struct fleet *f)
+{
+	struct fleet *copy = fleet_new();
+
+	for (guint i = 0; i < f->targets->len; i++)
+		copy_target(copy, g_ptr_array_index(f->targets, i));
+	for (guint i = 0; i < f->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(f->peers, i);
+		struct member_info info = {p->name, p->address, p->control,
+					   p->zone, p->region};
+
+		fleet_add_peer(copy, &info)->leaving = p->leaving;
+	}
+	return copy;
+}
+
+struct fleet *fleet_from_instances(const json_t *instances)
+{
+	struct fleet *f = fleet_new();
+	size_t i;
+	json_t *j;
+
 	json_array_foreach (instances, i, j) {
 		if (!*text(j, "name") || !*text(j, "address"))
 			continue;
@@ -100,6 +152,7 @@
 				     p->leaving);
 
 		json_object_set_new(j, "region", json_string(p->region));
+		json_object_set_new(j, "control", json_string(p->control));
 		json_array_append_new(list, j);
 	}
 	return list;
--- /dev/null
+++ b/node/gossip.c
@@ -0,0 +1,372 @@
+/* Control module: the member state machine on a UDP socket. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "node/gossip.h"
+
+#define BUFFER_BYTES  2048
+#define DATAGRAMS_MAX 64 /* taken in one turn */
+#define PUBLISH_MS    1000
+#define RETRY_MS      1000
+#define KEY_CONTEXT   "auburnramp member"
+/* Incarnations count eighths of a second since 2025. */
+#define EPOCH_MS       1735689600000
+#define INCARNATION_MS 125
+
+struct gossip {
+	struct control_env *env;
+	struct member *member; /* NULL until the socket is bound */
+	int fd;                /* -1 until then */
+	uint8_t key[MEMBER_KEY_BYTES];
+	GHashTable *states; /* id -> last state that was logged */
+	uint64_t view;
+	uint64_t listed_number;
+	int64_t publish_ms, retry_ms, introduce_ms;
+	int64_t bytes_sent; /* as counted so far */
+	bool minority;
+	bool has_failed; /* to bind, and that was logged */
+};
+
+static bool to_sockaddr(const char *address, struct sockaddr_storage *out,
+			socklen_t *len)
+{
+	const char *colon = strrchr(address, ':');
+	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+	char *ip;
+	bool ok;
+
+	if (!colon)
+		return false;
+	memset(out, 0, sizeof(*out));
+	ip = g_strndup(address, (gsize)(colon - address));
+	v4->sin_family = AF_INET;
+	v4->sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+	ok = inet_pton(AF_INET, ip, &v4->sin_addr) == 1;
+	*len = sizeof(*v4);
+	g_free(ip);
+	return ok;
+}
+
+static void on_send(void *ctx, const char *control,
+		    const struct member_message *m)
+{
+	struct gossip *g = ctx;
+	struct sockaddr_storage to;
+	uint8_t buf[BUFFER_BYTES];
+	socklen_t len;
+	size_t n;
+
+	if (!to_sockaddr(control, &to, &len))
+		return;
+	n = member_encode(m, g->key, buf, sizeof(buf));
+	/* A message that can't be sent counts as one that was lost. */
+	if (n)
+		(void)!sendto(g->fd, buf, n, MSG_DONTWAIT,
+			      (struct sockaddr *)&to, len);
+}
+
+static uint64_t on_random(void *ctx)
+{
+	uint64_t r;
+
+	(void)ctx;
+	randombytes_buf(&r, sizeof(r));
+	return r;
+}
+
+static int bind_udp(const char *ip, int port)
+{
+	struct sockaddr_storage at;
+	socklen_t len;
+	char *address = g_strdup_printf("%s:%d", ip, port);
+	int fd = -1;
+
+	if (to_sockaddr(address, &at, &len))
+		fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+			    0);
+	g_free(address);
+	if (fd < 0 || !bind(fd, (struct sockaddr *)&at, len))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* The port set, else the number of the TCP port, else any if that is let. */
+static int open_socket(const struct node *n)
+{
+	int port = n->set.node_control_port ? (int)n->set.node_control_port
+					    : n->server.port;
+	int fd = bind_udp(n->set.node_address, port);
+
+	if (fd < 0 && n->set.node_control_any)
+		fd = bind_udp(n->set.node_address, 0);
+	return fd;
+}
+
+static int port_of(int fd)
+{
+	struct sockaddr_in at = {0};
+	socklen_t len = sizeof(at);
+
+	getsockname(fd, (struct sockaddr *)&at, &len);
+	return ntohs(at.sin_port);
+}
+
+static void load_key(struct gossip *g)
+{
+	const char *path = g->env->node->set.node_secret_file;
+	char *text = NULL;
+
+	/* Without a file the fleet is a test fleet and the key is known. */
+	if (!*path || !g_file_get_contents(path, &text, NULL, NULL))
+		text = g_strdup("");
+	g_strstrip(text);
+	crypto_generichash(g->key, sizeof(g->key), (uint8_t *)KEY_CONTEXT,
+			   strlen(KEY_CONTEXT), (uint8_t *)text,
+			   MIN(strlen(text), crypto_generichash_KEYBYTES_MAX));
+	g_free(text);
+}
+
+static void start_member(struct gossip *g)
+{
+	struct node *n = g->env->node;
+	char *control =
+		g_strdup_printf("%s:%d", n->set.node_address, port_of(g->fd));
+	struct member_options o = {
+		.self = {n->set.node_name, n->address, control,
+			 n->set.node_zone, n->set.node_region},
+		.incarnation =
+			(uint32_t)((time_now_ms() - EPOCH_MS) / INCARNATION_MS),
+		.budget_bytes_s = n->set.node_control_budget,
+		.callbacks = {g, on_send, on_random},
+	};
+
+	g->member = member_new(&o, time_mono_ms());
+	g_free(control);
+}
+
+static void try_open(struct gossip *g, int64_t now_ms)
+{
+	if (now_ms < g->retry_ms)
+		return;
+	g->retry_ms = now_ms + RETRY_MS;
+	g->fd = open_socket(g->env->node);
+	if (g->fd >= 0) {
+		start_member(g);
+		return;
+	}
+	if (!g->has_failed)
+		log_event(EV_CONTROL_UNBOUND, "error=\"%s\"",
+			  g_strerror(errno));
+	g->has_failed = true;
+}
+
+static void *start(struct control_env *env)
+{
+	struct gossip *g = g_new0(struct gossip, 1);
+
+	g->env = env;
+	g->fd = -1;
+	g->states = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					  NULL);
+	load_key(g);
+	try_open(g, time_mono_ms());
+	return g;
+}
+
+static void take(struct gossip *g, const uint8_t *buf, size_t n)
+{
+	struct member_message msg;
+
+	metric_add(M_CONTROL_BYTES_RECEIVED_TOTAL,
+		   (int64_t)n + MEMBER_DATAGRAM_BYTES);
+	switch (member_decode(buf, n, g->key, &msg)) {
+	case MEMBER_DECODED:
+		member_receive(g->member, time_mono_ms(), &msg);
+		member_message_clear(&msg);
+		return;
+	case MEMBER_MALFORMED:
+		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
+		return;
+	case MEMBER_NOT_AUTHENTIC:
+		metric_add(M_CONTROL_NOT_AUTHENTIC_TOTAL, 1);
+		return;
+	}
+}
+
+static void readable(void *ctx)
+{
+	struct gossip *g = ctx;
+	uint8_t buf[BUFFER_BYTES];
+
+	for (int i = 0; i < DATAGRAMS_MAX; i++) {
+		ssize_t n = recv(g->fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+		if (n < 0)
+			return;
+		take(g, buf, (size_t)n);
+	}
+}
+
+static int fd_of(void *ctx)
+{
+	return ((struct gossip *)ctx)->fd;
+}
+
+static void seed(struct gossip *g, int64_t now_ms)
+{
+	const struct fleet *f = g->env->node->listed;
+	struct member_info *infos = g_new0(struct member_info, f->peers->len);
+
+	for (guint i = 0; i < f->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(f->peers, i);
+
+		infos[i] = (struct member_info){p->name, p->address, p->control,
+						p->zone, p->region};
+	}
+	member_seed(g->member, now_ms, infos, f->peers->len);
+	g_free(infos);
+}
+
+/* Without a list, and alone, the nodes that the settings name are asked. */
+static void introduce(struct gossip *g, int64_t now_ms)
+{
+	char **names;
+
+	if (now_ms < g->introduce_ms || member_count(g->member) > 1)
+		return;
+	g->introduce_ms = now_ms + RETRY_MS;
+	names = g_strsplit(g->env->node->set.node_peers, ",", -1);
+	for (char **s = names; *s; s++) {
+		if (*g_strstrip(*s))
+			member_introduce(g->member, *s);
+	}
+	g_strfreev(names);
+}
+
+static const enum log_event_id state_events[] = {
+	[MEMBER_LIVE] = EV_NODE_SEEN,
+	[MEMBER_SUSPECT] = EV_NODE_SUSPECTED,
+	[MEMBER_LEFT] = EV_NODE_LEFT,
+	[MEMBER_DEAD] = EV_NODE_LOST,
+};
+
+static void log_changes(struct gossip *g)
+{
+	bool minority = member_is_minority(g->member);
+
+	for (size_t i = 0; i < member_count(g->member); i++) {
+		const struct member_peer *p = member_at(g->member, i);
+		gpointer state = GINT_TO_POINTER(p->state + 1);
+
+		if (g_hash_table_lookup(g->states, &p->id) == state)
+			continue;
+		g_hash_table_replace(g->states,
+				     g_memdup2(&p->id, sizeof(p->id)), state);
+		log_event(state_events[p->state], "node=%s incarnation=%u",
+			  p->info.name, p->incarnation);
+	}
+	if (minority != g->minority)
+		log_event(minority ? EV_MINORITY_SEEN : EV_MAJORITY_SEEN,
+			  "nodes=%zu", member_count(g->member));
+	g->minority = minority;
+}
+
+static void publish(struct gossip *g, int64_t now_ms)
+{
+	struct node *n = g->env->node;
+	bool changed = g->listed_number != n->listed_number ||
+		       g->view != member_view_number(g->member);
+
+	if (!n->listed || (!changed && now_ms < g->publish_ms))
+		return;
+	if (g->listed_number != n->listed_number)
+		seed(g, now_ms);
+	g->publish_ms = now_ms + PUBLISH_MS;
+	g->listed_number = n->listed_number;
+	if (g->view != member_view_number(g->member))
+		log_changes(g);
+	g->view = member_view_number(g->member);
+	node_set_fleet(n, fleet_merge(n->listed, g->member, now_ms));
+}
+
+static void take_notes(struct gossip *g, int64_t now_ms)
+{
+	struct target_event *e;
+
+	while ((e = g_async_queue_try_pop(g->env->node->target_events))) {
+		member_note_target(g->member, now_ms, e->target, e->note);
+		g_free(e->target);
+		g_free(e);
+	}
+}
+
+static void exchange_revision(struct gossip *g)
+{
+	struct node *n = g->env->node;
+	struct config *c = node_config(n);
+
+	if (c)
+		member_set_revision(g->member, c->revision);
+	config_unref(c);
+	atomic_store(&n->heard_revision, member_revision(g->member));
+}
+
+static void count_bytes(struct gossip *g)
+{
+	int64_t sent = member_bytes_sent(g->member);
+
+	metric_add(M_CONTROL_BYTES_SENT_TOTAL, sent - g->bytes_sent);
+	g->bytes_sent = sent;
+}
+
+static void tick(void *ctx, int64_t now_ms)
+{
+	struct gossip *g = ctx;
+	struct node *n = g->env->node;
+
+	if (!g->member)
+		try_open(g, now_ms);
+	if (!g->member) {
+		/* The list alone is better than nothing. */
+		if (n->listed && g->listed_number != n->listed_number)
+			node_set_fleet(n, fleet_ref(n->listed));
+		g->listed_number = n->listed_number;
+		return;
+	}
+	take_notes(g, now_ms);
+	if (atomic_load(&n->leaving))
+		member_leave(g->member);
+	introduce(g, now_ms);
+	exchange_revision(g);
+	member_set_load(g->member, ENTRY_POOL, atomic_load(&n->running), 1);
+	member_tick(g->member, now_ms);
+	publish(g, now_ms);
+	count_bytes(g);
+}
+
+static void stop(void *ctx)
+{
+	struct gossip *g = ctx;
+
+	if (g->member) {
+		member_stop(g->member);
+		member_free(g->member);
+		close(g->fd);
+	}
+	g_hash_table_unref(g->states);
+	g_free(g);
+}
+
+const struct control_module gossip_module = {
+	.start = start,
+	.tick = tick,
+	.fd = fd_of,
+	.readable = readable,
+	.stop = stop,
+};
--- /dev/null
+++ b/node/merge.c
@@ -0,0 +1,156 @@
+/* The fleet as this node sees it: the platform's list and the member view. */
+#include <math.h>
+#include <string.h>
+
+#include "node/gossip.h"
+
+static struct peer *find_peer(const struct fleet *f, const char *name)
+{
+	for (guint i = 0; i < f->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(f->peers, i);
+
+		if (!strcmp(p->name, name))
+			return p;
+	}
+	return NULL;
+}
+
+static void set_text(char **to, const char *from)
+{
+	if (!strcmp(*to, from))
+		return;
+	g_free(*to);
+	*to = g_strdup(from);
+}
+
+static void merge_peer(struct fleet *f, const struct member *m,
+		       const struct member_peer *seen)
+{
+	struct peer *p = find_peer(f, seen->info.name);
+	bool is_up =
+		seen->state == MEMBER_LIVE || seen->state == MEMBER_SUSPECT;
+
+	if (!p && !is_up)
+		return;
+	if (!p)
+		p = fleet_add_peer(f, &seen->info);
+	p->state = seen->state;
+	p->incarnation = seen->incarnation;
+	/* The list may still name an earlier process of that name. */
+	if (seen->incarnation && strcmp(p->address, seen->info.address)) {
+		set_text(&p->address, seen->info.address);
+		set_text(&p->control, seen->info.control);
+		p->leaving = false;
+	}
+	p->leaving = p->leaving || seen->leaving;
+	member_node_load(m, seen->id, ENTRY_POOL, &p->running);
+}
+
+static void merge_target(struct target *t, const struct member *m,
+			 int64_t now_ms)
+{
+	enum target_view v = member_target(m, now_ms, t->name);
+
+	t->leaving = t->leaving || v == TARGET_VIEW_LEAVING;
+	t->down = v == TARGET_VIEW_DOWN || v == TARGET_VIEW_FLAPPING;
+}
+
+static bool pool_is_up(const struct fleet *f, const char *pool)
+{
+	for (guint i = 0; i < f->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(f->targets, i);
+
+		if (!strcmp(t->pool, pool) && !t->leaving && !t->down)
+			return true;
+	}
+	return false;
+}
+
+/* A pool that seems wholly down is tried all the same. */
+static void spare_pools(struct fleet *f)
+{
+	for (guint i = 0; i < f->targets->len; i++) {
+		struct target *t = g_ptr_array_index(f->targets, i);
+
+		if (t->down && !pool_is_up(f, t->pool))
+			t->down = false;
+	}
+}
+
+struct fleet *fleet_merge(const struct fleet *listed, const struct member *m,
+			  int64_t now_ms)
+{
+	struct fleet *f = fleet_copy(listed);
+
+	for (guint i = 0; i < f->targets->len; i++)
+		merge_target(g_ptr_array_index(f->targets, i), m, now_ms);
+	spare_pools(f);
+	for (size_t i = 0; i < member_count(m); i++)
+		merge_peer(f, m, member_at(m, i));
+	member_seen(m, &f->nodes_live, &f->nodes_known);
+	return f;
+}
+
+/* A node for a caller: the smaller rank and then the smaller score first. */
+struct candidate {
+	const struct peer *peer;
+	int rank;
+	double score;
+};
+
+static int rank_of(const struct peer *p, const struct entries_query *q)
+{
+	int suspect = p->state == MEMBER_SUSPECT ? 3 : 0;
+
+	if (!strcmp(p->zone, q->zone))
+		return suspect;
+	return suspect + (strcmp(p->region, q->region) ? 2 : 1);
+}
+
+static int compare(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	if (x->rank != y->rank)
+		return x->rank < y->rank ? -1 : 1;
+	return x->score < y->score ? -1 : x->score > y->score;
+}
+
+static double mean_running(const struct fleet *f)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < f->peers->len; i++)
+		sum += ((const struct peer *)g_ptr_array_index(f->peers, i))
+			       ->running;
+	return f->peers->len ? sum / f->peers->len : 0;
+}
+
+GPtrArray *entries_order(const struct fleet *f, const struct entries_query *q)
+{
+	struct candidate *c = g_new(struct candidate, f->peers->len + 1);
+	GPtrArray *order = g_ptr_array_new();
+	double mean = mean_running(f);
+	size_t n = 0;
+
+	for (guint i = 0; i < f->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(f->peers, i);
+		/* Exponential variates: the chance to come first goes with
+		 * the inverse of the load. */
+		double load = (1 + p->running) / (1 + mean);
+
+		if (p->leaving || p->state == MEMBER_DEAD ||
+		    p->state == MEMBER_LEFT)
+			continue;
+		c[n++] = (struct candidate){
+			.peer = p,
+			.rank = rank_of(p, q),
+			.score = -log(q->random(q->ctx)) * load,
+		};
+	}
+	qsort(c, n, sizeof(*c), compare);
+	for (size_t i = 0; i < n; i++)
+		g_ptr_array_add(order, (gpointer)c[i].peer);
+	g_free(c);
+	return order;
+}
--- a/node/node.h
+++ b/node/node.h
@@ -9,6 +9,7 @@
 
 #include "base/base.h"
 #include "http/http.h"
+#include "member/member.h"
 #include "route/route.h"
 #include "state/state.h"
 
@@ -20,6 +21,7 @@
 	char *zone;
 	uint64_t id; /* hash of the name */
 	bool leaving;
+	bool down; /* can't be reached, or could not until just now */
 };
 
 /* Another node, or this one. */
@@ -28,13 +30,19 @@
 	char *address;
 	char *zone;
 	char *region;
+	char *control; /* "IP:port" of its control socket */
 	bool leaving;
+	enum member_state state;
+	uint32_t incarnation; /* 0 when nothing has been heard of it */
+	double running;       /* requests in progress, as last heard */
 };
 
 /* The instances as this node sees them now. Immutable; reference-counted. */
 struct fleet {
 	GPtrArray *targets; /* struct target */
 	GPtrArray *peers;   /* struct peer */
+	/* Nodes believed alive and those that should be; see member_seen. */
+	size_t nodes_live, nodes_known;
 };
 
 struct fleet *fleet_from_instances(const json_t *instances);
@@ -42,6 +50,8 @@
 json_t *fleet_to_instances(const struct fleet *f);
 struct fleet *fleet_ref(struct fleet *f);
 void fleet_unref(struct fleet *f);
+struct peer *fleet_add_peer(struct fleet *f, const struct member_info *info);
+struct fleet *fleet_copy(const struct fleet *f);
 /* Name a target, or NULL. */
 const struct target *fleet_target(const struct fleet *f, const char *name);
 
@@ -66,6 +76,12 @@
 	/* Newest configuration revision that another node has told of. */
 	atomic_int_least64_t heard_revision;
 
+	/* Of the control thread alone: the platform's list as last read. */
+	struct fleet *listed;
+	uint64_t listed_number; /* grows with each reading */
+
+	GAsyncQueue *target_events; /* struct target_event */
+
 	GMutex lock; /* for those below; the control thread replaces them */
 	struct config *config;
 	struct fleet *fleet;
@@ -78,6 +94,18 @@
 struct fleet *node_fleet(struct node *n);
 void node_set_config(struct node *n, struct config *c);
 void node_set_fleet(struct node *n, struct fleet *f);
+/* On the control thread: take a list that was read. Takes the reference. */
+void node_set_listed(struct node *n, struct fleet *f);
+
+/* What a thread saw of a target, on its way to the control thread. */
+struct target_event {
+	char *target;
+	enum target_note note;
+};
+
+/* Tell the fleet's view what happened between this node and a target. */
+void node_note_target(struct node *n, const char *target,
+		      enum target_note note);
 /*
  * Wall-clock time since which a revision, or a newer one, has been in force
  * here; 0 when it is not. For revisions of long ago it is the oldest time
@@ -105,6 +133,7 @@
 
 extern const struct control_module config_module; /* config.c */
 extern const struct control_module list_module;   /* list.c */
+extern const struct control_module gossip_module; /* gossip.c */
 
 /* control.c: the control thread; ends when stop_control is set. */
 void *control_run(void *node);
--- a/node/view.c
+++ b/node/view.c
@@ -79,3 +79,18 @@
 	g_mutex_unlock(&n->lock);
 	fleet_unref(old);
 }
+
+void node_set_listed(struct node *n, struct fleet *f)
+{
+	fleet_unref(n->listed);
+	n->listed = f;
+	n->listed_number++;
+}
+
+void node_note_target(struct node *n, const char *target, enum target_note note)
+{
+	struct target_event *e = g_new(struct target_event, 1);
+
+	*e = (struct target_event){g_strdup(target), note};
+	g_async_queue_push(n->target_events, e);
+}
