--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -62,9 +62,15 @@
 	{ "entries", "valid", SETTING_MS, "10000", 100, 600000,
 	  offsetof(struct settings, entries_valid_ms),
 	  "Time for which callers may keep the list of entries, in milliseconds." },
+	{ "entries", "spread", SETTING_MS, "5000", 0, 60000,
+	  offsetof(struct settings, entries_spread_ms),
+	  "Time within which every other node knows that this one leaves, in milliseconds." },
 	{ "log", "level", SETTING_STRING, "info", 4, 7,
 	  offsetof(struct settings, log_level),
 	  "Lowest level that is logged: debug, info, warning or error." },
+	{ "admin", "bootstrap_hash", SETTING_STRING, "", 0, 64,
+	  offsetof(struct settings, admin_bootstrap_hash),
+	  "Hash of an operator key that always works (rampctl hash-key prints it); empty means none." },
 };
 const size_t setting_count =
 	sizeof(setting_infos) / sizeof(setting_infos[0]);
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -14,21 +14,15 @@
 		"$(port "$1")"
 }
 
-# change N KIND NAME SPEC: rows of change number N, as state/state.h lists them.
-change() {
-	printf '{"key":"res/%s/%s","value":{"spec":%s,"generation":1,' \
-		"$2" "$3" "$4"
-	printf '"revision":%d}},{"key":"chg/%020d","value":{"id":"demo-%d",' \
-		"$1" "$1" "$1"
-	printf '"revision":%d,"generation":1,"kind":"%s","name":"%s",' \
-		"$1" "$2" "$3"
-	printf '"was":null,"is":%s}},' "$4"
+org() { # NAME KEY
+	printf '{"kind":"organisation","name":"%s","spec":{"keys":' "$1"
+	printf '[{"hash":"%s","role":"caller"}]}}' \
+		"$("$top/bin/rampctl" hash-key <<<"$2")"
 }
 
-org() { # N NAME KEY
-	change "$1" organisation "$2" "$(printf \
-		'{"keys":[{"hash":"%s","role":"caller"}]}' \
-		"$("$standin/keyhash" "$3")")"
+service() { # NAME KIND POOL
+	printf '{"kind":"service","name":"%s","spec":{"kind":"%s","pool":"%s"}}' \
+		"$1" "$2" "$3"
 }
 
 start platform "$standin/platform" || exit 1
@@ -36,19 +30,12 @@
 	start $e "$standin/engine" || exit 1
 done
 start s1 "$standin/service" || exit 1
-platform=http://127.0.0.1:$(port platform)
-"$standin/call" POST "$platform/table/txn" "$(printf \
-	'{"id":"demo","puts":[%s%s%s%s%s%s]}' \
-	"$(org 1 recif key-recif)" "$(org 2 ferreyra key-ferreyra)" \
-	"$(change 3 service assistant '{"kind":"model","pool":"llm"}')" \
-	"$(change 4 service report '{"kind":"model","pool":"llm"}')" \
-	"$(change 5 service forum '{"kind":"plain","pool":"forum"}')" \
-	'{"key":"head/config","value":{"revision":5}}')" >/dev/null
 for n in n1:a n2:a n3:b; do
 	settings "${n%:*}" "${n#*:}"
 	start "${n%:*}" "$top/bin/auburnramp" \
 		--settings "$run/${n%:*}.conf" || exit 1
 done
+platform=http://127.0.0.1:$(port platform)
 list=$(for i in e1:engine:llm:a e2:engine:llm:b e3:engine:llm:b \
 	s1:service:forum:a n1:node::a n2:node::a n3:node::b; do
 	IFS=: read -r name role pool zone <<<"$i"
@@ -59,6 +46,10 @@
 for n in n1 n2 n3; do
 	wait_ready $n || exit 1
 done
+printf '[%s,%s,%s,%s,%s]' "$(org recif key-recif)" \
+	"$(org ferreyra key-ferreyra)" "$(service assistant model llm)" \
+	"$(service report model llm)" "$(service forum plain forum)" |
+	ramp put -f - --wait || exit 1
 "$standin/caller" -e "127.0.0.1:$(port n1)" -e "127.0.0.1:$(port n2)" \
 	-e "127.0.0.1:$(port n3)" "$chats" >"$run/result" &
 caller=$!
@@ -68,5 +59,9 @@
 kill -TERM "$(pid n2)"
 wait $caller
 status=$?
+wait "$(pid n2)" || {
+	echo "demo: the drained node ended with $?" >&2
+	status=1
+}
 echo "demo: $(cat "$run/result")"
 exit $status
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -40,7 +40,7 @@
 
 $(addprefix $(BIN)/,$(BINS)): $(BIN)/%: $(OBJ)/%.o $(USELIBS)
 	@mkdir -p $(BIN)
-	@$(CC) $(LDFLAGS) -o $@ $< $(USELIBS) $(LDLIBS)
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(USELIBS) $(LDLIBS)
 
 -include $(wildcard $(OBJ)/*.d)
 .PHONY: all
--- a/node/config.c
+++ b/node/config.c
@@ -18,7 +18,7 @@
 	bool asking_list;
 };
 
-struct ask {
+struct peer_ask {
 	struct learner *learner;
 	learn_peer_fn *done;
 	void *arg;
@@ -148,7 +148,7 @@
 
 static void on_asked(const struct fetch_result *r, void *arg)
 {
-	struct ask *a = arg;
+	struct peer_ask *a = arg;
 	json_t *j = r->status == 200
 			    ? json_loadb(r->body.data, r->body.len, 0, NULL)
 			    : NULL;
@@ -161,11 +161,11 @@
 static void ask(struct learner *l, unsigned i, const char *path, int64_t after,
 		learn_peer_fn *done, void *arg)
 {
-	struct ask *a = g_new(struct ask, 1);
+	struct peer_ask *a = g_new(struct peer_ask, 1);
 	char number[24];
 	char *url;
 
-	*a = (struct ask){l, done, arg};
+	*a = (struct peer_ask){l, done, arg};
 	g_snprintf(number, sizeof(number), "%" G_GINT64_FORMAT, after);
 	url = spread_url(g_ptr_array_index(l->peers, i % l->peers->len), path,
 			 number);
--- a/node/spread.c
+++ b/node/spread.c
@@ -6,7 +6,7 @@
 #define SIGNED_FOR_MS 30000 /* validity, clock differences included */
 #define MAC_BYTES     16
 
-struct change {
+struct told_change {
 	int64_t revision;
 	char *text; /* JSON */
 };
@@ -16,7 +16,7 @@
 	GMutex lock;
 	int64_t revision; /* -1: nothing yet */
 	GBytes *whole;
-	GQueue changes; /* struct change, oldest first */
+	GQueue changes; /* struct told_change, oldest first */
 } told = {.revision = -1, .changes = G_QUEUE_INIT};
 
 static struct {
@@ -93,7 +93,7 @@
 
 static void free_change(void *p)
 {
-	struct change *c = p;
+	struct told_change *c = p;
 
 	g_free(c->text);
 	g_free(c);
@@ -106,7 +106,7 @@
 	json_t *j;
 
 	json_array_foreach (list, i, j) {
-		struct change *c = g_new(struct change, 1);
+		struct told_change *c = g_new(struct told_change, 1);
 		char *text = json_dumps(j, JSON_COMPACT);
 
 		c->revision =
@@ -143,7 +143,7 @@
 /* The lock is held. Whether the changes kept reach back to the one after. */
 static bool reaches(int64_t after)
 {
-	const struct change *c = g_queue_peek_head(&told.changes);
+	const struct told_change *c = g_queue_peek_head(&told.changes);
 
 	return after >= told.revision || (c && c->revision <= after + 1);
 }
@@ -160,7 +160,7 @@
 	}
 	g_string_append(s, ",\"changes\":[");
 	for (GList *i = told.changes.head; i; i = i->next) {
-		const struct change *c = i->data;
+		const struct told_change *c = i->data;
 
 		if (c->revision <= after)
 			continue;
--- a/state/snapshot.c
+++ b/state/snapshot.c
@@ -6,9 +6,9 @@
 
 #include "state/learn.h"
 
-#define MAGIC     "auburnramp-config 1 "
-#define HASH_SEED 0x61756275726eULL
-#define FIRST_LINE_MAX  80
+#define MAGIC          "auburnramp-config 1 "
+#define HASH_SEED      0x61756275726eULL
+#define FIRST_LINE_MAX 80
 
 char *snapshot_encode(const struct snapshot *s, size_t *len)
 {
--- a/state/test-learn.c
+++ b/state/test-learn.c
@@ -45,7 +45,7 @@
 
 	start_nodes(ns, 9);
 	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, SETTLE_MS);
-	n = nodes_change_weight(ns, "b", 2);
+	nodes_change_weight(ns, "b", 2);
 	n = nodes_change(ns, KIND_ORGANISATION, "a", NULL);
 	/* The slowest poll is 4 s; the target is 5 s. */
 	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 5000);
