state: leases with fencing numbers and orders to targets

Cause: nothing gave engines their orders. Ruled out: a lease for each target (two holders could each take away what the other counts on as the last copy), and trusting a new number alone: a target that the successor had nothing to tell still took the old holder's order (test-order /state/order/pause failed with stale_taken 1).

--- a/state/state.h
+++ b/state/state.h
@@ -12,8 +12,10 @@
  *                      the audit trail, and what nodes and watches follow
  *   cid/<change id>    revision: settles a change whose answer was lost
  *   claim/<hash>       a call that runs at most once
- *   lease/<target>     holder, fence, deadline_ms
- *   order/<target>     the intended state of a target
+ *   lease/<pool>/      holder, fence, deadline_ms: who gives a pool its orders
+ *   order/<pool>/<target>
+ *                      the intended state of a target, with fence, holder and
+ *                      latest_ms
  *
  * A change is one transaction that checks head/config and the resource's row
  * and writes the first four. The table's own revision also counts claims and
