--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -139,17 +139,12 @@
 		return 1;
 	}
 	n.resume_key = resume_key_load(n.set.node_secret_file);
-	if (!n.resume_key) {
+	if (!n.resume_key || !spread_load_secret(&n.set)) {
 		log_event(EV_SECRET_UNREADABLE, "file=%s",
 			  n.set.node_secret_file);
 		return 2;
 	}
 	n.cancels = cancels_new();
-	if (!spread_load_secret(&n.set)) {
-		fprintf(stderr, "%s: node.secret_file can't be read\n",
-			file->filename[0]);
-		return 2;
-	}
 	g_mutex_init(&n.lock);
 	n.target_events = g_async_queue_new();
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
--- a/node/plain.c
+++ b/node/plain.c
@@ -16,15 +16,6 @@
 
 #define PREFIX "/v1/services/"
 
-/* ulfius fills in no path variables when the route ends in a wildcard. */
-static const char *service_of_path(void *arena, const struct _u_request *q)
-{
-	const char *p = strstr(q->http_url, PREFIX);
-
-	p = p ? p + strlen(PREFIX) : "";
-	return talloc_strndup(arena, p, strcspn(p, "/?"));
-}
-
 static const char *rest_of_path(const struct _u_request *q)
 {
 	const char *p = strstr(q->http_url, PREFIX);
@@ -171,8 +162,9 @@
 	struct request *rq;
 	enum ramp_error e = request_begin(node, q, &rq);
 
-	if (e == RAMP_OK && (!request_bind(rq, service_of_path(rq->arena, q)) ||
-			     rq->service->kind != SERVICE_PLAIN))
+	if (e == RAMP_OK &&
+	    (!request_bind(rq, u_map_get(q->map_url, "service")) ||
+	     rq->service->kind != SERVICE_PLAIN))
 		e = RAMP_ERR_NOT_FOUND;
 	if (e == RAMP_OK)
 		e = call_service(rq, q, r);
