--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -42,6 +42,7 @@
 		poll = 100
 		[entries]
 		valid = 500
+		spread = 500
 		[admin]
 		bootstrap_hash = $("$top/bin/rampctl" hash-key <<<"$admin_key")
 	EOF
