--- a/ctl/rampctl.c
+++ b/ctl/rampctl.c
@@ -126,64 +126,80 @@
 	return a->count ? a->ival[0] : otherwise;
 }
 
-int main(int argc, char **argv)
+/* The command line as argtable2 reads it. */
+struct cli {
+	struct arg_lit *help, *json, *wait, *force;
+	struct arg_int *timeout, *version, *after, *count;
+	struct arg_file *key, *file;
+	struct arg_str *node, *change, *command, *args;
+	struct arg_end *end;
+};
+
+static void cli_define(struct cli *o)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "show this help");
-	struct arg_str *node = arg_strn("n", "node", "IP:PORT", 0, NODES_MAX,
-					"nodes, tried in this order");
-	struct arg_file *key =
-		arg_file0("k", "key-file", "FILE", "key; RAMP_KEY otherwise");
-	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
-	struct arg_lit *wait =
-		arg_lit0("w", "wait", "until in force on every node");
-	struct arg_int *timeout =
-		arg_int0("t", "timeout", "S", "longest wait, in seconds");
-	struct arg_file *file =
+	o->help = arg_lit0("h", "help", "show this help");
+	o->node = arg_strn("n", "node", "IP:PORT", 0, NODES_MAX,
+			   "nodes, tried in this order");
+	o->key = arg_file0("k", "key-file", "FILE", "key; RAMP_KEY otherwise");
+	o->json = arg_lit0("j", "json", "print JSON");
+	o->wait = arg_lit0("w", "wait", "until in force on every node");
+	o->timeout = arg_int0("t", "timeout", "S", "longest wait, in seconds");
+	o->file =
 		arg_file0("f", "file", "FILE", "resources in JSON; - is input");
-	struct arg_int *version =
-		arg_int0(NULL, "version", "N", "change only this version");
-	struct arg_lit *force = arg_lit0(NULL, "force", "change any version");
-	struct arg_str *change = arg_str0(NULL, "change", "ID",
-					  "identity of a change sent again");
-	struct arg_int *after =
-		arg_int0("a", "after", "N", "changes after this revision");
-	struct arg_int *count =
-		arg_int0("c", "count", "N", "end after so many changes");
-	struct arg_str *command = arg_str1(NULL, NULL, "COMMAND", NULL);
-	struct arg_str *args = arg_strn(NULL, NULL, "ARG", 0, ARGS_MAX, NULL);
-	struct arg_end *end = arg_end(8);
-	void *table[] = {help,    node,  key,     json,  wait,
-			 timeout, file,  version, force, change,
-			 after,   count, command, args,  end};
+	o->version = arg_int0(NULL, "version", "N", "change only this version");
+	o->force = arg_lit0(NULL, "force", "change any version");
+	o->change = arg_str0(NULL, "change", "ID",
+			     "identity of a change sent again");
+	o->after = arg_int0("a", "after", "N", "changes after this revision");
+	o->count = arg_int0("c", "count", "N", "end after so many changes");
+	o->command = arg_str1(NULL, NULL, "COMMAND", NULL);
+	o->args = arg_strn(NULL, NULL, "ARG", 0, ARGS_MAX, NULL);
+	o->end = arg_end(8);
+}
+
+/* Returns false when the key can't be read. */
+static bool cli_take(const struct cli *o, struct ctl *c)
+{
+	set_nodes(c, o->node);
+	c->args = o->args->sval;
+	c->arg_count = o->args->count;
+	c->file = o->file->count ? o->file->filename[0] : NULL;
+	c->change = o->change->count ? o->change->sval[0] : NULL;
+	c->version = value_or(o->version, -1);
+	c->after = value_or(o->after, -1);
+	c->count = value_or(o->count, 0);
+	c->timeout_ms = value_or(o->timeout, DEFAULT_TIMEOUT_S) * 1000;
+	c->json = o->json->count;
+	c->wait = o->wait->count;
+	c->force = o->force->count;
+	c->key = o->key->count ? read_key(o->key->filename[0])
+			       : g_strdup(g_getenv("RAMP_KEY"));
+	return c->key || !o->key->count;
+}
+
+int main(int argc, char **argv)
+{
+	struct cli o;
+	struct ctl c = {0};
+
+	cli_define(&o);
+	void *table[] = {o.help,    o.node,  o.key,     o.json,  o.wait,
+			 o.timeout, o.file,  o.version, o.force, o.change,
+			 o.after,   o.count, o.command, o.args,  o.end};
 	int errors = arg_parse(argc, argv, table);
-	struct ctl c = {.version = -1, .after = -1};
 
-	if (help->count) {
+	if (o.help->count) {
 		print_help(table);
 		return CTL_OK;
 	}
 	if (errors) {
-		arg_print_errors(stderr, end, "rampctl");
+		arg_print_errors(stderr, o.end, "rampctl");
 		fprintf(stderr, "try \"rampctl --help\"\n");
 		return CTL_USAGE;
 	}
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL))
 		return CTL_FAILED;
-	set_nodes(&c, node);
-	c.args = args->sval;
-	c.arg_count = args->count;
-	c.file = file->count ? file->filename[0] : NULL;
-	c.change = change->count ? change->sval[0] : NULL;
-	c.version = value_or(version, -1);
-	c.after = value_or(after, -1);
-	c.count = value_or(count, 0);
-	c.timeout_ms = value_or(timeout, DEFAULT_TIMEOUT_S) * 1000;
-	c.json = json->count;
-	c.wait = wait->count;
-	c.force = force->count;
-	c.key = key->count ? read_key(key->filename[0])
-			   : g_strdup(g_getenv("RAMP_KEY"));
-	if (key->count && !c.key)
+	if (!cli_take(&o, &c))
 		return CTL_USAGE;
-	return (int)run_command(command->sval[0], &c);
+	return (int)run_command(o.command->sval[0], &c);
 }
--- a/ctl/test-rampctl.sh
+++ b/ctl/test-rampctl.sh
@@ -230,5 +230,16 @@
 }
 check settings check_settings
 
+# The manual names every command and option of the help.
+check_manual() {
+	local word
+	exits 0 --help && for word in $(sed -n 's/^  \([a-z-]*\) .*/\1/p; s/^.*--\([a-z-]*\).*/\1/p' \
+		"$run/out"); do
+		sed 's/\\-/-/g' "$top/man/rampctl.1" | grep -q -- "$word" ||
+			{ echo "$word: not in the manual"; return 1; }
+	done
+}
+check manual check_manual
+
 echo "1..$tests"
 [ $failures = 0 ]
--- a/node/status.c
+++ b/node/status.c
@@ -169,18 +169,19 @@
 	if (!api_query_int(&c, "revision", &revision))
 		return api_refuse(&c, RAMP_ERR_BAD_REQUEST,
 				  "revision: a number is required");
+	/* A known change needs no read, so this works without the store. */
+	if (revision)
+		return api_answer(&c, 200,
+				  status_json(&c, k, name, NULL, revision));
 	key = resource_key(k, name);
 	e = api_read(&c, key, NULL, true, &rows);
 	value = json_object_get(rows_find(&rows, key), "value");
 	g_free(key);
 	if (value &&
-	    !api_sees(c.organisation, k, name, json_object_get(value, "spec")))
-		value = NULL;
-	if (value && !revision)
-		revision =
-			json_integer_value(json_object_get(value, "revision"));
-	if (e == RAMP_OK && revision)
-		j = status_json(&c, k, name, value, revision);
+	    api_sees(c.organisation, k, name, json_object_get(value, "spec")))
+		j = status_json(
+			&c, k, name, value,
+			json_integer_value(json_object_get(value, "revision")));
 	rows_clear(&rows);
 	if (!j)
 		return api_refuse(&c, e != RAMP_OK ? e : RAMP_ERR_NOT_FOUND,
--- a/node/test-api.c
+++ b/node/test-api.c
@@ -18,6 +18,18 @@
 	json_decref(admin_ok(node, ABSENT, "PUT", path, body, 201));
 }
 
+/* A body over the limit (1 MiB unless set otherwise). */
+static void check_long_body(const struct proc *node)
+{
+	struct caller who = {.key = OPERATOR_KEY, .condition = ABSENT};
+	char *body = g_strnfill(3 * 1024 * 1024 / 2, ' ');
+	struct reply *r = admin_call(node, who, "PUT", S, body);
+
+	g_assert_cmpint(r->status, ==, 413);
+	reply_free(r);
+	g_free(body);
+}
+
 static void test_bad_input(void)
 {
 	static const struct {
@@ -113,6 +125,7 @@
 		free(text);
 		reply_free(r);
 	}
+	check_long_body(w.nodes[0]);
 	check_audit(w.nodes[0]);
 	procs_wait_ready(w.nodes[0]);
 	world_stop(&w);
--- a/node/test-watch.c
+++ b/node/test-watch.c
@@ -18,13 +18,13 @@
 	struct pull *pull;
 	char *url;
 	char *auth;
-	const char *headers[2];
+	const char *headers[3];
 	int64_t at; /* newest identity of an event */
 };
 
 static void watch_open(struct reader *r, const struct proc *node,
 		       const char *key, const char *collection,
-		       const char *query)
+		       const char *query, const char *last_event)
 {
 	struct pull_request q = {
 		.method = "GET", .connect_ms = WAIT_MS, .fresh = true};
@@ -34,6 +34,7 @@
 				 node->port, collection, query);
 	r->auth = g_strconcat("Authorization: Bearer ", key, NULL);
 	r->headers[0] = r->auth;
+	r->headers[1] = last_event;
 	q.url = r->url;
 	q.headers = r->headers;
 	r->pull = pull_open(&q);
@@ -115,7 +116,7 @@
 
 	world_start(&w, argv0, 2);
 	change(w.nodes[1], 1);
-	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "&after=0");
+	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "&after=0", NULL);
 	expect(&r, 1, 1);
 	change(w.nodes[1], 2);
 	change(w.nodes[0], 3);
@@ -125,7 +126,7 @@
 		change(w.nodes[1], n);
 	query = g_strdup_printf("&after=%" G_GINT64_FORMAT, r.at);
 	watch_close(&r);
-	watch_open(&r, w.nodes[1], OPERATOR_KEY, SERVICES, query);
+	watch_open(&r, w.nodes[1], OPERATOR_KEY, SERVICES, query, NULL);
 	expect(&r, 4, 8);
 	json_decref(
 		admin_ok(w.nodes[1], "If-Match: 8", "DELETE", S, NULL, 200));
@@ -149,7 +150,7 @@
 
 	world_start(&w, argv0, 1);
 	change(w.nodes[0], 1);
-	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "");
+	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "", NULL);
 	while (!r.at) { /* the first heartbeat gives the position */
 		GByteArray *b = pull_bytes(r.pull);
 		struct sse_event e;
@@ -194,9 +195,13 @@
 		reply_free(reply);
 		g_free(path);
 	}
-	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "&after=3");
+	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "&after=3", NULL);
 	expect(&r, 4, 5);
 	watch_close(&r);
+	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "",
+		   "Last-Event-ID: 4");
+	expect(&r, 5, 5);
+	watch_close(&r);
 	world_stop(&w);
 }
 
@@ -255,7 +260,7 @@
 	put_intent(w.nodes[0], "b", "o");
 	put_intent(w.nodes[0], "c", "p");
 	put_intent(w.nodes[0], "d", "o");
-	watch_open(&r, w.nodes[0], "o", INTENTS, "&after=0");
+	watch_open(&r, w.nodes[0], "o", INTENTS, "&after=0", NULL);
 	j = watch_next(&r);
 	g_assert_cmpstr(get_string(j, "name"), ==, "b");
 	json_decref(j);
@@ -276,7 +281,7 @@
 
 	world_start(&w, argv0, 1);
 	change(w.nodes[0], 1);
-	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "&after=0");
+	watch_open(&r, w.nodes[0], OPERATOR_KEY, SERVICES, "&after=0", NULL);
 	expect(&r, 1, 1);
 	json_decref(admin_ok(w.nodes[0], NULL, "POST", "/v1/drain", "{}", 202));
 	g_assert_null(watch_next(&r));
--- a/state/test-change.c
+++ b/state/test-change.c
@@ -225,6 +225,82 @@
 	fake_free(f);
 }
 
+/* What becomes of the calls that a node leaves behind when it is killed. */
+enum left {
+	LEFT_DROPPED,
+	LEFT_BEFORE, /* they take effect before the change is sent again */
+	LEFT_AFTER,
+	LEFT_COUNT,
+};
+
+static void forget_callers(struct fake *f)
+{
+	for (GList *l = f->calls.head; l; l = l->next)
+		((struct call *)l->data)->done = NULL;
+}
+
+/*
+ * The node is killed after so many answers; another one is sent the change
+ * again. Returns false when the first send had ended before.
+ */
+static bool kill_after(int answers, enum left left)
+{
+	struct change ch = {.kind = KIND_SERVICE,
+			    .name = "s",
+			    .condition = CHANGE_IF_VERSION,
+			    .version = 2,
+			    .first = true};
+	struct asked a = {.change = ch, .id = "c"};
+	struct asked b = {.change = ch, .id = "c"};
+	struct fake *f = seeded();
+	GQueue held = G_QUEUE_INIT;
+	bool killed;
+
+	a.spec = json_loads(SERVICE2, 0, NULL);
+	b.spec = json_incref(a.spec);
+	b.change.first = false;
+	ask(f, &a);
+	for (int i = 0; i < answers && !a.done; i++)
+		step(f);
+	killed = !a.done;
+	forget_callers(f);
+	if (left == LEFT_BEFORE)
+		drain(f);
+	while (!g_queue_is_empty(&f->calls)) {
+		struct call *c = g_queue_pop_head(&f->calls);
+
+		if (left == LEFT_AFTER)
+			g_queue_push_tail(&held, c);
+		else
+			free_call(c);
+	}
+	ask(f, &b);
+	drain(f);
+	while (!g_queue_is_empty(&held))
+		g_queue_push_tail(&f->calls, g_queue_pop_head(&held));
+	drain(f);
+	g_assert_cmpint(b.result.error, ==, RAMP_OK);
+	g_assert_cmpint(b.result.version, ==, 4);
+	g_assert_cmpint(!!version_of(f, "chg/00000000000000000004"), ==, 1);
+	g_assert_cmpint(version_of(f, "chg/00000000000000000005"), ==, 0);
+	asked_clear(&a);
+	asked_clear(&b);
+	fake_free(f);
+	return killed;
+}
+
+static void test_killed(void)
+{
+	for (int left = 0; left < LEFT_COUNT; left++) {
+		int n = 0;
+
+		while (kill_after(n, (enum left)left))
+			n++;
+		/* Head, two pages of rows, identity and the commit. */
+		g_assert_cmpint(n, ==, 5);
+	}
+}
+
 static void test_id(void)
 {
 	g_assert_true(change_id_valid("a-1_B.c"));
@@ -241,6 +317,7 @@
 	g_test_add_func("/state/change/key-owners", test_key_owners);
 	g_test_add_func("/state/change/lost-answers", test_lost_answers);
 	g_test_add_func("/state/change/unknown", test_unknown);
+	g_test_add_func("/state/change/killed", test_killed);
 	g_test_add_func("/state/change/id", test_id);
 	return g_test_run();
 }
