node: give targets the orders that services ask for

Cause: services named adapter and version, and nobody told the targets. Only services that name a version are ordered. After: test-orders with two nodes and three engines, one of which checks no number: either node dies and the other brings all to the new version; an old order is refused or undone.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -23,6 +23,8 @@
 	{ 4008, LOG_ERROR, "secret_unreadable" },
 	{ 4009, LOG_INFO, "answer_adopted" },
 	{ 6001, LOG_WARNING, "peer_refused" },
+	{ 6002, LOG_INFO, "order_sent" },
+	{ 6003, LOG_WARNING, "order_stale" },
 	{ 8001, LOG_INFO, "change_accepted" },
 	{ 8002, LOG_INFO, "change_refused" },
 	{ 8003, LOG_WARNING, "change_unknown" },
--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -71,6 +71,9 @@
 	{ "admin", "bootstrap_hash", SETTING_STRING, "", 0, 64,
 	  offsetof(struct settings, admin_bootstrap_hash),
 	  "Hash of an operator key that always works (rampctl hash-key prints it); empty means none." },
+	{ "orders", "recheck", SETTING_MS, "30000", 50, 600000,
+	  offsetof(struct settings, orders_recheck_ms),
+	  "Time between looks at what the targets of a pool hold, in milliseconds." },
 };
 const size_t setting_count =
 	sizeof(setting_infos) / sizeof(setting_infos[0]);
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -27,5 +27,6 @@
 	int64_t entries_spread_ms;
 	char *log_level;
 	char *admin_bootstrap_hash;
+	int64_t orders_recheck_ms;
 };
 #endif
--- a/node/control.c
+++ b/node/control.c
@@ -11,6 +11,7 @@
 static const struct control_module *const modules[] = {
 	&config_module,
 	&list_module,
+	&orders_module,
 };
 
 static unsigned collect_fds(void *const *ctx, struct pollfd *fds, size_t *owner)
--- a/node/node.h
+++ b/node/node.h
@@ -105,6 +105,7 @@
 
 extern const struct control_module config_module; /* config.c */
 extern const struct control_module list_module;   /* list.c */
+extern const struct control_module orders_module; /* orders.c */
 
 /* control.c: the control thread; ends when stop_control is set. */
 void *control_run(void *node);
--- a/state/config.c
+++ b/state/config.c
@@ -20,6 +20,8 @@
 	g_free(s->name);
 	g_free(s->pool);
 	g_free(s->model);
+	g_free(s->adapter);
+	g_free(s->version);
 	g_free(s);
 }
 
@@ -145,6 +147,8 @@
 	s->kind = strcmp(kind, "plain") ? SERVICE_MODEL : SERVICE_PLAIN;
 	s->pool = get_string(spec, "pool", "");
 	s->model = get_string(spec, "model", name);
+	s->adapter = get_string(spec, "adapter", NULL);
+	s->version = get_string(spec, "version", NULL);
 	s->idempotent = get_bool(spec, "idempotent", s->kind == SERVICE_MODEL);
 	s->checks_fence = get_bool(spec, "checks_fence", false);
 	s->max_load_factor =
--- a/state/order.c
+++ b/state/order.c
@@ -17,10 +17,11 @@
 	size_t unread;
 	int64_t *versions; /* of the order rows; 0: absent */
 	bool *unsure; /* an earlier holder may still have an order on its way */
-	struct order_load *intended; /* of those; own copies */
+	json_t **intended; /* of those: a list with the one order */
 	struct order next;
 	int64_t latest_ms; /* of the order in progress */
 	bool owns_lease;
+	bool probe;
 };
 
 /* One read-back. */
@@ -143,8 +144,9 @@
 		if (!r->unsure[i] || !r->targets[i].alive)
 			continue;
 		r->next.target = i;
-		r->next.load = *r->targets[i].held.model ? r->targets[i].held
-							 : r->intended[i];
+		r->next.load = *r->targets[i].held.model
+				       ? r->targets[i].held
+				       : order_held(r->intended[i]);
 		return true;
 	}
 	return false;
@@ -154,7 +156,12 @@
 {
 	bool again = assert_again(r);
 
-	if (!is_sure(r, ORDER_MS))
+	if (r->probe)
+		finish(r, again || order_next(r->targets, r->n, r->wants,
+					      r->wanted, &r->next)
+				  ? ORDER_DUE
+				  : ORDER_DONE);
+	else if (!is_sure(r, ORDER_MS))
 		finish(r, ORDER_FAILED);
 	else if (again && *r->targets[r->next.target].held.model)
 		intend(r);
@@ -227,20 +234,18 @@
 	g_free((char *)l->model);
 	g_free((char *)l->adapter);
 	g_free((char *)l->version);
+	*l = (struct order_load){0};
 }
 
 static void note_target(struct order_run *r, size_t i, const json_t *row)
 {
 	json_t *v = json_object_get(row, "value");
 	const char *holder = json_string_value(json_object_get(v, "holder"));
-	json_t *list = json_pack("[O]", v);
-	struct order_load l = order_held(list);
 
 	r->versions[i] = json_integer_value(json_object_get(row, "version"));
 	r->unsure[i] = !holder || strcmp(holder, r->lease.holder);
-	clear_load(&r->intended[i]);
-	r->intended[i] = copy_load(&l);
-	json_decref(list);
+	json_decref(r->intended[i]);
+	r->intended[i] = json_pack("[O]", v);
 }
 
 static void note_row(struct order_run *r, const json_t *row, int64_t *latest)
@@ -266,7 +271,7 @@
 	size_t i;
 	json_t *row;
 
-	if (res->status != PLAT_OK || !is_sure(r, ORDER_MS)) {
+	if (res->status != PLAT_OK || (!r->probe && !is_sure(r, ORDER_MS))) {
 		finish(r, ORDER_FAILED);
 		return;
 	}
@@ -278,7 +283,7 @@
 	}
 	json_array_foreach (json_object_get(res->json, "rows"), i, row)
 		note_row(r, row, &latest);
-	if (latest + CLAIM_DRIFT_MS > r->ops.now(r->ops.ctx))
+	if (!r->probe && latest + CLAIM_DRIFT_MS > r->ops.now(r->ops.ctx))
 		r->ops.wait(r->ops.ctx, latest + CLAIM_DRIFT_MS, on_waited, r);
 	else
 		read_all(r);
@@ -324,10 +329,15 @@
 	r->orders = g_new0(json_t *, task->n + 1);
 	r->versions = g_new0(int64_t, task->n + 1);
 	r->unsure = g_new0(bool, task->n + 1);
-	r->intended = g_new0(struct order_load, task->n + 1);
+	r->intended = g_new0(json_t *, task->n + 1);
 	r->done = done;
 	r->arg = arg;
-	lease_take(&r->lease, r->ops.plat, r->ops.now, r->ops.ctx, on_lease, r);
+	r->probe = task->probe;
+	if (r->probe)
+		read_rows(r);
+	else
+		lease_take(&r->lease, r->ops.plat, r->ops.now, r->ops.ctx,
+			   on_lease, r);
 	return r;
 }
 
@@ -344,7 +354,7 @@
 		clear_load(&r->wants[i]);
 	for (size_t i = 0; i < r->n; i++) {
 		json_decref(r->orders[i]);
-		clear_load(&r->intended[i]);
+		json_decref(r->intended[i]);
 	}
 	g_free(r->unsure);
 	g_free(r->intended);
--- a/state/order.h
+++ b/state/order.h
@@ -44,6 +44,7 @@
 
 enum order_result {
 	ORDER_DONE,   /* nothing is left to order */
+	ORDER_DUE,    /* a probe found something to do */
 	ORDER_HELD,   /* another node holds the lease */
 	ORDER_FAILED, /* try again later */
 	ORDER_BUSY,   /* the weight store refused; try again later */
@@ -80,6 +81,7 @@
 struct order_task {
 	const char *pool;
 	const char *holder; /* unique to the process */
+	bool probe;         /* only look, without the lease or any write */
 	const char *const *targets;
 	size_t n;
 	const struct order_load *wants;
--- a/state/state.h
+++ b/state/state.h
@@ -69,6 +69,8 @@
 	enum service_kind kind;
 	char *pool;
 	char *model;
+	char *adapter; /* NULL: none */
+	char *version; /* NULL: targets are given no orders */
 	bool idempotent;
 	bool checks_fence;
 	double max_load_factor;
--- a/state/test-order.c
+++ b/state/test-order.c
@@ -39,6 +39,7 @@
 	want(o, "v1");
 	orders_start(o, 1);
 	orders_settle(o, SETTLE_MS);
+	fake_run(f, f->now_ms + 10000);
 	f->procs[1].dead = true;
 	want(o, "v2");
 	if (pause_ms)
@@ -55,6 +56,7 @@
 	fake_run(f, f->now_ms + 2 * pause_ms + 60000);
 	g_assert_cmpuint(orders_wrong(o), ==, 0);
 	g_assert_cmpint(o->lost_copies, ==, 0);
+	g_assert_cmpint(o->late_sent, ==, 0);
 	if (checks)
 		g_assert_cmpint(o->stale_taken, ==, 0);
 	*refused += checks ? o->stale_refused : o->stale_taken;
@@ -109,6 +111,7 @@
 		if (a)
 			g_test_message("seed %u, unchecked", seed);
 		g_assert_cmpuint(a, ==, 0);
+		g_assert_cmpint(sum.late_sent, ==, 0);
 	}
 }
 
--- a/state/test-orders.c
+++ b/state/test-orders.c
@@ -164,6 +164,9 @@
 
 	c->sent = done;
 	c->order = json_deep_copy(order);
+	c->holder->orders->late_sent +=
+		now_of(ctx) >=
+		json_integer_value(json_object_get(order, "latest_ms"));
 	later(c, 0, send_now);
 }
 
@@ -174,7 +177,12 @@
 	struct sim_holder *h = arg;
 
 	h->results[r]++;
-	if (r == ORDER_DONE)
+	h->probing = r != ORDER_DUE;
+	if (r == ORDER_DUE) {
+		fake_after(h->orders->fake, h->proc, 0, try_run, h);
+		return;
+	}
+	if (r == ORDER_DONE && order_fence(h->run))
 		h->orders->settled_fence =
 			MAX(h->orders->settled_fence, order_fence(h->run));
 	fake_after(h->orders->fake, h->proc, TRY_MS, try_run, h);
@@ -185,8 +193,13 @@
 	struct sim_holder *h = arg;
 	struct orders *o = h->orders;
 	const char *names[SIM_TARGETS_MAX];
-	struct order_task task = {"pool", h->id,    names,
-				  o->n,   o->wants, o->wanted};
+	struct order_task task = {.pool = "pool",
+				  .holder = h->id,
+				  .probe = h->probing,
+				  .targets = names,
+				  .n = o->n,
+				  .wants = o->wants,
+				  .wanted = o->wanted};
 	struct order_ops ops = {
 		.ctx = h,
 		.plat = fake_platform(o->fake, h->proc),
@@ -217,6 +230,7 @@
 	for (int p = 0; p < SIM_HOLDERS; p++) {
 		o->holder[p].orders = o;
 		o->holder[p].proc = p;
+		o->holder[p].probing = true;
 		g_snprintf(o->holder[p].id, sizeof(o->holder[p].id), "n%d", p);
 	}
 	return o;
@@ -328,6 +342,7 @@
 	sum->lost_copies += o->lost_copies;
 	sum->stale_taken += o->stale_taken;
 	sum->stale_refused += o->stale_refused;
+	sum->late_sent += o->late_sent;
 	orders_free(o);
 	fake_free(f);
 	return wrong;
--- a/state/test-orders.h
+++ b/state/test-orders.h
@@ -23,6 +23,7 @@
 	int proc;
 	char id[8];
 	struct order_run *run;
+	bool probing;
 	int64_t next_ms, results[ORDER_STALE + 1];
 };
 
@@ -38,7 +39,8 @@
 	/* Took effect after a higher number was known, or had settled. */
 	int64_t stale_taken;
 	int64_t stale_refused;
-	double lose; /* probability that an order's answer is lost */
+	int64_t late_sent; /* by a holder, after the order's latest time */
+	double lose;       /* probability that an order's answer is lost */
 	GPtrArray *garbage;
 };
 
