--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -40,14 +40,7 @@
 	for (guint i = 0; i < errors->len; i++)
 		fprintf(stderr, "%s\n", (char *)g_ptr_array_index(errors, i));
 	g_ptr_array_unref(errors);
-	if (ok && !log_set_level(s->log_level)) {
-		fprintf(stderr,
-			"%s: log.level: debug, info, warning or error "
-			"is allowed\n",
-			path);
-		return false;
-	}
-	return ok;
+	return ok && log_set_level(s->log_level);
 }
 
 static bool listen_for_callers(struct node *n)
@@ -56,7 +49,7 @@
 		.address = n->set.node_address,
 		.port = (int)n->set.node_port,
 		.connections = (unsigned)n->set.limits_connections,
-		.idle_s = (unsigned)(n->set.limits_idle_ms + 999) / 1000,
+		.idle_ms = n->set.limits_idle_ms,
 		.header_bytes = (size_t)n->set.limits_headers,
 		/* One more than allowed, so that a longer body shows. */
 		.body_bytes = (size_t)n->set.limits_body + 1,
@@ -153,5 +146,6 @@
 	}
 	n.cancels = cancels_new();
 	g_mutex_init(&n.lock);
+	n.target_events = g_async_queue_new();
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
