--- a/state/test-fake.c
+++ b/state/test-fake.c
@@ -259,6 +259,7 @@
 
 	f->reads++;
 	g_tree_foreach(f->rows, scan_row, &s);
+	f->rows_read += (int64_t)json_array_size(s.rows);
 	c->json = json_pack("{s:I,s:o,s:b}", "revision", s.revision, "rows",
 			    s.rows, "more", s.more);
 }
--- a/state/test-fake.h
+++ b/state/test-fake.h
@@ -48,6 +48,7 @@
 	GHashTable *objects;
 	int64_t revision;
 	int64_t reads, writes;
+	int64_t rows_read;
 	int64_t weights_from_ms; /* the weight store is free from then on */
 	int64_t weight_ms;       /* time of one weight read */
 	int64_t weight_refusals;
--- a/state/test-learn.c
+++ b/state/test-learn.c
@@ -2,11 +2,9 @@
 
 #include "state/test-nodes.h"
 
-#define OUTAGE_MS    600000
-#define SCHEDULES    200
-#define FAULTY_MS    40000
-#define SETTLE_MS    60000
-#define NODES_FAULTY 6
+#define OUTAGE_MS 600000
+#define SCHEDULES 200
+#define SETTLE_MS 60000
 
 static void start_nodes(struct nodes *ns, int n)
 {
@@ -88,16 +86,6 @@
 	finish(ns);
 }
 
-static void delete_changes(struct nodes *ns, int64_t from, int64_t to)
-{
-	for (int64_t i = from; i <= to; i++) {
-		char *key = g_strdup_printf("chg/%020" G_GINT64_FORMAT, i);
-
-		fake_delete(ns->fake, key);
-		g_free(key);
-	}
-}
-
 /* With changes missing, everything is read again. */
 static void test_gap(void)
 {
@@ -108,7 +96,7 @@
 	nodes_settle(ns, n, SETTLE_MS);
 	for (int i = 0; i < 5; i++)
 		n = nodes_change_weight(ns, i % 2 ? "a" : "b", 2 + i);
-	delete_changes(ns, 2, n - 1);
+	nodes_delete_changes(ns, 2, n - 1);
 	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, SETTLE_MS);
 	g_assert_cmpfloat(config_organisation(ns->node[3].config, "b")->weight,
 			  ==, 6);
@@ -280,7 +268,7 @@
 			   ? "config-0"
 			   : "config-1");
 	/* The changes before the older snapshot are gone from the table. */
-	delete_changes(ns, 1, SNAPSHOT_CHANGES);
+	nodes_delete_changes(ns, 1, SNAPSHOT_CHANGES);
 	late = nodes_start(ns);
 	g_assert_cmpint(nodes_settle(ns, n, SETTLE_MS), <, 5000);
 	g_assert_cmpint(ns->node[late].in_force, ==, n);
@@ -339,72 +327,19 @@
 	finish(ns);
 }
 
-static bool chance(struct fake *f, double p)
-{
-	return g_rand_double(f->rand) < p;
-}
-
-static void draw_faults(struct fake *f)
-{
-	f->faults.lose_answer = chance(f, 0.5) ? 0.2 : 0;
-	f->faults.lose_request = chance(f, 0.5) ? 0.2 : 0;
-	f->faults.refuse = chance(f, 0.5) ? 0.3 : 0;
-	f->faults.stale = chance(f, 0.7) ? 0.5 : 0;
-	f->faults.stale_revisions = 30;
-	f->faults.delay_max_ms = chance(f, 0.3) ? 1500 : 10;
-	f->faults.down_from_ms = f->now_ms + g_rand_int_range(f->rand, 0, 9000);
-	f->faults.down_until_ms =
-		f->faults.down_from_ms + g_rand_int_range(f->rand, 0, 20000);
-	for (int p = 0; p < NODES_FAULTY; p++) {
-		f->procs[p].kill_at =
-			chance(f, 0.2) ? g_rand_int_range(f->rand, 1, 900) : 0;
-		f->procs[p].pause_at =
-			chance(f, 0.4) ? g_rand_int_range(f->rand, 1, 900) : 0;
-		f->procs[p].pause_ms = g_rand_int_range(f->rand, 100, 15000);
-	}
-}
-
-static void change_at_random(struct nodes *ns)
-{
-	struct fake *f = ns->fake;
-	char name[2] = {(char)('a' + g_rand_int_range(f->rand, 0, 5)), 0};
-
-	if (chance(f, 0.2))
-		nodes_change(ns, KIND_ORGANISATION, name, NULL);
-	else
-		nodes_change_weight(ns, name,
-				    1 + g_rand_int_range(f->rand, 0, 900));
-	if (chance(f, 0.1))
-		delete_changes(ns, 1, nodes_head(ns) - 3);
-}
-
-static void schedule(uint32_t seed)
-{
-	struct fake *f = fake_new(seed);
-	struct nodes *ns = nodes_new(f);
-	int64_t until = f->now_ms + FAULTY_MS;
-
-	ns->gossip_ms = chance(f, 0.5) ? 200 : 0;
-	draw_faults(f);
-	start_nodes(ns, 3);
-	while (f->now_ms < until) {
-		change_at_random(ns);
-		if (ns->count < NODES_FAULTY && chance(f, 0.1))
-			nodes_start(ns);
-		fake_run(f, f->now_ms + g_rand_int_range(f->rand, 1, 1000));
-	}
-	f->faults = (struct fake_faults){
-		.delay_min_ms = 1, .delay_max_ms = 5, .timeout_ms = 2000};
-	if (nodes_settle(ns, nodes_head(ns), SETTLE_MS) >= SETTLE_MS)
-		g_test_message("seed %u: not settled", seed);
-	g_assert_cmpint(nodes_behind(ns, nodes_head(ns)), ==, 0);
-	finish(ns);
-}
-
 static void test_schedules(void)
 {
-	for (uint32_t seed = 1; seed <= SCHEDULES; seed++)
-		schedule(seed);
+	struct nodes_verdict v = {0};
+
+	for (uint32_t seed = 1; seed <= SCHEDULES; seed++) {
+		nodes_schedule(seed, &v);
+		if (v.reverts || v.wrong || v.behind)
+			g_test_message("seed %u", seed);
+		g_assert_cmpint(v.reverts, ==, 0);
+		g_assert_cmpint(v.wrong, ==, 0);
+		g_assert_cmpint(v.behind, ==, 0);
+	}
+	g_assert_cmpint(v.changes, >, SCHEDULES);
 }
 
 int main(int argc, char **argv)
--- a/state/test-nodes.c
+++ b/state/test-nodes.c
@@ -5,6 +5,9 @@
 #define ASK_TIMEOUT_MS 500
 #define FANOUT         2
 #define WRITERS        1
+#define FAULTY_MS      40000
+#define SETTLE_MS      60000
+#define NODES_FAULTY   6
 
 struct peer_call {
 	struct sim_node *from, *to;
@@ -291,3 +294,81 @@
 		fake_run(f, f->now_ms + 10);
 	return f->now_ms - start;
 }
+
+void nodes_delete_changes(struct nodes *ns, int64_t from, int64_t to)
+{
+	for (int64_t i = from; i <= to; i++) {
+		char *key = g_strdup_printf("chg/%020" G_GINT64_FORMAT, i);
+
+		fake_delete(ns->fake, key);
+		g_free(key);
+	}
+}
+
+static bool chance(struct fake *f, double p)
+{
+	return g_rand_double(f->rand) < p;
+}
+
+static void draw_faults(struct fake *f)
+{
+	f->faults.lose_answer = chance(f, 0.5) ? 0.2 : 0;
+	f->faults.lose_request = chance(f, 0.5) ? 0.2 : 0;
+	f->faults.refuse = chance(f, 0.5) ? 0.3 : 0;
+	f->faults.stale = chance(f, 0.7) ? 0.5 : 0;
+	f->faults.stale_revisions = 30;
+	f->faults.delay_max_ms = chance(f, 0.3) ? 1500 : 10;
+	f->faults.down_from_ms = f->now_ms + g_rand_int_range(f->rand, 0, 9000);
+	f->faults.down_until_ms =
+		f->faults.down_from_ms + g_rand_int_range(f->rand, 0, 20000);
+	for (int p = 0; p < NODES_FAULTY; p++) {
+		f->procs[p].kill_at =
+			chance(f, 0.2) ? g_rand_int_range(f->rand, 1, 900) : 0;
+		f->procs[p].pause_at =
+			chance(f, 0.4) ? g_rand_int_range(f->rand, 1, 900) : 0;
+		f->procs[p].pause_ms = g_rand_int_range(f->rand, 100, 15000);
+	}
+}
+
+static void change_at_random(struct nodes *ns)
+{
+	struct fake *f = ns->fake;
+	char name[2] = {(char)('a' + g_rand_int_range(f->rand, 0, 5)), 0};
+
+	if (chance(f, 0.2))
+		nodes_change(ns, KIND_ORGANISATION, name, NULL);
+	else
+		nodes_change_weight(ns, name,
+				    1 + g_rand_int_range(f->rand, 0, 900));
+	if (chance(f, 0.1))
+		nodes_delete_changes(ns, 1, nodes_head(ns) - 3);
+}
+
+void nodes_schedule(uint32_t seed, struct nodes_verdict *v)
+{
+	struct fake *f = fake_new(seed);
+	struct nodes *ns = nodes_new(f);
+	int64_t until = f->now_ms + FAULTY_MS;
+
+	ns->gossip_ms = chance(f, 0.5) ? 200 : 0;
+	draw_faults(f);
+	for (int i = 0; i < 3; i++)
+		nodes_start(ns);
+	while (f->now_ms < until) {
+		change_at_random(ns);
+		if (ns->count < NODES_FAULTY && chance(f, 0.1))
+			nodes_start(ns);
+		fake_run(f, f->now_ms + g_rand_int_range(f->rand, 1, 1000));
+	}
+	f->faults = (struct fake_faults){
+		.delay_min_ms = 1, .delay_max_ms = 5, .timeout_ms = 2000};
+	nodes_settle(ns, nodes_head(ns), SETTLE_MS);
+	v->behind += nodes_behind(ns, nodes_head(ns));
+	v->changes += nodes_head(ns);
+	for (int i = 0; i < ns->count; i++) {
+		v->reverts += ns->node[i].reverts;
+		v->wrong += ns->node[i].wrong;
+	}
+	nodes_free(ns);
+	fake_free(f);
+}
--- a/state/test-nodes.h
+++ b/state/test-nodes.h
@@ -50,4 +50,18 @@
 /* Run until all alive have it, at most so long. Returns the time it took. */
 int64_t nodes_settle(struct nodes *ns, int64_t revision, int64_t most_ms);
 
+/* Remove the rows of changes from the table, as if they were long past. */
+void nodes_delete_changes(struct nodes *ns, int64_t from, int64_t to);
+
+/* Sums over schedules. */
+struct nodes_verdict {
+	int64_t changes;
+	int64_t reverts;
+	int64_t wrong;  /* configurations in force that no revision holds */
+	int64_t behind; /* nodes without the newest change at the end */
+};
+
+/* One seeded schedule of changes, faults, pauses, deaths and starts. */
+void nodes_schedule(uint32_t seed, struct nodes_verdict *v);
+
 #endif
