--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -22,6 +22,8 @@
 	{ 4008, LOG_ERROR, "secret_unreadable" },
 	{ 4009, LOG_INFO, "answer_adopted" },
 	{ 6001, LOG_WARNING, "peer_refused" },
+	{ 6002, LOG_INFO, "order_sent" },
+	{ 6003, LOG_WARNING, "order_stale" },
 	{ 7001, LOG_ERROR, "control_unbound" },
 	{ 7002, LOG_INFO, "node_seen" },
 	{ 7003, LOG_INFO, "node_suspected" },
--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -71,12 +71,15 @@
 	{ "entries", "spread", SETTING_MS, NULL, "5000", 0, 60000,
 	  offsetof(struct settings, entries_spread_ms),
 	  "Time within which every other node knows that this one leaves, in milliseconds." },
-	{ "log", "level", SETTING_ENUM, "debug,info,warning,error", "info", 4, 7,
+	{ "log", "level", SETTING_STRING, NULL, "info", 4, 7,
 	  offsetof(struct settings, log_level),
-	  "Lowest level that is logged." },
-	{ "admin", "bootstrap_hash", SETTING_HASH, NULL, "", 0, 64,
+	  "Lowest level that is logged: debug, info, warning or error." },
+	{ "admin", "bootstrap_hash", SETTING_STRING, NULL, "", 0, 64,
 	  offsetof(struct settings, admin_bootstrap_hash),
 	  "Hash of an operator key that always works (rampctl hash-key prints it); empty means none." },
+	{ "orders", "recheck", SETTING_MS, NULL, "30000", 50, 600000,
+	  offsetof(struct settings, orders_recheck_ms),
+	  "Time between looks at what the targets of a pool hold, in milliseconds." },
 };
 const size_t setting_count =
 	sizeof(setting_infos) / sizeof(setting_infos[0]);
