--- a/member/internal.h
+++ b/member/internal.h
@@ -97,6 +97,7 @@
 	int64_t silent_ms;
 	int64_t refused_ms; /* first of the refusals since it answered */
 	unsigned refusals;
+	int64_t refused_last_ms;
 	bool down;
 	int64_t hold_until_ms;
 	int64_t hold_ms; /* length of the next hold */
--- a/member/peers.c
+++ b/member/peers.c
@@ -71,7 +71,8 @@
 {
 	struct member_peer *p = &e->seen;
 
-	if (p->state != state || p->leaving != leaving)
+	if (p->state != state || p->leaving != leaving ||
+	    !p->incarnation != !incarnation)
 		m->view++;
 	m->digest ^= entry_hash(e);
 	p->incarnation = incarnation;
--- a/member/targets.c
+++ b/member/targets.c
@@ -1,7 +1,9 @@
 /* What is known of targets: their own words, and who can reach them. */
 #include "member/internal.h"
 
-#define REFUSALS_DOWN  2
+#define REFUSALS_DOWN 2
+/* A target that nobody tries any more is let be tried again. */
+#define DOWN_FOR_MS    10000
 #define REFUSED_FOR_MS 500
 /* A refusal later than this after the one before begins a new series. */
 #define REFUSED_GAP_MS 5000
@@ -129,6 +131,7 @@
 		t->refused_ms = now;
 	}
 	t->refusals++;
+	t->refused_last_ms = now;
 	if (t->down || t->refusals < REFUSALS_DOWN ||
 	    now - t->refused_ms < REFUSED_FOR_MS)
 		return;
@@ -256,6 +259,8 @@
 		struct target_entry *t = p;
 
 		sweep_facts(m, t);
+		if (t->down && m->now_ms - t->refused_last_ms >= DOWN_FOR_MS)
+			come_up(m, t);
 		if (m->now_ms - t->touched_ms < KEEP_MS)
 			continue;
 		while (t->facts->len)
--- a/member/test-targets.c
+++ b/member/test-targets.c
@@ -99,8 +99,12 @@
 	/* Who can reach it goes on. */
 	note(t, 1, TARGET_ANSWERED);
 	g_assert_cmpint(view(t, 1), ==, TARGET_VIEW_LIVE);
-	net_run(t, 5 * SECOND_MS);
-	g_assert_cmpint(view(t, 0), ==, TARGET_VIEW_DOWN);
+	for (int k = 0; k < 10; k++) {
+		net_run(t, SECOND_MS);
+		note(t, 2, TARGET_REFUSED);
+		note(t, 6, TARGET_REFUSED);
+		g_assert_cmpint(view(t, 0), ==, TARGET_VIEW_DOWN);
+	}
 	note(t, 2, TARGET_ANSWERED);
 	note(t, 6, TARGET_ANSWERED);
 	net_run(t, 20 * SECOND_MS);
@@ -109,6 +113,18 @@
 	net_free(t);
 }
 
+/* Work that avoids a target does not keep it down for good. */
+static void test_tried_again(void)
+{
+	struct net *t = fleet(3, 0);
+
+	refuse(t, 0);
+	g_assert_cmpint(view(t, 0), ==, TARGET_VIEW_DOWN);
+	net_run(t, 15 * SECOND_MS);
+	g_assert_cmpint(view(t, 0), ==, TARGET_VIEW_LIVE);
+	net_free(t);
+}
+
 /* Each return is followed by a longer hold; a steady hour forgives. */
 static void test_flapping(void)
 {
@@ -162,6 +178,7 @@
 	g_test_add_func("/member/targets/leaving", test_leaving);
 	g_test_add_func("/member/targets/silent", test_silent);
 	g_test_add_func("/member/targets/down", test_down);
+	g_test_add_func("/member/targets/tried-again", test_tried_again);
 	g_test_add_func("/member/targets/flapping", test_flapping);
 	g_test_add_func("/member/targets/down-everywhere",
 			test_down_everywhere);
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -264,6 +264,9 @@
 		const struct member_peer *p = member_at(g->member, i);
 		gpointer state = GINT_TO_POINTER(p->state + 1);
 
+		/* Listed, and not heard of yet. */
+		if (!p->incarnation && p->state == MEMBER_LIVE)
+			continue;
 		if (g_hash_table_lookup(g->states, &p->id) == state)
 			continue;
 		g_hash_table_replace(g->states,
@@ -277,6 +280,35 @@
 	g->minority = minority;
 }
 
+static enum log_event_id target_event(const struct target *t)
+{
+	if (t->leaving)
+		return EV_TARGET_LEAVING;
+	return t->down ? EV_TARGET_DOWN : EV_TARGET_UP;
+}
+
+static void log_targets(const struct fleet *was, const struct fleet *is)
+{
+	for (guint i = 0; i < is->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(is->targets, i);
+		const struct target *old =
+			was ? fleet_target(was, t->name) : NULL;
+
+		if (!old || target_event(old) != target_event(t))
+			log_event(target_event(t), "target=%s pool=%s", t->name,
+				  t->pool);
+	}
+}
+
+static void set_fleet(struct gossip *g, struct fleet *f)
+{
+	struct fleet *was = node_fleet(g->env->node);
+
+	log_targets(was, f);
+	fleet_unref(was);
+	node_set_fleet(g->env->node, f);
+}
+
 static void publish(struct gossip *g, int64_t now_ms)
 {
 	struct node *n = g->env->node;
@@ -292,7 +324,7 @@
 	if (g->view != member_view_number(g->member))
 		log_changes(g);
 	g->view = member_view_number(g->member);
-	node_set_fleet(n, fleet_merge(n->listed, g->member, now_ms));
+	set_fleet(g, fleet_merge(n->listed, g->member, now_ms));
 }
 
 static void take_notes(struct gossip *g, int64_t now_ms)
--- a/node/merge.c
+++ b/node/merge.c
@@ -55,26 +55,23 @@
 	t->down = v == TARGET_VIEW_DOWN || v == TARGET_VIEW_FLAPPING;
 }
 
-static bool pool_is_up(const struct fleet *f, const char *pool)
+/* A pool that seems wholly down is tried all the same. */
+static void spare_pools(struct fleet *f)
 {
+	GHashTable *up = g_hash_table_new(g_str_hash, g_str_equal);
+
 	for (guint i = 0; i < f->targets->len; i++) {
-		const struct target *t = g_ptr_array_index(f->targets, i);
+		struct target *t = g_ptr_array_index(f->targets, i);
 
-		if (!strcmp(t->pool, pool) && !t->leaving && !t->down)
-			return true;
+		if (!t->leaving && !t->down)
+			g_hash_table_add(up, t->pool);
 	}
-	return false;
-}
-
-/* A pool that seems wholly down is tried all the same. */
-static void spare_pools(struct fleet *f)
-{
 	for (guint i = 0; i < f->targets->len; i++) {
 		struct target *t = g_ptr_array_index(f->targets, i);
 
-		if (t->down && !pool_is_up(f, t->pool))
-			t->down = false;
+		t->down = t->down && g_hash_table_contains(up, t->pool);
 	}
+	g_hash_table_unref(up);
 }
 
 struct fleet *fleet_merge(const struct fleet *listed, const struct member *m,
--- a/node/relay.c
+++ b/node/relay.c
@@ -175,11 +175,24 @@
 	return status == 400 ? RAMP_ERR_BAD_REQUEST : RAMP_ERR_TARGET_FAILED;
 }
 
+/* A target that takes no new work says so when it refuses. */
+static void note_status(const struct relay *rl, int status)
+{
+	bool leaves = status == 503 && pull_header(rl->pull, "Leaving");
+
+	if (leaves)
+		node_note_target(rl->rq->node, rl->target->name, TARGET_LEAVES);
+	else if (status == 200)
+		node_note_target(rl->rq->node, rl->target->name,
+				 TARGET_ANSWERED);
+}
+
 /* What the answer's status says, once its headers have arrived. */
 static enum ramp_error check_status(struct relay *rl)
 {
 	int status = pull_status(rl->pull);
 
+	note_status(rl, status);
 	if (status == 200 && echoes_id(rl)) {
 		rl->alive = true;
 		return RAMP_OK;
@@ -261,6 +274,9 @@
 	pull_wait_headers(rl->pull, silence_until(rl));
 	if (pull_status(rl->pull))
 		return check_status(rl);
+	if (!pull_maybe_sent(rl->pull))
+		node_note_target(rl->rq->node, rl->target->name,
+				 TARGET_REFUSED);
 	if (!rl->resuming && !pull_maybe_sent(rl->pull))
 		return RAMP_ERR_NO_TARGET;
 	return reconnect(rl);
@@ -279,6 +295,7 @@
 		/* It may be queueing: an open connection is a sign of life. */
 		rl->moved = !pull_bytes(rl->pull)->len;
 		pace_silent(&rl->pace);
+		node_note_target(rl->rq->node, rl->target->name, TARGET_SILENT);
 	}
 	return reconnect(rl);
 }
--- /dev/null
+++ b/node/test-gossip.c
@@ -0,0 +1,187 @@
+/*
+ * Membership with real processes, while the platform's list lags: it goes on
+ * naming all that was alive when a test began.
+ */
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "node/test-harness.h"
+
+#define GARBAGE 200
+
+static bool names(const struct proc *asked, const struct proc *p)
+{
+	json_t *j = get_json(asked->port, "/v1/entries");
+	const json_t *list = json_object_get(j, "entries");
+	bool found = false;
+	size_t i;
+	json_t *e;
+
+	json_array_foreach (list, i, e) {
+		const char *name =
+			json_string_value(json_object_get(e, "name"));
+
+		found = found || (name && !strcmp(name, p->name));
+	}
+	json_decref(j);
+	return found;
+}
+
+/* How many of the others name node i as an entry. */
+static unsigned named_by(const struct rig *g, unsigned i)
+{
+	unsigned n = 0;
+
+	for (unsigned k = 0; k < g->node_count; k++) {
+		if (k != i && g->nodes[k].pid &&
+		    names(&g->nodes[k], &g->nodes[i]))
+			n++;
+	}
+	return n;
+}
+
+/* All nodes have heard from all others themselves. */
+static struct rig *met(unsigned engines, unsigned nodes)
+{
+	struct rig *g = rig_new(engines, nodes, NULL);
+
+	rig_start(g);
+	for (unsigned i = 0; i < nodes; i++)
+		WAIT_UNTIL(rig_logged(g, &g->nodes[i], "node_seen") >=
+			   (int)nodes);
+	return g;
+}
+
+/* A frozen node is not named; it wakes, evicts nobody and is named again. */
+static void test_frozen(void)
+{
+	struct rig *g = met(1, 4);
+
+	WAIT_UNTIL(named_by(g, 1) == 3);
+	proc_signal(&g->nodes[1], SIGSTOP);
+	WAIT_UNTIL(named_by(g, 1) == 0);
+	proc_signal(&g->nodes[1], SIGCONT);
+	WAIT_UNTIL(named_by(g, 1) == 3);
+	WAIT_UNTIL(named_by(g, 0) == 3);
+	g_assert_cmpint(rig_logged(g, &g->nodes[1], "node_lost"), ==, 0);
+	rig_free(g);
+}
+
+/* A killed node is not named any more, though the list still has it. */
+static void test_killed(void)
+{
+	struct rig *g = met(1, 3);
+
+	proc_signal(&g->nodes[2], SIGKILL);
+	g_assert_cmpint(proc_wait(&g->nodes[2]), ==, -1);
+	WAIT_UNTIL(named_by(g, 2) == 0);
+	g_assert_true(names(&g->nodes[0], &g->nodes[1]));
+	g_assert_true(names(&g->nodes[1], &g->nodes[0]));
+	g_assert_cmpint(rig_logged(g, &g->nodes[0], "node_lost"), ==, 1);
+	rig_free(g);
+}
+
+/* A node that stops as planned is unnamed before it is gone. */
+static void test_leaving(void)
+{
+	struct rig *g = met(1, 3);
+
+	proc_signal(&g->nodes[2], SIGTERM);
+	WAIT_UNTIL(named_by(g, 2) == 0);
+	g_assert_cmpint(proc_wait(&g->nodes[2]), ==, 0);
+	WAIT_UNTIL(rig_logged(g, &g->nodes[0], "node_left") == 1);
+	WAIT_UNTIL(rig_logged(g, &g->nodes[1], "node_left") == 1);
+	g_assert_cmpint(rig_logged(g, &g->nodes[0], "node_lost"), ==, 0);
+	g_assert_cmpuint(named_by(g, 2), ==, 0);
+	rig_free(g);
+}
+
+/* An answer comes whole; whether the node has met the leaving target. */
+static bool ask_and_see(const struct rig *g)
+{
+	char *question = g_strdup_printf("%" G_GINT64_FORMAT, time_mono_ms());
+	struct ask *a = ask_open(g->nodes[0].port, "assistant", question, 5);
+
+	g_assert_cmpint(a->status, ==, 200);
+	ask_read(a, 6);
+	g_assert_true(a->done);
+	ask_free(a);
+	g_free(question);
+	return rig_logged(g, &g->nodes[0], "target_leaving") == 1;
+}
+
+/* One node hears from a target that it leaves; the others know it too. */
+static void test_target_leaving(void)
+{
+	struct rig *g = met(2, 3);
+
+	proc_faults(&g->engines[0], "{\"leaving\":true}");
+	WAIT_UNTIL(ask_and_see(g));
+	WAIT_UNTIL(rig_logged(g, &g->nodes[1], "target_leaving") == 1);
+	WAIT_UNTIL(rig_logged(g, &g->nodes[2], "target_leaving") == 1);
+	rig_free(g);
+}
+
+static int64_t metric(const struct proc *p, const char *name)
+{
+	struct reply r = call_port(p->port, "GET", "/metrics", NULL, NULL);
+	char *line = g_strdup_printf("\n%s ", name);
+	const char *at = r.body ? strstr(r.body, line) : NULL;
+	int64_t n = at ? g_ascii_strtoll(at + strlen(line), NULL, 10) : -1;
+
+	g_free(line);
+	reply_clear(&r);
+	return n;
+}
+
+static void send_garbage(int port)
+{
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_port = htons((uint16_t)port),
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	GRand *r = g_rand_new_with_seed(7);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(fd, >=, 0);
+	for (int i = 0; i < GARBAGE; i++) {
+		uint8_t buf[200];
+		size_t n = (size_t)g_rand_int_range(r, 1, sizeof(buf));
+
+		for (size_t k = 0; k < n; k++)
+			buf[k] = (uint8_t)g_rand_int(r);
+		sendto(fd, buf, n, 0, (struct sockaddr *)&to, sizeof(to));
+	}
+	close(fd);
+	g_rand_free(r);
+}
+
+/* What is no message is counted and dropped; the node goes on. */
+static void test_garbage(void)
+{
+	struct rig *g = met(1, 2);
+	const struct proc *p = &g->nodes[0];
+
+	send_garbage(p->port);
+	WAIT_UNTIL(metric(p, "ramp_control_malformed_total") > 0);
+	g_assert_cmpint(metric(p, "ramp_control_bytes_sent_total"), >, 0);
+	WAIT_UNTIL(named_by(g, 0) == 1);
+	rig_free(g);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_ALL);
+	block_stop_signals();
+	g_test_add_func("/gossip/frozen", test_frozen);
+	g_test_add_func("/gossip/killed", test_killed);
+	g_test_add_func("/gossip/leaving", test_leaving);
+	g_test_add_func("/gossip/target-leaving", test_target_leaving);
+	g_test_add_func("/gossip/garbage", test_garbage);
+	return g_test_run();
+}
