--- a/route/admit.c
+++ b/route/admit.c
@@ -4,13 +4,14 @@
 
 #define WORK_SMOOTH   0.02 /* weight of one request in the mean work */
 #define REFUSE_SMOOTH 0.01 /* weight of one ask in the refused part */
+#define SEEN_RATIO    1.04 /* of the mean seen to that of the sums */
 #define REFUSED_MAX   0.95 /* so that the spread is at most 20 times as wide */
 
 const struct admit_limits admit_limits_default = {
 	.load_factor = 1.25,
 	.fresh_factor = 1.1,
 	.join_reserve = 0.04,
-	.floor_work = 16384,
+	.floor_work = 32768,
 	.target_work = 0,
 	.share_reserve = 0.05,
 	.queue_max = 64,
@@ -70,18 +71,21 @@
 	int64_t first = MAX(t->last_slot + 1, n - SLOTS_KEPT + 1);
 
 	for (int64_t i = first; i <= n; i++)
-		t->slots[i % SLOTS_KEPT] = (struct slot){i, t->requests, 0};
+		t->slots[i % SLOTS_KEPT] = (struct slot){
+			.number = i, .requests = t->requests, .work = t->work};
 	t->last_slot = n;
 	return &t->slots[n % SLOTS_KEPT];
 }
 
-/* Most requests at about the time; those of now when it is long ago. */
-static int64_t requests_at(const struct counted *t, int64_t ms)
+/* The most of about that time; what is now when it is long ago. */
+static struct slot slot_at(const struct counted *t, int64_t ms)
 {
 	int64_t n = ms / SLOT_MS;
 	const struct slot *s = &t->slots[n % SLOTS_KEPT];
 
-	return n <= t->last_slot && s->number == n ? s->requests : t->requests;
+	if (n <= t->last_slot && s->number == n)
+		return *s;
+	return (struct slot){.requests = t->requests, .work = t->work};
 }
 
 /* Work admitted in the slot of that time and after it. */
@@ -146,17 +150,43 @@
 	t->foreign = work;
 }
 
+/* What the report shows beyond what was admitted here. */
+static int64_t foreign_work(const struct admit *a, const struct counted *t,
+			    const struct load_report *r)
+{
+	struct slot own = slot_at(t, r->taken_ms);
+	int64_t requests = r->running + r->queued - own.requests;
+
+	if (requests <= 0)
+		return 0;
+	return MAX((int64_t)((double)requests * a->request_work),
+		   r->work - own.work);
+}
+
 void admit_report(struct admit *a, const struct load_report *r, int64_t now_ms)
 {
 	struct counted *t = counted_find(a, r->target);
-	int64_t others;
 
 	if (!t || r->taken_ms < t->report.taken_ms)
 		return;
 	slot_now(t, now_ms);
 	t->report = *r;
-	others = r->running + r->queued - requests_at(t, r->taken_ms);
-	set_foreign(a, t, (int64_t)((double)MAX(others, 0) * a->request_work));
+	set_foreign(a, t, foreign_work(a, t, r));
+}
+
+void admit_unreachable(struct admit *a, uint64_t target, int64_t now_ms)
+{
+	struct counted *t = counted_find(a, target);
+
+	if (!t || !t->mine)
+		return;
+	t->unreachable_ms = now_ms;
+	queue_drop(a, t, now_ms);
+}
+
+static bool is_reachable(const struct counted *t)
+{
+	return !t->unreachable_ms || t->report.taken_ms > t->unreachable_ms;
 }
 
 void admit_set_fleet(struct admit *a, int64_t work, size_t targets)
@@ -172,20 +202,41 @@
 	*targets = a->own_targets;
 }
 
-/* Bound by the mean that the fleet would have if empty targets joined. */
-static int64_t relative_bound(const struct admit *a, double factor)
+/* Work of the fleet; seen counts when it shows that the sums lag behind. */
+static double fleet_work(const struct admit *a, int64_t seen)
 {
-	size_t n = a->fleet_targets ? a->fleet_targets : a->own_targets;
-	double join = MAX(ceil(a->limits.join_reserve * (double)n), 1);
 	double work = (double)(a->fleet_work - a->fleet_own + a->own_work);
-	double bound = factor * work / ((double)n + join);
+	double by_seen = (double)seen * (double)a->fleet_targets;
+
+	return by_seen > SEEN_RATIO * work ? by_seen : work;
+}
+
+/* Bound by the mean that the fleet would have if empty targets joined. */
+static int64_t relative_bound(const struct admit *a, double factor,
+			      int64_t seen)
+{
+	double n = (double)a->fleet_targets;
+	double join = MAX(ceil(a->limits.join_reserve * n), 1);
 
-	return MAX((int64_t)bound, a->limits.floor_work);
+	if (!a->fleet_targets)
+		return INT64_MAX;
+	return MAX((int64_t)(factor * fleet_work(a, seen) / (n + join)),
+		   a->limits.floor_work);
+}
+
+/* The bound is never less than one whole request at an idle target. */
+static bool takes_any_size(const struct admit *a, int64_t load,
+			   const struct ask *q)
+{
+	double n = (double)a->fleet_targets;
+
+	return load == 0 ||
+	       (q->any_size && (double)load * n < fleet_work(a, q->seen_load));
 }
 
 int64_t admit_bound(const struct admit *a)
 {
-	int64_t bound = relative_bound(a, a->limits.load_factor);
+	int64_t bound = relative_bound(a, a->limits.load_factor, 0);
 
 	return a->limits.target_work ? MIN(bound, a->limits.target_work)
 				     : bound;
@@ -223,17 +274,18 @@
 	double factor = q->fresh ? MIN(l->fresh_factor, l->load_factor)
 				 : l->load_factor;
 	double full = (double)l->target_work;
-	int64_t after = counted_load(t) + q->work;
+	int64_t load = counted_load(t);
+	int64_t after = load + q->work;
 
 	if (now_ms < t->until_ms && !has_part(a, t, q->work))
 		return REFUSAL_NO_ROOM;
-	if (after == q->work)
-		return REFUSAL_NONE; /* one request may pass any bound */
-	if (full > 0 && (double)after > full)
+	if (full > 0 && load > 0 && (double)after > full)
 		return REFUSAL_FULL;
-	if (after > relative_bound(a, factor))
+	if (after > relative_bound(a, factor, q->seen_load) &&
+	    !takes_any_size(a, load, q))
 		return REFUSAL_NO_ROOM;
-	if (full > 0 && (double)after > full * (1 - l->share_reserve) &&
+	if (full > 0 && load > 0 &&
+	    (double)after > full * (1 - l->share_reserve) &&
 	    !share_allows(a, t, q))
 		return REFUSAL_OVER_SHARE;
 	return REFUSAL_NONE;
@@ -249,6 +301,7 @@
 	a->own_work += q->work;
 	s->admitted += q->work;
 	s->requests = MAX(s->requests, t->requests);
+	s->work = MAX(s->work, t->work);
 	usage_get(t, q->organisation, q->weight)->work += q->work;
 	a->request_work +=
 		a->request_work > 0
@@ -290,6 +343,10 @@
 		return;
 	}
 	d->load = counted_load(t);
+	if (!is_reachable(t)) {
+		refuse(a, q, REFUSAL_TARGET_GONE, now_ms, d);
+		return;
+	}
 	if (now_ms + q->run_ms > q->deadline_ms) {
 		refuse(a, q, REFUSAL_LATE, now_ms, d);
 		return;
--- a/route/admit.h
+++ b/route/admit.h
@@ -12,7 +12,8 @@
 /* What was true of a target during one slot of time. */
 struct slot {
 	int64_t number;   /* time / SLOT_MS */
-	int64_t requests; /* most at once */
+	int64_t requests; /* most at once; likewise work */
+	int64_t work;
 	int64_t admitted; /* work admitted in the slot */
 };
 
@@ -38,9 +39,11 @@
 	int64_t foreign;  /* work that others admitted, as far as reported */
 	struct load_report report;
 	int64_t took_over_ms;
-	int64_t until_ms; /* end of the change of hands */
+	int64_t unreachable_ms; /* when it last took no connection; or 0 */
+	int64_t until_ms;       /* end of the change of hands */
 	unsigned sharers;
 	GArray *usage;   /* struct usage */
+	double weights;  /* sum over usage */
 	GArray *waiting; /* struct waiting */
 	struct slot slots[SLOTS_KEPT];
 	int64_t last_slot; /* number of the newest */
--- a/route/route.h
+++ b/route/route.h
@@ -110,7 +110,7 @@
 	REFUSAL_LATE,        /* can not end before its deadline */
 	REFUSAL_NOT_HERE,    /* this node does not admit to the target */
 	REFUSAL_QUEUE_FULL,  /* and those waiting come first */
-	REFUSAL_TARGET_GONE, /* the target left while the request waited */
+	REFUSAL_TARGET_GONE, /* it left or can not be reached */
 };
 
 struct ask {
@@ -124,6 +124,16 @@
 	int64_t deadline_ms;
 	int64_t wait_until_ms; /* queue no longer than this; 0: do not queue */
 	bool fresh;            /* bound by fresh_factor */
+	/*
+	 * Last resort, for work that finds no room: a target under the fleet's
+	 * mean takes it, whatever its size.
+	 */
+	bool any_size;
+	/*
+	 * Mean load in the decisions that the asking entry got lately; 0: not
+	 * known. It shows a growing fleet before the sums do.
+	 */
+	int64_t seen_load;
 };
 
 struct decision {
@@ -156,11 +166,19 @@
 void admit_give_up(struct admit *a, uint64_t target);
 /* Reports older than the one held and of unknown targets are dropped. */
 void admit_report(struct admit *a, const struct load_report *r, int64_t now_ms);
-/* Work and number of all targets of the fleet (sums from all nodes). */
+/*
+ * The target took no connection: nothing is admitted to it until it sends a
+ * report that was taken later.
+ */
+void admit_unreachable(struct admit *a, uint64_t target, int64_t now_ms);
+/*
+ * Work and number of all targets of the fleet (sums from all nodes). Until
+ * they are known no target is refused for its load, only for target_work.
+ */
 void admit_set_fleet(struct admit *a, int64_t work, size_t targets);
 /* This node's part of those sums. */
 void admit_sums(const struct admit *a, int64_t *work, size_t *targets);
-/* Most work that the target may hold now. */
+/* Most work that a target may hold by the fleet's sums. */
 int64_t admit_bound(const struct admit *a);
 /* Work at the target as counted here; -1 when it is not this node's. */
 int64_t admit_load(const struct admit *a, uint64_t target);
--- a/route/share.c
+++ b/route/share.c
@@ -21,6 +21,7 @@
 		g_array_append_val(t->usage, new);
 		u = &g_array_index(t->usage, struct usage, t->usage->len - 1);
 	}
+	t->weights += weight - u->weight;
 	u->weight = weight;
 	return u;
 }
@@ -30,28 +31,22 @@
 	for (guint i = 0; i < t->usage->len;) {
 		struct usage *u = &g_array_index(t->usage, struct usage, i);
 
-		if (u->work > 0 || u->waiting > 0)
+		if (u->work > 0 || u->waiting > 0) {
 			i++;
-		else
-			g_array_remove_index_fast(t->usage, i);
+			continue;
+		}
+		t->weights -= u->weight;
+		g_array_remove_index_fast(t->usage, i);
 	}
 }
 
 bool share_allows(const struct admit *a, const struct counted *t,
 		  const struct ask *q)
 {
-	double weights = q->weight;
-	int64_t used = 0;
+	const struct usage *u = usage_find(t, q->organisation);
+	double weights = t->weights + q->weight - (u ? u->weight : 0);
+	int64_t used = u ? u->work : 0;
 
-	for (guint i = 0; i < t->usage->len; i++) {
-		const struct usage *u =
-			&g_array_index(t->usage, struct usage, i);
-
-		if (u->organisation == q->organisation)
-			used = u->work;
-		else
-			weights += u->weight;
-	}
 	/* As with targets, one request may always be larger than the share. */
 	return used == 0 || (double)(used + q->work) <= (double)admit_bound(a) *
 								q->weight /
--- a/route/test-admit.c
+++ b/route/test-admit.c
@@ -26,6 +26,7 @@
 
 	for (int i = 1; i <= targets; i++)
 		admit_take_over(a, (uint64_t)i, 0, 0, 1);
+	admit_set_fleet(a, 0, (size_t)targets);
 	return a;
 }
 
@@ -52,8 +53,10 @@
 		struct ask q = ask_of(t, g_rand_int_range(r, 10, 900));
 		double bound = 1.25 * (double)sum / (TARGETS + 1);
 		bool room = load[t] == 0 ||
+			    (now % 2 && load[t] * TARGETS < sum) ||
 			    load[t] + q.work <= MAX((int64_t)bound, 1000);
 
+		q.any_size = now % 2;
 		g_assert_cmpint(ask(a, q, now), ==,
 				room ? VERDICT_ADMIT : VERDICT_REFUSE);
 		refused += !room;
@@ -201,6 +204,7 @@
 		    i);
 	admit_take_over(a, TARGETS + 1, 100000, 0, 1);
 	admit_sums(a, &work, &n);
+	admit_set_fleet(a, work, n);
 	for (uint64_t t = 1; t <= TARGETS; t++)
 		most = MAX(most, admit_load(a, t));
 	g_assert_cmpuint(n, ==, TARGETS + 1);
@@ -210,6 +214,45 @@
 	g_rand_free(r);
 }
 
+/* Sums that lag behind a growing fleet do not turn requests away. */
+static void test_growth(void)
+{
+	GRand *r = g_rand_new_with_seed(10);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, 1);
+	struct ask q = ask_of(1, 2000);
+
+	g_assert_cmpint(ask(a, q, 0), ==, VERDICT_ADMIT);
+	admit_set_fleet(a, 18000, 9);
+	g_assert_cmpint(ask(a, q, 1), ==, VERDICT_REFUSE);
+	q.seen_load = 2050; /* near the sums: the sums count */
+	g_assert_cmpint(ask(a, q, 1), ==, VERDICT_REFUSE);
+	q.seen_load = 4000;
+	g_assert_cmpint(ask(a, q, 1), ==, VERDICT_ADMIT);
+	g_assert_cmpint(ask(a, q, 1), ==, VERDICT_REFUSE);
+	admit_free(a);
+	g_rand_free(r);
+}
+
+/* A target that takes no connection gets nothing until it reports again. */
+static void test_unreachable(void)
+{
+	GRand *r = g_rand_new_with_seed(11);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, 1);
+	struct load_report before = {.target = 1, .taken_ms = 900};
+	struct load_report after = {.target = 1, .taken_ms = 1100};
+
+	g_assert_cmpint(ask(a, ask_of(1, 10), 900), ==, VERDICT_ADMIT);
+	admit_unreachable(a, 1, 1000);
+	admit_report(a, &before, 1900);
+	g_assert_cmpint(ask(a, ask_of(1, 10), 1900), ==, VERDICT_REFUSE);
+	admit_report(a, &after, 2100);
+	g_assert_cmpint(ask(a, ask_of(1, 10), 2100), ==, VERDICT_ADMIT);
+	admit_free(a);
+	g_rand_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -219,5 +262,7 @@
 	g_test_add_func("/route/admit/two-admitters", test_two_admitters);
 	g_test_add_func("/route/admit/hand-back", test_hand_back);
 	g_test_add_func("/route/admit/join", test_join);
+	g_test_add_func("/route/admit/growth", test_growth);
+	g_test_add_func("/route/admit/unreachable", test_unreachable);
 	return g_test_run();
 }
