--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -26,4 +26,5 @@
 	{ 8003, LOG_WARNING, "change_unknown" },
 	{ 8004, LOG_INFO, "drain_asked" },
 	{ 8005, LOG_WARNING, "api_denied" },
+	{ 6001, LOG_WARNING, "peer_refused" },
 };
--- a/node/test-api.c
+++ b/node/test-api.c
@@ -300,6 +300,28 @@
 	world_stop(&w);
 }
 
+/* A node that the list does not name can't speak for all nodes. */
+static void test_status_unlisted(void)
+{
+	int64_t until = time_mono_ms() + WAIT_MS;
+	bool everywhere = true;
+	struct world w;
+
+	world_start(&w, argv0, 1);
+	put(w.nodes[0], S, SERVICE);
+	wait_everywhere(w.nodes[0], S "/status", NULL);
+	json_decref(procs_json(w.platform, "PUT", "/standin/instances", "[]"));
+	while (everywhere) {
+		json_t *j = admin_ok(w.nodes[0], NULL, "GET", S "/status", NULL,
+				     200);
+
+		everywhere = json_is_true(json_object_get(j, "everywhere"));
+		json_decref(j);
+		g_assert_cmpint(time_mono_ms(), <, until);
+	}
+	world_stop(&w);
+}
+
 /* Effect without answer; then effect without answer and an outage. */
 static void test_lost_answers(void)
 {
@@ -449,6 +471,7 @@
 	g_test_add_func("/node/api/roles", test_roles);
 	g_test_add_func("/node/api/rotated-key", test_rotated_key);
 	g_test_add_func("/node/api/status", test_status);
+	g_test_add_func("/node/api/status-unlisted", test_status_unlisted);
 	g_test_add_func("/node/api/lost-answers", test_lost_answers);
 	g_test_add_func("/node/api/stale-reads", test_stale_reads);
 	g_test_add_func("/node/api/race", test_race);
