--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -49,7 +49,7 @@
 		.address = n->set.node_address,
 		.port = (int)n->set.node_port,
 		.connections = (unsigned)n->set.limits_connections,
-		.idle_s = (unsigned)(n->set.limits_idle_ms + 999) / 1000,
+		.idle_ms = n->set.limits_idle_ms,
 		.header_bytes = (size_t)n->set.limits_headers,
 		/* One more than allowed, so that a longer body shows. */
 		.body_bytes = (size_t)n->set.limits_body + 1,
@@ -143,17 +143,13 @@
 		return 1;
 	}
 	n.resume_key = resume_key_load(n.set.node_secret_file);
-	if (!n.resume_key) {
+	if (!n.resume_key || !spread_load_secret(&n.set)) {
 		log_event(EV_SECRET_UNREADABLE, "file=%s",
 			  n.set.node_secret_file);
 		return 2;
 	}
 	n.cancels = cancels_new();
-	if (!spread_load_secret(&n.set)) {
-		fprintf(stderr, "%s: node.secret_file can't be read\n",
-			file->filename[0]);
-		return 2;
-	}
 	g_mutex_init(&n.lock);
+	n.target_events = g_async_queue_new();
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
--- a/node/list.c
+++ b/node/list.c
@@ -6,41 +6,13 @@
 	int64_t next_read_ms; /* monotonic */
 };
 
-/* Log targets that came, and those that began to leave. */
-static void note_targets(const struct fleet *old, const struct fleet *now)
-{
-	GHashTable *known = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (guint i = 0; old && i < old->targets->len; i++) {
-		const struct target *t = g_ptr_array_index(old->targets, i);
-
-		if (!t->leaving)
-			g_hash_table_add(known, t->name);
-	}
-	for (guint i = 0; i < now->targets->len; i++) {
-		const struct target *t = g_ptr_array_index(now->targets, i);
-
-		if (t->leaving == g_hash_table_contains(known, t->name))
-			log_event(t->leaving ? EV_TARGET_LEAVING : EV_TARGET_UP,
-				  "target=%s address=%s", t->name, t->address);
-	}
-	g_hash_table_unref(known);
-}
-
 static void on_list(const struct plat_result *r, void *arg)
 {
 	struct lister *l = arg;
 	const json_t *list = json_object_get(r->json, "instances");
 
-	struct fleet *old, *now;
-
-	if (r->status != PLAT_OK || !json_is_array(list))
-		return;
-	old = node_fleet(l->env->node);
-	now = fleet_from_instances(list);
-	note_targets(old, now);
-	fleet_unref(old);
-	node_set_fleet(l->env->node, now);
+	if (r->status == PLAT_OK && json_is_array(list))
+		node_set_listed(l->env->node, fleet_from_instances(list));
 }
 
 static void *start(struct control_env *env)
--- a/node/status.c
+++ b/node/status.c
@@ -132,15 +132,10 @@
 static bool is_listed(struct node *n)
 {
 	struct fleet *f = node_fleet(n);
-	bool found = false;
+	bool listed = f && f->lists_us;
 
-	for (guint i = 0; f && i < f->peers->len; i++) {
-		const struct peer *p = g_ptr_array_index(f->peers, i);
-
-		found = found || !strcmp(p->name, n->set.node_name);
-	}
 	fleet_unref(f);
-	return found;
+	return listed;
 }
 
 static json_t *status_json(struct api_call *c, enum resource_kind k,
--- a/node/view.c
+++ b/node/view.c
@@ -68,14 +68,72 @@
 	config_unref(old);
 }
 
+/* The event that tells of a target's state. */
+static enum log_event_id state_event(const struct target *t)
+{
+	if (t->leaving)
+		return EV_TARGET_LEAVING;
+	return t->down ? EV_TARGET_DOWN : EV_TARGET_UP;
+}
+
+/* Log the targets whose state is another one than before. */
+static void note_targets(const struct fleet *old, const struct fleet *now)
+{
+	GHashTable *before = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; old && i < old->targets->len; i++) {
+		struct target *t = g_ptr_array_index(old->targets, i);
+
+		g_hash_table_replace(before, t->name, t);
+	}
+	for (guint i = 0; i < now->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(now->targets, i);
+		const struct target *was = g_hash_table_lookup(before, t->name);
+
+		if (!was || state_event(was) != state_event(t))
+			log_event(state_event(t), "target=%s address=%s",
+				  t->name, t->address);
+	}
+	g_hash_table_unref(before);
+}
+
+static bool lists(const struct fleet *f, const char *name)
+{
+	for (guint i = 0; f && i < f->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(f->peers, i);
+
+		if (!strcmp(p->name, name))
+			return true;
+	}
+	return false;
+}
+
 /* Takes the reference. */
 void node_set_fleet(struct node *n, struct fleet *f)
 {
 	struct fleet *old;
 
+	f->lists_us = lists(n->listed, n->set.node_name);
 	g_mutex_lock(&n->lock);
 	old = n->fleet;
-	n->fleet = f;
+	n->fleet = fleet_ref(f);
 	g_mutex_unlock(&n->lock);
+	note_targets(old, f);
+	fleet_unref(f);
 	fleet_unref(old);
 }
+
+void node_set_listed(struct node *n, struct fleet *f)
+{
+	fleet_unref(n->listed);
+	n->listed = f;
+	n->listed_number++;
+}
+
+void node_note_target(struct node *n, const char *target, enum target_note note)
+{
+	struct target_event *e = g_new(struct target_event, 1);
+
+	*e = (struct target_event){g_strdup(target), note};
+	g_async_queue_push(n->target_events, e);
+}
