--- a/node/gossip.c
+++ b/node/gossip.c
@@ -280,35 +280,6 @@
 	g->minority = minority;
 }
 
-static enum log_event_id target_event(const struct target *t)
-{
-	if (t->leaving)
-		return EV_TARGET_LEAVING;
-	return t->down ? EV_TARGET_DOWN : EV_TARGET_UP;
-}
-
-static void log_targets(const struct fleet *was, const struct fleet *is)
-{
-	for (guint i = 0; i < is->targets->len; i++) {
-		const struct target *t = g_ptr_array_index(is->targets, i);
-		const struct target *old =
-			was ? fleet_target(was, t->name) : NULL;
-
-		if (!old || target_event(old) != target_event(t))
-			log_event(target_event(t), "target=%s pool=%s", t->name,
-				  t->pool);
-	}
-}
-
-static void set_fleet(struct gossip *g, struct fleet *f)
-{
-	struct fleet *was = node_fleet(g->env->node);
-
-	log_targets(was, f);
-	fleet_unref(was);
-	node_set_fleet(g->env->node, f);
-}
-
 static void publish(struct gossip *g, int64_t now_ms)
 {
 	struct node *n = g->env->node;
@@ -324,7 +295,7 @@
 	if (g->view != member_view_number(g->member))
 		log_changes(g);
 	g->view = member_view_number(g->member);
-	set_fleet(g, fleet_merge(n->listed, g->member, now_ms));
+	node_set_fleet(n, fleet_merge(n->listed, g->member, now_ms));
 }
 
 static void take_notes(struct gossip *g, int64_t now_ms)
--- a/node/node.h
+++ b/node/node.h
@@ -43,6 +43,7 @@
 	GPtrArray *peers;   /* struct peer */
 	/* Nodes believed alive and those that should be; see member_seen. */
 	size_t nodes_live, nodes_known;
+	bool lists_us; /* the platform's list has reached this node */
 };
 
 struct fleet *fleet_from_instances(const json_t *instances);
--- a/node/status.c
+++ b/node/status.c
@@ -128,6 +128,16 @@
 	return *live && *in_force == *live ? since : 0;
 }
 
+/* Whether the platform's list has reached this node; it may lag. */
+static bool is_listed(struct node *n)
+{
+	struct fleet *f = node_fleet(n);
+	bool listed = f && f->lists_us;
+
+	fleet_unref(f);
+	return listed;
+}
+
 static json_t *status_json(struct api_call *c, enum resource_kind k,
 			   const char *name, const json_t *value,
 			   int64_t revision)
@@ -135,13 +145,14 @@
 	json_t *nodes = ask_nodes(c, revision);
 	int live, in_force;
 	int64_t since = count_in_force(nodes, revision, &live, &in_force);
+	bool everywhere = live && in_force == live && is_listed(c->node);
 
 	return json_pack("{s:s,s:s,s:I,s:O*,s:i,s:i,s:b,s:I,s:o}", "kind",
 			 kind_name(k), "name", name, "revision", revision,
 			 "generation", json_object_get(value, "generation"),
 			 "live", live, "in_force", in_force, "everywhere",
-			 live && in_force == live, "since_ms", since, "nodes",
-			 nodes);
+			 everywhere, "since_ms", everywhere ? since : 0,
+			 "nodes", nodes);
 }
 
 /*
