node: admit work to a target at one node, which counts exactly

Cause: every entry chose targets alone, so nothing bounded a target's load, and reading all reports everywhere would cost nodes x engines messages.

Change: each target has one admitting node, the first live one in its rendezvous order. Entries ask the chat's targets in turn (hint, rendezvous order); the request itself goes through the admitting node, which counts the work, queues or refuses with the load and a time to come back, and passes the engine's answer on. It alone reads its targets' reports and notes those that leave or are down. Sums for the fleet's mean ride on the membership. Targets that err are set aside and retries are paid for by first attempts. A broken way through another node is mended straight from the target.

Ruled out: asking by a message for each request.

Found on the way: a target that an old and a new admitter share never let a large request in while the hand-over lasted; an empty target now takes one request of any size.

Conclusion: entries need neither reports nor cache events of the fleet.

--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -43,4 +43,10 @@
 	  "Control messages dropped because they could not be decoded." },
 	{ "ramp_control_not_authentic_total", "counter",
 	  "Control messages dropped because they were not made with the shared key." },
+	{ "ramp_requests_forwarded_total", "counter",
+	  "Requests sent through another node that admits to their target." },
+	{ "ramp_admissions_total", "counter",
+	  "Requests admitted to a target by this node." },
+	{ "ramp_admission_refusals_total", "counter",
+	  "Requests refused room at a target by this node." },
 };
--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -80,6 +80,12 @@
 	{ "orders", "recheck", SETTING_MS, NULL, "30000", 50, 600000,
 	  offsetof(struct settings, orders_recheck_ms),
 	  "Time between looks at what the targets of a pool hold, in milliseconds." },
+	{ "loads", "poll", SETTING_MS, NULL, "1000", 50, 60000,
+	  offsetof(struct settings, loads_poll_ms),
+	  "Time between reads of the load of a target that this node admits to, in milliseconds." },
+	{ "loads", "timeout", SETTING_MS, NULL, "1000", 50, 60000,
+	  offsetof(struct settings, loads_timeout_ms),
+	  "Time after which such a read counts as lost, in milliseconds." },
 };
 const size_t setting_count =
 	sizeof(setting_infos) / sizeof(setting_infos[0]);
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -30,5 +30,7 @@
 	char *log_level;
 	char *admin_bootstrap_hash;
 	int64_t orders_recheck_ms;
+	int64_t loads_poll_ms;
+	int64_t loads_timeout_ms;
 };
 #endif
--- /dev/null
+++ b/node/admission.c
@@ -0,0 +1,235 @@
+#include "node/admission.h"
+
+struct pool {
+	const char *name; /* interned */
+	struct admit *admit;
+	GHashTable *reported; /* targets that reported since they were taken */
+};
+
+struct admission {
+	GMutex lock;
+	GCond settled;     /* a waiting request was decided, or a change came */
+	GHashTable *pools; /* name -> struct pool */
+	GHashTable *organisations; /* name -> index + 1 */
+	GHashTable *decided;       /* ticket -> struct decision */
+	GRand *random;
+	uint64_t last_ticket;
+};
+
+static double next_random(void *ctx)
+{
+	return g_rand_double(ctx);
+}
+
+static void free_pool(void *p)
+{
+	struct pool *pool = p;
+
+	admit_free(pool->admit);
+	g_hash_table_unref(pool->reported);
+	g_free(pool);
+}
+
+struct admission *admission_new(uint64_t seed)
+{
+	struct admission *a = g_new0(struct admission, 1);
+
+	g_mutex_init(&a->lock);
+	g_cond_init(&a->settled);
+	a->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+	a->organisations =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	a->decided = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   g_free);
+	a->random = g_rand_new_with_seed((guint32)seed);
+	return a;
+}
+
+void admission_free(struct admission *a)
+{
+	g_hash_table_unref(a->pools);
+	g_hash_table_unref(a->organisations);
+	g_hash_table_unref(a->decided);
+	g_rand_free(a->random);
+	g_mutex_clear(&a->lock);
+	g_cond_clear(&a->settled);
+	g_free(a);
+}
+
+/* The lock is held in all static functions below. */
+
+static struct pool *find_pool(struct admission *a, const char *name)
+{
+	struct pool *p = g_hash_table_lookup(a->pools, name);
+
+	if (p)
+		return p;
+	p = g_new0(struct pool, 1);
+	p->name = g_intern_string(name);
+	p->admit = admit_new(&admit_limits_default,
+			     (struct route_random){next_random, a->random});
+	p->reported = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    NULL);
+	g_hash_table_insert(a->pools, (char *)p->name, p);
+	return p;
+}
+
+static uint32_t organisation_index(struct admission *a, const char *name)
+{
+	gpointer i = g_hash_table_lookup(a->organisations, name);
+
+	if (!i) {
+		i = GUINT_TO_POINTER(g_hash_table_size(a->organisations) + 1);
+		g_hash_table_insert(a->organisations, g_strdup(name), i);
+	}
+	return GPOINTER_TO_UINT(i) - 1;
+}
+
+/* Decide those who wait where that can be done now. */
+static void settle(struct admission *a, struct pool *p)
+{
+	struct decision d;
+
+	while (admit_poll(p->admit, time_mono_ms(), &d)) {
+		struct decision *kept = g_memdup2(&d, sizeof(d));
+
+		g_hash_table_insert(a->decided, &kept->ticket, kept);
+	}
+	g_cond_broadcast(&a->settled);
+}
+
+static void wait_decision(struct admission *a, struct pool *p,
+			  struct decision *d)
+{
+	uint64_t ticket = d->ticket;
+	struct decision *found;
+
+	while (!(found = g_hash_table_lookup(a->decided, &ticket))) {
+		int64_t left = admit_next_ms(p->admit) - time_mono_ms();
+
+		if (left > 0)
+			g_cond_wait_until(&a->settled, &a->lock,
+					  g_get_monotonic_time() + left * 1000);
+		else
+			settle(a, p);
+	}
+	*d = *found;
+	g_hash_table_remove(a->decided, &ticket);
+}
+
+static struct ask make_ask(struct admission *a, const struct admission_ask *q)
+{
+	int64_t held = q->home ? q->history_tokens : 0;
+
+	return (struct ask){
+		.target = q->target,
+		.ticket = ++a->last_ticket,
+		.organisation = organisation_index(a, q->organisation),
+		.weight = q->weight,
+		.priority = q->priority,
+		.work = MAX(q->prompt_tokens - held, 0) + q->output_tokens,
+		.deadline_ms = q->deadline_ms,
+		.wait_until_ms = q->wait_until_ms,
+		.fresh = held == 0,
+	};
+}
+
+bool admission_enter(struct admission *a, const struct admission_ask *q,
+		     struct admission_grant *grant,
+		     struct admission_refusal *no)
+{
+	struct decision d;
+	struct pool *p;
+	struct ask ask;
+	int64_t load;
+
+	g_mutex_lock(&a->lock);
+	p = find_pool(a, q->pool);
+	ask = make_ask(a, q);
+	admit_ask(p->admit, &ask, time_mono_ms(), &d);
+	if (d.verdict == VERDICT_QUEUE)
+		wait_decision(a, p, &d);
+	/* Of a target that has not reported it is not known what it bears. */
+	load = g_hash_table_contains(p->reported, &q->target) ? d.load
+							      : INT64_MAX;
+	g_mutex_unlock(&a->lock);
+	metric_add(d.verdict == VERDICT_ADMIT ? M_ADMISSIONS_TOTAL
+					      : M_ADMISSION_REFUSALS_TOTAL,
+		   1);
+	if (d.verdict == VERDICT_ADMIT) {
+		*grant = (struct admission_grant){p->name, q->target,
+						  ask.organisation, d.work};
+		return true;
+	}
+	*no = (struct admission_refusal){d.refusal, load, d.retry_at_ms};
+	return false;
+}
+
+void admission_leave(struct admission *a, struct admission_grant *g)
+{
+	struct pool *p;
+
+	if (!g->work)
+		return;
+	g_mutex_lock(&a->lock);
+	p = find_pool(a, g->pool);
+	admit_done(p->admit, g->target, g->organisation, g->work,
+		   time_mono_ms());
+	settle(a, p);
+	g_mutex_unlock(&a->lock);
+	g->work = 0;
+}
+
+void admission_take(struct admission *a, const char *pool, uint64_t target,
+		    int64_t until_ms, unsigned sharers)
+{
+	struct pool *p;
+
+	g_mutex_lock(&a->lock);
+	p = find_pool(a, pool);
+	g_hash_table_remove(p->reported, &target);
+	admit_take_over(p->admit, target, time_mono_ms(), until_ms, sharers);
+	g_mutex_unlock(&a->lock);
+}
+
+void admission_give_up(struct admission *a, const char *pool, uint64_t target)
+{
+	struct pool *p;
+
+	g_mutex_lock(&a->lock);
+	p = find_pool(a, pool);
+	g_hash_table_remove(p->reported, &target);
+	admit_give_up(p->admit, target);
+	settle(a, p);
+	g_mutex_unlock(&a->lock);
+}
+
+void admission_report(struct admission *a, const char *pool,
+		      const struct load_report *r)
+{
+	struct pool *p;
+
+	g_mutex_lock(&a->lock);
+	p = find_pool(a, pool);
+	g_hash_table_add(p->reported, g_memdup2(&r->target, sizeof(r->target)));
+	admit_report(p->admit, r, time_mono_ms());
+	settle(a, p);
+	g_mutex_unlock(&a->lock);
+}
+
+void admission_set_fleet(struct admission *a, const char *pool, int64_t work,
+			 size_t targets)
+{
+	g_mutex_lock(&a->lock);
+	admit_set_fleet(find_pool(a, pool)->admit, work, targets);
+	g_mutex_unlock(&a->lock);
+}
+
+void admission_sums(struct admission *a, const char *pool, int64_t *work,
+		    size_t *targets)
+{
+	g_mutex_lock(&a->lock);
+	admit_sums(find_pool(a, pool)->admit, work, targets);
+	g_mutex_unlock(&a->lock);
+}
--- /dev/null
+++ b/node/admission.h
@@ -0,0 +1,72 @@
+/*
+ * admission: this node's counts of the targets it admits for, safe to use
+ * from any thread. The decisions are route's.
+ */
+#ifndef ADMISSION_H
+#define ADMISSION_H
+
+#include "base/base.h"
+#include "route/route.h"
+
+struct admission;
+
+/* A request as admission sees it. */
+struct admission_ask {
+	const char *pool;
+	const char *organisation;
+	double weight; /* the organisation's */
+	uint64_t target;
+	int priority;
+	int64_t prompt_tokens;
+	int64_t history_tokens; /* part of the prompt that was sent before */
+	int64_t output_tokens;  /* expected */
+	bool home;              /* the target is likely to hold the history */
+	int64_t deadline_ms;    /* monotonic; likewise below */
+	int64_t wait_until_ms;  /* queue no longer than this; 0: not at all */
+};
+
+/* Work admitted, to be given back by admission_leave. */
+struct admission_grant {
+	const char *pool; /* interned */
+	uint64_t target;
+	uint32_t organisation;
+	int64_t work; /* tokens; 0: no grant */
+};
+
+/* Why a request was refused, and when it may come back. */
+struct admission_refusal {
+	enum refusal why;
+	int64_t load;        /* of the target, in tokens */
+	int64_t retry_at_ms; /* monotonic */
+};
+
+struct admission *admission_new(uint64_t seed);
+void admission_free(struct admission *a);
+/*
+ * Ask for a place at a target, and wait for it in the queue where the ask
+ * says so.
+ *
+ * Return: true with a grant, or false with the reason.
+ */
+bool admission_enter(struct admission *a, const struct admission_ask *q,
+		     struct admission_grant *grant,
+		     struct admission_refusal *no);
+/* The work ended or did not begin. Clears the grant. */
+void admission_leave(struct admission *a, struct admission_grant *g);
+
+/* The functions below are the control thread's. */
+
+/* Admit to the target from now on, with care until until_ms. */
+void admission_take(struct admission *a, const char *pool, uint64_t target,
+		    int64_t until_ms, unsigned sharers);
+void admission_give_up(struct admission *a, const char *pool, uint64_t target);
+void admission_report(struct admission *a, const char *pool,
+		      const struct load_report *r);
+/* Sums of a pool in the whole fleet. */
+void admission_set_fleet(struct admission *a, const char *pool, int64_t work,
+			 size_t targets);
+/* This node's part of them. */
+void admission_sums(struct admission *a, const char *pool, int64_t *work,
+		    size_t *targets);
+
+#endif
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -16,6 +16,7 @@
 	{"GET", "/v1/entries", on_entries},
 	{"POST", "/v1/keys", on_keys},
 	{"*", "/v1/services/:service/*", on_plain},
+	{"POST", "/internal/targets/:target/v1/chat/completions", on_forward},
 	{"GET", "/internal/changes", on_peer_changes},
 	{"GET", "/internal/config", on_peer_config},
 	{"GET", "/internal/instances", on_peer_instances},
@@ -151,5 +152,7 @@
 	n.cancels = cancels_new();
 	g_mutex_init(&n.lock);
 	n.target_events = g_async_queue_new();
+	n.admission = admission_new(randombytes_random());
+	n.health = health_new(randombytes_random());
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
--- a/node/chat.c
+++ b/node/chat.c
@@ -127,6 +127,16 @@
 	g_free(s);
 }
 
+/* Where the chat's prefix is held now, for the next turn. */
+static void put_hint(const struct target *t, struct _u_response *r)
+{
+	struct hint h = {.target = t->id, .at_ms = time_now_ms()};
+	char text[HINT_SIZE];
+
+	hint_encode(&h, text);
+	u_map_put(r->map_header, "Ramp-Hint", text);
+}
+
 /* With which the caller gets the rest of this answer from any entry. */
 static void put_identity(struct request *rq, const struct target *t,
 			 struct _u_response *r)
@@ -154,6 +164,7 @@
 	s->out = g_string_new(NULL);
 	u_map_put(r->map_header, "Content-Type", "text/event-stream");
 	put_identity(rq, relay_target(rl), r);
+	put_hint(relay_target(rl), r);
 	ulfius_set_stream_response(r, 200, read_stream, close_stream,
 				   U_STREAM_SIZE_UNKNOWN, BLOCK_BYTES, s);
 	return U_CALLBACK_COMPLETE;
@@ -211,6 +222,7 @@
 		u_map_put(r->map_header, "Ramp-Outcome",
 			  outcome_name(OUTCOME_COMPLETE));
 		u_map_put(r->map_header, "Ramp-Request", rq->id.data);
+		put_hint(relay_target(rl), r);
 		answer_json(r, 200, whole_answer(text, last));
 	}
 	json_decref(last);
@@ -239,6 +251,7 @@
 		return RAMP_ERR_NOT_FOUND;
 	}
 	rq->stream = json_is_true(json_object_get(body, "stream"));
+	rq->work = work_of(body, rq->owner->organisation->name, rq->chat);
 	set_target_body(rq, body);
 	json_decref(body);
 	return RAMP_OK;
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -50,6 +50,7 @@
 	struct peer *p = g_new0(struct peer, 1);
 
 	p->name = g_strdup(info->name);
+	p->id = str_hash(str_c(p->name), 0);
 	p->address = g_strdup(info->address);
 	p->control = g_strdup(info->control);
 	p->zone = g_strdup(info->zone);
--- /dev/null
+++ b/node/loads.c
@@ -0,0 +1,263 @@
+/*
+ * Control module: decides which targets this node admits to, asks those, and
+ * those alone, for their load, and publishes the fleet's sums.
+ */
+#include <string.h>
+
+#include "node/node.h"
+
+/* Longest time for which nodes disagree about who admits to a target. */
+#define HAND_OVER_MS 5000
+#define SHARE_MS     250
+#define SHARERS      2 /* the node before and the node after */
+/* Time between reads meanwhile: nothing is admitted without a new report. */
+#define HAND_OVER_READ_MS 50
+
+struct mine {
+	char *name;
+	char *pool;
+	char *address;
+	bool asked;                 /* a report is on its way */
+	bool present;               /* in the fleet at the last look */
+	int64_t hand_over_until_ms; /* monotonic; likewise below */
+	int64_t next_read_ms;
+};
+
+struct loads {
+	struct control_env *env;
+	GHashTable *mine;      /* id -> struct mine */
+	struct fleet *fleet;   /* at the last look */
+	int64_t next_share_ms; /* monotonic */
+};
+
+struct load_call {
+	struct loads *loads;
+	uint64_t target;
+	int64_t sent_ms;
+};
+
+static void free_mine(void *p)
+{
+	struct mine *m = p;
+
+	g_free(m->name);
+	g_free(m->pool);
+	g_free(m->address);
+	g_free(m);
+}
+
+static bool is_mine(const struct loads *l, const struct target *t)
+{
+	const struct peer *p = peer_admitter(l->fleet, t->id);
+
+	return p && !strcmp(p->name, l->env->node->set.node_name);
+}
+
+static void take(struct loads *l, const struct target *t, int64_t now_ms)
+{
+	struct mine *m = g_hash_table_lookup(l->mine, &t->id);
+
+	if (!m) {
+		m = g_new0(struct mine, 1);
+		m->name = g_strdup(t->name);
+		m->pool = g_strdup(t->pool);
+		m->hand_over_until_ms = now_ms + HAND_OVER_MS;
+		g_hash_table_insert(l->mine, g_memdup2(&t->id, sizeof(t->id)),
+				    m);
+		admission_take(l->env->node->admission, t->pool, t->id,
+			       m->hand_over_until_ms, SHARERS);
+	}
+	g_free(m->address);
+	m->address = g_strdup(t->address);
+	m->present = true;
+}
+
+static gboolean drop_absent(void *key, void *value, void *ctx)
+{
+	struct loads *l = ctx;
+	struct mine *m = value;
+
+	if (m->present) {
+		m->present = false;
+		return FALSE;
+	}
+	admission_give_up(l->env->node->admission, m->pool, *(uint64_t *)key);
+	return TRUE;
+}
+
+/* The fleet as it is now decides anew what is this node's. */
+static void look(struct loads *l, int64_t now_ms)
+{
+	struct fleet *f = node_fleet(l->env->node);
+
+	if (f == l->fleet || !f) {
+		fleet_unref(f);
+		return;
+	}
+	fleet_unref(l->fleet);
+	l->fleet = f;
+	health_set_fleet(l->env->node->health, f);
+	for (guint i = 0; i < f->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(f->targets, i);
+
+		if (is_mine(l, t))
+			take(l, t, now_ms);
+	}
+	g_hash_table_foreach_remove(l->mine, drop_absent, l);
+}
+
+/* The admitting node is the first to see that its target leaves or is down. */
+static void note_target(const struct loads *l, const struct mine *m,
+			const struct fetch_result *r, bool leaving)
+{
+	struct node *n = l->env->node;
+
+	if (r->status == 200) {
+		node_note_target(n, m->name, TARGET_ANSWERED);
+		node_note_target(n, m->name,
+				 leaving ? TARGET_LEAVES : TARGET_TAKES);
+	} else if (!r->status && !r->maybe_sent) {
+		node_note_target(n, m->name, TARGET_REFUSED);
+	}
+}
+
+static void take_report(const struct load_call *c, const struct mine *m,
+			const struct fetch_result *r)
+{
+	json_t *j = json_loadb(r->body.data ? r->body.data : "", r->body.len, 0,
+			       NULL);
+	json_int_t running = 0, queued = 0, work = 0, age = 0;
+	int leaving = 0;
+	bool whole = !json_unpack(j, "{s:I,s:I,s:I,s?I,s?b}", "running",
+				  &running, "queued", &queued, "work_tokens",
+				  &work, "age_ms", &age, "leaving", &leaving);
+	struct load_report p = {.target = c->target,
+				.running = running,
+				.queued = queued,
+				.work = work,
+				.taken_ms = c->sent_ms - age};
+
+	json_decref(j);
+	note_target(c->loads, m, r, leaving);
+	if (whole && r->status == 200)
+		admission_report(c->loads->env->node->admission, m->pool, &p);
+}
+
+static void on_load(const struct fetch_result *r, void *arg)
+{
+	struct load_call *c = arg;
+	struct mine *m = g_hash_table_lookup(c->loads->mine, &c->target);
+
+	if (m) {
+		m->asked = false;
+		take_report(c, m, r);
+	}
+	g_free(c);
+}
+
+static void ask_load(struct loads *l, uint64_t id, struct mine *m,
+		     int64_t now_ms)
+{
+	struct load_call *c = g_new(struct load_call, 1);
+	char *url = g_strdup_printf("http://%s/load", m->address);
+
+	*c = (struct load_call){l, id, now_ms};
+	m->asked = true;
+	fetch(l->env->fetcher, "GET", url, str_c(NULL),
+	      l->env->node->set.loads_timeout_ms, on_load, c);
+	g_free(url);
+}
+
+static void ask_due(struct loads *l, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer id, value;
+
+	g_hash_table_iter_init(&it, l->mine);
+	while (g_hash_table_iter_next(&it, &id, &value)) {
+		struct mine *m = value;
+		int64_t pause = l->env->node->set.loads_poll_ms;
+
+		if (m->asked || now_ms < m->next_read_ms)
+			continue;
+		if (now_ms < m->hand_over_until_ms)
+			pause = MIN(pause, HAND_OVER_READ_MS);
+		m->next_read_ms = now_ms + pause;
+		ask_load(l, *(uint64_t *)id, m, now_ms);
+	}
+}
+
+/* Exchange this node's part of a pool's load for the fleet's mean. */
+static void share_pool(struct loads *l, const char *pool)
+{
+	struct node *n = l->env->node;
+	size_t targets = 0;
+	size_t own;
+	int64_t work;
+	double mean;
+
+	for (guint i = 0; i < l->fleet->targets->len; i++) {
+		const struct target *t =
+			g_ptr_array_index(l->fleet->targets, i);
+
+		if (!t->leaving && !t->down && !strcmp(t->pool, pool))
+			targets++;
+	}
+	admission_sums(n->admission, pool, &work, &own);
+	member_set_load(n->member, pool, (double)work, (unsigned)own);
+	if (member_mean_load(n->member, pool, &mean))
+		admission_set_fleet(n->admission, pool,
+				    (int64_t)(mean * (double)targets), targets);
+}
+
+static void share_loads(struct loads *l, int64_t now_ms)
+{
+	GHashTable *seen;
+
+	if (now_ms < l->next_share_ms || !l->fleet || !l->env->node->member)
+		return;
+	l->next_share_ms = now_ms + SHARE_MS;
+	seen = g_hash_table_new(g_str_hash, g_str_equal);
+	for (guint i = 0; i < l->fleet->targets->len; i++) {
+		const struct target *t =
+			g_ptr_array_index(l->fleet->targets, i);
+
+		if (g_hash_table_add(seen, t->pool))
+			share_pool(l, t->pool);
+	}
+	g_hash_table_unref(seen);
+}
+
+static void *start(struct control_env *env)
+{
+	struct loads *l = g_new0(struct loads, 1);
+
+	l->env = env;
+	l->mine = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					free_mine);
+	return l;
+}
+
+static void tick(void *ctx, int64_t now_ms)
+{
+	struct loads *l = ctx;
+
+	look(l, now_ms);
+	ask_due(l, now_ms);
+	share_loads(l, now_ms);
+}
+
+static void stop(void *ctx)
+{
+	struct loads *l = ctx;
+
+	g_hash_table_unref(l->mine);
+	fleet_unref(l->fleet);
+	g_free(l);
+}
+
+const struct control_module loads_module = {
+	.start = start,
+	.tick = tick,
+	.stop = stop,
+};
--- a/node/node.h
+++ b/node/node.h
@@ -10,6 +10,7 @@
 #include "base/base.h"
 #include "http/http.h"
 #include "member/member.h"
+#include "node/admission.h"
 #include "route/route.h"
 #include "state/state.h"
 
@@ -26,6 +27,7 @@
 
 /* Another node, or this one. */
 struct peer {
+	uint64_t id; /* hash of the name */
 	char *name;
 	char *address;
 	char *zone;
@@ -72,7 +74,10 @@
 	atomic_bool stop_control;
 	atomic_int running; /* requests in progress */
 	struct resume_key *resume_key;
-	GThreadPool *cancels; /* cancel.c */
+	struct admission *admission;
+	struct health *health;
+	struct member *member; /* gossip's; for the control thread alone */
+	GThreadPool *cancels;  /* cancel.c */
 
 	/* Newest configuration revision that another node has told of. */
 	atomic_int_least64_t heard_revision;
@@ -136,6 +141,7 @@
 extern const struct control_module list_module;   /* list.c */
 extern const struct control_module orders_module; /* orders.c */
 extern const struct control_module gossip_module; /* gossip.c */
+extern const struct control_module loads_module;  /* loads.c */
 
 /* control.c: the control thread; ends when stop_control is set. */
 void *control_run(void *node);
@@ -147,6 +153,18 @@
 				struct platform *out);
 void plat_http_free(struct plat_http *p);
 
+/* work.c: what a chat asks of an engine, in tokens, and what names it. */
+struct work {
+	int64_t prompt_tokens;
+	int64_t history_tokens; /* of all messages but the last */
+	int64_t output_tokens;  /* expected */
+	uint64_t chat;          /* hash that stays the same from turn to turn */
+};
+
+/* From the body of a chat completion; chat is its identity or NULL. */
+struct work work_of(const json_t *body, const char *organisation,
+		    const char *chat);
+
 /*
  * One request of a caller, from its headers to the end of its answer. All
  * that belongs to it lives in its arena.
@@ -168,7 +186,11 @@
 	bool stream;
 	int caller_fd; /* the caller's connection, for watching, or -1 */
 	bool gone;     /* the caller has left */
-	struct call_claim *claim; /* or NULL */
+	struct work work;
+	struct admission_grant grant; /* while the work runs */
+	struct hint hint;             /* target 0: the caller brought none */
+	int64_t retry_at_ms;          /* wall clock; 0: nobody said */
+	struct call_claim *claim;     /* or NULL */
 	bool resumed; /* asks for the rest of an answer, so the work has begun
 		       */
 };
@@ -248,17 +270,25 @@
 /* relay.c: one answer of a target, event by event, each exactly once. */
 struct relay;
 
+/* The way to a target through its admitting node. */
+struct via {
+	const char *url;            /* where that node takes the request */
+	const char *const *headers; /* what it is told of it; ends in NULL */
+	/* Reads the answer by which that node refused. */
+	void (*refused)(const struct pull *answer, void *ctx);
+	void *ctx;
+};
+
 /*
- * Send the request to a target and wait until it has begun to answer. With
- * via, the base URL of another node's /internal/targets/<target>, it goes
- * through that node; the rest of a broken answer always comes from the target
- * itself. Only the entry cancels work, never a node in between.
+ * Send the request to a target and wait until it has begun to answer; with
+ * via, through its admitting node. The rest of a broken answer always comes
+ * from the target itself. Only the entry cancels work, never a node between.
  *
  * Return: RAMP_OK, or an error kind whose outcome says whether it may run
  * elsewhere.
  */
 enum ramp_error relay_open(struct request *rq, const struct target *t,
-			   const char *via, struct relay **out);
+			   const struct via *via, struct relay **out);
 /* Go on with an answer that has begun at a target, from event pos on. */
 enum ramp_error relay_resume(struct request *rq, const struct target *t,
 			     int64_t pos, struct relay **out);
@@ -285,11 +315,36 @@
 void cancel_work(GThreadPool *p, const struct target *t, struct str request,
 		 const char *reader);
 
-/* dispatch.c: choose a target, try it, and try others where that is safe. */
+/*
+ * dispatch.c: choose a target, ask its admitting node, and try others where
+ * that is safe.
+ */
 enum ramp_error dispatch(struct request *rq, struct relay **out);
 /* Targets for the request in order of preference; an array in its arena. */
 const struct target **dispatch_order(struct request *rq, size_t *n);
 
+/*
+ * health.c: targets that err or are slow are set aside for a while, and
+ * retries are paid for by first attempts. Safe from any thread.
+ */
+struct health *health_new(uint64_t seed);
+void health_free(struct health *h);
+void health_set_fleet(struct health *h, const struct fleet *f);
+void health_ok(struct health *h, const struct target *t, int64_t first_ms);
+void health_error(struct health *h, const struct target *t);
+bool health_allows(struct health *h, const struct target *t);
+/* Count a first attempt. */
+void health_first(struct health *h);
+/*
+ * Pause before attempt number `attempt` is followed by another, in ms; -1 when
+ * there must be none.
+ */
+int64_t health_retry(struct health *h, int attempt, int64_t deadline_ms);
+
+/* peers.c: which node admits to a target. */
+/* NULL when no node is known. The result lives as long as the fleet. */
+const struct peer *peer_admitter(const struct fleet *f, uint64_t target);
+
 /* chat.c: stream what the relay gives; takes the request and the relay. */
 int answer_stream(struct request *rq, struct relay *rl, struct _u_response *r);
 
@@ -297,6 +352,8 @@
 int on_resume(const struct _u_request *q, struct _u_response *r, void *node);
 int on_chat(const struct _u_request *q, struct _u_response *r, void *node);
 int on_plain(const struct _u_request *q, struct _u_response *r, void *node);
+/* POST /internal/targets/:target/v1/chat/completions; forward.c. */
+int on_forward(const struct _u_request *q, struct _u_response *r, void *node);
 int on_keys(const struct _u_request *q, struct _u_response *r, void *node);
 int on_entries(const struct _u_request *q, struct _u_response *r, void *node);
 int on_metrics(const struct _u_request *q, struct _u_response *r, void *node);
--- a/node/relay.c
+++ b/node/relay.c
@@ -13,6 +13,7 @@
 	struct request *rq;
 	const struct target *target;
 	struct pull *pull;
+	const struct via *via; /* while it opens; or NULL */
 	const char *headers[8];
 	const char *reader; /* names this relay's connections to the target */
 	int64_t pos;        /* number of the next event to give out */
@@ -62,7 +63,24 @@
 	return rl;
 }
 
-static void connect_first(struct relay *rl, const char *via)
+static const char *const *join_headers(const struct relay *rl,
+				       const char *const *more)
+{
+	GPtrArray *all = g_ptr_array_new();
+	const char **joined;
+
+	for (const char *const *h = rl->headers; *h; h++)
+		g_ptr_array_add(all, (char *)*h);
+	for (; *more; more++)
+		g_ptr_array_add(all, (char *)*more);
+	g_ptr_array_add(all, NULL);
+	joined = talloc_memdup(rl->rq->arena, all->pdata,
+			       all->len * sizeof(char *));
+	g_ptr_array_unref(all);
+	return joined;
+}
+
+static void connect_first(struct relay *rl, const struct via *via)
 {
 	struct pull_request q = {.method = "POST",
 				 .headers = rl->headers,
@@ -70,11 +88,12 @@
 				 .connect_ms = CONNECT_MS,
 				 .fresh = !rl->rq->service->idempotent};
 
-	q.url = via ? talloc_asprintf(rl->rq->arena, "%s/v1/chat/completions",
-				      via)
+	q.url = via ? via->url
 		    : talloc_asprintf(rl->rq->arena,
 				      "http://%s/v1/chat/completions",
 				      rl->target->address);
+	if (via)
+		q.headers = join_headers(rl, via->headers);
 	rl->pull = pull_open(&q);
 	pull_watch(rl->pull, rl->rq->caller_fd);
 	rl->resuming = false;
@@ -411,6 +430,8 @@
 
 	if (err != RAMP_OK) {
 		rl->refused = error_answers[err].outcome == OUTCOME_NOT_RUN;
+		if (rl->via && !rl->resuming && pull_status(rl->pull))
+			rl->via->refused(rl->pull, rl->via->ctx);
 		relay_close(rl);
 		return err;
 	}
@@ -419,11 +440,12 @@
 }
 
 enum ramp_error relay_open(struct request *rq, const struct target *t,
-			   const char *via, struct relay **out)
+			   const struct via *via, struct relay **out)
 {
 	struct relay *rl = new_relay(rq);
 
 	use_target(rl, t);
+	rl->via = via;
 	connect_first(rl, via);
 	return open_relay(rl, out);
 }
--- a/node/request.c
+++ b/node/request.c
@@ -46,6 +46,15 @@
 	return end != h && !*end;
 }
 
+/* What an earlier answer gave the caller to bring back; advisory only. */
+static void read_hint(struct request *rq, const struct _u_request *q)
+{
+	const char *h = header(q, "Ramp-Hint");
+
+	if (!h || !hint_decode(h, strlen(h), &rq->hint))
+		rq->hint = (struct hint){0};
+}
+
 enum ramp_error request_begin(struct node *n, const struct _u_request *q,
 			      struct request **out)
 {
@@ -76,6 +85,7 @@
 	rq->key = str_dup(arena, str_c(header(q, "Idempotency-Key")));
 	if (header(q, "Ramp-Chat"))
 		rq->chat = talloc_strdup(arena, header(q, "Ramp-Chat"));
+	read_hint(rq, q);
 	return RAMP_OK;
 }
 
@@ -84,6 +94,7 @@
 	struct node *n = rq->node;
 
 	claims_end(rq, RAMP_ERR_OUTCOME_UNKNOWN, NULL);
+	admission_leave(n->admission, &rq->grant);
 	config_unref(rq->config);
 	fleet_unref(rq->fleet);
 	talloc_free(rq->arena);
@@ -115,6 +126,10 @@
 /* Callers that were refused together don't come back together. */
 static int64_t retry_after_ms(const struct request *rq)
 {
+	int64_t said = rq->retry_at_ms - time_now_ms();
+
+	if (said > 0)
+		return said;
 	return RETRY_AFTER_MS / 2 +
 	       (int64_t)(str_hash(rq->id, 0) % RETRY_AFTER_MS);
 }
--- a/node/test-gossip.c
+++ b/node/test-gossip.c
@@ -127,18 +127,6 @@
 	rig_free(g);
 }
 
-static int64_t metric(const struct proc *p, const char *name)
-{
-	struct reply r = call_port(p->port, "GET", "/metrics", NULL, NULL);
-	char *line = g_strdup_printf("\n%s ", name);
-	const char *at = r.body ? strstr(r.body, line) : NULL;
-	int64_t n = at ? g_ascii_strtoll(at + strlen(line), NULL, 10) : -1;
-
-	g_free(line);
-	reply_clear(&r);
-	return n;
-}
-
 static void send_garbage(int port)
 {
 	struct sockaddr_in to = {.sin_family = AF_INET,
@@ -167,8 +155,8 @@
 	const struct proc *p = &g->nodes[0];
 
 	send_garbage(p->port);
-	WAIT_UNTIL(metric(p, "ramp_control_malformed_total") > 0);
-	g_assert_cmpint(metric(p, "ramp_control_bytes_sent_total"), >, 0);
+	WAIT_UNTIL(proc_metric(p, "ramp_control_malformed_total") > 0);
+	g_assert_cmpint(proc_metric(p, "ramp_control_bytes_sent_total"), >, 0);
 	WAIT_UNTIL(named_by(g, 0) == 1);
 	rig_free(g);
 }
--- a/node/test-harness.c
+++ b/node/test-harness.c
@@ -333,6 +333,18 @@
 	return sum_counts(g, "runs");
 }
 
+int64_t proc_metric(const struct proc *p, const char *name)
+{
+	struct reply r = call_port(p->port, "GET", "/metrics", NULL, NULL);
+	char *line = g_strdup_printf("\n%s ", name);
+	const char *at = r.body ? strstr(r.body, line) : NULL;
+	int64_t n = at ? g_ascii_strtoll(at + strlen(line), NULL, 10) : -1;
+
+	g_free(line);
+	reply_clear(&r);
+	return n;
+}
+
 int64_t rig_cancelled(const struct rig *g)
 {
 	return sum_counts(g, "cancelled");
--- a/node/test-harness.h
+++ b/node/test-harness.h
@@ -68,6 +68,8 @@
 void proc_signal(struct proc *p, int sig);
 /* Wait for its end; returns its exit code, or -1 when a signal ended it. */
 int proc_wait(struct proc *p);
+/* A counter that a node serves. */
+int64_t proc_metric(const struct proc *p, const char *name);
 /* PUT /standin/faults. */
 void proc_faults(const struct proc *p, const char *json);
 
--- /dev/null
+++ b/node/work.c
@@ -0,0 +1,80 @@
+#include <string.h>
+
+#include "node/node.h"
+
+#define BYTES_PER_TOKEN       4
+#define OUTPUT_TOKENS_DEFAULT 256 /* when the caller sets no limit */
+
+static int64_t content_bytes(const json_t *m)
+{
+	const json_t *c = json_object_get(m, "content");
+	int64_t sum = 0;
+	size_t i;
+	json_t *part;
+
+	if (json_is_string(c))
+		return (int64_t)json_string_length(c);
+	json_array_foreach (c, i, part)
+		sum += (int64_t)json_string_length(
+			json_object_get(part, "text"));
+	return sum;
+}
+
+static int64_t output_limit(const json_t *body)
+{
+	static const char *const names[] = {"max_completion_tokens",
+					    "max_tokens"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		const json_t *v = json_object_get(body, names[i]);
+
+		if (json_is_integer(v) && json_integer_value(v) > 0)
+			return json_integer_value(v);
+	}
+	return OUTPUT_TOKENS_DEFAULT;
+}
+
+/*
+ * A caller that names no chat still returns with the same beginning: what
+ * comes up to the first message of the user.
+ */
+static uint64_t hash_beginning(const json_t *messages, uint64_t seed)
+{
+	size_t i;
+	json_t *m;
+
+	json_array_foreach (messages, i, m) {
+		const char *role =
+			json_string_value(json_object_get(m, "role"));
+		char *text = json_dumps(json_object_get(m, "content"),
+					JSON_COMPACT | JSON_ENCODE_ANY);
+
+		seed = str_hash(str_c(text), seed);
+		free(text);
+		if (role && !strcmp(role, "user"))
+			break;
+	}
+	return seed;
+}
+
+struct work work_of(const json_t *body, const char *organisation,
+		    const char *chat)
+{
+	const json_t *messages = json_object_get(body, "messages");
+	uint64_t seed = str_hash(str_c(organisation), 0);
+	int64_t bytes = 0, last = 0;
+	size_t i;
+	json_t *m;
+
+	json_array_foreach (messages, i, m) {
+		last = content_bytes(m);
+		bytes += last;
+	}
+	return (struct work){
+		.prompt_tokens = bytes / BYTES_PER_TOKEN + 1,
+		.history_tokens = (bytes - last) / BYTES_PER_TOKEN,
+		.output_tokens = output_limit(body),
+		.chat = chat ? str_hash(str_c(chat), seed)
+			     : hash_beginning(messages, seed),
+	};
+}
--- a/route/admit.c
+++ b/route/admit.c
@@ -264,6 +264,9 @@
 
 	if (r->taken_ms < t->took_over_ms)
 		return false;
+	/* An empty target may take one request of any size. */
+	if (!requests && !admitted_since(t, r->taken_ms))
+		return true;
 	return admitted_since(t, r->taken_ms) + work <= part;
 }
 
--- a/schema/gen.sh
+++ b/schema/gen.sh
@@ -7,6 +7,15 @@
 mkdir -p "$out/base" "$out/docs" "$out/man"
 body() { grep -v '^#' "schema/$1.tbl"; }
 
+# A row that stands twice is what a merge by union leaves of a changed row.
+twice=$(body settings | cut -f1,2 | sort | uniq -d
+	body events | cut -f1 | sort | uniq -d
+	body errors | cut -f1 | sort | uniq -d)
+if [ -n "$twice" ]; then
+	printf 'schema: rows that stand twice:\n%s\n' "$twice" >&2
+	exit 1
+fi
+
 # errors
 {
 	echo '/* Generated from schema/errors.tbl by schema/gen.sh. */'
