--- a/node/fleet.c
+++ b/node/fleet.c
@@ -187,3 +187,22 @@
 	}
 	return NULL;
 }
+
+bool fleet_is_first(const struct fleet *f, const char *name, const char *key)
+{
+	struct route_rank *r = g_new0(struct route_rank, f->peers->len + 1);
+	uint64_t self = str_hash(str_c(name), 0);
+	size_t count = 0;
+	bool first;
+
+	for (guint i = 0; i < f->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(f->peers, i);
+
+		if (!p->leaving)
+			r[count++].id = str_hash(str_c(p->name), 0);
+	}
+	route_order(str_hash(str_c(key), 0), r, count);
+	first = count && r[0].id == self;
+	g_free(r);
+	return first;
+}
--- a/node/node.h
+++ b/node/node.h
@@ -48,6 +48,8 @@
 struct fleet *fleet_from_instances(const json_t *instances);
 /* The reverse; without what a target's role and region were. */
 json_t *fleet_to_instances(const struct fleet *f);
+/* Whether the named node is the one to do what the key names. */
+bool fleet_is_first(const struct fleet *f, const char *name, const char *key);
 struct fleet *fleet_ref(struct fleet *f);
 void fleet_unref(struct fleet *f);
 struct peer *fleet_add_peer(struct fleet *f, const struct member_info *info);
@@ -134,6 +136,7 @@
 extern const struct control_module config_module; /* config.c */
 extern const struct control_module list_module;   /* list.c */
 extern const struct control_module orders_module; /* orders.c */
+extern const struct control_module sweep_module;  /* sweep.c */
 extern const struct control_module gossip_module; /* gossip.c */
 
 /* control.c: the control thread; ends when stop_control is set. */
--- a/node/orders.c
+++ b/node/orders.c
@@ -13,7 +13,7 @@
 #define BUSY_MS     2000 /* first wait after a refusal of the weight store */
 #define BUSY_MS_MAX 60000
 #define RETRY_MS    5000 /* after a run that did not end well */
-#define LOOK_MS     100
+#define LOOK_MS     500
 
 struct orders {
 	struct control_env *env;
@@ -262,27 +262,6 @@
 	g_free(p);
 }
 
-/* Whether this node looks after the pool: the first one by rendezvous. */
-static bool is_mine(const struct node *n, const struct fleet *f,
-		    const char *pool)
-{
-	struct route_rank *r = g_new0(struct route_rank, f->peers->len + 1);
-	uint64_t self = str_hash(str_c(n->set.node_name), 0);
-	size_t count = 0;
-	bool mine;
-
-	for (guint i = 0; i < f->peers->len; i++) {
-		const struct peer *p = g_ptr_array_index(f->peers, i);
-
-		if (!p->leaving)
-			r[count++].id = str_hash(str_c(p->name), 0);
-	}
-	route_order(str_hash(str_c(pool), 0), r, count);
-	mine = count && r[0].id == self;
-	g_free(r);
-	return mine;
-}
-
 static struct pool *pool_of(struct orders *o, const char *name)
 {
 	struct pool *p = g_hash_table_lookup(o->pools, name);
@@ -311,7 +290,8 @@
 		const struct service *s = v;
 		struct pool *p;
 
-		if (!is_ordered(s) || !is_mine(n, f, s->pool))
+		if (!is_ordered(s) ||
+		    !fleet_is_first(f, n->set.node_name, s->pool))
 			continue;
 		p = pool_of(o, s->pool);
 		if (!p->run && now_ms >= p->next_ms)
--- /dev/null
+++ b/state/sweep.c
@@ -0,0 +1,108 @@
+#include "state/sweep.h"
+
+#define STEP_MS 1000   /* between two pages or batches */
+#define PASS_MS 600000 /* between two passes */
+
+struct sweep {
+	struct platform *plat;
+	int64_t (*now)(void *ctx); /* wall clock */
+	void *ctx;
+	char *after; /* last key looked at; NULL at the start of a pass */
+	bool busy;
+	bool passed; /* the page was the last one */
+	int64_t now_ms, next_ms;
+};
+
+static void step_ended(struct sweep *s)
+{
+	s->busy = false;
+	s->next_ms = s->now_ms + (s->passed ? PASS_MS : STEP_MS);
+	if (s->passed)
+		g_clear_pointer(&s->after, g_free);
+}
+
+/* A claim that has changed since stays, and is looked at in the next pass. */
+static void on_removed(const struct plat_result *r, void *arg)
+{
+	(void)r;
+	step_ended(arg);
+}
+
+static bool is_old(const struct sweep *s, const json_t *row)
+{
+	const json_t *v = json_object_get(row, "value");
+	int64_t at_ms = json_integer_value(json_object_get(v, "at_ms"));
+	int64_t latest_ms = json_integer_value(json_object_get(v, "latest_ms"));
+
+	return MAX(at_ms, latest_ms) + CLAIM_KEPT_MS < s->now(s->ctx);
+}
+
+static void remove_old(struct sweep *s, json_t *checks, json_t *keys)
+{
+	json_t *txn = json_pack("{s:s,s:O,s:[],s:O}", "id", "sweep", "checks",
+				checks, "puts", "deletes", keys);
+
+	s->plat->txn(s->plat->ctx, txn, on_removed, s);
+	json_decref(txn);
+}
+
+static void on_page(const struct plat_result *r, void *arg)
+{
+	struct sweep *s = arg;
+	json_t *rows = json_object_get(r->json, "rows");
+	json_t *checks = json_array();
+	json_t *keys = json_array();
+	size_t i;
+	json_t *row;
+
+	s->passed = r->status == PLAT_OK &&
+		    !json_is_true(json_object_get(r->json, "more"));
+	json_array_foreach (rows, i, row) {
+		json_t *key = json_object_get(row, "key");
+
+		if (json_array_size(keys) == SWEEP_BATCH) {
+			s->passed = false;
+			break;
+		}
+		g_free(s->after);
+		s->after = g_strdup(json_string_value(key));
+		if (!is_old(s, row))
+			continue;
+		json_array_append(keys, key);
+		json_array_append_new(
+			checks, json_pack("{s:O,s:O}", "key", key, "version",
+					  json_object_get(row, "version")));
+	}
+	if (json_array_size(keys))
+		remove_old(s, checks, keys);
+	else
+		step_ended(s);
+	json_decref(checks);
+	json_decref(keys);
+}
+
+void sweep_tick(struct sweep *s, int64_t now_ms)
+{
+	s->now_ms = now_ms;
+	if (s->busy || now_ms < s->next_ms)
+		return;
+	s->busy = true;
+	s->plat->scan(s->plat->ctx, "claim/", s->after, on_page, s);
+}
+
+struct sweep *sweep_new(struct platform *p, int64_t (*now)(void *ctx),
+			void *ctx)
+{
+	struct sweep *s = g_new0(struct sweep, 1);
+
+	s->plat = p;
+	s->now = now;
+	s->ctx = ctx;
+	return s;
+}
+
+void sweep_free(struct sweep *s)
+{
+	g_free(s->after);
+	g_free(s);
+}
