--- a/mk/common.mk
+++ b/mk/common.mk
@@ -29,7 +29,7 @@
 
 $(OBJ)/%.o: %.c
 	@mkdir -p $(OBJ)
-	@$(CC) $(CFLAGS) $(if $(findstring -gen,$<),$(GEN_CFLAGS)) -MMD -c -o $@ $<
+	@$(CC) $(CFLAGS) $(if $(findstring -gen,$<),$(GEN_CFLAGS)) -MMD -MP -c -o $@ $<
 
 $(LIBFILE): $(SRCS:%.c=$(OBJ)/%.o)
 	@rm -f $@
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -129,8 +129,12 @@
 		arg_print_syntax(stderr, table, "\n");
 		return 2;
 	}
-	if (!load_settings(file->filename[0], &n.set))
+	if (!load_settings(file->filename[0], &n.set)) {
+		if (!check->count)
+			log_event(EV_SETTINGS_INVALID, "file=%s",
+				  file->filename[0]);
 		return 2;
+	}
 	if (check->count)
 		return 0;
 	block_stop_signals();
--- a/node/view.c
+++ b/node/view.c
@@ -68,6 +68,27 @@
 	config_unref(old);
 }
 
+/* Log targets that came, and those that began to leave. */
+static void note_targets(const struct fleet *old, const struct fleet *now)
+{
+	GHashTable *known = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; old && i < old->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(old->targets, i);
+
+		if (!t->leaving)
+			g_hash_table_add(known, t->name);
+	}
+	for (guint i = 0; i < now->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(now->targets, i);
+
+		if (t->leaving == g_hash_table_contains(known, t->name))
+			log_event(t->leaving ? EV_TARGET_LEAVING : EV_TARGET_UP,
+				  "target=%s address=%s", t->name, t->address);
+	}
+	g_hash_table_unref(known);
+}
+
 /* Takes the reference. */
 void node_set_fleet(struct node *n, struct fleet *f)
 {
@@ -77,6 +98,7 @@
 	old = n->fleet;
 	n->fleet = f;
 	g_mutex_unlock(&n->lock);
+	note_targets(old, f);
 	fleet_unref(old);
 }
 
