--- a/node/test-learning.c
+++ b/node/test-learning.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "node/test-procs.h"
-#include "state/state.h"
+#include "state/learn.h"
 
 #define SETTLE_MS 30000
 #define POLL_US   10000
@@ -184,6 +184,41 @@
 	procs_free(w.procs);
 }
 
+static int64_t stored_revision(struct world *w)
+{
+	struct reply *r =
+		procs_call(w->platform, "GET", "/objects/config-0", NULL, NULL);
+	char *body = r->status == 200 ? g_strdup(r->body) : NULL;
+	struct snapshot s = {.revision = -1};
+
+	if (!body || !snapshot_decode(str_c(body), &s))
+		s.revision = -1;
+	g_free(body);
+	reply_free(r);
+	return s.revision;
+}
+
+/* After enough changes a whole snapshot stands in the object store. */
+static void test_snapshot(void)
+{
+	int64_t until = time_mono_ms() + SETTLE_MS;
+	struct world w;
+	struct proc *n;
+
+	set_up(&w);
+	change(&w);
+	n = procs_node(w.procs, "n1", w.platform, NULL);
+	wait_revision(n, 1);
+	while (w.revision < SNAPSHOT_CHANGES + 10)
+		change(&w);
+	wait_revision(n, w.revision);
+	while (stored_revision(&w) < SNAPSHOT_CHANGES) {
+		g_assert_cmpint(time_mono_ms(), <, until);
+		g_usleep(POLL_US);
+	}
+	procs_free(w.procs);
+}
+
 int main(int argc, char **argv)
 {
 	argv0 = argv[0];
@@ -193,5 +228,6 @@
 	g_test_add_func("/node/learning/follow", test_follow);
 	g_test_add_func("/node/learning/start-in-outage", test_start_in_outage);
 	g_test_add_func("/node/learning/secret", test_secret);
+	g_test_add_func("/node/learning/snapshot", test_snapshot);
 	return g_test_run();
 }
--- a/node/test-procs.c
+++ b/node/test-procs.c
@@ -157,6 +157,7 @@
 	}
 	g_assert_cmpint(e, !=, PULL_TIMEOUT);
 	r->status = e == PULL_END ? pull_status(p) : 0;
+	r->body = g_strndup((char *)all->data, all->len);
 	r->json = json_loadb((char *)all->data, all->len, 0, NULL);
 	r->outcome = g_strdup(pull_header(p, "Ramp-Outcome"));
 	r->key = g_strdup(pull_header(p, "Idempotency-Key"));
@@ -187,6 +188,7 @@
 void reply_free(struct reply *r)
 {
 	json_decref(r->json);
+	g_free(r->body);
 	g_free(r->outcome);
 	g_free(r->key);
 	g_free(r->answer);
--- a/node/test-procs.h
+++ b/node/test-procs.h
@@ -39,6 +39,7 @@
 
 struct reply {
 	int status;
+	char *body;    /* ends in a NUL byte */
 	json_t *json;  /* or NULL */
 	char *outcome; /* header Ramp-Outcome, or NULL */
 	char *key;     /* header Idempotency-Key, or NULL */
