--- a/bench/bench-member.c
+++ b/bench/bench-member.c
@@ -10,14 +10,18 @@
 
 #include "member/test-net.h"
 
-#define WARM_MS   60000
-#define SETTLE_MS 15000
-#define MOST_MS   60000
-#define QUIET_MS  20000
-#define TRIALS    3
-#define REGIONS   2
-#define SEED      61
-#define MB        (1024.0 * 1024.0)
+#define WARM_MS       60000
+#define SETTLE_MS     15000
+#define MOST_MS       60000
+#define QUIET_MS      20000
+#define TRIALS        3
+#define REGIONS       2
+#define SEED          61
+#define PARTED_MS     60000
+#define MERGE_MOST_MS 120000
+/* A larger fleet would take longer than the bench may run. */
+#define MERGE_MEMBERS_MAX 150
+#define MB                (1024.0 * 1024.0)
 
 /* Targets, from the issue and the letter. */
 #define DETECT_MAX_S     10.0 /* for which a caller keeps its entries */
@@ -26,6 +30,7 @@
 #define BYTES_MAX        4096.0
 #define CPU_MAX_PCT      2.5
 #define MEMORY_MAX_MB    64.0
+#define MERGE_MAX_S      60.0
 #define MEAN_ERR_MAX_PCT 10.0
 
 static const size_t sizes[] = {9, 50, 150, 370};
@@ -233,6 +238,22 @@
 	g_free(own);
 }
 
+/* Regions part until each has given up the other, and merge again. */
+static void measure_merge(struct net *t)
+{
+	int64_t ms = 0;
+
+	for (size_t i = 4; i < 4 + TRIALS; i++)
+		net_start(t, i);
+	net_run(t, SETTLE_MS);
+	t->parted = true;
+	net_run(t, PARTED_MS);
+	t->parted = false;
+	for (; ms < MERGE_MOST_MS && !net_all_see_live(t); ms += 1000)
+		net_run(t, 1000);
+	row("merge_s", t->o.n, (double)ms / 1000, "s", MERGE_MAX_S);
+}
+
 /* What the fleet costs when nothing happens. */
 static void measure_quiet(struct net *t)
 {
@@ -257,7 +278,8 @@
 
 static void measure(size_t n)
 {
-	struct net_options o = {.n = n, .regions = REGIONS, .seed = SEED};
+	struct net_options o = {
+		.n = n, .regions = REGIONS, .seed = SEED, .loads = true};
 	size_t before = mallinfo2().uordblks;
 	struct net *t = net_new(&o);
 	int64_t worst = 0;
@@ -268,6 +290,8 @@
 	measure_detection(t);
 	measure_evictions(t);
 	measure_mean(t);
+	if (n <= MERGE_MEMBERS_MAX)
+		measure_merge(t);
 	for (size_t i = 0; i < n; i++)
 		worst = MAX(worst, t->nodes[i].worst);
 	row("control_bytes_s", n, (double)worst, "B/s", BYTES_MAX);
--- a/member/internal.h
+++ b/member/internal.h
@@ -15,7 +15,7 @@
 #define NEWS_MS         200
 #define RECONNECT_MS    5000
 /* While dead members answer, the others are tried this often. */
-#define MERGE_MS     500
+#define MERGE_MS     2000
 #define MERGE_FOR_MS 10000
 #define LOST_FOR_MS  (2 * 3600 * 1000)
 #define LEFT_FOR_MS  (60 * 1000)
--- a/member/targets.c
+++ b/member/targets.c
@@ -21,6 +21,7 @@
 #define STEADY_MS 60000
 /* A target's word that it takes work again counts only after this time. */
 #define LEAVING_MIN_MS 3000
+#define LEAVING_FOR_MS 60000
 #define KEEP_MS        (600 * 1000)
 
 void targets_free(void *entry)
@@ -230,6 +231,17 @@
 	g_ptr_array_remove_index_fast(t->facts, i);
 }
 
+/*
+ * A leaving target that is still there after this time is asked again: by then
+ * the list tells whether it is to be used.
+ */
+static int64_t keep_ms(const struct target_fact *f)
+{
+	if (f->observer)
+		return WORD_FOR_MS;
+	return f->word == TARGET_WORD_LEAVING ? LEAVING_FOR_MS : KEEP_MS;
+}
+
 /* Words of observers run out; this node's own is said again while it holds. */
 static void sweep_facts(struct member *m, struct target_entry *t)
 {
@@ -242,7 +254,7 @@
 		if (f->observer == self && t->down && age_ms >= WORD_AGAIN_MS &&
 		    observers_down(t, m->now_ms) <= OBSERVERS_MAX)
 			say(m, t, self, TARGET_WORD_DOWN);
-		else if (f->observer && age_ms >= WORD_FOR_MS) {
+		else if (age_ms >= keep_ms(f)) {
 			drop_fact(m, t, i);
 			m->view++;
 		}
--- a/member/test-net.c
+++ b/member/test-net.c
@@ -222,6 +222,10 @@
 	for (guint i = 0; i < nd->inbox->len; i++)
 		take(t, nd, g_ptr_array_index(nd->inbox, i));
 	g_ptr_array_set_size(nd->inbox, 0);
+	if (t->o.loads) {
+		member_set_load(nd->member, "@entry", (double)nd->index, 1);
+		member_set_load(nd->member, "forum", 1, nd->index % 2);
+	}
 	member_tick(nd->member, t->now_ms);
 }
 
--- a/member/test-net.h
+++ b/member/test-net.h
@@ -15,6 +15,7 @@
 	uint64_t seed;
 	unsigned loss_percent;
 	bool unlisted; /* members know only of member 0 */
+	bool loads;    /* each has a part of two pools' load */
 };
 
 struct net_node {
--- a/member/test-targets.c
+++ b/member/test-targets.c
@@ -62,6 +62,14 @@
 	note(t, 9, TARGET_TAKES);
 	want = TARGET_VIEW_LIVE;
 	g_assert_cmpint(net_until(t, all_see, &want, 5 * SECOND_MS), >=, 0);
+	/* Nobody says so, but it may be another process by now. */
+	note(t, 9, TARGET_LEAVES);
+	net_run(t, 50 * SECOND_MS);
+	want = TARGET_VIEW_LEAVING;
+	g_assert_true(all_see(t, &want));
+	net_run(t, 20 * SECOND_MS);
+	want = TARGET_VIEW_LIVE;
+	g_assert_true(all_see(t, &want));
 	net_free(t);
 }
 
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -147,6 +147,7 @@
 	};
 
 	g->member = member_new(&o, time_mono_ms());
+	n->member = g->member;
 	g_free(control);
 }
 
@@ -388,6 +389,7 @@
 
 	if (g->member) {
 		member_stop(g->member);
+		g->env->node->member = NULL;
 		member_free(g->member);
 		close(g->fd);
 	}
--- a/node/node.h
+++ b/node/node.h
@@ -80,6 +80,12 @@
 	struct fleet *listed;
 	uint64_t listed_number; /* grows with each reading */
 
+	/*
+	 * Of the control thread alone: its modules set this node's part of a
+	 * pool's load there and read the mean; NULL until the socket is bound.
+	 */
+	struct member *member;
+
 	GAsyncQueue *target_events; /* struct target_event */
 
 	GMutex lock; /* for those below; the control thread replaces them */
