--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -49,7 +49,7 @@
 		.address = n->set.node_address,
 		.port = (int)n->set.node_port,
 		.connections = (unsigned)n->set.limits_connections,
-		.idle_s = (unsigned)(n->set.limits_idle_ms + 999) / 1000,
+		.idle_ms = n->set.limits_idle_ms,
 		.header_bytes = (size_t)n->set.limits_headers,
 		/* One more than allowed, so that a longer body shows. */
 		.body_bytes = (size_t)n->set.limits_body + 1,
@@ -129,8 +129,12 @@
 		arg_print_syntax(stderr, table, "\n");
 		return 2;
 	}
-	if (!load_settings(file->filename[0], &n.set))
+	if (!load_settings(file->filename[0], &n.set)) {
+		if (!check->count)
+			log_event(EV_SETTINGS_INVALID, "file=%s",
+				  file->filename[0]);
 		return 2;
+	}
 	if (check->count)
 		return 0;
 	block_stop_signals();
@@ -139,17 +143,12 @@
 		return 1;
 	}
 	n.resume_key = resume_key_load(n.set.node_secret_file);
-	if (!n.resume_key) {
+	if (!n.resume_key || !spread_load_secret(&n.set)) {
 		log_event(EV_SECRET_UNREADABLE, "file=%s",
 			  n.set.node_secret_file);
 		return 2;
 	}
 	n.cancels = cancels_new();
-	if (!spread_load_secret(&n.set)) {
-		fprintf(stderr, "%s: node.secret_file can't be read\n",
-			file->filename[0]);
-		return 2;
-	}
 	g_mutex_init(&n.lock);
 	n.target_events = g_async_queue_new();
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
--- a/node/control.c
+++ b/node/control.c
@@ -11,6 +11,7 @@
 static const struct control_module *const modules[] = {
 	&config_module,
 	&list_module,
+	&orders_module,
 	&gossip_module,
 };
 
--- a/node/node.h
+++ b/node/node.h
@@ -139,6 +139,7 @@
 
 extern const struct control_module config_module; /* config.c */
 extern const struct control_module list_module;   /* list.c */
+extern const struct control_module orders_module; /* orders.c */
 extern const struct control_module gossip_module; /* gossip.c */
 
 /* control.c: the control thread; ends when stop_control is set. */
@@ -170,6 +171,8 @@
 	int64_t priority;
 	struct str body; /* as the target is sent it */
 	bool stream;
+	int caller_fd; /* the caller's connection, for watching, or -1 */
+	bool gone;     /* the caller has left */
 	struct call_claim *claim; /* or NULL */
 	bool resumed; /* asks for the rest of an answer, so the work has begun
 		       */
