--- a/node/gossip.c
+++ b/node/gossip.c
@@ -147,7 +147,7 @@
 	};
 
 	g->member = member_new(&o, time_mono_ms());
-	g->env->node->member = g->member;
+	n->member = g->member;
 	g_free(control);
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -78,8 +78,7 @@
 	struct resume_key *resume_key;
 	struct admission *admission;
 	struct health *health;
-	struct member *member; /* gossip's; for the control thread alone */
-	GThreadPool *cancels;  /* cancel.c */
+	GThreadPool *cancels; /* cancel.c */
 
 	/* Newest configuration revision that another node has told of. */
 	atomic_int_least64_t heard_revision;
@@ -88,6 +87,12 @@
 	struct fleet *listed;
 	uint64_t listed_number; /* grows with each reading */
 
+	/*
+	 * Of the control thread alone: its modules set this node's part of a
+	 * pool's load there and read the mean; NULL until the socket is bound.
+	 */
+	struct member *member;
+
 	GAsyncQueue *target_events; /* struct target_event */
 
 	GMutex lock; /* for those below; the control thread replaces them */
