--- a/standin/test-engine.c
+++ b/standin/test-engine.c
@@ -131,8 +131,7 @@
 		{"GET", "/v1/streams/r?from=4", NULL, NULL, 200, "[DONE]",
 		 "id:"},
 		{"GET", "/v1/streams/none", NULL, NULL, 404, NULL, NULL},
-		{"GET", "/standin/counts", NULL, NULL, 200, "\"runs\":1",
-		 NULL},
+		{"GET", "/standin/counts", NULL, NULL, 200, "\"runs\":1", NULL},
 	};
 
 	run(steps, G_N_ELEMENTS(steps));
@@ -157,8 +156,7 @@
 		{"GET", "/load", NULL, NULL, 503, NULL, NULL},
 		FAULT("{}"),
 		{"GET", "/v1/streams/d", NULL, NULL, 200, "id: d:0\n", NULL},
-		{"GET", "/standin/counts", NULL, NULL, 200, "\"runs\":4",
-		 NULL},
+		{"GET", "/standin/counts", NULL, NULL, 200, "\"runs\":4", NULL},
 		{"PUT", "/standin/faults", NULL, "{\"typo\":1}", 400, NULL,
 		 NULL},
 	};
