--- a/bench/bench-route-admit.c
+++ b/bench/bench-route-admit.c
@@ -4,21 +4,17 @@
 #include "bench/bench-route.h"
 
 #define TRIES        4    /* targets that an entry asks */
-#define GOSSIP_MS    200  /* between exchanges of the fleet's sums */
-#define GOSSIP_KEPT  5    /* exchanges until all know: 1 s */
+#define TELL_MS      200  /* between two times */
+#define DIRECT_MAX   20   /* nodes that tell each other their sums */
 #define HAND_OVER_MS 5000 /* in which nodes may disagree about each other */
 #define WAIT_HOME_MS 2000 /* most that a request waits for its prefix */
 #define WAIT_FIT_MS  1000 /* for room at the best of those asked */
 #define WAIT_LAST_MS 2000 /* and for that to fall under the mean */
-#define SEEN_SMOOTH  0.05
+#define SEEN_SMOOTH  0.05 /* weight of one decision */
+#define RETRY_MS     500  /* when no target could be asked */
 #define DEADLINE_MS  600000
 #define SPEED_MS     (OUTPUT_MEAN * TOKEN_MS)
 
-struct fleet_sum {
-	int64_t work;
-	size_t targets;
-};
-
 struct ways_node {
 	struct admit *admit; /* NULL: the node is lost */
 	bool *mine;          /* by engine */
@@ -29,9 +25,8 @@
 struct ctx {
 	struct world *w;
 	struct ways_node *nodes;
-	uint16_t *admitter; /* by node and engine, as each node sees it */
-	struct fleet_sum history[GOSSIP_KEPT];
-	int64_t rounds;
+	uint16_t *admitter;  /* by node and engine, as each node sees it */
+	int64_t told_work;   /* of the fleet, as told one round ago */
 	GHashTable *waiting; /* chat number -> struct chat */
 };
 
@@ -217,11 +212,12 @@
 		.ticket = (uint64_t)(c - x->w->chats),
 		.organisation = c->organisation,
 		.weight = 1,
-		.work = chat_work(c, home ? c->history : 0),
+		.work = chat_work(c, 0),
+		.reuse = home ? c->history : 0,
+		.reuse_age_ms = x->w->now_ms - c->hint_ms,
 		.run_ms = SPEED_MS,
 		.deadline_ms = c->asked_ms + DEADLINE_MS,
 		.wait_until_ms = wait_ms ? x->w->now_ms + wait_ms : 0,
-		.fresh = !home || !c->history,
 		.seen_load = (int64_t)x->nodes[c->node].seen_load,
 	};
 }
@@ -251,12 +247,14 @@
 			       .retry_at_ms = x->w->now_ms + 1000};
 	if (!x->nodes[node].admit)
 		return VERDICT_REFUSE;
+	c->ask = *q;
 	admit_ask(x->nodes[node].admit, q, x->w->now_ms, d);
 	if (was_counted(d))
 		see(&x->nodes[c->node], d->load);
 	if (d->verdict == VERDICT_QUEUE) {
 		c->mark = node * x->w->engine_count + e;
-		g_hash_table_insert(x->waiting, c, c);
+		g_hash_table_insert(x->waiting,
+				    GSIZE_TO_POINTER(c - x->w->chats), c);
 	}
 	if (d->verdict == VERDICT_ADMIT && !begin(x, c, node, e, d->work))
 		return VERDICT_REFUSE;
@@ -276,8 +274,8 @@
 	STAGE_HOME, /* ask the first of the order; wait if it has the prefix */
 	STAGE_OTHERS, /* ask the next ones */
 	STAGE_FIT,    /* wait at the one with the least load */
-	STAGE_ANY,    /* likewise, for it to fall under the mean */
-	STAGE_END,
+	STAGE_AGAIN,  /* ask them all for the whole bound */
+	STAGE_ANY,    /* have the one with the least load take any size */
 };
 
 /* What the entry was told by the targets that it asked. */
@@ -314,6 +312,13 @@
 	return false;
 }
 
+static int64_t home_wait_ms(const struct chat *c, size_t e)
+{
+	if (e != c->hint || c->stage != STAGE_HOME)
+		return 0;
+	return MIN(choose_wait_ms(c->history, PREFILL_PER_S), WAIT_HOME_MS);
+}
+
 static bool ask_order(struct ctx *x, struct chat *c, struct told *t)
 {
 	struct world *w = x->w;
@@ -328,67 +333,62 @@
 	uint64_t order[CHOOSE_MAX];
 	size_t n = MIN(choose_targets(&in, order), TRIES);
 
-	for (size_t i = 0; i < n; i++) {
+	for (size_t i = c->stage == STAGE_OTHERS; i < n; i++) {
 		size_t e = engine_by_id(v, order[i]);
-		bool wait = e == c->hint && c->stage == STAGE_HOME;
-		struct ask q = ask_of(
-			x, c, e,
-			wait ? MIN(choose_wait_ms(c->history, PREFILL_PER_S),
-				   WAIT_HOME_MS)
-			     : 0);
-
-		if (i == 0 && c->stage != STAGE_HOME)
-			continue;
+		struct ask q = ask_of(x, c, e, home_wait_ms(c, e));
+
+		q.whole_bound = c->stage == STAGE_AGAIN;
 		if (ask_one(x, c, e, &q, t))
 			return true;
-		c->stage = STAGE_OTHERS;
+		if (c->stage == STAGE_HOME)
+			c->stage = STAGE_OTHERS;
 	}
 	return false;
 }
 
-/* The mean of those asked is a sample of the fleet's. */
+/* Those asked are a sample of the fleet: the best is under their mean. */
 static bool ask_best(struct ctx *x, struct chat *c, struct told *t)
 {
+	bool any = c->stage == STAGE_ANY;
 	struct ask q;
 
-	for (; t->best != NO_ENGINE && c->stage < STAGE_END; c->stage++) {
-		q = ask_of(x, c, t->best,
-			   c->stage == STAGE_FIT ? WAIT_FIT_MS : WAIT_LAST_MS);
-		q.fresh = false;
-		q.any_size = c->stage == STAGE_ANY;
+	if (t->best == NO_ENGINE)
+		return false;
+	q = ask_of(x, c, t->best, any ? WAIT_LAST_MS : WAIT_FIT_MS);
+	q.whole_bound = true;
+	q.any_size = any;
+	if (any)
 		q.seen_load = MAX(q.seen_load, t->sum / t->count + 1);
-		if (ask_one(x, c, t->best, &q, t))
-			return true;
-	}
-	return false;
+	return ask_one(x, c, t->best, &q, t);
 }
 
-static void go_on(struct ctx *x, struct chat *c, struct told t)
+static void go_on(struct ctx *x, struct chat *c)
 {
+	struct told t = {.best = NO_ENGINE};
+
 	if (c->stage <= STAGE_OTHERS) {
 		if (ask_order(x, c, &t))
 			return;
 		c->stage = STAGE_FIT;
+		if (ask_best(x, c, &t))
+			return;
+		c->stage = STAGE_AGAIN;
 	}
-	if (!ask_best(x, c, &t))
-		world_refuse(x->w, c, t.retry_at_ms);
+	if (c->stage == STAGE_AGAIN) {
+		t = (struct told){.best = NO_ENGINE};
+		if (ask_order(x, c, &t))
+			return;
+		c->stage = STAGE_ANY;
+		if (ask_best(x, c, &t))
+			return;
+	}
+	world_refuse(x->w, c, MAX(t.retry_at_ms, x->w->now_ms + RETRY_MS));
 }
 
 static void route(void *ctx, struct chat *c)
 {
 	c->stage = STAGE_HOME;
-	go_on(ctx, c, (struct told){.best = NO_ENGINE});
-}
-
-/* A waiting request was refused: the entry goes on with the next stage. */
-static void waited(struct ctx *x, struct chat *c, size_t engine,
-		   const struct decision *d)
-{
-	struct told t = {.best = NO_ENGINE};
-
-	tell(&t, engine, d);
-	c->stage++;
-	go_on(x, c, t);
+	go_on(ctx, c);
 }
 
 /* Settle those who waited at the node. */
@@ -401,10 +401,12 @@
 		struct chat *c = chat_of(x, d.ticket);
 		size_t e = c->mark % x->w->engine_count;
 
-		g_hash_table_remove(x->waiting, c);
+		g_hash_table_remove(x->waiting,
+				    GSIZE_TO_POINTER(c - x->w->chats));
 		if (d.verdict == VERDICT_ADMIT && begin(x, c, node, e, d.work))
 			continue;
-		waited(x, c, e, &d);
+		c->stage++;
+		go_on(x, c);
 	}
 }
 
@@ -427,9 +429,8 @@
 	struct ctx *x = ctx;
 	size_t node = c->mark / x->w->engine_count;
 
-	admit_adjust(x->nodes[node].admit, x->w->engines[c->engine].id,
-		     c->organisation, c->mark_work, c->work);
-	c->mark_work = c->work;
+	c->mark_work = admit_reused(x->nodes[node].admit, &c->ask, c->mark_work,
+				    c->reused);
 }
 
 static void reported(void *ctx, size_t e)
@@ -444,24 +445,27 @@
 			admit_report(x->nodes[i].admit, &l, x->w->now_ms);
 }
 
-/* Every node knows the sums of all as they were GOSSIP_KEPT rounds ago. */
-static void gossip(struct ctx *x)
+/*
+ * In a small fleet each node tells its sums to all others; in a large one
+ * only the decisions that entries got tell the mean.
+ */
+static void tell_sums(struct ctx *x)
 {
-	struct fleet_sum *s = &x->history[x->rounds++ % GOSSIP_KEPT];
-	struct fleet_sum old = *s;
+	struct world *w = x->w;
+	int64_t before = x->told_work;
 
-	*s = (struct fleet_sum){0};
-	for (size_t i = 0; i < x->w->shape.nodes; i++) {
-		struct fleet_sum own;
+	x->told_work = 0;
+	for (size_t i = 0; i < w->shape.nodes; i++) {
+		struct admit *a = x->nodes[i].admit;
+		int64_t work;
+		size_t targets;
 
-		if (!x->nodes[i].admit)
+		if (!a)
 			continue;
-		admit_sums(x->nodes[i].admit, &own.work, &own.targets);
-		s->work += own.work;
-		s->targets += own.targets;
-		if (x->rounds > GOSSIP_KEPT)
-			admit_set_fleet(x->nodes[i].admit, old.work,
-					x->w->views[i].count);
+		admit_sums(a, &work, &targets);
+		if (w->shape.nodes <= DIRECT_MAX)
+			x->told_work += work;
+		admit_set_fleet(a, before, w->views[i].count);
 	}
 }
 
@@ -469,27 +473,14 @@
 {
 	struct ctx *x = ctx;
 
-	if (x->w->now_ms % GOSSIP_MS == 0)
-		gossip(x);
+	if (x->w->now_ms % TELL_MS == 0)
+		tell_sums(x);
 	for (size_t i = 0; i < x->w->shape.nodes; i++)
 		if (g_hash_table_size(x->waiting))
 			poll_node(x, i);
 }
 
-#include <stdio.h>
-static void debug(void *ctx, size_t e)
-{
-	struct ctx *x = ctx;
-	for (size_t i = 0; i < x->w->shape.nodes; i++)
-		if (x->nodes[i].admit &&
-		    admit_load(x->nodes[i].admit, x->w->engines[e].id) >= 0)
-			fprintf(stderr, "  node %zu load %ld bound %ld\n", i,
-				admit_load(x->nodes[i].admit,
-					   x->w->engines[e].id),
-				admit_bound(x->nodes[i].admit));
-}
 const struct way way_admit = {
-	.debug = debug,
 	.name = "",
 	.create = create,
 	.destroy = destroy,
--- a/bench/bench-route-world.c
+++ b/bench/bench-route-world.c
@@ -1,16 +1,15 @@
 #include <math.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "bench/bench-route.h"
 
-#define TICK_MS        100
 #define MESSAGE_TOKENS 100 /* of a returning chat's new message, mean */
 #define FIRST_TOKENS   500 /* of a chat's first prompt, mean */
 #define TURNS_MEAN     8
 #define THINK_MS       10000 /* mean pause of a chat */
 #define LONG_THINK_MS  60000 /* of one in ten */
 #define MEMORY_CHATS   0.9   /* engines' memory / what all live chats need */
+#define PAST_MS        60000 /* in which all chats were last answered */
 #define RETRY_BACKOFF  50    /* ms, after an engine was lost */
 #define FLOOR_WORK     32768 /* as in admit_limits_default */
 #define LOAD_FACTOR    1.25
@@ -90,87 +89,6 @@
 	event_push(w, (struct event){at_ms, c, c->attempt, EVENT_ASK});
 }
 
-static void list_remove(struct world *w, int32_t k)
-{
-	struct copy *p = &w->copies[k];
-	struct engine *e = &w->engines[p->engine];
-
-	if (p->older >= 0)
-		w->copies[p->older].newer = p->newer;
-	else
-		e->oldest = p->newer;
-	if (p->newer >= 0)
-		w->copies[p->newer].older = p->older;
-	else
-		e->newest = p->older;
-	e->memory -= p->tokens;
-	p->engine = NO_ENGINE;
-}
-
-static void list_add(struct world *w, int32_t k, size_t engine, int64_t tokens)
-{
-	struct engine *e = &w->engines[engine];
-
-	w->copies[k] = (struct copy){engine, tokens, e->newest, -1};
-	if (e->newest >= 0)
-		w->copies[e->newest].newer = k;
-	else
-		e->oldest = k;
-	e->newest = k;
-	e->memory += tokens;
-	while (e->memory > w->memory && e->oldest != k)
-		list_remove(w, e->oldest);
-}
-
-static int32_t find_copy(const struct world *w, const struct chat *c,
-			 size_t engine)
-{
-	int32_t first = (int32_t)(c - w->chats) * COPIES;
-
-	for (int32_t k = first; k < first + COPIES; k++)
-		if (w->copies[k].engine == engine)
-			return k;
-	return -1;
-}
-
-int64_t world_cached(const struct world *w, const struct chat *c, size_t engine)
-{
-	int32_t k = find_copy(w, c, engine);
-
-	return k < 0 ? 0 : MIN(w->copies[k].tokens, c->history);
-}
-
-static void forget_chat(struct world *w, struct chat *c)
-{
-	int32_t first = (int32_t)(c - w->chats) * COPIES;
-
-	for (int32_t k = first; k < first + COPIES; k++)
-		if (w->copies[k].engine != NO_ENGINE)
-			list_remove(w, k);
-}
-
-/* The engine holds the whole chat now; the shortest copy makes way. */
-static void store(struct world *w, struct chat *c, size_t engine,
-		  int64_t tokens)
-{
-	int32_t first = (int32_t)(c - w->chats) * COPIES;
-	int32_t k = find_copy(w, c, engine);
-
-	for (int32_t i = first; k < 0 && i < first + COPIES; i++)
-		if (w->copies[i].engine == NO_ENGINE)
-			k = i;
-	if (k < 0)
-		k = first;
-	for (int32_t i = first; i < first + COPIES; i++)
-		if (w->copies[k].engine != NO_ENGINE &&
-		    w->copies[k].engine != engine &&
-		    w->copies[i].tokens < w->copies[k].tokens)
-			k = i;
-	if (w->copies[k].engine != NO_ENGINE)
-		list_remove(w, k);
-	list_add(w, k, engine, tokens);
-}
-
 int64_t chat_work(const struct chat *c, int64_t cached)
 {
 	return c->prompt - cached + OUTPUT_MEAN;
@@ -197,7 +115,7 @@
 
 static bool is_measured(const struct world *w)
 {
-	return getenv("SERIES") || w->now_ms >= w->shape.warm_ms;
+	return w->now_ms >= w->shape.warm_ms;
 }
 
 static void count_start(struct world *w, const struct chat *c, int64_t cached)
@@ -222,12 +140,13 @@
 	}
 	cached = world_cached(w, c, engine);
 	c->engine = engine;
+	c->reused = cached;
 	c->work = chat_work(c, cached);
 	e->work += c->work;
 	e->requests++;
 	g_ptr_array_add(e->running, c);
 	count_start(w, c, cached);
-	store(w, c, engine, c->prompt);
+	memory_store(w, c, engine, c->prompt);
 	run_ms = (c->prompt - cached) * 1000 / PREFILL_PER_S +
 		 c->output * TOKEN_MS;
 	event_push(w, (struct event){w->now_ms + run_ms, c, c->attempt,
@@ -256,7 +175,7 @@
 
 static void start_chat(struct world *w, struct chat *c)
 {
-	forget_chat(w, c);
+	memory_forget(w, c);
 	c->id = (uint64_t)(chat_random(c) * 0x1p62);
 	c->turns_left = 1 + (int)exponential(c, TURNS_MEAN);
 	c->history = 0;
@@ -285,8 +204,9 @@
 	stop_running(w, c);
 	c->history = c->prompt + c->output;
 	c->hint = c->engine;
+	c->hint_ms = w->now_ms;
 	if (w->engines[c->engine].alive)
-		store(w, c, c->engine, c->history);
+		memory_store(w, c, c->engine, c->history);
 	if (--c->turns_left <= 0)
 		start_chat(w, c);
 	next_request(w, c, w->now_ms + think(c));
@@ -315,7 +235,7 @@
 }
 
 /* Callers of a lost engine's requests ask again. */
-static void lose_engine(struct world *w, size_t number)
+void world_lose_engine(struct world *w, size_t number)
 {
 	struct engine *e = &w->engines[number];
 
@@ -327,133 +247,11 @@
 		w->sums.failed += is_measured(w);
 		ask_at(w, c, w->now_ms + RETRY_BACKOFF);
 	}
-	while (e->oldest >= 0)
-		list_remove(w, e->oldest);
-}
-
-static void make_change(struct world *w, const struct change *c)
-{
-	if (c->node) {
-		w->node_alive[c->number] = c->up;
-		if (!c->up && w->way->node_lost)
-			w->way->node_lost(w->ctx, c->number);
-	} else if (c->up) {
-		w->engines[c->number].alive = true;
-	} else {
-		lose_engine(w, c->number);
-	}
-}
-
-static void view_rebuild(struct world *w, struct view *v)
-{
-	v->count = 0;
-	for (size_t e = 0; e < w->engine_count; e++)
-		if (v->engines[e])
-			v->targets[v->count++] = (struct route_rank){
-				.id = w->engines[e].id, .index = e};
-}
-
-static void learn(struct world *w, size_t node, const struct change *c)
-{
-	struct view *v = &w->views[node];
-
-	if (c->node)
-		v->nodes[c->number] = c->up;
-	else
-		v->engines[c->number] = c->up;
-	view_rebuild(w, v);
-	if (w->way->view_changed)
-		w->way->view_changed(w->ctx, node, c);
-}
-
-static void apply_change(struct world *w, struct change *c)
-{
-	if (w->now_ms < c->at_ms)
-		return;
-	if (!c->done) {
-		c->done = true;
-		make_change(w, c);
-	}
-	if (w->now_ms > c->at_ms + DISAGREE_MS + TICK_MS)
-		return;
-	for (size_t i = 0; i < w->shape.nodes; i++) {
-		if (!c->known_ms[i] || w->now_ms < c->known_ms[i])
-			continue;
-		c->known_ms[i] = 0;
-		learn(w, i, c);
-	}
-}
-
-static void plan(struct world *w, int64_t at_ms, bool node, size_t number,
-		 bool up)
-{
-	struct change c = {
-		.at_ms = at_ms, .number = number, .node = node, .up = up};
-
-	c.known_ms = g_new(int64_t, w->shape.nodes);
-	for (size_t i = 0; i < w->shape.nodes; i++)
-		c.known_ms[i] =
-			at_ms + 1 + g_rand_int_range(w->rand, 0, DISAGREE_MS);
-	g_array_append_val(w->changes, c);
-}
-
-/*
- * In turn, each churn_ms: a rack (or one engine) is lost and comes back
- * empty after 6 s; one engine flaps; a new one joins; nodes are replaced.
- */
-static void plan_churn(struct world *w)
-{
-	size_t engines = w->shape.engines;
-	size_t rack = MAX(engines / 25, 1);
-	int64_t end = w->shape.warm_ms + w->shape.run_ms;
-	size_t joined = engines;
-	int kind = 0;
-
-	for (int64_t at = w->shape.warm_ms; at < end; at += w->shape.churn_ms) {
-		size_t e = (size_t)g_rand_int_range(w->rand, 0, (int)engines);
-		size_t n = (size_t)g_rand_int_range(w->rand, 0,
-						    (int)w->shape.nodes);
-
-		for (size_t k = 0; kind % 3 == 0 && k < rack; k++) {
-			plan(w, at, false, (e + k) % engines, false);
-			plan(w, at + 6000, false, (e + k) % engines, true);
-		}
-		if (kind % 3 == 1) {
-			plan(w, at, false, e, false);
-			plan(w, at + 2000, false, e, true);
-			plan(w, at + 4000, false, e, false);
-			plan(w, at + 6000, false, e, true);
-		}
-		if (kind % 3 == 2 && joined < w->engine_count)
-			plan(w, at, false, joined++, true);
-		plan(w, at + 1000, true, n, false);
-		plan(w, at + 9000, true, n, true);
-		kind++;
-	}
+	memory_clear(w, number);
 }
 
 static void sample_skew(struct world *w)
 {
-	static struct sums last;
-	if (getenv("SERIES") && w->now_ms % 2000 == 0) {
-		struct sums d = w->sums;
-		double n = (double)(d.requests - last.requests);
-		double work = 0;
-		for (size_t e = 0; e < w->engine_count; e++)
-			work += (double)w->engines[e].work;
-		fprintf(stderr,
-			"t=%ld mean %.0f req %.0f reuse %.3f moved %.3f "
-			"refused %.3f wait %.0f hist %.0f\n",
-			w->now_ms, work / (double)w->shape.engines, n,
-			(d.reused - last.reused) /
-				(d.reusable - last.reusable + 1),
-			(double)(d.moved - last.moved) / n,
-			(double)(d.refused - last.refused) / n,
-			(d.waited_ms - last.waited_ms) / n,
-			(d.reusable - last.reusable) / n);
-		last = d;
-	}
-
 	double sum = 0, most = 0, mean;
 	size_t n = 0;
 
@@ -465,19 +263,6 @@
 		most = MAX(most, (double)w->engines[e].work);
 	}
 	mean = MAX(sum / (double)n, FLOOR_WORK / LOAD_FACTOR);
-	if (is_measured(w) && most / mean > w->sums.skew_max &&
-	    getenv("TRACE")) {
-		size_t b = 0;
-		for (size_t e = 0; e < w->engine_count; e++)
-			if (w->engines[e].work > w->engines[b].work)
-				b = e;
-		fprintf(stderr,
-			"t=%ld skew %.3f mean %.0f e=%zu work %ld reqs %ld\n",
-			w->now_ms, most / mean, mean, b, w->engines[b].work,
-			w->engines[b].requests);
-		if (w->way->debug)
-			w->way->debug(w->ctx, b);
-	}
 	if (is_measured(w))
 		w->sums.skew_max = MAX(w->sums.skew_max, most / mean);
 }
@@ -514,8 +299,7 @@
 
 static void tick(struct world *w)
 {
-	for (guint i = 0; i < w->changes->len; i++)
-		apply_change(w, &g_array_index(w->changes, struct change, i));
+	churn_tick(w);
 	if (w->now_ms % REPORT_MS == 0)
 		send_reports(w);
 	receive_reports(w);
@@ -572,7 +356,9 @@
 	if (!turns)
 		return;
 	c->hint = e;
-	store(w, c, e, c->history);
+	c->hint_ms =
+		-PAST_MS + (c - w->chats) * PAST_MS / (int64_t)w->chat_count;
+	memory_store(w, c, e, c->history);
 }
 
 /* Some chats are as if in a request now, the others pause. */
@@ -655,7 +441,7 @@
 	setup_nodes(&w);
 	setup_chats(&w, seed);
 	if (s->churn_ms)
-		plan_churn(&w);
+		churn_plan(&w);
 	w.ctx = way->create(&w);
 	while (next_tick <= end) {
 		struct event e;
--- a/bench/bench-route.c
+++ b/bench/bench-route.c
@@ -89,9 +89,7 @@
 	GThreadPool *pool = g_thread_pool_new(run_job, NULL, 4, FALSE, NULL);
 
 	/* The large ones first. */
-	for (size_t s = getenv("ONLY") ? (size_t)atoi(getenv("ONLY")) + 1
-				       : G_N_ELEMENTS(shapes);
-	     s-- > (getenv("ONLY") ? (size_t)atoi(getenv("ONLY")) : 0);) {
+	for (size_t s = G_N_ELEMENTS(shapes); s-- > 0;) {
 		for (size_t i = 0; i < WAYS; i++) {
 			jobs[s][i] = (struct job){.shape = &shapes[s],
 						  .way = ways[i]};
@@ -101,12 +99,17 @@
 	}
 	g_thread_pool_free(pool, FALSE, TRUE);
 	for (size_t s = 0; s < G_N_ELEMENTS(shapes); s++) {
-		for (size_t i = 0; i < WAYS && (argc > 1 || getenv("DETAILS"));
-		     i++)
+		for (size_t i = 0; i < WAYS && argc > 1; i++)
 			if (jobs[s][i].sums.requests)
 				print_details(&jobs[s][i]);
-		if (argc < 2)
-			print_shape(jobs[s]);
+		if (argc > 1)
+			continue;
+		print_shape(jobs[s]);
+		if (shapes[s].churn_ms)
+			continue;
+		bench_share(&shapes[s]);
+		bench_retry(&shapes[s]);
+		bench_cost(&shapes[s]);
 	}
 	return 0;
 }
--- a/bench/bench-route.h
+++ b/bench/bench-route.h
@@ -18,6 +18,7 @@
 #define REPORT_MS     500  /* between load reports */
 #define REPORT_LAG_MS 1000
 #define DISAGREE_MS   5000 /* in which all nodes learn of a change */
+#define TICK_MS       100  /* between samples and rounds of control */
 #define NO_ENGINE     SIZE_MAX
 
 struct shape {
@@ -49,14 +50,17 @@
 	int64_t prompt;  /* with the new message */
 	int64_t output;
 	size_t hint; /* engine that answered last, or NO_ENGINE */
+	int64_t hint_ms;
 	size_t node; /* entry of the request in progress */
 	size_t engine;
 	int64_t work;     /* true work at the engine */
 	int64_t asked_ms; /* when the request first came */
 	uint32_t attempt; /* of the request; outdated events differ */
-	size_t mark;      /* the way's own */
+	int64_t reused;   /* prompt tokens that the engine held */
+	size_t mark;      /* the way's own; likewise below */
 	int64_t mark_work;
 	int stage;
+	struct ask ask;
 };
 
 struct engine {
@@ -95,7 +99,6 @@
 	const char *name; /* "" for the chosen one */
 	void *(*create)(struct world *w);
 	void (*destroy)(void *ctx);
-	void (*debug)(void *, size_t);
 	/* Start the request, let it wait, or refuse it. */
 	void (*route)(void *ctx, struct chat *c);
 	void (*ended)(void *ctx, struct chat *c);   /* optional */
@@ -150,6 +153,20 @@
 struct route_random world_random(struct world *w);
 /* Work and engines of the fleet, REPORT_LAG_MS ago. */
 int64_t world_reported_work(const struct world *w);
+/* The engine and what it ran is lost; callers ask again. */
+void world_lose_engine(struct world *w, size_t engine);
+
+/* bench-route-memory.c: the engine now holds so much of the chat */
+void memory_store(struct world *w, struct chat *c, size_t engine,
+		  int64_t tokens);
+void memory_forget(struct world *w, struct chat *c);
+void memory_clear(struct world *w, size_t engine);
+
+/* bench-route-churn.c */
+void churn_plan(struct world *w);
+void churn_tick(struct world *w);
+void view_rebuild(struct world *w, struct view *v);
+
 /* What a chat's request is expected to cost, reusing so much. */
 int64_t chat_work(const struct chat *c, int64_t cached);
 
--- a/route/admit.c
+++ b/route/admit.c
@@ -9,7 +9,7 @@
 
 const struct admit_limits admit_limits_default = {
 	.load_factor = 1.25,
-	.fresh_factor = 1.1,
+	.fresh_factor = 1.15,
 	.join_reserve = 0.04,
 	.floor_work = 32768,
 	.target_work = 0,
@@ -181,6 +181,7 @@
 	if (!t || !t->mine)
 		return;
 	t->unreachable_ms = now_ms;
+	t->reuse_age = (struct reuse_age){.known = true};
 	queue_drop(a, t, now_ms);
 }
 
@@ -267,25 +268,45 @@
 	return admitted_since(t, r->taken_ms) + work <= part;
 }
 
+static bool is_reused(const struct counted *t, const struct ask *q)
+{
+	return q->reuse > 0 &&
+	       reuse_age_expects(&t->reuse_age, q->reuse_age_ms);
+}
+
+int64_t counted_work(const struct counted *t, const struct ask *q)
+{
+	return is_reused(t, q) ? q->work - q->reuse : q->work;
+}
+
+static double factor_of(const struct admit *a, const struct counted *t,
+			const struct ask *q)
+{
+	const struct admit_limits *l = &a->limits;
+
+	return q->whole_bound || is_reused(t, q)
+		       ? l->load_factor
+		       : MIN(l->fresh_factor, l->load_factor);
+}
+
 enum refusal counted_room(const struct admit *a, const struct counted *t,
 			  const struct ask *q, int64_t now_ms)
 {
-	const struct admit_limits *l = &a->limits;
-	double factor = q->fresh ? MIN(l->fresh_factor, l->load_factor)
-				 : l->load_factor;
-	double full = (double)l->target_work;
+	double full = (double)a->limits.target_work;
+	double kept = full * a->limits.share_reserve;
+	int64_t work = counted_work(t, q);
 	int64_t load = counted_load(t);
-	int64_t after = load + q->work;
+	int64_t after = load + work;
 
-	if (now_ms < t->until_ms && !has_part(a, t, q->work))
+	if (now_ms < t->until_ms && !has_part(a, t, work))
 		return REFUSAL_NO_ROOM;
 	if (full > 0 && load > 0 && (double)after > full)
 		return REFUSAL_FULL;
-	if (after > relative_bound(a, factor, q->seen_load) &&
+	if (after > relative_bound(a, factor_of(a, t, q), q->seen_load) &&
 	    !takes_any_size(a, load, q))
 		return REFUSAL_NO_ROOM;
-	if (full > 0 && load > 0 &&
-	    (double)after > full * (1 - l->share_reserve) &&
+	/* Alone at the target, an organisation borrows nothing. */
+	if (full > 0 && t->usage->len > 1 && (double)after > full - kept &&
 	    !share_allows(a, t, q))
 		return REFUSAL_OVER_SHARE;
 	return REFUSAL_NONE;
@@ -295,18 +316,19 @@
 		 int64_t now_ms)
 {
 	struct slot *s = slot_now(t, now_ms);
+	int64_t work = counted_work(t, q);
 
-	t->work += q->work;
+	t->work += work;
 	t->requests++;
-	a->own_work += q->work;
-	s->admitted += q->work;
+	a->own_work += work;
+	s->admitted += work;
 	s->requests = MAX(s->requests, t->requests);
 	s->work = MAX(s->work, t->work);
-	usage_get(t, q->organisation, q->weight)->work += q->work;
+	share_charge(t, usage_get(t, q->organisation, q->weight), work);
 	a->request_work +=
 		a->request_work > 0
-			? WORK_SMOOTH * ((double)q->work - a->request_work)
-			: (double)q->work;
+			? WORK_SMOOTH * ((double)work - a->request_work)
+			: (double)work;
 }
 
 /*
@@ -358,9 +380,9 @@
 		queue_add(a, t, q, why, now_ms, d);
 		return;
 	}
+	d->work = counted_work(t, q);
 	counted_add(a, t, q, now_ms);
 	d->verdict = VERDICT_ADMIT;
-	d->work = q->work;
 }
 
 void admit_ask(struct admit *a, const struct ask *q, int64_t now_ms,
@@ -391,25 +413,28 @@
 	u = usage_find(t, organisation);
 	if (u) {
 		u->work -= MIN(work, u->work);
-		usage_trim(t);
+		usage_changed(t);
 	}
 	forget_if_unused(a, t);
 }
 
-void admit_adjust(struct admit *a, uint64_t target, uint32_t organisation,
-		  int64_t was, int64_t is)
+int64_t admit_reused(struct admit *a, const struct ask *q, int64_t counted,
+		     int64_t reused)
 {
-	struct counted *t = counted_find(a, target);
+	struct counted *t = counted_find(a, q->target);
 	struct usage *u;
 	int64_t change;
 
 	if (!t || t->requests == 0)
-		return;
-	change = MAX(is - was, -t->work);
+		return counted;
+	if (q->reuse > 0)
+		reuse_age_learn(&t->reuse_age, q->reuse_age_ms, reused > 0);
+	change = MAX(q->work - reused - counted, -t->work);
 	t->work += change;
 	if (t->mine)
 		a->own_work += change;
-	u = usage_find(t, organisation);
+	u = usage_find(t, q->organisation);
 	if (u)
 		u->work = MAX(u->work + change, 0);
+	return counted + change;
 }
--- a/route/admit.h
+++ b/route/admit.h
@@ -21,13 +21,16 @@
 struct usage {
 	uint32_t organisation;
 	double weight;
-	int64_t work;
+	int64_t work;    /* in progress */
 	int64_t waiting; /* requests */
+	double served;   /* virtual time: work / weight */
+	int64_t waiting_work;
 };
 
 struct waiting {
 	struct ask ask;
 	uint64_t order; /* of arrival */
+	int64_t work;   /* as counted when it came */
 	int64_t give_up_ms;
 };
 
@@ -38,12 +41,14 @@
 	int64_t requests; /* likewise */
 	int64_t foreign;  /* work that others admitted, as far as reported */
 	struct load_report report;
+	struct reuse_age reuse_age;
 	int64_t took_over_ms;
 	int64_t unreachable_ms; /* when it last took no connection; or 0 */
 	int64_t until_ms;       /* end of the change of hands */
 	unsigned sharers;
 	GArray *usage;   /* struct usage */
-	double weights;  /* sum over usage */
+	double served;   /* virtual time of the request served last */
+	double weights;  /* of organisations with work or requests here */
 	GArray *waiting; /* struct waiting */
 	struct slot slots[SLOTS_KEPT];
 	int64_t last_slot; /* number of the newest */
@@ -70,6 +75,8 @@
 /* Why the work can not begin now, or REFUSAL_NONE. */
 enum refusal counted_room(const struct admit *a, const struct counted *t,
 			  const struct ask *q, int64_t now_ms);
+/* Work of the ask less what the target probably still holds of its prefix. */
+int64_t counted_work(const struct counted *t, const struct ask *q);
 /* Count the work as begun. */
 void counted_add(struct admit *a, struct counted *t, const struct ask *q,
 		 int64_t now_ms);
@@ -83,11 +90,17 @@
 /* The organisation's entry, made when it has none. */
 struct usage *usage_get(struct counted *t, uint32_t organisation,
 			double weight);
-/* Forget entries that are not in use. */
-void usage_trim(struct counted *t);
-/* Would the work leave the organisation within its share of the bound? */
+/* Forget entries that no longer count and sum up the rest. */
+void usage_changed(struct counted *t);
+/* Virtual time at which the organisation's next request would start. */
+double share_start(const struct counted *t, uint32_t organisation);
+/* Virtual time up to which it is served when all that waits has been. */
+double share_promised(const struct counted *t, uint32_t organisation);
+/* Does the ask leave its organisation within its share? */
 bool share_allows(const struct admit *a, const struct counted *t,
 		  const struct ask *q);
+/* Count work that begins. */
+void share_charge(struct counted *t, struct usage *u, int64_t work);
 
 /* queue.c */
 
--- a/route/outlier.c
+++ b/route/outlier.c
@@ -29,7 +29,9 @@
 struct outliers {
 	struct outlier_policy policy;
 	GHashTable *targets; /* id -> struct watched */
-	double time_sum;     /* of all smoothed times */
+	size_t other_aside;  /* by other nodes, and their targets */
+	size_t other_targets;
+	double time_sum; /* of all smoothed times */
 	size_t time_count;
 };
 
@@ -90,6 +92,12 @@
 	g_hash_table_foreach_remove(o->targets, drop_absent, o);
 }
 
+void outliers_set_others(struct outliers *o, size_t aside, size_t targets)
+{
+	o->other_aside = aside;
+	o->other_targets = targets;
+}
+
 size_t outliers_aside(const struct outliers *o, int64_t now_ms)
 {
 	GHashTableIter it;
@@ -105,12 +113,12 @@
 static void set_aside(struct outliers *o, struct watched *w, int64_t now_ms)
 {
 	const struct outlier_policy *p = &o->policy;
-	size_t pool = g_hash_table_size(o->targets);
+	size_t pool = g_hash_table_size(o->targets) + o->other_targets;
 	int64_t ms = p->aside_ms;
 
 	if (w->aside_until_ms > now_ms)
 		return;
-	if (outliers_aside(o, now_ms) + 1 >
+	if (outliers_aside(o, now_ms) + o->other_aside + 1 >
 	    (size_t)(p->aside_part * (double)pool))
 		return;
 	for (int i = 0; i < w->asides && ms < p->aside_max_ms; i++)
--- a/route/queue.c
+++ b/route/queue.c
@@ -1,38 +1,37 @@
 /*
  * Requests that wait for room at a target. The next one is of an organisation
- * within its share before one that borrows, then of the higher priority, then
- * of the organisation that uses least for its weight, then the oldest.
+ * within its share before one that borrows. Of those within, the higher
+ * priority comes first; of those that borrow, the one whose organisation was
+ * served least for its weight, then the higher priority. Of equals the oldest
+ * comes first. From a full queue the organisation that would have been served
+ * most with all that it waits for loses its last request.
  */
 #include "route/admit.h"
 
 struct rank {
-	bool borrows;
+	double start; /* virtual time of those that borrow; 0: within */
 	int priority;
-	double used; /* work / weight */
 	uint64_t order;
 };
 
 static struct rank rank_of(const struct admit *a, const struct counted *t,
 			   const struct ask *q, uint64_t order)
 {
-	const struct usage *u = usage_find(t, q->organisation);
-
 	return (struct rank){
-		.borrows = !share_allows(a, t, q),
+		.start = share_allows(a, t, q)
+				 ? 0
+				 : share_start(t, q->organisation),
 		.priority = q->priority,
-		.used = u ? (double)u->work / q->weight : 0,
 		.order = order,
 	};
 }
 
 static bool before(struct rank x, struct rank y)
 {
-	if (x.borrows != y.borrows)
-		return y.borrows;
+	if (x.start != y.start)
+		return x.start < y.start;
 	if (x.priority != y.priority)
 		return x.priority > y.priority;
-	if (x.used != y.used)
-		return x.used < y.used;
 	return x.order < y.order;
 }
 
@@ -41,25 +40,20 @@
 	return &g_array_index(t->waiting, struct waiting, i);
 }
 
-static struct rank rank_at(const struct admit *a, const struct counted *t,
-			   guint i)
-{
-	return rank_of(a, t, &at(t, i)->ask, at(t, i)->order);
-}
-
-/* First in rank, or with last set the last; the queue must not be empty. */
-static guint find_end(const struct admit *a, const struct counted *t, bool last)
+/* Number of the first in rank; the queue must not be empty. */
+static guint find_first(const struct admit *a, const struct counted *t,
+			struct rank *rank)
 {
 	guint best = 0;
-	struct rank r = rank_at(a, t, 0);
 
-	for (guint i = 1; i < t->waiting->len; i++) {
-		struct rank x = rank_at(a, t, i);
+	for (guint i = 0; i < t->waiting->len; i++) {
+		const struct waiting *w = at(t, i);
+		struct rank r = rank_of(a, t, &w->ask, w->order);
 
-		if (last ? before(r, x) : before(x, r)) {
-			best = i;
-			r = x;
-		}
+		if (i > 0 && !before(r, *rank))
+			continue;
+		best = i;
+		*rank = r;
 	}
 	return best;
 }
@@ -68,44 +62,90 @@
 {
 	struct usage *u = usage_find(t, at(t, i)->ask.organisation);
 
-	if (u)
+	if (u) {
 		u->waiting--;
+		u->waiting_work -= at(t, i)->work;
+	}
 	g_array_remove_index_fast(t->waiting, i);
-	usage_trim(t);
+	usage_changed(t);
 }
 
 bool queue_goes_first(const struct admit *a, const struct counted *t,
 		      const struct ask *q)
 {
-	struct rank r;
+	struct rank first;
 
 	if (!t->waiting->len)
 		return false;
-	r = rank_of(a, t, q, UINT64_MAX);
-	return before(rank_at(a, t, find_end(a, t, false)), r);
+	find_first(a, t, &first);
+	return before(first, rank_of(a, t, q, UINT64_MAX));
 }
 
 static void put_in(struct admit *a, struct counted *t, const struct ask *q)
 {
+	struct usage *u = usage_get(t, q->organisation, q->weight);
 	struct waiting w = {
 		.ask = *q,
 		.order = a->arrivals++,
+		.work = counted_work(t, q),
 		.give_up_ms = MIN(q->wait_until_ms, q->deadline_ms - q->run_ms),
 	};
 
+	u->waiting++;
+	u->waiting_work += w.work;
 	g_array_append_val(t->waiting, w);
-	usage_get(t, q->organisation, q->weight)->waiting++;
+	usage_changed(t);
 }
 
-/* Make room in a full queue by refusing the last. Returns false if that is q.
- */
+/* The organisation that would have been served most, with q. */
+static uint32_t most_promised(const struct counted *t, const struct ask *q)
+{
+	uint32_t most = q->organisation;
+	double end = share_promised(t, most) +
+		     (double)counted_work(t, q) / q->weight;
+
+	for (guint i = 0; i < t->waiting->len; i++) {
+		uint32_t o = at(t, i)->ask.organisation;
+		double e = share_promised(t, o);
+
+		if (o == q->organisation || e <= end)
+			continue;
+		most = o;
+		end = e;
+	}
+	return most;
+}
+
+/* Number of the organisation's last request, or the queue's length: none. */
+static guint find_last(const struct counted *t, uint32_t organisation)
+{
+	guint n = t->waiting->len;
+	guint last = n;
+
+	for (guint i = 0; i < n; i++) {
+		const struct waiting *w = at(t, i);
+		const struct waiting *l = last < n ? at(t, last) : NULL;
+
+		if (w->ask.organisation != organisation)
+			continue;
+		if (!l || w->ask.priority < l->ask.priority ||
+		    (w->ask.priority == l->ask.priority && w->order > l->order))
+			last = i;
+	}
+	return last;
+}
+
+/* Make room in a full queue; false if q itself is the one to be refused. */
 static bool displace(struct admit *a, struct counted *t, const struct ask *q,
 		     int64_t now_ms)
 {
-	guint last = find_end(a, t, true);
+	uint32_t most = most_promised(t, q);
+	guint last = find_last(t, most);
 	struct decision d;
 
-	if (before(rank_at(a, t, last), rank_of(a, t, q, UINT64_MAX)))
+	if (last == t->waiting->len ||
+	    (most == q->organisation &&
+	     at(t, last)->ask.priority >= q->priority))
 		return false;
 	refuse(a, &at(t, last)->ask, REFUSAL_QUEUE_FULL, now_ms, &d);
 	g_array_append_val(a->refused, d);
@@ -179,20 +219,21 @@
 static bool let_in(struct admit *a, struct counted *t, int64_t now_ms,
 		   struct decision *d)
 {
-	guint first = find_end(a, t, false);
+	struct rank rank;
+	guint first = find_first(a, t, &rank);
 	struct ask q = at(t, first)->ask;
 
 	if (counted_room(a, t, &q, now_ms))
 		return false;
 	take_out(t, first);
-	counted_add(a, t, &q, now_ms);
 	*d = (struct decision){
 		.verdict = VERDICT_ADMIT,
 		.ticket = q.ticket,
 		.target = q.target,
-		.work = q.work,
+		.work = counted_work(t, &q),
 		.load = counted_load(t),
 	};
+	counted_add(a, t, &q, now_ms);
 	return true;
 }
 
--- a/route/route.h
+++ b/route/route.h
@@ -66,8 +66,9 @@
 struct admit_limits {
 	double load_factor; /* most load of a target / mean of the fleet */
 	/*
-	 * The same for requests that reuse nothing at the target: they go on
-	 * to another before room is short for those that do.
+	 * The same for requests that are not expected to reuse anything at the
+	 * target: they go on to another before room is short for those that
+	 * are.
 	 */
 	double fresh_factor;
 	/*
@@ -119,15 +120,16 @@
 	uint32_t organisation; /* small index, as in the configuration */
 	double weight;         /* the organisation's */
 	int priority;          /* 0 to 9; higher ones first */
-	int64_t work;
+	int64_t work;          /* if nothing is reused */
+	/* Prompt tokens that the target held at reuse_age_ms before now. */
+	int64_t reuse;
+	int64_t reuse_age_ms;
 	int64_t run_ms; /* expected time from admission to the end */
 	int64_t deadline_ms;
 	int64_t wait_until_ms; /* queue no longer than this; 0: do not queue */
-	bool fresh;            /* bound by fresh_factor */
-	/*
-	 * Last resort, for work that finds no room: a target under the fleet's
-	 * mean takes it, whatever its size.
-	 */
+	/* For requests that found no room: load_factor also binds if fresh. */
+	bool whole_bound;
+	/* Last resort: a target under the mean takes work of any size. */
 	bool any_size;
 	/*
 	 * Mean load in the decisions that the asking entry got lately; 0: not
@@ -141,7 +143,7 @@
 	enum refusal refusal;
 	uint64_t ticket;
 	uint64_t target;
-	int64_t work;        /* to be given back by admit_done */
+	int64_t work;        /* as counted, to be given back by admit_done */
 	int64_t retry_at_ms; /* when refused */
 	int64_t load;        /* the target's, as counted here */
 };
@@ -187,9 +189,13 @@
 /* The work has ended, or did not begin. */
 void admit_done(struct admit *a, uint64_t target, uint32_t organisation,
 		int64_t work, int64_t now_ms);
-/* The engine told how much it really reused: correct the count of work. */
-void admit_adjust(struct admit *a, uint64_t target, uint32_t organisation,
-		  int64_t was, int64_t is);
+/*
+ * The engine told that it reused so many tokens for the request of an admitted
+ * ask: correct the count. Returns the work for admit_done in place of counted,
+ * which the decision gave.
+ */
+int64_t admit_reused(struct admit *a, const struct ask *q, int64_t counted,
+		     int64_t reused);
 /* A waiting request was withdrawn. Returns false when it does not wait. */
 bool admit_cancel(struct admit *a, uint64_t ticket);
 /*
@@ -309,6 +315,11 @@
 void outliers_free(struct outliers *o);
 /* The pool now has these targets; others are forgotten. */
 void outliers_set_pool(struct outliers *o, const uint64_t *targets, size_t n);
+/*
+ * When each node watches its own targets: what the others have told, of which
+ * aside_part counts the whole pool.
+ */
+void outliers_set_others(struct outliers *o, size_t aside, size_t targets);
 void outliers_ok(struct outliers *o, uint64_t target, int64_t first_token_ms,
 		 int64_t now_ms);
 void outliers_error(struct outliers *o, uint64_t target, int64_t now_ms);
@@ -359,6 +370,19 @@
 uint64_t prefix_index_find(struct prefix_index *x, const uint64_t *prefixes,
 			   size_t n, size_t *depth);
 
+/*
+ * age.c: how long a target keeps a prefix that is not used, learned from what
+ * its answers say was reused. Zeroed memory is a target not known yet.
+ */
+struct reuse_age {
+	bool known;
+	int64_t limit_ms;
+};
+
+/* Does the target probably still hold a prefix that it used so long ago? */
+bool reuse_age_expects(const struct reuse_age *r, int64_t age_ms);
+void reuse_age_learn(struct reuse_age *r, int64_t age_ms, bool reused);
+
 /* choose.c: the order in which targets are asked. */
 
 #define CHOOSE_MAX 8
--- a/route/test-admit.c
+++ b/route/test-admit.c
@@ -9,6 +9,7 @@
 	struct admit_limits l = admit_limits_default;
 
 	l.floor_work = 1000;
+	l.fresh_factor = 1.1;
 	return l;
 }
 
@@ -17,6 +18,7 @@
 	return (struct ask){.target = target,
 			    .weight = 1,
 			    .work = work,
+			    .whole_bound = true,
 			    .deadline_ms = INT64_MAX / 2};
 }
 
@@ -51,12 +53,14 @@
 	for (int64_t now = 0; now < 20000; now++) {
 		uint64_t t = (uint64_t)g_rand_int_range(r, 1, TARGETS + 1);
 		struct ask q = ask_of(t, g_rand_int_range(r, 10, 900));
-		double bound = 1.25 * (double)sum / (TARGETS + 1);
+		double factor = now % 3 == 0 ? 1.25 : 1.1;
+		double bound = factor * (double)sum / (TARGETS + 1);
 		bool room = load[t] == 0 ||
 			    (now % 2 && load[t] * TARGETS < sum) ||
 			    load[t] + q.work <= MAX((int64_t)bound, 1000);
 
 		q.any_size = now % 2;
+		q.whole_bound = now % 3 == 0;
 		g_assert_cmpint(ask(a, q, now), ==,
 				room ? VERDICT_ADMIT : VERDICT_REFUSE);
 		refused += !room;
@@ -253,6 +257,64 @@
 	g_rand_free(r);
 }
 
+/*
+ * A prefix that was evicted counts as work to be done, first when the engine
+ * says so, later by its age.
+ */
+static void test_evicted(void)
+{
+	GRand *r = g_rand_new_with_seed(15);
+	struct admit_limits l = limits();
+	struct admit *a = own(r, &l, 2);
+	struct ask q = ask_of(1, 900);
+	struct decision d;
+
+	q.reuse = 800;
+	q.reuse_age_ms = 40000;
+	admit_ask(a, &q, 0, &d);
+	g_assert_cmpint(d.work, ==, 100);
+	g_assert_cmpint(admit_reused(a, &q, d.work, 0), ==, 900);
+	g_assert_cmpint(admit_load(a, 1), ==, 900);
+	g_assert_cmpint(ask(a, q, 1), ==, VERDICT_REFUSE);
+	q.reuse_age_ms = 1000;
+	admit_ask(a, &q, 1, &d);
+	g_assert_cmpint(d.verdict, ==, VERDICT_ADMIT);
+	g_assert_cmpint(admit_reused(a, &q, d.work, 800), ==, 100);
+	admit_done(a, 1, 0, 900, 2);
+	admit_done(a, 1, 0, 100, 2);
+	g_assert_cmpint(admit_load(a, 1), ==, 0);
+	admit_free(a);
+	g_rand_free(r);
+}
+
+/*
+ * The age at which an LRU memory evicts is found and followed; what was
+ * evicted is hardly ever expected, what is held mostly.
+ */
+static void test_reuse_age(void)
+{
+	GRand *r = g_rand_new_with_seed(16);
+	struct reuse_age age = {0};
+	unsigned old = 0, wrong = 0, young = 0, right = 0;
+
+	for (int i = 0; i < 3000; i++) {
+		int64_t evicted = i < 1000 ? 60000 : i < 2000 ? 5000 : 30000;
+		int64_t is = g_rand_int_range(r, 0, 90000);
+		bool held = is < evicted;
+
+		if (i % 1000 > 100) {
+			old += !held;
+			wrong += !held && reuse_age_expects(&age, is);
+			young += held;
+			right += held && reuse_age_expects(&age, is);
+		}
+		reuse_age_learn(&age, is, held);
+	}
+	g_assert_cmpuint(wrong * 100, <, old);
+	g_assert_cmpuint(right * 4, >, young * 3);
+	g_rand_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -263,6 +325,8 @@
 	g_test_add_func("/route/admit/hand-back", test_hand_back);
 	g_test_add_func("/route/admit/join", test_join);
 	g_test_add_func("/route/admit/growth", test_growth);
+	g_test_add_func("/route/admit/evicted", test_evicted);
+	g_test_add_func("/route/admit/reuse-age", test_reuse_age);
 	g_test_add_func("/route/admit/unreachable", test_unreachable);
 	return g_test_run();
 }
--- a/route/test-outlier.c
+++ b/route/test-outlier.c
@@ -52,6 +52,25 @@
 	outliers_free(o);
 }
 
+/* The part is of the whole pool, of which other nodes watch the rest. */
+static void test_others(void)
+{
+	struct outliers *o = outliers_new(&outlier_policy_default);
+	uint64_t own = 1;
+
+	outliers_set_pool(o, &own, 1);
+	for (int i = 0; i < 9; i++)
+		outliers_error(o, 1, 0);
+	g_assert_cmpuint(outliers_aside(o, 1), ==, 0);
+	outliers_set_others(o, 3, 8);
+	outliers_error(o, 1, 1);
+	g_assert_cmpuint(outliers_aside(o, 1), ==, 0);
+	outliers_set_others(o, 2, 8);
+	outliers_error(o, 1, 1);
+	g_assert_cmpuint(outliers_aside(o, 1), ==, 1);
+	outliers_free(o);
+}
+
 /* A slow target is set aside though it makes no errors. */
 static void test_slow(void)
 {
@@ -103,6 +122,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/route/outlier/third-fails", test_third_fails);
 	g_test_add_func("/route/outlier/all-fail", test_all_fail);
+	g_test_add_func("/route/outlier/others", test_others);
 	g_test_add_func("/route/outlier/slow", test_slow);
 	g_test_add_func("/route/outlier/ramp", test_ramp);
 	return g_test_run();
