route: let small requests pass one over the relative bound

Cause: a large request at the head of a queue held up returning ones that need little, which then moved and read their prefix again.

--- a/route/admit.c
+++ b/route/admit.c
@@ -290,7 +290,7 @@
 }
 
 enum refusal counted_room(const struct admit *a, const struct counted *t,
-			  const struct ask *q, int64_t now_ms)
+			  const struct ask *q, int64_t waiting, int64_t now_ms)
 {
 	double full = (double)a->limits.target_work;
 	double kept = full * a->limits.share_reserve;
@@ -307,7 +307,7 @@
 		return REFUSAL_NO_ROOM;
 	/* Alone at the target, an organisation borrows nothing. */
 	if (full > 0 && t->usage->len > 1 && (double)after > full - kept &&
-	    !share_allows(a, t, q))
+	    !share_allows(a, t, q, waiting))
 		return REFUSAL_OVER_SHARE;
 	return REFUSAL_NONE;
 }
@@ -373,8 +373,8 @@
 		refuse(a, q, REFUSAL_LATE, now_ms, d);
 		return;
 	}
-	why = counted_room(a, t, q, now_ms);
-	if (why == REFUSAL_NONE && queue_goes_first(a, t, q))
+	why = counted_room(a, t, q, 0, now_ms);
+	if (why == REFUSAL_NONE && queue_goes_first(a, t, q, now_ms))
 		why = REFUSAL_NO_ROOM;
 	if (why) {
 		queue_add(a, t, q, why, now_ms, d);
--- a/route/admit.h
+++ b/route/admit.h
@@ -72,9 +72,9 @@
 struct counted *counted_find(const struct admit *a, uint64_t target);
 /* Work at the target, with what others admitted. */
 int64_t counted_load(const struct counted *t);
-/* Why the work can not begin now, or REFUSAL_NONE. */
+/* Why the work can not begin now, or REFUSAL_NONE; waiting: share_allows. */
 enum refusal counted_room(const struct admit *a, const struct counted *t,
-			  const struct ask *q, int64_t now_ms);
+			  const struct ask *q, int64_t waiting, int64_t now_ms);
 /* Work of the ask less what the target probably still holds of its prefix. */
 int64_t counted_work(const struct counted *t, const struct ask *q);
 /* Count the work as begun. */
@@ -96,9 +96,12 @@
 double share_start(const struct counted *t, uint32_t organisation);
 /* Virtual time up to which it is served when all that waits has been. */
 double share_promised(const struct counted *t, uint32_t organisation);
-/* Does the ask leave its organisation within its share? */
+/*
+ * Does the ask leave its organisation within its share? waiting is the ask's
+ * work when it is among those that wait, or 0.
+ */
 bool share_allows(const struct admit *a, const struct counted *t,
-		  const struct ask *q);
+		  const struct ask *q, int64_t waiting);
 /* Count work that begins. */
 void share_charge(struct counted *t, struct usage *u, int64_t work);
 
@@ -106,7 +109,7 @@
 
 /* Is there one who waits that comes before this ask? */
 bool queue_goes_first(const struct admit *a, const struct counted *t,
-		      const struct ask *q);
+		      const struct ask *q, int64_t now_ms);
 /* Queue the ask or refuse it, or another in its place, for the reason why. */
 void queue_add(struct admit *a, struct counted *t, const struct ask *q,
 	       enum refusal why, int64_t now_ms, struct decision *d);
--- a/route/queue.c
+++ b/route/queue.c
@@ -3,8 +3,9 @@
  * within its share before one that borrows. Of those within, the higher
  * priority comes first; of those that borrow, the one whose organisation was
  * served least for its weight, then the higher priority. Of equals the oldest
- * comes first. From a full queue the organisation that would have been served
- * most with all that it waits for loses its last request.
+ * comes first. One that is over the fleet's relative bound lets others pass: it
+ * may find room elsewhere. From a full queue the organisation that would have
+ * been served most with all that it waits for loses its last request.
  */
 #include "route/admit.h"
 
@@ -15,10 +16,10 @@
 };
 
 static struct rank rank_of(const struct admit *a, const struct counted *t,
-			   const struct ask *q, uint64_t order)
+			   const struct ask *q, uint64_t order, int64_t waiting)
 {
 	return (struct rank){
-		.start = share_allows(a, t, q)
+		.start = share_allows(a, t, q, waiting)
 				 ? 0
 				 : share_start(t, q->organisation),
 		.priority = q->priority,
@@ -40,17 +41,24 @@
 	return &g_array_index(t->waiting, struct waiting, i);
 }
 
-/* Number of the first in rank; the queue must not be empty. */
+/*
+ * Number of the first in rank that is not over the relative bound, or the
+ * queue's length when there is none.
+ */
 static guint find_first(const struct admit *a, const struct counted *t,
-			struct rank *rank)
+			int64_t now_ms, struct rank *rank)
 {
-	guint best = 0;
+	guint n = t->waiting->len;
+	guint best = n;
 
-	for (guint i = 0; i < t->waiting->len; i++) {
+	for (guint i = 0; i < n; i++) {
 		const struct waiting *w = at(t, i);
-		struct rank r = rank_of(a, t, &w->ask, w->order);
+		struct rank r = rank_of(a, t, &w->ask, w->order, w->work);
 
-		if (i > 0 && !before(r, *rank))
+		if (best < n && !before(r, *rank))
+			continue;
+		if (counted_room(a, t, &w->ask, w->work, now_ms) ==
+		    REFUSAL_NO_ROOM)
 			continue;
 		best = i;
 		*rank = r;
@@ -71,14 +79,13 @@
 }
 
 bool queue_goes_first(const struct admit *a, const struct counted *t,
-		      const struct ask *q)
+		      const struct ask *q, int64_t now_ms)
 {
 	struct rank first;
 
-	if (!t->waiting->len)
+	if (find_first(a, t, now_ms, &first) == t->waiting->len)
 		return false;
-	find_first(a, t, &first);
-	return before(first, rank_of(a, t, q, UINT64_MAX));
+	return before(first, rank_of(a, t, q, UINT64_MAX, 0));
 }
 
 static void put_in(struct admit *a, struct counted *t, const struct ask *q)
@@ -220,10 +227,13 @@
 		   struct decision *d)
 {
 	struct rank rank;
-	guint first = find_first(a, t, &rank);
-	struct ask q = at(t, first)->ask;
+	guint first = find_first(a, t, now_ms, &rank);
+	struct ask q;
 
-	if (counted_room(a, t, &q, now_ms))
+	if (first == t->waiting->len)
+		return false;
+	q = at(t, first)->ask;
+	if (counted_room(a, t, &q, at(t, first)->work, now_ms))
 		return false;
 	take_out(t, first);
 	*d = (struct decision){
--- a/route/share.c
+++ b/route/share.c
@@ -68,12 +68,15 @@
 }
 
 bool share_allows(const struct admit *a, const struct counted *t,
-		  const struct ask *q)
+		  const struct ask *q, int64_t waiting)
 {
 	const struct usage *u = usage_find(t, q->organisation);
-	double part;
+	double part, others;
 
-	if (!u || u->served < t->served)
+	if (!u)
+		return true;
+	others = (double)(u->waiting_work - waiting) / u->weight;
+	if (u->served + others < t->served)
 		return true;
 	part = (double)admit_bound(a) * q->weight /
 	       (t->weights + (is_active(u) ? 0 : q->weight));
