--- a/node/admission.c
+++ b/node/admission.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "node/admission.h"
 
 struct pool {
@@ -120,18 +122,19 @@
 
 static struct ask make_ask(struct admission *a, const struct admission_ask *q)
 {
-	int64_t held = q->home ? q->history_tokens : 0;
-
 	return (struct ask){
 		.target = q->target,
 		.ticket = ++a->last_ticket,
 		.organisation = organisation_index(a, q->organisation),
 		.weight = q->weight,
 		.priority = q->priority,
-		.work = MAX(q->prompt_tokens - held, 0) + q->output_tokens,
+		.work = q->work,
+		.reuse = q->reuse,
+		.reuse_age_ms = q->reuse_age_ms,
+		.whole_bound = q->last,
+		.any_size = q->last,
 		.deadline_ms = q->deadline_ms,
 		.wait_until_ms = q->wait_until_ms,
-		.fresh = held == 0,
 	};
 }
 
@@ -158,15 +161,15 @@
 					      : M_ADMISSION_REFUSALS_TOTAL,
 		   1);
 	if (d.verdict == VERDICT_ADMIT) {
-		*grant = (struct admission_grant){p->name, q->target,
-						  ask.organisation, d.work};
+		*grant = (struct admission_grant){p->name, ask, d.work};
 		return true;
 	}
 	*no = (struct admission_refusal){d.refusal, load, d.retry_at_ms};
 	return false;
 }
 
-void admission_leave(struct admission *a, struct admission_grant *g)
+void admission_leave(struct admission *a, struct admission_grant *g,
+		     int64_t reused)
 {
 	struct pool *p;
 
@@ -174,13 +177,26 @@
 		return;
 	g_mutex_lock(&a->lock);
 	p = find_pool(a, g->pool);
-	admit_done(p->admit, g->target, g->organisation, g->work,
+	if (reused >= 0)
+		g->work = admit_reused(p->admit, &g->ask, g->work, reused);
+	admit_done(p->admit, g->ask.target, g->ask.organisation, g->work,
 		   time_mono_ms());
 	settle(a, p);
 	g_mutex_unlock(&a->lock);
 	g->work = 0;
 }
 
+int64_t admission_read_reused(struct str event)
+{
+	static const char name[] = "\"cached_tokens\":";
+	const char *at;
+
+	if (!event.len)
+		return -1;
+	at = memmem(event.data, event.len, name, sizeof(name) - 1);
+	return at ? g_ascii_strtoll(at + sizeof(name) - 1, NULL, 10) : -1;
+}
+
 void admission_take(struct admission *a, const char *pool, uint64_t target,
 		    int64_t until_ms, unsigned sharers)
 {
--- a/node/admission.h
+++ b/node/admission.h
@@ -17,20 +17,19 @@
 	double weight; /* the organisation's */
 	uint64_t target;
 	int priority;
-	int64_t prompt_tokens;
-	int64_t history_tokens; /* part of the prompt that was sent before */
-	int64_t output_tokens;  /* expected */
-	bool home;              /* the target is likely to hold the history */
-	int64_t deadline_ms;    /* monotonic; likewise below */
-	int64_t wait_until_ms;  /* queue no longer than this; 0: not at all */
+	int64_t work;          /* tokens, if nothing is reused */
+	int64_t reuse;         /* prompt tokens that the target may hold */
+	int64_t reuse_age_ms;  /* how long ago it used them */
+	bool last;             /* no target had room at the first asking */
+	int64_t deadline_ms;   /* monotonic; likewise below */
+	int64_t wait_until_ms; /* queue no longer than this; 0: not at all */
 };
 
 /* Work admitted, to be given back by admission_leave. */
 struct admission_grant {
 	const char *pool; /* interned */
-	uint64_t target;
-	uint32_t organisation;
-	int64_t work; /* tokens; 0: no grant */
+	struct ask ask;
+	int64_t work; /* tokens, as counted; 0: no grant */
 };
 
 /* Why a request was refused, and when it may come back. */
@@ -51,8 +50,14 @@
 bool admission_enter(struct admission *a, const struct admission_ask *q,
 		     struct admission_grant *grant,
 		     struct admission_refusal *no);
-/* The work ended or did not begin. Clears the grant. */
-void admission_leave(struct admission *a, struct admission_grant *g);
+/*
+ * The work ended or did not begin. reused is what the target said that it
+ * reused of the prompt, in tokens; -1: nothing was heard. Clears the grant.
+ */
+void admission_leave(struct admission *a, struct admission_grant *g,
+		     int64_t reused);
+/* Tokens reused as an event of an answer tells; -1 when it does not. */
+int64_t admission_read_reused(struct str event);
 
 /* The functions below are the control thread's. */
 
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -20,6 +20,8 @@
 		int64_t load;
 	} refused[TRIES_MAX]; /* by admission, least loaded first */
 	size_t refused_count;
+	bool last;   /* the targets are asked once more */
+	bool astray; /* the last one asked did not admit to the target */
 };
 
 static bool is_allowed(const struct request *rq, const struct target *t)
@@ -95,6 +97,12 @@
 	return t->id == (rq->hint.target ? rq->hint.target : c->order[0]->id);
 }
 
+/* Without a hint the last turn is taken to have just been. */
+static int64_t hint_age_ms(const struct request *rq)
+{
+	return rq->hint.target ? MAX(time_now_ms() - rq->hint.at_ms, 0) : 0;
+}
+
 static struct admission_ask ask_for(const struct choice *c,
 				    const struct target *t, int64_t wait_ms)
 {
@@ -106,10 +114,10 @@
 		.weight = rq->owner->organisation->weight,
 		.target = t->id,
 		.priority = (int)rq->priority,
-		.prompt_tokens = rq->work.prompt_tokens,
-		.history_tokens = rq->work.history_tokens,
-		.output_tokens = rq->work.output_tokens,
-		.home = is_home(c, t),
+		.work = rq->work.prompt_tokens + rq->work.output_tokens,
+		.reuse = is_home(c, t) ? rq->work.history_tokens : 0,
+		.reuse_age_ms = hint_age_ms(rq),
+		.last = c->last,
 		.deadline_ms = request_until(rq),
 		.wait_until_ms = wait_ms ? time_mono_ms() + wait_ms : 0,
 	};
@@ -121,7 +129,9 @@
 	size_t i = c->refused_count;
 
 	c->rq->retry_at_ms = time_now_ms() + no->retry_at_ms - time_mono_ms();
-	if (no->why == REFUSAL_NOT_HERE || i >= TRIES_MAX)
+	c->astray =
+		no->why == REFUSAL_NOT_HERE || no->why == REFUSAL_TARGET_GONE;
+	if (c->astray || i >= TRIES_MAX)
 		return;
 	for (; i > 0 && c->refused[i - 1].load > no->load; i--)
 		c->refused[i] = c->refused[i - 1];
@@ -145,7 +155,7 @@
 	c->attempts++;
 	e = relay_open(rq, t, NULL, out);
 	if (e != RAMP_OK)
-		admission_leave(rq->node->admission, &rq->grant);
+		admission_leave(rq->node->admission, &rq->grant, -1);
 	return e;
 }
 
@@ -244,6 +254,7 @@
 	enum ramp_error e = RAMP_ERR_OVERLOADED;
 
 	memcpy(again, c->refused, sizeof(again));
+	c->last = true;
 	for (size_t i = 0; i < n; i++) {
 		int before = c->attempts;
 
@@ -289,6 +300,6 @@
 			return e;
 	}
 	if (c.refused_count)
-		return try_refused(&c, out);
-	return c.attempts ? e : try_alone(&c, out);
+		e = try_refused(&c, out);
+	return e != RAMP_OK && c.astray && !c.attempts ? try_alone(&c, out) : e;
 }
--- a/node/forward.c
+++ b/node/forward.c
@@ -14,10 +14,10 @@
 #define H_POOL         "Ramp-Pool"
 #define H_ORGANISATION "Ramp-Organisation"
 #define H_WEIGHT       "Ramp-Weight"
-#define H_PROMPT       "Ramp-Prompt-Tokens"
-#define H_HISTORY      "Ramp-History-Tokens"
-#define H_OUTPUT       "Ramp-Output-Tokens"
-#define H_HOME         "Ramp-Home"
+#define H_WORK         "Ramp-Work"
+#define H_REUSE        "Ramp-Reuse"
+#define H_REUSE_AGE    "Ramp-Reuse-Age"
+#define H_LAST         "Ramp-Last"
 #define H_WAIT         "Ramp-Wait-Until"
 #define H_REFUSAL      "Ramp-Refusal"
 #define H_LOAD         "Ramp-Load"
@@ -29,6 +29,7 @@
 	struct fleet *fleet;
 	const struct target *target;
 	struct admission_grant grant;
+	int64_t reused; /* tokens; -1: not heard of yet */
 	struct pull *pull;
 	void *arena;
 };
@@ -59,10 +60,10 @@
 	h[0] = talloc_asprintf(arena, H_POOL ": %s", q->pool);
 	h[1] = talloc_asprintf(arena, H_ORGANISATION ": %s", q->organisation);
 	h[2] = talloc_asprintf(arena, H_WEIGHT ": %s", weight);
-	h[3] = int_header(arena, H_PROMPT, q->prompt_tokens);
-	h[4] = int_header(arena, H_HISTORY, q->history_tokens);
-	h[5] = int_header(arena, H_OUTPUT, q->output_tokens);
-	h[6] = int_header(arena, H_HOME, q->home);
+	h[3] = int_header(arena, H_WORK, q->work);
+	h[4] = int_header(arena, H_REUSE, q->reuse);
+	h[5] = int_header(arena, H_REUSE_AGE, q->reuse_age_ms);
+	h[6] = int_header(arena, H_LAST, q->last);
 	h[7] = int_header(arena, H_WAIT, to_wall(q->wait_until_ms));
 	return h;
 }
@@ -128,10 +129,10 @@
 		.weight = MAX(g_ascii_strtod(header(q, H_WEIGHT), NULL), 0.01),
 		.target = id,
 		.priority = (int)header_int(q, "Priority"),
-		.prompt_tokens = header_int(q, H_PROMPT),
-		.history_tokens = header_int(q, H_HISTORY),
-		.output_tokens = header_int(q, H_OUTPUT),
-		.home = header_int(q, H_HOME) != 0,
+		.work = header_int(q, H_WORK),
+		.reuse = header_int(q, H_REUSE),
+		.reuse_age_ms = header_int(q, H_REUSE_AGE),
+		.last = header_int(q, H_LAST) != 0,
 		.deadline_ms = to_mono(header_int(q, "Deadline")),
 		.wait_until_ms = to_mono(header_int(q, H_WAIT)),
 	};
@@ -180,6 +181,7 @@
 	GByteArray *b = pull_bytes(pa->pull);
 	int64_t silence = pa->node->set.streams_silence_ms * SILENCE_FACTOR;
 	enum pull_event ev = pull_wait(pa->pull, time_mono_ms() + silence);
+	int64_t reused;
 	size_t n;
 
 	(void)off;
@@ -187,6 +189,9 @@
 		return U_STREAM_END;
 	if (ev != PULL_DATA)
 		return U_STREAM_ERROR;
+	reused = admission_read_reused((struct str){(char *)b->data, b->len});
+	if (reused >= 0)
+		pa->reused = reused;
 	n = MIN(max, b->len);
 	memcpy(buf, b->data, n);
 	g_byte_array_remove_range(b, 0, (guint)n);
@@ -199,7 +204,7 @@
 
 	if (pa->pull)
 		pull_close(pa->pull);
-	admission_leave(pa->node->admission, &pa->grant);
+	admission_leave(pa->node->admission, &pa->grant, pa->reused);
 	fleet_unref(pa->fleet);
 	atomic_fetch_sub(&pa->node->running, 1);
 	talloc_free(pa->arena);
@@ -266,6 +271,7 @@
 	pa = talloc_zero(arena, struct passage);
 	pa->arena = arena;
 	pa->node = node;
+	pa->reused = -1;
 	pa->fleet = node_fleet(node);
 	pa->target = pa->fleet && name ? fleet_target(pa->fleet, name) : NULL;
 	g_free(name);
--- a/node/node.h
+++ b/node/node.h
@@ -196,6 +196,7 @@
 	bool gone;     /* the caller has left */
 	struct work work;
 	struct admission_grant grant; /* while the work runs */
+	int64_t reused_tokens;        /* as the target said; -1: nothing yet */
 	struct hint hint;             /* target 0: the caller brought none */
 	int64_t retry_at_ms;          /* wall clock; 0: nobody said */
 	struct call_claim *claim;     /* or NULL */
--- a/node/relay.c
+++ b/node/relay.c
@@ -259,6 +259,10 @@
 /* The run in progress has come to event number next; is it the same answer? */
 static enum taken compare(struct relay *rl, const struct sse_event *e)
 {
+	int64_t reused = admission_read_reused(e->data);
+
+	if (reused >= 0)
+		rl->rq->reused_tokens = reused;
 	rl->taken_hash = hash_event(e->data, rl->taken_hash);
 	rl->next++;
 	rl->moved = true;
--- a/node/request.c
+++ b/node/request.c
@@ -66,6 +66,7 @@
 	metric_set(M_REQUESTS_RUNNING, atomic_load(&n->running));
 	*out = rq;
 	rq->arena = arena;
+	rq->reused_tokens = -1;
 	rq->node = n;
 	rq->caller_fd = server_caller_fd();
 	rq->id = new_id(arena);
@@ -94,7 +95,7 @@
 	struct node *n = rq->node;
 
 	claims_end(rq, RAMP_ERR_OUTCOME_UNKNOWN, NULL);
-	admission_leave(n->admission, &rq->grant);
+	admission_leave(n->admission, &rq->grant, rq->reused_tokens);
 	config_unref(rq->config);
 	fleet_unref(rq->fleet);
 	talloc_free(rq->arena);
