--- a/state/test-fake.c
+++ b/state/test-fake.c
@@ -4,11 +4,6 @@
 
 #define PAGE_ROWS 1000
 
-struct version {
-	int64_t revision;
-	json_t *value; /* NULL: deleted */
-};
-
 struct event {
 	int64_t at_ms;
 	uint64_t number;
@@ -52,17 +47,6 @@
 	return x->number < y->number ? -1 : x->number > y->number;
 }
 
-static int compare_keys(const void *a, const void *b, void *unused)
-{
-	(void)unused;
-	return strcmp(a, b);
-}
-
-static void clear_version(void *p)
-{
-	json_decref(((struct version *)p)->value);
-}
-
 static void add_event(struct fake *f, int p, int64_t at_ms, fake_fn *fn,
 		      void *arg)
 {
@@ -135,59 +119,6 @@
 	f->now_ms = MAX(f->now_ms, until_ms);
 }
 
-static const struct version *version_at(const GArray *a, int64_t revision)
-{
-	for (guint i = a->len; i-- > 0;) {
-		const struct version *v = &g_array_index(a, struct version, i);
-
-		if (v->revision <= revision)
-			return v->value ? v : NULL;
-	}
-	return NULL;
-}
-
-static const struct version *newest(const struct fake *f, const char *key)
-{
-	const GArray *a = g_tree_lookup(f->rows, key);
-
-	return a ? version_at(a, f->revision) : NULL;
-}
-
-json_t *fake_row(const struct fake *f, const char *key)
-{
-	const struct version *v = newest(f, key);
-
-	return v ? v->value : NULL;
-}
-
-static void write_row(struct fake *f, const char *key, json_t *value)
-{
-	GArray *a = g_tree_lookup(f->rows, key);
-	struct version v = {f->revision, json_incref(value)};
-
-	if (!a) {
-		a = g_array_new(FALSE, FALSE, sizeof(struct version));
-		g_array_set_clear_func(a, clear_version);
-		g_tree_insert(f->rows, g_strdup(key), a);
-	}
-	g_array_append_val(a, v);
-}
-
-void fake_seed(struct fake *f, const json_t *rows)
-{
-	const char *key;
-	json_t *v;
-
-	f->revision++;
-	json_object_foreach ((json_t *)rows, key, v)
-		write_row(f, key, v);
-}
-
-void fake_delete(struct fake *f, const char *key)
-{
-	write_row(f, key, NULL);
-}
-
 static void do_txn(struct call *c)
 {
 	struct fake *f = c->proc->fake;
@@ -196,8 +127,8 @@
 
 	f->writes++;
 	json_array_foreach (json_object_get(c->txn, "checks"), i, x) {
-		const struct version *v =
-			newest(f, json_string_value(json_object_get(x, "key")));
+		const struct fake_version *v = fake_newest(
+			f, json_string_value(json_object_get(x, "key")));
 
 		if (json_integer_value(json_object_get(x, "version")) ==
 		    (v ? v->revision : 0))
@@ -208,10 +139,10 @@
 	}
 	f->revision++;
 	json_array_foreach (json_object_get(c->txn, "puts"), i, x)
-		write_row(f, json_string_value(json_object_get(x, "key")),
-			  json_object_get(x, "value"));
+		fake_write(f, json_string_value(json_object_get(x, "key")),
+			   json_object_get(x, "value"));
 	json_array_foreach (json_object_get(c->txn, "deletes"), i, x)
-		write_row(f, json_string_value(x), NULL);
+		fake_write(f, json_string_value(x), NULL);
 	c->json = json_pack("{s:I}", "revision", f->revision);
 }
 
@@ -225,7 +156,7 @@
 static gboolean scan_row(void *key, void *value, void *ctx)
 {
 	struct scan *s = ctx;
-	const struct version *v = version_at(value, s->revision);
+	const struct fake_version *v = fake_version_at(value, s->revision);
 
 	if (!g_str_has_prefix(key, s->call->name))
 		return strcmp(key, s->call->name) > 0;
@@ -520,8 +451,7 @@
 	f->faults.delay_max_ms = 5;
 	f->faults.timeout_ms = 2000;
 	f->events = g_sequence_new(g_free);
-	f->rows = g_tree_new_full(compare_keys, NULL, g_free,
-				  (GDestroyNotify)g_array_unref);
+	f->rows = fake_rows_new();
 	f->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   (GDestroyNotify)g_bytes_unref);
 	f->instances = json_array();
--- a/state/test-fake.h
+++ b/state/test-fake.h
@@ -74,4 +74,16 @@
 /* Present value of a row, or NULL; borrowed. */
 json_t *fake_row(const struct fake *f, const char *key);
 
+/* test-rows.c: used by the fake itself. */
+struct fake_version {
+	int64_t revision;
+	json_t *value; /* NULL: deleted */
+};
+
+GTree *fake_rows_new(void);
+/* The version that a revision shows, or NULL. */
+const struct fake_version *fake_version_at(const GArray *a, int64_t revision);
+const struct fake_version *fake_newest(const struct fake *f, const char *key);
+void fake_write(struct fake *f, const char *key, json_t *value);
+
 #endif
