--- /dev/null
+++ b/node/peers.c
@@ -0,0 +1,34 @@
+#include "node/node.h"
+
+static bool admits(const struct peer *p, bool leaving)
+{
+	return p->leaving == leaving && p->state != MEMBER_DEAD &&
+	       p->state != MEMBER_LEFT;
+}
+
+static const struct peer *first_of(const struct fleet *f, uint64_t target,
+				   bool leaving)
+{
+	uint64_t *ids = g_newa(uint64_t, f->peers->len + 1);
+	const struct peer **nodes =
+		g_newa(const struct peer *, f->peers->len + 1);
+	size_t n = 0;
+
+	for (guint i = 0; i < f->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(f->peers, i);
+
+		if (!admits(p, leaving))
+			continue;
+		nodes[n] = p;
+		ids[n++] = p->id;
+	}
+	return n ? nodes[route_admitter(target, ids, n)] : NULL;
+}
+
+const struct peer *peer_admitter(const struct fleet *f, uint64_t target)
+{
+	const struct peer *p = first_of(f, target, false);
+
+	/* The last node of a fleet serves its callers to the end. */
+	return p ? p : first_of(f, target, true);
+}
