--- a/bench/bench-route.h
+++ b/bench/bench-route.h
@@ -25,12 +25,12 @@
 	const char *suffix; /* "_9" */
 	size_t engines;     /* at the start; as many again may join */
 	size_t nodes;
-	uint32_t organisations;
 	double rate; /* requests a second for each engine */
 	int64_t warm_ms;
 	int64_t run_ms;
 	int64_t churn_ms; /* between losses and joins; 0: none */
-	bool hints;       /* callers bring back what answers gave them */
+	uint32_t organisations;
+	bool hints; /* callers bring back what answers gave them */
 };
 
 /* A prefix held by an engine, in the engine's list by last use. */
