mk: count the tests that are shell scripts

Cause: results of scripts were kept under names that begin with a dot, which the counting glob passes over, so the demo and the 19 cases of rampctl ran in every `make test` and their verdicts counted for nothing. `make proof` found it: it calls a test that no result names "not run".

Change: the names lose their "./"; the runner fails when a program that was to run has left no result.

Ruled out: that those tests were red all along; their kept results say ok.

--- a/Makefile
+++ b/Makefile
@@ -40,11 +40,19 @@
 	@$(MAKE) --no-print-directory -j all >/dev/null
 	@mk/bench.sh
 
+# Write docs/MEASURED.md from the rows of the last bench.
+measured:
+	@mk/measured.sh
+
 capacity: setup
 	@$(MAKE) --no-print-directory -j all >/dev/null
 	@bench/capacity.sh
 
+proof: setup
+	@$(MAKE) --no-print-directory -j all >/dev/null
+	@bench/proof.sh
+
 clean:
 	rm -rf build bin demo/run
 
-.PHONY: all setup demo test lint format gen bench capacity clean
+.PHONY: all setup demo test lint format gen bench measured capacity proof clean
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -35,5 +35,5 @@
 	plot "build/capacity.plot" using 1:2 with linespoints title "4,096 B/s, busiest second", \
 	     "" using 1:3 with linespoints title "2.5% of a core", \
 	     "" using 1:4 with linespoints title "64 MB", \
-	     100 with lines dashtype 2 title "limit"
+	     "" using 1:(100) with linespoints title "limit"
 EOF
--- a/mk/test.sh
+++ b/mk/test.sh
@@ -11,19 +11,27 @@
 mkdir -p "$out"
 programs=$(
 	find build -mindepth 2 -maxdepth 2 -name 'test-*' -type f -perm -u+x
-	find . -mindepth 2 -maxdepth 2 -name 'test-*.sh' -perm -u+x
+	find . -mindepth 2 -maxdepth 2 -name 'test-*.sh' -perm -u+x | sed 's,^./,,'
 )
 [ $# -gt 0 ] && programs=$(printf '%s\n' "$programs" | grep -E "$1")
 
 run_one() {
 	name=$(echo "$1" | tr '/' '_')
-	timeout -k 5 "$limit_s" "$1" >"$out/$name.tap" 2>"$out/$name.err"
+	timeout -k 5 "$limit_s" "./$1" >"$out/$name.tap" 2>"$out/$name.err"
 	echo $? >"$out/$name.rc"
 }
 export -f run_one
 export out limit_s
 printf '%s\n' "$programs" | sort | xargs -P "$jobs" -I{} bash -c 'run_one {}'
 
+# Every program that was to run must have left a result.
+want=$(printf '%s\n' "$programs" | grep -c .)
+have=$(find "$out" -name '*.rc' ! -name '.*' | wc -l)
+[ "$want" = "$have" ] || {
+	echo "$have results of $want test programs"
+	exit 1
+}
+
 passed=0
 failed=0
 known=0
