node: give a streamed answer on in blocks of 1 KB

libmicrohttpd keeps the block for the life of the answer, and an event, which is given on by itself, is far shorter.

--- a/node/chat.c
+++ b/node/chat.c
@@ -4,7 +4,8 @@
 
 #include "node/claims.h"
 
-#define BLOCK_BYTES 4096
+#define BLOCK_BYTES 1024 /* of an answer, given on at once; an event is less   \
+			  */
 
 /* The answer of a chat is not stored for a repeat: it may be long. */
 static const struct claim_answer not_kept = {.status = 200};
