--- a/http/pull.c
+++ b/http/pull.c
@@ -7,7 +7,7 @@
 
 #define POOL_MAX      256
 #define POOLED_AGE_S  5L /* a pooled connection is dropped after this */
-#define RECEIVE_BYTES 4096L
+#define RECEIVE_BYTES 2048L
 #define BUFFERED_MAX  (256 * 1024)
 #define WAIT_MAX_MS   60000
 
