--- a/http/pull.c
+++ b/http/pull.c
@@ -16,8 +16,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	GByteArray *bytes;
-	GHashTable *answer_headers; /* lower-case name -> value */
-	int watched;                /* descriptor, or -1 */
+	int watched; /* descriptor, or -1 */
 	bool paused;
 	bool headers_done; /* of the last answer, after any 1xx */
 	bool ended;
@@ -72,25 +71,17 @@
 	return size * n;
 }
 
+/* libcurl keeps the headers; only their end is taken note of. */
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct pull *p = arg;
-	char *line = g_strndup(data, size * n);
-	char *colon = strchr(line, ':');
+	size_t len = size * n;
 
-	if (g_str_has_prefix(line, "HTTP/")) {
-		g_hash_table_remove_all(p->answer_headers);
+	if (len >= 5 && !memcmp(data, "HTTP/", 5))
 		p->headers_done = false;
-	} else if (!*g_strchomp(line)) {
+	else if (len <= 2 && (data[0] == '\r' || data[0] == '\n'))
 		p->headers_done = true;
-	} else if (colon) {
-		*colon = '\0';
-		g_hash_table_replace(p->answer_headers,
-				     g_ascii_strdown(line, -1),
-				     g_strdup(g_strstrip(colon + 1)));
-	}
-	g_free(line);
-	return size * n;
+	return len;
 }
 
 struct pull *pull_open(const struct pull_request *q)
@@ -101,8 +92,6 @@
 	p->watched = -1;
 	p->easy = curl_easy_init();
 	p->bytes = g_byte_array_new();
-	p->answer_headers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (const char *const *h = q->headers; h && *h; h++)
 		p->headers = curl_slist_append(p->headers, *h);
 	p->headers = curl_slist_append(p->headers, "Expect:");
@@ -224,11 +213,16 @@
 
 const char *pull_header(const struct pull *p, const char *name)
 {
-	char *lower = g_ascii_strdown(name, -1);
-	const char *v = g_hash_table_lookup(p->answer_headers, lower);
+	struct curl_header *h;
 
-	g_free(lower);
-	return v;
+	if (curl_easy_header(p->easy, name, 0, CURLH_HEADER, -1, &h) !=
+	    CURLHE_OK)
+		return NULL;
+	/* Of several with one name the last counts. */
+	if (h->amount > 1)
+		curl_easy_header(p->easy, name, h->amount - 1, CURLH_HEADER, -1,
+				 &h);
+	return h->value;
 }
 
 GByteArray *pull_bytes(struct pull *p)
@@ -254,6 +248,5 @@
 	give_multi(p->multi);
 	curl_slist_free_all(p->headers);
 	g_byte_array_unref(p->bytes);
-	g_hash_table_unref(p->answer_headers);
 	g_free(p);
 }
