node: name the new target within a stream that was run anew

Ramp-Resume, sent before the first event, went on naming the first target, so an answer that was run anew was lost with its entry. The relay now reports a change of target as soon as the new one has begun, and the stream then holds ': resume IDENTITY', a comment that clients may pass over. sse_next hands out comments; both callers take the identity. A header can't be sent in mid-stream, and an event of its own would reach clients that don't expect it. /streams/engine-and-entry-killed kills the engine, then the entry. With the comment taken out it fails: 750 words come without a new identity.

--- a/http/http.h
+++ b/http/http.h
@@ -148,14 +148,16 @@
 struct sse_event {
 	struct str id;
 	struct str data;
+	struct str comment; /* the last whole comment line before its end */
 };
 
 /*
- * Take the next whole event from the front of n bytes. Comment lines and
- * unknown fields are passed over; of several data lines the last one counts,
- * as no system here sends more.
+ * Take the next whole event from the front of n bytes. Unknown fields are
+ * passed over; of several data or comment lines the last one counts, as no
+ * system here sends more.
  *
- * Return: the bytes used, or 0 when there is no whole event yet.
+ * Return: the bytes used, or 0 when there is no whole event yet; the comment
+ * is set in either case.
  */
 size_t sse_next(const char *buf, size_t n, struct sse_event *out);
 
--- a/http/sse.c
+++ b/http/sse.c
@@ -41,6 +41,8 @@
 		if (field(line, len, "id", &out->id) ||
 		    field(line, len, "data", &out->data))
 			any = true;
+		else
+			field(line, len, "", &out->comment);
 	}
 	return 0;
 }
--- a/node/chat.c
+++ b/node/chat.c
@@ -4,8 +4,9 @@
 
 #include "node/claims.h"
 
-#define BLOCK_BYTES 1024 /* of an answer, given on at once; an event is less   \
-			  */
+#define BLOCK_BYTES                                                            \
+	1024 /* of an answer, given on at once; an event is less               \
+	      */
 
 /* The answer of a chat is not stored for a repeat: it may be long. */
 static const struct claim_answer not_kept = {.status = 200};
@@ -14,6 +15,7 @@
 struct stream {
 	struct request *rq;
 	struct relay *relay;
+	const struct target *named; /* by the identity that the caller has */
 	GString *out;
 	size_t off;
 	bool ended;
@@ -74,6 +76,32 @@
 	json_decref(j);
 }
 
+/* With which the caller gets the rest of this answer from any entry. */
+static char *identity(struct request *rq, const struct target *t)
+{
+	struct resume s = {
+		.organisation = rq->owner->organisation->name,
+		.service = rq->service->name,
+		.target = t->name,
+		.address = t->address,
+		.request = rq->id.data,
+		.deadline_ms = rq->deadline_ms,
+	};
+
+	return resume_seal(rq->arena, rq->node->resume_key, &s);
+}
+
+/* A comment, which clients that don't know of it pass over. */
+static void append_identity(struct stream *s)
+{
+	const struct target *t = relay_target(s->relay);
+
+	if (t == s->named)
+		return;
+	s->named = t;
+	g_string_append_printf(s->out, ": resume %s\n\n", identity(s->rq, t));
+}
+
 static void fill(struct stream *s)
 {
 	struct sse_event e;
@@ -83,7 +111,9 @@
 	s->off = 0;
 	err = relay_next(s->relay, &e, &s->ended);
 	if (err == RAMP_OK) {
-		append_event(s->out, &e);
+		append_identity(s);
+		if (e.data.data)
+			append_event(s->out, &e);
 		return;
 	}
 	log_event(EV_STREAM_LOST, "request=" STR_FMT " error=%s",
@@ -138,22 +168,11 @@
 	u_map_put(r->map_header, "Ramp-Hint", text);
 }
 
-/* With which the caller gets the rest of this answer from any entry. */
 static void put_identity(struct request *rq, const struct target *t,
 			 struct _u_response *r)
 {
-	struct resume s = {
-		.organisation = rq->owner->organisation->name,
-		.service = rq->service->name,
-		.target = t->name,
-		.address = t->address,
-		.request = rq->id.data,
-		.deadline_ms = rq->deadline_ms,
-	};
-
 	u_map_put(r->map_header, "Ramp-Request", rq->id.data);
-	u_map_put(r->map_header, "Ramp-Resume",
-		  resume_seal(rq->arena, rq->node->resume_key, &s));
+	u_map_put(r->map_header, "Ramp-Resume", identity(rq, t));
 }
 
 int answer_stream(struct request *rq, struct relay *rl, struct _u_response *r)
@@ -162,6 +181,7 @@
 
 	s->rq = rq;
 	s->relay = rl;
+	s->named = relay_target(rl);
 	s->out = g_string_new(NULL);
 	u_map_put(r->map_header, "Content-Type", "text/event-stream");
 	put_identity(rq, relay_target(rl), r);
@@ -212,8 +232,10 @@
 	enum ramp_error err;
 	bool ended = false;
 
-	while ((err = relay_next(rl, &e, &ended)) == RAMP_OK && !ended)
-		collect(text, &last, &e);
+	while ((err = relay_next(rl, &e, &ended)) == RAMP_OK && !ended) {
+		if (e.data.data)
+			collect(text, &last, &e);
+	}
 	relay_close(rl);
 	if (err != RAMP_OK) {
 		request_refuse(rq, r, err, NULL);
--- a/node/node.h
+++ b/node/node.h
@@ -308,6 +308,7 @@
  * broken connection is replaced and the answer resumed. If the target has lost
  * the answer and the service is idempotent, the request runs anew elsewhere,
  * and the new answer is gone on with only if it starts with what was given out.
+ * As soon as the new target has begun, an event without data (NULL) says so.
  *
  * Return: RAMP_OK; *ended is set at the end of the answer. Any other kind
  * ends the relay.
--- a/node/relay.c
+++ b/node/relay.c
@@ -410,6 +410,7 @@
 
 enum ramp_error relay_next(struct relay *rl, struct sse_event *e, bool *ended)
 {
+	const struct target *from = rl->target;
 	enum ramp_error err = RAMP_OK;
 
 	*ended = false;
@@ -424,6 +425,11 @@
 		}
 		if (taken != TAKEN_PASSED || rl->different)
 			err = more(rl, taken);
+		/* Said at once: this node may die before it has caught up. */
+		if (err == RAMP_OK && rl->target != from) {
+			memset(e, 0, sizeof(*e));
+			return RAMP_OK;
+		}
 	}
 	return err;
 }
--- a/node/test-caller.c
+++ b/node/test-caller.c
@@ -147,6 +147,17 @@
 	json_decref(j);
 }
 
+/* ": resume IDENTITY", after a run anew on another engine. */
+static void take_identity(struct ask *a, const struct sse_event *e)
+{
+	size_t n = strlen("resume ");
+
+	if (e->comment.len <= n || memcmp(e->comment.data, "resume ", n))
+		return;
+	g_free(a->resume);
+	a->resume = g_strndup(e->comment.data + n, e->comment.len - n);
+}
+
 void ask_read(struct ask *a, int64_t words)
 {
 	GByteArray *b = pull_bytes(a->pull);
@@ -156,6 +167,7 @@
 
 	while (a->words < words && !a->done && !a->outcome) {
 		n = sse_next((char *)b->data, b->len, &e);
+		take_identity(a, &e);
 		if (n) {
 			take(a, &e);
 			g_byte_array_remove_range(b, 0, (guint)n);
--- a/node/test-streams.c
+++ b/node/test-streams.c
@@ -255,6 +255,46 @@
 	}
 }
 
+/*
+ * The first engine dies in mid-answer, then the entry: the identity that came
+ * within the stream leads another entry to the second engine.
+ */
+static void test_engine_and_entry_killed(void)
+{
+	struct rig *g = rig_started(2, 2);
+	struct ask *a =
+		ask_open(g->nodes[0].port, "assistant", "both", 5 * TOKENS);
+	char *first = g_strdup(a->resume);
+	struct proc *at_work, *other;
+
+	ask_read(a, SOME);
+	at_work = engine_at_work(g);
+	other = at_work == &g->engines[0] ? &g->engines[1] : &g->engines[0];
+	/* So that it is still at work as the entry dies. */
+	proc_faults(other, "{\"slow\":20}");
+	proc_signal(at_work, SIGKILL);
+	proc_wait(at_work);
+	while (!strcmp(a->resume, first)) {
+		int64_t before = a->words;
+
+		ask_read(a, before + 1);
+		g_assert_cmpint(a->words, ==, before + 1);
+	}
+	proc_signal(&g->nodes[0], SIGKILL);
+	proc_wait(&g->nodes[0]);
+	ask_read(a, 5 * TOKENS); /* what is still on its way */
+	g_assert_cmpint(a->words, <, 5 * TOKENS);
+	proc_faults(other, "{\"slow\":1}");
+	ask_resume(a, g->nodes[1].port, "key-recif");
+	g_assert_cmpint(a->status, ==, 200);
+	ask_read(a, 5 * TOKENS + 1);
+	assert_whole(a, 5 * TOKENS);
+	g_assert_cmpint(rig_runs(g), ==, 1);
+	g_free(first);
+	ask_free(a);
+	rig_free(g);
+}
+
 /* A caller that leaves ends the work at the engine. */
 static void test_caller_leaves(void)
 {
@@ -355,6 +395,8 @@
 	g_test_add_func("/streams/all-down", test_all_down);
 	g_test_add_func("/streams/blackhole", test_blackhole);
 	g_test_add_func("/streams/engine-killed", test_engine_killed);
+	g_test_add_func("/streams/engine-and-entry-killed",
+			test_engine_and_entry_killed);
 	g_test_add_func("/streams/caller-leaves", test_caller_leaves);
 	g_test_add_func("/streams/caller-leaves-early",
 			test_caller_leaves_early);
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -170,14 +170,28 @@
 	json_decref(j);
 }
 
+/* ": resume IDENTITY", after a run anew on another engine. */
+static void read_identity(struct answer *a, const struct sse_event *e)
+{
+	size_t n = strlen("resume ");
+
+	if (e->comment.len <= n || memcmp(e->comment.data, "resume ", n))
+		return;
+	g_free(a->resume);
+	a->resume = g_strndup(e->comment.data + n, e->comment.len - n);
+}
+
 static void read_events(struct answer *a, struct pull *p)
 {
 	GByteArray *b = pull_bytes(p);
 	struct sse_event e;
 	size_t used;
 
-	while (!a->done && !a->broken &&
-	       (used = sse_next((char *)b->data, b->len, &e))) {
+	while (!a->done && !a->broken) {
+		used = sse_next((char *)b->data, b->len, &e);
+		read_identity(a, &e);
+		if (!used)
+			return;
 		read_event(a, &e);
 		g_byte_array_remove_range(b, 0, (guint)used);
 	}
