--- a/bench/bench-route.c
+++ b/bench/bench-route.c
@@ -13,15 +13,46 @@
 #define REUSE_CHURN 0.90
 
 static const struct shape shapes[] = {
-	{"_9", 9, 9, 10, 12.5, 60000, 240000, 0, true},
-	{"_9", 9, 9, 10, 12.5, 60000, 240000, 40000, true},
-	{"_600", 600, 370, 460, 12.5, 40000, 20000, 0, true},
-	{"_600", 600, 370, 460, 12.5, 40000, 40000, 12000, true},
+	{.suffix = "_9",
+	 .engines = 9,
+	 .nodes = 9,
+	 .organisations = 10,
+	 .rate = 12.5,
+	 .warm_ms = 60000,
+	 .run_ms = 240000,
+	 .hints = true},
+	{.suffix = "_9",
+	 .engines = 9,
+	 .nodes = 9,
+	 .organisations = 10,
+	 .rate = 12.5,
+	 .warm_ms = 60000,
+	 .run_ms = 240000,
+	 .churn_ms = 40000,
+	 .hints = true},
+	{.suffix = "_600",
+	 .engines = 600,
+	 .nodes = 370,
+	 .organisations = 460,
+	 .rate = 12.5,
+	 .warm_ms = 40000,
+	 .run_ms = 20000,
+	 .hints = true},
+	{.suffix = "_600",
+	 .engines = 600,
+	 .nodes = 370,
+	 .organisations = 460,
+	 .rate = 12.5,
+	 .warm_ms = 40000,
+	 .run_ms = 40000,
+	 .churn_ms = 12000,
+	 .hints = true},
 };
 
 static const struct way *const ways[] = {
-	&way_oracle,      &way_admit,          &way_p2c, &way_random, &way_hash,
-	&way_round_robin, &way_least_reported,
+	&way_oracle, &way_admit,       &way_p2c,
+	&way_shares, &way_credits,     &way_random,
+	&way_hash,   &way_round_robin, &way_least_reported,
 };
 
 #define WAYS G_N_ELEMENTS(ways)
