http: mark a connection's state without a lock

Each request took the lock of the server's connection table three times, from as many threads as there are callers.

--- a/http/idle.c
+++ b/http/idle.c
@@ -25,9 +25,9 @@
 struct conn {
 	struct idle *idle;
 	int fd;
-	int64_t since_ms; /* monotonic; the last sign of life */
-	int unsent;       /* bytes of answer that the peer hasn't taken */
-	bool handling;    /* the server is at work on a request */
+	_Atomic int64_t since_ms; /* monotonic; the last sign of life */
+	int unsent;           /* bytes of answer that the peer hasn't taken */
+	atomic_bool handling; /* the server is at work on a request */
 };
 
 /* Each connection has its own thread. */
@@ -123,10 +123,10 @@
 
 static void set_handling(struct conn *c, bool handling)
 {
-	g_mutex_lock(&c->idle->lock);
-	c->handling = handling;
+	/* In this order: work that ends must not look silent since its start.
+	 */
 	c->since_ms = time_mono_ms();
-	g_mutex_unlock(&c->idle->lock);
+	c->handling = handling;
 }
 
 void idle_request(struct conn *c)
