--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -23,6 +23,7 @@
 	{ 4008, LOG_ERROR, "secret_unreadable" },
 	{ 4009, LOG_INFO, "answer_adopted" },
 	{ 5101, LOG_WARNING, "admitter_unreachable" },
+	{ 5201, LOG_WARNING, "limit_fallback" },
 	{ 6001, LOG_WARNING, "peer_refused" },
 	{ 6002, LOG_INFO, "order_sent" },
 	{ 6003, LOG_WARNING, "order_stale" },
--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -49,4 +49,8 @@
 	  "Requests admitted to a target by this node." },
 	{ "ramp_admission_refusals_total", "counter",
 	  "Requests refused room at a target by this node." },
+	{ "ramp_limit_refusals_total", "counter",
+	  "Requests refused because their organisation was over a declared limit." },
+	{ "ramp_limit_pools", "gauge",
+	  "Organisations whose limits this node holds for the fleet." },
 };
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -5,6 +5,7 @@
 #include <sodium.h>
 #include <stdio.h>
 
+#include "node/limits.h"
 #include "node/spread.h"
 
 #define DRAIN_POLL_MS  20
@@ -20,6 +21,7 @@
 	{"GET", "/internal/changes", on_peer_changes},
 	{"GET", "/internal/config", on_peer_config},
 	{"GET", "/internal/instances", on_peer_instances},
+	{"POST", "/internal/limits", on_peer_limits},
 	{"GET", "/metrics", on_metrics},
 	{"GET", "/ready", on_ready},
 	{"GET", "/v1/resources/:kind", on_resource_list},
@@ -154,5 +156,6 @@
 	n.target_events = g_async_queue_new();
 	n.admission = admission_new(randombytes_random());
 	n.health = health_new(randombytes_random());
+	n.limits = limits_new(randombytes_random());
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
--- a/node/chat.c
+++ b/node/chat.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "node/claims.h"
+#include "node/limits.h"
 
 #define BLOCK_BYTES 4096
 
@@ -287,6 +288,8 @@
 
 	if (e == RAMP_OK)
 		e = read_chat(rq, q, &why);
+	if (e == RAMP_OK)
+		e = limits_enter(rq);
 	if (e == RAMP_OK)
 		e = claim_chat(rq, q, r, &stored);
 	if (e == RAMP_OK && stored) {
--- a/node/control.c
+++ b/node/control.c
@@ -9,8 +9,8 @@
 
 /* One row for each part of control; started in this order. */
 static const struct control_module *const modules[] = {
-	&config_module, &list_module,   &orders_module,
-	&sweep_module,  &gossip_module, &loads_module,
+	&config_module, &list_module,  &orders_module, &sweep_module,
+	&gossip_module, &loads_module, &limits_module,
 };
 
 static unsigned collect_fds(void *const *ctx, struct pollfd *fds, size_t *owner)
--- a/node/node.h
+++ b/node/node.h
@@ -78,6 +78,7 @@
 	struct resume_key *resume_key;
 	struct admission *admission;
 	struct health *health;
+	struct limits *limits;
 	GThreadPool *cancels; /* cancel.c */
 
 	/* Newest configuration revision that another node has told of. */
@@ -150,6 +151,7 @@
 extern const struct control_module sweep_module;  /* sweep.c */
 extern const struct control_module gossip_module; /* gossip.c */
 extern const struct control_module loads_module;  /* loads.c */
+extern const struct control_module limits_module; /* limits.c */
 
 /* control.c: the control thread; ends when stop_control is set. */
 void *control_run(void *node);
@@ -196,10 +198,11 @@
 	bool gone;     /* the caller has left */
 	struct work work;
 	struct admission_grant grant; /* while the work runs */
-	int64_t reused_tokens;        /* as the target said; -1: nothing yet */
-	struct hint hint;             /* target 0: the caller brought none */
-	int64_t retry_at_ms;          /* wall clock; 0: nobody said */
-	struct call_claim *claim;     /* or NULL */
+	bool limited;          /* counted against its organisation's limits */
+	int64_t reused_tokens; /* as the target said; -1: nothing yet */
+	struct hint hint;      /* target 0: the caller brought none */
+	int64_t retry_at_ms;   /* wall clock; 0: nobody said */
+	struct call_claim *claim; /* or NULL */
 	bool resumed; /* asks for the rest of an answer, so the work has begun
 		       */
 };
--- a/node/plain.c
+++ b/node/plain.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "node/claims.h"
+#include "node/limits.h"
 
 #define CONNECT_MS   500
 #define ATTEMPTS_MAX 3
@@ -166,6 +167,8 @@
 	    (!request_bind(rq, u_map_get(q->map_url, "service")) ||
 	     rq->service->kind != SERVICE_PLAIN))
 		e = RAMP_ERR_NOT_FOUND;
+	if (e == RAMP_OK)
+		e = limits_enter(rq);
 	if (e == RAMP_OK)
 		e = call_service(rq, q, r);
 	if (e == RAMP_OK) {
--- a/node/request.c
+++ b/node/request.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "node/claims.h"
+#include "node/limits.h"
 
 #define ID_BYTES       16
 #define RETRY_AFTER_MS 1000 /* mean; spread by half to both sides */
@@ -96,6 +97,7 @@
 
 	claims_end(rq, RAMP_ERR_OUTCOME_UNKNOWN, NULL);
 	admission_leave(n->admission, &rq->grant, rq->reused_tokens);
+	limits_leave(rq);
 	config_unref(rq->config);
 	fleet_unref(rq->fleet);
 	talloc_free(rq->arena);
