--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -159,5 +159,6 @@
 	n.admission = admission_new(randombytes_random());
 	n.health = health_new(randombytes_random());
 	n.limits = limits_new(randombytes_random());
+	n.limit_pools = limit_pools_new();
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
 }
--- /dev/null
+++ b/node/limit-pools.c
@@ -0,0 +1,219 @@
+/* The part of limits.h that holds organisations' pools for the fleet. */
+#include <sodium.h>
+#include <string.h>
+
+#include "node/limits.h"
+#include "node/spread.h"
+
+#define DIGEST_BYTES 16
+
+/* An organisation's limits, where this node holds them. */
+struct pool {
+	struct limit_pool *pool;
+	int64_t quiet_until_ms;
+};
+
+struct limit_pools {
+	GMutex lock;
+	GHashTable *pools;  /* name of an organisation -> struct pool */
+	int64_t changed_ms; /* when the live nodes last changed */
+};
+
+static void free_pool(void *p)
+{
+	struct pool *x = p;
+
+	limit_pool_free(x->pool);
+	g_free(x);
+}
+
+struct limit_pools *limit_pools_new(void)
+{
+	struct limit_pools *l = g_new0(struct limit_pools, 1);
+
+	g_mutex_init(&l->lock);
+	l->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 free_pool);
+	l->changed_ms = time_mono_ms();
+	return l;
+}
+
+void limit_pools_free(struct limit_pools *l)
+{
+	g_hash_table_unref(l->pools);
+	g_mutex_clear(&l->lock);
+	g_free(l);
+}
+
+static struct limit_rates rates_of(const struct organisation *o)
+{
+	return (struct limit_rates){(double)o->requests_per_s,
+				    (double)o->tokens_per_s,
+				    (double)o->concurrent};
+}
+
+static bool is_limited(const struct organisation *o)
+{
+	return o->requests_per_s || o->tokens_per_s || o->concurrent;
+}
+
+static bool is_holder(const struct node *n, const struct fleet *f,
+		      const char *name)
+{
+	const struct peer *p = limits_holder(f, name);
+
+	return p && !strcmp(p->name, n->set.node_name);
+}
+
+/*
+ * The lock is held. Grants of an earlier holder may be out only if the nodes
+ * have changed within a term.
+ */
+static struct pool *find_pool(struct limit_pools *l,
+			      const struct organisation *o)
+{
+	struct pool *p = g_hash_table_lookup(l->pools, o->name);
+
+	if (!p) {
+		p = g_new0(struct pool, 1);
+		p->quiet_until_ms = l->changed_ms + LIMIT_TERM_MS;
+		p->pool = limit_pool_new(rates_of(o), p->quiet_until_ms);
+		g_hash_table_insert(l->pools, g_strdup(o->name), p);
+		metric_set(M_LIMIT_POOLS, g_hash_table_size(l->pools));
+	}
+	limit_pool_declare(p->pool, rates_of(o));
+	return p;
+}
+
+/* What a node said of an organisation. */
+struct demand {
+	const char *organisation;
+	double per_s;
+	struct limit_grant held;
+	int64_t running;
+};
+
+static bool read_demand(json_t *j, int64_t now_ms, struct demand *d)
+{
+	struct limit_rates *x = &d->held.rates;
+	json_int_t left, running;
+
+	if (json_unpack(j, "[s,F,F,F,F,I,I]", &d->organisation, &d->per_s,
+			&x->requests_per_s, &x->tokens_per_s, &x->concurrent,
+			&left, &running))
+		return false;
+	d->running = running;
+	d->held.until_ms = now_ms + CLAMP(left, 0, LIMIT_TERM_MS);
+	return true;
+}
+
+/* What runs stays booked, also when the grant for it was cut or has ended. */
+static void book_running(struct demand *d, int64_t now_ms)
+{
+	if (d->running <= 0)
+		return;
+	if (d->held.until_ms <= now_ms)
+		d->held.rates = (struct limit_rates){0};
+	d->held.rates.concurrent =
+		MAX(d->held.rates.concurrent, (double)d->running);
+	d->held.until_ms = now_ms + LIMIT_TERM_MS;
+}
+
+static json_t *grant_one(struct limit_pools *l, const struct organisation *o,
+			 const char *node, struct demand *d)
+{
+	int64_t now = time_mono_ms();
+	struct pool *p = find_pool(l, o);
+	struct limit_grant g;
+
+	book_running(d, now);
+	g = limit_pool_grant(p->pool, str_hash(str_c(node), 0), d->per_s,
+			     &d->held, now, now + LIMIT_TERM_MS);
+	return json_pack("[s,f,f,f,i,b]", o->name, g.rates.requests_per_s,
+			 g.rates.tokens_per_s, g.rates.concurrent,
+			 LIMIT_TERM_MS, now < p->quiet_until_ms);
+}
+
+/* Organisations that this node doesn't hold are left out of the answer. */
+json_t *limits_grant(struct node *n, const json_t *asks)
+{
+	const char *node = json_string_value(json_object_get(asks, "node"));
+	struct config *c = node_config(n);
+	struct fleet *f = node_fleet(n);
+	json_t *out = json_array();
+	size_t i;
+	json_t *j;
+
+	g_mutex_lock(&n->limit_pools->lock);
+	json_array_foreach (json_object_get(asks, "asks"), i, j) {
+		const struct organisation *o;
+		struct demand d;
+
+		if (!node || !c || !f || !read_demand(j, time_mono_ms(), &d))
+			continue;
+		o = config_organisation(c, d.organisation);
+		if (o && is_limited(o) && is_holder(n, f, o->name))
+			json_array_append_new(
+				out, grant_one(n->limit_pools, o, node, &d));
+	}
+	g_mutex_unlock(&n->limit_pools->lock);
+	config_unref(c);
+	fleet_unref(f);
+	return json_pack("{s:o}", "grants", out);
+}
+
+/* The signature covers the body by its digest. */
+char *limits_digest(const void *data, size_t len)
+{
+	unsigned char raw[DIGEST_BYTES];
+	char hex[DIGEST_BYTES * 2 + 1];
+
+	crypto_generichash(raw, sizeof(raw), data, len, NULL, 0);
+	return g_strdup(sodium_bin2hex(hex, sizeof(hex), raw, sizeof(raw)));
+}
+
+static bool is_body_signed(const struct _u_request *q)
+{
+	const char *after = u_map_get(q->map_url, "after");
+	char *want = limits_digest(q->binary_body, q->binary_body_length);
+	bool ok = after && !strcmp(after, want) && spread_is_signed(q);
+
+	g_free(want);
+	return ok;
+}
+
+int on_peer_limits(const struct _u_request *q, struct _u_response *r,
+		   void *node)
+{
+	json_t *asks;
+
+	if (!is_body_signed(q)) {
+		log_event(EV_PEER_REFUSED, "path=%s", q->url_path);
+		return answer_json(
+			r, 403, ramp_error_json(RAMP_ERR_FORBIDDEN, NULL, 0));
+	}
+	asks = json_loadb(q->binary_body, q->binary_body_length, 0, NULL);
+	answer_json(r, 200, limits_grant(node, asks));
+	json_decref(asks);
+	return U_CALLBACK_COMPLETE;
+}
+
+static gboolean is_lost(void *name, void *unused, void *ctx)
+{
+	struct node *n = ((void **)ctx)[0];
+
+	(void)unused;
+	return !is_holder(n, ((void **)ctx)[1], name);
+}
+
+void limit_pools_look(struct node *n, struct fleet *f, int64_t now_ms)
+{
+	struct limit_pools *l = n->limit_pools;
+	void *ctx[] = {n, f};
+
+	g_mutex_lock(&l->lock);
+	l->changed_ms = now_ms;
+	g_hash_table_foreach_remove(l->pools, is_lost, ctx);
+	metric_set(M_LIMIT_POOLS, g_hash_table_size(l->pools));
+	g_mutex_unlock(&l->lock);
+}
--- a/node/limits.c
+++ b/node/limits.c
@@ -1,19 +1,16 @@
 #include "node/limits.h"
 
-#include <sodium.h>
 #include <string.h>
 
 #include "node/spread.h"
 
 #define PATH          "/internal/limits"
-#define TERM_MS       12000 /* of a grant; a lost holder is known by then */
-#define RENEW_MS      2000  /* between asks for one */
-#define CONFIRM_MS    200   /* until the holder hears that one was cut */
-#define HUNGRY_MS     500   /* between asks below an equal part */
-#define ASK_MS        1000  /* for an answer */
-#define FIRST_WAIT_MS 1500  /* a request waits for its node's first grant */
-#define DIGEST_BYTES  16
-#define EQUAL_PART    0.9 /* of a grant: less than that is less */
+#define RENEW_MS      2000 /* between asks for one */
+#define CONFIRM_MS    200  /* until the holder hears that one was cut */
+#define HUNGRY_MS     500  /* between asks below an equal part */
+#define ASK_MS        1000 /* for an answer */
+#define FIRST_WAIT_MS 1500 /* a request waits for its node's first grant */
+#define EQUAL_PART    0.9  /* of a grant: less than that is less */
 
 /* An organisation's grant at this node. */
 struct spend {
@@ -27,21 +24,13 @@
 	int64_t next_ms;   /* of the next ask */
 };
 
-/* An organisation's limits, where this node holds them. */
-struct pool {
-	struct limit_pool *pool;
-	int64_t quiet_until_ms;
-};
-
 struct limits {
 	GMutex lock;
 	GCond answered;
 	GHashTable *spends; /* name of an organisation -> struct spend */
-	GHashTable *pools;  /* likewise -> struct pool */
 	GRand *random;
 	size_t nodes;        /* live */
-	uint64_t nodes_hash; /* of their identities */
-	int64_t changed_ms;  /* when these last changed */
+	uint64_t nodes_hash; /* of their identities; the control thread's */
 };
 
 static double next_random(void *ctx)
@@ -49,14 +38,6 @@
 	return g_rand_double(ctx);
 }
 
-static void free_pool(void *p)
-{
-	struct pool *x = p;
-
-	limit_pool_free(x->pool);
-	g_free(x);
-}
-
 struct limits *limits_new(uint64_t seed)
 {
 	struct limits *l = g_new0(struct limits, 1);
@@ -65,18 +46,14 @@
 	g_cond_init(&l->answered);
 	l->spends =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	l->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 free_pool);
 	l->random = g_rand_new_with_seed((guint32)seed);
 	l->nodes = 1;
-	l->changed_ms = time_mono_ms();
 	return l;
 }
 
 void limits_free(struct limits *l)
 {
 	g_hash_table_unref(l->spends);
-	g_hash_table_unref(l->pools);
 	g_rand_free(l->random);
 	g_mutex_clear(&l->lock);
 	g_cond_clear(&l->answered);
@@ -186,152 +163,11 @@
 	g_mutex_unlock(&l->lock);
 }
 
-/* The node that holds an organisation's pool. */
-static const struct peer *holder_of(const struct fleet *f, const char *name)
+const struct peer *limits_holder(const struct fleet *f, const char *name)
 {
 	return peer_admitter(f, str_hash(str_c(name), 0));
 }
 
-static bool is_holder(const struct node *n, const struct fleet *f,
-		      const char *name)
-{
-	const struct peer *p = holder_of(f, name);
-
-	return p && !strcmp(p->name, n->set.node_name);
-}
-
-/*
- * The lock is held. Grants of an earlier holder may be out only if the nodes
- * have changed within a term.
- */
-static struct pool *find_pool(struct limits *l, const struct organisation *o)
-{
-	struct pool *p = g_hash_table_lookup(l->pools, o->name);
-
-	if (!p) {
-		p = g_new0(struct pool, 1);
-		p->quiet_until_ms = l->changed_ms + TERM_MS;
-		p->pool = limit_pool_new(rates_of(o), p->quiet_until_ms);
-		g_hash_table_insert(l->pools, g_strdup(o->name), p);
-		metric_set(M_LIMIT_POOLS, g_hash_table_size(l->pools));
-	}
-	limit_pool_declare(p->pool, rates_of(o));
-	return p;
-}
-
-/* What a node said of an organisation. */
-struct demand {
-	const char *organisation;
-	double per_s;
-	struct limit_grant held;
-	int64_t running;
-};
-
-static bool read_demand(json_t *j, int64_t now_ms, struct demand *d)
-{
-	struct limit_rates *x = &d->held.rates;
-	json_int_t left, running;
-
-	if (json_unpack(j, "[s,F,F,F,F,I,I]", &d->organisation, &d->per_s,
-			&x->requests_per_s, &x->tokens_per_s, &x->concurrent,
-			&left, &running))
-		return false;
-	d->running = running;
-	d->held.until_ms = now_ms + CLAMP(left, 0, TERM_MS);
-	return true;
-}
-
-/* What runs stays booked, also when the grant for it was cut or has ended. */
-static void book_running(struct demand *d, int64_t now_ms)
-{
-	if (d->running <= 0)
-		return;
-	if (d->held.until_ms <= now_ms)
-		d->held.rates = (struct limit_rates){0};
-	d->held.rates.concurrent =
-		MAX(d->held.rates.concurrent, (double)d->running);
-	d->held.until_ms = now_ms + TERM_MS;
-}
-
-static json_t *grant_one(struct limits *l, const struct organisation *o,
-			 const char *node, struct demand *d)
-{
-	int64_t now = time_mono_ms();
-	struct pool *p = find_pool(l, o);
-	struct limit_grant g;
-
-	book_running(d, now);
-	g = limit_pool_grant(p->pool, str_hash(str_c(node), 0), d->per_s,
-			     &d->held, now, now + TERM_MS);
-	return json_pack("[s,f,f,f,i,b]", o->name, g.rates.requests_per_s,
-			 g.rates.tokens_per_s, g.rates.concurrent, TERM_MS,
-			 now < p->quiet_until_ms);
-}
-
-/* Organisations that this node doesn't hold are left out of the answer. */
-static json_t *grant_all(struct node *n, const json_t *asks)
-{
-	const char *node = json_string_value(json_object_get(asks, "node"));
-	struct config *c = node_config(n);
-	struct fleet *f = node_fleet(n);
-	json_t *out = json_array();
-	size_t i;
-	json_t *j;
-
-	g_mutex_lock(&n->limits->lock);
-	json_array_foreach (json_object_get(asks, "asks"), i, j) {
-		const struct organisation *o;
-		struct demand d;
-
-		if (!node || !c || !f || !read_demand(j, time_mono_ms(), &d))
-			continue;
-		o = config_organisation(c, d.organisation);
-		if (o && is_limited(o) && is_holder(n, f, o->name))
-			json_array_append_new(
-				out, grant_one(n->limits, o, node, &d));
-	}
-	g_mutex_unlock(&n->limits->lock);
-	config_unref(c);
-	fleet_unref(f);
-	return json_pack("{s:o}", "grants", out);
-}
-
-/* The signature covers the body by its digest. */
-static char *digest(const void *data, size_t len)
-{
-	unsigned char raw[DIGEST_BYTES];
-	char hex[DIGEST_BYTES * 2 + 1];
-
-	crypto_generichash(raw, sizeof(raw), data, len, NULL, 0);
-	return g_strdup(sodium_bin2hex(hex, sizeof(hex), raw, sizeof(raw)));
-}
-
-static bool is_body_signed(const struct _u_request *q)
-{
-	const char *after = u_map_get(q->map_url, "after");
-	char *want = digest(q->binary_body, q->binary_body_length);
-	bool ok = after && !strcmp(after, want) && spread_is_signed(q);
-
-	g_free(want);
-	return ok;
-}
-
-int on_peer_limits(const struct _u_request *q, struct _u_response *r,
-		   void *node)
-{
-	json_t *asks;
-
-	if (!is_body_signed(q)) {
-		log_event(EV_PEER_REFUSED, "path=%s", q->url_path);
-		return answer_json(
-			r, 403, ramp_error_json(RAMP_ERR_FORBIDDEN, NULL, 0));
-	}
-	asks = json_loadb(q->binary_body, q->binary_body_length, 0, NULL);
-	answer_json(r, 200, grant_all(node, asks));
-	json_decref(asks);
-	return U_CALLBACK_COMPLETE;
-}
-
 /* Whether a is less than b in some part. */
 static bool is_less(const struct limit_rates *a, const struct limit_rates *b,
 		    double by)
@@ -372,7 +208,7 @@
 			&quiet))
 		return;
 	s = g_hash_table_lookup(l->spends, name);
-	g.until_ms = from_ms + CLAMP(term, 0, TERM_MS);
+	g.until_ms = from_ms + CLAMP(term, 0, LIMIT_TERM_MS);
 	if (!s || (!s->fallback && g.until_ms < s->bucket.grant.until_ms))
 		return;
 	empty = g.rates.requests_per_s <= 0 && g.rates.tokens_per_s <= 0 &&
@@ -439,14 +275,14 @@
 	c->asks = json_pack("{s:s,s:O}", "node", env->node->set.node_name,
 			    "asks", list);
 	if (!strcmp(p->name, env->node->set.node_name)) {
-		json_t *j = grant_all(env->node, c->asks);
+		json_t *j = limits_grant(env->node, c->asks);
 
 		end_call(c, j);
 		json_decref(j);
 		return;
 	}
 	body = json_dumps(c->asks, JSON_COMPACT | JSON_REAL_PRECISION(6));
-	after = digest(body, strlen(body));
+	after = limits_digest(body, strlen(body));
 	url = spread_url(p->address, PATH, after);
 	fetch(env->fetcher, "POST", url, str_c(body), ASK_MS, on_answer, c);
 	g_free(url);
@@ -469,7 +305,7 @@
 static bool is_due(struct spend *s, int64_t now_ms)
 {
 	if (s->asked || now_ms < s->next_ms ||
-	    (!s->bucket.running && now_ms - s->wanted_ms > TERM_MS))
+	    (!s->bucket.running && now_ms - s->wanted_ms > LIMIT_TERM_MS))
 		return false;
 	s->asked = true;
 	s->next_ms = (now_ms / RENEW_MS + 1) * RENEW_MS;
@@ -492,7 +328,7 @@
 	g_mutex_lock(&l->lock);
 	g_hash_table_iter_init(&it, l->spends);
 	while (g_hash_table_iter_next(&it, &name, &s)) {
-		const struct peer *p = holder_of(f, name);
+		const struct peer *p = limits_holder(f, name);
 		json_t *list;
 
 		if (!p || !is_due(s, now_ms))
@@ -508,19 +344,10 @@
 	return to;
 }
 
-static gboolean is_lost(void *name, void *unused, void *ctx)
-{
-	struct node *n = ((void **)ctx)[0];
-
-	(void)unused;
-	return !is_holder(n, ((void **)ctx)[1], name);
-}
-
-/* See who is live; a pool that has passed to another node is forgotten. */
+/* See who is live. */
 static void look(struct node *n, struct fleet *f, int64_t now_ms)
 {
 	struct limits *l = n->limits;
-	void *ctx[] = {n, f};
 	uint64_t hash = 0;
 	size_t live = 0;
 
@@ -534,14 +361,12 @@
 		live++;
 	}
 	g_mutex_lock(&l->lock);
-	if (hash != l->nodes_hash) {
-		l->nodes_hash = hash;
-		l->nodes = live;
-		l->changed_ms = now_ms;
-		g_hash_table_foreach_remove(l->pools, is_lost, ctx);
-		metric_set(M_LIMIT_POOLS, g_hash_table_size(l->pools));
-	}
+	l->nodes = live;
 	g_mutex_unlock(&l->lock);
+	if (hash == l->nodes_hash)
+		return;
+	l->nodes_hash = hash;
+	limit_pools_look(n, f, now_ms);
 }
 
 static void tick(void *ctx, int64_t now_ms)
--- a/node/limits.h
+++ b/node/limits.h
@@ -8,6 +8,9 @@
 
 #include "node/node.h"
 
+/* Of a grant, in ms; a lost holder is known by then. */
+#define LIMIT_TERM_MS 12000
+
 struct limits;
 
 struct limits *limits_new(uint64_t seed);
@@ -26,4 +29,19 @@
 int on_peer_limits(const struct _u_request *q, struct _u_response *r,
 		   void *node);
 
+/* limit-pools.c: organisations whose limits this node holds. */
+struct limit_pools *limit_pools_new(void);
+void limit_pools_free(struct limit_pools *l);
+/* The live nodes have changed: forget pools that have passed to another. */
+void limit_pools_look(struct node *n, struct fleet *f, int64_t now_ms);
+/*
+ * Answer asks as another node sends them, or this one itself. Organisations
+ * that this node doesn't hold are left out.
+ */
+json_t *limits_grant(struct node *n, const json_t *asks);
+/* With which a call's signature covers its body. Free with g_free. */
+char *limits_digest(const void *data, size_t len);
+/* limits.c: the node that holds an organisation's pool. */
+const struct peer *limits_holder(const struct fleet *f, const char *name);
+
 #endif
--- a/node/node.h
+++ b/node/node.h
@@ -79,6 +79,7 @@
 	struct admission *admission;
 	struct health *health;
 	struct limits *limits;
+	struct limit_pools *limit_pools;
 	GThreadPool *cancels; /* cancel.c */
 
 	/* Newest configuration revision that another node has told of. */
