node: never let a pooled connection between nodes repeat the work

The test had been given a slack of two runs for this; three came.

Change: the way through another node always takes a fresh connection, and the test is strict again for every service: runs <= answers. The gauge of running requests also counts those that pass through, which /cut/frozen-new waited for in vain once; it was set by one side and counted by the other.

Ruled out: raising the slack; the fault was real, though only for work that may be repeated.

--- a/node/api.c
+++ b/node/api.c
@@ -75,7 +75,7 @@
 	enum ramp_error e = RAMP_OK;
 
 	memset(c, 0, sizeof(*c));
-	atomic_fetch_add(&n->running, 1);
+	node_count_request(n, 1);
 	metric_add(M_API_REQUESTS_TOTAL, 1);
 	c->arena = talloc_new(NULL);
 	c->node = n;
@@ -101,7 +101,7 @@
 {
 	plat_http_free(c->http);
 	talloc_free(c->arena);
-	atomic_fetch_sub(&c->node->running, 1);
+	node_count_request(c->node, -1);
 }
 
 int api_answer(struct api_call *c, int status, json_t *j)
--- a/node/forward.c
+++ b/node/forward.c
@@ -227,7 +227,7 @@
 		pull_close(pa->pull);
 	admission_leave(pa->node->admission, &pa->grant, pa->reused);
 	fleet_unref(pa->fleet);
-	atomic_fetch_sub(&pa->node->running, 1);
+	node_count_request(pa->node, -1);
 	talloc_free(pa->arena);
 }
 
@@ -304,7 +304,7 @@
 	pa->fleet = node_fleet(node);
 	pa->target = pa->fleet && name ? fleet_target(pa->fleet, name) : NULL;
 	g_free(name);
-	atomic_fetch_add(&pa->node->running, 1);
+	node_count_request(pa->node, 1);
 	if (pa->target && !is_given_up(q)) {
 		ask = read_ask(q, pa->target->id);
 		if (admission_enter(pa->node->admission, &ask, &pa->grant, &no))
--- a/node/node.h
+++ b/node/node.h
@@ -104,6 +104,8 @@
 	unsigned applied_count;
 };
 
+/* Requests in progress, those that pass through included: one more or less. */
+void node_count_request(struct node *n, int by);
 /* References to what is in force; config is NULL before the first read. */
 struct config *node_config(struct node *n);
 struct fleet *node_fleet(struct node *n);
--- a/node/relay.c
+++ b/node/relay.c
@@ -82,11 +82,14 @@
 
 static void connect_first(struct relay *rl, const struct via *via)
 {
-	struct pull_request q = {.method = "POST",
-				 .headers = rl->headers,
-				 .body = rl->rq->body,
-				 .connect_ms = CONNECT_MS,
-				 .fresh = !rl->rq->service->idempotent};
+	struct pull_request q = {
+		.method = "POST",
+		.headers = rl->headers,
+		.body = rl->rq->body,
+		.connect_ms = CONNECT_MS,
+		/* Between nodes a second sending would run
+		 * the work twice even when that is harmless. */
+		.fresh = via || !rl->rq->service->idempotent};
 
 	q.url = via ? via->url
 		    : talloc_asprintf(rl->rq->arena,
--- a/node/request.c
+++ b/node/request.c
@@ -62,9 +62,8 @@
 	void *arena = talloc_new(NULL);
 	struct request *rq = talloc_zero(arena, struct request);
 
-	atomic_fetch_add(&n->running, 1);
+	node_count_request(n, 1);
 	metric_add(M_REQUESTS_TOTAL, 1);
-	metric_set(M_REQUESTS_RUNNING, atomic_load(&n->running));
 	*out = rq;
 	rq->arena = arena;
 	rq->reused_tokens = -1;
@@ -101,8 +100,7 @@
 	config_unref(rq->config);
 	fleet_unref(rq->fleet);
 	talloc_free(rq->arena);
-	atomic_fetch_sub(&n->running, 1);
-	metric_set(M_REQUESTS_RUNNING, atomic_load(&n->running));
+	node_count_request(n, -1);
 }
 
 void request_ended(enum outcome o)
--- a/node/test-cut.c
+++ b/node/test-cut.c
@@ -351,17 +351,11 @@
 	free_holes(holes);
 }
 
-/*
- * The HTTP client sends an idempotent request again by itself when a pooled
- * connection, one of each other node, ends without an answer.
- */
-#define POOLED (NODES - 1)
-
 /*
  * Requests reach the admitting node, but every answer ends the connection: the
  * work runs once and its answer is fetched from the target.
  */
-static void check_cut_answers(const char *service, bool idempotent)
+static void check_cut_answers(const char *service)
 {
 	struct hole *holes[NODES];
 	struct rig *g = rig_behind(holes);
@@ -381,8 +375,7 @@
 		       hole_connections(holes[to]) - seen);
 	g_assert_cmpint(hole_connections(holes[to]), >, seen);
 	g_assert_cmpuint(o.whole + o.not_run + o.unknown, ==, CALLS);
-	g_assert_cmpint(rig_runs(g) - before, <=,
-			o.whole + o.unknown + (idempotent ? POOLED : 0));
+	g_assert_cmpint(rig_runs(g) - before, <=, o.whole + o.unknown);
 	g_assert_cmpint(rig_runs(g) - before, >=, o.whole);
 	free_load(&l);
 	rig_free(g);
@@ -391,8 +384,8 @@
 
 static void test_cut_answers(void)
 {
-	check_cut_answers("assistant", true);
-	check_cut_answers("report", false);
+	check_cut_answers("assistant");
+	check_cut_answers("report");
 }
 
 int main(int argc, char **argv)
--- a/node/view.c
+++ b/node/view.c
@@ -137,3 +137,9 @@
 	*e = (struct target_event){g_strdup(target), note};
 	g_async_queue_push(n->target_events, e);
 }
+
+void node_count_request(struct node *n, int by)
+{
+	atomic_fetch_add(&n->running, by);
+	metric_add(M_REQUESTS_RUNNING, by);
+}
