node: let a service's load factor and a target's room bind

Cause: the declared max_load_factor of a service was accepted and read by nobody, and with no bound on a target's work the organisations' shares never came into play in a node, so that one that surges could fill every target.

The request to admit has a name of its own (struct admit_ask), as the old one clashed with a test's.

Ruled out: reading the bound from an engine's report; engines report no capacity in tokens.

--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -89,6 +89,9 @@
 	{ "loads", "timeout", SETTING_MS, NULL, "1000", 50, 60000,
 	  offsetof(struct settings, loads_timeout_ms),
 	  "Time after which such a read counts as lost, in milliseconds." },
+	{ "loads", "target_work", SETTING_INT, NULL, "1048576", 0, 1000000000,
+	  offsetof(struct settings, loads_target_work),
+	  "Most work that a target holds, in tokens to read and to generate; near it organisations get their shares and the rest is refused. 0 means no limit." },
 };
 const size_t setting_count =
 	sizeof(setting_infos) / sizeof(setting_infos[0]);
--- a/base/settings-gen.h
+++ b/base/settings-gen.h
@@ -33,5 +33,6 @@
 	int64_t orders_recheck_ms;
 	int64_t loads_poll_ms;
 	int64_t loads_timeout_ms;
+	int64_t loads_target_work;
 };
 #endif
--- a/bench/bench-route-admit.c
+++ b/bench/bench-route-admit.c
@@ -202,12 +202,12 @@
 	return false;
 }
 
-static struct ask ask_of(struct ctx *x, const struct chat *c, size_t e,
-			 int64_t wait_ms)
+static struct admit_ask ask_of(struct ctx *x, const struct chat *c, size_t e,
+			       int64_t wait_ms)
 {
 	bool home = x->w->shape.hints && c->hint == e;
 
-	return (struct ask){
+	return (struct admit_ask){
 		.target = x->w->engines[e].id,
 		.ticket = (uint64_t)(c - x->w->chats),
 		.organisation = c->organisation,
@@ -238,7 +238,7 @@
 
 /* Ask the admitting node of engine e, as the entry knows it. */
 static enum verdict ask(struct ctx *x, struct chat *c, size_t e,
-			const struct ask *q, struct decision *d)
+			const struct admit_ask *q, struct decision *d)
 {
 	size_t node = *admitter(x, c->node, e);
 
@@ -302,7 +302,7 @@
 
 /* Return: whether the request was admitted or waits. */
 static bool ask_one(struct ctx *x, struct chat *c, size_t engine,
-		    const struct ask *q, struct told *t)
+		    const struct admit_ask *q, struct told *t)
 {
 	struct decision d;
 
@@ -336,7 +336,7 @@
 
 	for (size_t i = c->stage == STAGE_OTHERS; i < n; i++) {
 		size_t e = engine_by_id(v, order[i]);
-		struct ask q = ask_of(x, c, e, home_wait_ms(c, e));
+		struct admit_ask q = ask_of(x, c, e, home_wait_ms(c, e));
 
 		q.whole_bound = c->stage == STAGE_AGAIN;
 		if (ask_one(x, c, e, &q, t))
@@ -351,7 +351,7 @@
 static bool ask_best(struct ctx *x, struct chat *c, struct told *t)
 {
 	bool any = c->stage == STAGE_ANY;
-	struct ask q;
+	struct admit_ask q;
 
 	if (t->best == NO_ENGINE)
 		return false;
--- a/bench/bench-route-cost.c
+++ b/bench/bench-route-cost.c
@@ -50,9 +50,10 @@
 	return g_rand_double(ctx);
 }
 
-static struct ask ask_of(GRand *r, uint64_t target, uint32_t organisations)
+static struct admit_ask ask_of(GRand *r, uint64_t target,
+			       uint32_t organisations)
 {
-	return (struct ask){
+	return (struct admit_ask){
 		.target = target,
 		.organisation =
 			(uint32_t)g_rand_int_range(r, 0, (gint32)organisations),
@@ -83,7 +84,8 @@
 	for (size_t e = 0; e < n->own; e++) {
 		admit_take_over(n->admit, ids[e], 0, 0, 1);
 		for (int i = 0; i < RUNNING; i++) {
-			struct ask q = ask_of(r, ids[e], s->organisations);
+			struct admit_ask q =
+				ask_of(r, ids[e], s->organisations);
 			struct decision d;
 
 			admit_ask(n->admit, &q, 0, &d);
@@ -113,7 +115,7 @@
 				  .count = s->engines};
 	uint64_t order[CHOOSE_MAX];
 	struct decision d;
-	struct ask q;
+	struct admit_ask q;
 
 	choose_targets(&in, order);
 	q = ask_of(r, order[0], s->organisations);
--- a/bench/bench-route-share.c
+++ b/bench/bench-route-share.c
@@ -89,12 +89,12 @@
 static void request(struct fleet *f, uint32_t org)
 {
 	bool counted = is_counted(f);
-	struct ask q = {.ticket = (uint64_t)org << 1 | counted,
-			.organisation = f->fair ? org : 0,
-			.weight = 1,
-			.work = WORK,
-			.whole_bound = true,
-			.deadline_ms = f->now_ms + 10 * RUN_MS};
+	struct admit_ask q = {.ticket = (uint64_t)org << 1 | counted,
+			      .organisation = f->fair ? org : 0,
+			      .weight = 1,
+			      .work = WORK,
+			      .whole_bound = true,
+			      .deadline_ms = f->now_ms + 10 * RUN_MS};
 
 	f->orgs[org].asked += counted;
 	for (int i = 0; i < TRIES; i++) {
--- a/bench/bench-route.h
+++ b/bench/bench-route.h
@@ -60,7 +60,7 @@
 	size_t mark;      /* the way's own; likewise below */
 	int64_t mark_work;
 	int stage;
-	struct ask ask;
+	struct admit_ask ask;
 };
 
 struct engine {
--- a/node/admission.c
+++ b/node/admission.c
@@ -15,6 +15,7 @@
 	GHashTable *organisations; /* name -> index + 1 */
 	GHashTable *decided;       /* ticket -> struct decision */
 	GRand *random;
+	struct admit_limits limits; /* of a new pool */
 	uint64_t last_ticket;
 };
 
@@ -32,7 +33,7 @@
 	g_free(pool);
 }
 
-struct admission *admission_new(uint64_t seed)
+struct admission *admission_new(uint64_t seed, int64_t target_work)
 {
 	struct admission *a = g_new0(struct admission, 1);
 
@@ -45,6 +46,8 @@
 	a->decided = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   g_free);
 	a->random = g_rand_new_with_seed((guint32)seed);
+	a->limits = admit_limits_default;
+	a->limits.target_work = target_work;
 	return a;
 }
 
@@ -69,7 +72,7 @@
 		return p;
 	p = g_new0(struct pool, 1);
 	p->name = g_intern_string(name);
-	p->admit = admit_new(&admit_limits_default,
+	p->admit = admit_new(&a->limits,
 			     (struct route_random){next_random, a->random});
 	p->reported = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    NULL);
@@ -120,9 +123,10 @@
 	g_hash_table_remove(a->decided, &ticket);
 }
 
-static struct ask make_ask(struct admission *a, const struct admission_ask *q)
+static struct admit_ask make_ask(struct admission *a,
+				 const struct admission_ask *q)
 {
-	return (struct ask){
+	return (struct admit_ask){
 		.target = q->target,
 		.ticket = ++a->last_ticket,
 		.organisation = organisation_index(a, q->organisation),
@@ -144,7 +148,7 @@
 {
 	struct decision d;
 	struct pool *p;
-	struct ask ask;
+	struct admit_ask ask;
 	int64_t load;
 
 	g_mutex_lock(&a->lock);
@@ -242,6 +246,14 @@
 	g_mutex_unlock(&a->lock);
 }
 
+void admission_set_load_factor(struct admission *a, const char *pool,
+			       double factor)
+{
+	g_mutex_lock(&a->lock);
+	admit_set_load_factor(find_pool(a, pool)->admit, factor);
+	g_mutex_unlock(&a->lock);
+}
+
 void admission_sums(struct admission *a, const char *pool, int64_t *work,
 		    size_t *targets)
 {
--- a/node/admission.h
+++ b/node/admission.h
@@ -28,7 +28,7 @@
 /* Work admitted, to be given back by admission_leave. */
 struct admission_grant {
 	const char *pool; /* interned */
-	struct ask ask;
+	struct admit_ask ask;
 	int64_t work; /* tokens, as counted; 0: no grant */
 };
 
@@ -39,7 +39,8 @@
 	int64_t retry_at_ms; /* monotonic */
 };
 
-struct admission *admission_new(uint64_t seed);
+/* target_work: most tokens that a target holds; shares bind near it. */
+struct admission *admission_new(uint64_t seed, int64_t target_work);
 void admission_free(struct admission *a);
 /*
  * Ask for a place at a target, and wait for it in the queue where the ask
@@ -70,6 +71,9 @@
 /* Sums of a pool in the whole fleet. */
 void admission_set_fleet(struct admission *a, const char *pool, int64_t work,
 			 size_t targets);
+/* Most load of the pool's targets as a multiple of the fleet's mean. */
+void admission_set_load_factor(struct admission *a, const char *pool,
+			       double factor);
 /* This node's part of them. */
 void admission_sums(struct admission *a, const char *pool, int64_t *work,
 		    size_t *targets);
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -156,7 +156,8 @@
 	n.cancels = cancels_new();
 	g_mutex_init(&n.lock);
 	n.target_events = g_async_queue_new();
-	n.admission = admission_new(randombytes_random());
+	n.admission =
+		admission_new(randombytes_random(), n.set.loads_target_work);
 	n.health = health_new(randombytes_random());
 	n.limits = limits_new(randombytes_random());
 	n.limit_pools = limit_pools_new();
--- a/node/loads.c
+++ b/node/loads.c
@@ -187,6 +187,29 @@
 	}
 }
 
+/* The strictest factor of the services that share the pool. */
+static void set_factor(struct loads *l, const char *pool)
+{
+	struct config *c = node_config(l->env->node);
+	double factor = G_MAXDOUBLE;
+	GHashTableIter it;
+	gpointer p;
+
+	if (!c)
+		return;
+	g_hash_table_iter_init(&it, c->resources[KIND_SERVICE]);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct service *s = p;
+
+		if (!strcmp(s->pool, pool))
+			factor = MIN(factor, s->max_load_factor);
+	}
+	config_unref(c);
+	if (factor < G_MAXDOUBLE)
+		admission_set_load_factor(l->env->node->admission, pool,
+					  factor);
+}
+
 /* Exchange this node's part of a pool's load for the fleet's mean. */
 static void share_pool(struct loads *l, const char *pool)
 {
@@ -203,6 +226,7 @@
 		if (!t->leaving && !t->down && !strcmp(t->pool, pool))
 			targets++;
 	}
+	set_factor(l, pool);
 	admission_sums(n->admission, pool, &work, &own);
 	member_set_load(n->member, pool, (double)work, (unsigned)own);
 	if (member_mean_load(n->member, pool, &mean))
--- a/node/test-admission.c
+++ b/node/test-admission.c
@@ -2,6 +2,7 @@
 #include <curl/curl.h>
 #include <signal.h>
 
+#include "node/admission.h"
 #include "node/test-harness.h"
 
 #define TOKENS 60
@@ -83,11 +84,80 @@
 	rig_free(g);
 }
 
+#define TARGET_WORK 100000
+#define ASK_WORK    1000
+
+static bool enter(struct admission *a, const char *organisation,
+		  struct admission_grant *g)
+{
+	struct admission_refusal no = {0};
+	struct admission_ask q = {.pool = "llm",
+				  .organisation = organisation,
+				  .weight = 1,
+				  .target = 7,
+				  .work = ASK_WORK,
+				  .deadline_ms = time_mono_ms() + WAIT_MS};
+	bool in = admission_enter(a, &q, g, &no);
+
+	if (!in)
+		g_assert_cmpint(no.retry_at_ms, >, time_mono_ms());
+	return in;
+}
+
+static struct admission *admission_of_one(void)
+{
+	struct admission *a = admission_new(1, TARGET_WORK);
+
+	admission_take(a, "llm", 7, 0, 1);
+	return a;
+}
+
+/*
+ * One organisation takes all that it can get of a target; another one that
+ * comes then still finds room, and at once.
+ */
+static void test_surge(void)
+{
+	struct admission *a = admission_of_one();
+	struct admission_grant first = {0}, g = {0};
+	int surging = 0;
+
+	g_assert_true(enter(a, "small", &first));
+	while (surging < 1000 && enter(a, "surging", &g))
+		surging++;
+	g_assert_cmpint((surging + 1) * ASK_WORK, <=, TARGET_WORK);
+	g_assert_true(enter(a, "small", &g));
+	admission_free(a);
+}
+
+/* The factor that a service declares changes what is admitted. */
+static int64_t admitted_with(double factor)
+{
+	struct admission *a = admission_of_one();
+	struct admission_grant g = {0};
+	int64_t n = 0;
+
+	admission_set_load_factor(a, "llm", factor);
+	/* The fleet's mean is far over the floor. */
+	admission_set_fleet(a, "llm", 10 * 50000, 10);
+	while (n < 1000 && enter(a, "o", &g))
+		n++;
+	admission_free(a);
+	return n;
+}
+
+static void test_load_factor(void)
+{
+	g_assert_cmpint(admitted_with(1.05), <, admitted_with(1.8));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_ALL);
 	block_stop_signals();
+	g_test_add_func("/admission/surge", test_surge);
+	g_test_add_func("/admission/load-factor", test_load_factor);
 	g_test_add_func("/admission/counted-once", test_counted_once);
 	g_test_add_func("/admission/admitter-killed", test_admitter_killed);
 	return g_test_run();
--- a/route/admit.c
+++ b/route/admit.c
@@ -41,6 +41,11 @@
 	return a;
 }
 
+void admit_set_load_factor(struct admit *a, double factor)
+{
+	a->limits.load_factor = factor;
+}
+
 void admit_free(struct admit *a)
 {
 	g_hash_table_unref(a->targets);
@@ -227,7 +232,7 @@
 
 /* The bound is never less than one whole request at an idle target. */
 static bool takes_any_size(const struct admit *a, int64_t load,
-			   const struct ask *q)
+			   const struct admit_ask *q)
 {
 	double n = (double)a->fleet_targets;
 
@@ -271,19 +276,19 @@
 	return admitted_since(t, r->taken_ms) + work <= part;
 }
 
-static bool is_reused(const struct counted *t, const struct ask *q)
+static bool is_reused(const struct counted *t, const struct admit_ask *q)
 {
 	return q->reuse > 0 &&
 	       reuse_age_expects(&t->reuse_age, q->reuse_age_ms);
 }
 
-int64_t counted_work(const struct counted *t, const struct ask *q)
+int64_t counted_work(const struct counted *t, const struct admit_ask *q)
 {
 	return is_reused(t, q) ? q->work - q->reuse : q->work;
 }
 
 static double factor_of(const struct admit *a, const struct counted *t,
-			const struct ask *q)
+			const struct admit_ask *q)
 {
 	const struct admit_limits *l = &a->limits;
 
@@ -293,7 +298,8 @@
 }
 
 enum refusal counted_room(const struct admit *a, const struct counted *t,
-			  const struct ask *q, int64_t waiting, int64_t now_ms)
+			  const struct admit_ask *q, int64_t waiting,
+			  int64_t now_ms)
 {
 	double full = (double)a->limits.target_work;
 	double kept = full * a->limits.share_reserve;
@@ -315,7 +321,7 @@
 	return REFUSAL_NONE;
 }
 
-void counted_add(struct admit *a, struct counted *t, const struct ask *q,
+void counted_add(struct admit *a, struct counted *t, const struct admit_ask *q,
 		 int64_t now_ms)
 {
 	struct slot *s = slot_now(t, now_ms);
@@ -338,7 +344,7 @@
  * The more is refused, the later those refused come back, so that they return
  * at about the rate at which they can be served.
  */
-void refuse(struct admit *a, const struct ask *q, enum refusal why,
+void refuse(struct admit *a, const struct admit_ask *q, enum refusal why,
 	    int64_t now_ms, struct decision *d)
 {
 	double wide = 1 / (1 - MIN(a->refused_part, REFUSED_MAX));
@@ -357,7 +363,7 @@
 	};
 }
 
-static void decide(struct admit *a, const struct ask *q, int64_t now_ms,
+static void decide(struct admit *a, const struct admit_ask *q, int64_t now_ms,
 		   struct decision *d)
 {
 	struct counted *t = counted_find(a, q->target);
@@ -388,7 +394,7 @@
 	d->verdict = VERDICT_ADMIT;
 }
 
-void admit_ask(struct admit *a, const struct ask *q, int64_t now_ms,
+void admit_ask(struct admit *a, const struct admit_ask *q, int64_t now_ms,
 	       struct decision *d)
 {
 	bool refused;
@@ -421,8 +427,8 @@
 	forget_if_unused(a, t);
 }
 
-int64_t admit_reused(struct admit *a, const struct ask *q, int64_t counted,
-		     int64_t reused)
+int64_t admit_reused(struct admit *a, const struct admit_ask *q,
+		     int64_t counted, int64_t reused)
 {
 	struct counted *t = counted_find(a, q->target);
 	struct usage *u;
--- a/route/admit.h
+++ b/route/admit.h
@@ -28,7 +28,7 @@
 };
 
 struct waiting {
-	struct ask ask;
+	struct admit_ask ask;
 	uint64_t order; /* of arrival */
 	int64_t work;   /* as counted when it came */
 	int64_t give_up_ms;
@@ -74,14 +74,15 @@
 int64_t counted_load(const struct counted *t);
 /* Why the work can not begin now, or REFUSAL_NONE; waiting: share_allows. */
 enum refusal counted_room(const struct admit *a, const struct counted *t,
-			  const struct ask *q, int64_t waiting, int64_t now_ms);
+			  const struct admit_ask *q, int64_t waiting,
+			  int64_t now_ms);
 /* Work of the ask less what the target probably still holds of its prefix. */
-int64_t counted_work(const struct counted *t, const struct ask *q);
+int64_t counted_work(const struct counted *t, const struct admit_ask *q);
 /* Count the work as begun. */
-void counted_add(struct admit *a, struct counted *t, const struct ask *q,
+void counted_add(struct admit *a, struct counted *t, const struct admit_ask *q,
 		 int64_t now_ms);
 /* Fill in a refusal with its time to come back. */
-void refuse(struct admit *a, const struct ask *q, enum refusal why,
+void refuse(struct admit *a, const struct admit_ask *q, enum refusal why,
 	    int64_t now_ms, struct decision *d);
 
 /* share.c */
@@ -101,7 +102,7 @@
  * work when it is among those that wait, or 0.
  */
 bool share_allows(const struct admit *a, const struct counted *t,
-		  const struct ask *q, int64_t waiting);
+		  const struct admit_ask *q, int64_t waiting);
 /* Count work that begins. */
 void share_charge(struct counted *t, struct usage *u, int64_t work);
 
@@ -109,9 +110,9 @@
 
 /* Is there one who waits that comes before this ask? */
 bool queue_goes_first(const struct admit *a, const struct counted *t,
-		      const struct ask *q, int64_t now_ms);
+		      const struct admit_ask *q, int64_t now_ms);
 /* Queue the ask or refuse it, or another in its place, for the reason why. */
-void queue_add(struct admit *a, struct counted *t, const struct ask *q,
+void queue_add(struct admit *a, struct counted *t, const struct admit_ask *q,
 	       enum refusal why, int64_t now_ms, struct decision *d);
 /* Refuse all who wait. */
 void queue_drop(struct admit *a, struct counted *t, int64_t now_ms);
--- a/route/queue.c
+++ b/route/queue.c
@@ -16,7 +16,8 @@
 };
 
 static struct rank rank_of(const struct admit *a, const struct counted *t,
-			   const struct ask *q, uint64_t order, int64_t waiting)
+			   const struct admit_ask *q, uint64_t order,
+			   int64_t waiting)
 {
 	return (struct rank){
 		.start = share_allows(a, t, q, waiting)
@@ -79,7 +80,7 @@
 }
 
 bool queue_goes_first(const struct admit *a, const struct counted *t,
-		      const struct ask *q, int64_t now_ms)
+		      const struct admit_ask *q, int64_t now_ms)
 {
 	struct rank first;
 
@@ -88,7 +89,8 @@
 	return before(first, rank_of(a, t, q, UINT64_MAX, 0));
 }
 
-static void put_in(struct admit *a, struct counted *t, const struct ask *q)
+static void put_in(struct admit *a, struct counted *t,
+		   const struct admit_ask *q)
 {
 	struct usage *u = usage_get(t, q->organisation, q->weight);
 	struct waiting w = {
@@ -105,7 +107,8 @@
 }
 
 /* The organisation that would have been served most, with q. */
-static uint32_t most_promised(const struct counted *t, const struct ask *q)
+static uint32_t most_promised(const struct counted *t,
+			      const struct admit_ask *q)
 {
 	uint32_t most = q->organisation;
 	double end = share_promised(t, most) +
@@ -143,8 +146,8 @@
 }
 
 /* Make room in a full queue; false if q itself is the one to be refused. */
-static bool displace(struct admit *a, struct counted *t, const struct ask *q,
-		     int64_t now_ms)
+static bool displace(struct admit *a, struct counted *t,
+		     const struct admit_ask *q, int64_t now_ms)
 {
 	uint32_t most = most_promised(t, q);
 	guint last = find_last(t, most);
@@ -160,7 +163,7 @@
 	return true;
 }
 
-void queue_add(struct admit *a, struct counted *t, const struct ask *q,
+void queue_add(struct admit *a, struct counted *t, const struct admit_ask *q,
 	       enum refusal why, int64_t now_ms, struct decision *d)
 {
 	if (q->wait_until_ms <= now_ms || !a->limits.queue_max) {
@@ -228,7 +231,7 @@
 {
 	struct rank rank;
 	guint first = find_first(a, t, now_ms, &rank);
-	struct ask q;
+	struct admit_ask q;
 
 	if (first == t->waiting->len)
 		return false;
--- a/route/route.h
+++ b/route/route.h
@@ -114,7 +114,7 @@
 	REFUSAL_TARGET_GONE, /* it left or can not be reached */
 };
 
-struct ask {
+struct admit_ask {
 	uint64_t target;
 	uint64_t ticket;       /* the caller's name for a waiting request */
 	uint32_t organisation; /* small index, as in the configuration */
@@ -153,6 +153,8 @@
 struct admit *admit_new(const struct admit_limits *limits,
 			struct route_random random);
 void admit_free(struct admit *a);
+/* Change the multiple of the mean, as a setting of the pool's services. */
+void admit_set_load_factor(struct admit *a, double factor);
 /*
  * Begin to admit to a target. Until until_ms other nodes may still believe
  * that it is theirs; this one then admits only its part (1 / sharers) of what
@@ -184,7 +186,7 @@
 int64_t admit_bound(const struct admit *a);
 /* Work at the target as counted here; -1 when it is not this node's. */
 int64_t admit_load(const struct admit *a, uint64_t target);
-void admit_ask(struct admit *a, const struct ask *q, int64_t now_ms,
+void admit_ask(struct admit *a, const struct admit_ask *q, int64_t now_ms,
 	       struct decision *d);
 /* The work has ended, or did not begin. */
 void admit_done(struct admit *a, uint64_t target, uint32_t organisation,
@@ -194,8 +196,8 @@
  * ask: correct the count. Returns the work for admit_done in place of counted,
  * which the decision gave.
  */
-int64_t admit_reused(struct admit *a, const struct ask *q, int64_t counted,
-		     int64_t reused);
+int64_t admit_reused(struct admit *a, const struct admit_ask *q,
+		     int64_t counted, int64_t reused);
 /* A waiting request was withdrawn. Returns false when it does not wait. */
 bool admit_cancel(struct admit *a, uint64_t ticket);
 /*
--- a/route/share.c
+++ b/route/share.c
@@ -68,7 +68,7 @@
 }
 
 bool share_allows(const struct admit *a, const struct counted *t,
-		  const struct ask *q, int64_t waiting)
+		  const struct admit_ask *q, int64_t waiting)
 {
 	const struct usage *u = usage_find(t, q->organisation);
 	double part, others;
--- a/route/test-admit.c
+++ b/route/test-admit.c
@@ -13,13 +13,13 @@
 	return l;
 }
 
-static struct ask ask_of(uint64_t target, int64_t work)
+static struct admit_ask ask_of(uint64_t target, int64_t work)
 {
-	return (struct ask){.target = target,
-			    .weight = 1,
-			    .work = work,
-			    .whole_bound = true,
-			    .deadline_ms = INT64_MAX / 2};
+	return (struct admit_ask){.target = target,
+				  .weight = 1,
+				  .work = work,
+				  .whole_bound = true,
+				  .deadline_ms = INT64_MAX / 2};
 }
 
 static struct admit *own(GRand *r, const struct admit_limits *l, int targets)
@@ -32,7 +32,7 @@
 	return a;
 }
 
-static enum verdict ask(struct admit *a, struct ask q, int64_t now_ms)
+static enum verdict ask(struct admit *a, struct admit_ask q, int64_t now_ms)
 {
 	struct decision d;
 
@@ -47,12 +47,12 @@
 	struct admit_limits l = limits();
 	struct admit *a = own(r, &l, TARGETS);
 	int64_t load[TARGETS + 1] = {0}, sum = 0;
-	GArray *runs = g_array_new(FALSE, FALSE, sizeof(struct ask));
+	GArray *runs = g_array_new(FALSE, FALSE, sizeof(struct admit_ask));
 	unsigned refused = 0;
 
 	for (int64_t now = 0; now < 20000; now++) {
 		uint64_t t = (uint64_t)g_rand_int_range(r, 1, TARGETS + 1);
-		struct ask q = ask_of(t, g_rand_int_range(r, 10, 900));
+		struct admit_ask q = ask_of(t, g_rand_int_range(r, 10, 900));
 		double factor = now % 3 == 0 ? 1.25 : 1.1;
 		double bound = factor * (double)sum / (TARGETS + 1);
 		bool room = load[t] == 0 ||
@@ -71,7 +71,8 @@
 		}
 		while (runs->len > 60) {
 			guint i = (guint)g_rand_int_range(r, 0, 60);
-			struct ask e = g_array_index(runs, struct ask, i);
+			struct admit_ask e =
+				g_array_index(runs, struct admit_ask, i);
 
 			admit_done(a, e.target, 0, e.work, now);
 			load[e.target] -= e.work;
@@ -95,7 +96,7 @@
 
 	g_assert_cmpint(ask(a, ask_of(1, 5000), 7), ==, VERDICT_ADMIT);
 	for (int i = 0; i < 1000; i++) {
-		struct ask q = ask_of(1, 5000);
+		struct admit_ask q = ask_of(1, 5000);
 		struct decision d;
 		int64_t at;
 
@@ -224,7 +225,7 @@
 	GRand *r = g_rand_new_with_seed(10);
 	struct admit_limits l = limits();
 	struct admit *a = own(r, &l, 1);
-	struct ask q = ask_of(1, 2000);
+	struct admit_ask q = ask_of(1, 2000);
 
 	g_assert_cmpint(ask(a, q, 0), ==, VERDICT_ADMIT);
 	admit_set_fleet(a, 18000, 9);
@@ -266,7 +267,7 @@
 	GRand *r = g_rand_new_with_seed(15);
 	struct admit_limits l = limits();
 	struct admit *a = own(r, &l, 2);
-	struct ask q = ask_of(1, 900);
+	struct admit_ask q = ask_of(1, 900);
 	struct decision d;
 
 	q.reuse = 800;
--- a/route/test-queue.c
+++ b/route/test-queue.c
@@ -25,10 +25,10 @@
 	g_rand_free(rand_source);
 }
 
-static struct ask ask_of(uint64_t ticket, uint32_t org, int priority,
-			 int64_t work)
+static struct admit_ask ask_of(uint64_t ticket, uint32_t org, int priority,
+			       int64_t work)
 {
-	return (struct ask){
+	return (struct admit_ask){
 		.target = 1,
 		.ticket = ticket,
 		.organisation = org,
@@ -40,7 +40,7 @@
 	};
 }
 
-static struct decision ask(struct admit *a, struct ask q, int64_t now_ms)
+static struct decision ask(struct admit *a, struct admit_ask q, int64_t now_ms)
 {
 	struct decision d;
 
@@ -76,7 +76,7 @@
 static void test_deadline(void)
 {
 	struct admit *a = setup(8);
-	struct ask q = ask_of(2, 0, 0, 500);
+	struct admit_ask q = ask_of(2, 0, 0, 500);
 	struct decision d;
 
 	ask(a, ask_of(1, 0, 0, CAPACITY), 0);
@@ -165,7 +165,7 @@
 	for (int64_t now = 0; now < 62000; now++) {
 		end_some(a, runs, now);
 		for (uint32_t o = 0; o < (now < 20000 ? 1 : 3); o++) {
-			struct ask q = ask_of(o, o, 0, 100);
+			struct admit_ask q = ask_of(o, o, 0, 100);
 
 			if (now >= 60000 || now % every_ms[o] != 0)
 				continue;
