--- a/node/limit-pools.c
+++ b/node/limit-pools.c
@@ -45,18 +45,6 @@
 	g_free(l);
 }
 
-static struct limit_rates rates_of(const struct organisation *o)
-{
-	return (struct limit_rates){(double)o->requests_per_s,
-				    (double)o->tokens_per_s,
-				    (double)o->concurrent};
-}
-
-static bool is_limited(const struct organisation *o)
-{
-	return o->requests_per_s || o->tokens_per_s || o->concurrent;
-}
-
 static bool is_holder(const struct node *n, const struct fleet *f,
 		      const char *name)
 {
@@ -77,11 +65,11 @@
 	if (!p) {
 		p = g_new0(struct pool, 1);
 		p->quiet_until_ms = l->changed_ms + LIMIT_TERM_MS;
-		p->pool = limit_pool_new(rates_of(o), p->quiet_until_ms);
+		p->pool = limit_pool_new(limits_declared(o), p->quiet_until_ms);
 		g_hash_table_insert(l->pools, g_strdup(o->name), p);
 		metric_set(M_LIMIT_POOLS, g_hash_table_size(l->pools));
 	}
-	limit_pool_declare(p->pool, rates_of(o));
+	limit_pool_declare(p->pool, limits_declared(o));
 	return p;
 }
 
@@ -152,7 +140,7 @@
 		if (!node || !c || !f || !read_demand(j, time_mono_ms(), &d))
 			continue;
 		o = config_organisation(c, d.organisation);
-		if (o && is_limited(o) && is_holder(n, f, o->name))
+		if (o && limits_any(o) && is_holder(n, f, o->name))
 			json_array_append_new(
 				out, grant_one(n->limit_pools, o, node, &d));
 	}
--- a/node/limits.c
+++ b/node/limits.c
@@ -60,14 +60,14 @@
 	g_free(l);
 }
 
-static struct limit_rates rates_of(const struct organisation *o)
+struct limit_rates limits_declared(const struct organisation *o)
 {
 	return (struct limit_rates){(double)o->requests_per_s,
 				    (double)o->tokens_per_s,
 				    (double)o->concurrent};
 }
 
-static bool is_limited(const struct organisation *o)
+bool limits_any(const struct organisation *o)
 {
 	return o->requests_per_s || o->tokens_per_s || o->concurrent;
 }
@@ -130,11 +130,11 @@
 	struct spend *s;
 	int64_t now, at;
 
-	if (!is_limited(o))
+	if (!limits_any(o))
 		return RAMP_OK;
 	g_mutex_lock(&l->lock);
 	s = find_spend(l, o->name);
-	s->declared = rates_of(o);
+	s->declared = limits_declared(o);
 	s->wanted_ms = time_mono_ms();
 	wait_grant(l, s);
 	now = time_mono_ms();
--- a/node/limits.h
+++ b/node/limits.h
@@ -41,6 +41,9 @@
 json_t *limits_grant(struct node *n, const json_t *asks);
 /* With which a call's signature covers its body. Free with g_free. */
 char *limits_digest(const void *data, size_t len);
+/* limits.c: what the organisation declares, and whether that is anything. */
+struct limit_rates limits_declared(const struct organisation *o);
+bool limits_any(const struct organisation *o);
 /* limits.c: the node that holds an organisation's pool. */
 const struct peer *limits_holder(const struct fleet *f, const char *name);
 
