--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # The two commands of the README are `make demo` and `make test`.
-PACKAGES := base http route member state node ctl standin bench
+PACKAGES := base http route member state node entry platform rampentry \
+	ctl standin bench
 DIRS := $(foreach p,$(PACKAGES),$(if $(wildcard $(p)/makefile),$(p)))
 SHELL := /bin/bash
 
@@ -11,6 +12,9 @@
 build-http build-route build-member build-state: build-base
 build-node build-ctl build-standin build-bench: \
 	$(foreach p,base http route member state,$(if $(wildcard $(p)/makefile),build-$(p)))
+build-entry: build-base build-route build-member
+build-platform: build-entry
+build-rampentry: build-platform
 # The tests of node run stand-ins and link their helpers.
 build-node: build-standin
 build-bench: $(foreach p,node standin,$(if $(wildcard $(p)/makefile),build-$(p)))
@@ -19,6 +23,14 @@
 setup:
 	@mk/setup.sh
 
+# What deploy/system.toml builds: the entry alone, under target/.
+PLATFORM_DIRS := base route member entry platform rampentry
+platform:
+	@for d in $(PLATFORM_DIRS); do $(MAKE) -s --no-print-directory -j4 \
+		-C $$d OUT=$(CURDIR)/target/build BIN=$(CURDIR)/target/bin \
+		TESTS= PKGS="glib-2.0 jansson talloc libsodium libxxhash \
+		libtirpc inih argtable2" || exit 1; done
+
 demo: setup
 	@$(MAKE) --no-print-directory -j all >/dev/null
 	@demo/run.sh $(CHATS)
@@ -55,4 +67,4 @@
 clean:
 	rm -rf build bin demo/run
 
-.PHONY: all setup demo test lint format gen bench measured capacity proof clean
+.PHONY: platform all setup demo test lint format gen bench measured capacity proof clean
--- a/base/base.h
+++ b/base/base.h
@@ -38,6 +38,8 @@
 int64_t time_now_ms(void);
 /* Monotonic time in milliseconds, for intervals inside one process. */
 int64_t time_mono_ms(void);
+/* The same, and it also counts time for which the machine was suspended. */
+int64_t time_boot_ms(void);
 
 /* What is known of a request's work when its answer is given. */
 enum outcome {
@@ -90,7 +92,12 @@
 
 /* Lowest level written; name is one of debug, info, warning, error. */
 bool log_set_level(const char *name);
-/* Write one event line to standard error; fmt gives key=value pairs. */
+/*
+ * Write events to a descriptor in place of standard error, at most so many a
+ * second. What would block or is over the rate is dropped and counted.
+ */
+void log_use(int fd, int64_t lines_per_s);
+/* Write one event line; fmt gives key=value pairs. */
 void log_event(enum log_event_id id, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
 struct metric_info {
@@ -105,6 +112,8 @@
 void metric_add(enum metric_id id, int64_t n);
 void metric_set(enum metric_id id, int64_t n);
 int64_t metric_get(enum metric_id id);
+/* Add a time in ms to a histogram. */
+void metric_observe(enum metric_id id, int64_t ms);
 /* All counters in the Prometheus text format. Free with g_free. */
 char *metrics_text(void);
 
@@ -112,6 +121,7 @@
 	SETTING_STRING,
 	SETTING_INT,
 	SETTING_MS,
+	SETTING_REAL,
 	SETTING_BOOL,
 	SETTING_ENUM,
 	SETTING_HASH, /* of a key, in hexadecimal digits; may be empty */
@@ -129,8 +139,14 @@
 	const char *doc;
 };
 
-extern const struct setting_info setting_infos[];
-extern const size_t setting_count;
+/* The settings of one program. */
+struct setting_table {
+	const struct setting_info *infos;
+	size_t count;
+	size_t size; /* of the struct that they fill */
+};
+
+extern const struct setting_table settings_table;
 
 /*
  * Read settings from an INI file. All errors are collected, one string each
@@ -140,5 +156,12 @@
  */
 bool settings_load(const char *path, struct settings *out, GPtrArray *errors);
 void settings_clear(struct settings *s);
+/*
+ * The same for any program's settings. A number that is given as nothing
+ * takes its default.
+ */
+bool settings_load_table(const struct setting_table *t, const char *path,
+			 void *out, GPtrArray *errors);
+void settings_clear_table(const struct setting_table *t, void *s);
 
 #endif
--- a/base/errors-gen.c
+++ b/base/errors-gen.c
@@ -47,4 +47,6 @@
 	  "this attempt did not run and will not; raise Ramp-Attempt to run it" },
 	{ "key_reused", 422, OUTCOME_NOT_RUN, false,
 	  "the key was used for another request" },
+	{ "caller_slow", 408, OUTCOME_NOT_RUN, true,
+	  "the request did not arrive in time" },
 };
--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -39,4 +39,11 @@
 	{ 8003, LOG_WARNING, "change_unknown" },
 	{ 8004, LOG_INFO, "drain_asked" },
 	{ 8005, LOG_WARNING, "api_denied" },
+	{ 4010, LOG_INFO, "request_ended" },
+	{ 4011, LOG_INFO, "request_repeated" },
+	{ 2005, LOG_INFO, "targets_changed" },
+	{ 2006, LOG_WARNING, "target_unreadable" },
+	{ 2007, LOG_WARNING, "settings_kept" },
+	{ 2008, LOG_INFO, "settings_reloaded" },
+	{ 7008, LOG_INFO, "serving_changed" },
 };
--- a/base/settings-gen.c
+++ b/base/settings-gen.c
@@ -1,7 +1,7 @@
 /* Generated from schema/settings.tbl by schema/gen.sh. */
 #include <stddef.h>
 #include "base/base.h"
-const struct setting_info setting_infos[] = {
+static const struct setting_info infos[] = {
 	{ "node", "name", SETTING_STRING, NULL, NULL, 1, 64,
 	  offsetof(struct settings, node_name),
 	  "Name of this node, unique in the fleet." },
@@ -93,5 +93,7 @@
 	  offsetof(struct settings, loads_target_work),
 	  "Most work that a target holds, in tokens to read and to generate; near it organisations get their shares and the rest is refused. 0 means no limit." },
 };
-const size_t setting_count =
-	sizeof(setting_infos) / sizeof(setting_infos[0]);
+const struct setting_table settings_table = {
+	infos, sizeof(infos) / sizeof(infos[0]),
+	sizeof(struct settings)
+};
--- a/base/settings.c
+++ b/base/settings.c
@@ -10,15 +10,16 @@
 
 /* State of one load; inih calls back once for each "key = value" line. */
 struct load {
+	const struct setting_table *table;
 	const char *path;
 	FILE *file;
 	int line;
-	struct settings *out;
+	void *out;
 	GPtrArray *errors;
 	bool *seen;
 };
 
-static void *field(struct settings *s, const struct setting_info *d)
+static void *field(void *s, const struct setting_info *d)
 {
 	return (char *)s + d->offset;
 }
@@ -29,12 +30,14 @@
 		[SETTING_STRING] = "a string with a length",
 		[SETTING_INT] = "a whole number",
 		[SETTING_MS] = "a whole number of milliseconds",
+		[SETTING_REAL] = "a number",
 	};
 
 	switch (d->type) {
 	case SETTING_STRING:
 	case SETTING_INT:
 	case SETTING_MS:
+	case SETTING_REAL:
 		snprintf(buf, n,
 			 "%s from %" PRId64 " to %" PRId64 " is allowed",
 			 kinds[d->type], d->min, d->max);
@@ -78,18 +81,33 @@
 	return !errno && end != value && !*end;
 }
 
-static void store_string(struct settings *s, const struct setting_info *d,
+static bool parse_real(const char *value, double *out)
+{
+	char *end;
+
+	errno = 0;
+	*out = g_ascii_strtod(value, &end);
+	return !errno && end != value && !*end;
+}
+
+static bool is_number(enum setting_type t)
+{
+	return t == SETTING_INT || t == SETTING_MS || t == SETTING_REAL;
+}
+
+static void store_string(void *s, const struct setting_info *d,
 			 const char *value)
 {
 	g_free(*(char **)field(s, d));
 	*(char **)field(s, d) = g_strdup(value);
 }
 
-static bool store(struct settings *s, const struct setting_info *d,
+static bool store(void *s, const struct setting_info *d,
 		  const char *value)
 {
 	int64_t len = (int64_t)strlen(value);
 	int64_t n;
+	double x;
 
 	switch (d->type) {
 	case SETTING_STRING:
@@ -113,16 +131,23 @@
 			return false;
 		*(int64_t *)field(s, d) = n;
 		return true;
+	case SETTING_REAL:
+		if (!parse_real(value, &x) || x < (double)d->min ||
+		    x > (double)d->max)
+			return false;
+		*(double *)field(s, d) = x;
+		return true;
 	}
 	return false;
 }
 
-static const struct setting_info *find(const char *section, const char *key)
+static const struct setting_info *find(const struct setting_table *t,
+				       const char *section, const char *key)
 {
-	for (size_t i = 0; i < setting_count; i++) {
-		if (!strcmp(setting_infos[i].section, section) &&
-		    !strcmp(setting_infos[i].key, key))
-			return &setting_infos[i];
+	for (size_t i = 0; i < t->count; i++) {
+		if (!strcmp(t->infos[i].section, section) &&
+		    !strcmp(t->infos[i].key, key))
+			return &t->infos[i];
 	}
 	return NULL;
 }
@@ -138,18 +163,20 @@
 		    const char *value)
 {
 	struct load *l = user;
-	const struct setting_info *d = find(section, key);
+	const struct setting_info *d = find(l->table, section, key);
 	char allowed[128];
 
 	if (!d) {
 		add_error(l, l->line, section, key, "unknown key");
 		return 1;
 	}
-	if (l->seen[d - setting_infos]) {
+	if (l->seen[d - l->table->infos]) {
 		add_error(l, l->line, section, key, "given twice");
 		return 1;
 	}
-	l->seen[d - setting_infos] = true;
+	if (!*value && d->value && is_number(d->type))
+		return 1;
+	l->seen[d - l->table->infos] = true;
 	if (store(l->out, d, value))
 		return 1;
 	describe_allowed(d, allowed, sizeof(allowed));
@@ -167,20 +194,22 @@
 	return s;
 }
 
-bool settings_load(const char *path, struct settings *out, GPtrArray *errors)
+bool settings_load_table(const struct setting_table *t, const char *path,
+			 void *out, GPtrArray *errors)
 {
-	struct load l = {.path = path, .out = out, .errors = errors};
+	struct load l = {
+		.table = t, .path = path, .out = out, .errors = errors};
 	guint before = errors->len;
 	int bad_line;
 
-	memset(out, 0, sizeof(*out));
+	memset(out, 0, t->size);
 	l.file = fopen(path, "r");
 	if (!l.file) {
 		g_ptr_array_add(errors, g_strdup_printf("%s: %s", path,
 							g_strerror(errno)));
 		return false;
 	}
-	l.seen = g_new0(bool, setting_count);
+	l.seen = g_new0(bool, t->count);
 	bad_line = ini_parse_stream(read_line, &l, on_value, &l);
 	fclose(l.file);
 	if (bad_line > 0)
@@ -188,8 +217,8 @@
 				g_strdup_printf("%s:%d: not \"key = value\", "
 						"a section or a comment",
 						path, bad_line));
-	for (size_t i = 0; i < setting_count; i++) {
-		const struct setting_info *d = &setting_infos[i];
+	for (size_t i = 0; i < t->count; i++) {
+		const struct setting_info *d = &t->infos[i];
 
 		if (l.seen[i])
 			continue;
@@ -208,11 +237,21 @@
 	return t == SETTING_STRING || t == SETTING_ENUM || t == SETTING_HASH;
 }
 
-void settings_clear(struct settings *s)
+void settings_clear_table(const struct setting_table *t, void *s)
 {
-	for (size_t i = 0; i < setting_count; i++) {
-		if (is_text(setting_infos[i].type))
-			g_clear_pointer((char **)field(s, &setting_infos[i]),
+	for (size_t i = 0; i < t->count; i++) {
+		if (is_text(t->infos[i].type))
+			g_clear_pointer((char **)field(s, &t->infos[i]),
 					g_free);
 	}
 }
+
+bool settings_load(const char *path, struct settings *out, GPtrArray *errors)
+{
+	return settings_load_table(&settings_table, path, out, errors);
+}
+
+void settings_clear(struct settings *s)
+{
+	settings_clear_table(&settings_table, s);
+}
--- a/base/time.c
+++ b/base/time.c
@@ -19,3 +19,8 @@
 {
 	return read_ms(CLOCK_MONOTONIC);
 }
+
+int64_t time_boot_ms(void)
+{
+	return read_ms(CLOCK_BOOTTIME);
+}
--- /dev/null
+++ b/entry/buf.c
@@ -0,0 +1,59 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+/* Space in front is reused once it is this large. */
+#define COMPACT_BYTES 4096
+
+static void reserve(struct buf *b, size_t n)
+{
+	if (b->off == b->len)
+		b->off = b->len = 0;
+	if (b->off >= COMPACT_BYTES && b->off >= b->len - b->off) {
+		memmove(b->data, b->data + b->off, b->len - b->off);
+		b->len -= b->off;
+		b->off = 0;
+	}
+	if (b->len + n <= b->cap)
+		return;
+	b->cap = MAX(b->cap * 2, b->len + n);
+	b->cap = MAX(b->cap, 256);
+	b->data = g_realloc(b->data, b->cap);
+}
+
+void buf_add(struct buf *b, const void *p, size_t n)
+{
+	if (!n)
+		return;
+	reserve(b, n);
+	memcpy(b->data + b->len, p, n);
+	b->len += n;
+}
+
+void buf_fmt(struct buf *b, const char *fmt, ...)
+{
+	char text[512];
+	va_list ap;
+	int n;
+
+	va_start(ap, fmt);
+	n = vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	if (n > 0)
+		buf_add(b, text, MIN((size_t)n, sizeof(text) - 1));
+}
+
+void buf_drop(struct buf *b, size_t n)
+{
+	b->off += n;
+	if (b->off == b->len)
+		b->off = b->len = 0;
+}
+
+void buf_clear(struct buf *b)
+{
+	g_free(b->data);
+	memset(b, 0, sizeof(*b));
+}
--- /dev/null
+++ b/entry/control.c
@@ -0,0 +1,399 @@
+#include <errno.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "entry/inner.h"
+
+#define DATAGRAM_BYTES 2048
+#define TICK_MS	       50
+/* Loads are told this often, and no oftener than DATAGRAMS_S allows. */
+#define TELL_MS 100
+/* Load datagrams that a node sends in a second: some 1% of a small core. */
+#define DATAGRAMS_S 100
+/* Nodes not seen yet are spoken to this often. */
+#define INTRODUCE_MS 1000
+/* Incarnations count eighths of a second since 2025. */
+#define EPOCH_MS       1735689600000
+#define INCARNATION_MS 125
+
+struct control {
+	struct entry *e;
+	struct ev_loop *loop;
+	struct member *member;
+	int member_fd, loads_fd;
+	ev_io member_io, loads_io;
+	ev_timer tick;
+	ev_signal term, hup;
+	ev_async stop;
+	uint8_t key[MEMBER_KEY_BYTES]; /* of an unauthenticated fleet: zeros */
+	void *source;
+	uint64_t view;
+	int64_t tell_at_ms;
+	int64_t introduce_at_ms;
+	GHashTable *seeds; /* control addresses that were named somewhere */
+	size_t turn;
+};
+
+static int open_udp(const char *ip, int64_t port, GError **err)
+{
+	struct sockaddr_in at;
+	char text[64];
+	int fd;
+
+	snprintf(text, sizeof(text), "%s:%d", ip, (int)port);
+	if (!parse_address(text, &at)) {
+		g_set_error(err, RAMP_ERROR, RAMP_ERR_BAD_REQUEST,
+			    "%s: not IP:PORT", text);
+		return -1;
+	}
+	fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0 && !bind(fd, (struct sockaddr *)&at, sizeof(at)))
+		return fd;
+	g_set_error(err, RAMP_ERROR, RAMP_ERR_INTERNAL, "udp %s: %s", text,
+		    g_strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+static void send_member(void *ctx, const char *to, const struct member_message *m)
+{
+	struct control *c = ctx;
+	uint8_t p[DATAGRAM_BYTES];
+	struct sockaddr_in at;
+	size_t n;
+
+	if (!parse_address(to, &at))
+		return;
+	n = member_encode(m, c->key, p, sizeof(p));
+	/* A message that can't be sent counts as one that was lost. */
+	if (n && sendto(c->member_fd, p, n, MSG_DONTWAIT,
+			(struct sockaddr *)&at, sizeof(at)) > 0)
+		metric_add(M_CONTROL_BYTES_SENT_TOTAL,
+			   (int64_t)n + MEMBER_DATAGRAM_BYTES);
+}
+
+static uint64_t random_bits(void *ctx)
+{
+	uint64_t r;
+
+	(void)ctx;
+	randombytes_buf(&r, sizeof(r));
+	return r;
+}
+
+static void on_member(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct control *c = w->data;
+	uint8_t p[DATAGRAM_BYTES];
+	ssize_t n;
+
+	(void)loop;
+	(void)events;
+	while ((n = recv(c->member_fd, p, sizeof(p), MSG_DONTWAIT)) >= 0) {
+		struct member_message m;
+
+		metric_add(M_CONTROL_BYTES_RECEIVED_TOTAL,
+			   n + MEMBER_DATAGRAM_BYTES);
+		switch (member_decode(p, (size_t)n, c->key, &m)) {
+		case MEMBER_DECODED:
+			member_receive(c->member, time_mono_ms(), &m);
+			member_message_clear(&m);
+			break;
+		case MEMBER_MALFORMED:
+			metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
+			break;
+		case MEMBER_NOT_AUTHENTIC:
+			metric_add(M_CONTROL_NOT_AUTHENTIC_TOTAL, 1);
+			break;
+		}
+	}
+}
+
+static void on_loads(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct control *c = w->data;
+	char p[DATAGRAM_BYTES];
+	ssize_t n;
+
+	(void)loop;
+	(void)events;
+	while ((n = recv(c->loads_fd, p, sizeof(p), MSG_DONTWAIT)) >= 0) {
+		metric_add(M_CONTROL_BYTES_RECEIVED_TOTAL,
+			   n + MEMBER_DATAGRAM_BYTES);
+		loads_decode(c->e->loads, time_boot_ms(), p, (size_t)n);
+	}
+}
+
+/* Where a node takes loads: one port above its control address. */
+static bool loads_address(const char *control, struct sockaddr_in *out)
+{
+	if (!parse_address(control, out))
+		return false;
+	out->sin_port = htons((uint16_t)(ntohs(out->sin_port) + 1));
+	return true;
+}
+
+static void publish_peers(struct control *c)
+{
+	size_t n = member_count(c->member), live;
+	struct peer_list *l = peer_list_new(n), *old;
+
+	member_seen(c->member, &live, &l->known);
+	for (size_t i = 0; i < n; i++) {
+		const struct member_peer *p = member_at(c->member, i);
+		struct entry_peer *q = &l->v[l->n];
+
+		if (p->state != MEMBER_LIVE && p->state != MEMBER_SUSPECT)
+			continue;
+		if (!loads_address(p->info.control, &q->loads))
+			continue;
+		q->id = p->id;
+		q->address = str_dup(l->arena, str_c(p->info.address));
+		q->zone = str_dup(l->arena, str_c(p->info.zone));
+		l->n++;
+	}
+	metric_set(M_ENTRIES_LIVE, (int64_t)l->n);
+	g_mutex_lock(&c->e->lock);
+	old = c->e->peers;
+	c->e->peers = peer_list_ref(l);
+	g_mutex_unlock(&c->e->lock);
+	peer_list_unref(old);
+	peer_list_unref(l);
+	ev_async_send(c->e->tr.loop, &c->e->tr.news);
+}
+
+/* Pause between load datagrams to all peers. */
+static int64_t tell_pause_ms(size_t peers)
+{
+	return MAX(TELL_MS, (int64_t)peers * 1000 / DATAGRAMS_S);
+}
+
+static void tell_loads(struct control *c, int64_t now_ms)
+{
+	uint64_t self = member_id(c->e->set.node_name);
+	struct peer_list *l;
+	char p[DATAGRAM_BYTES];
+	size_t n;
+
+	if (now_ms < c->tell_at_ms)
+		return;
+	g_mutex_lock(&c->e->lock);
+	l = c->e->peers ? peer_list_ref(c->e->peers) : NULL;
+	g_mutex_unlock(&c->e->lock);
+	if (!l)
+		return;
+	c->tell_at_ms = now_ms + tell_pause_ms(l->n);
+	n = loads_encode(c->e->loads, now_ms, p, sizeof(p));
+	for (size_t i = 0; n && i < l->n; i++) {
+		if (l->v[i].id == self)
+			continue;
+		if (sendto(c->loads_fd, p, n, MSG_DONTWAIT,
+			   (struct sockaddr *)&l->v[i].loads,
+			   sizeof(l->v[i].loads)) > 0)
+			metric_add(M_CONTROL_BYTES_SENT_TOTAL,
+				   (int64_t)n + MEMBER_DATAGRAM_BYTES);
+	}
+	peer_list_unref(l);
+}
+
+static bool is_known(const struct control *c, const char *control)
+{
+	for (size_t i = 0; i < member_count(c->member); i++) {
+		const struct member_peer *p = member_at(c->member, i);
+
+		if (p->state != MEMBER_DEAD &&
+		    !strcmp(p->info.control, control))
+			return true;
+	}
+	return false;
+}
+
+/* Speak to those that were named and have not been seen. */
+static void introduce(struct control *c, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer control;
+
+	if (now_ms < c->introduce_at_ms)
+		return;
+	c->introduce_at_ms = now_ms + INTRODUCE_MS;
+	g_hash_table_iter_init(&it, c->seeds);
+	while (g_hash_table_iter_next(&it, &control, NULL))
+		if (strcmp(control, c->e->control_address) != 0 &&
+		    !is_known(c, control))
+			member_introduce(c->member, control);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct control *c = w->data;
+	int64_t now = time_boot_ms();
+
+	(void)loop;
+	(void)events;
+	member_tick(c->member, time_mono_ms());
+	if (c->view != member_view_number(c->member)) {
+		c->view = member_view_number(c->member);
+		publish_peers(c);
+	}
+	introduce(c, now);
+	tell_loads(c, now);
+}
+
+static void on_term(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct control *c = w->data;
+
+	(void)loop;
+	(void)events;
+	g_mutex_lock(&c->e->lock);
+	c->e->leaving = true;
+	g_mutex_unlock(&c->e->lock);
+	member_leave(c->member);
+	loads_set_serving(c->e->loads, false);
+	c->tell_at_ms = 0;
+	tell_loads(c, time_boot_ms());
+	ev_async_send(c->e->tr.loop, &c->e->tr.news);
+}
+
+static void on_hup(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct control *c = w->data;
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	struct entry_settings s;
+
+	(void)loop;
+	(void)events;
+	if (settings_load_table(&entry_settings_table, c->e->o->path, &s,
+				errors)) {
+		g_mutex_lock(&c->e->lock);
+		c->e->set.bounds_retry_ratio = s.bounds_retry_ratio;
+		c->e->set.bounds_retry_allowance = s.bounds_retry_allowance;
+		c->e->set.bounds_retry_window_s = s.bounds_retry_window_s;
+		c->e->set.bounds_entries_ttl_s = s.bounds_entries_ttl_s;
+		c->e->set.bounds_grace_s = s.bounds_grace_s;
+		c->e->set.bounds_revoke_ms = s.bounds_revoke_ms;
+		g_mutex_unlock(&c->e->lock);
+		log_event(EV_SETTINGS_RELOADED, "path=%s", c->e->o->path);
+	} else {
+		log_event(EV_SETTINGS_KEPT, "error=\"%s\"",
+			  (char *)g_ptr_array_index(errors, 0));
+	}
+	settings_clear_table(&entry_settings_table, &s);
+	g_ptr_array_unref(errors);
+}
+
+static void on_stop(struct ev_loop *loop, ev_async *w, int events)
+{
+	struct control *c = w->data;
+
+	(void)events;
+	member_stop(c->member);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void entry_seed_node(struct entry *e, const char *control)
+{
+	g_hash_table_add(e->control->seeds, g_strdup(control));
+}
+
+/* The settings name seeds by another port; the control port is the same. */
+static void add_seeds(struct control *c)
+{
+	char **v = g_strsplit(c->e->set.peers_seeds, ",", -1);
+
+	for (char **p = v; *p; p++) {
+		char *colon = strrchr(*p, ':');
+
+		if (!colon)
+			continue;
+		*colon = '\0';
+		g_hash_table_add(c->seeds,
+				 g_strdup_printf("%s:%d", g_strstrip(*p),
+						 (int)c->e->set.peers_port));
+	}
+	g_strfreev(v);
+}
+
+static void watch_fd(struct control *c, ev_io *w, int fd,
+		     void (*fn)(struct ev_loop *, ev_io *, int))
+{
+	ev_io_init(w, fn, fd, EV_READ);
+	w->data = c;
+	ev_io_start(c->loop, w);
+}
+
+struct control *control_new(struct entry *e, GError **err)
+{
+	const struct entry_settings *s = &e->set;
+	struct control *c = g_new0(struct control, 1);
+	struct member_options o = {
+		.self = {s->node_name, s->listen_callers, e->control_address,
+			 s->node_zone, s->node_region},
+		.incarnation =
+			(uint32_t)((time_now_ms() - EPOCH_MS) / INCARNATION_MS),
+		.budget_bytes_s = s->peers_budget,
+		.callbacks = {c, send_member, random_bits},
+	};
+
+	c->e = e;
+	e->control = c;
+	c->loop = ev_loop_new(EVFLAG_AUTO);
+	c->seeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->loads_fd = -1;
+	c->member_fd = open_udp(s->node_ip, s->peers_port, err);
+	if (c->member_fd >= 0)
+		c->loads_fd = open_udp(s->node_ip, s->peers_port + 1, err);
+	if (c->loads_fd < 0)
+		return c;
+	c->member = member_new(&o, time_mono_ms());
+	add_seeds(c);
+	watch_fd(c, &c->member_io, c->member_fd, on_member);
+	watch_fd(c, &c->loads_io, c->loads_fd, on_loads);
+	ev_timer_init(&c->tick, on_tick, 0, TICK_MS / 1000.0);
+	c->tick.data = c;
+	ev_timer_start(c->loop, &c->tick);
+	ev_signal_init(&c->term, on_term, SIGTERM);
+	c->term.data = c;
+	ev_signal_start(c->loop, &c->term);
+	ev_signal_init(&c->hup, on_hup, SIGHUP);
+	c->hup.data = c;
+	ev_signal_start(c->loop, &c->hup);
+	ev_async_init(&c->stop, on_stop);
+	c->stop.data = c;
+	ev_async_start(c->loop, &c->stop);
+	return c;
+}
+
+void *control_run(void *control)
+{
+	struct control *c = control;
+
+	c->source = c->e->o->source.start(c->e, c->loop, c->e->o->source.ctx);
+	ev_run(c->loop, 0);
+	c->e->o->source.stop(c->source);
+	return NULL;
+}
+
+void control_stop(struct control *c)
+{
+	ev_async_send(c->loop, &c->stop);
+}
+
+void control_free(struct control *c)
+{
+	if (c->member)
+		member_free(c->member);
+	if (c->member_fd >= 0)
+		close(c->member_fd);
+	if (c->loads_fd >= 0)
+		close(c->loads_fd);
+	g_hash_table_unref(c->seeds);
+	ev_loop_destroy(c->loop);
+	g_free(c);
+}
--- /dev/null
+++ b/entry/cut.c
@@ -0,0 +1,89 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+/* Largest event that is held until it is whole; targets send some 100 bytes. */
+#define EVENT_BYTES_MAX (1 << 20)
+
+/* Length of the first whole event with its blank line, or 0. */
+static size_t event_length(const char *p, size_t n)
+{
+	size_t at = 0;
+	bool any = false;
+
+	while (at < n) {
+		const char *nl = memchr(p + at, '\n', n - at);
+		size_t len;
+
+		if (!nl)
+			return 0;
+		len = (size_t)(nl - (p + at));
+		if (len && p[at + len - 1] == '\r')
+			len--;
+		at = (size_t)(nl - p) + 1;
+		if (!len && any)
+			return at;
+		if (len)
+			any = true;
+	}
+	return 0;
+}
+
+/* Value of the event's id field; empty when it has none. */
+static struct str event_id(const char *p, size_t n)
+{
+	struct str id = {NULL, 0};
+	size_t at = 0;
+
+	while (at < n) {
+		const char *nl = memchr(p + at, '\n', n - at);
+		size_t end = nl ? (size_t)(nl - p) : n;
+
+		if (end - at > 3 && !memcmp(p + at, "id:", 3)) {
+			at += 3;
+			if (p[at] == ' ')
+				at++;
+			id = (struct str){p + at, end - at};
+			if (id.len && id.data[id.len - 1] == '\r')
+				id.len--;
+		}
+		at = end + 1;
+	}
+	return id;
+}
+
+bool cutter_feed(struct cutter *c, const char *p, size_t n, cut_fn *fn,
+		 void *ctx)
+{
+	size_t len;
+
+	buf_add(&c->held, p, n);
+	while ((len = event_length(buf_at(&c->held), buf_len(&c->held)))) {
+		struct str id = event_id(buf_at(&c->held), len);
+		int64_t number = str_number(id);
+		bool seen = c->events && number >= 0 && number <= c->number;
+
+		if (!seen) {
+			if (id.len && id.len < sizeof(c->text)) {
+				memcpy(c->text, id.data, id.len);
+				c->last = (struct str){c->text, id.len};
+				c->number = number;
+			}
+			c->events++;
+			fn(ctx, buf_at(&c->held), len);
+		}
+		buf_drop(&c->held, len);
+	}
+	return buf_len(&c->held) <= EVENT_BYTES_MAX;
+}
+
+void cutter_break(struct cutter *c)
+{
+	buf_drop(&c->held, buf_len(&c->held));
+}
+
+void cutter_clear(struct cutter *c)
+{
+	buf_clear(&c->held);
+}
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,214 @@
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "entry/inner.h"
+
+#define BEAT_MS 100
+/* Part of the time to revoke a key for which a configuration proves it. */
+#define FRESH_PART 0.55
+/*
+ * After SIGTERM: connections that carry nothing are closed once callers had
+ * time to learn of it; what arrives later still is refused; before the kill
+ * something is left to end in.
+ */
+#define LEAVE_IDLE_MS	1000
+#define LEAVE_ACCEPT_MS 3500
+#define LEAVE_LEFT_MS	300
+
+bool entry_is_fresh(const struct entry *e, int64_t now_ms)
+{
+	int64_t at = atomic_load(&e->fresh_ms);
+
+	return at && (double)(now_ms - at) <
+			     FRESH_PART * (double)e->set.bounds_revoke_ms;
+}
+
+const struct entry_settings *entry_settings(const struct entry *e)
+{
+	return &e->set;
+}
+
+const char *entry_control(const struct entry *e)
+{
+	return e->control_address;
+}
+
+void entry_config_fresh(struct entry *e, int64_t at_ms)
+{
+	if (at_ms > atomic_load(&e->fresh_ms))
+		atomic_store(&e->fresh_ms, at_ms);
+}
+
+void entry_publish_config(struct entry *e, struct entry_config *c)
+{
+	struct entry_config *old;
+
+	g_mutex_lock(&e->lock);
+	old = e->config;
+	e->config = c;
+	g_mutex_unlock(&e->lock);
+	entry_config_unref(old);
+	metric_set(M_CONFIG_REVISION, c->version);
+	ev_async_send(e->tr.loop, &e->tr.news);
+}
+
+void entry_publish_targets(struct entry *e, struct target_list *l)
+{
+	struct target_list *old;
+
+	g_mutex_lock(&e->lock);
+	old = e->list;
+	e->list = l;
+	g_mutex_unlock(&e->lock);
+	target_list_unref(old);
+	metric_set(M_TARGETS_LISTED, (int64_t)l->n);
+	ev_async_send(e->tr.loop, &e->tr.news);
+}
+
+static void begin_to_leave(struct traffic *tr)
+{
+	int64_t now = time_boot_ms();
+
+	tr->leaving_ms = now;
+	tr->stop_at_ms = now + (int64_t)(tr->set->bounds_grace_s * 1000) -
+			 LEAVE_LEFT_MS;
+	log_event(EV_NODE_STOPPING, "requests=%d", tr->exchanges);
+}
+
+/* Take what the control thread has published. */
+static void on_news(struct ev_loop *loop, ev_async *w, int events)
+{
+	struct traffic *tr = w->data;
+	struct entry *e = tr->e;
+	struct entry_config *config;
+	struct target_list *list;
+	struct peer_list *peers;
+	bool leaving;
+
+	(void)loop;
+	(void)events;
+	g_mutex_lock(&e->lock);
+	config = e->config ? entry_config_ref(e->config) : NULL;
+	list = e->list ? target_list_ref(e->list) : NULL;
+	peers = e->peers ? peer_list_ref(e->peers) : NULL;
+	leaving = e->leaving;
+	g_mutex_unlock(&e->lock);
+	entry_config_unref(tr->config);
+	tr->config = config;
+	if (list && list != tr->list)
+		pool_take(tr, list);
+	target_list_unref(tr->list);
+	tr->list = list;
+	peer_list_unref(tr->peers);
+	tr->peers = peers;
+	if (leaving && !tr->leaving_ms)
+		begin_to_leave(tr);
+}
+
+static void stop_if_done(struct traffic *tr, int64_t now_ms)
+{
+	if (!tr->leaving_ms)
+		return;
+	if (now_ms - tr->leaving_ms >= LEAVE_IDLE_MS)
+		callers_close_idle(tr);
+	if (now_ms >= tr->stop_at_ms ||
+	    (now_ms - tr->leaving_ms >= LEAVE_ACCEPT_MS && !tr->exchanges))
+		ev_break(tr->loop, EVBREAK_ALL);
+}
+
+static void on_beat(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct traffic *tr = w->data;
+	int64_t now = time_boot_ms();
+
+	(void)loop;
+	(void)events;
+	pool_sweep(tr);
+	loads_set_serving(tr->e->loads, tr->config && tr->list &&
+						!tr->leaving_ms &&
+						entry_is_fresh(tr->e, now));
+	stop_if_done(tr, now);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	(void)loop;
+	(void)events;
+	caller_accept(w->data);
+}
+
+static bool open_port(struct traffic *tr, enum port_kind kind,
+		      const char *address, GError **err)
+{
+	struct port *p = &tr->ports[kind];
+
+	p->e = tr->e;
+	p->kind = kind;
+	p->fd = -1;
+	if (!*address)
+		return true;
+	p->fd = sock_listen(address, err);
+	if (p->fd < 0)
+		return false;
+	ev_io_init(&p->io, on_accept, p->fd, EV_READ);
+	p->io.data = p;
+	ev_io_start(tr->loop, &p->io);
+	return true;
+}
+
+static bool open_ports(struct traffic *tr, GError **err)
+{
+	const struct entry_settings *s = tr->set;
+
+	return open_port(tr, PORT_CALLERS, s->listen_callers, err) &&
+	       open_port(tr, PORT_READY, s->listen_ready, err) &&
+	       open_port(tr, PORT_ENTRIES, s->listen_entries, err) &&
+	       open_port(tr, PORT_METRICS, s->listen_metrics, err);
+}
+
+static void traffic_init(struct entry *e)
+{
+	struct traffic *tr = &e->tr;
+
+	tr->e = e;
+	tr->set = &e->set;
+	tr->d = e->o->dialect;
+	tr->loop = ev_loop_new(EVFLAG_AUTO);
+	pool_init(tr);
+	tr->callers = g_queue_new();
+	tr->rand = g_rand_new();
+	tr->started_ms = time_boot_ms();
+	ev_async_init(&tr->news, on_news);
+	tr->news.data = tr;
+	ev_async_start(tr->loop, &tr->news);
+	ev_timer_init(&tr->beat, on_beat, 0, BEAT_MS / 1000.0);
+	tr->beat.data = tr;
+	ev_timer_start(tr->loop, &tr->beat);
+}
+
+int entry_run(const struct entry_options *o, GError **err)
+{
+	struct entry *e = g_new0(struct entry, 1);
+	GThread *control;
+
+	e->o = o;
+	e->set = *o->set;
+	e->control_address = g_strdup_printf("%s:%d", e->set.node_ip,
+					     (int)e->set.peers_port);
+	e->loads = loads_new(member_id(e->set.node_name));
+	traffic_init(e);
+	if (!open_ports(&e->tr, err))
+		return 1;
+	e->control = control_new(e, err);
+	if (*err)
+		return 1;
+	control = g_thread_new("control", control_run, e->control);
+	log_event(EV_NODE_STARTED, "name=%s zone=%s address=%s",
+		  e->set.node_name, e->set.node_zone, e->set.listen_callers);
+	ev_run(e->tr.loop, 0);
+	control_stop(e->control);
+	g_thread_join(control);
+	log_event(EV_NODE_STOPPED, "requests=%d", e->tr.exchanges);
+	return 0;
+}
--- /dev/null
+++ b/entry/exchange.c
@@ -0,0 +1,732 @@
+#include <http_parser.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "entry/inner.h"
+
+/* Largest answer that is held until it is whole; a longer one fails. */
+#define ANSWER_MAX (8 << 20)
+/* Most sends of one request, those that did not run included. */
+#define SENDS_MAX 4
+/* Bytes that a slow caller may leave before the target is held back. */
+#define UNSENT_MAX (256 << 10)
+/* A target answers its own deadline itself; ours is this much later. */
+#define DEADLINE_SLACK_MS 60
+/* Time before the deadline in which nothing is sent any more. */
+#define DEADLINE_LEAST_MS 20
+/* Pauses that make a stream go on elsewhere, in parts of its longest one. */
+#define STALL_GAPS 3
+#define STALL_MIN_MS 1000
+/* When a caller may come back after a refusal, with a random part on top. */
+#define RETRY_MIN_MS	100
+#define RETRY_SPREAD_MS 200
+
+struct exchange {
+	struct caller *c;
+	struct traffic *tr;
+	void *arena;
+	struct message *rq;
+	struct str body;
+	struct entry_config *config;
+	const struct route_rule *route;
+	const struct entry_service *service;
+	const struct entry_organisation *owner;
+	struct str id;
+	uint64_t key; /* of the prompt's shared part; 0: none */
+	int64_t arrived_ms;
+	int64_t deadline_ms; /* the caller's, or the route's timeout */
+
+	/* The attempt in progress. */
+	struct target *target;
+	struct link *link;
+	bool reused;
+	bool other_answer; /* the one being read is another request's */
+	bool streaming;
+	struct message *answer; /* its head, while it is being read */
+	struct buf held;	/* its body */
+
+	uint64_t tried[SENDS_MAX];
+	int sends;
+	int runs; /* sends that may have run */
+	struct cutter cut;
+	bool given; /* a head has been given to the caller */
+	int64_t event_ms; /* when the last event came */
+	ev_timer timer;
+	const char *cause; /* of the last failure, for the log */
+};
+
+static void attempt(struct exchange *x);
+
+static bool is_event_stream(const struct exchange *x)
+{
+	return x->route && x->route->stream;
+}
+
+/* Give up the attempt: closing its connection ends the work. */
+static void drop_link(struct exchange *x)
+{
+	if (x->link)
+		link_close(x->link);
+	x->link = NULL;
+	x->answer = NULL;
+	if (x->target)
+		pool_running(x->target, -1);
+	x->target = NULL;
+	buf_drop(&x->held, buf_len(&x->held));
+}
+
+static void destroy(struct exchange *x)
+{
+	drop_link(x);
+	ev_timer_stop(x->tr->loop, &x->timer);
+	cutter_clear(&x->cut);
+	buf_clear(&x->held);
+	entry_config_unref(x->config);
+	x->tr->exchanges--;
+	metric_set(M_REQUESTS_RUNNING, x->tr->exchanges);
+	talloc_free(x->rq);
+	talloc_free(x->arena);
+}
+
+static void log_end(const struct exchange *x, int status, const char *how)
+{
+	struct str target = x->target ? x->target->info.name : STR_LIT("-");
+	int64_t now = time_boot_ms();
+	int64_t fresh = atomic_load(&x->tr->e->fresh_ms);
+
+	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
+	log_event(EV_REQUEST_ENDED,
+		  "request=" STR_FMT " route=" STR_FMT " target=" STR_FMT
+		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
+		  "cause=%s config=%d config_age_ms=%d",
+		  STR_ARG(x->id),
+		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
+		  STR_ARG(target), status, how, (int)(now - x->arrived_ms),
+		  x->sends, x->runs, (int)x->cut.events,
+		  x->cause ? x->cause : "-",
+		  x->config ? (int)x->config->version : 0,
+		  fresh ? (int)(now - fresh) : -1);
+}
+
+static bool keeps(const struct exchange *x)
+{
+	return !x->tr->leaving_ms;
+}
+
+static void finish(struct exchange *x, bool keep)
+{
+	struct caller *c = x->c;
+
+	destroy(x);
+	caller_done(c, keep);
+}
+
+static int64_t retry_after(const struct exchange *x)
+{
+	return RETRY_MIN_MS +
+	       g_rand_int_range(x->tr->rand, 0, RETRY_SPREAD_MS);
+}
+
+/* Answer with an error of our own and end. */
+static void refuse(struct exchange *x, enum ramp_error kind)
+{
+	struct buf out = {0};
+	int64_t back = error_answers[kind].retry ? retry_after(x) : 0;
+
+	log_end(x, error_answers[kind].http_status, error_answers[kind].name);
+	metric_add(error_answers[kind].outcome == OUTCOME_NOT_RUN
+			   ? M_ANSWERS_NOT_RUN_TOTAL
+			   : M_ANSWERS_UNKNOWN_TOTAL,
+		   1);
+	if (x->given) {
+		/* The answer has begun and can't be completed. */
+		struct caller *c = x->c;
+
+		destroy(x);
+		caller_abort(c);
+		return;
+	}
+	own_refuse(&out, x->tr, x->arena, kind, back, keeps(x));
+	caller_write(x->c, buf_at(&out), buf_len(&out));
+	buf_clear(&out);
+	finish(x, keeps(x));
+}
+
+void exchange_cancel(struct exchange *x)
+{
+	log_end(x, 0, "caller_left");
+	destroy(x);
+}
+
+/* Copy the head of a target's answer, but for its framing. */
+static void add_head(struct exchange *x, struct buf *out)
+{
+	const struct message *m = x->answer;
+
+	buf_fmt(out, "HTTP/1.1 %d %s\r\n", m->status,
+		http_status_str((enum http_status)m->status));
+	for (size_t i = 0; i < m->header_count; i++) {
+		const struct header *h = &m->headers[i];
+
+		if (header_is_hop(m, h->name) ||
+		    str_same(h->name, STR_LIT("Content-Length")))
+			continue;
+		buf_add(out, h->name.data, h->name.len);
+		buf_add(out, ": ", 2);
+		buf_add(out, h->value.data, h->value.len);
+		buf_add(out, "\r\n", 2);
+	}
+	if (!keeps(x))
+		buf_fmt(out, "Connection: close\r\n");
+}
+
+static bool is_head_request(const struct exchange *x)
+{
+	return str_eq(x->rq->method, STR_LIT("HEAD"));
+}
+
+/* The answer is whole: give it on. */
+static void give_whole(struct exchange *x)
+{
+	struct buf out = {0};
+	int status = x->answer->status;
+
+	add_head(x, &out);
+	if (is_head_request(x)) {
+		struct str n = message_header(x->answer,
+					      STR_LIT("Content-Length"));
+
+		if (n.len)
+			buf_fmt(&out, "Content-Length: " STR_FMT "\r\n",
+				STR_ARG(n));
+	} else if (status != 204 && status != 304) {
+		buf_fmt(&out, "Content-Length: %zu\r\n", buf_len(&x->held));
+	}
+	buf_add(&out, "\r\n", 2);
+	if (!is_head_request(x))
+		buf_add(&out, buf_at(&x->held), buf_len(&x->held));
+	log_end(x, status, "answered");
+	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
+	caller_write(x->c, buf_at(&out), buf_len(&out));
+	buf_clear(&out);
+	finish(x, keeps(x));
+}
+
+/* A whole event of a stream. */
+static void give_event(void *ctx, const char *p, size_t n)
+{
+	struct exchange *x = ctx;
+	struct buf out = {0};
+
+	if (!x->given) {
+		add_head(x, &out);
+		buf_fmt(&out, "Transfer-Encoding: chunked\r\n\r\n");
+		x->given = true;
+		metric_observe(M_FIRST_EVENT_MS,
+			       time_boot_ms() - x->arrived_ms);
+	}
+	x->event_ms = time_boot_ms();
+	buf_fmt(&out, "%zx\r\n", n);
+	buf_add(&out, p, n);
+	buf_add(&out, "\r\n", 2);
+	caller_write(x->c, buf_at(&out), buf_len(&out));
+	buf_clear(&out);
+}
+
+void exchange_drained(struct exchange *x)
+{
+	if (x->link && caller_unsent(x->c) < UNSENT_MAX)
+		link_pause(x->link, false);
+}
+
+static int64_t left_ms(const struct exchange *x)
+{
+	return x->deadline_ms - time_boot_ms();
+}
+
+/* Whether work that may have run is allowed to run once more. */
+static bool may_run_again(const struct exchange *x)
+{
+	if (!x->route || x->runs >= x->route->runs_max)
+		return false;
+	if (x->given)
+		return x->route->repeat == REPEAT_REST && x->cut.number >= 0;
+	return x->route->repeat != REPEAT_NEVER;
+}
+
+/*
+ * The attempt has failed: go on at another target where that is safe and paid
+ * for. Returns false when the request must end now.
+ */
+static bool go_on(struct exchange *x, bool ran, bool arrived)
+{
+	drop_link(x);
+	cutter_break(&x->cut);
+	x->streaming = false;
+	x->other_answer = false;
+	if (ran)
+		x->runs++;
+	if (x->sends >= SENDS_MAX || left_ms(x) < DEADLINE_LEAST_MS)
+		return false;
+	if (x->runs && !may_run_again(x))
+		return false;
+	if (arrived &&
+	    !spend_repeat(pool_spend(x->tr, x->service->name),
+			  time_boot_ms())) {
+		x->cause = "no_retry_budget";
+		return false;
+	}
+	metric_add(M_RETRIES_TOTAL, 1);
+	log_event(EV_REQUEST_REPEATED,
+		  "request=" STR_FMT " cause=%s ran=%d sends=%d after=%d",
+		  STR_ARG(x->id), x->cause, ran, x->sends,
+		  (int)x->cut.number);
+	attempt(x);
+	return true;
+}
+
+/* Nothing can be repeated: say what is known. */
+static void give_up(struct exchange *x)
+{
+	if (x->runs)
+		refuse(x, left_ms(x) < DEADLINE_LEAST_MS
+				  ? RAMP_ERR_TIMED_OUT
+				  : RAMP_ERR_OUTCOME_UNKNOWN);
+	else
+		refuse(x, RAMP_ERR_OVERLOADED);
+}
+
+static void on_fault(void *ctx, enum link_fault f, bool answered)
+{
+	static const char *const causes[] = {"connection_refused",
+					     "connection_broken",
+					     "answer_malformed"};
+	struct exchange *x = ctx;
+	bool arrived = f != LINK_REFUSED;
+
+	(void)answered;
+	x->cause = causes[f];
+	/* A kept connection that breaks may just have been closed as idle. */
+	if (f == LINK_REFUSED || !x->reused)
+		pool_note_fault(x->target);
+	else
+		pool_note(x->target, false);
+	if (!go_on(x, arrived, arrived))
+		give_up(x);
+}
+
+/* An answer by which the target says that it has not run the request. */
+static bool says_not_run(const struct exchange *x)
+{
+	return x->answer->status == 421 ||
+	       message_header(x->answer, x->tr->d->not_run).data;
+}
+
+/* Whether the target's answer may be given to the caller as it is. */
+static bool is_sound(const struct exchange *x)
+{
+	const struct message *m = x->answer;
+
+	if (message_header(m, STR_LIT("Content-Encoding")).len)
+		return false;
+	if (m->status / 100 == 2)
+		return message_header(m, x->tr->d->signature).len > 0;
+	/* To callers these say "not run", which the target did not. */
+	return m->status != 408 && m->status != 429 && m->status != 503 &&
+	       m->status >= 300;
+}
+
+static bool on_head(void *ctx, struct message *m)
+{
+	struct exchange *x = ctx;
+	struct str echo = message_header(m, x->tr->d->request_id);
+
+	x->other_answer = echo.len && !str_eq(echo, x->id);
+	if (x->other_answer) {
+		metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
+		log_event(EV_ANSWER_CROSSED,
+			  "request=" STR_FMT " target=" STR_FMT
+			  " answer_of=" STR_FMT,
+			  STR_ARG(x->id), STR_ARG(x->target->info.name),
+			  STR_ARG(echo));
+		return true;
+	}
+	x->answer = m;
+	pool_note_load(x->target, message_header(m, x->tr->d->load));
+	x->streaming = is_event_stream(x) && m->status == 200 && echo.len &&
+		       is_sound(x);
+	return true;
+}
+
+static bool on_body(void *ctx, const char *p, size_t n)
+{
+	struct exchange *x = ctx;
+
+	if (x->other_answer)
+		return true;
+	if (x->streaming) {
+		struct link *l = x->link;
+
+		if (!cutter_feed(&x->cut, p, n, give_event, x)) {
+			on_fault(x, LINK_MALFORMED, true);
+			return false;
+		}
+		if (caller_unsent(x->c) > UNSENT_MAX)
+			link_pause(l, true);
+		return true;
+	}
+	if (buf_len(&x->held) + n > ANSWER_MAX) {
+		on_fault(x, LINK_MALFORMED, true);
+		return false;
+	}
+	buf_add(&x->held, p, n);
+	return true;
+}
+
+static void end_stream(struct exchange *x)
+{
+	/* Half an event at the end is a stream that was cut. */
+	if (buf_len(&x->cut.held) || !x->cut.events) {
+		x->cause = "stream_cut";
+		pool_note(x->target, false);
+		if (!go_on(x, true, true))
+			give_up(x);
+		return;
+	}
+	pool_note(x->target, true);
+	log_end(x, 200, "answered");
+	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
+	caller_write(x->c, "0\r\n\r\n", 5);
+	finish(x, keeps(x));
+}
+
+/* The link can carry another request, or is closed. */
+static void release_link(struct exchange *x, bool reusable)
+{
+	if (reusable)
+		pool_keep(x->target, x->link);
+	else
+		link_close(x->link);
+	x->link = NULL;
+}
+
+static void end_whole(struct exchange *x)
+{
+	int status = x->answer->status;
+
+	if (says_not_run(x)) {
+		x->cause = "target_not_run";
+		if (!go_on(x, false, true))
+			give_up(x);
+		return;
+	}
+	pool_note(x->target, status < 500);
+	if (status >= 500 || !is_sound(x)) {
+		bool sound = is_sound(x);
+		bool late = status == 504;
+
+		x->cause = sound ? "target_failed" : "answer_unsound";
+		/* The answer is lost by trying again, so look first. */
+		if (!late && x->route->repeat != REPEAT_NEVER &&
+		    x->runs + 1 < x->route->runs_max &&
+		    x->sends < SENDS_MAX && left_ms(x) > DEADLINE_LEAST_MS &&
+		    spend_repeat(pool_spend(x->tr, x->service->name),
+				 time_boot_ms())) {
+			go_on(x, true, false);
+			return;
+		}
+		if (!sound) {
+			x->runs++;
+			give_up(x);
+			return;
+		}
+	}
+	give_whole(x);
+}
+
+static void on_end(void *ctx, bool reusable)
+{
+	struct exchange *x = ctx;
+
+	if (x->other_answer) {
+		/* The one that was asked for comes behind it, or nothing. */
+		if (!reusable)
+			on_fault(x, LINK_BROKEN, true);
+		return;
+	}
+	release_link(x, reusable);
+	if (x->streaming)
+		end_stream(x);
+	else
+		end_whole(x);
+}
+
+static const struct link_ops link_ops = {on_head, on_body, on_end, on_fault};
+
+static bool is_reserved(const struct dialect *d, struct str name)
+{
+	for (size_t i = 0; i < d->reserved_count; i++)
+		if (str_same(d->reserved[i], name))
+			return true;
+	return false;
+}
+
+static void add_header(struct buf *b, struct str name, struct str value)
+{
+	buf_add(b, name.data, name.len);
+	buf_add(b, ": ", 2);
+	buf_add(b, value.data, value.len);
+	buf_add(b, "\r\n", 2);
+}
+
+static int priority_of(const struct exchange *x)
+{
+	if (x->owner && x->owner->priority >= 0)
+		return MIN(x->owner->priority, 9);
+	return CLAMP(x->route->priority, 0, 9);
+}
+
+/* The request as the target gets it. */
+static void write_request(struct exchange *x)
+{
+	const struct dialect *d = x->tr->d;
+	const struct message *m = x->rq;
+	bool resumes = x->cut.events && x->cut.last.len;
+	struct buf b = {0};
+
+	buf_add(&b, m->method.data, m->method.len);
+	buf_add(&b, " ", 1);
+	buf_add(&b, m->url.data, m->url.len);
+	buf_add(&b, " HTTP/1.1\r\n", 11);
+	for (size_t i = 0; i < m->header_count; i++) {
+		const struct header *h = &m->headers[i];
+
+		if (header_is_hop(m, h->name) || is_reserved(d, h->name) ||
+		    str_same(h->name, d->deadline) ||
+		    str_same(h->name, STR_LIT("Expect")) ||
+		    str_same(h->name, STR_LIT("Content-Length")) ||
+		    (resumes && str_same(h->name, d->last_event)))
+			continue;
+		add_header(&b, h->name, h->value);
+	}
+	if (resumes)
+		add_header(&b, d->last_event, x->cut.last);
+	if (x->owner)
+		add_header(&b, d->organisation, x->owner->name);
+	add_header(&b, d->expected_target, x->target->info.name);
+	if (x->service->model)
+		buf_fmt(&b, STR_FMT ": %d\r\n", STR_ARG(d->priority),
+			priority_of(x));
+	buf_fmt(&b, STR_FMT ": %" G_GINT64_FORMAT "\r\n", STR_ARG(d->deadline),
+		MAX(left_ms(x), 1));
+	if (x->body.len || m->has_body || !str_eq(m->method, STR_LIT("GET")))
+		buf_fmt(&b, "Content-Length: %zu\r\n", x->body.len);
+	buf_add(&b, "\r\n", 2);
+	buf_add(&b, x->body.data, x->body.len);
+	link_send(x->link, buf_at(&b), buf_len(&b));
+	buf_clear(&b);
+}
+
+static void set_timer(struct exchange *x)
+{
+	int64_t at = x->deadline_ms + DEADLINE_SLACK_MS;
+
+	if (x->route->repeat == REPEAT_REST && x->given)
+		at = MIN(at, x->event_ms + MAX(STALL_MIN_MS,
+					       STALL_GAPS * x->route->gap_ms));
+	ev_timer_stop(x->tr->loop, &x->timer);
+	ev_timer_set(&x->timer, (double)MAX(at - time_boot_ms(), 0) / 1000, 0);
+	ev_timer_start(x->tr->loop, &x->timer);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct exchange *x = w->data;
+	int64_t now = time_boot_ms();
+
+	(void)loop;
+	(void)events;
+	if (now >= x->deadline_ms + DEADLINE_SLACK_MS) {
+		x->cause = "deadline";
+		if (x->link && link_connected(x->link))
+			x->runs++;
+		drop_link(x);
+		refuse(x, x->runs ? RAMP_ERR_TIMED_OUT : RAMP_ERR_OVERLOADED);
+		return;
+	}
+	if (x->route->repeat == REPEAT_REST && x->given &&
+	    now >= x->event_ms + MAX(STALL_MIN_MS,
+				     STALL_GAPS * x->route->gap_ms) &&
+	    may_run_again(x) && x->runs + 1 < x->route->runs_max) {
+		x->cause = "stream_stalled";
+		pool_note(x->target, false);
+		x->event_ms = now;
+		if (!go_on(x, true, true))
+			give_up(x);
+		return;
+	}
+	if (x->given && now > x->event_ms + STALL_MIN_MS)
+		x->event_ms = now; /* look again later */
+	set_timer(x);
+}
+
+static void attempt(struct exchange *x)
+{
+	struct target *t = pool_choose(x->tr, x->service->name, x->key,
+					  x->tried, (size_t)x->sends);
+
+	if (!t) {
+		x->cause = "no_target";
+		if (x->runs)
+			give_up(x);
+		else
+			refuse(x, RAMP_ERR_NO_TARGET);
+		return;
+	}
+	x->target = t;
+	pool_running(t, 1);
+	x->tried[x->sends++] = t->info.id;
+	x->link = pool_link(t, false, &x->reused);
+	if (!x->link) {
+		x->cause = "no_descriptor";
+		if (!go_on(x, false, false))
+			give_up(x);
+		return;
+	}
+	link_use(x->link, &link_ops, x);
+	link_no_body(x->link, is_head_request(x));
+	/* On a new connection the bytes leave once it is open. */
+	write_request(x);
+	set_timer(x);
+}
+
+/* Key of the prompt's longest part that other requests share. */
+static uint64_t prompt_key(struct str parts)
+{
+	struct str shared = {NULL, 0}, last = {NULL, 0};
+	const char *p = parts.data, *end = parts.data + parts.len;
+
+	while (p && p < end) {
+		const char *comma = memchr(p, ',', (size_t)(end - p));
+		const char *stop = comma ? comma : end;
+		const char *colon = memchr(p, ':', (size_t)(stop - p));
+
+		shared = last;
+		last = (struct str){p, (size_t)((colon ? colon : stop) - p)};
+		p = stop + 1;
+	}
+	if (!shared.len)
+		shared = last;
+	return shared.len ? str_hash(shared, 0) : 0;
+}
+
+static struct str host_of(void *arena, struct str host)
+{
+	const char *colon = memchr(host.data, ':', host.len);
+	char *lower;
+
+	if (!host.len)
+		return host;
+	if (colon)
+		host.len = (size_t)(colon - host.data);
+	lower = talloc_strndup(arena, host.data, host.len);
+	for (size_t i = 0; i < host.len; i++)
+		lower[i] = g_ascii_tolower(lower[i]);
+	return (struct str){lower, host.len};
+}
+
+/* By the weights of the route's parts; one request always gets the same. */
+static const struct entry_service *pick_service(const struct exchange *x)
+{
+	const struct route_rule *r = x->route;
+	int64_t at;
+
+	if (!r->part_count || r->weight_sum <= 0)
+		return NULL;
+	at = (int64_t)(str_hash(x->id, 1) % (uint64_t)r->weight_sum);
+	for (size_t i = 0; i < r->part_count; i++) {
+		at -= r->parts[i].weight;
+		if (at < 0)
+			return &x->config->services[r->parts[i].service];
+	}
+	return NULL;
+}
+
+/* Find route, owner and service; RAMP_OK or why it is refused. */
+static enum ramp_error bind_request(struct exchange *x)
+{
+	const struct dialect *d = x->tr->d;
+	const struct message *m = x->rq;
+	struct str host = message_header(m, STR_LIT("Host"));
+	int64_t now = time_boot_ms();
+	bool fresh = entry_is_fresh(x->tr->e, now);
+	int64_t wait;
+	const char *q;
+
+	if (!x->config)
+		return RAMP_ERR_NOT_READY;
+	if (!m->url.len || m->url.data[0] != '/' || !x->id.len)
+		return RAMP_ERR_BAD_REQUEST;
+	q = memchr(m->url.data, '?', m->url.len);
+	x->route = entry_config_route(
+		x->config, host_of(x->arena, host),
+		(struct str){m->url.data,
+			     q ? (size_t)(q - m->url.data) : m->url.len});
+	if (!x->route)
+		return fresh ? RAMP_ERR_NOT_FOUND : RAMP_ERR_NOT_READY;
+	x->owner = entry_config_owner(x->config, message_header(m, d->key));
+	if (x->config->has_organisations && !x->route->public) {
+		if (!fresh)
+			return RAMP_ERR_NOT_READY;
+		if (!x->owner)
+			return RAMP_ERR_UNAUTHORIZED;
+	}
+	wait = str_number(message_header(m, d->deadline));
+	x->deadline_ms = x->arrived_ms + x->route->timeout_ms;
+	if (wait >= 0)
+		x->deadline_ms =
+			MIN(x->deadline_ms, x->arrived_ms + wait);
+	if (left_ms(x) < DEADLINE_LEAST_MS)
+		return RAMP_ERR_OVERLOADED;
+	x->service = pick_service(x);
+	return x->service ? RAMP_OK : RAMP_ERR_NO_TARGET;
+}
+
+struct exchange *exchange_new(struct caller *c, struct message *m,
+			      struct str body, int64_t arrived_ms)
+{
+	struct traffic *tr = caller_traffic(c);
+	struct exchange *x = talloc_zero(NULL, struct exchange);
+
+	x->arena = x;
+	x->c = c;
+	x->tr = tr;
+	x->rq = m;
+	x->body = body;
+	x->arrived_ms = arrived_ms;
+	x->config = tr->config ? entry_config_ref(tr->config) : NULL;
+	x->id = message_header(m, tr->d->request_id);
+	x->cut.number = -1;
+	ev_init(&x->timer, on_timer);
+	x->timer.data = x;
+	tr->exchanges++;
+	metric_add(M_REQUESTS_TOTAL, 1);
+	metric_set(M_REQUESTS_RUNNING, tr->exchanges);
+	return x;
+}
+
+void exchange_start(struct exchange *x)
+{
+	enum ramp_error e = bind_request(x);
+
+	if (e != RAMP_OK) {
+		refuse(x, e);
+		return;
+	}
+	if (x->route->sticky)
+		x->key = prompt_key(
+			message_header(x->rq, x->tr->d->prompt_parts));
+	spend_first(pool_spend(x->tr, x->service->name), time_boot_ms());
+	attempt(x);
+}
--- /dev/null
+++ b/entry/inner.h
@@ -0,0 +1,144 @@
+/* inner: what the files of entry share. */
+#ifndef INNER_H
+#define INNER_H
+
+#include "entry/entry.h"
+#include "member/member.h"
+
+struct exchange;
+struct caller;
+
+enum port_kind {
+	PORT_CALLERS,
+	PORT_READY,
+	PORT_ENTRIES,
+	PORT_METRICS,
+	PORT_COUNT,
+};
+
+struct port {
+	struct entry *e;
+	enum port_kind kind;
+	int fd;
+	ev_io io;
+};
+
+/* A target as the traffic thread knows it. */
+struct target {
+	void *arena;
+	struct target_info info;
+	struct traffic *tr;
+	bool listed;    /* in the newest list */
+	int running;    /* requests of this node there */
+	GQueue *idle;   /* struct idle, the last used first */
+	double errors;  /* recent part of failures, 0 to 1 */
+	int faults;     /* in a row: no connection, or one that broke */
+	int64_t aside_until_ms;
+	int64_t load_at_ms; /* when its own word on its load came; 0: never */
+	double load;        /* running and waiting by that */
+	int64_t load_own;   /* requests of this node there at that time */
+};
+
+/* What the traffic thread works on. */
+struct traffic {
+	struct entry *e;
+	struct ev_loop *loop;
+	const struct entry_settings *set;
+	const struct dialect *d;
+	struct entry_config *config; /* NULL before the first */
+	struct target_list *list;
+	struct peer_list *peers;
+	GHashTable *targets; /* id -> struct target */
+	GHashTable *spends;  /* service name -> struct spend */
+	GRand *rand;
+	struct port ports[PORT_COUNT];
+	ev_async news;
+	ev_timer beat;
+	GQueue *callers; /* struct caller */
+	int exchanges;   /* in progress */
+	int64_t started_ms;
+	int64_t leaving_ms; /* when SIGTERM came; 0: it has not */
+	int64_t stop_at_ms; /* the latest end */
+};
+
+struct entry {
+	const struct entry_options *o;
+	struct entry_settings set;
+	struct traffic tr;
+	struct loads *loads;
+	struct control *control;
+	char *control_address;
+
+	GMutex lock; /* for those below */
+	struct entry_config *config;
+	struct target_list *list;
+	struct peer_list *peers;
+	bool leaving;
+
+	atomic_int_least64_t fresh_ms; /* see entry_config_fresh */
+	atomic_bool stop_control;
+};
+
+/* Whether the configuration is known to be new enough to prove a key. */
+bool entry_is_fresh(const struct entry *e, int64_t now_ms);
+
+/* caller.c */
+void caller_accept(struct port *p);
+/* Give bytes to the caller. */
+void caller_write(struct caller *c, const char *p, size_t n);
+size_t caller_unsent(const struct caller *c);
+/* The exchange has ended, its answer is written; may free the caller. */
+void caller_done(struct caller *c, bool keep);
+/* The answer can't be completed: make that seen. Frees the caller. */
+void caller_abort(struct caller *c);
+struct traffic *caller_traffic(struct caller *c);
+/* Close connections that carry nothing. */
+void callers_close_idle(struct traffic *tr);
+
+/* own.c: answers that the entry makes itself. */
+void own_refuse(struct buf *out, const struct traffic *tr, void *arena,
+		enum ramp_error kind, int64_t retry_after_ms, bool keep);
+void own_answer(struct buf *out, const struct traffic *tr,
+		const struct own_answer *a, bool keep);
+/* Readiness, entries and metrics; the answer goes to out. */
+void own_serve(struct buf *out, struct traffic *tr, enum port_kind kind,
+	       const struct message *m, bool keep);
+
+/* exchange.c: one request of a caller, to the end of its answer. */
+struct exchange *exchange_new(struct caller *c, struct message *m,
+			      struct str body, int64_t arrived_ms);
+/* Choose a target and send. May end and free the exchange. */
+void exchange_start(struct exchange *x);
+/* The caller has left: nothing is answered. */
+void exchange_cancel(struct exchange *x);
+/* The caller has taken what was written. */
+void exchange_drained(struct exchange *x);
+
+/* pool.c: targets, and connections to them */
+void pool_take(struct traffic *tr, struct target_list *l);
+void pool_init(struct traffic *tr);
+void pool_free(struct traffic *tr);
+/* A target for the request, or NULL; tried ones are taken last. */
+struct target *pool_choose(struct traffic *tr, struct str service,
+			      uint64_t key, const uint64_t *tried,
+			      size_t tried_count);
+/* An idle connection, or a new one, or NULL. */
+struct link *pool_link(struct target *t, bool fresh, bool *reused);
+/* Take back a connection that can carry another request. */
+void pool_keep(struct target *t, struct link *l);
+void pool_running(struct target *t, int by);
+/* What an attempt showed of the target. */
+void pool_note(struct target *t, bool ok);
+void pool_note_fault(struct target *t);
+void pool_note_load(struct target *t, struct str load);
+void pool_sweep(struct traffic *tr);
+struct spend *pool_spend(struct traffic *tr, struct str service);
+
+/* control.c */
+struct control *control_new(struct entry *e, GError **err);
+void *control_run(void *control);
+/* From another thread: end control_run. */
+void control_stop(struct control *c);
+void control_free(struct control *c);
+
+#endif
--- /dev/null
+++ b/entry/loads.c
@@ -0,0 +1,221 @@
+#include <string.h>
+
+#include "entry/entry.h"
+#include "entry/loads-gen.h"
+
+/* A node that has told nothing for this long counts as gone or idle. */
+#define HEARD_FOR_MS 3000
+
+/* What another node told last. */
+struct teller {
+	uint64_t start;
+	uint64_t seq;
+	int64_t heard_ms;
+	bool serving;
+	GHashTable *running; /* target -> requests */
+};
+
+struct loads {
+	GMutex lock;
+	uint64_t node;
+	uint64_t start;
+	uint64_t seq;
+	GHashTable *own;     /* target -> requests */
+	GHashTable *tellers; /* node -> struct teller */
+	GHashTable *sums;    /* target -> requests of all tellers */
+	int64_t sums_until_ms;
+	bool serving;
+	bool changed;
+	int64_t told_ms;
+};
+
+/* Told again after this long though nothing changed, as datagrams get lost. */
+#define TELL_AGAIN_MS 500
+
+static void teller_free(void *p)
+{
+	struct teller *t = p;
+
+	g_hash_table_unref(t->running);
+	g_free(t);
+}
+
+static GHashTable *counts_new(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+static void counts_set(GHashTable *h, uint64_t id, int n)
+{
+	if (n > 0)
+		g_hash_table_insert(h, g_memdup2(&id, sizeof(id)),
+				    GINT_TO_POINTER(n));
+	else
+		g_hash_table_remove(h, &id);
+}
+
+static int counts_get(GHashTable *h, uint64_t id)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(h, &id));
+}
+
+struct loads *loads_new(uint64_t node)
+{
+	struct loads *l = g_new0(struct loads, 1);
+
+	l->node = node;
+	l->start = (uint64_t)time_now_ms();
+	l->own = counts_new();
+	l->sums = counts_new();
+	l->tellers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   teller_free);
+	return l;
+}
+
+void loads_free(struct loads *l)
+{
+	g_hash_table_unref(l->own);
+	g_hash_table_unref(l->sums);
+	g_hash_table_unref(l->tellers);
+	g_free(l);
+}
+
+void loads_add(struct loads *l, uint64_t target, int by)
+{
+	g_mutex_lock(&l->lock);
+	counts_set(l->own, target, counts_get(l->own, target) + by);
+	l->changed = true;
+	g_mutex_unlock(&l->lock);
+}
+
+static void sum_up(struct loads *l, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_remove_all(l->sums);
+	g_hash_table_iter_init(&it, l->tellers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct teller *t = v;
+		GHashTableIter each;
+		gpointer id, n;
+
+		if (now_ms - t->heard_ms > HEARD_FOR_MS) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		g_hash_table_iter_init(&each, t->running);
+		while (g_hash_table_iter_next(&each, &id, &n))
+			counts_set(l->sums, *(uint64_t *)id,
+				   counts_get(l->sums, *(uint64_t *)id) +
+					   GPOINTER_TO_INT(n));
+	}
+	l->sums_until_ms = now_ms + TELL_AGAIN_MS;
+}
+
+double loads_others(struct loads *l, uint64_t target, int64_t now_ms)
+{
+	int n;
+
+	g_mutex_lock(&l->lock);
+	if (now_ms >= l->sums_until_ms)
+		sum_up(l, now_ms);
+	n = counts_get(l->sums, target);
+	g_mutex_unlock(&l->lock);
+	return n;
+}
+
+void loads_set_serving(struct loads *l, bool serving)
+{
+	g_mutex_lock(&l->lock);
+	l->changed |= l->serving != serving;
+	l->serving = serving;
+	g_mutex_unlock(&l->lock);
+}
+
+bool loads_node_serves(struct loads *l, uint64_t node, int64_t now_ms)
+{
+	struct teller *t;
+	bool serves;
+
+	g_mutex_lock(&l->lock);
+	t = g_hash_table_lookup(l->tellers, &node);
+	serves = t && t->serving && now_ms - t->heard_ms <= HEARD_FOR_MS;
+	g_mutex_unlock(&l->lock);
+	return serves;
+}
+
+size_t loads_encode(struct loads *l, int64_t now_ms, char *p, size_t n)
+{
+	load_entry entries[LOADS_MAX];
+	load_news m = {.node = l->node, .start = l->start, .serving = l->serving};
+	GHashTableIter it;
+	gpointer id, count;
+	size_t len = 0;
+	XDR x;
+
+	g_mutex_lock(&l->lock);
+	if (!l->changed && now_ms - l->told_ms < TELL_AGAIN_MS) {
+		g_mutex_unlock(&l->lock);
+		return 0;
+	}
+	l->changed = false;
+	l->told_ms = now_ms;
+	m.seq = ++l->seq;
+	m.entries.entries_val = entries;
+	g_hash_table_iter_init(&it, l->own);
+	while (m.entries.entries_len < LOADS_MAX &&
+	       g_hash_table_iter_next(&it, &id, &count))
+		entries[m.entries.entries_len++] = (load_entry){
+			*(uint64_t *)id, (u_int)GPOINTER_TO_INT(count)};
+	g_mutex_unlock(&l->lock);
+	xdrmem_create(&x, p, (u_int)n, XDR_ENCODE);
+	if (xdr_load_news(&x, &m))
+		len = xdr_getpos(&x);
+	xdr_destroy(&x);
+	return len;
+}
+
+static void take(struct loads *l, int64_t now_ms, const load_news *m)
+{
+	uint64_t node = m->node;
+	struct teller *t = g_hash_table_lookup(l->tellers, &node);
+
+	if (node == l->node)
+		return;
+	if (!t) {
+		t = g_new0(struct teller, 1);
+		t->running = counts_new();
+		g_hash_table_insert(l->tellers, g_memdup2(&node, sizeof(node)),
+				    t);
+	}
+	/* Datagrams overtake each other; a new start counts from 1 again. */
+	if (m->start < t->start || (m->start == t->start && m->seq <= t->seq))
+		return;
+	t->start = m->start;
+	t->seq = m->seq;
+	t->heard_ms = now_ms;
+	t->serving = m->serving;
+	g_hash_table_remove_all(t->running);
+	for (u_int i = 0; i < m->entries.entries_len; i++)
+		counts_set(t->running, m->entries.entries_val[i].target,
+			   (int)m->entries.entries_val[i].running);
+	l->sums_until_ms = 0;
+}
+
+void loads_decode(struct loads *l, int64_t now_ms, const char *p, size_t n)
+{
+	load_news m = {0};
+	XDR x;
+
+	xdrmem_create(&x, (char *)p, (u_int)n, XDR_DECODE);
+	if (xdr_load_news(&x, &m)) {
+		g_mutex_lock(&l->lock);
+		take(l, now_ms, &m);
+		g_mutex_unlock(&l->lock);
+	} else {
+		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
+	}
+	xdr_free((xdrproc_t)xdr_load_news, (char *)&m);
+	xdr_destroy(&x);
+}
--- /dev/null
+++ b/entry/own.c
@@ -0,0 +1,170 @@
+#include <http_parser.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "entry/inner.h"
+
+/* Callers learn of a change within this time, and ask as often. */
+#define ENTRIES_TTL_S 2.0
+/* Most entries in one answer; callers take no more. */
+#define ENTRIES_MAX 64
+
+void own_answer(struct buf *out, const struct traffic *tr,
+		const struct own_answer *a, bool keep)
+{
+	size_t n = a->body ? strlen(a->body) : 0;
+
+	(void)tr;
+	buf_fmt(out, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n", a->status,
+		http_status_str((enum http_status)a->status), n);
+	if (n)
+		buf_fmt(out, "Content-Type: %s\r\n",
+			a->type ? a->type : "application/json");
+	if (a->retry_after_ms > 0)
+		buf_fmt(out, "Retry-After: %.3f\r\n",
+			(double)a->retry_after_ms / 1000);
+	if (!keep)
+		buf_fmt(out, "Connection: close\r\n");
+	buf_fmt(out, "\r\n");
+	if (n)
+		buf_add(out, a->body, n);
+}
+
+void own_refuse(struct buf *out, const struct traffic *tr, void *arena,
+		enum ramp_error kind, int64_t retry_after_ms, bool keep)
+{
+	struct own_answer a = {
+		.status = error_answers[kind].http_status,
+		.body = tr->d->error_body(arena, kind),
+		.retry_after_ms = retry_after_ms,
+	};
+
+	own_answer(out, tr, &a, keep);
+}
+
+/* Whether the node can serve callers as far as it knows. */
+static bool is_ready(const struct traffic *tr)
+{
+	return tr->config && tr->list && !tr->leaving_ms;
+}
+
+static struct str path_of(struct str url)
+{
+	const char *q = memchr(url.data, '?', url.len);
+
+	return q ? (struct str){url.data, (size_t)(q - url.data)} : url;
+}
+
+static struct str query_value(struct str url, struct str name)
+{
+	const char *end = url.data + url.len;
+	const char *p = memchr(url.data, '?', url.len);
+
+	while (p && ++p < end) {
+		const char *amp = memchr(p, '&', (size_t)(end - p));
+		size_t n = (size_t)((amp ? amp : end) - p);
+
+		if (n > name.len && p[name.len] == '=' &&
+		    !memcmp(p, name.data, name.len))
+			return (struct str){p + name.len + 1,
+					    n - name.len - 1};
+		p = amp;
+	}
+	return (struct str){NULL, 0};
+}
+
+static void shuffle(struct traffic *tr, struct str *v, size_t n)
+{
+	for (size_t i = n; i > 1; i--) {
+		size_t k = (size_t)g_rand_int_range(tr->rand, 0, (gint32)i);
+		struct str s = v[i - 1];
+
+		v[i - 1] = v[k];
+		v[k] = s;
+	}
+}
+
+/*
+ * Entries that take requests now. A fleet larger than one answer gives those of
+ * the caller's zone first.
+ */
+static size_t pick_entries(struct traffic *tr, struct str zone, struct str *v)
+{
+	const struct peer_list *l = tr->peers;
+	uint64_t self = member_id(tr->set->node_name);
+	int64_t now = time_boot_ms();
+	size_t n = 0, near = 0;
+
+	for (size_t i = 0; l && i < l->n; i++) {
+		const struct entry_peer *p = &l->v[i];
+		bool serves = p->id == self
+				      ? is_ready(tr) && entry_is_fresh(tr->e, now)
+				      : loads_node_serves(tr->e->loads, p->id,
+							  now);
+
+		if (!serves)
+			continue;
+		v[n++] = p->address;
+		if (str_eq(p->zone, zone)) {
+			struct str s = v[near];
+
+			v[near++] = v[n - 1];
+			v[n - 1] = s;
+		}
+	}
+	if (n <= ENTRIES_MAX)
+		return n;
+	shuffle(tr, v, near);
+	shuffle(tr, v + near, n - near);
+	return ENTRIES_MAX;
+}
+
+static void serve_entries(struct buf *out, struct traffic *tr,
+			  const struct message *m, bool keep)
+{
+	size_t most = tr->peers ? tr->peers->n : 0, n;
+	struct str *v = talloc_array(m->arena, struct str, most + 1);
+	struct own_answer a = {.status = 200};
+	double ttl = MIN(ENTRIES_TTL_S, tr->set->bounds_entries_ttl_s);
+
+	n = pick_entries(tr, query_value(m->url, tr->d->query_zone), v);
+	if (!n) {
+		own_refuse(out, tr, m->arena, RAMP_ERR_NOT_READY, 0, keep);
+		return;
+	}
+	a.body = tr->d->entries_body(m->arena, v, n, ttl);
+	own_answer(out, tr, &a, keep);
+}
+
+static void serve_metrics(struct buf *out, const struct traffic *tr,
+			  const struct message *m, bool keep)
+{
+	char *text = metrics_text();
+	struct own_answer a = {.status = 200, .type = "text/plain"};
+
+	a.body = talloc_strdup(m->arena, text);
+	g_free(text);
+	own_answer(out, tr, &a, keep);
+}
+
+void own_serve(struct buf *out, struct traffic *tr, enum port_kind kind,
+	       const struct message *m, bool keep)
+{
+	struct str path = path_of(m->url);
+	struct own_answer ok = {.status = 200};
+
+	if (kind == PORT_METRICS) {
+		serve_metrics(out, tr, m, keep);
+	} else if (kind == PORT_READY && str_eq(path, tr->d->ready_path)) {
+		if (is_ready(tr))
+			own_answer(out, tr, &ok, keep);
+		else
+			own_refuse(out, tr, m->arena, RAMP_ERR_NOT_READY, 0,
+				   keep);
+	} else if (kind == PORT_ENTRIES && str_eq(path, tr->d->entries_path)) {
+		serve_entries(out, tr, m, keep);
+	} else {
+		own_refuse(out, tr, m->arena, RAMP_ERR_NOT_FOUND, 0, keep);
+	}
+}
--- /dev/null
+++ b/entry/pool.c
@@ -0,0 +1,323 @@
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "entry/inner.h"
+
+/* Idle connections kept to one target, the last used ones. */
+#define IDLE_MAX 16
+/* Connections that failed in a row before a target is set aside. */
+#define FAULTS_MAX 2
+#define ASIDE_MS   1500
+/* Weight of one answer in the recent part of failures. */
+#define ERROR_WEIGHT 0.15
+/* Failures above the mean of the service that set a target aside. */
+#define ERROR_EXCESS 0.35
+/* A target's own word on its load is used for this long. */
+#define LOAD_FOR_MS 250
+
+struct idle {
+	struct target *target;
+	struct link *link;
+	int64_t until_ms;
+};
+
+static void on_idle_fault(void *ctx, enum link_fault f, bool answered)
+{
+	struct idle *i = ctx;
+
+	(void)f;
+	(void)answered;
+	g_queue_remove(i->target->idle, i);
+	link_close(i->link);
+	g_free(i);
+}
+
+/* Bytes that come on an idle link belong to no request. */
+static bool on_idle_head(void *ctx, struct message *m)
+{
+	(void)m;
+	on_idle_fault(ctx, LINK_MALFORMED, false);
+	return false;
+}
+
+static bool on_idle_body(void *ctx, const char *p, size_t n)
+{
+	(void)ctx;
+	(void)p;
+	(void)n;
+	return false;
+}
+
+static const struct link_ops idle_ops = {
+	.head = on_idle_head,
+	.body = on_idle_body,
+	.fault = on_idle_fault,
+};
+
+static void drop_idle(struct target *t)
+{
+	struct idle *i;
+
+	while ((i = g_queue_pop_head(t->idle))) {
+		link_close(i->link);
+		g_free(i);
+	}
+}
+
+static void target_free(void *p)
+{
+	struct target *t = p;
+
+	drop_idle(t);
+	g_queue_free(t->idle);
+	talloc_free(t->arena);
+}
+
+static struct target *target_new(struct traffic *tr,
+				 const struct target_info *info)
+{
+	struct target *t = talloc_zero(NULL, struct target);
+
+	t->arena = t;
+	t->tr = tr;
+	t->info = *info;
+	t->info.name = str_dup(t, info->name);
+	t->info.service = str_dup(t, info->service);
+	t->info.zone = str_dup(t, info->zone);
+	t->idle = g_queue_new();
+	return t;
+}
+
+static gboolean is_unused(gpointer id, gpointer v, gpointer ctx)
+{
+	struct target *t = v;
+
+	(void)id;
+	(void)ctx;
+	return !t->listed && !t->running;
+}
+
+void pool_sweep(struct traffic *tr)
+{
+	int64_t now = time_boot_ms();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct target *t = v;
+		struct idle *i;
+
+		while ((i = g_queue_peek_tail(t->idle)) && i->until_ms <= now) {
+			g_queue_pop_tail(t->idle);
+			link_close(i->link);
+			g_free(i);
+		}
+	}
+	g_hash_table_foreach_remove(tr->targets, is_unused, NULL);
+}
+
+void pool_take(struct traffic *tr, struct target_list *l)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct target *)v)->listed = false;
+	for (size_t i = 0; i < l->n; i++) {
+		struct target *t = g_hash_table_lookup(tr->targets, &l->v[i].id);
+
+		if (!t) {
+			t = target_new(tr, &l->v[i]);
+			g_hash_table_insert(tr->targets, &t->info.id, t);
+		}
+		t->listed = true;
+		t->info.address = l->v[i].address;
+		t->info.slots = l->v[i].slots;
+		t->info.leaving = l->v[i].leaving;
+		if (t->info.leaving)
+			drop_idle(t);
+	}
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (!((struct target *)v)->listed)
+			drop_idle(v);
+	pool_sweep(tr);
+}
+
+void pool_init(struct traffic *tr)
+{
+	tr->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    target_free);
+	tr->spends =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void pool_free(struct traffic *tr)
+{
+	g_hash_table_unref(tr->targets);
+	g_hash_table_unref(tr->spends);
+}
+
+static double next_random(void *ctx)
+{
+	return g_rand_double(ctx);
+}
+
+/* Requests there: what the nodes tell, or the target's own newer word. */
+static double load_of(struct target *t, int64_t now_ms)
+{
+	double told = t->running + loads_others(t->tr->e->loads, t->info.id,
+						now_ms);
+	double own = t->load + (double)(t->running - t->load_own);
+
+	if (!t->load_at_ms || now_ms - t->load_at_ms > LOAD_FOR_MS)
+		return told;
+	return MAX(told, own);
+}
+
+struct target *pool_choose(struct traffic *tr, struct str service,
+			      uint64_t key, const uint64_t *tried,
+			      size_t tried_count)
+{
+	size_t most = g_hash_table_size(tr->targets), n = 0, at;
+	struct place_target *p = g_newa(struct place_target, most + 1);
+	struct target **by = g_newa(struct target *, most + 1);
+	int64_t now = time_boot_ms();
+	double errors = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct target *t = v;
+
+		if (!t->listed || t->info.leaving ||
+		    !str_eq(t->info.service, service))
+			continue;
+		by[n] = t;
+		p[n] = (struct place_target){t->info.id, load_of(t, now),
+					     t->aside_until_ms > now};
+		errors += t->errors;
+		n++;
+	}
+	for (size_t i = 0; i < n; i++) {
+		double others = n > 1 ? (errors - by[i]->errors) /
+						(double)(n - 1)
+				      : by[i]->errors;
+
+		if (by[i]->errors > others + ERROR_EXCESS)
+			p[i].aside = true;
+		for (size_t k = 0; k < tried_count; k++)
+			if (tried[k] == p[i].id)
+				p[i].aside = true;
+	}
+	at = place_choose(&place_limits_default, key, p, n,
+			  (struct route_random){next_random, tr->rand});
+	return at == SIZE_MAX ? NULL : by[at];
+}
+
+struct link *pool_link(struct target *t, bool fresh, bool *reused)
+{
+	int64_t now = time_boot_ms();
+	struct idle *i;
+
+	*reused = false;
+	while (!fresh && (i = g_queue_pop_head(t->idle))) {
+		struct link *l = i->link;
+		bool good = i->until_ms > now;
+
+		g_free(i);
+		if (good) {
+			*reused = true;
+			return l;
+		}
+		link_close(l);
+	}
+	return link_open(t->tr->loop, &t->info.address);
+}
+
+void pool_keep(struct target *t, struct link *l)
+{
+	struct idle *i;
+
+	if (!t->listed || t->info.leaving || t->tr->leaving_ms ||
+	    g_queue_get_length(t->idle) >= IDLE_MAX ||
+	    link_idle_until(l) <= time_boot_ms()) {
+		link_close(l);
+		return;
+	}
+	i = g_new0(struct idle, 1);
+	i->target = t;
+	i->link = l;
+	i->until_ms = link_idle_until(l);
+	link_use(l, &idle_ops, i);
+	g_queue_push_head(t->idle, i);
+}
+
+void pool_running(struct target *t, int by)
+{
+	t->running += by;
+	loads_add(t->tr->e->loads, t->info.id, by);
+}
+
+void pool_note(struct target *t, bool ok)
+{
+	t->errors += ERROR_WEIGHT * ((ok ? 0.0 : 1.0) - t->errors);
+	t->faults = 0;
+	if (ok)
+		t->aside_until_ms = 0;
+}
+
+void pool_note_fault(struct target *t)
+{
+	t->errors += ERROR_WEIGHT * (1.0 - t->errors);
+	if (++t->faults < FAULTS_MAX)
+		return;
+	if (t->aside_until_ms <= time_boot_ms())
+		log_event(EV_TARGET_DOWN, "target=" STR_FMT " faults=%d",
+			  STR_ARG(t->info.name), t->faults);
+	t->aside_until_ms = time_boot_ms() + ASIDE_MS;
+}
+
+void pool_note_load(struct target *t, struct str load)
+{
+	char text[48];
+	int running, waiting, slots;
+
+	if (!load.len || load.len >= sizeof(text))
+		return;
+	memcpy(text, load.data, load.len);
+	text[load.len] = '\0';
+	if (sscanf(text, "%d,%d,%d", &running, &waiting, &slots) != 3)
+		return;
+	t->load = running + waiting;
+	t->load_own = t->running;
+	t->load_at_ms = time_boot_ms();
+}
+
+struct spend *pool_spend(struct traffic *tr, struct str service)
+{
+	char *name = g_strndup(service.data, service.len);
+	struct spend *s = g_hash_table_lookup(tr->spends, name);
+	int64_t now = time_boot_ms();
+	double nodes = tr->peers ? (double)MAX(tr->peers->known, 1) : 1;
+	double age;
+
+	if (!s) {
+		s = g_new0(struct spend, 1);
+		g_hash_table_insert(tr->spends, name, s);
+	} else {
+		g_free(name);
+	}
+	s->ratio = tr->set->bounds_retry_ratio;
+	s->window_ms = (int64_t)(tr->set->bounds_retry_window_s * 1000);
+	/* What an earlier process of this node spent is not known. */
+	age = (double)(now - tr->started_ms) /
+	      (double)MAX(s->window_ms, 1);
+	s->allowance =
+		tr->set->bounds_retry_allowance / nodes * MIN(age, 1);
+	return s;
+}
--- /dev/null
+++ b/entry/view.c
@@ -0,0 +1,115 @@
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "entry/entry.h"
+
+#define LIST_FUNCTIONS(type, item)                                             \
+	struct type *type##_new(size_t n)                                      \
+	{                                                                      \
+		struct type *l = talloc_zero(NULL, struct type);               \
+                                                                               \
+		l->arena = l;                                                  \
+		l->refs = 1;                                                   \
+		l->v = talloc_zero_array(l, struct item, n ? n : 1);           \
+		return l;                                                      \
+	}                                                                      \
+	struct type *type##_ref(struct type *l)                                \
+	{                                                                      \
+		atomic_fetch_add(&l->refs, 1);                                 \
+		return l;                                                      \
+	}                                                                      \
+	void type##_unref(struct type *l)                                      \
+	{                                                                      \
+		if (l && atomic_fetch_sub(&l->refs, 1) == 1)                   \
+			talloc_free(l);                                        \
+	}
+
+LIST_FUNCTIONS(target_list, target_info)
+LIST_FUNCTIONS(peer_list, entry_peer)
+
+static guint key_hash_of(gconstpointer k)
+{
+	return (guint)str_hash(*(const struct str *)k, 0);
+}
+
+static gboolean key_equal(gconstpointer a, gconstpointer b)
+{
+	return str_eq(*(const struct str *)a, *(const struct str *)b);
+}
+
+struct entry_config *entry_config_new(void)
+{
+	struct entry_config *c = talloc_zero(NULL, struct entry_config);
+
+	c->arena = c;
+	c->refs = 1;
+	c->keys = g_hash_table_new(key_hash_of, key_equal);
+	c->hosts = g_hash_table_new_full(key_hash_of, key_equal, NULL,
+					 (GDestroyNotify)g_ptr_array_unref);
+	return c;
+}
+
+struct entry_config *entry_config_ref(struct entry_config *c)
+{
+	atomic_fetch_add(&c->refs, 1);
+	return c;
+}
+
+void entry_config_unref(struct entry_config *c)
+{
+	if (!c || atomic_fetch_sub(&c->refs, 1) != 1)
+		return;
+	g_hash_table_unref(c->keys);
+	g_hash_table_unref(c->hosts);
+	talloc_free(c);
+}
+
+static int by_path(gconstpointer a, gconstpointer b)
+{
+	const struct route_rule *x = *(const struct route_rule *const *)a;
+	const struct route_rule *y = *(const struct route_rule *const *)b;
+
+	return x->path.len < y->path.len ? 1 : x->path.len > y->path.len ? -1 : 0;
+}
+
+void entry_config_index(struct entry_config *c)
+{
+	GHashTableIter it;
+	gpointer list;
+
+	for (size_t i = 0; i < c->route_count; i++) {
+		struct route_rule *r = &c->routes[i];
+		GPtrArray *a = g_hash_table_lookup(c->hosts, &r->host);
+
+		if (!a) {
+			a = g_ptr_array_new();
+			g_hash_table_insert(c->hosts, &r->host, a);
+		}
+		g_ptr_array_add(a, r);
+	}
+	g_hash_table_iter_init(&it, c->hosts);
+	while (g_hash_table_iter_next(&it, NULL, &list))
+		g_ptr_array_sort(list, by_path);
+}
+
+const struct route_rule *entry_config_route(const struct entry_config *c,
+					    struct str host, struct str path)
+{
+	GPtrArray *a = g_hash_table_lookup(c->hosts, &host);
+
+	for (guint i = 0; a && i < a->len; i++) {
+		const struct route_rule *r = g_ptr_array_index(a, i);
+
+		if (path.len >= r->path.len &&
+		    !memcmp(path.data, r->path.data, r->path.len))
+			return r;
+	}
+	return NULL;
+}
+
+const struct entry_organisation *
+entry_config_owner(const struct entry_config *c, struct str key)
+{
+	return key.len ? g_hash_table_lookup(c->keys, &key) : NULL;
+}
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -1,9 +1,9 @@
 # Shared by every package's makefile. A package sets LIB and/or PROGS, TESTS,
 # SRCS and USES (the libraries of this workspace that it links, in link order).
 TOP := $(dir $(lastword $(MAKEFILE_LIST)))..
-OUT := $(TOP)/build
-BIN := $(TOP)/bin
-PKGS := glib-2.0 jansson talloc libsodium libxxhash libtirpc libulfius \
+OUT ?= $(TOP)/build
+BIN ?= $(TOP)/bin
+PKGS ?= glib-2.0 jansson talloc libsodium libxxhash libtirpc libulfius \
 	libmicrohttpd libcurl inih argtable2
 # One pkg-config call for all flags: it is slow on a cold machine.
 PC_CFLAGS := $(shell pkg-config --cflags $(PKGS))
@@ -13,7 +13,8 @@
 CFLAGS := -std=gnu11 $(OPT) -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -D_GNU_SOURCE \
 	-I$(TOP) $(patsubst -I%,-isystem %,$(PC_CFLAGS)) -pthread $(SAN)
-LDFLAGS := -pthread $(SAN)
+# A library that a program doesn't use costs it memory all the same.
+LDFLAGS := -pthread -Wl,--as-needed $(SAN)
 LDLIBS := $(PC_LIBS) -lm
 # rpcgen's output is committed as rpcgen writes it, warnings included.
 GEN_CFLAGS := -Wno-unused-variable -Wno-unused-parameter -Wno-cast-function-type \
--- a/route/route.h
+++ b/route/route.h
@@ -426,6 +426,53 @@
 size_t p2c_choose(const struct p2c_load *l, size_t n, size_t preferred,
 		  int64_t bound, struct route_random random);
 
+/* place.c: which target takes a request, by the load of all of them. */
+
+struct place_target {
+	uint64_t id;
+	double load; /* requests in progress there, as far as known */
+	bool aside;  /* errs, or was tried for this request */
+};
+
+struct place_limits {
+	double factor; /* most load / mean of the service's targets */
+	double slack;  /* requests that a target may have above that */
+};
+
+extern const struct place_limits place_limits_default;
+
+/*
+ * The first target of the key's rendezvous order whose load is within the
+ * limits; without a key (0), or when none is, the one with the least load.
+ * Those aside are taken only when there is no other.
+ *
+ * Return: an index, or SIZE_MAX when n is 0.
+ */
+size_t place_choose(const struct place_limits *l, uint64_t key,
+		    const struct place_target *t, size_t n,
+		    struct route_random random);
+
+/*
+ * spend.c: repeats of requests that a window of time allows: a part of the
+ * requests, and a fixed number for all nodes together. Zeroed memory but for
+ * the first three fields is a valid start.
+ */
+#define SPEND_SLOTS 11 /* ten of a window and the one being filled */
+
+struct spend {
+	double ratio;
+	double allowance; /* this node's part */
+	int64_t window_ms;
+	int64_t slot_number; /* of the newest slot */
+	unsigned firsts[SPEND_SLOTS];
+	unsigned repeats[SPEND_SLOTS];
+};
+
+/* Count a request. */
+void spend_first(struct spend *s, int64_t now_ms);
+/* Take one repeat; false when the window allows none. */
+bool spend_repeat(struct spend *s, int64_t now_ms);
+
 /* kv.c */
 
 struct kv_costs {
--- a/schema/gen.sh
+++ b/schema/gen.sh
@@ -82,60 +82,70 @@
 	echo '};'
 } >"$out/base/metrics-gen.c"
 
-# settings
-{
-	echo '/* Generated from schema/settings.tbl by schema/gen.sh. */'
-	echo '#ifndef SETTINGS_GEN_H'
-	echo '#define SETTINGS_GEN_H'
-	echo '#include <stdbool.h>'
-	echo '#include <stdint.h>'
-	echo 'struct settings {'
-	body settings | awk -F'\t' '{
-		t = "int64_t "; n = $1 "_" $2
-		if ($3 ~ /^(string|hash|enum:.*)$/) t = "char *"
-		if ($3 == "bool") t = "bool "
-		if ($3 == "ms") n = n "_ms"
-		printf "\t%s%s;\n", t, n }'
-	printf '};\n#endif\n'
-} >"$out/base/settings-gen.h"
-{
-	echo '/* Generated from schema/settings.tbl by schema/gen.sh. */'
-	echo '#include <stddef.h>'
-	echo '#include "base/base.h"'
-	echo 'const struct setting_info setting_infos[] = {'
-	body settings | awk -F'\t' '{
-		n = $1 "_" $2; if ($3 == "ms") n = n "_ms"
-		d = $4 == "-" ? "NULL" : "\"" $4 "\""
-		t[2] = ""; split($3, t, ":")
-		a = t[2] == "" ? "NULL" : "\"" t[2] "\""
-		printf "\t{ \"%s\", \"%s\", SETTING_%s, %s, %s, %s, %s,\n\t  offsetof(struct settings, %s),\n\t  \"%s\" },\n",
-			$1, $2, toupper(t[1]), a, d, $5, $6, n, $7 }'
-	echo '};'
-	echo 'const size_t setting_count ='
-	printf '\tsizeof(setting_infos) / sizeof(setting_infos[0]);\n'
-} >"$out/base/settings-gen.c"
-{
-	echo '.TH AUBURNRAMP.CONF 5'
-	echo '.SH NAME'
-	echo 'auburnramp.conf \- settings of an auburnramp node'
-	echo '.SH SYNOPSIS'
-	echo '.B auburnramp \-\-settings'
-	echo '.I file'
-	echo '.SH DESCRIPTION'
-	echo 'An INI file. An unknown key, a wrong type or a value out of range is an'
-	echo 'error; all errors are listed at once.'
-	body settings | awk -F'\t' '{
-		if ($1 != s) { printf ".SS [%s]\n", $1; s = $1 }
-		d = $4 == "-" ? "required" : "default " ($4 == "" ? "empty" : $4)
-		r = $3 == "string" ? "length" : "value"
-		r = r " from " $5 " to " $6
-		t[2] = ""; split($3, t, ":")
-		if (t[1] == "enum") { r = "one of " t[2]; gsub(",", ", ", r) }
-		if (t[1] == "hash") r = "64 hexadecimal digits or empty"
-		printf ".TP\n.B %s\n%s (%s, %s, %s)\n", $2, $7, t[1], r, d }'
-	echo '.SH BUGS'
-	echo 'A change of settings needs a restart of the node.'
-} >"$out/man/auburnramp.conf.5"
+# settings: table, struct, files' prefix, header to include, command
+gen_settings() {
+	guard=$(echo "$2" | tr '[:lower:]' '[:upper:]')_GEN_H
+	{
+		echo "/* Generated from schema/$1.tbl by schema/gen.sh. */"
+		echo "#ifndef $guard"
+		echo "#define $guard"
+		echo '#include <stdbool.h>'
+		echo '#include <stdint.h>'
+		echo "struct $2 {"
+		body "$1" | awk -F'\t' '{
+			t = "int64_t "; n = $1 "_" $2
+			if ($3 ~ /^(string|hash|enum:.*)$/) t = "char *"
+			if ($3 == "bool") t = "bool "
+			if ($3 == "real") t = "double "
+			if ($3 == "ms") n = n "_ms"
+			printf "\t%s%s;\n", t, n }'
+		printf '};\n#endif\n'
+	} >"$out/$3-gen.h"
+	{
+		echo "/* Generated from schema/$1.tbl by schema/gen.sh. */"
+		echo '#include <stddef.h>'
+		echo "#include \"$4\""
+		echo 'static const struct setting_info infos[] = {'
+		body "$1" | awk -F'\t' -v s="$2" '{
+			n = $1 "_" $2; if ($3 == "ms") n = n "_ms"
+			d = $4 == "-" ? "NULL" : "\"" $4 "\""
+			t[2] = ""; split($3, t, ":")
+			a = t[2] == "" ? "NULL" : "\"" t[2] "\""
+			printf "\t{ \"%s\", \"%s\", SETTING_%s, %s, %s, %s, %s,\n\t  offsetof(struct %s, %s),\n\t  \"%s\" },\n",
+				$1, $2, toupper(t[1]), a, d, $5, $6, s, n, $7 }'
+		echo '};'
+		printf 'const struct setting_table %s_table = {\n' "$2"
+		printf '\tinfos, sizeof(infos) / sizeof(infos[0]),\n'
+		printf '\tsizeof(struct %s)\n};\n' "$2"
+	} >"$out/$3-gen.c"
+	{
+		echo ".TH $(echo "$5" | tr '[:lower:]' '[:upper:]').CONF 5"
+		echo '.SH NAME'
+		echo "$5.conf \\- settings of $5"
+		echo '.SH SYNOPSIS'
+		echo ".B $5 \\-\\-settings"
+		echo '.I file'
+		echo '.SH DESCRIPTION'
+		echo 'An INI file. An unknown key, a wrong type or a value out of range is an'
+		echo 'error; all errors are listed at once.'
+		body "$1" | awk -F'\t' '{
+			if ($1 != s) { printf ".SS [%s]\n", $1; s = $1 }
+			d = $4 == "-" ? "required" : "default " ($4 == "" ? "empty" : $4)
+			r = $3 == "string" ? "length" : "value"
+			r = r " from " $5 " to " $6
+			t[2] = ""; split($3, t, ":")
+			if (t[1] == "enum") { r = "one of " t[2]; gsub(",", ", ", r) }
+			if (t[1] == "hash") r = "64 hexadecimal digits or empty"
+			printf ".TP\n.B %s\n%s (%s, %s, %s)\n", $2, $7, t[1], r, d }'
+		echo '.SH BUGS'
+		echo "$6"
+	} >"$out/man/$5.conf.5"
+}
+mkdir -p "$out/entry"
+gen_settings settings settings base/settings base/base.h auburnramp \
+	'A change of settings needs a restart of the node.'
+gen_settings entry entry_settings entry/settings entry/entry.h rampentry \
+	'A changed file is read again on SIGHUP; only [bounds] takes effect then.'
 
 # resources
 mkdir -p "$out/state"
@@ -156,11 +166,16 @@
 } >"$out/state/resources-gen.c"
 
 # messages between nodes; rpcgen takes the name of its header from the input's
-mkdir -p "$out/member"
-for kind in h c; do
-	rpcgen -$kind schema/member.x | sed \
-		-e 's|"schema/member.h"|"member/member-gen.h"|' \
-		-e 's|"member.h"|"member/member-gen.h"|' \
-		-e 's|_SCHEMA/MEMBER_H_RPCGEN\|_MEMBER_H_RPCGEN|MEMBER_GEN_H|' \
-		>"$out/member/member-gen.$kind"
-done
+gen_messages() {
+	mkdir -p "$out/$1"
+	up=$(echo "$2" | tr '[:lower:]' '[:upper:]')
+	for kind in h c; do
+		rpcgen -$kind "schema/$2.x" | sed \
+			-e "s|\"schema/$2.h\"|\"$1/$2-gen.h\"|" \
+			-e "s|\"$2.h\"|\"$1/$2-gen.h\"|" \
+			-e "s|_SCHEMA/${up}_H_RPCGEN\|_${up}_H_RPCGEN|${up}_GEN_H|" \
+			>"$out/$1/$2-gen.$kind"
+	done
+}
+gen_messages member member
+gen_messages entry loads
