--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -272,7 +272,7 @@
 	if (x->runs && !may_run_again(x))
 		return false;
 	if (arrived &&
-	    !spend_repeat(pool_spend(x->tr, x->service->name),
+	    !retry_window_take(pool_retries(x->tr, x->service->name),
 			  time_boot_ms())) {
 		x->cause = "no_retry_budget";
 		return false;
@@ -431,7 +431,7 @@
 		if (!late && x->route->repeat != REPEAT_NEVER &&
 		    x->runs + 1 < x->route->runs_max &&
 		    x->sends < SENDS_MAX && left_ms(x) > DEADLINE_LEAST_MS &&
-		    spend_repeat(pool_spend(x->tr, x->service->name),
+		    retry_window_take(pool_retries(x->tr, x->service->name),
 				 time_boot_ms())) {
 			go_on(x, true, false);
 			return;
@@ -727,6 +727,6 @@
 	if (x->route->sticky)
 		x->key = prompt_key(
 			message_header(x->rq, x->tr->d->prompt_parts));
-	spend_first(pool_spend(x->tr, x->service->name), time_boot_ms());
+	retry_window_first(pool_retries(x->tr, x->service->name), time_boot_ms());
 	attempt(x);
 }
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -49,7 +49,7 @@
 	struct target_list *list;
 	struct peer_list *peers;
 	GHashTable *targets; /* id -> struct target */
-	GHashTable *spends;  /* service name -> struct spend */
+	GHashTable *retries;  /* service name -> struct retry_window */
 	GRand *rand;
 	struct port ports[PORT_COUNT];
 	ev_async news;
@@ -132,7 +132,7 @@
 void pool_note_fault(struct target *t);
 void pool_note_load(struct target *t, struct str load);
 void pool_sweep(struct traffic *tr);
-struct spend *pool_spend(struct traffic *tr, struct str service);
+struct retry_window *pool_retries(struct traffic *tr, struct str service);
 
 /* control.c */
 struct control *control_new(struct entry *e, GError **err);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -151,14 +151,14 @@
 {
 	tr->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    target_free);
-	tr->spends =
+	tr->retries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void pool_free(struct traffic *tr)
 {
 	g_hash_table_unref(tr->targets);
-	g_hash_table_unref(tr->spends);
+	g_hash_table_unref(tr->retries);
 }
 
 static double next_random(void *ctx)
@@ -298,17 +298,17 @@
 	t->load_at_ms = time_boot_ms();
 }
 
-struct spend *pool_spend(struct traffic *tr, struct str service)
+struct retry_window *pool_retries(struct traffic *tr, struct str service)
 {
 	char *name = g_strndup(service.data, service.len);
-	struct spend *s = g_hash_table_lookup(tr->spends, name);
+	struct retry_window *s = g_hash_table_lookup(tr->retries, name);
 	int64_t now = time_boot_ms();
 	double nodes = tr->peers ? (double)MAX(tr->peers->known, 1) : 1;
 	double age;
 
 	if (!s) {
-		s = g_new0(struct spend, 1);
-		g_hash_table_insert(tr->spends, name, s);
+		s = g_new0(struct retry_window, 1);
+		g_hash_table_insert(tr->retries, name, s);
 	} else {
 		g_free(name);
 	}
--- a/route/route.h
+++ b/route/route.h
@@ -453,25 +453,25 @@
 		    struct route_random random);
 
 /*
- * spend.c: repeats of requests that a window of time allows: a part of the
+ * window.c: repeats of requests that a window of time allows: a part of the
  * requests, and a fixed number for all nodes together. Zeroed memory but for
  * the first three fields is a valid start.
  */
-#define SPEND_SLOTS 11 /* ten of a window and the one being filled */
+#define RETRY_SLOTS 11 /* ten of a window and the one being filled */
 
-struct spend {
+struct retry_window {
 	double ratio;
 	double allowance; /* this node's part */
 	int64_t window_ms;
 	int64_t slot_number; /* of the newest slot */
-	unsigned firsts[SPEND_SLOTS];
-	unsigned repeats[SPEND_SLOTS];
+	unsigned firsts[RETRY_SLOTS];
+	unsigned repeats[RETRY_SLOTS];
 };
 
 /* Count a request. */
-void spend_first(struct spend *s, int64_t now_ms);
+void retry_window_first(struct retry_window *s, int64_t now_ms);
 /* Take one repeat; false when the window allows none. */
-bool spend_repeat(struct spend *s, int64_t now_ms);
+bool retry_window_take(struct retry_window *s, int64_t now_ms);
 
 /* kv.c */
 
