--- a/base/log.c
+++ b/base/log.c
@@ -75,8 +75,9 @@
 	if (!take_line(level) || write(out_fd, line, n) < 0) {
 		dropped++; /* told with the next line that can be written */
 	} else if (dropped) {
-		int k = snprintf(note, sizeof(note), "log lines dropped=%"
-				 G_GINT64_FORMAT "\n", dropped);
+		int k = snprintf(note, sizeof(note),
+				 "log lines dropped=%" G_GINT64_FORMAT "\n",
+				 dropped);
 
 		if (write(out_fd, note, (size_t)k) == k)
 			dropped = 0;
--- a/base/metric.c
+++ b/base/metric.c
@@ -21,7 +21,7 @@
 }
 
 /* Upper bounds of a histogram's buckets, in ms; the last takes the rest. */
-static const int64_t bounds_ms[] = {2,	 5,   10,   20,	  50,	100,
+static const int64_t bounds_ms[] = {2,   5,   10,   20,   50,   100,
 				    200, 500, 1000, 2000, 5000, 10000};
 #define BUCKETS (G_N_ELEMENTS(bounds_ms) + 1)
 
@@ -50,8 +50,8 @@
 				s, "%s_bucket{le=\"%" G_GINT64_FORMAT "\"} ",
 				name, bounds_ms[i]);
 		else
-			g_string_append_printf(
-				s, "%s_bucket{le=\"+Inf\"} ", name);
+			g_string_append_printf(s, "%s_bucket{le=\"+Inf\"} ",
+					       name);
 		g_string_append_printf(s, "%" G_GINT64_FORMAT "\n", n);
 	}
 	g_string_append_printf(s,
--- a/base/settings.c
+++ b/base/settings.c
@@ -102,8 +102,7 @@
 	*(char **)field(s, d) = g_strdup(value);
 }
 
-static bool store(void *s, const struct setting_info *d,
-		  const char *value)
+static bool store(void *s, const struct setting_info *d, const char *value)
 {
 	int64_t len = (int64_t)strlen(value);
 	int64_t n;
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -16,7 +16,7 @@
 #define HEADER_BYTES 16384
 #define BODY_BYTES   (4 << 20)
 #define HEADER_MS    3000
-#define IDLE_MS	     15000
+#define IDLE_MS      15000
 
 struct caller {
 	struct traffic *tr;
@@ -33,8 +33,8 @@
 	struct message *m; /* being read, or answered */
 	struct exchange *x;
 	int64_t began_ms; /* first byte of the request; 0: none yet */
-	bool keep;	  /* take another request after this answer */
-	bool finish;	  /* close once out is empty */
+	bool keep;        /* take another request after this answer */
+	bool finish;      /* close once out is empty */
 	bool eof;
 	int depth; /* calls in progress that still need it */
 	bool closed;
@@ -58,6 +58,12 @@
 	return buf_len(&c->out);
 }
 
+static void ref(struct caller *c)
+{
+	g_assert(c->depth >= 0);
+	c->depth++;
+}
+
 static void unref(struct caller *c)
 {
 	if (--c->depth || !c->closed)
@@ -74,7 +80,7 @@
 	if (c->closed)
 		return;
 	c->closed = true;
-	c->depth++;
+	ref(c);
 	if (c->x)
 		exchange_cancel(c->x);
 	c->x = NULL;
@@ -304,7 +310,7 @@
 	struct caller *c = w->data;
 
 	(void)loop;
-	c->depth++;
+	ref(c);
 	if (events & EV_WRITE) {
 		flush(c);
 		if (!c->closed && c->x)
@@ -324,7 +330,7 @@
 
 	(void)loop;
 	(void)events;
-	c->depth++;
+	ref(c);
 	if (c->began_ms && !c->x)
 		refuse(c, RAMP_ERR_CALLER_SLOW);
 	else if (!c->x)
--- a/entry/control.c
+++ b/entry/control.c
@@ -9,7 +9,7 @@
 #include "entry/follow.h"
 
 #define DATAGRAM_BYTES 2048
-#define TICK_MS	       50
+#define TICK_MS        50
 /* Loads are told this often, and no oftener than DATAGRAMS_S allows. */
 #define TELL_MS 100
 /* Load datagrams that a node sends in a second: some 1% of a small core. */
@@ -63,7 +63,8 @@
 	return -1;
 }
 
-static void send_member(void *ctx, const char *to, const struct member_message *m)
+static void send_member(void *ctx, const char *to,
+			const struct member_message *m)
 {
 	struct control *c = ctx;
 	uint8_t p[DATAGRAM_BYTES];
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -14,9 +14,9 @@
  * time to learn of it; what arrives later still is refused; before the kill
  * something is left to end in.
  */
-#define LEAVE_IDLE_MS	1000
+#define LEAVE_IDLE_MS   1000
 #define LEAVE_ACCEPT_MS 3500
-#define LEAVE_LEFT_MS	300
+#define LEAVE_LEFT_MS   300
 
 static bool is_within(const struct entry *e, int64_t now_ms, double part)
 {
@@ -74,8 +74,8 @@
 	int64_t now = time_boot_ms();
 
 	tr->leaving_ms = now;
-	tr->stop_at_ms = now + (int64_t)(tr->set->bounds_grace_s * 1000) -
-			 LEAVE_LEFT_MS;
+	tr->stop_at_ms =
+		now + (int64_t)(tr->set->bounds_grace_s * 1000) - LEAVE_LEFT_MS;
 	log_event(EV_NODE_STOPPING, "requests=%d", tr->exchanges);
 }
 
@@ -107,6 +107,8 @@
 	tr->peers = peers;
 	if (leaving && !tr->leaving_ms)
 		begin_to_leave(tr);
+	if (atomic_load(&e->stop_now))
+		ev_break(tr->loop, EVBREAK_ALL);
 }
 
 static void stop_if_done(struct traffic *tr, int64_t now_ms)
@@ -225,6 +227,12 @@
 	control_leave(e->control);
 }
 
+void entry_stop(struct entry *e)
+{
+	atomic_store(&e->stop_now, true);
+	ev_async_send(e->tr.loop, &e->tr.news);
+}
+
 void entry_free(struct entry *e)
 {
 	struct traffic *tr = &e->tr;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -43,11 +43,11 @@
 	size_t part_count;
 	int64_t weight_sum;
 	enum repeat repeat;
-	bool stream;   /* answers are server-sent events */
-	bool public;   /* needs no key */
-	bool sticky;   /* requests name the parts of their prompts */
-	int runs_max;  /* most targets that may run one attempt */
-	int priority;  /* 0 is the most urgent */
+	bool stream;        /* answers are server-sent events */
+	bool public;        /* needs no key */
+	bool sticky;        /* requests name the parts of their prompts */
+	int runs_max;       /* most targets that may run one attempt */
+	int priority;       /* 0 is the most urgent */
 	int64_t timeout_ms; /* from the request's arrival */
 	int64_t aim_ms;     /* within which the answer, or a stream's first
 			       event, counts as on time */
@@ -131,8 +131,8 @@
 /* The route with the longest path that the request's path begins with. */
 const struct route_rule *entry_config_route(const struct entry_config *c,
 					    struct str host, struct str path);
-const struct entry_organisation *entry_config_owner(const struct entry_config *c,
-						    struct str key);
+const struct entry_organisation *
+entry_config_owner(const struct entry_config *c, struct str key);
 struct target_list *target_list_new(size_t n);
 struct target_list *target_list_ref(struct target_list *l);
 void target_list_unref(struct target_list *l);
@@ -147,8 +147,8 @@
 struct own_answer {
 	int status;
 	const char *reason;
-	const char *type; /* media type of the body */
-	char *body;       /* in the request's arena */
+	const char *type;       /* media type of the body */
+	char *body;             /* in the request's arena */
 	int64_t retry_after_ms; /* 0: none */
 };
 
@@ -299,8 +299,8 @@
 
 /* cut.c: whole events of a stream. */
 struct cutter {
-	struct buf held;   /* an event that is not complete yet */
-	struct str last;   /* id of the last whole event; points to text */
+	struct buf held; /* an event that is not complete yet */
+	struct str last; /* id of the last whole event; points to text */
 	char text[32];
 	int64_t number; /* the same as a number; -1: none yet */
 	uint64_t events;
@@ -418,5 +418,7 @@
 void entry_free(struct entry *e);
 /* From another thread: as SIGTERM does. */
 void entry_leave(struct entry *e);
+/* From another thread: end at once, whatever is in progress. */
+void entry_stop(struct entry *e);
 
 #endif
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -16,10 +16,10 @@
 /* Time before the deadline in which nothing is sent any more. */
 #define DEADLINE_LEAST_MS 20
 /* Pauses that make a stream go on elsewhere, in parts of its longest one. */
-#define STALL_GAPS 3
+#define STALL_GAPS   3
 #define STALL_MIN_MS 1000
 /* When a caller may come back after a refusal, with a random part on top. */
-#define RETRY_MIN_MS	100
+#define RETRY_MIN_MS    100
 #define RETRY_SPREAD_MS 200
 
 struct exchange {
@@ -44,13 +44,13 @@
 	bool other_answer; /* the one being read is another request's */
 	bool streaming;
 	struct message *answer; /* its head, while it is being read */
-	struct buf held;	/* its body */
+	struct buf held;        /* its body */
 
 	uint64_t tried[SENDS_MAX];
 	int sends;
 	int runs; /* sends that may have run */
 	struct cutter cut;
-	bool given; /* a head has been given to the caller */
+	bool given;       /* a head has been given to the caller */
 	int64_t event_ms; /* when the last event came */
 	ev_timer timer;
 	const char *cause; /* of the last failure, for the log */
@@ -124,8 +124,7 @@
 
 static int64_t retry_after(const struct exchange *x)
 {
-	return RETRY_MIN_MS +
-	       g_rand_int_range(x->tr->rand, 0, RETRY_SPREAD_MS);
+	return RETRY_MIN_MS + g_rand_int_range(x->tr->rand, 0, RETRY_SPREAD_MS);
 }
 
 /* Answer with an error of our own and end. */
@@ -194,8 +193,8 @@
 
 	add_head(x, &out);
 	if (is_head_request(x)) {
-		struct str n = message_header(x->answer,
-					      STR_LIT("Content-Length"));
+		struct str n =
+			message_header(x->answer, STR_LIT("Content-Length"));
 
 		if (n.len)
 			buf_fmt(&out, "Content-Length: " STR_FMT "\r\n",
@@ -271,17 +270,15 @@
 		return false;
 	if (x->runs && !may_run_again(x))
 		return false;
-	if (arrived &&
-	    !retry_window_take(pool_retries(x->tr, x->service->name),
-			  time_boot_ms())) {
+	if (arrived && !retry_window_take(pool_retries(x->tr, x->service->name),
+					  time_boot_ms())) {
 		x->cause = "no_retry_budget";
 		return false;
 	}
 	metric_add(M_RETRIES_TOTAL, 1);
 	log_event(EV_REQUEST_REPEATED,
 		  "request=" STR_FMT " cause=%s ran=%d sends=%d after=%d",
-		  STR_ARG(x->id), x->cause, ran, x->sends,
-		  (int)x->cut.number);
+		  STR_ARG(x->id), x->cause, ran, x->sends, (int)x->cut.number);
 	attempt(x);
 	return true;
 }
@@ -299,9 +296,8 @@
 
 static void on_fault(void *ctx, enum link_fault f, bool answered)
 {
-	static const char *const causes[] = {"connection_refused",
-					     "connection_broken",
-					     "answer_malformed"};
+	static const char *const causes[] = {
+		"connection_refused", "connection_broken", "answer_malformed"};
 	struct exchange *x = ctx;
 	bool arrived = f != LINK_REFUSED;
 
@@ -430,10 +426,10 @@
 		x->cause = sound ? "target_failed" : "answer_unsound";
 		/* The answer is lost by trying again, so look first. */
 		if (!late && x->route->repeat != REPEAT_NEVER &&
-		    x->runs + 1 < x->route->runs_max &&
-		    x->sends < SENDS_MAX && left_ms(x) > DEADLINE_LEAST_MS &&
+		    x->runs + 1 < x->route->runs_max && x->sends < SENDS_MAX &&
+		    left_ms(x) > DEADLINE_LEAST_MS &&
 		    retry_window_take(pool_retries(x->tr, x->service->name),
-				 time_boot_ms())) {
+				      time_boot_ms())) {
 			go_on(x, true, false);
 			return;
 		}
@@ -557,8 +553,8 @@
 		return;
 	}
 	if (x->route->repeat == REPEAT_REST && x->given &&
-	    now >= x->event_ms + MAX(STALL_MIN_MS,
-				     STALL_GAPS * x->route->gap_ms) &&
+	    now >= x->event_ms +
+			    MAX(STALL_MIN_MS, STALL_GAPS * x->route->gap_ms) &&
 	    may_run_again(x) && x->runs + 1 < x->route->runs_max) {
 		x->cause = "stream_stalled";
 		pool_note(x->target, false);
@@ -575,7 +571,7 @@
 static void attempt(struct exchange *x)
 {
 	struct target *t = pool_choose(x->tr, x->service->name, x->key,
-					  x->tried, (size_t)x->sends);
+				       x->tried, (size_t)x->sends);
 
 	if (!t) {
 		x->cause = "no_target";
@@ -686,8 +682,7 @@
 	wait = str_number(message_header(m, d->deadline));
 	x->deadline_ms = x->arrived_ms + x->route->timeout_ms;
 	if (wait >= 0)
-		x->deadline_ms =
-			MIN(x->deadline_ms, x->arrived_ms + wait);
+		x->deadline_ms = MIN(x->deadline_ms, x->arrived_ms + wait);
 	if (left_ms(x) < DEADLINE_LEAST_MS)
 		return RAMP_ERR_OVERLOADED;
 	x->service = pick_service(x);
@@ -728,6 +723,7 @@
 	if (x->route->sticky)
 		x->key = prompt_key(
 			message_header(x->rq, x->tr->d->prompt_parts));
-	retry_window_first(pool_retries(x->tr, x->service->name), time_boot_ms());
+	retry_window_first(pool_retries(x->tr, x->service->name),
+			   time_boot_ms());
 	attempt(x);
 }
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -4,7 +4,7 @@
 #include "entry/follow.h"
 
 /* Pause after a call that failed, with a random part on top. */
-#define PAUSE_MS	250
+#define PAUSE_MS        250
 #define PAUSE_SPREAD_MS 150
 /* Changes are followed; the whole row is read this often all the same. */
 #define CONFIG_READ_MS 2100
@@ -51,12 +51,12 @@
 
 	GHashTable *listed; /* key -> struct listed */
 	uint64_t reading;
-	char *from;          /* key from which the next page starts */
-	int64_t begun_ms;    /* when the reading in progress was begun */
-	int64_t answered_ms; /* end of the last reading */
+	char *from;           /* key from which the next page starts */
+	int64_t begun_ms;     /* when the reading in progress was begun */
+	int64_t answered_ms;  /* end of the last reading */
 	int64_t confirmed_ms; /* the list held was the newest then; 0: never */
-	int64_t returned_ms; /* end of the last outage */
-	uint64_t hash;       /* of the list held */
+	int64_t returned_ms;  /* end of the last outage */
+	uint64_t hash;        /* of the list held */
 	bool targets_stale;
 	bool targets_busy;
 	bool changed;
@@ -109,8 +109,8 @@
 	}
 	f->config_version = c->version;
 	f->config_stale = false;
-	log_event(EV_CONFIG_APPLIED, "revision=%d routes=%d",
-		  (int)c->version, (int)c->route_count);
+	log_event(EV_CONFIG_APPLIED, "revision=%d routes=%d", (int)c->version,
+		  (int)c->route_count);
 	entry_publish_config(f->e, c);
 	return true;
 }
@@ -352,8 +352,8 @@
 
 	for (size_t i = 0; i < p->n; i++) {
 		json_t *value = f->api->value(p, i);
-		const char *control = json_string_value(
-			json_object_get(value, "control"));
+		const char *control =
+			json_string_value(json_object_get(value, "control"));
 
 		if (control)
 			control_seed(f->e->control, control);
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -28,11 +28,11 @@
 	void *arena;
 	struct target_info info;
 	struct traffic *tr;
-	bool listed;    /* in the newest list */
-	int running;    /* requests of this node there */
-	GQueue *idle;   /* struct idle, the last used first */
-	double errors;  /* recent part of failures, 0 to 1 */
-	int faults;     /* in a row: no connection, or one that broke */
+	bool listed;   /* in the newest list */
+	int running;   /* requests of this node there */
+	GQueue *idle;  /* struct idle, the last used first */
+	double errors; /* recent part of failures, 0 to 1 */
+	int faults;    /* in a row: no connection, or one that broke */
 	int64_t aside_until_ms;
 	int64_t load_at_ms; /* when its own word on its load came; 0: never */
 	double load;        /* running and waiting by that */
@@ -49,7 +49,7 @@
 	struct target_list *list;
 	struct peer_list *peers;
 	GHashTable *targets; /* id -> struct target */
-	GHashTable *retries;  /* service name -> struct retry_window */
+	GHashTable *retries; /* service name -> struct retry_window */
 	GRand *rand;
 	struct port ports[PORT_COUNT];
 	ev_async news;
@@ -76,7 +76,7 @@
 	bool leaving;
 
 	atomic_int_least64_t fresh_ms; /* see entry_config_fresh */
-	atomic_bool stop_control;
+	atomic_bool stop_now;
 };
 
 /* Of the control thread. */
@@ -128,9 +128,8 @@
 void pool_init(struct traffic *tr);
 void pool_free(struct traffic *tr);
 /* A target for the request, or NULL; tried ones are taken last. */
-struct target *pool_choose(struct traffic *tr, struct str service,
-			      uint64_t key, const uint64_t *tried,
-			      size_t tried_count);
+struct target *pool_choose(struct traffic *tr, struct str service, uint64_t key,
+			   const uint64_t *tried, size_t tried_count);
 /* An idle connection, or a new one, or NULL. */
 struct link *pool_link(struct target *t, bool fresh, bool *reused);
 /* Take back a connection that can carry another request. */
--- a/entry/link.c
+++ b/entry/link.c
@@ -34,6 +34,12 @@
 	int depth;   /* callbacks in progress */
 };
 
+static void ref(struct link *l)
+{
+	g_assert(l->depth >= 0);
+	l->depth++;
+}
+
 static void unref(struct link *l)
 {
 	if (--l->depth || !l->closed)
@@ -54,7 +60,7 @@
 	if (l->fd >= 0)
 		close(l->fd);
 	l->fd = -1;
-	l->depth++;
+	ref(l);
 	unref(l);
 }
 
@@ -105,8 +111,9 @@
 	for (size_t i = 0; i + 8 < alive.len; i++) {
 		if (memcmp(alive.data + i, "timeout=", 8))
 			continue;
-		l->idle_ms = (int64_t)(g_ascii_strtod(alive.data + i + 8,
-						      NULL) * 1000 * IDLE_PART);
+		l->idle_ms =
+			(int64_t)(g_ascii_strtod(alive.data + i + 8, NULL) *
+				  1000 * IDLE_PART);
 		break;
 	}
 	return l->ops->head(l->ctx, m) && !l->closed;
@@ -215,7 +222,7 @@
 	struct link *l = w->data;
 
 	(void)loop;
-	l->depth++;
+	ref(l);
 	if (!l->connected)
 		on_connected(l);
 	else if (events & EV_READ)
@@ -232,7 +239,7 @@
 
 	(void)loop;
 	(void)events;
-	l->depth++;
+	ref(l);
 	fault(l, LINK_REFUSED);
 	unref(l);
 }
--- a/entry/message.c
+++ b/entry/message.c
@@ -7,7 +7,7 @@
 
 /* Largest head of an answer; targets send a few hundred bytes. */
 #define ANSWER_HEAD_BYTES 65536
-#define HEADERS_FIRST	  16
+#define HEADERS_FIRST     16
 
 struct reader {
 	http_parser p;
@@ -62,10 +62,14 @@
 bool header_is_hop(const struct message *m, struct str name)
 {
 	static const struct str hop[] = {
-		STR_LIT("Connection"),	  STR_LIT("Keep-Alive"),
-		STR_LIT("Proxy-Connection"), STR_LIT("Proxy-Authenticate"),
-		STR_LIT("Proxy-Authorization"), STR_LIT("TE"),
-		STR_LIT("Trailer"),	  STR_LIT("Transfer-Encoding"),
+		STR_LIT("Connection"),
+		STR_LIT("Keep-Alive"),
+		STR_LIT("Proxy-Connection"),
+		STR_LIT("Proxy-Authenticate"),
+		STR_LIT("Proxy-Authorization"),
+		STR_LIT("TE"),
+		STR_LIT("Trailer"),
+		STR_LIT("Transfer-Encoding"),
 		STR_LIT("Upgrade"),
 	};
 
@@ -140,8 +144,8 @@
 		return true;
 	if (m->header_count == r->slots) {
 		r->slots = r->slots ? r->slots * 2 : HEADERS_FIRST;
-		m->headers = talloc_realloc(m, m->headers, struct header,
-					    r->slots);
+		m->headers =
+			talloc_realloc(m, m->headers, struct header, r->slots);
 	}
 	h = &m->headers[m->header_count++];
 	value = (struct str){r->head.data + r->value_at,
@@ -197,15 +201,15 @@
 	if (!header_done(r))
 		return -1;
 	if (r->request && !m->url.len)
-		m->url = str_dup(m, (struct str){buf_at(&r->head),
-						 buf_len(&r->head)});
+		m->url = str_dup(
+			m, (struct str){buf_at(&r->head), buf_len(&r->head)});
 	if (r->request)
 		m->method = str_c(http_method_str(p->method));
 	m->status = p->status_code;
 	m->keep_alive = http_should_keep_alive(p);
-	m->has_body = (p->flags & F_CHUNKED) ||
-		      (p->content_length > 0 &&
-		       p->content_length != UINT64_MAX);
+	m->has_body =
+		(p->flags & F_CHUNKED) ||
+		(p->content_length > 0 && p->content_length != UINT64_MAX);
 	if (r->ops->head && !r->ops->head(r->ctx, m)) {
 		r->error = READ_STOPPED;
 		return -1;
--- a/entry/own.c
+++ b/entry/own.c
@@ -67,8 +67,7 @@
 
 		if (n > name.len && p[name.len] == '=' &&
 		    !memcmp(p, name.data, name.len))
-			return (struct str){p + name.len + 1,
-					    n - name.len - 1};
+			return (struct str){p + name.len + 1, n - name.len - 1};
 		p = amp;
 	}
 	return (struct str){NULL, 0};
@@ -98,10 +97,9 @@
 
 	for (size_t i = 0; l && i < l->n; i++) {
 		const struct entry_peer *p = &l->v[i];
-		bool serves = p->id == self
-				      ? entry_is_serving(tr->e, now)
-				      : loads_node_serves(tr->e->loads, p->id,
-							  now);
+		bool serves = p->id == self ? entry_is_serving(tr->e, now)
+					    : loads_node_serves(tr->e->loads,
+								p->id, now);
 
 		if (!serves)
 			continue;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -127,7 +127,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		((struct target *)v)->listed = false;
 	for (size_t i = 0; i < l->n; i++) {
-		struct target *t = g_hash_table_lookup(tr->targets, &l->v[i].id);
+		struct target *t =
+			g_hash_table_lookup(tr->targets, &l->v[i].id);
 
 		if (!t) {
 			t = target_new(tr, &l->v[i]);
@@ -169,8 +170,8 @@
 /* Requests there: what the nodes tell, or the target's own newer word. */
 static double load_of(struct target *t, int64_t now_ms)
 {
-	double told = t->running + loads_others(t->tr->e->loads, t->info.id,
-						now_ms);
+	double told =
+		t->running + loads_others(t->tr->e->loads, t->info.id, now_ms);
 	double own = t->load + (double)(t->running - t->load_own);
 
 	if (!t->load_at_ms || now_ms - t->load_at_ms > LOAD_FOR_MS)
@@ -178,9 +179,8 @@
 	return MAX(told, own);
 }
 
-struct target *pool_choose(struct traffic *tr, struct str service,
-			      uint64_t key, const uint64_t *tried,
-			      size_t tried_count)
+struct target *pool_choose(struct traffic *tr, struct str service, uint64_t key,
+			   const uint64_t *tried, size_t tried_count)
 {
 	size_t most = g_hash_table_size(tr->targets), n = 0, at;
 	struct place_target *p = g_newa(struct place_target, most + 1);
@@ -204,9 +204,9 @@
 		n++;
 	}
 	for (size_t i = 0; i < n; i++) {
-		double others = n > 1 ? (errors - by[i]->errors) /
-						(double)(n - 1)
-				      : by[i]->errors;
+		double others =
+			n > 1 ? (errors - by[i]->errors) / (double)(n - 1)
+			      : by[i]->errors;
 
 		if (by[i]->errors > others + ERROR_EXCESS)
 			p[i].aside = true;
@@ -315,9 +315,7 @@
 	s->ratio = tr->set->bounds_retry_ratio;
 	s->window_ms = (int64_t)(tr->set->bounds_retry_window_s * 1000);
 	/* What an earlier process of this node spent is not known. */
-	age = (double)(now - tr->started_ms) /
-	      (double)MAX(s->window_ms, 1);
-	s->allowance =
-		tr->set->bounds_retry_allowance / nodes * MIN(age, 1);
+	age = (double)(now - tr->started_ms) / (double)MAX(s->window_ms, 1);
+	s->allowance = tr->set->bounds_retry_allowance / nodes * MIN(age, 1);
 	return s;
 }
--- a/entry/sock.c
+++ b/entry/sock.c
@@ -14,9 +14,9 @@
  */
 #define UNACKED_MS 1500
 /* Probes of a silent connection: broken after idle + count x gap. */
-#define PROBE_IDLE_S  1
-#define PROBE_GAP_S   1
-#define PROBE_COUNT   2
+#define PROBE_IDLE_S 1
+#define PROBE_GAP_S  1
+#define PROBE_COUNT  2
 
 static void set_int(int fd, int level, int name, int value)
 {
@@ -78,8 +78,7 @@
 
 int sock_connect(const struct sockaddr_in *to)
 {
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-			0);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	if (fd < 0)
 		return -1;
--- /dev/null
+++ b/entry/test-cut.c
@@ -0,0 +1,70 @@
+#include <string.h>
+
+#include "entry/entry.h"
+
+static void collect(void *ctx, const char *p, size_t n)
+{
+	g_string_append_len(ctx, p, (gssize)n);
+}
+
+static const char stream[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+			     ": pause\n\nid: 3\r\ndata: c\r\n\r\n";
+
+/* However the bytes come in, whole events go out unchanged. */
+static void test_any_split(void)
+{
+	for (size_t step = 1; step < sizeof(stream); step++) {
+		struct cutter c = {.number = -1};
+		GString *out = g_string_new(NULL);
+
+		for (size_t at = 0; at < sizeof(stream) - 1; at += step)
+			g_assert_true(
+				cutter_feed(&c, stream + at,
+					    MIN(step, sizeof(stream) - 1 - at),
+					    collect, out));
+		g_assert_cmpstr(out->str, ==, stream);
+		g_assert_cmpint(c.number, ==, 3);
+		cutter_clear(&c);
+		g_string_free(out, TRUE);
+	}
+}
+
+/* Half an event is dropped, and what is repeated is not given on twice. */
+static void test_resume(void)
+{
+	struct cutter c = {.number = -1};
+	GString *out = g_string_new(NULL);
+
+	cutter_feed(&c, stream, 20, collect, out);
+	cutter_break(&c);
+	g_assert_cmpstr(out->str, ==, "id: 1\ndata: a\n\n");
+	cutter_feed(&c, stream, sizeof(stream) - 1, collect, out);
+	g_assert_cmpstr(out->str, ==, stream);
+	cutter_clear(&c);
+	g_string_free(out, TRUE);
+}
+
+/* An event without an end can't take all of the memory. */
+static void test_endless(void)
+{
+	struct cutter c = {.number = -1};
+	GString *out = g_string_new(NULL);
+	char block[4096];
+	int i = 0;
+
+	memset(block, 'x', sizeof(block));
+	while (i < 1000 && cutter_feed(&c, block, sizeof(block), collect, out))
+		i++;
+	g_assert_cmpint(i, <, 1000);
+	cutter_clear(&c);
+	g_string_free(out, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry/cut/any-split", test_any_split);
+	g_test_add_func("/entry/cut/resume", test_resume);
+	g_test_add_func("/entry/cut/endless", test_endless);
+	return g_test_run();
+}
--- /dev/null
+++ b/entry/test-loads.c
@@ -0,0 +1,95 @@
+#include <string.h>
+
+#include "entry/follow.h"
+
+/* Give what one node has to tell to another. */
+static void tell(struct loads *from, struct loads *to, int64_t now_ms)
+{
+	struct load_entry entries[LOADS_ENTRIES_MAX];
+	struct load_news m;
+
+	if (loads_next(from, now_ms, &m, entries))
+		loads_heard(to, now_ms, &m);
+}
+
+static void test_sums(void)
+{
+	struct loads *a = loads_new(1), *b = loads_new(2), *c = loads_new(3);
+
+	loads_add(a, 7, 1);
+	loads_add(a, 7, 1);
+	loads_add(b, 7, 1);
+	loads_add(b, 8, 1);
+	tell(a, c, 1000);
+	tell(b, c, 1000);
+	g_assert_cmpfloat(loads_others(c, 7, 1000), ==, 3);
+	g_assert_cmpfloat(loads_others(c, 8, 1000), ==, 1);
+	/* What ended at b is told by its next message. */
+	loads_add(b, 8, -1);
+	tell(b, c, 1100);
+	g_assert_cmpfloat(loads_others(c, 8, 1100), ==, 0);
+	/* A node that is silent for long counts for nothing. */
+	g_assert_cmpfloat(loads_others(c, 7, 9000), ==, 0);
+	loads_free(a);
+	loads_free(b);
+	loads_free(c);
+}
+
+/* A message that was overtaken changes nothing; a new start does. */
+static void test_order(void)
+{
+	struct load_entry e = {7, 5};
+	struct load_news m = {
+		.node = 2, .seq = 2, .start = 10, .entries = {1, &e}};
+	struct loads *l = loads_new(1);
+
+	loads_heard(l, 100, &m);
+	m.seq = 1;
+	e.running = 9;
+	loads_heard(l, 110, &m);
+	g_assert_cmpfloat(loads_others(l, 7, 110), ==, 5);
+	m.start = 11;
+	e.running = 1;
+	loads_heard(l, 120, &m);
+	g_assert_cmpfloat(loads_others(l, 7, 120), ==, 1);
+	loads_free(l);
+}
+
+static void test_serving(void)
+{
+	struct loads *a = loads_new(1), *b = loads_new(2);
+
+	g_assert_false(loads_node_serves(b, 1, 1000));
+	loads_set_serving(a, true);
+	tell(a, b, 1000);
+	g_assert_true(loads_node_serves(b, 1, 1000));
+	loads_set_serving(a, false);
+	tell(a, b, 1100);
+	g_assert_false(loads_node_serves(b, 1, 1100));
+	loads_free(a);
+	loads_free(b);
+}
+
+/* All nodes that see the same ones agree, in whatever order they see them. */
+static void test_readers(void)
+{
+	uint64_t nodes[] = {11, 22, 33, 44, 55, 66, 77};
+	uint64_t other[] = {77, 33, 11, 66, 22, 55, 44};
+	uint64_t a[READERS], b[READERS];
+
+	g_assert_cmpuint(readers_choose(nodes, 7, a), ==, READERS);
+	g_assert_cmpuint(readers_choose(other, 7, b), ==, READERS);
+	g_assert_cmpmem(a, sizeof(a), b, sizeof(b));
+	g_assert_cmpuint(readers_choose(nodes, 2, a), ==, 2);
+	g_assert_cmpuint(readers_choose(nodes, 0, a), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry/loads/sums", test_sums);
+	g_test_add_func("/entry/loads/order", test_order);
+	g_test_add_func("/entry/loads/serving", test_serving);
+	g_test_add_func("/entry/readers/agree", test_readers);
+	return g_test_run();
+}
--- /dev/null
+++ b/entry/test-message.c
@@ -0,0 +1,170 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "entry/entry.h"
+
+struct seen {
+	int heads, ends;
+	GString *body;
+	char *headers;
+};
+
+static bool on_head(void *ctx, struct message *m)
+{
+	struct seen *s = ctx;
+
+	s->heads++;
+	g_free(s->headers);
+	s->headers = g_strdup("");
+	for (size_t i = 0; i < m->header_count; i++) {
+		char *was = s->headers;
+
+		s->headers = g_strdup_printf("%s[" STR_FMT "=" STR_FMT "]", was,
+					     STR_ARG(m->headers[i].name),
+					     STR_ARG(m->headers[i].value));
+		g_free(was);
+	}
+	return true;
+}
+
+static bool on_body(void *ctx, const char *p, size_t n)
+{
+	g_string_append_len(((struct seen *)ctx)->body, p, (gssize)n);
+	return true;
+}
+
+static bool on_end(void *ctx, struct message *m)
+{
+	((struct seen *)ctx)->ends++;
+	talloc_free(m);
+	return true;
+}
+
+static const struct reader_ops ops = {on_head, on_body, on_end};
+
+/* Feed in pieces of a size; stops at the first error. */
+static enum read_error feed(struct seen *s, bool request, const char *text,
+			    size_t step, bool eof)
+{
+	struct reader *r = reader_new(request, &ops, s);
+	enum read_error err = READ_OK;
+	size_t n = strlen(text), at = 0;
+
+	memset(s, 0, sizeof(*s));
+	s->body = g_string_new(NULL);
+	while (at < n && !err)
+		at += reader_feed(r, text + at, MIN(step, n - at), &err);
+	if (!err && eof)
+		err = reader_eof(r);
+	reader_free(r);
+	return err;
+}
+
+static void clear(struct seen *s)
+{
+	g_string_free(s->body, TRUE);
+	g_free(s->headers);
+}
+
+static void test_requests(void)
+{
+	static const char text[] =
+		"POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nEmpty:\r\n"
+		"Padded:  y \r\nContent-Length: 3\r\n\r\nabc"
+		"POST / HTTP/1.1\r\nHost: x\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n"
+		"2\r\nde\r\n1\r\nf\r\n0\r\n\r\n";
+
+	for (size_t step = 1; step < sizeof(text); step++) {
+		struct seen s;
+
+		g_assert_cmpint(feed(&s, true, text, step, false), ==, READ_OK);
+		g_assert_cmpint(s.ends, ==, 2);
+		g_assert_cmpstr(s.body->str, ==, "abcdef");
+		clear(&s);
+	}
+}
+
+static void test_values(void)
+{
+	struct seen s;
+
+	g_assert_cmpint(feed(&s, true,
+			     "GET / HTTP/1.1\r\nHost: x\r\nEmpty:\r\n"
+			     "Padded:  y z \r\n\r\n",
+			     3, false),
+			==, READ_OK);
+	g_assert_cmpstr(s.headers, ==, "[Host=x][Empty=][Padded=y z]");
+	clear(&s);
+}
+
+/* What could be read in two ways is refused. */
+static void test_malformed(void)
+{
+	static const char *const texts[] = {
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		"Content-Length: 4\r\n\r\nabcd",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+		"GET / HTTP/1.1\r\nBad Name: x\r\n\r\n",
+		"GET / HTTP/1.1\r\nName : x\r\n\r\n",
+		"GET / HTTP/1.1\r\nName: a\x01z\r\n\r\n",
+		"NONSENSE\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct seen s;
+
+		g_test_message("%s", texts[i]);
+		g_assert_cmpint(feed(&s, true, texts[i], 7, false), !=,
+				READ_OK);
+		clear(&s);
+	}
+}
+
+/* An answer without a length ends with its connection, and not before. */
+static void test_until_close(void)
+{
+	struct seen s;
+
+	g_assert_cmpint(feed(&s, false, "HTTP/1.1 200 OK\r\n\r\nabc", 4, true),
+			==, READ_OK);
+	g_assert_cmpint(s.ends, ==, 1);
+	g_assert_cmpstr(s.body->str, ==, "abc");
+	clear(&s);
+	g_assert_cmpint(feed(&s, false,
+			     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+			     4, true),
+			==, READ_MALFORMED);
+	g_assert_cmpint(s.ends, ==, 0);
+	clear(&s);
+}
+
+static void test_header_limit(void)
+{
+	struct reader *r;
+	struct seen s = {.body = g_string_new(NULL)};
+	enum read_error err = READ_OK;
+
+	r = reader_new(true, &ops, &s);
+	reader_limit(r, 1000);
+	reader_feed(r, "GET / HTTP/1.1\r\nA: ", 19, &err);
+	for (int i = 0; i < 300 && !err; i++)
+		reader_feed(r, "xxxxxxxxxx", 10, &err);
+	g_assert_cmpint(err, ==, READ_HEADERS_TOO_LARGE);
+	reader_free(r);
+	clear(&s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry/message/requests", test_requests);
+	g_test_add_func("/entry/message/values", test_values);
+	g_test_add_func("/entry/message/malformed", test_malformed);
+	g_test_add_func("/entry/message/until-close", test_until_close);
+	g_test_add_func("/entry/message/header-limit", test_header_limit);
+	return g_test_run();
+}
--- a/entry/view.c
+++ b/entry/view.c
@@ -70,7 +70,9 @@
 	const struct route_rule *x = *(const struct route_rule *const *)a;
 	const struct route_rule *y = *(const struct route_rule *const *)b;
 
-	return x->path.len < y->path.len ? 1 : x->path.len > y->path.len ? -1 : 0;
+	return x->path.len < y->path.len   ? 1
+	       : x->path.len > y->path.len ? -1
+					   : 0;
 }
 
 void entry_config_index(struct entry_config *c)
--- a/rampentry/rampentry.c
+++ b/rampentry/rampentry.c
@@ -91,9 +91,8 @@
 		return usage(stderr, table);
 	}
 	if (load(a.settings->filename[0], &s))
-		status = a.check->count
-				 ? 0
-				 : serve(a.settings->filename[0], &s);
+		status =
+			a.check->count ? 0 : serve(a.settings->filename[0], &s);
 	settings_clear_table(&entry_settings_table, &s);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return status;
--- /dev/null
+++ b/route/test-place.c
@@ -0,0 +1,125 @@
+#include "route/test-random.h"
+
+#define TARGETS 9
+
+static size_t choose(uint64_t key, const struct place_target *t, size_t n,
+		     GRand *r)
+{
+	return place_choose(&place_limits_default, key, t, n, random_of(r));
+}
+
+static void fill(struct place_target *t, double load)
+{
+	for (size_t i = 0; i < TARGETS; i++)
+		t[i] = (struct place_target){i * 11 + 3, load, false};
+}
+
+/* One key always gets the same target while that has room. */
+static void test_key_stays(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_target t[TARGETS];
+
+	fill(t, 5);
+	for (uint64_t key = 1; key < 200; key++) {
+		size_t first = choose(key, t, TARGETS, r);
+
+		t[first].load += 2;
+		g_assert_cmpuint(choose(key, t, TARGETS, r), ==, first);
+		t[first].load -= 2;
+	}
+	g_rand_free(r);
+}
+
+/* A target that is lost moves only the keys that it had. */
+static void test_loss_moves_little(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_target t[TARGETS];
+
+	fill(t, 5);
+	for (uint64_t key = 1; key < 200; key++) {
+		size_t was = choose(key, t, TARGETS, r), is;
+
+		t[4].aside = true;
+		is = choose(key, t, TARGETS, r);
+		t[4].aside = false;
+		if (was != 4)
+			g_assert_cmpuint(is, ==, was);
+		else
+			g_assert_cmpuint(is, !=, 4);
+	}
+	g_rand_free(r);
+}
+
+/*
+ * One key gets all of the traffic: no target may go over what the users allow,
+ * 2 x mean + 3.
+ */
+static void test_hot_key_within_bound(void)
+{
+	GRand *r = g_rand_new_with_seed(2);
+	struct place_target t[TARGETS];
+	double sum = 0;
+
+	fill(t, 0);
+	for (int i = 0; i < 2000; i++) {
+		size_t at = choose(77, t, TARGETS, r);
+
+		t[at].load++;
+		sum++;
+		g_assert_cmpfloat(t[at].load, <=, 2 * sum / TARGETS + 3);
+		/* The oldest work ends, evenly over the targets. */
+		if (sum > 80) {
+			size_t k = (size_t)i % TARGETS;
+
+			if (t[k].load > 0) {
+				t[k].load--;
+				sum--;
+			}
+		}
+	}
+	g_rand_free(r);
+}
+
+/* Without a key the least loaded one is taken, and ties are spread. */
+static void test_least(void)
+{
+	GRand *r = g_rand_new_with_seed(3);
+	struct place_target t[TARGETS];
+	unsigned got[TARGETS] = {0};
+
+	fill(t, 4);
+	t[6].load = 1;
+	g_assert_cmpuint(choose(0, t, TARGETS, r), ==, 6);
+	t[6].load = 4;
+	for (int i = 0; i < 900; i++)
+		got[choose(0, t, TARGETS, r)]++;
+	for (int i = 0; i < TARGETS; i++)
+		g_assert_cmpuint(got[i], >, 50);
+	g_rand_free(r);
+}
+
+static void test_all_aside(void)
+{
+	GRand *r = g_rand_new_with_seed(4);
+	struct place_target t[TARGETS];
+
+	fill(t, 4);
+	for (int i = 0; i < TARGETS; i++)
+		t[i].aside = true;
+	g_assert_cmpuint(choose(9, t, TARGETS, r), <, TARGETS);
+	g_assert_cmpuint(choose(9, t, 0, r), ==, SIZE_MAX);
+	g_rand_free(r);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/route/place/key-stays", test_key_stays);
+	g_test_add_func("/route/place/loss", test_loss_moves_little);
+	g_test_add_func("/route/place/hot-key", test_hot_key_within_bound);
+	g_test_add_func("/route/place/least", test_least);
+	g_test_add_func("/route/place/all-aside", test_all_aside);
+	return g_test_run();
+}
