entry: free connections after the turn in which they were closed

The linter can't follow a count of callbacks in progress, and neither could a newcomer: connections that a callback closes are now freed by one watcher before the loop waits again.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -36,8 +36,7 @@
 	bool keep;        /* take another request after this answer */
 	bool finish;      /* close once out is empty */
 	bool eof;
-	int depth; /* calls in progress that still need it */
-	bool closed;
+	bool closed; /* and freed once no callback is in progress */
 };
 
 static struct caller_limits limits_of(const struct caller *c)
@@ -58,17 +57,12 @@
 	return buf_len(&c->out);
 }
 
-static void ref(struct caller *c)
+static void release(void *p)
 {
-	g_assert(c->depth >= 0);
-	c->depth++;
-}
+	struct caller *c = p;
 
-static void unref(struct caller *c)
-{
-	if (--c->depth || !c->closed)
-		return;
 	reader_free(c->rd);
+	talloc_free(c->m);
 	buf_clear(&c->in);
 	buf_clear(&c->body);
 	buf_clear(&c->out);
@@ -80,7 +74,6 @@
 	if (c->closed)
 		return;
 	c->closed = true;
-	ref(c);
 	if (c->x)
 		exchange_cancel(c->x);
 	c->x = NULL;
@@ -88,7 +81,7 @@
 	ev_timer_stop(c->tr->loop, &c->limit);
 	close(c->fd);
 	g_queue_delete_link(c->tr->callers, c->node);
-	unref(c);
+	later_free(c->tr->loop, c, release);
 }
 
 void caller_abort(struct caller *c)
@@ -310,7 +303,6 @@
 	struct caller *c = w->data;
 
 	(void)loop;
-	ref(c);
 	if (events & EV_WRITE) {
 		flush(c);
 		if (!c->closed && c->x)
@@ -321,7 +313,6 @@
 	if (!c->closed)
 		take(c);
 	watch(c);
-	unref(c);
 }
 
 static void on_limit(struct ev_loop *loop, ev_timer *w, int events)
@@ -330,12 +321,10 @@
 
 	(void)loop;
 	(void)events;
-	ref(c);
 	if (c->began_ms && !c->x)
 		refuse(c, RAMP_ERR_CALLER_SLOW);
 	else if (!c->x)
 		destroy(c);
-	unref(c);
 }
 
 static struct caller *caller_new(struct port *p, int fd)
--- a/entry/control.c
+++ b/entry/control.c
@@ -464,6 +464,7 @@
 	c->e = e;
 	e->control = c;
 	c->loop = ev_loop_new(EVFLAG_AUTO);
+	later_begin(c->loop);
 	c->seeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->loads_fd = -1;
 	c->member_fd = open_udp(s->node_ip, s->peers_port, err);
@@ -520,6 +521,7 @@
 	if (c->loads_fd >= 0)
 		close(c->loads_fd);
 	g_hash_table_unref(c->seeds);
+	later_end(c->loop);
 	ev_loop_destroy(c->loop);
 	g_free(c);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -178,6 +178,7 @@
 	tr->set = &e->set;
 	tr->d = e->o->dialect;
 	tr->loop = ev_loop_new(EVFLAG_AUTO);
+	later_begin(tr->loop);
 	pool_init(tr);
 	tr->callers = g_queue_new();
 	tr->rand = g_rand_new();
@@ -252,6 +253,7 @@
 	entry_config_unref(e->config);
 	target_list_unref(e->list);
 	peer_list_unref(e->peers);
+	later_end(tr->loop);
 	ev_loop_destroy(tr->loop);
 	loads_free(e->loads);
 	g_free(e->control_address);
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -90,6 +90,14 @@
 /* Whether callers are to be sent here. Of the traffic thread. */
 bool entry_is_serving(const struct entry *e, int64_t now_ms);
 
+/*
+ * later.c: frees what a callback in progress may still look at, once the loop
+ * has none in progress.
+ */
+void later_begin(struct ev_loop *loop);
+void later_end(struct ev_loop *loop);
+void later_free(struct ev_loop *loop, void *p, GDestroyNotify fn);
+
 /* caller.c */
 void caller_accept(struct port *p);
 /* Give bytes to the caller. */
--- a/entry/link.c
+++ b/entry/link.c
@@ -4,7 +4,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "entry/entry.h"
+#include "entry/inner.h"
 
 #define READ_BYTES 16384
 /* A connection that is not open by then is given up: the way is 1 ms. */
@@ -30,20 +30,13 @@
 	bool answered; /* bytes of the answer have come */
 	bool keep;     /* the answer lets the connection be used again */
 	bool paused;
-	bool closed; /* free once the callback has returned */
-	int depth;   /* callbacks in progress */
+	bool closed; /* and freed once no callback is in progress */
 };
 
-static void ref(struct link *l)
+static void release(void *p)
 {
-	g_assert(l->depth >= 0);
-	l->depth++;
-}
+	struct link *l = p;
 
-static void unref(struct link *l)
-{
-	if (--l->depth || !l->closed)
-		return;
 	reader_free(l->rd);
 	talloc_free(l->m);
 	buf_clear(&l->out);
@@ -60,8 +53,7 @@
 	if (l->fd >= 0)
 		close(l->fd);
 	l->fd = -1;
-	ref(l);
-	unref(l);
+	later_free(l->loop, l, release);
 }
 
 static void watch(struct link *l)
@@ -222,7 +214,6 @@
 	struct link *l = w->data;
 
 	(void)loop;
-	ref(l);
 	if (!l->connected)
 		on_connected(l);
 	else if (events & EV_READ)
@@ -230,7 +221,6 @@
 	if (!l->closed && l->connected)
 		flush(l);
 	watch(l);
-	unref(l);
 }
 
 static void on_opening(struct ev_loop *loop, ev_timer *w, int events)
@@ -239,9 +229,7 @@
 
 	(void)loop;
 	(void)events;
-	ref(l);
 	fault(l, LINK_REFUSED);
-	unref(l);
 }
 
 struct link *link_open(struct ev_loop *loop, const struct sockaddr_in *to)
