route: long prompts stay longer, targets that join take keys step by step

Change: what shares 1,000 tokens or more moves only over 1.75 x mean + 2.2, what shares less over 1.3 x mean + 1.5; a target that joins takes its part of the keys over 30 s (weighted rendezvous) and at once what others have no room for.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -33,7 +33,7 @@
 	const struct entry_service *service;
 	const struct entry_organisation *owner;
 	struct str id;
-	uint64_t key; /* of the prompt's shared part; 0: none */
+	struct prompt prompt;
 	int64_t arrived_ms;
 	int64_t deadline_ms; /* the caller's, or the route's timeout */
 
@@ -97,14 +97,15 @@
 
 	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
 	log_event(EV_REQUEST_ENDED,
-		  "request=" STR_FMT " route=" STR_FMT " target=" STR_FMT
+		  "request=" STR_FMT " route=" STR_FMT
+		  " prompt=%x target=" STR_FMT
 		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
 		  "cause=%s config=%d config_age_ms=%d",
 		  STR_ARG(x->id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
-		  STR_ARG(target), status, how, (int)(now - x->arrived_ms),
-		  x->sends, x->runs, (int)x->cut.events,
-		  x->cause ? x->cause : "-",
+		  (unsigned)x->prompt.key, STR_ARG(target), status, how,
+		  (int)(now - x->arrived_ms), x->sends, x->runs,
+		  (int)x->cut.events, x->cause ? x->cause : "-",
 		  x->config ? (int)x->config->version : 0,
 		  fresh ? (int)(now - fresh) : -1);
 }
@@ -570,7 +571,7 @@
 
 static void attempt(struct exchange *x)
 {
-	struct target *t = pool_choose(x->tr, x->service->name, x->key,
+	struct target *t = pool_choose(x->tr, x->service->name, &x->prompt,
 				       x->tried, (size_t)x->sends);
 
 	if (!t) {
@@ -598,24 +599,34 @@
 	set_timer(x);
 }
 
-/* Key of the prompt's longest part that other requests share. */
-static uint64_t prompt_key(struct str parts)
+/*
+ * Read the prompt's parts, ID:TOKENS with commas between. The last one is the
+ * request's own; when it is the only one it may come back with the chat.
+ */
+static struct prompt read_prompt(struct str parts)
 {
 	struct str shared = {NULL, 0}, last = {NULL, 0};
 	const char *p = parts.data, *end = parts.data + parts.len;
+	int64_t before = 0, tokens = 0;
 
 	while (p && p < end) {
 		const char *comma = memchr(p, ',', (size_t)(end - p));
 		const char *stop = comma ? comma : end;
 		const char *colon = memchr(p, ':', (size_t)(stop - p));
+		int64_t n = 0;
 
+		if (colon)
+			n = str_number((struct str){
+				colon + 1, (size_t)(stop - colon - 1)});
 		shared = last;
 		last = (struct str){p, (size_t)((colon ? colon : stop) - p)};
+		before = tokens;
+		tokens += MAX(n, 0);
 		p = stop + 1;
 	}
 	if (!shared.len)
 		shared = last;
-	return shared.len ? str_hash(shared, 0) : 0;
+	return (struct prompt){shared.len ? str_hash(shared, 0) : 0, before};
 }
 
 static struct str host_of(void *arena, struct str host)
@@ -721,7 +732,7 @@
 		return;
 	}
 	if (x->route->sticky)
-		x->key = prompt_key(
+		x->prompt = read_prompt(
 			message_header(x->rq, x->tr->d->prompt_parts));
 	retry_window_first(pool_retries(x->tr, x->service->name),
 			   time_boot_ms());
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -23,16 +23,23 @@
 	ev_io io;
 };
 
+/* What a request's prompt has in common with others. */
+struct prompt {
+	uint64_t key; /* hash of its longest part that others have; 0: none */
+	int64_t shared_tokens; /* up to the end of that part */
+};
+
 /* A target as the traffic thread knows it. */
 struct target {
 	void *arena;
 	struct target_info info;
 	struct traffic *tr;
-	bool listed;   /* in the newest list */
-	int running;   /* requests of this node there */
-	GQueue *idle;  /* struct idle, the last used first */
-	double errors; /* recent part of failures, 0 to 1 */
-	int faults;    /* in a row: no connection, or one that broke */
+	int64_t joined_ms; /* when it was first listed; 0: before we were */
+	bool listed;       /* in the newest list */
+	int running;       /* requests of this node there */
+	GQueue *idle;      /* struct idle, the last used first */
+	double errors;     /* recent part of failures, 0 to 1 */
+	int faults;        /* in a row: no connection, or one that broke */
 	int64_t aside_until_ms;
 	int64_t load_at_ms; /* when its own word on its load came; 0: never */
 	double load;        /* running and waiting by that */
@@ -136,8 +143,9 @@
 void pool_init(struct traffic *tr);
 void pool_free(struct traffic *tr);
 /* A target for the request, or NULL; tried ones are taken last. */
-struct target *pool_choose(struct traffic *tr, struct str service, uint64_t key,
-			   const uint64_t *tried, size_t tried_count);
+struct target *pool_choose(struct traffic *tr, struct str service,
+			   const struct prompt *prompt, const uint64_t *tried,
+			   size_t tried_count);
 /* An idle connection, or a new one, or NULL. */
 struct link *pool_link(struct target *t, bool fresh, bool *reused);
 /* Take back a connection that can carry another request. */
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -132,6 +132,8 @@
 
 		if (!t) {
 			t = target_new(tr, &l->v[i]);
+			/* Those of the first list have been there before. */
+			t->joined_ms = tr->list ? time_boot_ms() : 0;
 			g_hash_table_insert(tr->targets, &t->info.id, t);
 		}
 		t->listed = true;
@@ -179,8 +181,9 @@
 	return MAX(told, own);
 }
 
-struct target *pool_choose(struct traffic *tr, struct str service, uint64_t key,
-			   const uint64_t *tried, size_t tried_count)
+struct target *pool_choose(struct traffic *tr, struct str service,
+			   const struct prompt *prompt, const uint64_t *tried,
+			   size_t tried_count)
 {
 	size_t most = g_hash_table_size(tr->targets), n = 0, at;
 	struct place_target *p = g_newa(struct place_target, most + 1);
@@ -198,8 +201,10 @@
 		    !str_eq(t->info.service, service))
 			continue;
 		by[n] = t;
-		p[n] = (struct place_target){t->info.id, load_of(t, now),
-					     t->aside_until_ms > now};
+		p[n] = (struct place_target){
+			t->info.id, load_of(t, now),
+			t->joined_ms ? place_weight(now - t->joined_ms) : 1,
+			t->aside_until_ms > now};
 		errors += t->errors;
 		n++;
 	}
@@ -214,8 +219,8 @@
 			if (tried[k] == p[i].id)
 				p[i].aside = true;
 	}
-	at = place_choose(&place_limits_default, key, p, n,
-			  (struct route_random){next_random, tr->rand});
+	at = place_choose(place_limits_for(prompt->shared_tokens), prompt->key,
+			  p, n, (struct route_random){next_random, tr->rand});
 	return at == SIZE_MAX ? NULL : by[at];
 }
 
--- a/route/place.c
+++ b/route/place.c
@@ -1,20 +1,43 @@
+#include <math.h>
 #include <stdint.h>
 
 #include "route/route.h"
 
-/* Under what the users' bound allows (2 x mean + 3), as views are late. */
-const struct place_limits place_limits_default = {
-	.factor = 1.6,
-	.slack = 2,
-};
+/*
+ * Work is moved for the sake of even load in the order of what reading its
+ * prompt again costs. The users' bound is 2 x mean + 3; views of the load are
+ * some 100 ms late.
+ */
+#define LONG_TOKENS 1000 /* some 12 ms of an engine that reads 80 a ms */
+static const struct place_limits limits_long = {1.75, 2.2};
+static const struct place_limits limits_short = {1.3, 1.5};
+/* A target that joins takes its full part of the keys after this time. */
+#define JOIN_MS 30000
+/* It is never without any. */
+#define WEIGHT_MIN 0.02
 
-/* Weight of the candidate for the key; see route_order. */
-static uint64_t weight(uint64_t key, uint64_t id)
+const struct place_limits *place_limits_for(int64_t shared_tokens)
+{
+	return shared_tokens >= LONG_TOKENS ? &limits_long : &limits_short;
+}
+
+double place_weight(int64_t joined_for_ms)
+{
+	double w = (double)joined_for_ms / JOIN_MS;
+
+	return w < WEIGHT_MIN ? WEIGHT_MIN : w > 1 ? 1 : w;
+}
+
+/*
+ * Score of a candidate for the key. With weights w the chance to be the best is
+ * w / their sum, and a weight that grows moves keys to that candidate only.
+ */
+static double score(uint64_t key, uint64_t id, double w)
 {
 	struct route_rank r = {id, 0, 0};
 
 	route_order(key, &r, 1);
-	return r.score;
+	return -w / log(((double)(r.score >> 11) + 0.5) / (double)(1LL << 53));
 }
 
 static double mean_load(const struct place_target *t, size_t n, bool aside)
@@ -31,21 +54,22 @@
 	return k ? sum / (double)k : -1;
 }
 
+/* The best by the key among those that count, by weights or without. */
 static size_t best_of_key(const struct place_target *t, size_t n, bool aside,
-			  uint64_t key, double bound)
+			  uint64_t key, bool weighted, double bound)
 {
 	size_t best = SIZE_MAX;
-	uint64_t top = 0;
+	double top = 0;
 
 	for (size_t i = 0; i < n; i++) {
-		uint64_t w;
+		double x;
 
 		if ((t[i].aside && !aside) || t[i].load + 1 > bound)
 			continue;
-		w = weight(key, t[i].id);
-		if (best == SIZE_MAX || w > top) {
+		x = score(key, t[i].id, weighted ? t[i].weight : 1);
+		if (best == SIZE_MAX || x > top) {
 			best = i;
-			top = w;
+			top = x;
 		}
 	}
 	return best;
@@ -76,7 +100,7 @@
 		    const struct place_target *t, size_t n,
 		    struct route_random random)
 {
-	double mean = mean_load(t, n, false);
+	double mean = mean_load(t, n, false), bound;
 	bool aside = mean < 0;
 	size_t i = SIZE_MAX;
 
@@ -84,7 +108,11 @@
 		mean = mean_load(t, n, true);
 	if (mean < 0)
 		return SIZE_MAX;
-	if (key)
-		i = best_of_key(t, n, aside, key, mean * l->factor + l->slack);
+	if (!key)
+		return least(t, n, aside, random);
+	bound = mean * l->factor + l->slack;
+	i = best_of_key(t, n, aside, key, true, INFINITY);
+	if (t[i].load + 1 > bound)
+		i = best_of_key(t, n, aside, key, false, bound);
 	return i != SIZE_MAX ? i : least(t, n, aside, random);
 }
--- a/route/route.h
+++ b/route/route.h
@@ -431,7 +431,12 @@
 struct place_target {
 	uint64_t id;
 	double load; /* requests in progress there, as far as known */
-	bool aside;  /* errs, or was tried for this request */
+	/*
+	 * Part of the keys that it would have by itself: 0 when it has just
+	 * joined and holds no prompt, 1 when it takes its full part.
+	 */
+	double weight;
+	bool aside; /* errs, or was tried for this request */
 };
 
 struct place_limits {
@@ -439,18 +444,22 @@
 	double slack;  /* requests that a target may have above that */
 };
 
-extern const struct place_limits place_limits_default;
+/* For a request that shares so many prompt tokens with others. */
+const struct place_limits *place_limits_for(int64_t shared_tokens);
 
 /*
- * The first target of the key's rendezvous order whose load is within the
- * limits; without a key (0), or when none is, the one with the least load.
- * Those aside are taken only when there is no other.
+ * The first target of the key's rendezvous order, by weights, while its load
+ * is within the limits; else the first of the order without weights that is.
+ * Without a key (0), or when none is, the one with the least load. Those aside
+ * are taken only when there is no other.
  *
  * Return: an index, or SIZE_MAX when n is 0.
  */
 size_t place_choose(const struct place_limits *l, uint64_t key,
 		    const struct place_target *t, size_t n,
 		    struct route_random random);
+/* Weight of a target that joined so long ago. */
+double place_weight(int64_t joined_for_ms);
 
 /*
  * window.c: repeats of requests that a window of time allows: a part of the
--- a/route/test-place.c
+++ b/route/test-place.c
@@ -5,13 +5,13 @@
 static size_t choose(uint64_t key, const struct place_target *t, size_t n,
 		     GRand *r)
 {
-	return place_choose(&place_limits_default, key, t, n, random_of(r));
+	return place_choose(place_limits_for(10000), key, t, n, random_of(r));
 }
 
 static void fill(struct place_target *t, double load)
 {
 	for (size_t i = 0; i < TARGETS; i++)
-		t[i] = (struct place_target){i * 11 + 3, load, false};
+		t[i] = (struct place_target){i * 11 + 3, load, 1, false};
 }
 
 /* One key always gets the same target while that has room. */
@@ -113,6 +113,75 @@
 	g_rand_free(r);
 }
 
+/* A target that joins takes keys step by step, and only it takes any. */
+static void test_joins(void)
+{
+	GRand *r = g_rand_new_with_seed(6);
+	struct place_target t[TARGETS];
+	unsigned before = 0;
+
+	fill(t, 5);
+	for (int64_t ms = 0; ms <= 30000; ms += 10000) {
+		unsigned took = 0;
+
+		for (uint64_t key = 1; key <= 2000; key++) {
+			size_t was, is;
+
+			t[3].weight = 0;
+			t[3].aside = true;
+			was = choose(key, t, TARGETS, r);
+			t[3].aside = false;
+			t[3].weight = place_weight(ms);
+			is = choose(key, t, TARGETS, r);
+			took += is == 3;
+			if (is != 3)
+				g_assert_cmpuint(is, ==, was);
+		}
+		g_assert_cmpuint(took, >=, before);
+		before = took;
+		if (!ms)
+			g_assert_cmpuint(took, <, 20);
+	}
+	/* In the end a ninth of 2,000. */
+	g_assert_cmpuint(before, >, 180);
+	g_assert_cmpuint(before, <, 265);
+	g_rand_free(r);
+}
+
+/* Work whose target is full goes to one that has just joined as to any. */
+static void test_full_uses_new(void)
+{
+	GRand *r = g_rand_new_with_seed(7);
+	struct place_target t[TARGETS];
+	unsigned took = 0;
+
+	fill(t, 20);
+	t[3].load = 0;
+	t[3].weight = place_weight(0);
+	for (uint64_t key = 1; key <= 200; key++) {
+		size_t home = choose(key, t, TARGETS, r);
+
+		t[home].load += 60;
+		took += choose(key, t, TARGETS, r) == 3;
+		t[home].load -= 60;
+	}
+	g_assert_cmpuint(took, >, 10);
+	g_rand_free(r);
+}
+
+/* A short prompt gives way before a long one does. */
+static void test_short_moves_first(void)
+{
+	const struct place_limits *s = place_limits_for(100);
+	const struct place_limits *l = place_limits_for(5000);
+
+	for (double mean = 0; mean < 64; mean++) {
+		g_assert_cmpfloat(mean * s->factor + s->slack, <,
+				  mean * l->factor + l->slack);
+		g_assert_cmpfloat(mean * l->factor + l->slack, <, 2 * mean + 3);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -121,5 +190,8 @@
 	g_test_add_func("/route/place/hot-key", test_hot_key_within_bound);
 	g_test_add_func("/route/place/least", test_least);
 	g_test_add_func("/route/place/all-aside", test_all_aside);
+	g_test_add_func("/route/place/joins", test_joins);
+	g_test_add_func("/route/place/full-uses-new", test_full_uses_new);
+	g_test_add_func("/route/place/short-first", test_short_moves_first);
 	return g_test_run();
 }
