entry: readers of the store tell the others which targets have changed

Change: the answer about how new the content is carries the last six changes; a node whose list then has the same hash reads nothing.

--- a/entry/control.c
+++ b/entry/control.c
@@ -140,8 +140,9 @@
 		   const struct store_ask *ask)
 {
 	struct peer_message m = {.kind = PEER_WORD};
+	struct target_news news[TARGETS_TOLD_MAX];
 
-	follow_tell(c->follow, ask, &m.peer_message_u.word);
+	follow_tell(c->follow, ask, &m.peer_message_u.word, news);
 	send_peer(c, from, &m);
 }
 
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -33,6 +33,13 @@
 	void *arena;
 };
 
+/* A change of the list, to be told to those that ask. */
+struct change {
+	char *key;
+	int64_t revision;
+	bool gone;
+};
+
 struct follow {
 	struct entry *e;
 	const struct store_api *api;
@@ -57,6 +64,7 @@
 	int64_t confirmed_ms; /* the list held was the newest then; 0: never */
 	int64_t returned_ms;  /* end of the last outage */
 	uint64_t hash;        /* of the list held */
+	GQueue *changes;      /* struct change, the newest first */
 	bool targets_stale;
 	bool targets_busy;
 	bool changed;
@@ -201,6 +209,24 @@
 	return t->leaving ? ~h : h;
 }
 
+static void change_free(void *p)
+{
+	g_free(((struct change *)p)->key);
+	g_free(p);
+}
+
+static void note_change(struct follow *f, const char *key, int64_t revision,
+			bool gone)
+{
+	struct change *c = g_new(struct change, 1);
+
+	*c = (struct change){g_strdup(key), revision, gone};
+	g_queue_push_head(f->changes, c);
+	if (g_queue_get_length(f->changes) > TARGETS_TOLD_MAX)
+		change_free(g_queue_pop_tail(f->changes));
+	f->changed = true;
+}
+
 static void take_target(struct follow *f, const struct store_page *p, size_t i)
 {
 	const struct store_row *r = &p->rows[i];
@@ -210,7 +236,8 @@
 	json_t *value;
 	bool usable;
 
-	if (l && l->revision == r->revision) {
+	/* A read may come from the past. */
+	if (l && l->revision >= r->revision) {
 		l->read = f->reading;
 		return;
 	}
@@ -228,7 +255,7 @@
 	/* Heartbeats change the row and nothing that matters here. */
 	if (usable != l->usable ||
 	    (usable && info_hash(&info) != info_hash(&l->info)))
-		f->changed = true;
+		note_change(f, r->key, r->revision, !usable);
 	talloc_free(l->arena);
 	l->arena = arena;
 	l->info = info;
@@ -242,10 +269,10 @@
 	struct follow *f = ctx;
 	struct listed *l = v;
 
-	(void)key;
 	if (l->read == f->reading)
 		return false;
-	f->changed |= l->usable;
+	if (l->usable)
+		note_change(f, key, l->revision, true);
 	return true;
 }
 
@@ -400,9 +427,88 @@
 	return at_ms ? (unsigned)MIN(now_ms - at_ms, UINT32_MAX) : UINT32_MAX;
 }
 
+static const char *text_of(struct str s)
+{
+	return s.data ? s.data : "";
+}
+
+static void tell_change(struct follow *f, const struct change *c,
+			struct target_news *n)
+{
+	const struct listed *l = g_hash_table_lookup(f->listed, c->key);
+
+	*n = (struct target_news){.key = c->key,
+				  .revision = c->revision,
+				  .gone = c->gone,
+				  .service = (char *)"",
+				  .zone = (char *)""};
+	if (c->gone || !l || !l->usable)
+		return;
+	/* As it is now: a later change of the same entry stands before. */
+	n->revision = l->revision;
+	n->leaving = l->info.leaving;
+	n->id = l->info.id;
+	n->service = (char *)text_of(l->info.service);
+	n->zone = (char *)text_of(l->info.zone);
+	n->ip = l->info.address.sin_addr.s_addr;
+	n->port = l->info.address.sin_port;
+	n->slots = (u_int)l->info.slots;
+}
+
+/* Take one change that another node has read; false when it is not newer. */
+static bool apply_news(struct follow *f, const struct target_news *n)
+{
+	struct listed *l = g_hash_table_lookup(f->listed, n->key);
+
+	if (n->gone) {
+		if (!l || l->revision > n->revision)
+			return false;
+		note_change(f, n->key, n->revision, true);
+		g_hash_table_remove(f->listed, n->key);
+		return true;
+	}
+	if (l && l->revision >= n->revision)
+		return false;
+	if (!l) {
+		l = g_new0(struct listed, 1);
+		g_hash_table_insert(f->listed, g_strdup(n->key), l);
+	}
+	talloc_free(l->arena);
+	l->arena = talloc_new(NULL);
+	l->usable = true;
+	l->revision = n->revision;
+	l->read = f->reading;
+	l->info = (struct target_info){
+		.id = n->id,
+		.name = str_dup(l->arena, str_c(n->key)),
+		.service = str_dup(l->arena, str_c(n->service)),
+		.zone = str_dup(l->arena, str_c(n->zone)),
+		.address = {.sin_family = AF_INET,
+			    .sin_port = (in_port_t)n->port,
+			    .sin_addr = {n->ip}},
+		.slots = n->slots,
+		.leaving = n->leaving,
+	};
+	note_change(f, n->key, n->revision, false);
+	return true;
+}
+
+/* Take the changes told, oldest first. */
+static void apply_told(struct follow *f, const struct store_word *word)
+{
+	bool any = false;
+
+	for (u_int i = word->targets.targets_len; i-- > 0;)
+		any |= apply_news(f, &word->targets.targets_val[i]);
+	if (any)
+		publish_targets(f);
+	f->changed = false;
+}
+
 void follow_tell(struct follow *f, const struct store_ask *ask,
-		 struct store_word *word)
+		 struct store_word *word, struct target_news *news)
 {
+	GList *at = f->changes->head;
 	int64_t now = time_boot_ms();
 	bool settled = now - f->returned_ms > RETURN_MS;
 
@@ -413,7 +519,11 @@
 		.targets_hash = f->hash,
 		.targets_age_ms =
 			settled ? age_of(f->confirmed_ms, now) : UINT32_MAX,
+		.targets = {0, news},
 	};
+	for (; at && word->targets.targets_len < TARGETS_TOLD_MAX;
+	     at = at->next)
+		tell_change(f, at->data, &news[word->targets.targets_len++]);
 }
 
 void follow_heard(struct follow *f, const struct store_word *word)
@@ -435,7 +545,10 @@
 	if (word->targets_age_ms == UINT32_MAX || !f->answered_ms ||
 	    targets_ms <= f->confirmed_ms)
 		return;
+	if (word->targets_hash != f->hash && !f->targets_busy)
+		apply_told(f, word);
 	if (word->targets_hash == f->hash) {
+		f->targets_stale = false;
 		f->confirmed_ms = targets_ms;
 		return;
 	}
@@ -468,6 +581,7 @@
 	f->reader = true;
 	f->up = true;
 	f->returned_ms = INT64_MIN / 2;
+	f->changes = g_queue_new();
 	f->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  listed_free);
 	start_timer(f, &f->config_timer, read_config);
@@ -482,6 +596,7 @@
 	ev_timer_stop(f->loop, &f->targets_timer);
 	ev_timer_stop(f->loop, &f->nodes_timer);
 	f->api->close(f->store);
+	g_queue_free_full(f->changes, change_free);
 	g_hash_table_unref(f->listed);
 	g_rand_free(f->rand);
 	g_free(f->from);
--- a/entry/follow.h
+++ b/entry/follow.h
@@ -15,9 +15,12 @@
 void follow_free(struct follow *f);
 /* Whether this node is one of those that read all the time. */
 void follow_set_reader(struct follow *f, bool reader);
-/* What this node knows, for one that asks. */
+/*
+ * What this node knows, for one that asks; news has room for TARGETS_TOLD_MAX
+ * and what it points to lives until the next call.
+ */
 void follow_tell(struct follow *f, const struct store_ask *ask,
-		 struct store_word *word);
+		 struct store_word *word, struct target_news *news);
 /* Another node's answer to our question. */
 void follow_heard(struct follow *f, const struct store_word *word);
 
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -48,6 +48,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_target_news (XDR *xdrs, target_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, TARGET_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, TARGET_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, TARGET_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ip))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_store_word (XDR *xdrs, store_word *objp)
 {
@@ -63,6 +91,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->targets_age_ms))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, TARGETS_TOLD_MAX,
+		sizeof (target_news), (xdrproc_t) xdr_target_news))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -38,6 +38,22 @@
 	quad_t asked_ms;
 };
 typedef struct store_ask store_ask;
+#define TARGET_TEXT_MAX 128
+#define TARGETS_TOLD_MAX 6
+
+struct target_news {
+	char *key;
+	quad_t revision;
+	bool_t gone;
+	bool_t leaving;
+	u_quad_t id;
+	char *service;
+	char *zone;
+	u_int ip;
+	u_int port;
+	u_int slots;
+};
+typedef struct target_news target_news;
 
 struct store_word {
 	quad_t asked_ms;
@@ -45,6 +61,10 @@
 	u_int config_age_ms;
 	u_quad_t targets_hash;
 	u_int targets_age_ms;
+	struct {
+		u_int targets_len;
+		target_news *targets_val;
+	} targets;
 };
 typedef struct store_word store_word;
 
@@ -71,6 +91,7 @@
 extern  bool_t xdr_load_entry (XDR *, load_entry*);
 extern  bool_t xdr_load_news (XDR *, load_news*);
 extern  bool_t xdr_store_ask (XDR *, store_ask*);
+extern  bool_t xdr_target_news (XDR *, target_news*);
 extern  bool_t xdr_store_word (XDR *, store_word*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
@@ -79,6 +100,7 @@
 extern bool_t xdr_load_entry ();
 extern bool_t xdr_load_news ();
 extern bool_t xdr_store_ask ();
+extern bool_t xdr_target_news ();
 extern bool_t xdr_store_word ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_message ();
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -23,12 +23,30 @@
 	hyper asked_ms;		/* of the sender's clock; comes back unchanged */
 };
 
+const TARGET_TEXT_MAX = 128;
+const TARGETS_TOLD_MAX = 6;
+
+/* A change of the list of targets, as the teller read it. */
+struct target_news {
+	string key<TARGET_TEXT_MAX>;
+	hyper revision;	/* of the store's row; of its last one when gone */
+	bool gone;	/* or names no target to use */
+	bool leaving;
+	unsigned hyper id;
+	string service<TARGET_TEXT_MAX>;
+	string zone<TARGET_TEXT_MAX>;
+	unsigned int ip;
+	unsigned int port;
+	unsigned int slots;
+};
+
 struct store_word {
 	hyper asked_ms;
 	hyper config_version;
 	unsigned int config_age_ms;	/* since it was the newest one */
 	unsigned hyper targets_hash;	/* of the list of targets in force */
 	unsigned int targets_age_ms;	/* likewise */
+	target_news targets<TARGETS_TOLD_MAX>;	/* the last changes */
 };
 
 enum peer_kind {
