soak: real entries under faults injected from outside, checked against what they promise

Entries run as processes; targets, the store and the proxies are threads of the soak. Seeded troubles overlap: ways that are slow, silent, one way or reset, kills, stops, pauses, reloads, revoked keys, targets that leave and lapse. A ledger holds what was asked, run and answered.

A signal that comes before the handlers are set ends the process, and a reload must not: SIGHUP is ignored until it can be taken.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The two commands of the README are `make demo` and `make test`.
 PACKAGES := base http route member state node entry platform rampentry \
-	ctl standin bench
+	soak ctl standin bench
 DIRS := $(foreach p,$(PACKAGES),$(if $(wildcard $(p)/makefile),$(p)))
 SHELL := /bin/bash
 
@@ -14,7 +14,7 @@
 	$(foreach p,base http route member state,$(if $(wildcard $(p)/makefile),build-$(p)))
 build-entry: build-base build-route build-member
 build-platform: build-entry
-build-rampentry: build-platform
+build-rampentry build-soak: build-platform
 # The tests of node run stand-ins and link their helpers.
 build-node: build-standin
 build-bench: $(foreach p,node standin,$(if $(wildcard $(p)/makefile),build-$(p)))
--- a/rampentry/rampentry.c
+++ b/rampentry/rampentry.c
@@ -81,8 +81,11 @@
 	};
 	void *table[] = {a.settings, a.check, a.help, a.end};
 	struct entry_settings s = {0};
-	int bad = arg_parse(argc, argv, table);
-	int status = 2;
+	int status = 2, bad;
+
+	/* Until it can be taken: a reload of what is being loaded. */
+	signal(SIGHUP, SIG_IGN);
+	bad = arg_parse(argc, argv, table);
 
 	if (a.help->count)
 		return usage(stdout, table);
