entry: bounds from the settings, bodies within the memory, reload without a signal

Placement takes the operators' factor in place of a constant, the list of targets is read three times within the time in which a leaving target may be used, request bodies take at most 0.4 of the process's memory (then refused, not run), and a settings file that changes without a signal is read as well.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -12,6 +12,9 @@
 #define AHEAD_MAX 65536
 /* Connections of the limit on descriptors that are kept for targets. */
 #define FILES_KEPT 400
+/* Part of the memory that bodies of requests may take. */
+#define BODIES_PART 0.4
+#define MB          1048576
 /* Before a configuration is known. */
 #define HEADER_BYTES 16384
 #define BODY_BYTES   (4 << 20)
@@ -69,6 +72,14 @@
 	g_free(c);
 }
 
+static void drop_body(struct caller *c)
+{
+	c->tr->bodies -= (int64_t)buf_len(&c->body);
+	buf_drop(&c->body, buf_len(&c->body));
+	if (c->body.cap > READ_BYTES)
+		buf_clear(&c->body);
+}
+
 static void destroy(struct caller *c)
 {
 	if (c->closed)
@@ -77,6 +88,7 @@
 	if (c->x)
 		exchange_cancel(c->x);
 	c->x = NULL;
+	drop_body(c);
 	ev_io_stop(c->tr->loop, &c->io);
 	ev_timer_stop(c->tr->loop, &c->limit);
 	close(c->fd);
@@ -188,6 +200,12 @@
 		refuse(c, RAMP_ERR_TOO_LARGE);
 		return false;
 	}
+	if ((double)(c->tr->bodies + (int64_t)n) >
+	    BODIES_PART * (double)c->tr->set->limits_memory_mb * MB) {
+		refuse(c, RAMP_ERR_OVERLOADED);
+		return false;
+	}
+	c->tr->bodies += (int64_t)n;
 	buf_add(&c->body, p, n);
 	return true;
 }
@@ -264,9 +282,7 @@
 {
 	c->x = NULL;
 	c->began_ms = 0;
-	buf_drop(&c->body, buf_len(&c->body));
-	if (c->body.cap > READ_BYTES)
-		buf_clear(&c->body);
+	drop_body(c);
 	if (c->closed)
 		return;
 	if (!keep || !c->keep) {
--- a/entry/control.c
+++ b/entry/control.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <talloc.h>
 #include <unistd.h>
 
@@ -16,6 +17,8 @@
 #define DATAGRAMS_S 100
 /* A node that doesn't read the store asks one that does this often. */
 #define ASK_MS 400
+/* The settings may change without a signal; looked at this often. */
+#define SETTINGS_MS 2000
 /* Nodes not seen yet are spoken to this often. */
 #define INTRODUCE_MS 1000
 /* Incarnations count eighths of a second since 2025. */
@@ -36,6 +39,8 @@
 	uint64_t view;
 	int64_t tell_at_ms;
 	int64_t ask_at_ms;
+	int64_t settings_at_ms;
+	struct timespec settings_changed; /* time of the file in force */
 	int64_t introduce_at_ms;
 	GHashTable *seeds; /* control addresses that were named somewhere */
 	size_t turn;
@@ -335,6 +340,52 @@
 	peer_list_unref(l);
 }
 
+/* Take the bounds of the changed settings; all else needs a new start. */
+static void reload(struct control *c)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	struct entry_settings s;
+
+	if (settings_load_table(&entry_settings_table, c->e->o->path, &s,
+				errors)) {
+		g_mutex_lock(&c->e->lock);
+		c->e->bounds = (struct bounds){
+			.retry_ratio = s.bounds_retry_ratio,
+			.retry_allowance = s.bounds_retry_allowance,
+			.retry_window_s = s.bounds_retry_window_s,
+			.load_factor = s.bounds_load_factor,
+			.entries_ttl_s = s.bounds_entries_ttl_s,
+			.grace_s = s.bounds_grace_s,
+			.revoke_ms = s.bounds_revoke_ms,
+			.changed = true,
+		};
+		g_mutex_unlock(&c->e->lock);
+		ev_async_send(c->e->tr.loop, &c->e->tr.news);
+		log_event(EV_SETTINGS_RELOADED, "path=%s", c->e->o->path);
+	} else {
+		log_event(EV_SETTINGS_KEPT, "error=\"%s\"",
+			  (char *)g_ptr_array_index(errors, 0));
+	}
+	settings_clear_table(&entry_settings_table, &s);
+	g_ptr_array_unref(errors);
+}
+
+/* Read the settings again when the file has changed. */
+static void watch_settings(struct control *c, int64_t now_ms)
+{
+	struct stat st;
+
+	if (now_ms < c->settings_at_ms)
+		return;
+	c->settings_at_ms = now_ms + SETTINGS_MS;
+	if (stat(c->e->o->path, &st) < 0 ||
+	    !memcmp(&st.st_mtim, &c->settings_changed, sizeof(st.st_mtim)))
+		return;
+	if (c->settings_changed.tv_sec)
+		reload(c);
+	c->settings_changed = st.st_mtim;
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct control *c = w->data;
@@ -349,6 +400,7 @@
 	}
 	introduce(c, now);
 	tell_peers(c, now);
+	watch_settings(c, now);
 }
 
 static void leave(struct control *c)
@@ -379,29 +431,9 @@
 
 static void on_hup(struct ev_loop *loop, ev_signal *w, int events)
 {
-	struct control *c = w->data;
-	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
-	struct entry_settings s;
-
 	(void)loop;
 	(void)events;
-	if (settings_load_table(&entry_settings_table, c->e->o->path, &s,
-				errors)) {
-		g_mutex_lock(&c->e->lock);
-		c->e->set.bounds_retry_ratio = s.bounds_retry_ratio;
-		c->e->set.bounds_retry_allowance = s.bounds_retry_allowance;
-		c->e->set.bounds_retry_window_s = s.bounds_retry_window_s;
-		c->e->set.bounds_entries_ttl_s = s.bounds_entries_ttl_s;
-		c->e->set.bounds_grace_s = s.bounds_grace_s;
-		c->e->set.bounds_revoke_ms = s.bounds_revoke_ms;
-		g_mutex_unlock(&c->e->lock);
-		log_event(EV_SETTINGS_RELOADED, "path=%s", c->e->o->path);
-	} else {
-		log_event(EV_SETTINGS_KEPT, "error=\"%s\"",
-			  (char *)g_ptr_array_index(errors, 0));
-	}
-	settings_clear_table(&entry_settings_table, &s);
-	g_ptr_array_unref(errors);
+	reload(w->data);
 }
 
 static void on_stop(struct ev_loop *loop, ev_async *w, int events)
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -21,6 +21,8 @@
 #define LOOK_MS 100
 /* The list of targets is not read oftener than this. */
 #define TARGETS_LEAST_MS 300
+/* Readings of the targets within the time in which a leaving one may be used */
+#define READS_IN_DRAIN 3
 /* Rows of nodes are read rarely by those that have peers. */
 #define NODES_RARE 6
 
@@ -323,6 +325,12 @@
 	f->changed = false;
 }
 
+static int64_t targets_pause_ms(const struct follow *f)
+{
+	return MIN(f->e->set.store_targets_poll_ms,
+		   f->e->set.bounds_drain_ms / READS_IN_DRAIN);
+}
+
 static void on_targets(void *ctx, const struct store_page *p)
 {
 	struct follow *f = ctx;
@@ -344,7 +352,7 @@
 	}
 	end_reading(f);
 	again(f, &f->targets_timer,
-	      f->reader ? f->e->set.store_targets_poll_ms : TARGETS_LEAST_MS);
+	      f->reader ? targets_pause_ms(f) : TARGETS_LEAST_MS);
 }
 
 static void read_targets(struct ev_loop *loop, ev_timer *w, int events)
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -63,11 +63,24 @@
 	ev_timer beat;
 	GQueue *callers; /* struct caller */
 	int exchanges;   /* in progress */
+	int64_t bodies;  /* bytes of requests held */
 	int64_t started_ms;
 	int64_t leaving_ms; /* when SIGTERM came; 0: it has not */
 	int64_t stop_at_ms; /* the latest end */
 };
 
+/* What a reload of the settings changes. */
+struct bounds {
+	double retry_ratio;
+	double retry_allowance;
+	double retry_window_s;
+	double load_factor;
+	double entries_ttl_s;
+	double grace_s;
+	int64_t revoke_ms;
+	bool changed; /* and not taken yet */
+};
+
 struct entry {
 	const struct entry_options *o;
 	struct entry_settings set; /* texts are the options' */
@@ -80,6 +93,7 @@
 	struct entry_config *config;
 	struct target_list *list;
 	struct peer_list *peers;
+	struct bounds bounds;
 	bool leaving;
 
 	atomic_int_least64_t fresh_ms; /* see entry_config_fresh */
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -189,6 +189,7 @@
 	struct place_target *p = g_newa(struct place_target, most + 1);
 	struct target **by = g_newa(struct target *, most + 1);
 	int64_t now = time_boot_ms();
+	struct place_limits limits;
 	double errors = 0;
 	GHashTableIter it;
 	gpointer v;
@@ -219,8 +220,10 @@
 			if (tried[k] == p[i].id)
 				p[i].aside = true;
 	}
-	at = place_choose(place_limits_for(prompt->shared_tokens), prompt->key,
-			  p, n, (struct route_random){next_random, tr->rand});
+	limits = place_limits_for(prompt->shared_tokens,
+				  tr->set->bounds_load_factor);
+	at = place_choose(&limits, prompt->key, p, n,
+			  (struct route_random){next_random, tr->rand});
 	return at == SIZE_MAX ? NULL : by[at];
 }
 
--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -25,7 +25,6 @@
 	int64_t bounds_drain_ms;
 	double bounds_grace_s;
 	int64_t bounds_revoke_ms;
-	int64_t bounds_heartbeat_ms;
 	double bounds_retry_ratio;
 	double bounds_retry_window_s;
 	double bounds_retry_allowance;
--- a/route/place.c
+++ b/route/place.c
@@ -5,22 +5,29 @@
 
 /*
  * Work is moved for the sake of even load in the order of what reading its
- * prompt again costs. The users' bound is 2 x mean + 3; views of the load are
- * some 100 ms late.
+ * prompt again costs. Views of the load are some 100 ms late, so both stay
+ * under what the operators allow, factor x mean + 3.
  */
 #define LONG_TOKENS 1000 /* some 12 ms of an engine that reads 80 a ms */
-static const struct place_limits limits_long = {1.75, 2.2};
-static const struct place_limits limits_short = {1.3, 1.5};
+#define LONG_PART   0.75 /* of what the factor leaves above the mean */
+#define LONG_SLACK  2.2
+#define SHORT_PART  0.3
+#define SHORT_SLACK 1.5
+
+struct place_limits place_limits_for(int64_t shared_tokens, double factor)
+{
+	double above = factor > 1 ? factor - 1 : 0;
+
+	if (shared_tokens >= LONG_TOKENS)
+		return (struct place_limits){1 + LONG_PART * above, LONG_SLACK};
+	return (struct place_limits){1 + SHORT_PART * above, SHORT_SLACK};
+}
+
 /* A target that joins takes its full part of the keys after this time. */
 #define JOIN_MS 30000
 /* It is never without any. */
 #define WEIGHT_MIN 0.02
 
-const struct place_limits *place_limits_for(int64_t shared_tokens)
-{
-	return shared_tokens >= LONG_TOKENS ? &limits_long : &limits_short;
-}
-
 double place_weight(int64_t joined_for_ms)
 {
 	double w = (double)joined_for_ms / JOIN_MS;
--- a/route/route.h
+++ b/route/route.h
@@ -444,8 +444,11 @@
 	double slack;  /* requests that a target may have above that */
 };
 
-/* For a request that shares so many prompt tokens with others. */
-const struct place_limits *place_limits_for(int64_t shared_tokens);
+/*
+ * For a request that shares so many prompt tokens with others, where operators
+ * allow a target factor x the mean of its service.
+ */
+struct place_limits place_limits_for(int64_t shared_tokens, double factor);
 
 /*
  * The first target of the key's rendezvous order, by weights, while its load
--- a/route/test-place.c
+++ b/route/test-place.c
@@ -5,7 +5,9 @@
 static size_t choose(uint64_t key, const struct place_target *t, size_t n,
 		     GRand *r)
 {
-	return place_choose(place_limits_for(10000), key, t, n, random_of(r));
+	struct place_limits l = place_limits_for(10000, 2);
+
+	return place_choose(&l, key, t, n, random_of(r));
 }
 
 static void fill(struct place_target *t, double load)
@@ -169,16 +171,19 @@
 	g_rand_free(r);
 }
 
-/* A short prompt gives way before a long one does. */
+/* A short prompt gives way before a long one, both within what is allowed. */
 static void test_short_moves_first(void)
 {
-	const struct place_limits *s = place_limits_for(100);
-	const struct place_limits *l = place_limits_for(5000);
-
-	for (double mean = 0; mean < 64; mean++) {
-		g_assert_cmpfloat(mean * s->factor + s->slack, <,
-				  mean * l->factor + l->slack);
-		g_assert_cmpfloat(mean * l->factor + l->slack, <, 2 * mean + 3);
+	for (double factor = 1; factor <= 4; factor += 0.25) {
+		struct place_limits s = place_limits_for(100, factor);
+		struct place_limits l = place_limits_for(5000, factor);
+
+		for (double mean = 0; mean < 64; mean++) {
+			g_assert_cmpfloat(mean * s.factor + s.slack, <,
+					  mean * l.factor + l.slack);
+			g_assert_cmpfloat(mean * l.factor + l.slack, <,
+					  factor * mean + 3);
+		}
 	}
 }
 
