entry: refuse what comes long after the stop was asked for

The time was known (2.5 s, at most a third of the grace) and bound the exit only. From then on the port for callers is closed and what still comes on kept connections is answered 503, not run.

The test failed before: requests were sent on until the process ended.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,13 +10,14 @@
 /* Callers are sent elsewhere once it is older than this part of that time. */
 #define SERVE_PART 0.55
 /*
- * After SIGTERM: connections that carry nothing are closed once callers had
- * time to learn of it; what arrives later still is refused; before the kill
- * something is left to end in.
+ * After SIGTERM callers have a while to learn of it. Then connections that
+ * carry nothing are closed, and what comes later still is refused: it could not
+ * end before the kill. Something is left of the time to end in.
  */
-#define LEAVE_IDLE_MS   1000
-#define LEAVE_ACCEPT_MS 3500
-#define LEAVE_LEFT_MS   300
+#define LEAVE_IDLE_MS     1000
+#define LEAVE_ACCEPT_MS   2500
+#define LEAVE_ACCEPT_PART 0.33 /* at most this part of the time */
+#define LEAVE_LEFT_MS     300
 
 static bool is_within(const struct entry *e, int64_t now_ms, double part)
 {
@@ -126,14 +127,27 @@
 		ev_break(tr->loop, EVBREAK_ALL);
 }
 
+static void close_port(struct traffic *tr, enum port_kind kind)
+{
+	struct port *p = &tr->ports[kind];
+
+	if (p->fd <= 0)
+		return;
+	ev_io_stop(tr->loop, &p->io);
+	close(p->fd);
+	p->fd = -1;
+}
+
 static void stop_if_done(struct traffic *tr, int64_t now_ms)
 {
 	if (!tr->leaving_ms)
 		return;
 	if (now_ms - tr->leaving_ms >= LEAVE_IDLE_MS)
 		callers_close_idle(tr);
+	if (now_ms >= tr->refuse_at_ms)
+		close_port(tr, PORT_CALLERS);
 	if (now_ms >= tr->stop_at_ms ||
-	    (now_ms - tr->leaving_ms >= LEAVE_ACCEPT_MS && !tr->exchanges))
+	    (now_ms >= tr->refuse_at_ms && !tr->exchanges))
 		ev_break(tr->loop, EVBREAK_ALL);
 }
 
@@ -255,8 +269,7 @@
 
 	callers_close_all(tr);
 	for (int i = 0; i < PORT_COUNT; i++)
-		if (tr->ports[i].fd > 0)
-			close(tr->ports[i].fd);
+		close_port(tr, (enum port_kind)i);
 	pool_free(tr);
 	if (e->control)
 		control_free(e->control);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -672,6 +672,8 @@
 	int64_t wait;
 	const char *q;
 
+	if (x->tr->leaving_ms && now >= x->tr->refuse_at_ms)
+		return RAMP_ERR_LEAVING;
 	if (!x->config)
 		return RAMP_ERR_NOT_READY;
 	if (!m->url.len || m->url.data[0] != '/' || !x->id.len)
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -66,7 +66,8 @@
 	int64_t bodies;  /* bytes of requests held */
 	int64_t started_ms;
 	int64_t leaving_ms; /* when SIGTERM came; 0: it has not */
-	int64_t stop_at_ms; /* the latest end */
+	int64_t refuse_at_ms; /* from then on nothing new is taken */
+	int64_t stop_at_ms;   /* the latest end */
 };
 
 /* What a reload of the settings changes. */
