entry: less that nothing uses; a line when callers are sent elsewhere; idle connections by the target's limit

Fields and functions that nothing reads are gone. A node keeps at most its part of 0.6 of the connections that a target takes. serving_changed tells when and on what grounds a node begins or stops to count as serving.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -151,6 +151,22 @@
 		ev_break(tr->loop, EVBREAK_ALL);
 }
 
+/* Let the other nodes know whether callers may be sent here. */
+static void tell_serving(struct traffic *tr, int64_t now_ms)
+{
+	bool serving = entry_is_serving(tr->e, now_ms);
+
+	loads_set_serving(tr->e->loads, serving);
+	if (serving == tr->serving)
+		return;
+	tr->serving = serving;
+	log_event(EV_SERVING_CHANGED,
+		  "serving=%d config=%d config_age_ms=%d leaving=%d", serving,
+		  tr->config ? (int)tr->config->version : 0,
+		  (int)(now_ms - atomic_load(&tr->e->fresh_ms)),
+		  tr->leaving_ms != 0);
+}
+
 static void on_beat(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct traffic *tr = w->data;
@@ -159,7 +175,7 @@
 	(void)loop;
 	(void)events;
 	pool_sweep(tr);
-	loads_set_serving(tr->e->loads, entry_is_serving(tr->e, now));
+	tell_serving(tr, now);
 	stop_if_done(tr, now);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -49,8 +49,6 @@
 	int runs_max;       /* most targets that may run one attempt */
 	int priority;       /* 0 is the most urgent */
 	int64_t timeout_ms; /* from the request's arrival */
-	int64_t aim_ms;     /* within which the answer, or a stream's first
-			       event, counts as on time */
 	int64_t gap_ms;     /* longest pause of a stream that is on time */
 };
 
@@ -80,8 +78,8 @@
 	int64_t version;
 	struct route_rule *routes;
 	size_t route_count;
-	GHashTable *hosts; /* GBytes-free: str data -> GPtrArray of route_rule,
-			      longest path first */
+	/* struct str -> GPtrArray of struct route_rule, longest path first */
+	GHashTable *hosts;
 	struct entry_service *services;
 	size_t service_count;
 	GHashTable *keys; /* key -> struct entry_organisation */
@@ -146,7 +144,6 @@
 /* An answer that the entry makes itself. */
 struct own_answer {
 	int status;
-	const char *reason;
 	const char *type;       /* media type of the body */
 	char *body;             /* in the request's arena */
 	int64_t retry_after_ms; /* 0: none */
@@ -162,7 +159,6 @@
 	struct str load; /* running, waiting, slots */
 	struct str not_run;
 	struct str prompt_parts; /* ID:TOKENS, with commas between */
-	struct str tokens;       /* read, most to generate */
 	struct str priority;
 	struct str last_event;
 	/* Headers that only the entry may set; a caller's are dropped. */
@@ -286,8 +282,6 @@
  */
 void link_use(struct link *l, const struct link_ops *ops, void *ctx);
 void link_send(struct link *l, const char *p, size_t n);
-/* How many bytes have not been handed to the system yet. */
-size_t link_unsent(const struct link *l);
 void link_no_body(struct link *l, bool no_body);
 /* Stop or go on taking the answer in. */
 void link_pause(struct link *l, bool pause);
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -64,8 +64,9 @@
 	GQueue *callers; /* struct caller */
 	int exchanges;   /* in progress */
 	int64_t bodies;  /* bytes of requests held */
+	bool serving;    /* callers are sent here, as last told */
 	int64_t started_ms;
-	int64_t leaving_ms; /* when SIGTERM came; 0: it has not */
+	int64_t leaving_ms;   /* when SIGTERM came; 0: it has not */
 	int64_t refuse_at_ms; /* from then on nothing new is taken */
 	int64_t stop_at_ms;   /* the latest end */
 };
@@ -137,8 +138,6 @@
 /* own.c: answers that the entry makes itself. */
 void own_refuse(struct buf *out, const struct traffic *tr, void *arena,
 		enum ramp_error kind, int64_t retry_after_ms, bool keep);
-void own_answer(struct buf *out, const struct traffic *tr,
-		const struct own_answer *a, bool keep);
 /* Readiness, entries and metrics; the answer goes to out. */
 void own_serve(struct buf *out, struct traffic *tr, enum port_kind kind,
 	       const struct message *m, bool keep);
--- a/entry/link.c
+++ b/entry/link.c
@@ -277,11 +277,6 @@
 	watch(l);
 }
 
-size_t link_unsent(const struct link *l)
-{
-	return buf_len(&l->out);
-}
-
 void link_no_body(struct link *l, bool no_body)
 {
 	reader_no_body(l->rd, no_body);
--- a/entry/own.c
+++ b/entry/own.c
@@ -10,12 +10,10 @@
 /* Most entries in one answer; callers take no more. */
 #define ENTRIES_MAX 64
 
-void own_answer(struct buf *out, const struct traffic *tr,
-		const struct own_answer *a, bool keep)
+static void add_answer(struct buf *out, const struct own_answer *a, bool keep)
 {
 	size_t n = a->body ? strlen(a->body) : 0;
 
-	(void)tr;
 	buf_fmt(out, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n", a->status,
 		http_status_str((enum http_status)a->status), n);
 	if (n)
@@ -40,7 +38,7 @@
 		.retry_after_ms = retry_after_ms,
 	};
 
-	own_answer(out, tr, &a, keep);
+	add_answer(out, &a, keep);
 }
 
 /* Whether the node can serve callers as far as it knows. */
@@ -132,18 +130,17 @@
 		return;
 	}
 	a.body = tr->d->entries_body(m->arena, v, n, ttl);
-	own_answer(out, tr, &a, keep);
+	add_answer(out, &a, keep);
 }
 
-static void serve_metrics(struct buf *out, const struct traffic *tr,
-			  const struct message *m, bool keep)
+static void serve_metrics(struct buf *out, const struct message *m, bool keep)
 {
 	char *text = metrics_text();
 	struct own_answer a = {.status = 200, .type = "text/plain"};
 
 	a.body = talloc_strdup(m->arena, text);
 	g_free(text);
-	own_answer(out, tr, &a, keep);
+	add_answer(out, &a, keep);
 }
 
 void own_serve(struct buf *out, struct traffic *tr, enum port_kind kind,
@@ -153,10 +150,10 @@
 	struct own_answer ok = {.status = 200};
 
 	if (kind == PORT_METRICS) {
-		serve_metrics(out, tr, m, keep);
+		serve_metrics(out, m, keep);
 	} else if (kind == PORT_READY && str_eq(path, tr->d->ready_path)) {
 		if (is_ready(tr))
-			own_answer(out, tr, &ok, keep);
+			add_answer(out, &ok, keep);
 		else
 			own_refuse(out, tr, m->arena, RAMP_ERR_NOT_READY, 0,
 				   keep);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -6,6 +6,8 @@
 
 /* Idle connections kept to one target, the last used ones. */
 #define IDLE_MAX 16
+/* Part of the connections that a target takes which idle ones may hold. */
+#define IDLE_PART 0.6
 /* Connections that failed in a row before a target is set aside. */
 #define FAULTS_MAX 2
 #define ASIDE_MS   1500
@@ -247,12 +249,30 @@
 	return link_open(t->tr->loop, &t->info.address);
 }
 
+/* This node's part of the idle connections that a target allows. */
+static guint idle_max(const struct target *t)
+{
+	const struct entry_config *c = t->tr->config;
+	double nodes = t->tr->peers ? (double)MAX(t->tr->peers->known, 1) : 1;
+
+	for (size_t i = 0; c && i < c->service_count; i++) {
+		const struct entry_service *s = &c->services[i];
+
+		if (!s->connections_max || !str_eq(s->name, t->info.service))
+			continue;
+		return (guint)CLAMP((double)s->connections_max * IDLE_PART /
+					    nodes,
+				    1, IDLE_MAX);
+	}
+	return IDLE_MAX;
+}
+
 void pool_keep(struct target *t, struct link *l)
 {
 	struct idle *i;
 
 	if (!t->listed || t->info.leaving || t->tr->leaving_ms ||
-	    g_queue_get_length(t->idle) >= IDLE_MAX ||
+	    g_queue_get_length(t->idle) >= idle_max(t) ||
 	    link_idle_until(l) <= time_boot_ms()) {
 		link_close(l);
 		return;
