--- a/entry/entry.h
+++ b/entry/entry.h
@@ -277,9 +277,11 @@
 /* Begins to connect. Callbacks come from the loop, never from in here. */
 struct link *link_open(struct ev_loop *loop, const struct sockaddr_in *to);
 /*
- * The next answer is for ctx; with ops NULL the link is idle, and idle_fault is
- * called should it break.
+ * No answer is waited for: whatever comes, the close included, belongs to no
+ * request, and lost is called, which closes the link.
  */
+void link_rest(struct link *l, void (*lost)(void *ctx), void *ctx);
+/* The next answer is for ctx. */
 void link_use(struct link *l, const struct link_ops *ops, void *ctx);
 void link_send(struct link *l, const char *p, size_t n);
 void link_no_body(struct link *l, bool no_body);
--- a/entry/link.c
+++ b/entry/link.c
@@ -21,7 +21,8 @@
 	int events;
 	int fd;
 	struct reader *rd;
-	const struct link_ops *ops; /* NULL: idle */
+	const struct link_ops *ops; /* NULL: no answer is waited for */
+	void (*lost)(void *ctx);    /* then */
 	void *ctx;
 	struct buf out;
 	struct message *m; /* of the answer being read */
@@ -80,15 +81,14 @@
 
 static void fault(struct link *l, enum link_fault f)
 {
-	const struct link_ops *ops = l->ops;
-
 	if (l->closed)
 		return;
-	if (!ops || !ops->fault) {
+	if (l->ops)
+		l->ops->fault(l->ctx, f, l->answered);
+	else if (l->lost)
+		l->lost(l->ctx);
+	else
 		link_close(l);
-		return;
-	}
-	ops->fault(l->ctx, f, l->answered);
 }
 
 static bool on_head(void *ctx, struct message *m)
@@ -142,9 +142,8 @@
 	while (n && !l->closed) {
 		size_t used;
 
-		/* Bytes with no request waiting belong to no answer. */
 		if (!l->ops) {
-			link_close(l);
+			fault(l, LINK_MALFORMED);
 			return;
 		}
 		l->answered = true;
@@ -254,6 +253,15 @@
 	return l;
 }
 
+void link_rest(struct link *l, void (*lost)(void *ctx), void *ctx)
+{
+	l->ops = NULL;
+	l->lost = lost;
+	l->ctx = ctx;
+	l->paused = false;
+	watch(l);
+}
+
 void link_use(struct link *l, const struct link_ops *ops, void *ctx)
 {
 	l->ops = ops;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -24,39 +24,15 @@
 	int64_t until_ms;
 };
 
-static void on_idle_fault(void *ctx, enum link_fault f, bool answered)
+static void on_idle_lost(void *ctx)
 {
 	struct idle *i = ctx;
 
-	(void)f;
-	(void)answered;
 	g_queue_remove(i->target->idle, i);
 	link_close(i->link);
 	g_free(i);
 }
 
-/* Bytes that come on an idle link belong to no request. */
-static bool on_idle_head(void *ctx, struct message *m)
-{
-	(void)m;
-	on_idle_fault(ctx, LINK_MALFORMED, false);
-	return false;
-}
-
-static bool on_idle_body(void *ctx, const char *p, size_t n)
-{
-	(void)ctx;
-	(void)p;
-	(void)n;
-	return false;
-}
-
-static const struct link_ops idle_ops = {
-	.head = on_idle_head,
-	.body = on_idle_body,
-	.fault = on_idle_fault,
-};
-
 static void drop_idle(struct target *t)
 {
 	struct idle *i;
@@ -281,7 +257,7 @@
 	i->target = t;
 	i->link = l;
 	i->until_ms = link_idle_until(l);
-	link_use(l, &idle_ops, i);
+	link_rest(l, on_idle_lost, i);
 	g_queue_push_head(t->idle, i);
 }
 
