entry: a list in which two targets leave at once has another hash

Both targets that left did so at once: a leaving entry's hash was the complement, and two complements cancel out in an exclusive or, so the other nodes' lists looked the same.

Ruled out: lost datagrams (the next answer 0.4 s later had the same hash) and the pace of reading.

The test asks for another hash for each of 64 sets of leaving targets and failed before.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -134,6 +134,11 @@
 struct target_list *target_list_new(size_t n);
 struct target_list *target_list_ref(struct target_list *l);
 void target_list_unref(struct target_list *l);
+/*
+ * Hash of what matters of an entry; that of a list is the exclusive or of those
+ * of its targets.
+ */
+uint64_t target_info_hash(const struct target_info *t);
 struct peer_list *peer_list_new(size_t n);
 struct peer_list *peer_list_ref(struct peer_list *l);
 void peer_list_unref(struct peer_list *l);
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -201,16 +201,6 @@
 	g_free(l);
 }
 
-static uint64_t info_hash(const struct target_info *t)
-{
-	uint64_t h = str_hash(t->service, t->id);
-
-	h = str_hash((struct str){(const char *)&t->address.sin_addr,
-				  sizeof(t->address.sin_addr)},
-		     h + t->address.sin_port);
-	return t->leaving ? ~h : h;
-}
-
 static void change_free(void *p)
 {
 	g_free(((struct change *)p)->key);
@@ -256,7 +246,7 @@
 			  (int)r->revision);
 	/* Heartbeats change the row and nothing that matters here. */
 	if (usable != l->usable ||
-	    (usable && info_hash(&info) != info_hash(&l->info)))
+	    (usable && target_info_hash(&info) != target_info_hash(&l->info)))
 		note_change(f, r->key, r->revision, !usable);
 	talloc_free(l->arena);
 	l->arena = arena;
@@ -297,7 +287,7 @@
 		t->name = str_dup(l->arena, x->info.name);
 		t->service = str_dup(l->arena, x->info.service);
 		t->zone = str_dup(l->arena, x->info.zone);
-		f->hash ^= info_hash(t);
+		f->hash ^= target_info_hash(t);
 		leaving += t->leaving;
 		l->n++;
 	}
--- /dev/null
+++ b/entry/test-view.c
@@ -0,0 +1,58 @@
+#include <string.h>
+
+#include "entry/entry.h"
+
+#define TARGETS 6
+
+static struct target_info target(unsigned i, bool leaving)
+{
+	return (struct target_info){
+		.id = i * 7919 + 1,
+		.service = STR_LIT("pool"),
+		.address = {.sin_family = AF_INET,
+			    .sin_port = htons((uint16_t)(80 + i)),
+			    .sin_addr = {htonl(0x0a000001 + i)}},
+		.leaving = leaving,
+	};
+}
+
+/* Hash of the list in which the targets of a set of bits are leaving. */
+static uint64_t list_hash(unsigned leaving)
+{
+	uint64_t h = 0;
+
+	for (unsigned i = 0; i < TARGETS; i++) {
+		struct target_info t = target(i, leaving >> i & 1);
+
+		h ^= target_info_hash(&t);
+	}
+	return h;
+}
+
+/* Whatever set of targets leaves at once, the list has another hash. */
+static void test_leaving_sets(void)
+{
+	for (unsigned a = 0; a < 1 << TARGETS; a++)
+		for (unsigned b = 0; b < a; b++)
+			g_assert_cmpuint(list_hash(a), !=, list_hash(b));
+}
+
+/* So it has when an address goes to another target. */
+static void test_address(void)
+{
+	struct target_info a = target(1, false), b = target(2, false);
+	uint64_t was = target_info_hash(&a) ^ target_info_hash(&b);
+	struct sockaddr_in of_a = a.address;
+
+	a.address = b.address;
+	b.address = of_a;
+	g_assert_cmpuint(target_info_hash(&a) ^ target_info_hash(&b), !=, was);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry/view/leaving-sets", test_leaving_sets);
+	g_test_add_func("/entry/view/address", test_address);
+	return g_test_run();
+}
--- a/entry/view.c
+++ b/entry/view.c
@@ -115,3 +115,14 @@
 {
 	return key.len ? g_hash_table_lookup(c->keys, &key) : NULL;
 }
+
+uint64_t target_info_hash(const struct target_info *t)
+{
+	uint64_t h = str_hash(t->service, t->id);
+
+	h = str_hash((struct str){(const char *)&t->address.sin_addr,
+				  sizeof(t->address.sin_addr)},
+		     h + t->address.sin_port);
+	/* A complement would cancel out where two leave at once. */
+	return str_hash(t->leaving ? STR_LIT("leaving") : STR_LIT("ready"), h);
+}
