--- a/entry/entry.c
+++ b/entry/entry.c
@@ -73,10 +73,12 @@
 static void begin_to_leave(struct traffic *tr)
 {
 	int64_t now = time_boot_ms();
+	double grace_ms = tr->set->bounds_grace_s * 1000;
 
 	tr->leaving_ms = now;
-	tr->stop_at_ms =
-		now + (int64_t)(tr->set->bounds_grace_s * 1000) - LEAVE_LEFT_MS;
+	tr->refuse_at_ms = now + (int64_t)MIN(LEAVE_ACCEPT_MS,
+					      LEAVE_ACCEPT_PART * grace_ms);
+	tr->stop_at_ms = now + (int64_t)grace_ms - LEAVE_LEFT_MS;
 	log_event(EV_NODE_STOPPING, "requests=%d", tr->exchanges);
 }
 
