entry: a stream that falls silent goes on elsewhere

Cause: found by a test written for it (stream-silent): the timer was set when the attempt began, for the deadline, and never for the silence that begins with the first event. A target that stays connected and says nothing held its stream until the caller left.

Change: the first event sets the timer; each event moves the deadline of the silence. A stalled stream is left only when a repeat is allowed and paid for, and never because its caller is slow; before, one without a paid repeat would have been broken off.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -50,8 +50,9 @@
 	int sends;
 	int runs; /* sends that may have run */
 	struct cutter cut;
-	bool given;       /* a head has been given to the caller */
-	int64_t event_ms; /* when the last event came */
+	bool given; /* a head has been given to the caller */
+	/* When a stream counts as stalled; 0: not, or it can't go on. */
+	int64_t stall_at_ms;
 	ev_timer timer;
 	const char *cause; /* of the last failure, for the log */
 };
@@ -213,6 +214,24 @@
 	finish(x, keeps(x));
 }
 
+/* Silence of a stream after which it goes on elsewhere. */
+static int64_t stall_ms(const struct exchange *x)
+{
+	return MAX(STALL_MIN_MS, STALL_GAPS * x->route->gap_ms);
+}
+
+/* Look at the exchange when the next of its deadlines has come. */
+static void set_timer(struct exchange *x)
+{
+	int64_t at = x->deadline_ms + DEADLINE_SLACK_MS;
+
+	if (x->stall_at_ms)
+		at = MIN(at, x->stall_at_ms);
+	ev_timer_stop(x->tr->loop, &x->timer);
+	ev_timer_set(&x->timer, (double)MAX(at - time_boot_ms(), 0) / 1000, 0);
+	ev_timer_start(x->tr->loop, &x->timer);
+}
+
 /* A whole event of a stream. */
 static void give_event(void *ctx, const char *p, size_t n)
 {
@@ -226,7 +245,14 @@
 		metric_observe(M_FIRST_EVENT_MS,
 			       time_boot_ms() - x->arrived_ms);
 	}
-	x->event_ms = time_boot_ms();
+	/* The timer looks at this only when the time before it is over. */
+	if (x->route->repeat == REPEAT_REST) {
+		bool first = !x->stall_at_ms;
+
+		x->stall_at_ms = time_boot_ms() + stall_ms(x);
+		if (first)
+			set_timer(x);
+	}
 	buf_fmt(&out, "%zx\r\n", n);
 	buf_add(&out, p, n);
 	buf_add(&out, "\r\n", 2);
@@ -295,6 +321,27 @@
 		refuse(x, RAMP_ERR_OVERLOADED);
 }
 
+/*
+ * The stream has been silent for too long: go on elsewhere if that is allowed
+ * and paid for, else keep waiting. Returns true when the attempt was left.
+ */
+static bool leave_stalled(struct exchange *x)
+{
+	/* It is the caller that is slow. */
+	if (caller_unsent(x->c) > UNSENT_MAX)
+		return false;
+	if (!may_run_again(x) || x->runs + 1 >= x->route->runs_max ||
+	    x->sends >= SENDS_MAX || left_ms(x) < DEADLINE_LEAST_MS)
+		return false;
+	if (!retry_window_take(pool_retries(x->tr, x->service->name),
+			       time_boot_ms()))
+		return false;
+	x->cause = "stream_stalled";
+	pool_note(x->target, false);
+	go_on(x, true, false);
+	return true;
+}
+
 static void on_fault(void *ctx, enum link_fault f, bool answered)
 {
 	static const char *const causes[] = {
@@ -526,18 +573,6 @@
 	buf_clear(&b);
 }
 
-static void set_timer(struct exchange *x)
-{
-	int64_t at = x->deadline_ms + DEADLINE_SLACK_MS;
-
-	if (x->route->repeat == REPEAT_REST && x->given)
-		at = MIN(at, x->event_ms + MAX(STALL_MIN_MS,
-					       STALL_GAPS * x->route->gap_ms));
-	ev_timer_stop(x->tr->loop, &x->timer);
-	ev_timer_set(&x->timer, (double)MAX(at - time_boot_ms(), 0) / 1000, 0);
-	ev_timer_start(x->tr->loop, &x->timer);
-}
-
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct exchange *x = w->data;
@@ -553,19 +588,11 @@
 		refuse(x, x->runs ? RAMP_ERR_TIMED_OUT : RAMP_ERR_OVERLOADED);
 		return;
 	}
-	if (x->route->repeat == REPEAT_REST && x->given &&
-	    now >= x->event_ms +
-			    MAX(STALL_MIN_MS, STALL_GAPS * x->route->gap_ms) &&
-	    may_run_again(x) && x->runs + 1 < x->route->runs_max) {
-		x->cause = "stream_stalled";
-		pool_note(x->target, false);
-		x->event_ms = now;
-		if (!go_on(x, true, true))
-			give_up(x);
-		return;
+	if (x->stall_at_ms && now >= x->stall_at_ms) {
+		x->stall_at_ms = now + stall_ms(x);
+		if (leave_stalled(x))
+			return;
 	}
-	if (x->given && now > x->event_ms + STALL_MIN_MS)
-		x->event_ms = now; /* look again later */
 	set_timer(x);
 }
 
