entry: name the target of a failed attempt; split the exchange

The line on a repeat did not say which target had failed, and the last line of a request that was given up said target=-, so the way from a request's id to its cause ended there. Binding a request to its route and writing it to a target move to files of their own; nothing else changes.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -3,18 +3,14 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "entry/inner.h"
+#include "entry/exchange.h"
 
 /* Largest answer that is held until it is whole; a longer one fails. */
 #define ANSWER_MAX (8 << 20)
-/* Most sends of one request, those that did not run included. */
-#define SENDS_MAX 4
 /* Bytes that a slow caller may leave before the target is held back. */
 #define UNSENT_MAX (256 << 10)
 /* A target answers its own deadline itself; ours is this much later. */
 #define DEADLINE_SLACK_MS 60
-/* Time before the deadline in which nothing is sent any more. */
-#define DEADLINE_LEAST_MS 20
 /* Pauses that make a stream go on elsewhere, in parts of its longest one. */
 #define STALL_GAPS   3
 #define STALL_MIN_MS 1000
@@ -22,41 +18,6 @@
 #define RETRY_MIN_MS    100
 #define RETRY_SPREAD_MS 200
 
-struct exchange {
-	struct caller *c;
-	struct traffic *tr;
-	void *arena;
-	struct message *rq;
-	struct str body;
-	struct entry_config *config;
-	const struct route_rule *route;
-	const struct entry_service *service;
-	const struct entry_organisation *owner;
-	struct str id;
-	struct prompt prompt;
-	int64_t arrived_ms;
-	int64_t deadline_ms; /* the caller's, or the route's timeout */
-
-	/* The attempt in progress. */
-	struct target *target;
-	struct link *link;
-	bool reused;
-	bool other_answer; /* the one being read is another request's */
-	bool streaming;
-	struct message *answer; /* its head, while it is being read */
-	struct buf held;        /* its body */
-
-	uint64_t tried[SENDS_MAX];
-	int sends;
-	int runs; /* sends that may have run */
-	struct cutter cut;
-	bool given; /* a head has been given to the caller */
-	/* When a stream counts as stalled; 0: not, or it can't go on. */
-	int64_t stall_at_ms;
-	ev_timer timer;
-	const char *cause; /* of the last failure, for the log */
-};
-
 static void attempt(struct exchange *x);
 
 static bool is_event_stream(const struct exchange *x)
@@ -92,7 +53,6 @@
 
 static void log_end(const struct exchange *x, int status, const char *how)
 {
-	struct str target = x->target ? x->target->info.name : STR_LIT("-");
 	int64_t now = time_boot_ms();
 	int64_t fresh = atomic_load(&x->tr->e->fresh_ms);
 
@@ -104,7 +64,7 @@
 		  "cause=%s config=%d config_age_ms=%d",
 		  STR_ARG(x->id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
-		  (unsigned)x->prompt.key, STR_ARG(target), status, how,
+		  (unsigned)x->prompt.key, STR_ARG(x->last_target), status, how,
 		  (int)(now - x->arrived_ms), x->sends, x->runs,
 		  (int)x->cut.events, x->cause ? x->cause : "-",
 		  x->config ? (int)x->config->version : 0,
@@ -266,7 +226,7 @@
 		link_pause(x->link, false);
 }
 
-static int64_t left_ms(const struct exchange *x)
+int64_t exchange_left_ms(const struct exchange *x)
 {
 	return x->deadline_ms - time_boot_ms();
 }
@@ -293,7 +253,7 @@
 	x->other_answer = false;
 	if (ran)
 		x->runs++;
-	if (x->sends >= SENDS_MAX || left_ms(x) < DEADLINE_LEAST_MS)
+	if (x->sends >= SENDS_MAX || exchange_left_ms(x) < DEADLINE_LEAST_MS)
 		return false;
 	if (x->runs && !may_run_again(x))
 		return false;
@@ -304,8 +264,10 @@
 	}
 	metric_add(M_RETRIES_TOTAL, 1);
 	log_event(EV_REQUEST_REPEATED,
-		  "request=" STR_FMT " cause=%s ran=%d sends=%d after=%d",
-		  STR_ARG(x->id), x->cause, ran, x->sends, (int)x->cut.number);
+		  "request=" STR_FMT " target=" STR_FMT
+		  " cause=%s ran=%d sends=%d after=%d",
+		  STR_ARG(x->id), STR_ARG(x->last_target), x->cause, ran,
+		  x->sends, (int)x->cut.number);
 	attempt(x);
 	return true;
 }
@@ -314,7 +276,7 @@
 static void give_up(struct exchange *x)
 {
 	if (x->runs)
-		refuse(x, left_ms(x) < DEADLINE_LEAST_MS
+		refuse(x, exchange_left_ms(x) < DEADLINE_LEAST_MS
 				  ? RAMP_ERR_TIMED_OUT
 				  : RAMP_ERR_OUTCOME_UNKNOWN);
 	else
@@ -331,7 +293,7 @@
 	if (caller_unsent(x->c) > UNSENT_MAX)
 		return false;
 	if (!may_run_again(x) || x->runs + 1 >= x->route->runs_max ||
-	    x->sends >= SENDS_MAX || left_ms(x) < DEADLINE_LEAST_MS)
+	    x->sends >= SENDS_MAX || exchange_left_ms(x) < DEADLINE_LEAST_MS)
 		return false;
 	if (!retry_window_take(pool_retries(x->tr, x->service->name),
 			       time_boot_ms()))
@@ -475,7 +437,7 @@
 		/* The answer is lost by trying again, so look first. */
 		if (!late && x->route->repeat != REPEAT_NEVER &&
 		    x->runs + 1 < x->route->runs_max && x->sends < SENDS_MAX &&
-		    left_ms(x) > DEADLINE_LEAST_MS &&
+		    exchange_left_ms(x) > DEADLINE_LEAST_MS &&
 		    retry_window_take(pool_retries(x->tr, x->service->name),
 				      time_boot_ms())) {
 			go_on(x, true, false);
@@ -509,70 +471,6 @@
 
 static const struct link_ops link_ops = {on_head, on_body, on_end, on_fault};
 
-static bool is_reserved(const struct dialect *d, struct str name)
-{
-	for (size_t i = 0; i < d->reserved_count; i++)
-		if (str_same(d->reserved[i], name))
-			return true;
-	return false;
-}
-
-static void add_header(struct buf *b, struct str name, struct str value)
-{
-	buf_add(b, name.data, name.len);
-	buf_add(b, ": ", 2);
-	buf_add(b, value.data, value.len);
-	buf_add(b, "\r\n", 2);
-}
-
-static int priority_of(const struct exchange *x)
-{
-	if (x->owner && x->owner->priority >= 0)
-		return MIN(x->owner->priority, 9);
-	return CLAMP(x->route->priority, 0, 9);
-}
-
-/* The request as the target gets it. */
-static void write_request(struct exchange *x)
-{
-	const struct dialect *d = x->tr->d;
-	const struct message *m = x->rq;
-	bool resumes = x->cut.events && x->cut.last.len;
-	struct buf b = {0};
-
-	buf_add(&b, m->method.data, m->method.len);
-	buf_add(&b, " ", 1);
-	buf_add(&b, m->url.data, m->url.len);
-	buf_add(&b, " HTTP/1.1\r\n", 11);
-	for (size_t i = 0; i < m->header_count; i++) {
-		const struct header *h = &m->headers[i];
-
-		if (header_is_hop(m, h->name) || is_reserved(d, h->name) ||
-		    str_same(h->name, d->deadline) ||
-		    str_same(h->name, STR_LIT("Expect")) ||
-		    str_same(h->name, STR_LIT("Content-Length")) ||
-		    (resumes && str_same(h->name, d->last_event)))
-			continue;
-		add_header(&b, h->name, h->value);
-	}
-	if (resumes)
-		add_header(&b, d->last_event, x->cut.last);
-	if (x->owner)
-		add_header(&b, d->organisation, x->owner->name);
-	add_header(&b, d->expected_target, x->target->info.name);
-	if (x->service->model)
-		buf_fmt(&b, STR_FMT ": %d\r\n", STR_ARG(d->priority),
-			priority_of(x));
-	buf_fmt(&b, STR_FMT ": %" G_GINT64_FORMAT "\r\n", STR_ARG(d->deadline),
-		MAX(left_ms(x), 1));
-	if (x->body.len || m->has_body || !str_eq(m->method, STR_LIT("GET")))
-		buf_fmt(&b, "Content-Length: %zu\r\n", x->body.len);
-	buf_add(&b, "\r\n", 2);
-	buf_add(&b, x->body.data, x->body.len);
-	link_send(x->link, buf_at(&b), buf_len(&b));
-	buf_clear(&b);
-}
-
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct exchange *x = w->data;
@@ -610,6 +508,7 @@
 		return;
 	}
 	x->target = t;
+	x->last_target = str_dup(x->arena, t->info.name);
 	pool_running(t, 1);
 	x->tried[x->sends++] = t->info.id;
 	x->link = pool_link(t, false, &x->reused);
@@ -622,113 +521,10 @@
 	link_use(x->link, &link_ops, x);
 	link_no_body(x->link, is_head_request(x));
 	/* On a new connection the bytes leave once it is open. */
-	write_request(x);
+	exchange_send(x);
 	set_timer(x);
 }
 
-/*
- * Read the prompt's parts, ID:TOKENS with commas between. The last one is the
- * request's own; when it is the only one it may come back with the chat.
- */
-static struct prompt read_prompt(struct str parts)
-{
-	struct str shared = {NULL, 0}, last = {NULL, 0};
-	const char *p = parts.data, *end = parts.data + parts.len;
-	int64_t before = 0, tokens = 0;
-
-	while (p && p < end) {
-		const char *comma = memchr(p, ',', (size_t)(end - p));
-		const char *stop = comma ? comma : end;
-		const char *colon = memchr(p, ':', (size_t)(stop - p));
-		int64_t n = 0;
-
-		if (colon)
-			n = str_number((struct str){
-				colon + 1, (size_t)(stop - colon - 1)});
-		shared = last;
-		last = (struct str){p, (size_t)((colon ? colon : stop) - p)};
-		before = tokens;
-		tokens += MAX(n, 0);
-		p = stop + 1;
-	}
-	if (!shared.len)
-		shared = last;
-	return (struct prompt){shared.len ? str_hash(shared, 0) : 0, before};
-}
-
-static struct str host_of(void *arena, struct str host)
-{
-	const char *colon = memchr(host.data, ':', host.len);
-	char *lower;
-
-	if (!host.len)
-		return host;
-	if (colon)
-		host.len = (size_t)(colon - host.data);
-	lower = talloc_strndup(arena, host.data, host.len);
-	for (size_t i = 0; i < host.len; i++)
-		lower[i] = g_ascii_tolower(lower[i]);
-	return (struct str){lower, host.len};
-}
-
-/* By the weights of the route's parts; one request always gets the same. */
-static const struct entry_service *pick_service(const struct exchange *x)
-{
-	const struct route_rule *r = x->route;
-	int64_t at;
-
-	if (!r->part_count || r->weight_sum <= 0)
-		return NULL;
-	at = (int64_t)(str_hash(x->id, 1) % (uint64_t)r->weight_sum);
-	for (size_t i = 0; i < r->part_count; i++) {
-		at -= r->parts[i].weight;
-		if (at < 0)
-			return &x->config->services[r->parts[i].service];
-	}
-	return NULL;
-}
-
-/* Find route, owner and service; RAMP_OK or why it is refused. */
-static enum ramp_error bind_request(struct exchange *x)
-{
-	const struct dialect *d = x->tr->d;
-	const struct message *m = x->rq;
-	struct str host = message_header(m, STR_LIT("Host"));
-	int64_t now = time_boot_ms();
-	bool fresh = entry_is_fresh(x->tr->e, now);
-	int64_t wait;
-	const char *q;
-
-	if (x->tr->leaving_ms && now >= x->tr->refuse_at_ms)
-		return RAMP_ERR_LEAVING;
-	if (!x->config)
-		return RAMP_ERR_NOT_READY;
-	if (!m->url.len || m->url.data[0] != '/' || !x->id.len)
-		return RAMP_ERR_BAD_REQUEST;
-	q = memchr(m->url.data, '?', m->url.len);
-	x->route = entry_config_route(
-		x->config, host_of(x->arena, host),
-		(struct str){m->url.data,
-			     q ? (size_t)(q - m->url.data) : m->url.len});
-	if (!x->route)
-		return fresh ? RAMP_ERR_NOT_FOUND : RAMP_ERR_NOT_READY;
-	x->owner = entry_config_owner(x->config, message_header(m, d->key));
-	if (x->config->has_organisations && !x->route->public) {
-		if (!fresh)
-			return RAMP_ERR_NOT_READY;
-		if (!x->owner)
-			return RAMP_ERR_UNAUTHORIZED;
-	}
-	wait = str_number(message_header(m, d->deadline));
-	x->deadline_ms = x->arrived_ms + x->route->timeout_ms;
-	if (wait >= 0)
-		x->deadline_ms = MIN(x->deadline_ms, x->arrived_ms + wait);
-	if (left_ms(x) < DEADLINE_LEAST_MS)
-		return RAMP_ERR_OVERLOADED;
-	x->service = pick_service(x);
-	return x->service ? RAMP_OK : RAMP_ERR_NO_TARGET;
-}
-
 struct exchange *exchange_new(struct caller *c, struct message *m,
 			      struct str body, int64_t arrived_ms)
 {
@@ -743,6 +539,7 @@
 	x->arrived_ms = arrived_ms;
 	x->config = tr->config ? entry_config_ref(tr->config) : NULL;
 	x->id = message_header(m, tr->d->request_id);
+	x->last_target = (struct str)STR_LIT("-");
 	x->cut.number = -1;
 	ev_init(&x->timer, on_timer);
 	x->timer.data = x;
@@ -754,15 +551,12 @@
 
 void exchange_start(struct exchange *x)
 {
-	enum ramp_error e = bind_request(x);
+	enum ramp_error e = exchange_bind(x);
 
 	if (e != RAMP_OK) {
 		refuse(x, e);
 		return;
 	}
-	if (x->route->sticky)
-		x->prompt = read_prompt(
-			message_header(x->rq, x->tr->d->prompt_parts));
 	retry_window_first(pool_retries(x->tr, x->service->name),
 			   time_boot_ms());
 	attempt(x);
--- /dev/null
+++ b/entry/exchange.h
@@ -0,0 +1,59 @@
+/* exchange: one request of a caller, as the files that serve it see it. */
+#ifndef EXCHANGE_H
+#define EXCHANGE_H
+
+#include "entry/inner.h"
+
+/* Most sends of one request, those that did not run included. */
+#define SENDS_MAX 4
+/* Time before the deadline in which nothing is sent any more. */
+#define DEADLINE_LEAST_MS 20
+
+struct exchange {
+	struct caller *c;
+	struct traffic *tr;
+	void *arena;
+	struct message *rq;
+	struct str body;
+	struct entry_config *config;
+	const struct route_rule *route;
+	const struct entry_service *service;
+	const struct entry_organisation *owner;
+	struct str id;
+	struct prompt prompt;
+	int64_t arrived_ms;
+	int64_t deadline_ms; /* the caller's, or the route's timeout */
+
+	/* The attempt in progress. */
+	struct target *target;
+	struct str last_target; /* its name, or that of the one before */
+	struct link *link;
+	bool reused;
+	bool other_answer; /* the one being read is another request's */
+	bool streaming;
+	struct message *answer; /* its head, while it is being read */
+	struct buf held;        /* its body */
+
+	uint64_t tried[SENDS_MAX];
+	int sends;
+	int runs; /* sends that may have run */
+	struct cutter cut;
+	bool given; /* a head has been given to the caller */
+	/* When a stream counts as stalled; 0: not, or it can't go on. */
+	int64_t stall_at_ms;
+	ev_timer timer;
+	const char *cause; /* of the last failure, for the log */
+};
+
+int64_t exchange_left_ms(const struct exchange *x);
+
+/*
+ * bind.c: find the request's route, owner, service, deadline and prompt.
+ * Returns RAMP_OK, or why it is refused.
+ */
+enum ramp_error exchange_bind(struct exchange *x);
+
+/* send.c: write the request to the attempt's link as the target gets it. */
+void exchange_send(struct exchange *x);
+
+#endif
--- /dev/null
+++ b/entry/send.c
@@ -0,0 +1,64 @@
+#include "entry/exchange.h"
+
+static bool is_reserved(const struct dialect *d, struct str name)
+{
+	for (size_t i = 0; i < d->reserved_count; i++)
+		if (str_same(d->reserved[i], name))
+			return true;
+	return false;
+}
+
+static void add_header(struct buf *b, struct str name, struct str value)
+{
+	buf_add(b, name.data, name.len);
+	buf_add(b, ": ", 2);
+	buf_add(b, value.data, value.len);
+	buf_add(b, "\r\n", 2);
+}
+
+static int priority_of(const struct exchange *x)
+{
+	if (x->owner && x->owner->priority >= 0)
+		return MIN(x->owner->priority, 9);
+	return CLAMP(x->route->priority, 0, 9);
+}
+
+void exchange_send(struct exchange *x)
+{
+	const struct dialect *d = x->tr->d;
+	const struct message *m = x->rq;
+	bool resumes = x->cut.events && x->cut.last.len;
+	struct buf b = {0};
+
+	buf_add(&b, m->method.data, m->method.len);
+	buf_add(&b, " ", 1);
+	buf_add(&b, m->url.data, m->url.len);
+	buf_add(&b, " HTTP/1.1\r\n", 11);
+	for (size_t i = 0; i < m->header_count; i++) {
+		const struct header *h = &m->headers[i];
+
+		if (header_is_hop(m, h->name) || is_reserved(d, h->name) ||
+		    str_same(h->name, d->deadline) ||
+		    str_same(h->name, STR_LIT("Expect")) ||
+		    str_same(h->name, STR_LIT("Content-Length")) ||
+		    (resumes && str_same(h->name, d->last_event)))
+			continue;
+		add_header(&b, h->name, h->value);
+	}
+	if (resumes)
+		add_header(&b, d->last_event, x->cut.last);
+	if (x->owner)
+		add_header(&b, d->organisation, x->owner->name);
+	add_header(&b, d->expected_target, x->target->info.name);
+	if (x->service->model)
+		buf_fmt(&b, STR_FMT ": %d\r\n", STR_ARG(d->priority),
+			priority_of(x));
+	buf_fmt(&b, STR_FMT ": %" G_GINT64_FORMAT "\r\n", STR_ARG(d->deadline),
+		MAX(exchange_left_ms(x), 1));
+	if (x->body.len || m->has_body || !str_eq(m->method, STR_LIT("GET")))
+		buf_fmt(&b, "Content-Length: %zu\r\n", x->body.len);
+	buf_add(&b, "\r\n", 2);
+	buf_add(&b, x->body.data, x->body.len);
+	link_send(x->link, buf_at(&b), buf_len(&b));
+	buf_clear(&b);
+}
