--- a/entry/control.c
+++ b/entry/control.c
@@ -15,8 +15,12 @@
 #define TELL_MS 100
 /* Load datagrams that a node sends in a second: some 1% of a small core. */
 #define DATAGRAMS_S 100
-/* A node that doesn't read the store asks one that does this often. */
-#define ASK_MS 400
+/*
+ * A node that doesn't read the store asks one that does this often, and so many
+ * times within the time in which a leaving target may still be used.
+ */
+#define ASK_MS        400
+#define ASKS_IN_DRAIN 5
 /* The settings may change without a signal; looked at this often. */
 #define SETTINGS_MS 2000
 /* Nodes not seen yet are spoken to this often. */
@@ -284,7 +288,8 @@
 
 	if (now_ms < c->ask_at_ms)
 		return;
-	c->ask_at_ms = now_ms + ASK_MS;
+	c->ask_at_ms =
+		now_ms + MIN(ASK_MS, c->e->set.bounds_drain_ms / ASKS_IN_DRAIN);
 	ids = g_new(uint64_t, l->n + 1);
 	for (size_t i = 0; i < l->n; i++)
 		if (l->v[i].id == self ||
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -14,9 +14,11 @@
 #define OUTAGE_MS 2500
 /*
  * A node that doesn't read all the time begins to when what it holds was not
- * confirmed for this long: half of what the bounds leave.
+ * confirmed for this long, and at most this part of the time in which a leaving
+ * target may still be used: a reading must fit into the rest.
  */
-#define ALONE_MS 1300
+#define ALONE_MS   1300
+#define ALONE_PART 0.65
 /* It looks this often whether it must read. */
 #define LOOK_MS 100
 /* The list of targets is not read oftener than this. */
@@ -161,9 +163,13 @@
 }
 
 /* Whether this node must read although others do. */
-static bool is_alone(int64_t confirmed_ms, int64_t now_ms)
+static bool is_alone(const struct follow *f, int64_t confirmed_ms,
+		     int64_t now_ms)
 {
-	return !confirmed_ms || now_ms - confirmed_ms > ALONE_MS;
+	double most =
+		MIN(ALONE_MS, ALONE_PART * (double)f->e->set.bounds_drain_ms);
+
+	return !confirmed_ms || (double)(now_ms - confirmed_ms) > most;
 }
 
 static void read_config(struct ev_loop *loop, ev_timer *w, int events)
@@ -175,7 +181,7 @@
 	(void)loop;
 	(void)events;
 	if (!f->reader && !f->config_stale &&
-	    !is_alone(atomic_load(&f->e->fresh_ms), now)) {
+	    !is_alone(f, atomic_load(&f->e->fresh_ms), now)) {
 		/* What was seen up to now can't be followed from there. */
 		f->config_revision = 0;
 		again(f, w, LOOK_MS);
@@ -355,7 +361,7 @@
 	(void)loop;
 	(void)events;
 	if (!f->from && !f->reader && settled && !f->targets_stale &&
-	    !is_alone(f->confirmed_ms, now)) {
+	    !is_alone(f, f->confirmed_ms, now)) {
 		again(f, w, LOOK_MS);
 		return;
 	}
