entry: one piece each for what stood two or three times

Found by reading the change once more: arming a timer stood three times, a header line four buffers long twice, the path of a URL twice, the number of nodes that share an allowance twice.

--- a/entry/bind.c
+++ b/entry/bind.c
@@ -73,7 +73,6 @@
 	int64_t now = time_boot_ms();
 	bool fresh = entry_is_fresh(x->tr->e, now);
 	int64_t wait;
-	const char *q;
 
 	if (x->tr->leaving_ms && now >= x->tr->refuse_at_ms)
 		return RAMP_ERR_LEAVING;
@@ -81,11 +80,8 @@
 		return RAMP_ERR_NOT_READY;
 	if (!m->url.len || m->url.data[0] != '/' || !x->id.len)
 		return RAMP_ERR_BAD_REQUEST;
-	q = memchr(m->url.data, '?', m->url.len);
-	x->route = entry_config_route(
-		x->config, host_of(x->arena, host),
-		(struct str){m->url.data,
-			     q ? (size_t)(q - m->url.data) : m->url.len});
+	x->route = entry_config_route(x->config, host_of(x->arena, host),
+				      url_path(m->url));
 	if (!x->route)
 		return fresh ? RAMP_ERR_NOT_FOUND : RAMP_ERR_NOT_READY;
 	x->owner = entry_config_owner(x->config, message_header(m, d->key));
--- a/entry/buf.c
+++ b/entry/buf.c
@@ -57,3 +57,11 @@
 	g_free(b->data);
 	memset(b, 0, sizeof(*b));
 }
+
+void buf_header(struct buf *b, struct str name, struct str value)
+{
+	buf_add(b, name.data, name.len);
+	buf_add(b, ": ", 2);
+	buf_add(b, value.data, value.len);
+	buf_add(b, "\r\n", 2);
+}
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -38,8 +38,7 @@
 	int64_t began_ms; /* first byte of the request; 0: none yet */
 	bool keep;        /* take another request after this answer */
 	bool finish;      /* close once out is empty */
-	bool eof;
-	bool closed; /* and freed once no callback is in progress */
+	bool closed;      /* and freed once no callback is in progress */
 };
 
 static struct caller_limits limits_of(const struct caller *c)
@@ -112,7 +111,7 @@
 
 	if (c->closed)
 		return;
-	if (!c->eof && buf_len(&c->in) < AHEAD_MAX)
+	if (buf_len(&c->in) < AHEAD_MAX)
 		events |= EV_READ;
 	if (buf_len(&c->out))
 		events |= EV_WRITE;
@@ -128,9 +127,7 @@
 
 static void set_limit(struct caller *c, int64_t ms)
 {
-	ev_timer_stop(c->tr->loop, &c->limit);
-	ev_timer_set(&c->limit, (double)ms / 1000, 0);
-	ev_timer_start(c->tr->loop, &c->limit);
+	timer_in(c->tr->loop, &c->limit, ms);
 }
 
 static void flush(struct caller *c)
@@ -310,7 +307,6 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	/* A caller that closes is gone, also when an answer is on its way. */
-	c->eof = true;
 	destroy(c);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -188,6 +188,8 @@
 
 void buf_add(struct buf *b, const void *p, size_t n);
 void buf_fmt(struct buf *b, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+/* A header line of a message. */
+void buf_header(struct buf *b, struct str name, struct str value);
 void buf_drop(struct buf *b, size_t n);
 void buf_clear(struct buf *b);
 static inline size_t buf_len(const struct buf *b)
@@ -219,6 +221,8 @@
 /* Value of a header, or {NULL, 0}. */
 struct str message_header(const struct message *m, struct str name);
 bool str_same(struct str a, struct str b); /* ASCII case is ignored */
+/* A URL without its query. */
+struct str url_path(struct str url);
 /* Whether the header concerns one connection only. */
 bool header_is_hop(const struct message *m, struct str name);
 /* A whole non-negative number, or -1. */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -133,10 +133,7 @@
 		if (header_is_hop(m, h->name) ||
 		    str_same(h->name, STR_LIT("Content-Length")))
 			continue;
-		buf_add(out, h->name.data, h->name.len);
-		buf_add(out, ": ", 2);
-		buf_add(out, h->value.data, h->value.len);
-		buf_add(out, "\r\n", 2);
+		buf_header(out, h->name, h->value);
 	}
 	if (!keeps(x))
 		buf_fmt(out, "Connection: close\r\n");
@@ -187,9 +184,7 @@
 
 	if (x->stall_at_ms)
 		at = MIN(at, x->stall_at_ms);
-	ev_timer_stop(x->tr->loop, &x->timer);
-	ev_timer_set(&x->timer, (double)MAX(at - time_boot_ms(), 0) / 1000, 0);
-	ev_timer_start(x->tr->loop, &x->timer);
+	timer_in(x->tr->loop, &x->timer, at - time_boot_ms());
 }
 
 /* A whole event of a stream. */
@@ -511,7 +506,7 @@
 	x->last_target = str_dup(x->arena, t->info.name);
 	pool_running(t, 1);
 	x->tried[x->sends++] = t->info.id;
-	x->link = pool_link(t, false, &x->reused);
+	x->link = pool_link(t, &x->reused);
 	if (!x->link) {
 		x->cause = "no_descriptor";
 		if (!go_on(x, false, false))
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -78,9 +78,7 @@
 
 static void again(struct follow *f, ev_timer *w, int64_t ms)
 {
-	ev_timer_stop(f->loop, w);
-	ev_timer_set(w, (double)ms / 1000, 0);
-	ev_timer_start(f->loop, w);
+	timer_in(f->loop, w, ms);
 }
 
 static int64_t pause_ms(struct follow *f)
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -121,6 +121,9 @@
 void later_end(struct ev_loop *loop);
 void later_free(struct ev_loop *loop, void *p, GDestroyNotify fn);
 
+/* Let a timer fire once after so many ms, from now and not from before. */
+void timer_in(struct ev_loop *loop, ev_timer *w, int64_t ms);
+
 /* caller.c */
 void caller_accept(struct port *p);
 /* Give bytes to the caller. */
@@ -161,7 +164,7 @@
 			   const struct prompt *prompt, const uint64_t *tried,
 			   size_t tried_count);
 /* An idle connection, or a new one, or NULL. */
-struct link *pool_link(struct target *t, bool fresh, bool *reused);
+struct link *pool_link(struct target *t, bool *reused);
 /* Take back a connection that can carry another request. */
 void pool_keep(struct target *t, struct link *l);
 void pool_running(struct target *t, int by);
--- a/entry/later.c
+++ b/entry/later.c
@@ -63,3 +63,10 @@
 	i->free = fn;
 	g_queue_push_tail(l->items, i);
 }
+
+void timer_in(struct ev_loop *loop, ev_timer *w, int64_t ms)
+{
+	ev_timer_stop(loop, w);
+	ev_timer_set(w, (double)MAX(ms, 0) / 1000, 0);
+	ev_timer_start(loop, w);
+}
--- a/entry/message.c
+++ b/entry/message.c
@@ -30,6 +30,13 @@
 	return a.len == b.len && !strncasecmp(a.data, b.data, a.len);
 }
 
+struct str url_path(struct str url)
+{
+	const char *q = memchr(url.data, '?', url.len);
+
+	return q ? (struct str){url.data, (size_t)(q - url.data)} : url;
+}
+
 struct str message_header(const struct message *m, struct str name)
 {
 	for (size_t i = 0; i < m->header_count; i++)
--- a/entry/own.c
+++ b/entry/own.c
@@ -47,13 +47,6 @@
 	return tr->config && tr->list && !tr->leaving_ms;
 }
 
-static struct str path_of(struct str url)
-{
-	const char *q = memchr(url.data, '?', url.len);
-
-	return q ? (struct str){url.data, (size_t)(q - url.data)} : url;
-}
-
 static struct str query_value(struct str url, struct str name)
 {
 	const char *end = url.data + url.len;
@@ -146,7 +139,7 @@
 void own_serve(struct buf *out, struct traffic *tr, enum port_kind kind,
 	       const struct message *m, bool keep)
 {
-	struct str path = path_of(m->url);
+	struct str path = url_path(m->url);
 	struct own_answer ok = {.status = 200};
 
 	if (kind == PORT_METRICS) {
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -205,13 +205,13 @@
 	return at == SIZE_MAX ? NULL : by[at];
 }
 
-struct link *pool_link(struct target *t, bool fresh, bool *reused)
+struct link *pool_link(struct target *t, bool *reused)
 {
 	int64_t now = time_boot_ms();
 	struct idle *i;
 
 	*reused = false;
-	while (!fresh && (i = g_queue_pop_head(t->idle))) {
+	while ((i = g_queue_pop_head(t->idle))) {
 		struct link *l = i->link;
 		bool good = i->until_ms > now;
 
@@ -225,11 +225,17 @@
 	return link_open(t->tr->loop, &t->info.address);
 }
 
+/* Nodes of the fleet, live or not, among which what is allowed is divided. */
+static double nodes_known(const struct traffic *tr)
+{
+	return tr->peers ? (double)MAX(tr->peers->known, 1) : 1;
+}
+
 /* This node's part of the idle connections that a target allows. */
 static guint idle_max(const struct target *t)
 {
 	const struct entry_config *c = t->tr->config;
-	double nodes = t->tr->peers ? (double)MAX(t->tr->peers->known, 1) : 1;
+	double nodes = nodes_known(t->tr);
 
 	for (size_t i = 0; c && i < c->service_count; i++) {
 		const struct entry_service *s = &c->services[i];
@@ -307,7 +313,7 @@
 	char *name = g_strndup(service.data, service.len);
 	struct retry_window *s = g_hash_table_lookup(tr->retries, name);
 	int64_t now = time_boot_ms();
-	double nodes = tr->peers ? (double)MAX(tr->peers->known, 1) : 1;
+	double nodes = nodes_known(tr);
 	double age;
 
 	if (!s) {
--- a/entry/send.c
+++ b/entry/send.c
@@ -8,14 +8,6 @@
 	return false;
 }
 
-static void add_header(struct buf *b, struct str name, struct str value)
-{
-	buf_add(b, name.data, name.len);
-	buf_add(b, ": ", 2);
-	buf_add(b, value.data, value.len);
-	buf_add(b, "\r\n", 2);
-}
-
 static int priority_of(const struct exchange *x)
 {
 	if (x->owner && x->owner->priority >= 0)
@@ -43,13 +35,13 @@
 		    str_same(h->name, STR_LIT("Content-Length")) ||
 		    (resumes && str_same(h->name, d->last_event)))
 			continue;
-		add_header(&b, h->name, h->value);
+		buf_header(&b, h->name, h->value);
 	}
 	if (resumes)
-		add_header(&b, d->last_event, x->cut.last);
+		buf_header(&b, d->last_event, x->cut.last);
 	if (x->owner)
-		add_header(&b, d->organisation, x->owner->name);
-	add_header(&b, d->expected_target, x->target->info.name);
+		buf_header(&b, d->organisation, x->owner->name);
+	buf_header(&b, d->expected_target, x->target->info.name);
 	if (x->service->model)
 		buf_fmt(&b, STR_FMT ": %d\r\n", STR_ARG(d->priority),
 			priority_of(x));
