soak: leave the names of the wire to the rig

The soak wrote requests, a refusal and a signature check with the platform's names, beside the rig's own. What is checked is the same.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -45,16 +45,11 @@
 static void script(struct talk *t)
 {
 	uint32_t r = g_random_int_range(0, 1000);
-	char *after = strstr(t->head, "Last-Event-Id: ");
-	int from = after ? atoi(after + 15) + 1 : 1;
+	int from = talk_after(t) + 1;
 	bool stream = strstr(t->head, "/stream") != NULL;
 
 	if (r < 40) {
-		talk_send(t,
-			  "HTTP/1.1 503 Full\r\nAuburnramp-Attempt-Id: %s\r\n"
-			  "Auburnramp-Not-Executed: 1\r\n"
-			  "Content-Length: 0\r\n\r\n",
-			  t->id);
+		talk_not_run(t);
 		return;
 	}
 	/* The rest of a stream is the same run. */
@@ -102,7 +97,7 @@
 		ledger_not_run(s->ledger, id);
 	if (r->status != 200)
 		return;
-	if (!strstr(r->head, "Auburnramp-Response-Signature"))
+	if (!r->signature)
 		ledger_broken(s->ledger, "%s: success without signature", id);
 	if (!strstr(r->head, id))
 		ledger_broken(s->ledger, "%s: answer of another", id);
@@ -121,19 +116,14 @@
 					    "/stream-once/"};
 	bool stream = kind >= 2;
 	int64_t sent = time_mono_ms(), revoked;
-	char id[32], *text;
+	char id[32], name[16];
 	struct reply *r;
 	int status;
 
 	ledger_ask(s->ledger, kind == 0 || kind == 3, id);
-	text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: chat.example\r\n"
-			       "Auburnramp-Attempt-Id: %s\r\n"
-			       "Auburnramp-Deadline-Ms: 2500\r\n"
-			       "Api-Key: k%d\r\nContent-Length: 1\r\n\r\nx",
-			       kind == 1 ? "GET" : "POST", paths[kind], id,
-			       key);
-	r = ask_raw(s->g->entries[entry].callers, text);
-	g_free(text);
+	snprintf(name, sizeof(name), "k%d", key);
+	r = ask_as(s->g, entry, id, name, kind == 1 ? "GET" : "POST",
+		   paths[kind]);
 	check(s, id, stream, r);
 	revoked = atomic_load(&s->revoked_ms[key]);
 	/* bounds.revoke of the rig's settings */
