entry: go on elsewhere when a target begins no answer

A target that went dark, or that takes a request and says nothing, was only given up by TCP's probes after some 3 s, or by the caller's deadline; silence counted from a stream's first event on.

Ruled out: a plain deadline for the first event.

Change: route/wait.c decides from three signs: the target says nothing to anybody for the time in which the answer is wanted; or it has begun what was sent that much later and is no more urgent; else it is busy and is waited for. Work that may run again goes on elsewhere, paid from the retry window; a silent target is set aside for all. The test whether a request may go on stood three times and is one function.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -49,6 +49,7 @@
 	int runs_max;       /* most targets that may run one attempt */
 	int priority;       /* 0 is the most urgent */
 	int64_t timeout_ms; /* from the request's arrival */
+	int64_t aim_ms;     /* in which an answer is wanted to begin */
 	int64_t gap_ms;     /* longest pause of a stream that is on time */
 };
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -184,6 +184,8 @@
 
 	if (x->stall_at_ms)
 		at = MIN(at, x->stall_at_ms);
+	if (x->look_at_ms)
+		at = MIN(at, x->look_at_ms);
 	timer_in(x->tr->loop, &x->timer, at - time_boot_ms());
 }
 
@@ -226,14 +228,26 @@
 	return x->deadline_ms - time_boot_ms();
 }
 
-/* Whether work that may have run is allowed to run once more. */
-static bool may_run_again(const struct exchange *x)
+/*
+ * Whether the request may be sent to another target, when so many of its sends
+ * may have run.
+ */
+static bool may_go_on(const struct exchange *x, int runs)
 {
-	if (!x->route || x->runs >= x->route->runs_max)
+	if (x->sends >= SENDS_MAX || exchange_left_ms(x) < DEADLINE_LEAST_MS)
 		return false;
-	if (x->given)
-		return x->route->repeat == REPEAT_REST && x->cut.number >= 0;
-	return x->route->repeat != REPEAT_NEVER;
+	if (!runs)
+		return true;
+	if (runs >= x->route->runs_max || x->route->repeat == REPEAT_NEVER)
+		return false;
+	return !x->given ||
+	       (x->route->repeat == REPEAT_REST && x->cut.number >= 0);
+}
+
+static bool pay_repeat(const struct exchange *x)
+{
+	return retry_window_take(pool_retries(x->tr, x->service->name),
+				 time_boot_ms());
 }
 
 /*
@@ -248,12 +262,9 @@
 	x->other_answer = false;
 	if (ran)
 		x->runs++;
-	if (x->sends >= SENDS_MAX || exchange_left_ms(x) < DEADLINE_LEAST_MS)
-		return false;
-	if (x->runs && !may_run_again(x))
+	if (!may_go_on(x, x->runs))
 		return false;
-	if (arrived && !retry_window_take(pool_retries(x->tr, x->service->name),
-					  time_boot_ms())) {
+	if (arrived && !pay_repeat(x)) {
 		x->cause = "no_retry_budget";
 		return false;
 	}
@@ -279,26 +290,50 @@
 }
 
 /*
- * The stream has been silent for too long: go on elsewhere if that is allowed
- * and paid for, else keep waiting. Returns true when the attempt was left.
+ * Leave an attempt that may still be at work: go on elsewhere if that is
+ * allowed and paid for, else keep waiting. Returns true when it was left.
  */
-static bool leave_stalled(struct exchange *x)
+static bool leave_attempt(struct exchange *x, const char *cause)
 {
-	/* It is the caller that is slow. */
-	if (caller_unsent(x->c) > UNSENT_MAX)
-		return false;
-	if (!may_run_again(x) || x->runs + 1 >= x->route->runs_max ||
-	    x->sends >= SENDS_MAX || exchange_left_ms(x) < DEADLINE_LEAST_MS)
+	if (!may_go_on(x, x->runs + 1) || !pay_repeat(x))
 		return false;
-	if (!retry_window_take(pool_retries(x->tr, x->service->name),
-			       time_boot_ms()))
-		return false;
-	x->cause = "stream_stalled";
+	x->cause = cause;
 	pool_note(x->target, false);
 	go_on(x, true, false);
 	return true;
 }
 
+/* The stream has been silent for too long. */
+static bool leave_stalled(struct exchange *x)
+{
+	/* It is the caller that is slow. */
+	return caller_unsent(x->c) <= UNSENT_MAX &&
+	       leave_attempt(x, "stream_stalled");
+}
+
+/* The target has had time to begin its answer; returns true when left. */
+static bool look_at_wait(struct exchange *x, int64_t now)
+{
+	struct wait_state w = {
+		.sent_ms = x->sent_ms,
+		.heard_ms = x->target->heard_ms,
+		.begun_ms = pool_begun_ms(x->target, exchange_priority(x)),
+		.patience_ms = x->patience_ms,
+	};
+
+	x->look_at_ms = now + x->patience_ms / 2;
+	switch (wait_sign(&w, now)) {
+	case WAIT_BUSY:
+		return false;
+	case WAIT_SILENT:
+		pool_set_aside(x->target);
+		return leave_attempt(x, "target_silent");
+	case WAIT_OVERTAKEN:
+		return leave_attempt(x, "overtaken");
+	}
+	return false;
+}
+
 static void on_fault(void *ctx, enum link_fault f, bool answered)
 {
 	static const char *const causes[] = {
@@ -343,6 +378,7 @@
 	struct exchange *x = ctx;
 	struct str echo = message_header(m, x->tr->d->request_id);
 
+	x->target->heard_ms = time_boot_ms();
 	x->other_answer = echo.len && !str_eq(echo, x->id);
 	if (x->other_answer) {
 		metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
@@ -354,6 +390,8 @@
 		return true;
 	}
 	x->answer = m;
+	x->look_at_ms = 0;
+	pool_note_begun(x->target, exchange_priority(x), x->sent_ms);
 	pool_note_load(x->target, message_header(m, x->tr->d->load));
 	x->streaming = is_event_stream(x) && m->status == 200 && echo.len &&
 		       is_sound(x);
@@ -369,6 +407,7 @@
 	if (x->streaming) {
 		struct link *l = x->link;
 
+		x->target->heard_ms = time_boot_ms();
 		if (!cutter_feed(&x->cut, p, n, give_event, x)) {
 			on_fault(x, LINK_MALFORMED, true);
 			return false;
@@ -430,11 +469,7 @@
 
 		x->cause = sound ? "target_failed" : "answer_unsound";
 		/* The answer is lost by trying again, so look first. */
-		if (!late && x->route->repeat != REPEAT_NEVER &&
-		    x->runs + 1 < x->route->runs_max && x->sends < SENDS_MAX &&
-		    exchange_left_ms(x) > DEADLINE_LEAST_MS &&
-		    retry_window_take(pool_retries(x->tr, x->service->name),
-				      time_boot_ms())) {
+		if (!late && may_go_on(x, x->runs + 1) && pay_repeat(x)) {
 			go_on(x, true, false);
 			return;
 		}
@@ -486,6 +521,8 @@
 		if (leave_stalled(x))
 			return;
 	}
+	if (x->look_at_ms && now >= x->look_at_ms && look_at_wait(x, now))
+		return;
 	set_timer(x);
 }
 
@@ -517,6 +554,10 @@
 	link_no_body(x->link, is_head_request(x));
 	/* On a new connection the bytes leave once it is open. */
 	exchange_send(x);
+	x->sent_ms = time_boot_ms();
+	x->patience_ms =
+		wait_patience_ms(x->route->aim_ms, x->deadline_ms - x->sent_ms);
+	x->look_at_ms = x->sent_ms + x->patience_ms;
 	set_timer(x);
 }
 
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -29,6 +29,10 @@
 	struct str last_target; /* its name, or that of the one before */
 	struct link *link;
 	bool reused;
+	int64_t sent_ms;
+	/* When to see why no answer has begun; 0: one has. */
+	int64_t look_at_ms;
+	int64_t patience_ms;
 	bool other_answer; /* the one being read is another request's */
 	bool streaming;
 	struct message *answer; /* its head, while it is being read */
@@ -53,6 +57,8 @@
  */
 enum ramp_error exchange_bind(struct exchange *x);
 
+/* How urgent the request is, 0 the most, by its owner and route. */
+int exchange_priority(const struct exchange *x);
 /* send.c: write the request to the attempt's link as the target gets it. */
 void exchange_send(struct exchange *x);
 
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -29,6 +29,9 @@
 	int64_t shared_tokens; /* up to the end of that part */
 };
 
+/* Ranks of urgency, from 0, the most urgent. */
+#define PRIORITIES 10
+
 /* A target as the traffic thread knows it. */
 struct target {
 	void *arena;
@@ -41,6 +44,9 @@
 	double errors;     /* recent part of failures, 0 to 1 */
 	int faults;        /* in a row: no connection, or one that broke */
 	int64_t aside_until_ms;
+	int64_t heard_ms; /* it last said anything to this node; 0: never */
+	/* By priority: the newest sending that it has begun to answer. */
+	int64_t begun_ms[PRIORITIES];
 	int64_t load_at_ms; /* when its own word on its load came; 0: never */
 	double load;        /* running and waiting by that */
 	int64_t load_own;   /* requests of this node there at that time */
@@ -171,6 +177,12 @@
 /* What an attempt showed of the target. */
 void pool_note(struct target *t, bool ok);
 void pool_note_fault(struct target *t);
+/* It says nothing to anybody: take others while there are any. */
+void pool_set_aside(struct target *t);
+/* It has begun to answer what was sent then. */
+void pool_note_begun(struct target *t, int priority, int64_t sent_ms);
+/* The newest such sending that was no more urgent. */
+int64_t pool_begun_ms(const struct target *t, int priority);
 void pool_note_load(struct target *t, struct str load);
 void pool_sweep(struct traffic *tr);
 struct retry_window *pool_retries(struct traffic *tr, struct str service);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -281,15 +281,37 @@
 		t->aside_until_ms = 0;
 }
 
+void pool_set_aside(struct target *t)
+{
+	int64_t now = time_boot_ms();
+
+	if (t->aside_until_ms <= now)
+		log_event(EV_TARGET_DOWN,
+			  "target=" STR_FMT " faults=%d silent_ms=%d",
+			  STR_ARG(t->info.name), t->faults,
+			  t->heard_ms ? (int)(now - t->heard_ms) : -1);
+	t->aside_until_ms = now + ASIDE_MS;
+}
+
 void pool_note_fault(struct target *t)
 {
 	t->errors += ERROR_WEIGHT * (1.0 - t->errors);
-	if (++t->faults < FAULTS_MAX)
-		return;
-	if (t->aside_until_ms <= time_boot_ms())
-		log_event(EV_TARGET_DOWN, "target=" STR_FMT " faults=%d",
-			  STR_ARG(t->info.name), t->faults);
-	t->aside_until_ms = time_boot_ms() + ASIDE_MS;
+	if (++t->faults >= FAULTS_MAX)
+		pool_set_aside(t);
+}
+
+void pool_note_begun(struct target *t, int priority, int64_t sent_ms)
+{
+	t->begun_ms[priority] = MAX(t->begun_ms[priority], sent_ms);
+}
+
+int64_t pool_begun_ms(const struct target *t, int priority)
+{
+	int64_t newest = 0;
+
+	for (int i = priority; i < PRIORITIES; i++)
+		newest = MAX(newest, t->begun_ms[i]);
+	return newest;
 }
 
 void pool_note_load(struct target *t, struct str load)
--- a/entry/send.c
+++ b/entry/send.c
@@ -8,11 +8,11 @@
 	return false;
 }
 
-static int priority_of(const struct exchange *x)
+int exchange_priority(const struct exchange *x)
 {
 	if (x->owner && x->owner->priority >= 0)
-		return MIN(x->owner->priority, 9);
-	return CLAMP(x->route->priority, 0, 9);
+		return MIN(x->owner->priority, PRIORITIES - 1);
+	return CLAMP(x->route->priority, 0, PRIORITIES - 1);
 }
 
 void exchange_send(struct exchange *x)
@@ -44,7 +44,7 @@
 	buf_header(&b, d->expected_target, x->target->info.name);
 	if (x->service->model)
 		buf_fmt(&b, STR_FMT ": %d\r\n", STR_ARG(d->priority),
-			priority_of(x));
+			exchange_priority(x));
 	buf_fmt(&b, STR_FMT ": %" G_GINT64_FORMAT "\r\n", STR_ARG(d->deadline),
 		MAX(exchange_left_ms(x), 1));
 	if (x->body.len || m->has_body || !str_eq(m->method, STR_LIT("GET")))
--- a/route/route.h
+++ b/route/route.h
@@ -485,6 +485,32 @@
 /* Take one repeat; false when the window allows none. */
 bool retry_window_take(struct retry_window *s, int64_t now_ms);
 
+/*
+ * wait.c: whether a target that has not begun to answer is still waited for.
+ * For targets that went dark and for those that lose single requests; one that
+ * is only busy goes on with what it got before, and keeps its requests.
+ */
+struct wait_state {
+	int64_t sent_ms;
+	int64_t heard_ms; /* the target last said anything; 0: never */
+	/* The newest sending, no more urgent, that it has begun to answer. */
+	int64_t begun_ms;
+	int64_t patience_ms;
+};
+
+enum wait_sign {
+	WAIT_BUSY,      /* none: wait on */
+	WAIT_SILENT,    /* it says nothing to anybody */
+	WAIT_OVERTAKEN, /* what was sent much later was begun before */
+};
+
+/*
+ * How long silence is no sign, for work that is wanted within aim_ms and that
+ * ends in left_ms.
+ */
+int64_t wait_patience_ms(int64_t aim_ms, int64_t left_ms);
+enum wait_sign wait_sign(const struct wait_state *w, int64_t now_ms);
+
 /* kv.c */
 
 struct kv_costs {
