entry: let a target fetch a prompt from the one that holds it

Work moves off its usual target when that is full, leaves or has just joined, and the next one read the whole prompt anew: some 130 ms for a long one. By the users' prices a token that is copied costs a sixth of one that is read again.

Ruled out: looser bounds on load, which keep work at its target and make it wait; following the targets' cache events, of which each target keeps two listeners for all nodes.

Change: place_source names the target where work of the key usually goes, by the same rendezvous order on every node, leaving ones included, broken and silent ones not; the request tells the chosen target to fetch there. Nothing is told when the chosen one is that target, or where targets of the service have no link for it. The log's last line of a request names the source.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -57,6 +57,7 @@
 	struct str name;
 	int64_t connections_max; /* that a target takes from all callers */
 	bool model;              /* its targets read prompts */
+	bool fetches;            /* and fetch them from each other */
 };
 
 struct entry_organisation {
@@ -167,6 +168,7 @@
 	struct str prompt_parts; /* ID:TOKENS, with commas between */
 	struct str priority;
 	struct str last_event;
+	struct str fetch_from; /* IP:PORT of a target that holds the prompt */
 	/* Headers that only the entry may set; a caller's are dropped. */
 	const struct str *reserved;
 	size_t reserved_count;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -59,12 +59,14 @@
 	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
 	log_event(EV_REQUEST_ENDED,
 		  "request=" STR_FMT " route=" STR_FMT
-		  " prompt=%x target=" STR_FMT
+		  " prompt=%x shared=%d target=" STR_FMT " source=" STR_FMT
 		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
 		  "cause=%s config=%d config_age_ms=%d",
 		  STR_ARG(x->id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
-		  (unsigned)x->prompt.key, STR_ARG(x->last_target), status, how,
+		  (unsigned)x->prompt.key, (int)x->prompt.shared_tokens,
+		  STR_ARG(x->last_target),
+		  STR_ARG(x->last_source), status, how,
 		  (int)(now - x->arrived_ms), x->sends, x->runs,
 		  (int)x->cut.events, x->cause ? x->cause : "-",
 		  x->config ? (int)x->config->version : 0,
@@ -298,6 +300,7 @@
 	if (!may_go_on(x, x->runs + 1) || !pay_repeat(x))
 		return false;
 	x->cause = cause;
+	x->target->broke = true;
 	pool_note(x->target, false);
 	go_on(x, true, false);
 	return true;
@@ -348,6 +351,7 @@
 		pool_note_fault(x->target);
 	else
 		pool_note(x->target, false);
+	x->target->broke = true;
 	if (!go_on(x, arrived, arrived))
 		give_up(x);
 }
@@ -379,6 +383,7 @@
 	struct str echo = message_header(m, x->tr->d->request_id);
 
 	x->target->heard_ms = time_boot_ms();
+	x->target->broke = false;
 	x->other_answer = echo.len && !str_eq(echo, x->id);
 	if (x->other_answer) {
 		metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
@@ -528,8 +533,9 @@
 
 static void attempt(struct exchange *x)
 {
-	struct target *t = pool_choose(x->tr, x->service->name, &x->prompt,
-				       x->tried, (size_t)x->sends);
+	struct target *source;
+	struct target *t = pool_choose(x->tr, x->service, &x->prompt, x->tried,
+				       (size_t)x->sends, &source);
 
 	if (!t) {
 		x->cause = "no_target";
@@ -541,6 +547,8 @@
 	}
 	x->target = t;
 	x->last_target = str_dup(x->arena, t->info.name);
+	x->last_source = source ? str_dup(x->arena, source->info.name)
+				: (struct str)STR_LIT("-");
 	pool_running(t, 1);
 	x->tried[x->sends++] = t->info.id;
 	x->link = pool_link(t, &x->reused);
@@ -553,7 +561,7 @@
 	link_use(x->link, &link_ops, x);
 	link_no_body(x->link, is_head_request(x));
 	/* On a new connection the bytes leave once it is open. */
-	exchange_send(x);
+	exchange_send(x, source);
 	x->sent_ms = time_boot_ms();
 	x->patience_ms =
 		wait_patience_ms(x->route->aim_ms, x->deadline_ms - x->sent_ms);
@@ -576,6 +584,7 @@
 	x->config = tr->config ? entry_config_ref(tr->config) : NULL;
 	x->id = message_header(m, tr->d->request_id);
 	x->last_target = (struct str)STR_LIT("-");
+	x->last_source = x->last_target;
 	x->cut.number = -1;
 	ev_init(&x->timer, on_timer);
 	x->timer.data = x;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -27,6 +27,7 @@
 	/* The attempt in progress. */
 	struct target *target;
 	struct str last_target; /* its name, or that of the one before */
+	struct str last_source; /* where that was to fetch the prompt, or - */
 	struct link *link;
 	bool reused;
 	int64_t sent_ms;
@@ -59,7 +60,10 @@
 
 /* How urgent the request is, 0 the most, by its owner and route. */
 int exchange_priority(const struct exchange *x);
-/* send.c: write the request to the attempt's link as the target gets it. */
-void exchange_send(struct exchange *x);
+/*
+ * send.c: write the request to the attempt's link as the target gets it, which
+ * fetches the prompt from source, unless that is NULL.
+ */
+void exchange_send(struct exchange *x, const struct target *source);
 
 #endif
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -44,6 +44,7 @@
 	double errors;     /* recent part of failures, 0 to 1 */
 	int faults;        /* in a row: no connection, or one that broke */
 	int64_t aside_until_ms;
+	bool broke;       /* the last that was seen of it is a failure */
 	int64_t heard_ms; /* it last said anything to this node; 0: never */
 	/* By priority: the newest sending that it has begun to answer. */
 	int64_t begun_ms[PRIORITIES];
@@ -165,10 +166,13 @@
 void pool_take(struct traffic *tr, struct target_list *l);
 void pool_init(struct traffic *tr);
 void pool_free(struct traffic *tr);
-/* A target for the request, or NULL; tried ones are taken last. */
-struct target *pool_choose(struct traffic *tr, struct str service,
+/*
+ * A target for the request, or NULL; tried ones are taken last. source is set
+ * to the target from which it had better fetch the prompt, or NULL.
+ */
+struct target *pool_choose(struct traffic *tr, const struct entry_service *s,
 			   const struct prompt *prompt, const uint64_t *tried,
-			   size_t tried_count);
+			   size_t tried_count, struct target **source);
 /* An idle connection, or a new one, or NULL. */
 struct link *pool_link(struct target *t, bool *reused);
 /* Take back a connection that can carry another request. */
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -159,11 +159,11 @@
 	return MAX(told, own);
 }
 
-struct target *pool_choose(struct traffic *tr, struct str service,
+struct target *pool_choose(struct traffic *tr, const struct entry_service *s,
 			   const struct prompt *prompt, const uint64_t *tried,
-			   size_t tried_count)
+			   size_t tried_count, struct target **source)
 {
-	size_t most = g_hash_table_size(tr->targets), n = 0, at;
+	size_t most = g_hash_table_size(tr->targets), n = 0, staying = 0, at;
 	struct place_target *p = g_newa(struct place_target, most + 1);
 	struct target **by = g_newa(struct target *, most + 1);
 	int64_t now = time_boot_ms();
@@ -176,21 +176,29 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct target *t = v;
 
-		if (!t->listed || t->info.leaving ||
-		    !str_eq(t->info.service, service))
+		if (!t->listed || !str_eq(t->info.service, s->name))
 			continue;
 		by[n] = t;
 		p[n] = (struct place_target){
-			t->info.id, load_of(t, now),
-			t->joined_ms ? place_weight(now - t->joined_ms) : 1,
-			t->aside_until_ms > now};
-		errors += t->errors;
+			.id = t->info.id,
+			.load = load_of(t, now),
+			.weight = t->joined_ms
+					  ? place_weight(now - t->joined_ms)
+					  : 1,
+			.aside = t->aside_until_ms > now,
+			.leaving = t->info.leaving,
+			.gives = !t->broke && t->aside_until_ms <= now,
+		};
 		n++;
+		if (t->info.leaving)
+			continue;
+		errors += t->errors;
+		staying++;
 	}
 	for (size_t i = 0; i < n; i++) {
-		double others =
-			n > 1 ? (errors - by[i]->errors) / (double)(n - 1)
-			      : by[i]->errors;
+		double others = staying > 1 ? (errors - by[i]->errors) /
+						      (double)(staying - 1)
+					    : by[i]->errors;
 
 		if (by[i]->errors > others + ERROR_EXCESS)
 			p[i].aside = true;
@@ -202,7 +210,15 @@
 				  tr->set->bounds_load_factor);
 	at = place_choose(&limits, prompt->key, p, n,
 			  (struct route_random){next_random, tr->rand});
-	return at == SIZE_MAX ? NULL : by[at];
+	*source = NULL;
+	if (at == SIZE_MAX)
+		return NULL;
+	if (s->fetches) {
+		size_t from = place_source(prompt->key, p, n, at);
+
+		*source = from == SIZE_MAX ? NULL : by[from];
+	}
+	return by[at];
 }
 
 struct link *pool_link(struct target *t, bool *reused)
@@ -285,6 +301,7 @@
 {
 	int64_t now = time_boot_ms();
 
+	t->broke = true;
 	if (t->aside_until_ms <= now)
 		log_event(EV_TARGET_DOWN,
 			  "target=" STR_FMT " faults=%d silent_ms=%d",
@@ -295,6 +312,7 @@
 
 void pool_note_fault(struct target *t)
 {
+	t->broke = true;
 	t->errors += ERROR_WEIGHT * (1.0 - t->errors);
 	if (++t->faults >= FAULTS_MAX)
 		pool_set_aside(t);
--- a/entry/send.c
+++ b/entry/send.c
@@ -1,3 +1,5 @@
+#include <arpa/inet.h>
+
 #include "entry/exchange.h"
 
 static bool is_reserved(const struct dialect *d, struct str name)
@@ -15,7 +17,17 @@
 	return CLAMP(x->route->priority, 0, PRIORITIES - 1);
 }
 
-void exchange_send(struct exchange *x)
+static void add_address(struct buf *b, struct str name,
+			const struct sockaddr_in *at)
+{
+	char ip[INET_ADDRSTRLEN] = "";
+
+	inet_ntop(AF_INET, &at->sin_addr, ip, sizeof(ip));
+	buf_fmt(b, STR_FMT ": %s:%d\r\n", STR_ARG(name), ip,
+		ntohs(at->sin_port));
+}
+
+void exchange_send(struct exchange *x, const struct target *source)
 {
 	const struct dialect *d = x->tr->d;
 	const struct message *m = x->rq;
@@ -45,6 +57,8 @@
 	if (x->service->model)
 		buf_fmt(&b, STR_FMT ": %d\r\n", STR_ARG(d->priority),
 			exchange_priority(x));
+	if (source)
+		add_address(&b, d->fetch_from, &source->info.address);
 	buf_fmt(&b, STR_FMT ": %" G_GINT64_FORMAT "\r\n", STR_ARG(d->deadline),
 		MAX(exchange_left_ms(x), 1));
 	if (x->body.len || m->has_body || !str_eq(m->method, STR_LIT("GET")))
--- a/route/place.c
+++ b/route/place.c
@@ -47,13 +47,19 @@
 	return -w / log(((double)(r.score >> 11) + 0.5) / (double)(1LL << 53));
 }
 
+/* Whether a target may get work; those aside only when there are no others. */
+static bool may_take(const struct place_target *t, bool aside)
+{
+	return !t->leaving && (!t->aside || aside);
+}
+
 static double mean_load(const struct place_target *t, size_t n, bool aside)
 {
 	double sum = 0;
 	size_t k = 0;
 
 	for (size_t i = 0; i < n; i++) {
-		if (t[i].aside && !aside)
+		if (!may_take(&t[i], aside))
 			continue;
 		sum += t[i].load;
 		k++;
@@ -71,7 +77,7 @@
 	for (size_t i = 0; i < n; i++) {
 		double x;
 
-		if ((t[i].aside && !aside) || t[i].load + 1 > bound)
+		if (!may_take(&t[i], aside) || t[i].load + 1 > bound)
 			continue;
 		x = score(key, t[i].id, weighted ? t[i].weight : 1);
 		if (best == SIZE_MAX || x > top) {
@@ -89,7 +95,7 @@
 	unsigned ties = 0;
 
 	for (size_t i = 0; i < n; i++) {
-		if (t[i].aside && !aside)
+		if (!may_take(&t[i], aside))
 			continue;
 		if (best != SIZE_MAX && t[i].load > t[best].load)
 			continue;
@@ -123,3 +129,24 @@
 		i = best_of_key(t, n, aside, key, false, bound);
 	return i != SIZE_MAX ? i : least(t, n, aside, random);
 }
+
+size_t place_source(uint64_t key, const struct place_target *t, size_t n,
+		    size_t chosen)
+{
+	size_t best = SIZE_MAX;
+	double top = 0, x;
+
+	if (!key)
+		return SIZE_MAX;
+	for (size_t i = 0; i < n; i++) {
+		/* A target that has just joined wins keys that it lacks. */
+		if (!t[i].gives || (i == chosen && t[i].weight < 1))
+			continue;
+		x = score(key, t[i].id, t[i].weight);
+		if (best == SIZE_MAX || x > top) {
+			best = i;
+			top = x;
+		}
+	}
+	return best == chosen ? SIZE_MAX : best;
+}
--- a/route/route.h
+++ b/route/route.h
@@ -437,6 +437,8 @@
 	 */
 	double weight;
 	bool aside; /* errs, or was tried for this request */
+	bool leaving; /* takes nothing new */
+	bool gives;   /* others can fetch from it what it has read */
 };
 
 struct place_limits {
@@ -461,6 +463,13 @@
 size_t place_choose(const struct place_limits *l, uint64_t key,
 		    const struct place_target *t, size_t n,
 		    struct route_random random);
+/*
+ * From which target the chosen one had better fetch what it lacks of the key's
+ * prompt: the one where work of the key usually goes. SIZE_MAX when that is the
+ * chosen one, or gives nothing.
+ */
+size_t place_source(uint64_t key, const struct place_target *t, size_t n,
+		    size_t chosen);
 /* Weight of a target that joined so long ago. */
 double place_weight(int64_t joined_for_ms);
 
--- a/route/test-place-load.c
+++ b/route/test-place-load.c
@@ -60,8 +60,12 @@
 		place_limits_for(key < KEYS ? 10000 : 700, FACTOR);
 
 	for (int i = 0; i < TARGETS; i++)
-		t[i] = (struct place_target){(uint64_t)i * 17 + 5,
-					     load_of(w, node, i), 1, false};
+		t[i] = (struct place_target){
+			.id = (uint64_t)i * 17 + 5,
+			.load = load_of(w, node, i),
+			.weight = 1,
+			.gives = true,
+		};
 	return (int)place_choose(&l, w->naive ? 0 : (uint64_t)key + 1000, t,
 				 TARGETS, random_of(w->rand));
 }
--- a/route/test-place.c
+++ b/route/test-place.c
@@ -13,7 +13,12 @@
 static void fill(struct place_target *t, double load)
 {
 	for (size_t i = 0; i < TARGETS; i++)
-		t[i] = (struct place_target){i * 11 + 3, load, 1, false};
+		t[i] = (struct place_target){
+			.id = i * 11 + 3,
+			.load = load,
+			.weight = 1,
+			.gives = true,
+		};
 }
 
 /* One key always gets the same target while that has room. */
@@ -188,6 +193,70 @@
 	}
 }
 
+/* Where a prompt is fetched from, whatever makes its key move. */
+static void test_source(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_target t[TARGETS];
+
+	for (uint64_t key = 1; key < 200; key++) {
+		size_t home, other;
+
+		fill(t, 5);
+		home = choose(key, t, TARGETS, r);
+		g_assert_cmpuint(place_source(key, t, TARGETS, home), ==,
+				 SIZE_MAX);
+		/* Full: its work goes elsewhere and takes the prompt along. */
+		t[home].load = 50;
+		other = choose(key, t, TARGETS, r);
+		g_assert_cmpuint(other, !=, home);
+		g_assert_cmpuint(place_source(key, t, TARGETS, other), ==,
+				 home);
+		/* Leaving: it takes nothing and still gives. */
+		fill(t, 5);
+		t[home].leaving = true;
+		g_assert_cmpuint(choose(key, t, TARGETS, r), !=, home);
+		g_assert_cmpuint(place_source(key, t, TARGETS, other), ==,
+				 home);
+		/* Broken: nobody asks it. */
+		t[home].gives = false;
+		g_assert_cmpuint(place_source(key, t, TARGETS, other), !=,
+				 home);
+		/* Without a key nothing is shared. */
+		g_assert_cmpuint(place_source(0, t, TARGETS, other), ==,
+				 SIZE_MAX);
+	}
+	g_rand_free(r);
+}
+
+/* What a newcomer wins it fetches from the target that had it before. */
+static void test_source_of_newcomer(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_target t[TARGETS];
+	int won = 0;
+
+	for (uint64_t key = 1; key < 400; key++) {
+		size_t before, now;
+
+		fill(t, 5);
+		t[4].weight = 0.5;
+		now = choose(key, t, TARGETS, r);
+		t[4].leaving = true;
+		t[4].gives = false;
+		before = choose(key, t, TARGETS, r);
+		t[4].leaving = false;
+		t[4].gives = true;
+		if (now != 4)
+			continue;
+		won++;
+		g_assert_cmpuint(place_source(key, t, TARGETS, now), ==,
+				 before);
+	}
+	g_assert_cmpint(won, >, 0);
+	g_rand_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -199,5 +268,8 @@
 	g_test_add_func("/route/place/joins", test_joins);
 	g_test_add_func("/route/place/full-uses-new", test_full_uses_new);
 	g_test_add_func("/route/place/short-first", test_short_moves_first);
+	g_test_add_func("/route/place/source", test_source);
+	g_test_add_func("/route/place/source-of-newcomer",
+			test_source_of_newcomer);
 	return g_test_run();
 }
