entry: tell other nodes which targets hold which prompts

After a loss of all nodes, targets that had joined lately counted as old ones and won keys whose prompts were elsewhere.

Ruled out: cache events (two listeners a target for all nodes).

Change: the prefix index keeps all holders of a part (eight at most). A node notes the parts of a prompt when a target begins its answer, and tells what is new in its next datagram of loads, 24 parts at most. place_source asks a known holder of the longest part first, then the usual target, then a holder of a shorter part. Targets of the first list are as old as their own word says.

The naive model of the prefix test now keeps all holders, in order.

Most of what is read again has another cause, not found yet.

--- a/entry/bind.c
+++ b/entry/bind.c
@@ -3,15 +3,25 @@
 
 #include "entry/exchange.h"
 
+/* Put the hash of a part before those of the shorter ones. */
+static void add_part(struct prompt *p, struct str part)
+{
+	memmove(&p->parts[1], &p->parts[0],
+		(PROMPT_PARTS - 1) * sizeof(p->parts[0]));
+	p->parts[0] = str_hash(part, 0);
+	p->part_count = MIN(p->part_count + 1, PROMPT_PARTS);
+}
+
 /*
  * Read the prompt's parts, ID:TOKENS with commas between. The last one is the
  * request's own; when it is the only one it may come back with the chat.
  */
 static struct prompt read_prompt(struct str parts)
 {
-	struct str shared = {NULL, 0}, last = {NULL, 0};
 	const char *p = parts.data, *end = parts.data + parts.len;
-	int64_t before = 0, tokens = 0;
+	struct prompt out = {0};
+	struct str last = {NULL, 0};
+	int64_t tokens = 0;
 
 	while (p && p < end) {
 		const char *comma = memchr(p, ',', (size_t)(end - p));
@@ -19,18 +29,20 @@
 		const char *colon = memchr(p, ':', (size_t)(stop - p));
 		int64_t n = 0;
 
+		if (last.len)
+			add_part(&out, last);
+		out.shared_tokens = tokens;
 		if (colon)
 			n = str_number((struct str){
 				colon + 1, (size_t)(stop - colon - 1)});
-		shared = last;
 		last = (struct str){p, (size_t)((colon ? colon : stop) - p)};
-		before = tokens;
 		tokens += MAX(n, 0);
 		p = stop + 1;
 	}
-	if (!shared.len)
-		shared = last;
-	return (struct prompt){shared.len ? str_hash(shared, 0) : 0, before};
+	if (!out.part_count && last.len)
+		add_part(&out, last);
+	out.key = out.part_count ? out.parts[0] : 0;
+	return out;
 }
 
 static struct str host_of(void *arena, struct str host)
--- a/entry/control.c
+++ b/entry/control.c
@@ -155,6 +155,12 @@
 	send_peer(c, from, &m);
 }
 
+static void take_loads(struct control *c, const struct load_news *m)
+{
+	loads_heard(c->e->loads, time_boot_ms(), m);
+	holds_heard(c->e->holds, m->held.held_val, m->held.held_len);
+}
+
 static void take_peer(struct control *c, const struct sockaddr_in *from,
 		      const char *p, size_t n)
 {
@@ -166,8 +172,7 @@
 	if (!xdr_peer_message(&x, &m))
 		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
 	else if (m.kind == PEER_LOADS)
-		loads_heard(c->e->loads, time_boot_ms(),
-			    &m.peer_message_u.loads);
+		take_loads(c, &m.peer_message_u.loads);
 	else if (m.kind == PEER_ASK)
 		answer(c, from, &m.peer_message_u.ask);
 	else
@@ -254,6 +259,7 @@
 {
 	uint64_t self = member_id(c->e->set.node_name);
 	struct load_entry entries[LOADS_ENTRIES_MAX];
+	struct held_entry held[HELD_MAX];
 	struct peer_message m = {.kind = PEER_LOADS};
 
 	if (now_ms < c->tell_at_ms)
@@ -262,6 +268,9 @@
 	loads_set_pause(c->e->loads, tell_pause_ms(l->n));
 	if (!loads_next(c->e->loads, now_ms, &m.peer_message_u.loads, entries))
 		return;
+	m.peer_message_u.loads.held.held_val = held;
+	m.peer_message_u.loads.held.held_len =
+		(u_int)holds_next(c->e->holds, held);
 	for (size_t i = 0; i < l->n; i++)
 		if (l->v[i].id != self)
 			send_peer(c, &l->v[i].loads, &m);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -248,6 +248,7 @@
 	e->control_address = g_strdup_printf("%s:%d", e->set.node_ip,
 					     (int)e->set.peers_port);
 	e->loads = loads_new(member_id(e->set.node_name));
+	e->holds = holds_new();
 	traffic_init(e);
 	if (open_ports(&e->tr, &why))
 		e->control = control_new(e, &why);
@@ -302,6 +303,7 @@
 	later_end(tr->loop);
 	ev_loop_destroy(tr->loop);
 	loads_free(e->loads);
+	holds_free(e->holds);
 	g_free(e->control_address);
 	g_free(e);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -97,6 +97,7 @@
 	struct str zone;
 	struct sockaddr_in address;
 	int64_t slots;
+	int64_t born_ms; /* wall-clock time of its start; 0: not told */
 	bool leaving;
 };
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -65,8 +65,7 @@
 		  STR_ARG(x->id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
 		  (unsigned)x->prompt.key, (int)x->prompt.shared_tokens,
-		  STR_ARG(x->last_target),
-		  STR_ARG(x->last_source), status, how,
+		  STR_ARG(x->last_target), STR_ARG(x->last_source), status, how,
 		  (int)(now - x->arrived_ms), x->sends, x->runs,
 		  (int)x->cut.events, x->cause ? x->cause : "-",
 		  x->config ? (int)x->config->version : 0,
@@ -400,6 +399,8 @@
 	pool_note_load(x->target, message_header(m, x->tr->d->load));
 	x->streaming = is_event_stream(x) && m->status == 200 && echo.len &&
 		       is_sound(x);
+	if (x->streaming && x->service->model)
+		holds_note(x->tr->e->holds, &x->prompt, x->target->info.id);
 	return true;
 }
 
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -23,10 +23,16 @@
 	ev_io io;
 };
 
+/* Parts of a prompt that are looked at: the longest ones that others have. */
+#define PROMPT_PARTS 4
+
 /* What a request's prompt has in common with others. */
 struct prompt {
 	uint64_t key; /* hash of its longest part that others have; 0: none */
 	int64_t shared_tokens; /* up to the end of that part */
+	/* Hashes of the parts that others have, the longest first. */
+	uint64_t parts[PROMPT_PARTS];
+	size_t part_count;
 };
 
 /* Ranks of urgency, from 0, the most urgent. */
@@ -37,7 +43,7 @@
 	void *arena;
 	struct target_info info;
 	struct traffic *tr;
-	int64_t joined_ms; /* when it was first listed; 0: before we were */
+	int64_t joined_ms; /* when it was first listed; 0: not known */
 	bool listed;       /* in the newest list */
 	int running;       /* requests of this node there */
 	GQueue *idle;      /* struct idle, the last used first */
@@ -95,6 +101,7 @@
 	struct entry_settings set; /* texts are the options' */
 	struct traffic tr;
 	struct loads *loads;
+	struct holds *holds;
 	struct control *control;
 	char *control_address;
 
@@ -191,6 +198,22 @@
 void pool_sweep(struct traffic *tr);
 struct retry_window *pool_retries(struct traffic *tr, struct str service);
 
+/* holds.c: which targets hold which parts of prompts, as far as known here. */
+struct holds;
+struct held_entry;
+
+struct holds *holds_new(void);
+void holds_free(struct holds *h);
+/* The target has read the prompt at this node's request. */
+void holds_note(struct holds *h, const struct prompt *p, uint64_t target);
+/* Another node has told so; of the control thread, as the next one. */
+void holds_heard(struct holds *h, const struct held_entry *v, size_t n);
+/* What is to be told to the others, HELD_MAX at most; returns the number. */
+size_t holds_next(struct holds *h, struct held_entry *out);
+/* See place_source. */
+size_t holds_source(struct holds *h, const struct prompt *p,
+		    const struct place_target *t, size_t n, size_t chosen);
+
 /* control.c */
 struct control *control_new(struct entry *e, GError **err);
 void *control_run(void *control);
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -17,6 +17,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_held_entry (XDR *xdrs, held_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_load_news (XDR *xdrs, load_news *objp)
 {
@@ -33,6 +45,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOADS_MAX,
 		sizeof (load_entry), (xdrproc_t) xdr_load_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, HELD_MAX,
+		sizeof (held_entry), (xdrproc_t) xdr_held_entry))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -14,6 +14,7 @@
 #endif
 
 #define LOADS_MAX 120
+#define HELD_MAX 24
 
 struct load_entry {
 	u_quad_t target;
@@ -21,6 +22,12 @@
 };
 typedef struct load_entry load_entry;
 
+struct held_entry {
+	u_quad_t part;
+	u_quad_t target;
+};
+typedef struct held_entry held_entry;
+
 struct load_news {
 	u_quad_t node;
 	u_quad_t seq;
@@ -30,6 +37,10 @@
 		u_int entries_len;
 		load_entry *entries_val;
 	} entries;
+	struct {
+		u_int held_len;
+		held_entry *held_val;
+	} held;
 };
 typedef struct load_news load_news;
 
@@ -89,6 +100,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_load_entry (XDR *, load_entry*);
+extern  bool_t xdr_held_entry (XDR *, held_entry*);
 extern  bool_t xdr_load_news (XDR *, load_news*);
 extern  bool_t xdr_store_ask (XDR *, store_ask*);
 extern  bool_t xdr_target_news (XDR *, target_news*);
@@ -98,6 +110,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_load_entry ();
+extern bool_t xdr_held_entry ();
 extern bool_t xdr_load_news ();
 extern bool_t xdr_store_ask ();
 extern bool_t xdr_target_news ();
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -96,6 +96,20 @@
 	g_hash_table_foreach_remove(tr->targets, is_unused, NULL);
 }
 
+/*
+ * When the target joined. Those of the first list were there before this
+ * process, and their own word tells for how long, as the other nodes saw it.
+ */
+static int64_t joined_ms(const struct traffic *tr, const struct target_info *t)
+{
+	int64_t now = time_boot_ms();
+
+	if (tr->list)
+		return now;
+	/* A time of day that jumped makes it as new as can be, or old. */
+	return t->born_ms ? now - MAX(time_now_ms() - t->born_ms, 0) : 0;
+}
+
 void pool_take(struct traffic *tr, struct target_list *l)
 {
 	GHashTableIter it;
@@ -110,8 +124,7 @@
 
 		if (!t) {
 			t = target_new(tr, &l->v[i]);
-			/* Those of the first list have been there before. */
-			t->joined_ms = tr->list ? time_boot_ms() : 0;
+			t->joined_ms = joined_ms(tr, &l->v[i]);
 			g_hash_table_insert(tr->targets, &t->info.id, t);
 		}
 		t->listed = true;
@@ -214,7 +227,7 @@
 	if (at == SIZE_MAX)
 		return NULL;
 	if (s->fetches) {
-		size_t from = place_source(prompt->key, p, n, at);
+		size_t from = holds_source(tr->e->holds, prompt, p, n, at);
 
 		*source = from == SIZE_MAX ? NULL : by[from];
 	}
--- a/route/place.c
+++ b/route/place.c
@@ -130,14 +130,13 @@
 	return i != SIZE_MAX ? i : least(t, n, aside, random);
 }
 
-size_t place_source(uint64_t key, const struct place_target *t, size_t n,
-		    size_t chosen)
+/* The target where work of the key usually goes, if others can fetch there. */
+static size_t home_of(uint64_t key, const struct place_target *t, size_t n,
+		      size_t chosen)
 {
 	size_t best = SIZE_MAX;
 	double top = 0, x;
 
-	if (!key)
-		return SIZE_MAX;
 	for (size_t i = 0; i < n; i++) {
 		/* A target that has just joined wins keys that it lacks. */
 		if (!t[i].gives || (i == chosen && t[i].weight < 1))
@@ -150,3 +149,34 @@
 	}
 	return best == chosen ? SIZE_MAX : best;
 }
+
+static size_t known_holder(uint64_t part, const struct prefix_index *index,
+			   const struct place_target *t, size_t n)
+{
+	uint64_t held[PREFIX_HOLDERS];
+	size_t k = prefix_index_holders(index, part, held);
+
+	for (size_t h = 0; h < k; h++)
+		for (size_t i = 0; i < n; i++)
+			if (t[i].id == held[h] && t[i].gives)
+				return i;
+	return SIZE_MAX;
+}
+
+size_t place_source(const uint64_t *parts, size_t part_count,
+		    const struct prefix_index *index,
+		    const struct place_target *t, size_t n, size_t chosen)
+{
+	for (size_t i = 0; i < part_count; i++) {
+		size_t from;
+
+		if (prefix_index_holds(index, parts[i], t[chosen].id))
+			return SIZE_MAX;
+		from = known_holder(parts[i], index, t, n);
+		if (from == SIZE_MAX && !i)
+			from = home_of(parts[i], t, n, chosen);
+		if (from != SIZE_MAX)
+			return from;
+	}
+	return SIZE_MAX;
+}
--- a/route/prefix.c
+++ b/route/prefix.c
@@ -1,15 +1,17 @@
 /*
  * The index is set-associative: each prefix has one bucket of WAYS entries,
- * and a full bucket drops the entry that was used longest ago. Lost events
+ * one for each target that holds it, and a full bucket drops the entry that
+ * was used longest ago. Lost events
  * leave entries that no longer hold; a request that follows one reads its
  * prefix again, and nothing else goes wrong.
  */
 #include <glib.h>
+#include <stdlib.h>
 #include <xxhash.h>
 
 #include "route/route.h"
 
-#define WAYS 8
+#define WAYS PREFIX_HOLDERS
 
 struct entry {
 	uint64_t prefix;
@@ -49,25 +51,22 @@
 	return &x->entries[h % x->buckets * WAYS];
 }
 
-static struct entry *find(const struct prefix_index *x, uint64_t prefix)
+static struct entry *find(const struct prefix_index *x, uint64_t prefix,
+			  uint64_t target)
 {
 	struct entry *b = bucket(x, prefix);
 
 	for (int i = 0; i < WAYS; i++)
-		if (b[i].target && b[i].prefix == prefix)
+		if (b[i].target == target && b[i].prefix == prefix)
 			return &b[i];
 	return NULL;
 }
 
-/* The entry of the prefix, or else the one to be replaced. */
-static struct entry *place(const struct prefix_index *x, uint64_t prefix)
+/* The entry to be replaced by a new one of the prefix. */
+static struct entry *spare(const struct prefix_index *x, uint64_t prefix)
 {
-	struct entry *e = find(x, prefix);
-	struct entry *b = bucket(x, prefix);
+	struct entry *b = bucket(x, prefix), *e = b;
 
-	if (e)
-		return e;
-	e = b;
 	for (int i = 0; i < WAYS; i++) {
 		if (!b[i].target)
 			return &b[i];
@@ -77,6 +76,47 @@
 	return e;
 }
 
+bool prefix_index_note(struct prefix_index *x, uint64_t prefix, uint64_t target)
+{
+	struct entry *e = find(x, prefix, target);
+
+	if (e) {
+		e->used = ++x->tick;
+		return false;
+	}
+	*spare(x, prefix) = (struct entry){prefix, target, ++x->tick};
+	return true;
+}
+
+bool prefix_index_holds(const struct prefix_index *x, uint64_t prefix,
+			uint64_t target)
+{
+	return find(x, prefix, target) != NULL;
+}
+
+static int by_use(const void *a, const void *b)
+{
+	const struct entry *p = a, *q = b;
+
+	return p->used < q->used ? 1 : -1;
+}
+
+size_t prefix_index_holders(const struct prefix_index *x, uint64_t prefix,
+			    uint64_t out[PREFIX_HOLDERS])
+{
+	const struct entry *b = bucket(x, prefix);
+	struct entry held[WAYS];
+	size_t n = 0;
+
+	for (int i = 0; i < WAYS; i++)
+		if (b[i].target && b[i].prefix == prefix)
+			held[n++] = b[i];
+	qsort(held, n, sizeof(held[0]), by_use);
+	for (size_t i = 0; i < n; i++)
+		out[i] = held[i].target;
+	return n;
+}
+
 /* Return: whether the event is newer than all that came before it. */
 static bool is_new(struct prefix_index *x, const struct cache_change *c)
 {
@@ -104,12 +144,11 @@
 	if (!c->target || !is_new(x, c))
 		return;
 	if (c->stored) {
-		*place(x, c->prefix) =
-			(struct entry){c->prefix, c->target, ++x->tick};
+		prefix_index_note(x, c->prefix, c->target);
 		return;
 	}
-	e = find(x, c->prefix);
-	if (e && e->target == c->target)
+	e = find(x, c->prefix, c->target);
+	if (e)
 		e->target = 0;
 }
 
@@ -124,14 +163,14 @@
 uint64_t prefix_index_find(struct prefix_index *x, const uint64_t *prefixes,
 			   size_t n, size_t *depth)
 {
-	for (size_t i = 0; i < n; i++) {
-		struct entry *e = find(x, prefixes[i]);
+	uint64_t held[PREFIX_HOLDERS];
 
-		if (!e)
+	for (size_t i = 0; i < n; i++) {
+		if (!prefix_index_holders(x, prefixes[i], held))
 			continue;
-		e->used = ++x->tick;
+		prefix_index_note(x, prefixes[i], held[0]);
 		*depth = i;
-		return e->target;
+		return held[0];
 	}
 	return 0;
 }
--- a/route/route.h
+++ b/route/route.h
@@ -347,7 +347,13 @@
 /* Returns false for anything that hint_encode does not give. */
 bool hint_decode(const char *s, size_t len, struct hint *out);
 
-/* prefix.c: which target holds which prefix, as far as events told. */
+/*
+ * prefix.c: which targets hold which prefix, as far as events told, or as
+ * requests were sent.
+ */
+
+/* Most targets that are kept for one prefix. */
+#define PREFIX_HOLDERS 8
 
 struct cache_change {
 	uint64_t target;
@@ -365,9 +371,17 @@
 void prefix_index_feed(struct prefix_index *x, const struct cache_change *c);
 /* The target has left or lost its memory. */
 void prefix_index_forget(struct prefix_index *x, uint64_t target);
+/* The target has read the prefix; returns whether that is news. */
+bool prefix_index_note(struct prefix_index *x, uint64_t prefix,
+		       uint64_t target);
+bool prefix_index_holds(const struct prefix_index *x, uint64_t prefix,
+			uint64_t target);
+/* Targets that hold the prefix, the last used first; returns their number. */
+size_t prefix_index_holders(const struct prefix_index *x, uint64_t prefix,
+			    uint64_t out[PREFIX_HOLDERS]);
 /*
  * Target that holds the longest of a chat's prefixes (hashes, longest first),
- * or 0. *depth is the index of that prefix.
+ * or 0; of several the last used. *depth is the index of that prefix.
  */
 uint64_t prefix_index_find(struct prefix_index *x, const uint64_t *prefixes,
 			   size_t n, size_t *depth);
@@ -436,7 +450,7 @@
 	 * joined and holds no prompt, 1 when it takes its full part.
 	 */
 	double weight;
-	bool aside; /* errs, or was tried for this request */
+	bool aside;   /* errs, or was tried for this request */
 	bool leaving; /* takes nothing new */
 	bool gives;   /* others can fetch from it what it has read */
 };
@@ -464,12 +478,14 @@
 		    const struct place_target *t, size_t n,
 		    struct route_random random);
 /*
- * From which target the chosen one had better fetch what it lacks of the key's
- * prompt: the one where work of the key usually goes. SIZE_MAX when that is the
- * chosen one, or gives nothing.
+ * From which target the chosen one had better fetch what it lacks of a prompt,
+ * whose shared parts are told longest first: one that the index knows to hold
+ * the longest, else the one where work of that part usually goes, else one that
+ * holds a shorter part. SIZE_MAX when nothing is known to be gained.
  */
-size_t place_source(uint64_t key, const struct place_target *t, size_t n,
-		    size_t chosen);
+size_t place_source(const uint64_t *parts, size_t part_count,
+		    const struct prefix_index *index,
+		    const struct place_target *t, size_t n, size_t chosen);
 /* Weight of a target that joined so long ago. */
 double place_weight(int64_t joined_for_ms);
 
--- a/route/test-place.c
+++ b/route/test-place.c
@@ -193,6 +193,17 @@
 	}
 }
 
+/* Where a prompt of one shared part is fetched from. */
+static size_t source_of(uint64_t key, const struct place_target *t,
+			size_t chosen)
+{
+	struct prefix_index *none = prefix_index_new(8);
+	size_t at = place_source(&key, key != 0, none, t, TARGETS, chosen);
+
+	prefix_index_free(none);
+	return at;
+}
+
 /* Where a prompt is fetched from, whatever makes its key move. */
 static void test_source(void)
 {
@@ -204,27 +215,22 @@
 
 		fill(t, 5);
 		home = choose(key, t, TARGETS, r);
-		g_assert_cmpuint(place_source(key, t, TARGETS, home), ==,
-				 SIZE_MAX);
+		g_assert_cmpuint(source_of(key, t, home), ==, SIZE_MAX);
 		/* Full: its work goes elsewhere and takes the prompt along. */
 		t[home].load = 50;
 		other = choose(key, t, TARGETS, r);
 		g_assert_cmpuint(other, !=, home);
-		g_assert_cmpuint(place_source(key, t, TARGETS, other), ==,
-				 home);
+		g_assert_cmpuint(source_of(key, t, other), ==, home);
 		/* Leaving: it takes nothing and still gives. */
 		fill(t, 5);
 		t[home].leaving = true;
 		g_assert_cmpuint(choose(key, t, TARGETS, r), !=, home);
-		g_assert_cmpuint(place_source(key, t, TARGETS, other), ==,
-				 home);
+		g_assert_cmpuint(source_of(key, t, other), ==, home);
 		/* Broken: nobody asks it. */
 		t[home].gives = false;
-		g_assert_cmpuint(place_source(key, t, TARGETS, other), !=,
-				 home);
+		g_assert_cmpuint(source_of(key, t, other), !=, home);
 		/* Without a key nothing is shared. */
-		g_assert_cmpuint(place_source(0, t, TARGETS, other), ==,
-				 SIZE_MAX);
+		g_assert_cmpuint(source_of(0, t, other), ==, SIZE_MAX);
 	}
 	g_rand_free(r);
 }
@@ -250,13 +256,49 @@
 		if (now != 4)
 			continue;
 		won++;
-		g_assert_cmpuint(place_source(key, t, TARGETS, now), ==,
-				 before);
+		g_assert_cmpuint(source_of(key, t, now), ==, before);
 	}
 	g_assert_cmpint(won, >, 0);
 	g_rand_free(r);
 }
 
+/* What is known of the holders goes before what is likely. */
+static void test_source_known(void)
+{
+	struct prefix_index *x = prefix_index_new(1024);
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_target t[TARGETS];
+	uint64_t parts[] = {300, 200, 100}; /* the longest first */
+	size_t home, a, b;
+
+	fill(t, 5);
+	home = choose(parts[0], t, TARGETS, r);
+	a = (home + 1) % TARGETS;
+	b = (home + 2) % TARGETS;
+	/* Nobody holds anything: its home has nowhere to fetch from. */
+	g_assert_cmpuint(place_source(parts, 3, x, t, TARGETS, home), ==,
+			 SIZE_MAX);
+	/* A shorter part is better than nothing. */
+	prefix_index_note(x, parts[2], t[a].id);
+	g_assert_cmpuint(place_source(parts, 3, x, t, TARGETS, home), ==, a);
+	/* Its home missed the longest one, which another target has read. */
+	prefix_index_note(x, parts[0], t[b].id);
+	g_assert_cmpuint(place_source(parts, 3, x, t, TARGETS, home), ==, b);
+	/* One that is gone, or broke, is not asked. */
+	t[b].gives = false;
+	g_assert_cmpuint(place_source(parts, 3, x, t, TARGETS, home), ==, a);
+	g_assert_cmpuint(place_source(parts, 3, x, t, TARGETS, b), ==,
+			 SIZE_MAX);
+	t[b].gives = true;
+	/* What it holds itself it does not fetch. */
+	prefix_index_note(x, parts[0], t[home].id);
+	g_assert_cmpuint(place_source(parts, 3, x, t, TARGETS, home), ==,
+			 SIZE_MAX);
+	g_assert_cmpuint(place_source(parts, 3, x, t, TARGETS, a), ==, home);
+	g_rand_free(r);
+	prefix_index_free(x);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -271,5 +313,6 @@
 	g_test_add_func("/route/place/source", test_source);
 	g_test_add_func("/route/place/source-of-newcomer",
 			test_source_of_newcomer);
+	g_test_add_func("/route/place/source-known", test_source_known);
 	return g_test_run();
 }
--- a/route/test-prefix.c
+++ b/route/test-prefix.c
@@ -1,30 +1,52 @@
+#include <string.h>
+
 #include "route/test-random.h"
 
 #define TARGETS  4
 #define PREFIXES 500
 
-/* Holder of each prefix by the events that came; 0: none. */
+/* Holders of each prefix by the events that came, the newest first. */
 struct naive {
-	uint64_t holder[PREFIXES];
+	uint64_t holders[PREFIXES][TARGETS + 1]; /* 0 ends the list */
 	uint64_t seq[TARGETS + 1];
 };
 
+static void drop_naive(uint64_t *list, uint64_t target)
+{
+	uint64_t *to = list;
+
+	for (; *list; list++)
+		if (*list != target)
+			*to++ = *list;
+	*to = 0;
+}
+
 static void feed_naive(struct naive *n, const struct cache_change *c)
 {
 	if (c->seq <= n->seq[c->target])
 		return;
 	n->seq[c->target] = c->seq;
-	if (c->stored)
-		n->holder[c->prefix] = c->target;
-	else if (n->holder[c->prefix] == c->target)
-		n->holder[c->prefix] = 0;
+	drop_naive(n->holders[c->prefix], c->target);
+	if (!c->stored)
+		return;
+	memmove(&n->holders[c->prefix][1], &n->holders[c->prefix][0],
+		(TARGETS - 1) * sizeof(uint64_t));
+	n->holders[c->prefix][0] = c->target;
+}
+
+static bool is_held(const struct naive *n, uint64_t prefix, uint64_t target)
+{
+	for (const uint64_t *p = n->holders[prefix]; *p; p++)
+		if (*p == target)
+			return true;
+	return false;
 }
 
 /* A tenth of the events is lost and some come twice or in the wrong order. */
 static void test_naive(void)
 {
 	GRand *r = g_rand_new_with_seed(51);
-	struct prefix_index *x = prefix_index_new(16384);
+	struct prefix_index *x = prefix_index_new(1 << 19);
 	struct naive n = {0};
 	uint64_t seq[TARGETS + 1] = {0};
 
@@ -38,7 +60,8 @@
 			.stored = g_rand_boolean(r),
 		};
 		uint64_t p = (uint64_t)g_rand_int_range(r, 0, PREFIXES);
-		size_t depth;
+		uint64_t held[PREFIX_HOLDERS];
+		size_t depth, count;
 
 		seq[t]++;
 		if (g_rand_int_range(r, 0, 10) == 0)
@@ -46,14 +69,20 @@
 		if (g_rand_int_range(r, 0, 5000) == 0) {
 			prefix_index_forget(x, t);
 			for (int k = 0; k < PREFIXES; k++)
-				if (n.holder[k] == t)
-					n.holder[k] = 0;
+				drop_naive(n.holders[k], t);
 			n.seq[t] = 0;
 		}
 		prefix_index_feed(x, &c);
 		feed_naive(&n, &c);
 		g_assert_cmpuint(prefix_index_find(x, &p, 1, &depth), ==,
-				 n.holder[p]);
+				 n.holders[p][0]);
+		count = prefix_index_holders(x, p, held);
+		for (size_t k = 0; k < count; k++)
+			g_assert_cmpuint(held[k], ==, n.holders[p][k]);
+		g_assert_cmpuint(n.holders[p][count], ==, 0);
+		for (uint64_t k = 1; k <= TARGETS; k++)
+			g_assert_cmpint(prefix_index_holds(x, p, k), ==,
+					is_held(&n, p, k));
 	}
 	prefix_index_free(x);
 	g_rand_free(r);
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -3,18 +3,26 @@
  * requests in progress at each target, and how new the store's content held is.
  */
 const LOADS_MAX = 120;
+const HELD_MAX = 24;
 
 struct load_entry {
 	unsigned hyper target;	/* hash of its id */
 	unsigned int running;	/* requests of the sender there */
 };
 
+/* A target has read a part of a prompt at the sender's request. */
+struct held_entry {
+	unsigned hyper part;	/* hash of its id */
+	unsigned hyper target;
+};
+
 struct load_news {
 	unsigned hyper node;	/* hash of the sender's name */
 	unsigned hyper seq;	/* grows with each datagram of a start */
 	unsigned hyper start;	/* when the sender started, wall-clock ms */
 	bool serving;		/* takes callers' requests now */
 	load_entry entries<LOADS_MAX>;
+	held_entry held<HELD_MAX>;	/* since the last one */
 };
 
 /* Asks what the receiver knows of the store; told of by store_word. */
