entry: keep the holders of prompts in the store

Also: requests that got no answer set targets aside for 1.5 s that were well: an application server that lost one answer (target_down with silent_ms near 400, five nodes, each second after 36 s).

Change: one node, the first of the readers, writes the newest 2,000 entries to a row of the store every 3 s when something is new; each node reads it once when it starts. A target counts as silent after two requests in a row.

--- a/entry/control.c
+++ b/entry/control.c
@@ -40,6 +40,7 @@
 	ev_async stop, leave;
 	uint8_t key[MEMBER_KEY_BYTES]; /* of an unauthenticated fleet: zeros */
 	struct follow *follow;
+	struct keep *keep;
 	uint64_t view;
 	int64_t tell_at_ms;
 	int64_t ask_at_ms;
@@ -309,6 +310,7 @@
 	for (size_t i = 0; i < k; i++)
 		reader |= top[i] == self;
 	follow_set_reader(c->follow, reader || !k);
+	keep_set_writer(c->keep, !k || top[0] == self);
 	if (reader || !k)
 		return;
 	m.peer_message_u.ask.node = self;
@@ -542,6 +544,7 @@
 	c->leave.data = c;
 	ev_async_start(c->loop, &c->leave);
 	c->follow = follow_new(e, c->loop);
+	c->keep = keep_new(e, c->loop);
 	return c;
 }
 
@@ -562,6 +565,8 @@
 {
 	if (c->follow)
 		follow_free(c->follow);
+	if (c->keep)
+		keep_free(c->keep);
 	if (c->member)
 		member_free(c->member);
 	if (c->member_fd >= 0)
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -364,6 +364,7 @@
 	STORE_CONFIG,  /* one row: the configuration */
 	STORE_TARGETS, /* a row for each target */
 	STORE_NODES,   /* a row for each node of the fleet; our own */
+	STORE_PROMPTS, /* one row: targets that hold prompts; our own */
 };
 
 enum store_status {
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -300,7 +300,6 @@
 		return false;
 	x->cause = cause;
 	x->target->broke = true;
-	pool_note(x->target, false);
 	go_on(x, true, false);
 	return true;
 }
@@ -308,9 +307,14 @@
 /* The stream has been silent for too long. */
 static bool leave_stalled(struct exchange *x)
 {
+	struct target *t = x->target;
+
 	/* It is the caller that is slow. */
-	return caller_unsent(x->c) <= UNSENT_MAX &&
-	       leave_attempt(x, "stream_stalled");
+	if (caller_unsent(x->c) > UNSENT_MAX ||
+	    !leave_attempt(x, "stream_stalled"))
+		return false;
+	pool_note_error(t);
+	return true;
 }
 
 /* The target has had time to begin its answer; returns true when left. */
@@ -323,15 +327,23 @@
 		.patience_ms = x->patience_ms,
 	};
 
+	struct target *t = x->target;
+
 	x->look_at_ms = now + x->patience_ms / 2;
 	switch (wait_sign(&w, now)) {
 	case WAIT_BUSY:
 		return false;
 	case WAIT_SILENT:
-		pool_set_aside(x->target);
+		/* One request may have been lost; two are a sign. */
+		if (!x->silent)
+			pool_note_fault(t);
+		x->silent = true;
 		return leave_attempt(x, "target_silent");
 	case WAIT_OVERTAKEN:
-		return leave_attempt(x, "overtaken");
+		if (!leave_attempt(x, "overtaken"))
+			return false;
+		pool_note_error(t);
+		return true;
 	}
 	return false;
 }
@@ -567,6 +579,7 @@
 	x->patience_ms =
 		wait_patience_ms(x->route->aim_ms, x->deadline_ms - x->sent_ms);
 	x->look_at_ms = x->sent_ms + x->patience_ms;
+	x->silent = false;
 	set_timer(x);
 }
 
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -34,6 +34,7 @@
 	/* When to see why no answer has begun; 0: one has. */
 	int64_t look_at_ms;
 	int64_t patience_ms;
+	bool silent;       /* the target was seen to be; counted once */
 	bool other_answer; /* the one being read is another request's */
 	bool streaming;
 	struct message *answer; /* its head, while it is being read */
--- a/entry/follow.h
+++ b/entry/follow.h
@@ -24,6 +24,14 @@
 /* Another node's answer to our question. */
 void follow_heard(struct follow *f, const struct store_word *word);
 
+/* keep.c: what is known of the holders of prompts, kept in the store. */
+struct keep;
+
+struct keep *keep_new(struct entry *e, struct ev_loop *loop);
+void keep_free(struct keep *k);
+/* Whether this node is the one that writes. */
+void keep_set_writer(struct keep *k, bool writer);
+
 /*
  * readers.c: which nodes read. Pure: the first few of the live nodes in the
  * order of a fixed key, so that all nodes that see the same ones agree.
--- a/entry/holds.c
+++ b/entry/holds.c
@@ -10,6 +10,7 @@
 	struct prefix_index *index;
 	struct held_entry news[NEWS_MAX]; /* a ring */
 	size_t first, count;
+	uint64_t changes;
 };
 
 struct holds *holds_new(void)
@@ -28,6 +29,7 @@
 
 static void add_news(struct holds *h, uint64_t part, uint64_t target)
 {
+	h->changes++;
 	if (h->count == NEWS_MAX) {
 		h->first = (h->first + 1) % NEWS_MAX;
 		h->count--;
@@ -49,7 +51,8 @@
 {
 	g_mutex_lock(&h->lock);
 	for (size_t i = 0; i < n; i++)
-		prefix_index_note(h->index, v[i].part, v[i].target);
+		h->changes +=
+			prefix_index_note(h->index, v[i].part, v[i].target);
 	g_mutex_unlock(&h->lock);
 }
 
@@ -77,3 +80,27 @@
 	g_mutex_unlock(&h->lock);
 	return at;
 }
+
+size_t holds_list(struct holds *h, struct held_entry *out, size_t max)
+{
+	struct prefix_held *v = g_new(struct prefix_held, max);
+	size_t n;
+
+	g_mutex_lock(&h->lock);
+	n = prefix_index_list(h->index, v, max);
+	g_mutex_unlock(&h->lock);
+	for (size_t i = 0; i < n; i++)
+		out[i] = (struct held_entry){v[i].prefix, v[i].target};
+	g_free(v);
+	return n;
+}
+
+uint64_t holds_changes(struct holds *h)
+{
+	uint64_t n;
+
+	g_mutex_lock(&h->lock);
+	n = h->changes;
+	g_mutex_unlock(&h->lock);
+	return n;
+}
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -187,9 +187,9 @@
 void pool_running(struct target *t, int by);
 /* What an attempt showed of the target. */
 void pool_note(struct target *t, bool ok);
+void pool_note_error(struct target *t);
+/* It took no connection, broke one, or says nothing to anybody. */
 void pool_note_fault(struct target *t);
-/* It says nothing to anybody: take others while there are any. */
-void pool_set_aside(struct target *t);
 /* It has begun to answer what was sent then. */
 void pool_note_begun(struct target *t, int priority, int64_t sent_ms);
 /* The newest such sending that was no more urgent. */
@@ -210,6 +210,10 @@
 void holds_heard(struct holds *h, const struct held_entry *v, size_t n);
 /* What is to be told to the others, HELD_MAX at most; returns the number. */
 size_t holds_next(struct holds *h, struct held_entry *out);
+/* All that is known, the last used first; returns the number, at most max. */
+size_t holds_list(struct holds *h, struct held_entry *out, size_t max);
+/* Grows with all that becomes known. */
+uint64_t holds_changes(struct holds *h);
 /* See place_source. */
 size_t holds_source(struct holds *h, const struct prompt *p,
 		    const struct place_target *t, size_t n, size_t chosen);
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -29,6 +29,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_held_list (XDR *xdrs, held_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
+		sizeof (held_entry), (xdrproc_t) xdr_held_entry))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_load_news (XDR *xdrs, load_news *objp)
 {
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -28,6 +28,14 @@
 };
 typedef struct held_entry held_entry;
 
+struct held_list {
+	struct {
+		u_int entries_len;
+		held_entry *entries_val;
+	} entries;
+};
+typedef struct held_list held_list;
+
 struct load_news {
 	u_quad_t node;
 	u_quad_t seq;
@@ -101,6 +109,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_load_entry (XDR *, load_entry*);
 extern  bool_t xdr_held_entry (XDR *, held_entry*);
+extern  bool_t xdr_held_list (XDR *, held_list*);
 extern  bool_t xdr_load_news (XDR *, load_news*);
 extern  bool_t xdr_store_ask (XDR *, store_ask*);
 extern  bool_t xdr_target_news (XDR *, target_news*);
@@ -111,6 +120,7 @@
 #else /* K&R C */
 extern bool_t xdr_load_entry ();
 extern bool_t xdr_held_entry ();
+extern bool_t xdr_held_list ();
 extern bool_t xdr_load_news ();
 extern bool_t xdr_store_ask ();
 extern bool_t xdr_target_news ();
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -310,11 +310,15 @@
 		t->aside_until_ms = 0;
 }
 
-void pool_set_aside(struct target *t)
+void pool_note_error(struct target *t)
+{
+	t->errors += ERROR_WEIGHT * (1.0 - t->errors);
+}
+
+static void set_aside(struct target *t)
 {
 	int64_t now = time_boot_ms();
 
-	t->broke = true;
 	if (t->aside_until_ms <= now)
 		log_event(EV_TARGET_DOWN,
 			  "target=" STR_FMT " faults=%d silent_ms=%d",
@@ -326,9 +330,9 @@
 void pool_note_fault(struct target *t)
 {
 	t->broke = true;
-	t->errors += ERROR_WEIGHT * (1.0 - t->errors);
+	pool_note_error(t);
 	if (++t->faults >= FAULTS_MAX)
-		pool_set_aside(t);
+		set_aside(t);
 }
 
 void pool_note_begun(struct target *t, int priority, int64_t sent_ms)
--- a/route/prefix.c
+++ b/route/prefix.c
@@ -101,6 +101,23 @@
 	return p->used < q->used ? 1 : -1;
 }
 
+size_t prefix_index_list(const struct prefix_index *x, struct prefix_held *out,
+			 size_t max)
+{
+	struct entry *v = g_new(struct entry, x->buckets * WAYS);
+	size_t n = 0;
+
+	for (size_t i = 0; i < x->buckets * WAYS; i++)
+		if (x->entries[i].target)
+			v[n++] = x->entries[i];
+	qsort(v, n, sizeof(v[0]), by_use);
+	n = MIN(n, max);
+	for (size_t i = 0; i < n; i++)
+		out[i] = (struct prefix_held){v[i].prefix, v[i].target};
+	g_free(v);
+	return n;
+}
+
 size_t prefix_index_holders(const struct prefix_index *x, uint64_t prefix,
 			    uint64_t out[PREFIX_HOLDERS])
 {
--- a/route/route.h
+++ b/route/route.h
@@ -376,6 +376,15 @@
 		       uint64_t target);
 bool prefix_index_holds(const struct prefix_index *x, uint64_t prefix,
 			uint64_t target);
+/* A prefix and a target that holds it. */
+struct prefix_held {
+	uint64_t prefix;
+	uint64_t target;
+};
+
+/* All that is known, the last used first; returns the number, at most max. */
+size_t prefix_index_list(const struct prefix_index *x, struct prefix_held *out,
+			 size_t max);
 /* Targets that hold the prefix, the last used first; returns their number. */
 size_t prefix_index_holders(const struct prefix_index *x, uint64_t prefix,
 			    uint64_t out[PREFIX_HOLDERS]);
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -16,6 +16,11 @@
 	unsigned hyper target;
 };
 
+/* What is kept in the store of all of that, the last used first. */
+struct held_list {
+	held_entry entries<>;
+};
+
 struct load_news {
 	unsigned hyper node;	/* hash of the sender's name */
 	unsigned hyper seq;	/* grows with each datagram of a start */
