entry: seal what nodes tell each other with a secret of the store

Cause: messages between nodes were not authenticated (the key was zeros): anybody on the network could tell a node that a target was full, that a configuration was proven, or who was alive.

Ruled out: a file on each instance, which have no disk and no operator; a secret in the settings, of which the platform hands out none.

Change: the first node that starts creates a row with 32 random bytes, unless one exists; all read it with the rows of the nodes, before they speak to each other. The store gets a conditional create. Membership uses it as its key, other messages end with an HMAC. The rows of nodes and the secret are entry/fleet.c, apart from what follows the store. The asker's name in a question to a reader was never read and is gone.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -46,5 +46,6 @@
 	{ 2007, LOG_WARNING, "settings_kept" },
 	{ 2008, LOG_INFO, "settings_reloaded" },
 	{ 2009, LOG_INFO, "holders_loaded" },
+	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
 	{ 7008, LOG_INFO, "serving_changed" },
 };
--- a/entry/control.c
+++ b/entry/control.c
@@ -10,7 +10,9 @@
 #include "entry/follow.h"
 
 #define DATAGRAM_BYTES 2048
-#define TICK_MS        50
+/* Behind each message between nodes that membership does not seal itself. */
+#define SEAL_BYTES crypto_auth_BYTES
+#define TICK_MS    50
 /* Loads are told this often, and no oftener than DATAGRAMS_S allows. */
 #define TELL_MS 100
 /* Load datagrams that a node sends in a second: some 1% of a small core. */
@@ -38,7 +40,9 @@
 	ev_timer tick;
 	ev_signal term, hup;
 	ev_async stop, leave;
-	uint8_t key[MEMBER_KEY_BYTES]; /* of an unauthenticated fleet: zeros */
+	uint8_t key[MEMBER_KEY_BYTES];
+	bool keyed; /* nothing is sent or taken before */
+	struct fleet *fleet;
 	struct follow *follow;
 	struct keep *keep;
 	uint64_t view;
@@ -81,7 +85,7 @@
 	struct sockaddr_in at;
 	size_t n;
 
-	if (!parse_address(to, &at))
+	if (!c->keyed || !parse_address(to, &at))
 		return;
 	n = member_encode(m, c->key, p, sizeof(p));
 	/* A message that can't be sent counts as one that was lost. */
@@ -113,6 +117,8 @@
 
 		metric_add(M_CONTROL_BYTES_RECEIVED_TOTAL,
 			   n + MEMBER_DATAGRAM_BYTES);
+		if (!c->keyed)
+			continue;
 		switch (member_decode(p, (size_t)n, c->key, &m)) {
 		case MEMBER_DECODED:
 			member_receive(c->member, time_mono_ms(), &m);
@@ -135,10 +141,14 @@
 	size_t n = 0;
 	XDR x;
 
-	xdrmem_create(&x, p, sizeof(p), XDR_ENCODE);
-	if (xdr_peer_message(&x, m))
+	xdrmem_create(&x, p, sizeof(p) - SEAL_BYTES, XDR_ENCODE);
+	if (c->keyed && xdr_peer_message(&x, m))
 		n = xdr_getpos(&x);
 	xdr_destroy(&x);
+	if (n) {
+		crypto_auth((uint8_t *)p + n, (uint8_t *)p, n, c->key);
+		n += SEAL_BYTES;
+	}
 	/* A message that can't be sent counts as one that was lost. */
 	if (n && sendto(c->loads_fd, p, n, MSG_DONTWAIT,
 			(const struct sockaddr *)to, sizeof(*to)) > 0)
@@ -162,12 +172,25 @@
 	holds_heard(c->e->holds, m->held.held_val, m->held.held_len);
 }
 
+/* Whether the message before the seal is one of this fleet. */
+static bool is_sealed(const struct control *c, const char *p, size_t n)
+{
+	return c->keyed && n >= SEAL_BYTES &&
+	       !crypto_auth_verify((const uint8_t *)p + n - SEAL_BYTES,
+				   (const uint8_t *)p, n - SEAL_BYTES, c->key);
+}
+
 static void take_peer(struct control *c, const struct sockaddr_in *from,
 		      const char *p, size_t n)
 {
 	struct peer_message m;
 	XDR x;
 
+	if (!is_sealed(c, p, n)) {
+		metric_add(M_CONTROL_NOT_AUTHENTIC_TOTAL, 1);
+		return;
+	}
+	n -= SEAL_BYTES;
 	memset(&m, 0, sizeof(m));
 	xdrmem_create(&x, (char *)p, (u_int)n, XDR_DECODE);
 	if (!xdr_peer_message(&x, &m))
@@ -310,10 +333,10 @@
 	for (size_t i = 0; i < k; i++)
 		reader |= top[i] == self;
 	follow_set_reader(c->follow, reader || !k);
+	fleet_set_reader(c->fleet, reader || !k);
 	keep_set_writer(c->keep, !k || top[0] == self);
 	if (reader || !k)
 		return;
-	m.peer_message_u.ask.node = self;
 	m.peer_message_u.ask.asked_ms = now_ms;
 	send_peer(c, &find_peer(l, top[c->turn++ % k])->loads, &m);
 }
@@ -467,6 +490,12 @@
 	g_hash_table_add(c->seeds, g_strdup(control));
 }
 
+void control_set_secret(struct control *c, const uint8_t *secret)
+{
+	memcpy(c->key, secret, sizeof(c->key));
+	c->keyed = true;
+}
+
 void control_leave(struct control *c)
 {
 	ev_async_send(c->loop, &c->leave);
@@ -544,6 +573,7 @@
 	c->leave.data = c;
 	ev_async_start(c->loop, &c->leave);
 	c->follow = follow_new(e, c->loop);
+	c->fleet = fleet_new(e, c->loop);
 	c->keep = keep_new(e, c->loop);
 	return c;
 }
@@ -565,6 +595,8 @@
 {
 	if (c->follow)
 		follow_free(c->follow);
+	if (c->fleet)
+		fleet_free(c->fleet);
 	if (c->keep)
 		keep_free(c->keep);
 	if (c->member)
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -370,6 +370,7 @@
 enum store_status {
 	STORE_OK,
 	STORE_GAP,    /* the history asked for is no longer kept */
+	STORE_EXISTS, /* the row to be created is there, and in the page */
 	STORE_FAILED, /* refused, or not answered: a write may have been done */
 };
 
@@ -407,6 +408,9 @@
 	/* Write one row, whatever it held. */
 	void (*write)(void *store, enum store_table t, const char *key,
 		      const json_t *value, store_done_fn *done, void *ctx);
+	/* Write one row unless it exists. */
+	void (*create)(void *store, enum store_table t, const char *key,
+		       const json_t *value, store_done_fn *done, void *ctx);
 	/* Decode a row's value; NULL when it can't be read. */
 	json_t *(*value)(const struct store_page *p, size_t i);
 	struct entry_config *(*config)(const json_t *value, GError **err);
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -25,8 +25,6 @@
 #define TARGETS_LEAST_MS 300
 /* Readings of the targets within the time in which a leaving one may be used */
 #define READS_IN_DRAIN 3
-/* Rows of nodes are read rarely by those that have peers. */
-#define NODES_RARE 6
 
 /* A target's entry as last read. */
 struct listed {
@@ -49,7 +47,7 @@
 	const struct store_api *api;
 	void *store;
 	struct ev_loop *loop;
-	ev_timer config_timer, targets_timer, nodes_timer;
+	ev_timer config_timer, targets_timer;
 	GRand *rand;
 	bool reader;
 	bool up;
@@ -72,8 +70,6 @@
 	bool targets_stale;
 	bool targets_busy;
 	bool changed;
-
-	bool told; /* own row is written */
 };
 
 static void again(struct follow *f, ev_timer *w, int64_t ms)
@@ -372,51 +368,6 @@
 		     on_targets, f);
 }
 
-/* Nodes. */
-
-static void on_nodes(void *ctx, const struct store_page *p)
-{
-	struct follow *f = ctx;
-	int64_t poll = f->e->set.store_nodes_poll_ms;
-
-	for (size_t i = 0; i < p->n; i++) {
-		json_t *value = f->api->value(p, i);
-		const char *control =
-			json_string_value(json_object_get(value, "control"));
-
-		if (control)
-			control_seed(f->e->control, control);
-		json_decref(value);
-	}
-	again(f, &f->nodes_timer, f->reader ? poll : poll * NODES_RARE);
-}
-
-static void on_told(void *ctx, const struct store_page *p)
-{
-	struct follow *f = ctx;
-
-	f->told = p->status == STORE_OK;
-	again(f, &f->nodes_timer, f->told ? 0 : pause_ms(f));
-}
-
-/* Write this node's row, then read those of the others. */
-static void read_nodes(struct ev_loop *loop, ev_timer *w, int events)
-{
-	struct follow *f = w->data;
-	json_t *row;
-
-	(void)loop;
-	(void)events;
-	if (f->told) {
-		f->api->read(f->store, STORE_NODES, "", on_nodes, f);
-		return;
-	}
-	row = json_pack("{s:s}", "control", f->e->control_address);
-	f->api->write(f->store, STORE_NODES, f->e->set.node_name, row, on_told,
-		      f);
-	json_decref(row);
-}
-
 /* What peers know. */
 
 void follow_set_reader(struct follow *f, bool reader)
@@ -588,7 +539,6 @@
 					  listed_free);
 	start_timer(f, &f->config_timer, read_config);
 	start_timer(f, &f->targets_timer, read_targets);
-	start_timer(f, &f->nodes_timer, read_nodes);
 	return f;
 }
 
@@ -596,7 +546,6 @@
 {
 	ev_timer_stop(f->loop, &f->config_timer);
 	ev_timer_stop(f->loop, &f->targets_timer);
-	ev_timer_stop(f->loop, &f->nodes_timer);
 	f->api->close(f->store);
 	g_queue_free_full(f->changes, change_free);
 	g_hash_table_unref(f->listed);
--- a/entry/follow.h
+++ b/entry/follow.h
@@ -24,6 +24,14 @@
 /* Another node's answer to our question. */
 void follow_heard(struct follow *f, const struct store_word *word);
 
+/* fleet.c: how nodes find each other, and the secret that they share. */
+struct fleet;
+
+struct fleet *fleet_new(struct entry *e, struct ev_loop *loop);
+void fleet_free(struct fleet *f);
+/* Whether this node reads the rows often. */
+void fleet_set_reader(struct fleet *f, bool reader);
+
 /* keep.c: what is known of the holders of prompts, kept in the store. */
 struct keep;
 
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -223,6 +223,8 @@
 void *control_run(void *control);
 /* Of the control thread: an address that a node may have. */
 void control_seed(struct control *c, const char *control);
+/* Of the control thread: what messages between nodes are sealed with. */
+void control_set_secret(struct control *c, const uint8_t *secret);
 /* From another thread: begin to leave. */
 void control_leave(struct control *c);
 /* From another thread: end control_run. */
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -67,8 +67,6 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->node))
-		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->asked_ms))
 		 return FALSE;
 	return TRUE;
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -53,7 +53,6 @@
 typedef struct load_news load_news;
 
 struct store_ask {
-	u_quad_t node;
 	quad_t asked_ms;
 };
 typedef struct store_ask store_ask;
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -32,7 +32,6 @@
 
 /* Asks what the receiver knows of the store; told of by store_word. */
 struct store_ask {
-	unsigned hyper node;	/* hash of the sender's name */
 	hyper asked_ms;		/* of the sender's clock; comes back unchanged */
 };
 
