entry: believe readers that keep up; nodes are members by their rows

Ruled out: a shorter wait for changes, which costs readers' calls; a larger budget for membership.

Change: a reader that keeps up with the store (its own knowledge is younger than two waits) counts as heard, whatever the age of what it told; a node still reads by itself at 0.4 of the time to revoke a key. The wait is at most a seventh of that time. Rows of nodes hold all that membership needs, and are members as soon as they are read; they are read again each second while they grow. A page of targets that the store refuses is asked for again, not the whole list. The numbers of [bounds] are copied by the settings table in place of a struct of seven fields that stood twice, and each thread has its own.

--- a/base/base.h
+++ b/base/base.h
@@ -163,5 +163,8 @@
 bool settings_load_table(const struct setting_table *t, const char *path,
 			 void *out, GPtrArray *errors);
 void settings_clear_table(const struct setting_table *t, void *s);
+/* Copy the numbers of one section, as a reload takes them. */
+void settings_take_numbers(const struct setting_table *t, const char *section,
+			   void *to, const void *from);
 
 #endif
--- a/base/settings.c
+++ b/base/settings.c
@@ -95,6 +95,8 @@
 	return t == SETTING_INT || t == SETTING_MS || t == SETTING_REAL;
 }
 
+G_STATIC_ASSERT(sizeof(int64_t) == sizeof(double));
+
 static void store_string(void *s, const struct setting_info *d,
 			 const char *value)
 {
@@ -245,6 +247,20 @@
 	}
 }
 
+void settings_take_numbers(const struct setting_table *t, const char *section,
+			   void *to, const void *from)
+{
+	for (size_t i = 0; i < t->count; i++) {
+		const struct setting_info *d = &t->infos[i];
+
+		if (strcmp(d->section, section) != 0 || !is_number(d->type))
+			continue;
+		/* A whole number and a real one are of the same size. */
+		memcpy(field(to, d), (const char *)from + d->offset,
+		       sizeof(int64_t));
+	}
+}
+
 bool settings_load(const char *path, struct settings *out, GPtrArray *errors)
 {
 	return settings_load_table(&settings_table, path, out, errors);
--- a/base/test-settings.c
+++ b/base/test-settings.c
@@ -71,10 +71,35 @@
 	}
 }
 
+/* Numbers of the section are taken, and nothing else. */
+static void test_take_numbers(void)
+{
+	struct settings a = {0}, b = {0};
+
+	for (size_t i = 0; i < settings_table.count; i++) {
+		const struct setting_info *d = &settings_table.infos[i];
+		char *at = (char *)&b + d->offset;
+
+		if (d->type == SETTING_INT || d->type == SETTING_MS)
+			*(int64_t *)at = (int64_t)i + 1;
+	}
+	settings_take_numbers(&settings_table, "log", &a, &b);
+	for (size_t i = 0; i < settings_table.count; i++) {
+		const struct setting_info *d = &settings_table.infos[i];
+		const char *at = (const char *)&a + d->offset;
+
+		if (d->type != SETTING_INT && d->type != SETTING_MS)
+			continue;
+		g_assert_cmpint(*(const int64_t *)at, ==,
+				strcmp(d->section, "log") ? 0 : (int64_t)i + 1);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/settings/defaults", test_defaults);
 	g_test_add_func("/base/settings/errors", test_errors);
+	g_test_add_func("/base/settings/take-numbers", test_take_numbers);
 	return g_test_run();
 }
--- a/entry/control.c
+++ b/entry/control.c
@@ -281,7 +281,7 @@
 static void tell_loads(struct control *c, const struct peer_list *l,
 		       int64_t now_ms)
 {
-	uint64_t self = member_id(c->e->set.node_name);
+	uint64_t self = member_id(c->e->control_set.node_name);
 	struct load_entry entries[LOADS_ENTRIES_MAX];
 	struct held_entry held[HELD_MAX];
 	struct peer_message m = {.kind = PEER_LOADS};
@@ -313,7 +313,7 @@
 static void ask_readers(struct control *c, const struct peer_list *l,
 			int64_t now_ms)
 {
-	uint64_t self = member_id(c->e->set.node_name);
+	uint64_t self = member_id(c->e->control_set.node_name);
 	struct peer_message m = {.kind = PEER_ASK};
 	uint64_t *ids, top[READERS];
 	bool reader = false;
@@ -321,8 +321,8 @@
 
 	if (now_ms < c->ask_at_ms)
 		return;
-	c->ask_at_ms =
-		now_ms + MIN(ASK_MS, c->e->set.bounds_drain_ms / ASKS_IN_DRAIN);
+	c->ask_at_ms = now_ms + MIN(ASK_MS, c->e->control_set.bounds_drain_ms /
+						    ASKS_IN_DRAIN);
 	ids = g_new(uint64_t, l->n + 1);
 	for (size_t i = 0; i < l->n; i++)
 		if (l->v[i].id == self ||
@@ -388,17 +388,12 @@
 
 	if (settings_load_table(&entry_settings_table, c->e->o->path, &s,
 				errors)) {
+		settings_take_numbers(&entry_settings_table, "bounds",
+				      &c->e->control_set, &s);
 		g_mutex_lock(&c->e->lock);
-		c->e->bounds = (struct bounds){
-			.retry_ratio = s.bounds_retry_ratio,
-			.retry_allowance = s.bounds_retry_allowance,
-			.retry_window_s = s.bounds_retry_window_s,
-			.load_factor = s.bounds_load_factor,
-			.entries_ttl_s = s.bounds_entries_ttl_s,
-			.grace_s = s.bounds_grace_s,
-			.revoke_ms = s.bounds_revoke_ms,
-			.changed = true,
-		};
+		settings_take_numbers(&entry_settings_table, "bounds",
+				      &c->e->reloaded, &s);
+		c->e->has_reloaded = true;
 		g_mutex_unlock(&c->e->lock);
 		ev_async_send(c->e->tr.loop, &c->e->tr.news);
 		log_event(EV_SETTINGS_RELOADED, "path=%s", c->e->o->path);
@@ -485,9 +480,9 @@
 	ev_break(loop, EVBREAK_ALL);
 }
 
-void control_seed(struct control *c, const char *control)
+void control_seed(struct control *c, const struct member_info *infos, size_t n)
 {
-	g_hash_table_add(c->seeds, g_strdup(control));
+	member_seed(c->member, time_mono_ms(), infos, n);
 }
 
 void control_set_secret(struct control *c, const uint8_t *secret)
@@ -504,7 +499,7 @@
 /* The settings name seeds by another port; the control port is the same. */
 static void add_seeds(struct control *c)
 {
-	char **v = g_strsplit(c->e->set.peers_seeds, ",", -1);
+	char **v = g_strsplit(c->e->control_set.peers_seeds, ",", -1);
 
 	for (char **p = v; *p; p++) {
 		char *colon = strrchr(*p, ':');
@@ -512,9 +507,10 @@
 		if (!colon)
 			continue;
 		*colon = '\0';
-		g_hash_table_add(c->seeds,
-				 g_strdup_printf("%s:%d", g_strstrip(*p),
-						 (int)c->e->set.peers_port));
+		g_hash_table_add(
+			c->seeds,
+			g_strdup_printf("%s:%d", g_strstrip(*p),
+					(int)c->e->control_set.peers_port));
 	}
 	g_strfreev(v);
 }
@@ -529,7 +525,7 @@
 
 struct control *control_new(struct entry *e, GError **err)
 {
-	const struct entry_settings *s = &e->set;
+	const struct entry_settings *s = &e->control_set;
 	struct control *c = g_new0(struct control, 1);
 	struct member_options o = {
 		.self = {s->node_name, s->listen_callers, e->control_address,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -82,18 +82,6 @@
 	log_event(EV_NODE_STOPPING, "requests=%d", tr->exchanges);
 }
 
-/* The bounds in force belong to this thread. */
-static void take_bounds(struct entry_settings *s, const struct bounds *b)
-{
-	s->bounds_retry_ratio = b->retry_ratio;
-	s->bounds_retry_allowance = b->retry_allowance;
-	s->bounds_retry_window_s = b->retry_window_s;
-	s->bounds_load_factor = b->load_factor;
-	s->bounds_entries_ttl_s = b->entries_ttl_s;
-	s->bounds_grace_s = b->grace_s;
-	s->bounds_revoke_ms = b->revoke_ms;
-}
-
 /* Take what the control thread has published. */
 static void on_news(struct ev_loop *loop, ev_async *w, int events)
 {
@@ -111,9 +99,10 @@
 	list = e->list ? target_list_ref(e->list) : NULL;
 	peers = e->peers ? peer_list_ref(e->peers) : NULL;
 	leaving = e->leaving;
-	if (e->bounds.changed)
-		take_bounds(&e->set, &e->bounds);
-	e->bounds.changed = false;
+	if (e->has_reloaded)
+		settings_take_numbers(&entry_settings_table, "bounds", &e->set,
+				      &e->reloaded);
+	e->has_reloaded = false;
 	g_mutex_unlock(&e->lock);
 	entry_config_unref(tr->config);
 	tr->config = config;
@@ -245,6 +234,7 @@
 
 	e->o = o;
 	e->set = *o->set;
+	e->control_set = *o->set;
 	e->control_address = g_strdup_printf("%s:%d", e->set.node_ip,
 					     (int)e->set.peers_port);
 	e->loads = loads_new(member_id(e->set.node_name));
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -13,6 +13,8 @@
 #define PAUSE_SPREAD_MS 150
 /* The rows are read rarely by those that have peers. */
 #define READ_RARE 6
+/* Many nodes start at once: their rows come within a second. */
+#define GROWS_MS 1000
 /* No name of a node begins like that. */
 #define SECRET_KEY ".secret"
 
@@ -25,14 +27,18 @@
 	bool told; /* own row is written */
 	bool keyed;
 	bool reader;
+	size_t rows; /* as last read */
+	bool grows;
 	uint8_t offer[MEMBER_KEY_BYTES]; /* the secret, if there is none yet */
 };
 
 static void again(struct fleet *f, bool ok)
 {
-	int64_t poll = f->e->set.store_nodes_poll_ms;
+	int64_t poll = f->e->control_set.store_nodes_poll_ms;
 	int64_t pause = f->reader ? poll : poll * READ_RARE;
 
+	if (f->grows)
+		pause = GROWS_MS;
 	if (!ok || !f->keyed)
 		pause = PAUSE_MS + randombytes_uniform(PAUSE_SPREAD_MS);
 	timer_in(f->loop, &f->timer, pause);
@@ -59,15 +65,47 @@
 	return true;
 }
 
-static void take_row(struct fleet *f, const struct store_page *p, size_t i)
+static const char *text_of(const json_t *row, const char *name)
+{
+	const char *s = json_string_value(json_object_get(row, name));
+
+	return s ? s : "";
+}
+
+/* Returns the secret's or a node's row; to be released by the caller. */
+static json_t *take_row(struct fleet *f, const struct store_page *p, size_t i,
+			struct member_info *out)
 {
 	json_t *row = f->api->value(p, i);
-	const char *control =
-		json_string_value(json_object_get(row, "control"));
 
-	if (!take_secret(f, p->rows[i].key, row) && control)
-		control_seed(f->e->control, control);
-	json_decref(row);
+	*out = (struct member_info){0};
+	if (!take_secret(f, p->rows[i].key, row) && *text_of(row, "control"))
+		*out = (struct member_info){
+			.name = (char *)p->rows[i].key,
+			.address = (char *)text_of(row, "address"),
+			.control = (char *)text_of(row, "control"),
+			.zone = (char *)text_of(row, "zone"),
+			.region = (char *)text_of(row, "region"),
+		};
+	return row;
+}
+
+static void take_rows(struct fleet *f, const struct store_page *p)
+{
+	struct member_info *infos = g_new(struct member_info, p->n + 1);
+	json_t **rows = g_new(json_t *, p->n + 1);
+	size_t n = 0;
+
+	for (size_t i = 0; i < p->n; i++) {
+		rows[i] = take_row(f, p, i, &infos[n]);
+		n += infos[n].name != NULL;
+	}
+	if (n)
+		control_seed(f->e->control, infos, n);
+	for (size_t i = 0; i < p->n; i++)
+		json_decref(rows[i]);
+	g_free(rows);
+	g_free(infos);
 }
 
 static bool has_secret(const struct store_page *p)
@@ -83,8 +121,8 @@
 	struct fleet *f = ctx;
 
 	/* Of several nodes that offer one the first wins. */
-	for (size_t i = 0; p->status == STORE_EXISTS && i < p->n; i++)
-		take_row(f, p, i);
+	if (p->status == STORE_EXISTS)
+		take_rows(f, p);
 	if (p->status == STORE_OK) {
 		control_set_secret(f->e->control, f->offer);
 		f->keyed = true;
@@ -107,8 +145,9 @@
 {
 	struct fleet *f = ctx;
 
-	for (size_t i = 0; i < p->n; i++)
-		take_row(f, p, i);
+	take_rows(f, p);
+	f->grows = p->n > f->rows;
+	f->rows = MAX(f->rows, p->n);
 	if (p->status == STORE_OK && !has_secret(p))
 		offer_secret(f);
 	else
@@ -138,9 +177,13 @@
 		f->api->read(f->store, STORE_NODES, "", on_rows, f);
 		return;
 	}
-	row = json_pack("{s:s}", "control", f->e->control_address);
-	f->api->write(f->store, STORE_NODES, f->e->set.node_name, row, on_told,
-		      f);
+	row = json_pack("{s:s, s:s, s:s, s:s}", "control",
+			f->e->control_address, "address",
+			f->e->control_set.listen_callers, "zone",
+			f->e->control_set.node_zone, "region",
+			f->e->control_set.node_region);
+	f->api->write(f->store, STORE_NODES, f->e->control_set.node_name, row,
+		      on_told, f);
 	json_decref(row);
 }
 
@@ -154,11 +197,12 @@
 	struct fleet *f = g_new0(struct fleet, 1);
 	struct sockaddr_in at;
 
-	parse_address(e->set.store_address, &at); /* checked at the start */
+	parse_address(e->control_set.store_address,
+		      &at); /* checked at the start */
 	f->e = e;
 	f->api = e->o->store;
 	f->loop = loop;
-	f->store = f->api->open(loop, &at, e->set.store_timeout_ms);
+	f->store = f->api->open(loop, &at, e->control_set.store_timeout_ms);
 	f->reader = true;
 	randombytes_buf(f->offer, sizeof(f->offer));
 	ev_timer_init(&f->timer, on_timer, 0, 0);
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -23,6 +23,8 @@
 #define LOOK_MS 100
 /* The list of targets is not read oftener than this. */
 #define TARGETS_LEAST_MS 300
+/* A reading of the list that has taken longer starts anew after a failure. */
+#define READING_MS 2000
 /* Readings of the targets within the time in which a leaving one may be used */
 #define READS_IN_DRAIN 3
 
@@ -55,7 +57,8 @@
 	int64_t config_version;
 	int64_t config_revision; /* of the store; 0: read the row */
 	int64_t config_read_ms;
-	bool config_stale; /* a peer holds a newer one */
+	int64_t config_told_ms; /* a reader that keeps up held the same */
+	bool config_stale;      /* a peer holds a newer one */
 	bool config_busy;
 
 	GHashTable *listed; /* key -> struct listed */
@@ -161,11 +164,31 @@
 		     int64_t now_ms)
 {
 	double most =
-		MIN(ALONE_MS, ALONE_PART * (double)f->e->set.bounds_drain_ms);
+		MIN(ALONE_MS,
+		    ALONE_PART * (double)f->e->control_set.bounds_drain_ms);
 
 	return !confirmed_ms || (double)(now_ms - confirmed_ms) > most;
 }
 
+/* Part of the time to revoke a key after which nobody else is relied on. */
+#define TRUST_PART 0.4
+
+/* Whether readers tell that the configuration held is the newest. */
+static bool is_config_told(const struct follow *f, int64_t now_ms)
+{
+	int64_t age = now_ms - atomic_load(&f->e->fresh_ms);
+
+	return !f->config_stale && !is_alone(f, f->config_told_ms, now_ms) &&
+	       (double)age <
+		       TRUST_PART * (double)f->e->control_set.bounds_revoke_ms;
+}
+
+static int64_t config_wait_ms(const struct follow *f)
+{
+	return reader_wait_ms(f->e->control_set.store_config_wait_ms,
+			      f->e->control_set.bounds_revoke_ms);
+}
+
 static void read_config(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct follow *f = w->data;
@@ -174,8 +197,7 @@
 
 	(void)loop;
 	(void)events;
-	if (!f->reader && !f->config_stale &&
-	    !is_alone(f, atomic_load(&f->e->fresh_ms), now)) {
+	if (!f->reader && is_config_told(f, now)) {
 		/* What was seen up to now can't be followed from there. */
 		f->config_revision = 0;
 		again(f, w, LOOK_MS);
@@ -184,7 +206,7 @@
 	f->config_busy = true;
 	if (f->config_revision && f->reader && !due) {
 		f->api->await(f->store, STORE_CONFIG, f->config_revision,
-			      f->e->set.store_config_wait_ms, on_config, f);
+			      config_wait_ms(f), on_config, f);
 		return;
 	}
 	f->config_read_ms = now;
@@ -317,8 +339,8 @@
 
 static int64_t targets_pause_ms(const struct follow *f)
 {
-	return MIN(f->e->set.store_targets_poll_ms,
-		   f->e->set.bounds_drain_ms / READS_IN_DRAIN);
+	return MIN(f->e->control_set.store_targets_poll_ms,
+		   f->e->control_set.bounds_drain_ms / READS_IN_DRAIN);
 }
 
 static void on_targets(void *ctx, const struct store_page *p)
@@ -327,11 +349,14 @@
 
 	f->targets_busy = false;
 	note_store(f, p);
-	g_clear_pointer(&f->from, g_free);
 	if (p->status != STORE_OK) {
+		/* The pages read stay good for a while. */
+		if (time_boot_ms() - f->begun_ms > READING_MS)
+			g_clear_pointer(&f->from, g_free);
 		again(f, &f->targets_timer, pause_ms(f));
 		return;
 	}
+	g_clear_pointer(&f->from, g_free);
 	for (size_t i = 0; i < p->n; i++)
 		take_target(f, p, i);
 	if (p->n && p->more) {
@@ -488,8 +513,11 @@
 	if (word->asked_ms > time_boot_ms())
 		return;
 	if (word->config_age_ms != UINT32_MAX &&
-	    word->config_version == f->config_version)
+	    word->config_version == f->config_version) {
 		entry_config_fresh(f->e, config_ms);
+		if (reader_keeps_up(word->config_age_ms, config_wait_ms(f)))
+			f->config_told_ms = word->asked_ms;
+	}
 	if (word->config_version > f->config_version) {
 		f->config_stale = true;
 		if (!f->config_busy)
@@ -524,11 +552,12 @@
 	struct follow *f = g_new0(struct follow, 1);
 	struct sockaddr_in at;
 
-	parse_address(e->set.store_address, &at); /* checked at the start */
+	parse_address(e->control_set.store_address,
+		      &at); /* checked at the start */
 	f->e = e;
 	f->api = e->o->store;
 	f->loop = loop;
-	f->store = f->api->open(loop, &at, e->set.store_timeout_ms);
+	f->store = f->api->open(loop, &at, e->control_set.store_timeout_ms);
 	f->rand = g_rand_new();
 	f->config_version = -1;
 	f->reader = true;
--- a/entry/follow.h
+++ b/entry/follow.h
@@ -49,4 +49,16 @@
 /* Writes the ids of the readers; returns how many. */
 size_t readers_choose(const uint64_t *nodes, size_t n, uint64_t *out);
 
+/*
+ * How long a reader's question for a change of the configuration waits, so that
+ * what it tells is young enough to prove keys.
+ */
+int64_t reader_wait_ms(int64_t setting_ms, int64_t revoke_ms);
+/*
+ * Whether a reader keeps up with the store, by the age of what it told. It is
+ * between no wait and two: a question that has just been asked proves nothing
+ * until it ends.
+ */
+bool reader_keeps_up(int64_t age_ms, int64_t wait_ms);
+
 #endif
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -84,21 +84,10 @@
 	int64_t stop_at_ms;   /* the latest end */
 };
 
-/* What a reload of the settings changes. */
-struct bounds {
-	double retry_ratio;
-	double retry_allowance;
-	double retry_window_s;
-	double load_factor;
-	double entries_ttl_s;
-	double grace_s;
-	int64_t revoke_ms;
-	bool changed; /* and not taken yet */
-};
-
 struct entry {
 	const struct entry_options *o;
-	struct entry_settings set; /* texts are the options' */
+	/* Of the traffic and of the control thread; texts are the options'. */
+	struct entry_settings set, control_set;
 	struct traffic tr;
 	struct loads *loads;
 	struct holds *holds;
@@ -109,7 +98,8 @@
 	struct entry_config *config;
 	struct target_list *list;
 	struct peer_list *peers;
-	struct bounds bounds;
+	struct entry_settings reloaded; /* numbers only */
+	bool has_reloaded;              /* and not taken yet */
 	bool leaving;
 
 	atomic_int_least64_t fresh_ms; /* see entry_config_fresh */
@@ -221,8 +211,8 @@
 /* control.c */
 struct control *control_new(struct entry *e, GError **err);
 void *control_run(void *control);
-/* Of the control thread: an address that a node may have. */
-void control_seed(struct control *c, const char *control);
+/* Of the control thread: nodes that the store lists. */
+void control_seed(struct control *c, const struct member_info *infos, size_t n);
 /* Of the control thread: what messages between nodes are sealed with. */
 void control_set_secret(struct control *c, const uint8_t *secret);
 /* From another thread: begin to leave. */
--- a/entry/keep.c
+++ b/entry/keep.c
@@ -138,11 +138,12 @@
 	struct keep *k = g_new0(struct keep, 1);
 	struct sockaddr_in at;
 
-	parse_address(e->set.store_address, &at); /* checked at the start */
+	parse_address(e->control_set.store_address,
+		      &at); /* checked at the start */
 	k->e = e;
 	k->api = e->o->store;
 	k->loop = loop;
-	k->store = k->api->open(loop, &at, e->set.store_timeout_ms);
+	k->store = k->api->open(loop, &at, e->control_set.store_timeout_ms);
 	ev_timer_init(&k->timer, on_timer, 0, 0);
 	k->timer.data = k;
 	ev_timer_start(loop, &k->timer);
--- a/entry/readers.c
+++ b/entry/readers.c
@@ -16,3 +16,18 @@
 		out[i] = top[i].id;
 	return k;
 }
+
+/* Waits in the time in which a key may be used that was taken away. */
+#define WAITS_IN_REVOKE 7
+/* What a call to the store takes besides, when it is not well. */
+#define CALL_MS 300
+
+int64_t reader_wait_ms(int64_t setting_ms, int64_t revoke_ms)
+{
+	return MAX(MIN(setting_ms, revoke_ms / WAITS_IN_REVOKE), 1);
+}
+
+bool reader_keeps_up(int64_t age_ms, int64_t wait_ms)
+{
+	return age_ms <= 2 * wait_ms + CALL_MS;
+}
--- a/entry/test-loads.c
+++ b/entry/test-loads.c
@@ -88,6 +88,34 @@
 	g_assert_cmpuint(readers_choose(nodes, 0, a), ==, 0);
 }
 
+/*
+ * A reader that keeps up with the store is believed at any moment, and one that
+ * has lost it is not for long, whatever the bounds are.
+ */
+static void test_keeps_up(void)
+{
+	static const int64_t revokes[] = {1000, 2000, 5000, 60000};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(revokes); i++) {
+		int64_t wait = reader_wait_ms(700, revokes[i]);
+		int64_t sent = 0, fresh = 0, believed = 0;
+
+		for (int64_t now = 0; now < 60000; now++) {
+			/* Each call ends without a change, 20 ms late. */
+			if (now - sent >= wait + 20) {
+				fresh = sent;
+				sent = now;
+			}
+			g_assert_true(reader_keeps_up(now - fresh, wait));
+			g_assert_cmpint(now - fresh, <, revokes[i] / 2);
+		}
+		for (int64_t now = sent; now < sent + revokes[i]; now++)
+			if (reader_keeps_up(now - fresh, wait))
+				believed = now - fresh;
+		g_assert_cmpint(believed, <=, MAX(revokes[i] / 2, 1700));
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -95,5 +123,6 @@
 	g_test_add_func("/entry/loads/order", test_order);
 	g_test_add_func("/entry/loads/serving", test_serving);
 	g_test_add_func("/entry/readers/agree", test_readers);
+	g_test_add_func("/entry/readers/keeps-up", test_keeps_up);
 	return g_test_run();
 }
