entry: one file for how a request goes on elsewhere; fewer news told

A question to a reader was answered with the last six changes of the list of targets each time, also when the asker held the same list; with more than six it read the whole list from the store. A request with little time left could take a target at work for a silent one.

The question carries the hash of the list; only who holds another one is told changes, sixteen at most and no more than fit into 1,200 bytes. Silence under 100 ms is no sign.

--- a/entry/control.c
+++ b/entry/control.c
@@ -338,6 +338,7 @@
 	if (reader || !k)
 		return;
 	m.peer_message_u.ask.asked_ms = now_ms;
+	m.peer_message_u.ask.targets_hash = follow_hash(c->follow);
 	send_peer(c, &find_peer(l, top[c->turn++ % k])->loads, &m);
 }
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -7,8 +7,6 @@
 
 /* Largest answer that is held until it is whole; a longer one fails. */
 #define ANSWER_MAX (8 << 20)
-/* Bytes that a slow caller may leave before the target is held back. */
-#define UNSENT_MAX (256 << 10)
 /* A target answers its own deadline itself; ours is this much later. */
 #define DEADLINE_SLACK_MS 60
 /* Pauses that make a stream go on elsewhere, in parts of its longest one. */
@@ -18,15 +16,12 @@
 #define RETRY_MIN_MS    100
 #define RETRY_SPREAD_MS 200
 
-static void attempt(struct exchange *x);
-
 static bool is_event_stream(const struct exchange *x)
 {
 	return x->route && x->route->stream;
 }
 
-/* Give up the attempt: closing its connection ends the work. */
-static void drop_link(struct exchange *x)
+void exchange_drop_link(struct exchange *x)
 {
 	if (x->link)
 		link_close(x->link);
@@ -40,7 +35,7 @@
 
 static void destroy(struct exchange *x)
 {
-	drop_link(x);
+	exchange_drop_link(x);
 	ev_timer_stop(x->tr->loop, &x->timer);
 	cutter_clear(&x->cut);
 	buf_clear(&x->held);
@@ -229,56 +224,6 @@
 	return x->deadline_ms - time_boot_ms();
 }
 
-/*
- * Whether the request may be sent to another target, when so many of its sends
- * may have run.
- */
-static bool may_go_on(const struct exchange *x, int runs)
-{
-	if (x->sends >= SENDS_MAX || exchange_left_ms(x) < DEADLINE_LEAST_MS)
-		return false;
-	if (!runs)
-		return true;
-	if (runs >= x->route->runs_max || x->route->repeat == REPEAT_NEVER)
-		return false;
-	return !x->given ||
-	       (x->route->repeat == REPEAT_REST && x->cut.number >= 0);
-}
-
-static bool pay_repeat(const struct exchange *x)
-{
-	return retry_window_take(pool_retries(x->tr, x->service->name),
-				 time_boot_ms());
-}
-
-/*
- * The attempt has failed: go on at another target where that is safe and paid
- * for. Returns false when the request must end now.
- */
-static bool go_on(struct exchange *x, bool ran, bool arrived)
-{
-	drop_link(x);
-	cutter_break(&x->cut);
-	x->streaming = false;
-	x->other_answer = false;
-	if (ran)
-		x->runs++;
-	if (!may_go_on(x, x->runs))
-		return false;
-	if (arrived && !pay_repeat(x)) {
-		x->cause = "no_retry_budget";
-		return false;
-	}
-	metric_add(M_RETRIES_TOTAL, 1);
-	log_event(EV_REQUEST_REPEATED,
-		  "request=" STR_FMT " target=" STR_FMT
-		  " cause=%s ran=%d sends=%d after=%d",
-		  STR_ARG(x->id), STR_ARG(x->last_target), x->cause, ran,
-		  x->sends, (int)x->cut.number);
-	attempt(x);
-	return true;
-}
-
 /* Nothing can be repeated: say what is known. */
 static void give_up(struct exchange *x)
 {
@@ -290,64 +235,6 @@
 		refuse(x, RAMP_ERR_OVERLOADED);
 }
 
-/*
- * Leave an attempt that may still be at work: go on elsewhere if that is
- * allowed and paid for, else keep waiting. Returns true when it was left.
- */
-static bool leave_attempt(struct exchange *x, const char *cause)
-{
-	if (!may_go_on(x, x->runs + 1) || !pay_repeat(x))
-		return false;
-	x->cause = cause;
-	x->target->broke = true;
-	go_on(x, true, false);
-	return true;
-}
-
-/* The stream has been silent for too long. */
-static bool leave_stalled(struct exchange *x)
-{
-	struct target *t = x->target;
-
-	/* It is the caller that is slow. */
-	if (caller_unsent(x->c) > UNSENT_MAX ||
-	    !leave_attempt(x, "stream_stalled"))
-		return false;
-	pool_note_error(t);
-	return true;
-}
-
-/* The target has had time to begin its answer; returns true when left. */
-static bool look_at_wait(struct exchange *x, int64_t now)
-{
-	struct wait_state w = {
-		.sent_ms = x->sent_ms,
-		.heard_ms = x->target->heard_ms,
-		.begun_ms = pool_begun_ms(x->target, exchange_priority(x)),
-		.patience_ms = x->patience_ms,
-	};
-
-	struct target *t = x->target;
-
-	x->look_at_ms = now + x->patience_ms / 2;
-	switch (wait_sign(&w, now)) {
-	case WAIT_BUSY:
-		return false;
-	case WAIT_SILENT:
-		/* One request may have been lost; two are a sign. */
-		if (!x->silent)
-			pool_note_fault(t);
-		x->silent = true;
-		return leave_attempt(x, "target_silent");
-	case WAIT_OVERTAKEN:
-		if (!leave_attempt(x, "overtaken"))
-			return false;
-		pool_note_error(t);
-		return true;
-	}
-	return false;
-}
-
 static void on_fault(void *ctx, enum link_fault f, bool answered)
 {
 	static const char *const causes[] = {
@@ -363,7 +250,7 @@
 	else
 		pool_note(x->target, false);
 	x->target->broke = true;
-	if (!go_on(x, arrived, arrived))
+	if (!exchange_go_on(x, arrived, arrived))
 		give_up(x);
 }
 
@@ -448,7 +335,7 @@
 	if (buf_len(&x->cut.held) || !x->cut.events) {
 		x->cause = "stream_cut";
 		pool_note(x->target, false);
-		if (!go_on(x, true, true))
+		if (!exchange_go_on(x, true, true))
 			give_up(x);
 		return;
 	}
@@ -475,7 +362,7 @@
 
 	if (says_not_run(x)) {
 		x->cause = "target_not_run";
-		if (!go_on(x, false, true))
+		if (!exchange_go_on(x, false, true))
 			give_up(x);
 		return;
 	}
@@ -487,8 +374,9 @@
 
 		x->cause = sound ? "target_failed" : "answer_unsound";
 		/* The answer is lost by trying again, so look first. */
-		if (!late && may_go_on(x, x->runs + 1) && pay_repeat(x)) {
-			go_on(x, true, false);
+		if (!late && exchange_may_go_on(x, x->runs + 1) &&
+		    exchange_pay(x)) {
+			exchange_go_on(x, true, false);
 			return;
 		}
 		if (!sound) {
@@ -530,21 +418,22 @@
 		x->cause = "deadline";
 		if (x->link && link_connected(x->link))
 			x->runs++;
-		drop_link(x);
+		exchange_drop_link(x);
 		refuse(x, x->runs ? RAMP_ERR_TIMED_OUT : RAMP_ERR_OVERLOADED);
 		return;
 	}
 	if (x->stall_at_ms && now >= x->stall_at_ms) {
 		x->stall_at_ms = now + stall_ms(x);
-		if (leave_stalled(x))
+		if (exchange_leave_stalled(x))
 			return;
 	}
-	if (x->look_at_ms && now >= x->look_at_ms && look_at_wait(x, now))
+	if (x->look_at_ms && now >= x->look_at_ms &&
+	    exchange_look_at_wait(x, now))
 		return;
 	set_timer(x);
 }
 
-static void attempt(struct exchange *x)
+void exchange_attempt(struct exchange *x)
 {
 	struct target *source;
 	struct target *t = pool_choose(x->tr, x->service, &x->prompt, x->tried,
@@ -567,7 +456,7 @@
 	x->link = pool_link(t, &x->reused);
 	if (!x->link) {
 		x->cause = "no_descriptor";
-		if (!go_on(x, false, false))
+		if (!exchange_go_on(x, false, false))
 			give_up(x);
 		return;
 	}
@@ -618,5 +507,5 @@
 	}
 	retry_window_first(pool_retries(x->tr, x->service->name),
 			   time_boot_ms());
-	attempt(x);
+	exchange_attempt(x);
 }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -9,6 +9,9 @@
 /* Time before the deadline in which nothing is sent any more. */
 #define DEADLINE_LEAST_MS 20
 
+/* Bytes that a slow caller may leave before the target is held back. */
+#define UNSENT_MAX (256 << 10)
+
 struct exchange {
 	struct caller *c;
 	struct traffic *tr;
@@ -52,6 +55,29 @@
 };
 
 int64_t exchange_left_ms(const struct exchange *x);
+/* Choose a target and send. May end and free the exchange. */
+void exchange_attempt(struct exchange *x);
+/* Give up the attempt: closing its connection ends the work. */
+void exchange_drop_link(struct exchange *x);
+
+/* again.c: whether, when and how it goes on at another target. */
+
+/*
+ * Whether it may be sent to another target, when so many of its sends may have
+ * run.
+ */
+bool exchange_may_go_on(const struct exchange *x, int runs);
+/* Take one repeat from what the service's window allows. */
+bool exchange_pay(const struct exchange *x);
+/*
+ * The attempt has failed: go on at another target where that is safe and paid
+ * for. Returns false when the request must end now.
+ */
+bool exchange_go_on(struct exchange *x, bool ran, bool arrived);
+/* The stream has been silent for too long; returns true when it was left. */
+bool exchange_leave_stalled(struct exchange *x);
+/* The target has had time to begin its answer; returns true when left. */
+bool exchange_look_at_wait(struct exchange *x, int64_t now);
 
 /*
  * bind.c: find the request's route, owner, service, deadline and prompt.
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -3,6 +3,8 @@
 
 #include "entry/follow.h"
 
+/* Changes told in one message: it stays below what a link takes whole. */
+#define NEWS_BYTES 1200
 /* Pause after a call that failed, with a random part on top. */
 #define PAUSE_MS        250
 #define PAUSE_SPREAD_MS 150
@@ -483,11 +485,18 @@
 	f->changed = false;
 }
 
+/* What one change takes of a message, lengths and padding included. */
+static int news_bytes(const struct target_news *n)
+{
+	return (int)xdr_sizeof((xdrproc_t)xdr_target_news, (void *)n);
+}
+
 void follow_tell(struct follow *f, const struct store_ask *ask,
 		 struct store_word *word, struct target_news *news)
 {
 	GList *at = f->changes->head;
 	int64_t now = time_boot_ms();
+	int room = NEWS_BYTES;
 	bool settled = now - f->returned_ms > RETURN_MS;
 
 	*word = (struct store_word){
@@ -499,9 +508,24 @@
 			settled ? age_of(f->confirmed_ms, now) : UINT32_MAX,
 		.targets = {0, news},
 	};
+	/* Who holds the same list needs no news. */
+	if (ask->targets_hash == f->hash)
+		return;
 	for (; at && word->targets.targets_len < TARGETS_TOLD_MAX;
-	     at = at->next)
-		tell_change(f, at->data, &news[word->targets.targets_len++]);
+	     at = at->next) {
+		struct target_news *n = &news[word->targets.targets_len];
+
+		tell_change(f, at->data, n);
+		room -= news_bytes(n);
+		if (room < 0)
+			break;
+		word->targets.targets_len++;
+	}
+}
+
+uint64_t follow_hash(const struct follow *f)
+{
+	return f->hash;
 }
 
 void follow_heard(struct follow *f, const struct store_word *word)
--- a/entry/follow.h
+++ b/entry/follow.h
@@ -21,6 +21,8 @@
  */
 void follow_tell(struct follow *f, const struct store_ask *ask,
 		 struct store_word *word, struct target_news *news);
+/* Of the list of targets held, for a question. */
+uint64_t follow_hash(const struct follow *f);
 /* Another node's answer to our question. */
 void follow_heard(struct follow *f, const struct store_word *word);
 
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -69,6 +69,8 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->asked_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -54,10 +54,11 @@
 
 struct store_ask {
 	quad_t asked_ms;
+	u_quad_t targets_hash;
 };
 typedef struct store_ask store_ask;
 #define TARGET_TEXT_MAX 128
-#define TARGETS_TOLD_MAX 6
+#define TARGETS_TOLD_MAX 16
 
 struct target_news {
 	char *key;
--- a/route/route.h
+++ b/route/route.h
@@ -540,7 +540,7 @@
 
 /*
  * How long silence is no sign, for work that is wanted within aim_ms and that
- * ends in left_ms.
+ * ends in left_ms; all of that when it is too short for a second try.
  */
 int64_t wait_patience_ms(int64_t aim_ms, int64_t left_ms);
 enum wait_sign wait_sign(const struct wait_state *w, int64_t now_ms);
--- a/route/test-wait.c
+++ b/route/test-wait.c
@@ -9,9 +9,12 @@
 	g_assert_cmpint(wait_patience_ms(800, 15000), ==, 800);
 	/* not so short that one lost packet uses it up, */
 	g_assert_cmpint(wait_patience_ms(100, 15000), >=, 250);
-	/* and never so long that no second try fits behind it. */
-	for (int64_t left = 0; left < 3000; left += 10)
+	/* and never so long that no second try fits behind it, */
+	for (int64_t left = 300; left < 3000; left += 10)
 		g_assert_cmpint(2 * wait_patience_ms(1500, left), <=, left);
+	/* nor so short that a target at work would seem silent. */
+	for (int64_t left = 0; left < 3000; left += 10)
+		g_assert_cmpint(wait_patience_ms(1, left), >=, MIN(left, 100));
 }
 
 static void test_signs(void)
--- a/route/wait.c
+++ b/route/wait.c
@@ -4,12 +4,17 @@
 #define PATIENCE_MIN_MS 300
 /* Part of the time left: enough remains for a whole second try. */
 #define PATIENCE_PART 3
+/* A shorter silence is none: it is what an answer takes. */
+#define SILENCE_MS 100
 
 int64_t wait_patience_ms(int64_t aim_ms, int64_t left_ms)
 {
 	int64_t most = left_ms / PATIENCE_PART;
 	int64_t least = aim_ms > PATIENCE_MIN_MS ? aim_ms : PATIENCE_MIN_MS;
 
+	/* With so little left there is no second try. */
+	if (most < SILENCE_MS)
+		return left_ms;
 	return least < most ? least : most;
 }
 
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -33,10 +33,11 @@
 /* Asks what the receiver knows of the store; told of by store_word. */
 struct store_ask {
 	hyper asked_ms;		/* of the sender's clock; comes back unchanged */
+	unsigned hyper targets_hash;	/* of the list that the sender holds */
 };
 
 const TARGET_TEXT_MAX = 128;
-const TARGETS_TOLD_MAX = 6;
+const TARGETS_TOLD_MAX = 16;
 
 /* A change of the list of targets, as the teller read it. */
 struct target_news {
