entry: counters on a fixed port; soak keeps what entries wrote

The soak keeps each entry's log and shows its end with a broken promise. The window of repeats of a service is found without a copy of its name.

--- a/base/base.h
+++ b/base/base.h
@@ -33,6 +33,9 @@
 struct str str_dup(void *arena, struct str s);
 /* Seeded 64-bit hash of the bytes (xxHash3). */
 uint64_t str_hash(struct str s, uint64_t seed);
+/* For GLib's hash tables whose keys point to a struct str. */
+unsigned str_key_hash(const void *key);
+int str_key_equal(const void *a, const void *b);
 
 /* Wall-clock time in milliseconds since 1970; deadlines use this scale. */
 int64_t time_now_ms(void);
--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -47,5 +47,6 @@
 	{ 2008, LOG_INFO, "settings_reloaded" },
 	{ 2009, LOG_INFO, "holders_loaded" },
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
+	{ 2011, LOG_WARNING, "metrics_unavailable" },
 	{ 7008, LOG_INFO, "serving_changed" },
 };
--- a/base/str.c
+++ b/base/str.c
@@ -30,3 +30,13 @@
 {
 	return XXH3_64bits_withSeed(s.data, s.len, seed);
 }
+
+unsigned str_key_hash(const void *key)
+{
+	return (unsigned)str_hash(*(const struct str *)key, 0);
+}
+
+int str_key_equal(const void *a, const void *b)
+{
+	return str_eq(*(const struct str *)a, *(const struct str *)b);
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -196,14 +196,24 @@
 	return true;
 }
 
+/* No counter is worth not serving, so a port that is taken is left alone. */
+static void open_metrics(struct traffic *tr)
+{
+	GError *err = NULL;
+
+	if (open_port(tr, PORT_METRICS, tr->set->listen_metrics, &err))
+		return;
+	log_event(EV_METRICS_UNAVAILABLE, "error=\"%s\"", err->message);
+	g_error_free(err);
+}
+
 static bool open_ports(struct traffic *tr, GError **err)
 {
 	const struct entry_settings *s = tr->set;
 
 	return open_port(tr, PORT_CALLERS, s->listen_callers, err) &&
 	       open_port(tr, PORT_READY, s->listen_ready, err) &&
-	       open_port(tr, PORT_ENTRIES, s->listen_entries, err) &&
-	       open_port(tr, PORT_METRICS, s->listen_metrics, err);
+	       open_port(tr, PORT_ENTRIES, s->listen_entries, err);
 }
 
 static void traffic_init(struct entry *e)
@@ -240,6 +250,7 @@
 	e->loads = loads_new(member_id(e->set.node_name));
 	e->holds = holds_new();
 	traffic_init(e);
+	open_metrics(&e->tr);
 	if (open_ports(&e->tr, &why))
 		e->control = control_new(e, &why);
 	if (!why)
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -69,7 +69,7 @@
 	struct target_list *list;
 	struct peer_list *peers;
 	GHashTable *targets; /* id -> struct target */
-	GHashTable *retries; /* service name -> struct retry_window */
+	GHashTable *retries; /* service name -> struct service_retries */
 	GRand *rand;
 	struct port ports[PORT_COUNT];
 	ev_async news;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -141,12 +141,23 @@
 	pool_sweep(tr);
 }
 
+/* What is spent on repeats at a service. */
+struct service_retries {
+	struct str service;
+	struct retry_window window;
+};
+
+static void retries_free(void *p)
+{
+	talloc_free(p);
+}
+
 void pool_init(struct traffic *tr)
 {
 	tr->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    target_free);
-	tr->retries =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	tr->retries = g_hash_table_new_full(str_key_hash, str_key_equal, NULL,
+					    retries_free);
 }
 
 void pool_free(struct traffic *tr)
@@ -367,18 +378,18 @@
 
 struct retry_window *pool_retries(struct traffic *tr, struct str service)
 {
-	char *name = g_strndup(service.data, service.len);
-	struct retry_window *s = g_hash_table_lookup(tr->retries, name);
+	struct service_retries *r = g_hash_table_lookup(tr->retries, &service);
+	struct retry_window *s;
 	int64_t now = time_boot_ms();
 	double nodes = nodes_known(tr);
 	double age;
 
-	if (!s) {
-		s = g_new0(struct retry_window, 1);
-		g_hash_table_insert(tr->retries, name, s);
-	} else {
-		g_free(name);
+	if (!r) {
+		r = talloc_zero(NULL, struct service_retries);
+		r->service = str_dup(r, service);
+		g_hash_table_insert(tr->retries, &r->service, r);
 	}
+	s = &r->window;
 	s->ratio = tr->set->bounds_retry_ratio;
 	s->window_ms = (int64_t)(tr->set->bounds_retry_window_s * 1000);
 	/* What an earlier process of this node spent is not known. */
--- a/entry/view.c
+++ b/entry/view.c
@@ -28,24 +28,14 @@
 LIST_FUNCTIONS(target_list, target_info)
 LIST_FUNCTIONS(peer_list, entry_peer)
 
-static guint key_hash_of(gconstpointer k)
-{
-	return (guint)str_hash(*(const struct str *)k, 0);
-}
-
-static gboolean key_equal(gconstpointer a, gconstpointer b)
-{
-	return str_eq(*(const struct str *)a, *(const struct str *)b);
-}
-
 struct entry_config *entry_config_new(void)
 {
 	struct entry_config *c = talloc_zero(NULL, struct entry_config);
 
 	c->arena = c;
 	c->refs = 1;
-	c->keys = g_hash_table_new(key_hash_of, key_equal);
-	c->hosts = g_hash_table_new_full(key_hash_of, key_equal, NULL,
+	c->keys = g_hash_table_new(str_key_hash, str_key_equal);
+	c->hosts = g_hash_table_new_full(str_key_hash, str_key_equal, NULL,
 					 (GDestroyNotify)g_ptr_array_unref);
 	return c;
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -1,4 +1,5 @@
 /* soak SEED SECONDS: one run; prints a TAP line and what was broken. */
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +16,8 @@
 #define EVENTS  6
 /* After the faults the entries have this long to serve again. */
 #define RECOVER_MS 12000
+/* Bytes of an entry's log that are shown when it ended by itself. */
+#define LOG_SHOWN 2000
 /* Requests in a row that show it. */
 #define RECOVERED 10
 
@@ -155,12 +158,16 @@
 {
 	struct child *c = &s->entries[i];
 	char *argv[] = {s->program, "--settings", c->path, NULL};
+	char *log = g_strconcat(c->path, ".log", NULL);
+	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	GError *err = NULL;
 
-	g_spawn_async(NULL, argv, NULL,
-		      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL,
-		      NULL, NULL, &c->pid, &err);
+	g_assert_cmpint(fd, >=, 0);
+	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+			       NULL, NULL, &c->pid, -1, fd, fd, &err);
 	g_assert_no_error(err);
+	close(fd);
+	g_free(log);
 	c->ready = false;
 }
 
@@ -180,6 +187,19 @@
 	c->pid = 0;
 }
 
+/* The last that an entry wrote, as it can not be played again. */
+static void show_log(const struct child *c)
+{
+	char *path = g_strconcat(c->path, ".log", NULL), *text = NULL;
+	gsize n = 0;
+
+	if (g_file_get_contents(path, &text, &n, NULL))
+		printf("# %s ends with:\n%s\n", path,
+		       text + (n > LOG_SHOWN ? n - LOG_SHOWN : 0));
+	g_free(text);
+	g_free(path);
+}
+
 /*
  * A signal that comes before the program can take it ends it; it has accepted
  * nothing then. Any other end but that of a planned stop is a fault.
@@ -192,6 +212,7 @@
 		return;
 	if (!s->entries[i].ready && (sig == SIGTERM || sig == SIGHUP))
 		return;
+	show_log(&s->entries[i]);
 	ledger_broken(s->ledger,
 		      "entry %d ended by itself: status %d signal %d", (int)i,
 		      WIFEXITED(status) ? WEXITSTATUS(status) : 0, sig);
