tests: ports and connections of other processes of the machine

(1) An entry of a soak that had been killed lived on and asked for its store at a port that the kernel later gave to a test: found by its parent being 1, and by strace at connect() to that port several times a second. (2) An entry that starts again finds its port taken by a test that looked for a free one.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -154,6 +155,13 @@
 	return NULL;
 }
 
+/* In the child: an entry does not outlive the soak, however that ends. */
+static void end_with_soak(void *ctx)
+{
+	(void)ctx;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static void start_entry(struct soak *s, size_t i)
 {
 	struct child *c = &s->entries[i];
@@ -164,7 +172,7 @@
 
 	g_assert_cmpint(fd, >=, 0);
 	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-			       NULL, NULL, &c->pid, -1, fd, fd, &err);
+			       end_with_soak, NULL, &c->pid, -1, fd, fd, &err);
 	g_assert_no_error(err);
 	close(fd);
 	g_free(log);
