entry: nodes that are no readers never read without a pause

Since readers are believed while they keep up, a node that had heard none, and was no reader, read the configuration again as soon as it had an answer, some 250 times a second; its own readings did not count. All nodes did so at once after their start, the store refused them and the readers alike, and so none could be believed. For 5 s after its start a node also takes itself for a reader until it has heard others.

Change: reliance_holds (entry/readers.c) decides when a node reads by itself, and counts its own readings; between two of them lie 200 ms at least, also while a peer names a newer version than the store gives; the list of targets is read no oftener by a node that is alone than by a reader. In the first 5 s readers are chosen among all listed nodes.

--- a/entry/control.c
+++ b/entry/control.c
@@ -25,6 +25,8 @@
 #define ASKS_IN_DRAIN 5
 /* The settings may change without a signal; looked at this often. */
 #define SETTINGS_MS 2000
+/* After its start a node has heard from all others of a large fleet. */
+#define HEAR_MS 5000
 /* Nodes not seen yet are spoken to this often. */
 #define INTRODUCE_MS 1000
 /* Incarnations count eighths of a second since 2025. */
@@ -46,6 +48,7 @@
 	struct follow *follow;
 	struct keep *keep;
 	uint64_t view;
+	int64_t heard_at_ms; /* all that live have been heard by then */
 	int64_t tell_at_ms;
 	int64_t ask_at_ms;
 	int64_t settings_at_ms;
@@ -328,6 +331,10 @@
 		if (l->v[i].id == self ||
 		    loads_node_serves(c->e->loads, l->v[i].id, now_ms))
 			ids[n++] = l->v[i].id;
+	/* Few have been heard yet: go by those that are listed. */
+	if (n <= READERS && now_ms < c->heard_at_ms)
+		for (n = 0; n < l->n; n++)
+			ids[n] = l->v[n].id;
 	k = readers_choose(ids, n, top);
 	g_free(ids);
 	for (size_t i = 0; i < k; i++)
@@ -569,6 +576,7 @@
 	ev_async_init(&c->leave, on_leave);
 	c->leave.data = c;
 	ev_async_start(c->loop, &c->leave);
+	c->heard_at_ms = time_boot_ms() + HEAR_MS;
 	c->follow = follow_new(e, c->loop);
 	c->fleet = fleet_new(e, c->loop);
 	c->keep = keep_new(e, c->loop);
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -8,6 +8,8 @@
 /* Pause after a call that failed, with a random part on top. */
 #define PAUSE_MS        250
 #define PAUSE_SPREAD_MS 150
+/* Between two readings of the configuration by a node that is no reader. */
+#define CONFIG_LEAST_MS 200
 /* Changes are followed; the whole row is read this often all the same. */
 #define CONFIG_READ_MS 2100
 /* Entries that lapsed during an outage are back within 2 s of its end. */
@@ -143,6 +145,14 @@
 	return ok && f->config_version >= 0;
 }
 
+/* A reader waits for a change at once; the others do not read in a row. */
+static int64_t config_pause_ms(struct follow *f)
+{
+	if (f->config_version < 0)
+		return pause_ms(f);
+	return f->reader ? 0 : CONFIG_LEAST_MS;
+}
+
 static void on_config(void *ctx, const struct store_page *p)
 {
 	struct follow *f = ctx;
@@ -158,31 +168,39 @@
 	if (take_config(f, p))
 		entry_config_fresh(f->e, p->sent_ms);
 	f->config_revision = p->revision;
-	again(f, &f->config_timer, f->config_version >= 0 ? 0 : pause_ms(f));
+	again(f, &f->config_timer, config_pause_ms(f));
+}
+
+/* Time without word after which a node reads although others do. */
+static int64_t alone_ms(const struct follow *f)
+{
+	return MIN(ALONE_MS,
+		   (int64_t)(ALONE_PART *
+			     (double)f->e->control_set.bounds_drain_ms));
 }
 
-/* Whether this node must read although others do. */
 static bool is_alone(const struct follow *f, int64_t confirmed_ms,
 		     int64_t now_ms)
 {
-	double most =
-		MIN(ALONE_MS,
-		    ALONE_PART * (double)f->e->control_set.bounds_drain_ms);
-
-	return !confirmed_ms || (double)(now_ms - confirmed_ms) > most;
+	return !confirmed_ms || now_ms - confirmed_ms > alone_ms(f);
 }
 
 /* Part of the time to revoke a key after which nobody else is relied on. */
 #define TRUST_PART 0.4
 
-/* Whether readers tell that the configuration held is the newest. */
+/* Whether the configuration held is the newest, as readers tell. */
 static bool is_config_told(const struct follow *f, int64_t now_ms)
 {
-	int64_t age = now_ms - atomic_load(&f->e->fresh_ms);
+	struct reliance r = {
+		.told_ms = f->config_told_ms,
+		.fresh_ms = atomic_load(&f->e->fresh_ms),
+		.alone_ms = alone_ms(f),
+		.trust_ms =
+			(int64_t)(TRUST_PART *
+				  (double)f->e->control_set.bounds_revoke_ms),
+	};
 
-	return !f->config_stale && !is_alone(f, f->config_told_ms, now_ms) &&
-	       (double)age <
-		       TRUST_PART * (double)f->e->control_set.bounds_revoke_ms;
+	return !f->config_stale && reliance_holds(&r, now_ms);
 }
 
 static int64_t config_wait_ms(const struct follow *f)
@@ -368,8 +386,8 @@
 		return;
 	}
 	end_reading(f);
-	again(f, &f->targets_timer,
-	      f->reader ? targets_pause_ms(f) : TARGETS_LEAST_MS);
+	/* Others are called sooner by a word that names another list. */
+	again(f, &f->targets_timer, targets_pause_ms(f));
 }
 
 static void read_targets(struct ev_loop *loop, ev_timer *w, int events)
--- a/entry/follow.h
+++ b/entry/follow.h
@@ -63,4 +63,15 @@
  */
 bool reader_keeps_up(int64_t age_ms, int64_t wait_ms);
 
+/* What a node that is no reader goes by. */
+struct reliance {
+	int64_t told_ms;  /* a reader that keeps up held the same; 0: never */
+	int64_t fresh_ms; /* what it holds was the newest; 0: never known */
+	int64_t alone_ms; /* so long without either means that it is alone */
+	int64_t trust_ms; /* so long others are relied on at most */
+};
+
+/* Whether the node need not read by itself. */
+bool reliance_holds(const struct reliance *r, int64_t now_ms);
+
 #endif
--- a/entry/readers.c
+++ b/entry/readers.c
@@ -31,3 +31,12 @@
 {
 	return age_ms <= 2 * wait_ms + CALL_MS;
 }
+
+bool reliance_holds(const struct reliance *r, int64_t now_ms)
+{
+	/* A reading of its own is as good as a word. */
+	int64_t last = MAX(r->told_ms, r->fresh_ms);
+
+	return r->fresh_ms && now_ms - last <= r->alone_ms &&
+	       now_ms - r->fresh_ms < r->trust_ms;
+}
--- a/entry/test-loads.c
+++ b/entry/test-loads.c
@@ -116,6 +116,34 @@
 	}
 }
 
+/*
+ * A node whose readers are gone, or can't keep up, reads by itself, each time
+ * after a while: all nodes of a fleet that started at once would otherwise ask
+ * a store that refuses some of them without a pause.
+ */
+static void test_alone(void)
+{
+	struct reliance r = {.alone_ms = 1300, .trust_ms = 2000};
+	int reads = 0;
+
+	for (int64_t now = 1000; now < 61000; now += 4) {
+		if (reliance_holds(&r, now))
+			continue;
+		reads++;
+		r.fresh_ms = now;
+	}
+	g_assert_cmpint(reads, >=, 60000 / 2000);
+	g_assert_cmpint(reads, <=, 60000 / 1000);
+	/* Told that all is well it reads nothing, unless that is too old. */
+	r.told_ms = 61000;
+	r.fresh_ms = 59500;
+	g_assert_true(reliance_holds(&r, 61000));
+	g_assert_true(reliance_holds(&r, 61400));
+	g_assert_false(reliance_holds(&r, 61500));
+	r.fresh_ms = 61000;
+	g_assert_false(reliance_holds(&r, 62400));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -124,5 +152,6 @@
 	g_test_add_func("/entry/loads/serving", test_serving);
 	g_test_add_func("/entry/readers/agree", test_readers);
 	g_test_add_func("/entry/readers/keeps-up", test_keeps_up);
+	g_test_add_func("/entry/readers/alone", test_alone);
 	return g_test_run();
 }
