entry: one client of the store for all that use it

Cause: what follows the store, the rows of nodes and the holders each opened a client of its own, three times the connections and the same lines thrice (found by duplicates).

Change: the control thread opens one and closes it before those that use it, as calls in progress are dropped with it.

Behaviour is meant to stay.

--- a/entry/control.c
+++ b/entry/control.c
@@ -535,6 +535,7 @@
 {
 	const struct entry_settings *s = &e->control_set;
 	struct control *c = g_new0(struct control, 1);
+	struct sockaddr_in store;
 	struct member_options o = {
 		.self = {s->node_name, s->listen_callers, e->control_address,
 			 s->node_zone, s->node_region},
@@ -577,6 +578,8 @@
 	c->leave.data = c;
 	ev_async_start(c->loop, &c->leave);
 	c->heard_at_ms = time_boot_ms() + HEAR_MS;
+	parse_address(s->store_address, &store); /* checked at the start */
+	e->store = e->o->store->open(c->loop, &store, s->store_timeout_ms);
 	c->follow = follow_new(e, c->loop);
 	c->fleet = fleet_new(e, c->loop);
 	c->keep = keep_new(e, c->loop);
@@ -598,6 +601,9 @@
 
 void control_free(struct control *c)
 {
+	/* Calls in progress are dropped with the store's client. */
+	if (c->e->store)
+		c->e->o->store->close(c->e->store);
 	if (c->follow)
 		follow_free(c->follow);
 	if (c->fleet)
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -195,14 +195,11 @@
 struct fleet *fleet_new(struct entry *e, struct ev_loop *loop)
 {
 	struct fleet *f = g_new0(struct fleet, 1);
-	struct sockaddr_in at;
 
-	parse_address(e->control_set.store_address,
-		      &at); /* checked at the start */
 	f->e = e;
 	f->api = e->o->store;
 	f->loop = loop;
-	f->store = f->api->open(loop, &at, e->control_set.store_timeout_ms);
+	f->store = e->store;
 	f->reader = true;
 	randombytes_buf(f->offer, sizeof(f->offer));
 	ev_timer_init(&f->timer, on_timer, 0, 0);
@@ -214,7 +211,6 @@
 void fleet_free(struct fleet *f)
 {
 	ev_timer_stop(f->loop, &f->timer);
-	f->api->close(f->store);
 	sodium_memzero(f->offer, sizeof(f->offer));
 	g_free(f);
 }
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -592,14 +592,11 @@
 struct follow *follow_new(struct entry *e, struct ev_loop *loop)
 {
 	struct follow *f = g_new0(struct follow, 1);
-	struct sockaddr_in at;
 
-	parse_address(e->control_set.store_address,
-		      &at); /* checked at the start */
 	f->e = e;
 	f->api = e->o->store;
 	f->loop = loop;
-	f->store = f->api->open(loop, &at, e->control_set.store_timeout_ms);
+	f->store = e->store;
 	f->rand = g_rand_new();
 	f->config_version = -1;
 	f->reader = true;
@@ -617,7 +614,6 @@
 {
 	ev_timer_stop(f->loop, &f->config_timer);
 	ev_timer_stop(f->loop, &f->targets_timer);
-	f->api->close(f->store);
 	g_queue_free_full(f->changes, change_free);
 	g_hash_table_unref(f->listed);
 	g_rand_free(f->rand);
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -92,6 +92,7 @@
 	struct loads *loads;
 	struct holds *holds;
 	struct control *control;
+	void *store; /* of the control thread; see struct store_api */
 	char *control_address;
 
 	GMutex lock; /* for those below */
--- a/entry/keep.c
+++ b/entry/keep.c
@@ -136,14 +136,11 @@
 struct keep *keep_new(struct entry *e, struct ev_loop *loop)
 {
 	struct keep *k = g_new0(struct keep, 1);
-	struct sockaddr_in at;
 
-	parse_address(e->control_set.store_address,
-		      &at); /* checked at the start */
 	k->e = e;
 	k->api = e->o->store;
 	k->loop = loop;
-	k->store = k->api->open(loop, &at, e->control_set.store_timeout_ms);
+	k->store = e->store;
 	ev_timer_init(&k->timer, on_timer, 0, 0);
 	k->timer.data = k;
 	ev_timer_start(loop, &k->timer);
@@ -153,6 +150,5 @@
 void keep_free(struct keep *k)
 {
 	ev_timer_stop(k->loop, &k->timer);
-	k->api->close(k->store);
 	g_free(k);
 }
