--- a/entry/keep.c
+++ b/entry/keep.c
@@ -11,9 +11,7 @@
 #define WRITE_MS 3000
 /* Pause after a call that failed. */
 #define PAUSE_MS 500
-/* Some 21 bytes each in a row, which the store limits to 64 KB. */
-#define ENTRIES_MAX 2000
-#define ROW_KEY     "held"
+#define ROW_KEY  "held"
 
 struct keep {
 	struct entry *e;
@@ -102,12 +100,12 @@
 
 static void write_row(struct keep *k)
 {
-	struct held_entry *v = g_new(struct held_entry, ENTRIES_MAX);
+	struct held_entry *v = g_new(struct held_entry, HELD_KEPT_MAX);
 	size_t n;
 	json_t *row;
 
 	k->written = holds_changes(k->e->holds);
-	n = holds_list(k->e->holds, v, ENTRIES_MAX);
+	n = holds_list(k->e->holds, v, HELD_KEPT_MAX);
 	row = encode(v, n);
 	k->api->write(k->store, STORE_PROMPTS, ROW_KEY, row, on_written, k);
 	json_decref(row);
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -5,148 +5,153 @@
 
 #include "entry/loads-gen.h"
 
-bool_t xdr_load_entry(XDR *xdrs, load_entry *objp)
+bool_t
+xdr_load_entry (XDR *xdrs, load_entry *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->target))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->running))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_held_entry(XDR *xdrs, held_entry *objp)
+bool_t
+xdr_held_entry (XDR *xdrs, held_entry *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->part))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->target))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_held_list(XDR *xdrs, held_list *objp)
+bool_t
+xdr_held_list (XDR *xdrs, held_list *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_array(xdrs, (char **)&objp->entries.entries_val,
-		       (u_int *)&objp->entries.entries_len, ~0,
-		       sizeof(held_entry), (xdrproc_t)xdr_held_entry))
-		return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, HELD_KEPT_MAX,
+		sizeof (held_entry), (xdrproc_t) xdr_held_entry))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_load_news(XDR *xdrs, load_news *objp)
+bool_t
+xdr_load_news (XDR *xdrs, load_news *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->node))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->seq))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->start))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->serving))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->entries.entries_val,
-		       (u_int *)&objp->entries.entries_len, LOADS_MAX,
-		       sizeof(load_entry), (xdrproc_t)xdr_load_entry))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->held.held_val,
-		       (u_int *)&objp->held.held_len, HELD_MAX,
-		       sizeof(held_entry), (xdrproc_t)xdr_held_entry))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->start))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->serving))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOADS_MAX,
+		sizeof (load_entry), (xdrproc_t) xdr_load_entry))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, HELD_MAX,
+		sizeof (held_entry), (xdrproc_t) xdr_held_entry))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_store_ask(XDR *xdrs, store_ask *objp)
+bool_t
+xdr_store_ask (XDR *xdrs, store_ask *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_quad_t(xdrs, &objp->asked_ms))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->targets_hash))
-		return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->asked_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_target_news(XDR *xdrs, target_news *objp)
+bool_t
+xdr_target_news (XDR *xdrs, target_news *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->key, TARGET_TEXT_MAX))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->revision))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->gone))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->leaving))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->id))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->service, TARGET_TEXT_MAX))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->zone, TARGET_TEXT_MAX))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->ip))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->port))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->slots))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, TARGET_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, TARGET_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, TARGET_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ip))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_store_word(XDR *xdrs, store_word *objp)
+bool_t
+xdr_store_word (XDR *xdrs, store_word *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_quad_t(xdrs, &objp->asked_ms))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->config_version))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->config_age_ms))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->targets_hash))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->targets_age_ms))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->targets.targets_val,
-		       (u_int *)&objp->targets.targets_len, TARGETS_TOLD_MAX,
-		       sizeof(target_news), (xdrproc_t)xdr_target_news))
-		return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->asked_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->config_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->targets_age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, TARGETS_TOLD_MAX,
+		sizeof (target_news), (xdrproc_t) xdr_target_news))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_peer_kind(XDR *xdrs, peer_kind *objp)
+bool_t
+xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_peer_message(XDR *xdrs, peer_message *objp)
+bool_t
+xdr_peer_message (XDR *xdrs, peer_message *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_peer_kind(xdrs, &objp->kind))
-		return FALSE;
+	 if (!xdr_peer_kind (xdrs, &objp->kind))
+		 return FALSE;
 	switch (objp->kind) {
 	case PEER_LOADS:
-		if (!xdr_load_news(xdrs, &objp->peer_message_u.loads))
-			return FALSE;
+		 if (!xdr_load_news (xdrs, &objp->peer_message_u.loads))
+			 return FALSE;
 		break;
 	case PEER_ASK:
-		if (!xdr_store_ask(xdrs, &objp->peer_message_u.ask))
-			return FALSE;
+		 if (!xdr_store_ask (xdrs, &objp->peer_message_u.ask))
+			 return FALSE;
 		break;
 	case PEER_WORD:
-		if (!xdr_store_word(xdrs, &objp->peer_message_u.word))
-			return FALSE;
+		 if (!xdr_store_word (xdrs, &objp->peer_message_u.word))
+			 return FALSE;
 		break;
 	default:
 		return FALSE;
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -8,12 +8,13 @@
 
 #include <rpc/rpc.h>
 
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 #define LOADS_MAX 120
-#define HELD_MAX  24
+#define HELD_MAX 24
 
 struct load_entry {
 	u_quad_t target;
@@ -26,6 +27,7 @@
 	u_quad_t target;
 };
 typedef struct held_entry held_entry;
+#define HELD_KEPT_MAX 2000
 
 struct held_list {
 	struct {
@@ -56,7 +58,7 @@
 	u_quad_t targets_hash;
 };
 typedef struct store_ask store_ask;
-#define TARGET_TEXT_MAX  128
+#define TARGET_TEXT_MAX 128
 #define TARGETS_TOLD_MAX 16
 
 struct target_news {
@@ -106,26 +108,26 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_load_entry(XDR *, load_entry *);
-extern bool_t xdr_held_entry(XDR *, held_entry *);
-extern bool_t xdr_held_list(XDR *, held_list *);
-extern bool_t xdr_load_news(XDR *, load_news *);
-extern bool_t xdr_store_ask(XDR *, store_ask *);
-extern bool_t xdr_target_news(XDR *, target_news *);
-extern bool_t xdr_store_word(XDR *, store_word *);
-extern bool_t xdr_peer_kind(XDR *, peer_kind *);
-extern bool_t xdr_peer_message(XDR *, peer_message *);
+extern  bool_t xdr_load_entry (XDR *, load_entry*);
+extern  bool_t xdr_held_entry (XDR *, held_entry*);
+extern  bool_t xdr_held_list (XDR *, held_list*);
+extern  bool_t xdr_load_news (XDR *, load_news*);
+extern  bool_t xdr_store_ask (XDR *, store_ask*);
+extern  bool_t xdr_target_news (XDR *, target_news*);
+extern  bool_t xdr_store_word (XDR *, store_word*);
+extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
+extern  bool_t xdr_peer_message (XDR *, peer_message*);
 
 #else /* K&R C */
-extern bool_t xdr_load_entry();
-extern bool_t xdr_held_entry();
-extern bool_t xdr_held_list();
-extern bool_t xdr_load_news();
-extern bool_t xdr_store_ask();
-extern bool_t xdr_target_news();
-extern bool_t xdr_store_word();
-extern bool_t xdr_peer_kind();
-extern bool_t xdr_peer_message();
+extern bool_t xdr_load_entry ();
+extern bool_t xdr_held_entry ();
+extern bool_t xdr_held_list ();
+extern bool_t xdr_load_news ();
+extern bool_t xdr_store_ask ();
+extern bool_t xdr_target_news ();
+extern bool_t xdr_store_word ();
+extern bool_t xdr_peer_kind ();
+extern bool_t xdr_peer_message ();
 
 #endif /* K&R C */
 
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -17,8 +17,10 @@
 };
 
 /* What is kept in the store of all of that, the last used first. */
+const HELD_KEPT_MAX = 2000;	/* some 21 bytes each in a row of 64 KB at most */
+
 struct held_list {
-	held_entry entries<>;
+	held_entry entries<HELD_KEPT_MAX>;
 };
 
 struct load_news {
