entry: whether a node serves is told at once

Cause: a node tells its loads, and whether it serves, in rounds that take 1 s at 100 nodes and 3 s at 300. The first round of a node that starts goes out before it has read its configuration, so for a whole round more the others name nobody but themselves to callers.

Change: a change of serving does not wait for its turn.

--- a/entry/control.c
+++ b/entry/control.c
@@ -289,7 +289,7 @@
 	struct held_entry held[HELD_MAX];
 	struct peer_message m = {.kind = PEER_LOADS};
 
-	if (now_ms < c->tell_at_ms)
+	if (now_ms < c->tell_at_ms && !loads_is_urgent(c->e->loads))
 		return;
 	c->tell_at_ms = now_ms + tell_pause_ms(l->n);
 	loads_set_pause(c->e->loads, tell_pause_ms(l->n));
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -344,6 +344,9 @@
 void loads_set_pause(struct loads *l, int64_t pause_ms);
 /* Tell the others whether this node takes callers' requests. */
 void loads_set_serving(struct loads *l, bool serving);
+/* Whether that has changed since it was last told; it does not wait its turn.
+ */
+bool loads_is_urgent(struct loads *l);
 /* Whether another node said lately that it does. */
 bool loads_node_serves(struct loads *l, uint64_t node, int64_t now_ms);
 struct load_news;
--- a/entry/follow.c
+++ b/entry/follow.c
@@ -23,6 +23,8 @@
  */
 #define ALONE_MS   1300
 #define ALONE_PART 0.65
+/* Part of the time to revoke a key after which nobody else is relied on. */
+#define TRUST_PART 0.4
 /* It looks this often whether it must read. */
 #define LOOK_MS 100
 /* The list of targets is not read oftener than this. */
@@ -185,9 +187,6 @@
 	return !confirmed_ms || now_ms - confirmed_ms > alone_ms(f);
 }
 
-/* Part of the time to revoke a key after which nobody else is relied on. */
-#define TRUST_PART 0.4
-
 /* Whether the configuration held is the newest, as readers tell. */
 static bool is_config_told(const struct follow *f, int64_t now_ms)
 {
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -30,6 +30,7 @@
 	int64_t sums_until_ms;
 	int64_t heard_for_ms;
 	bool serving;
+	bool told_serving;
 	bool changed;
 	int64_t told_ms;
 };
@@ -146,6 +147,16 @@
 	g_mutex_unlock(&l->lock);
 }
 
+bool loads_is_urgent(struct loads *l)
+{
+	bool urgent;
+
+	g_mutex_lock(&l->lock);
+	urgent = l->serving != l->told_serving;
+	g_mutex_unlock(&l->lock);
+	return urgent;
+}
+
 bool loads_node_serves(struct loads *l, uint64_t node, int64_t now_ms)
 {
 	struct teller *t;
@@ -171,6 +182,7 @@
 	}
 	l->changed = false;
 	l->told_ms = now_ms;
+	l->told_serving = l->serving;
 	*m = (struct load_news){
 		.node = l->node,
 		.seq = ++l->seq,
--- a/entry/test-loads.c
+++ b/entry/test-loads.c
@@ -60,8 +60,13 @@
 	struct loads *a = loads_new(1), *b = loads_new(2);
 
 	g_assert_false(loads_node_serves(b, 1, 1000));
+	tell(a, b, 900);
+	g_assert_false(loads_is_urgent(a));
 	loads_set_serving(a, true);
+	/* In a large fleet its turn may be seconds away. */
+	g_assert_true(loads_is_urgent(a));
 	tell(a, b, 1000);
+	g_assert_false(loads_is_urgent(a));
 	g_assert_true(loads_node_serves(b, 1, 1000));
 	/* In a large fleet the pauses are long, and nobody is gone for it. */
 	g_assert_false(loads_node_serves(b, 1, 5000));
