entry: messages between nodes and the choice of candidates by themselves

Cause: control.c had 628 lines, with the messages between nodes in its middle; pool_choose took three screens.

Change: entry/peers.c holds what nodes tell each other beside membership; the candidates of a choice, the outliers and those tried are a function each. A target that leaves is no outlier, as it gets nothing anyway.

--- a/entry/control.c
+++ b/entry/control.c
@@ -7,22 +7,9 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "entry/follow.h"
-
-#define DATAGRAM_BYTES 2048
-/* Behind each message between nodes that membership does not seal itself. */
-#define SEAL_BYTES crypto_auth_BYTES
-#define TICK_MS    50
-/* Loads are told this often, and no oftener than DATAGRAMS_S allows. */
-#define TELL_MS 100
-/* Load datagrams that a node sends in a second: some 1% of a small core. */
-#define DATAGRAMS_S 100
-/*
- * A node that doesn't read the store asks one that does this often, and so many
- * times within the time in which a leaving target may still be used.
- */
-#define ASK_MS        400
-#define ASKS_IN_DRAIN 5
+#include "entry/control.h"
+
+#define TICK_MS 50
 /* The settings may change without a signal; looked at this often. */
 #define SETTINGS_MS 2000
 /* After its start a node has heard from all others of a large fleet. */
@@ -33,31 +20,6 @@
 #define EPOCH_MS       1735689600000
 #define INCARNATION_MS 125
 
-struct control {
-	struct entry *e;
-	struct ev_loop *loop;
-	struct member *member;
-	int member_fd, loads_fd;
-	ev_io member_io, loads_io;
-	ev_timer tick;
-	ev_signal term, hup;
-	ev_async stop, leave;
-	uint8_t key[MEMBER_KEY_BYTES];
-	bool keyed; /* nothing is sent or taken before */
-	struct fleet *fleet;
-	struct follow *follow;
-	struct keep *keep;
-	uint64_t view;
-	int64_t heard_at_ms; /* all that live have been heard by then */
-	int64_t tell_at_ms;
-	int64_t ask_at_ms;
-	int64_t settings_at_ms;
-	struct timespec settings_changed; /* time of the file in force */
-	int64_t introduce_at_ms;
-	GHashTable *seeds; /* control addresses that were named somewhere */
-	size_t turn;
-};
-
 static int open_udp(const char *ip, int64_t port, GError **err)
 {
 	struct sockaddr_in at;
@@ -137,96 +99,6 @@
 	}
 }
 
-static void send_peer(struct control *c, const struct sockaddr_in *to,
-		      struct peer_message *m)
-{
-	char p[DATAGRAM_BYTES];
-	size_t n = 0;
-	XDR x;
-
-	xdrmem_create(&x, p, sizeof(p) - SEAL_BYTES, XDR_ENCODE);
-	if (c->keyed && xdr_peer_message(&x, m))
-		n = xdr_getpos(&x);
-	xdr_destroy(&x);
-	if (n) {
-		crypto_auth((uint8_t *)p + n, (uint8_t *)p, n, c->key);
-		n += SEAL_BYTES;
-	}
-	/* A message that can't be sent counts as one that was lost. */
-	if (n && sendto(c->loads_fd, p, n, MSG_DONTWAIT,
-			(const struct sockaddr *)to, sizeof(*to)) > 0)
-		metric_add(M_CONTROL_BYTES_SENT_TOTAL,
-			   (int64_t)n + MEMBER_DATAGRAM_BYTES);
-}
-
-static void answer(struct control *c, const struct sockaddr_in *from,
-		   const struct store_ask *ask)
-{
-	struct peer_message m = {.kind = PEER_WORD};
-	struct target_news news[TARGETS_TOLD_MAX];
-
-	follow_tell(c->follow, ask, &m.peer_message_u.word, news);
-	send_peer(c, from, &m);
-}
-
-static void take_loads(struct control *c, const struct load_news *m)
-{
-	loads_heard(c->e->loads, time_boot_ms(), m);
-	holds_heard(c->e->holds, m->held.held_val, m->held.held_len);
-}
-
-/* Whether the message before the seal is one of this fleet. */
-static bool is_sealed(const struct control *c, const char *p, size_t n)
-{
-	return c->keyed && n >= SEAL_BYTES &&
-	       !crypto_auth_verify((const uint8_t *)p + n - SEAL_BYTES,
-				   (const uint8_t *)p, n - SEAL_BYTES, c->key);
-}
-
-static void take_peer(struct control *c, const struct sockaddr_in *from,
-		      const char *p, size_t n)
-{
-	struct peer_message m;
-	XDR x;
-
-	if (!is_sealed(c, p, n)) {
-		metric_add(M_CONTROL_NOT_AUTHENTIC_TOTAL, 1);
-		return;
-	}
-	n -= SEAL_BYTES;
-	memset(&m, 0, sizeof(m));
-	xdrmem_create(&x, (char *)p, (u_int)n, XDR_DECODE);
-	if (!xdr_peer_message(&x, &m))
-		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
-	else if (m.kind == PEER_LOADS)
-		take_loads(c, &m.peer_message_u.loads);
-	else if (m.kind == PEER_ASK)
-		answer(c, from, &m.peer_message_u.ask);
-	else
-		follow_heard(c->follow, &m.peer_message_u.word);
-	xdr_destroy(&x);
-	xdr_free((xdrproc_t)xdr_peer_message, (char *)&m);
-}
-
-static void on_loads(struct ev_loop *loop, ev_io *w, int events)
-{
-	struct control *c = w->data;
-	char p[DATAGRAM_BYTES];
-	struct sockaddr_in from;
-	socklen_t len = sizeof(from);
-	ssize_t n;
-
-	(void)loop;
-	(void)events;
-	while ((n = recvfrom(c->loads_fd, p, sizeof(p), MSG_DONTWAIT,
-			     (struct sockaddr *)&from, &len)) >= 0) {
-		metric_add(M_CONTROL_BYTES_RECEIVED_TOTAL,
-			   n + MEMBER_DATAGRAM_BYTES);
-		take_peer(c, &from, p, (size_t)n);
-		len = sizeof(from);
-	}
-}
-
 /* Where a node takes loads: one port above its control address. */
 static bool loads_address(const char *control, struct sockaddr_in *out)
 {
@@ -265,12 +137,6 @@
 	ev_async_send(c->e->tr.loop, &c->e->tr.news);
 }
 
-/* Pause between load datagrams to all peers. */
-static int64_t tell_pause_ms(size_t peers)
-{
-	return MAX(TELL_MS, (int64_t)peers * 1000 / DATAGRAMS_S);
-}
-
 static struct peer_list *peers_of(struct control *c)
 {
 	struct peer_list *l;
@@ -281,74 +147,6 @@
 	return l;
 }
 
-static void tell_loads(struct control *c, const struct peer_list *l,
-		       int64_t now_ms)
-{
-	uint64_t self = member_id(c->e->control_set.node_name);
-	struct load_entry entries[LOADS_ENTRIES_MAX];
-	struct held_entry held[HELD_MAX];
-	struct peer_message m = {.kind = PEER_LOADS};
-
-	if (now_ms < c->tell_at_ms && !loads_is_urgent(c->e->loads))
-		return;
-	c->tell_at_ms = now_ms + tell_pause_ms(l->n);
-	loads_set_pause(c->e->loads, tell_pause_ms(l->n));
-	if (!loads_next(c->e->loads, now_ms, &m.peer_message_u.loads, entries))
-		return;
-	m.peer_message_u.loads.held.held_val = held;
-	m.peer_message_u.loads.held.held_len =
-		(u_int)holds_next(c->e->holds, held);
-	for (size_t i = 0; i < l->n; i++)
-		if (l->v[i].id != self)
-			send_peer(c, &l->v[i].loads, &m);
-}
-
-static const struct entry_peer *find_peer(const struct peer_list *l,
-					  uint64_t id)
-{
-	for (size_t i = 0; i < l->n; i++)
-		if (l->v[i].id == id)
-			return &l->v[i];
-	return NULL;
-}
-
-/* See who reads the store; ask one of them unless this node does. */
-static void ask_readers(struct control *c, const struct peer_list *l,
-			int64_t now_ms)
-{
-	uint64_t self = member_id(c->e->control_set.node_name);
-	struct peer_message m = {.kind = PEER_ASK};
-	uint64_t *ids, top[READERS];
-	bool reader = false;
-	size_t n = 0, k;
-
-	if (now_ms < c->ask_at_ms)
-		return;
-	c->ask_at_ms = now_ms + MIN(ASK_MS, c->e->control_set.bounds_drain_ms /
-						    ASKS_IN_DRAIN);
-	ids = g_new(uint64_t, l->n + 1);
-	for (size_t i = 0; i < l->n; i++)
-		if (l->v[i].id == self ||
-		    loads_node_serves(c->e->loads, l->v[i].id, now_ms))
-			ids[n++] = l->v[i].id;
-	/* Few have been heard yet: go by those that are listed. */
-	if (n <= READERS && now_ms < c->heard_at_ms)
-		for (n = 0; n < l->n; n++)
-			ids[n] = l->v[n].id;
-	k = readers_choose(ids, n, top);
-	g_free(ids);
-	for (size_t i = 0; i < k; i++)
-		reader |= top[i] == self;
-	follow_set_reader(c->follow, reader || !k);
-	fleet_set_reader(c->fleet, reader || !k);
-	keep_set_writer(c->keep, !k || top[0] == self);
-	if (reader || !k)
-		return;
-	m.peer_message_u.ask.asked_ms = now_ms;
-	m.peer_message_u.ask.targets_hash = follow_hash(c->follow);
-	send_peer(c, &find_peer(l, top[c->turn++ % k])->loads, &m);
-}
-
 static bool is_known(const struct control *c, const char *control)
 {
 	for (size_t i = 0; i < member_count(c->member); i++) {
@@ -383,8 +181,8 @@
 
 	if (!l)
 		return;
-	tell_loads(c, l, now_ms);
-	ask_readers(c, l, now_ms);
+	peers_tell_loads(c, l, now_ms);
+	peers_ask_readers(c, l, now_ms);
 	peer_list_unref(l);
 }
 
@@ -559,7 +357,7 @@
 	c->member = member_new(&o, time_mono_ms());
 	add_seeds(c);
 	watch_fd(c, &c->member_io, c->member_fd, on_member);
-	watch_fd(c, &c->loads_io, c->loads_fd, on_loads);
+	watch_fd(c, &c->loads_io, c->loads_fd, peers_on_message);
 	ev_timer_init(&c->tick, on_tick, 0, TICK_MS / 1000.0);
 	c->tick.data = c;
 	ev_timer_start(c->loop, &c->tick);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -183,19 +183,68 @@
 	return MAX(told, own);
 }
 
+static struct place_target candidate_of(struct target *t, int64_t now_ms)
+{
+	bool aside = t->aside_until_ms > now_ms;
+
+	return (struct place_target){
+		.id = t->info.id,
+		.load = load_of(t, now_ms),
+		.weight =
+			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
+		.aside = aside,
+		.leaving = t->info.leaving,
+		.gives = !t->broke && !aside,
+	};
+}
+
+/* Those that fail far more often than the rest of their service. */
+static void set_outliers_aside(struct place_target *p, struct target **by,
+			       size_t n)
+{
+	double errors = 0;
+	size_t staying = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		if (p[i].leaving)
+			continue;
+		errors += by[i]->errors;
+		staying++;
+	}
+	if (staying < 2)
+		return;
+	for (size_t i = 0; i < n; i++) {
+		double others =
+			(errors - by[i]->errors) / (double)(staying - 1);
+
+		if (!p[i].leaving && by[i]->errors > others + ERROR_EXCESS)
+			p[i].aside = true;
+	}
+}
+
+static void set_tried_aside(struct place_target *p, size_t n,
+			    const uint64_t *tried, size_t tried_count)
+{
+	for (size_t i = 0; i < n; i++)
+		for (size_t k = 0; k < tried_count; k++)
+			if (tried[k] == p[i].id)
+				p[i].aside = true;
+}
+
 struct target *pool_choose(struct traffic *tr, const struct entry_service *s,
 			   const struct prompt *prompt, const uint64_t *tried,
 			   size_t tried_count, struct target **source)
 {
-	size_t most = g_hash_table_size(tr->targets), n = 0, staying = 0, at;
+	size_t most = g_hash_table_size(tr->targets), n = 0, at, from;
 	struct place_target *p = g_newa(struct place_target, most + 1);
 	struct target **by = g_newa(struct target *, most + 1);
+	struct place_limits limits = place_limits_for(
+		prompt->shared_tokens, tr->set->bounds_load_factor);
 	int64_t now = time_boot_ms();
-	struct place_limits limits;
-	double errors = 0;
 	GHashTableIter it;
 	gpointer v;
 
+	*source = NULL;
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct target *t = v;
@@ -203,45 +252,19 @@
 		if (!t->listed || !str_eq(t->info.service, s->name))
 			continue;
 		by[n] = t;
-		p[n] = (struct place_target){
-			.id = t->info.id,
-			.load = load_of(t, now),
-			.weight = t->joined_ms
-					  ? place_weight(now - t->joined_ms)
-					  : 1,
-			.aside = t->aside_until_ms > now,
-			.leaving = t->info.leaving,
-			.gives = !t->broke && t->aside_until_ms <= now,
-		};
-		n++;
-		if (t->info.leaving)
-			continue;
-		errors += t->errors;
-		staying++;
+		p[n++] = candidate_of(t, now);
 	}
-	for (size_t i = 0; i < n; i++) {
-		double others = staying > 1 ? (errors - by[i]->errors) /
-						      (double)(staying - 1)
-					    : by[i]->errors;
-
-		if (by[i]->errors > others + ERROR_EXCESS)
-			p[i].aside = true;
-		for (size_t k = 0; k < tried_count; k++)
-			if (tried[k] == p[i].id)
-				p[i].aside = true;
-	}
-	limits = place_limits_for(prompt->shared_tokens,
-				  tr->set->bounds_load_factor);
+	set_outliers_aside(p, by, n);
+	set_tried_aside(p, n, tried, tried_count);
 	at = place_choose(&limits, prompt->key, p, n,
 			  (struct route_random){next_random, tr->rand});
-	*source = NULL;
 	if (at == SIZE_MAX)
 		return NULL;
-	if (s->fetches) {
-		size_t from = holds_source(tr->e->holds, prompt, p, n, at);
-
-		*source = from == SIZE_MAX ? NULL : by[from];
-	}
+	if (!s->fetches)
+		return by[at];
+	from = holds_source(tr->e->holds, prompt, p, n, at);
+	if (from != SIZE_MAX)
+		*source = by[from];
 	return by[at];
 }
 
