entry: seal a message to all once; one close of idle connections

A datagram of loads was encoded and sealed anew for each peer, 72 times at 73 nodes. The reset of the turn to tell when a node leaves stood beside the rule that any change of serving does not wait for its turn. An idle connection was closed and freed in three places. A prompt's key was kept beside the part that it is.

Ruled out: one type for what the index lists and what is told of it (the index is of route/, which knows no messages), and one place for the timers of fleet, keep and follow, which share their shape only.

Change: seal() and send_sealed(); close_idle(); the key is parts[0]; the reset is gone. Behaviour is meant to stay.

--- a/entry/bind.c
+++ b/entry/bind.c
@@ -41,7 +41,6 @@
 	}
 	if (!out.part_count && last.len)
 		add_part(&out, last);
-	out.key = out.part_count ? out.parts[0] : 0;
 	return out;
 }
 
--- a/entry/control.c
+++ b/entry/control.c
@@ -251,7 +251,6 @@
 	g_mutex_unlock(&c->e->lock);
 	member_leave(c->member);
 	loads_set_serving(c->e->loads, false);
-	c->tell_at_ms = 0;
 	tell_peers(c, time_boot_ms());
 	ev_async_send(c->e->tr.loop, &c->e->tr.news);
 }
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -59,7 +59,7 @@
 		  "cause=%s config=%d config_age_ms=%d",
 		  STR_ARG(x->id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
-		  (unsigned)x->prompt.key, (int)x->prompt.shared_tokens,
+		  (unsigned)x->prompt.parts[0], (int)x->prompt.shared_tokens,
 		  STR_ARG(x->last_target), STR_ARG(x->last_source), status, how,
 		  (int)(now - x->arrived_ms), x->sends, x->runs,
 		  (int)x->cut.events, x->cause ? x->cause : "-",
--- a/entry/inner.h
+++ b/entry/inner.h
@@ -28,9 +28,11 @@
 
 /* What a request's prompt has in common with others. */
 struct prompt {
-	uint64_t key; /* hash of its longest part that others have; 0: none */
-	int64_t shared_tokens; /* up to the end of that part */
-	/* Hashes of the parts that others have, the longest first. */
+	int64_t shared_tokens; /* up to the end of the longest of the parts */
+	/*
+	 * Hashes of the parts that others have, the longest first, which is the
+	 * key by which requests are placed; 0: none.
+	 */
 	uint64_t parts[PROMPT_PARTS];
 	size_t part_count;
 };
--- a/entry/keep.c
+++ b/entry/keep.c
@@ -3,8 +3,6 @@
  * that it outlasts the loss of all of them. One node writes it; a node that
  * starts reads it once. What is out of date costs a needless look at a target.
  */
-#include <talloc.h>
-
 #include "entry/follow.h"
 
 /* Between writes: few calls, and little is lost when all nodes stop. */
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -18,26 +18,46 @@
 #define ASK_MS        400
 #define ASKS_IN_DRAIN 5
 
-static void send_peer(struct control *c, const struct sockaddr_in *to,
-		      struct peer_message *m)
-{
+/* A message as it is sent; n is 0 when there is none. */
+struct sealed {
 	char p[DATAGRAM_BYTES];
-	size_t n = 0;
+	size_t n;
+};
+
+static void seal(const struct control *c, struct peer_message *m,
+		 struct sealed *out)
+{
 	XDR x;
 
-	xdrmem_create(&x, p, sizeof(p) - SEAL_BYTES, XDR_ENCODE);
+	out->n = 0;
+	xdrmem_create(&x, out->p, sizeof(out->p) - SEAL_BYTES, XDR_ENCODE);
 	if (c->keyed && xdr_peer_message(&x, m))
-		n = xdr_getpos(&x);
+		out->n = xdr_getpos(&x);
 	xdr_destroy(&x);
-	if (n) {
-		crypto_auth((uint8_t *)p + n, (uint8_t *)p, n, c->key);
-		n += SEAL_BYTES;
-	}
+	if (!out->n)
+		return;
+	crypto_auth((uint8_t *)out->p + out->n, (uint8_t *)out->p, out->n,
+		    c->key);
+	out->n += SEAL_BYTES;
+}
+
+static void send_sealed(const struct control *c, const struct sockaddr_in *to,
+			const struct sealed *s)
+{
 	/* A message that can't be sent counts as one that was lost. */
-	if (n && sendto(c->loads_fd, p, n, MSG_DONTWAIT,
-			(const struct sockaddr *)to, sizeof(*to)) > 0)
+	if (s->n && sendto(c->loads_fd, s->p, s->n, MSG_DONTWAIT,
+			   (const struct sockaddr *)to, sizeof(*to)) > 0)
 		metric_add(M_CONTROL_BYTES_SENT_TOTAL,
-			   (int64_t)n + MEMBER_DATAGRAM_BYTES);
+			   (int64_t)s->n + MEMBER_DATAGRAM_BYTES);
+}
+
+static void send_peer(const struct control *c, const struct sockaddr_in *to,
+		      struct peer_message *m)
+{
+	struct sealed s;
+
+	seal(c, m, &s);
+	send_sealed(c, to, &s);
 }
 
 static void answer(struct control *c, const struct sockaddr_in *from,
@@ -121,6 +141,7 @@
 	struct load_entry entries[LOADS_ENTRIES_MAX];
 	struct held_entry held[HELD_MAX];
 	struct peer_message m = {.kind = PEER_LOADS};
+	struct sealed s;
 
 	if (now_ms < c->tell_at_ms && !loads_is_urgent(c->e->loads))
 		return;
@@ -131,9 +152,10 @@
 	m.peer_message_u.loads.held.held_val = held;
 	m.peer_message_u.loads.held.held_len =
 		(u_int)holds_next(c->e->holds, held);
+	seal(c, &m, &s);
 	for (size_t i = 0; i < l->n; i++)
 		if (l->v[i].id != self)
-			send_peer(c, &l->v[i].loads, &m);
+			send_sealed(c, &l->v[i].loads, &s);
 }
 
 static const struct entry_peer *find_peer(const struct peer_list *l,
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -24,23 +24,27 @@
 	int64_t until_ms;
 };
 
+/* It is in no queue any more. */
+static void close_idle(struct idle *i)
+{
+	link_close(i->link);
+	g_free(i);
+}
+
 static void on_idle_lost(void *ctx)
 {
 	struct idle *i = ctx;
 
 	g_queue_remove(i->target->idle, i);
-	link_close(i->link);
-	g_free(i);
+	close_idle(i);
 }
 
 static void drop_idle(struct target *t)
 {
 	struct idle *i;
 
-	while ((i = g_queue_pop_head(t->idle))) {
-		link_close(i->link);
-		g_free(i);
-	}
+	while ((i = g_queue_pop_head(t->idle)))
+		close_idle(i);
 }
 
 static void target_free(void *p)
@@ -89,8 +93,7 @@
 
 		while ((i = g_queue_peek_tail(t->idle)) && i->until_ms <= now) {
 			g_queue_pop_tail(t->idle);
-			link_close(i->link);
-			g_free(i);
+			close_idle(i);
 		}
 	}
 	g_hash_table_foreach_remove(tr->targets, is_unused, NULL);
@@ -256,7 +259,7 @@
 	}
 	set_outliers_aside(p, by, n);
 	set_tried_aside(p, n, tried, tried_count);
-	at = place_choose(&limits, prompt->key, p, n,
+	at = place_choose(&limits, prompt->parts[0], p, n,
 			  (struct route_random){next_random, tr->rand});
 	if (at == SIZE_MAX)
 		return NULL;
