Mend faults that reading found: retry decision, caller timer, text limits, log rate

Cause and change, each with a test that failed on the sources before: - entry/retry.c decided twice whether a retry is allowed. When the deadline came between the two looks, the attempt was ended and neither repeated nor answered, without a timer. The decision is now taken once (entry/test-retry). - entry/caller.c: after an error reply the timer of the request ran on and wrote 408 behind it while the reply waited for a slow reader (one-error-reply); the connection closed for room was the oldest idle one, not the one idle longest (evicts-longest-idle). Found with it: a caller that reads a large response slowly was closed after the idle timeout although it made progress; the timeout now starts again with each write. - base/log.c lost the fraction of a line at each refill (full-rate: 150 lines a second gave 111); the budget is now kept in thousandths (line_budget_take). - entry settings took names of 128 bytes where messages between nodes carry 64: such a node never joined. The settings now say 64. A key of the store may have 200 bytes, an update between nodes carried 128 and was dropped whole. - buf_fmt cut at 511 bytes; it now grows.

--- a/base/base.h
+++ b/base/base.h
@@ -107,6 +107,18 @@
  * false for any other name. Call before other threads start.
  */
 bool log_set_level(const char *name);
+/* Token bucket that limits log lines; a rate of 0 sets no limit. */
+struct line_budget {
+	int64_t rate_per_s;
+	int64_t thousandths; /* of a line, that are left */
+	int64_t filled_ms;   /* they include the refill up to then */
+};
+
+/*
+ * Take one line from the budget; false when it is used up. A fifth of it is
+ * reserved for urgent lines.
+ */
+bool line_budget_take(struct line_budget *b, int64_t now_ms, bool urgent);
 /*
  * Write events to a descriptor instead of standard error, at most lines_per_s
  * of them a second (0: no limit). Lines over the rate, and lines that a
--- a/base/log.c
+++ b/base/log.c
@@ -10,10 +10,8 @@
 static const char *const level_names[] = {"debug", "info", "warning", "error"};
 static enum log_level lowest_level = LOG_INFO;
 static int out_fd = STDERR_FILENO;
-/* The token bucket and the count of dropped lines; the lock protects them. */
-static int64_t rate_per_s; /* 0: no limit */
-static int64_t lines_left;
-static int64_t last_fill_ms;
+/* The lock protects these. */
+static struct line_budget budget;
 static int64_t dropped_lines;
 static GMutex lock;
 
@@ -41,32 +39,24 @@
 {
 	g_mutex_lock(&lock);
 	out_fd = fd;
-	rate_per_s = lines_per_s;
-	lines_left = lines_per_s;
-	last_fill_ms = time_mono_ms();
+	budget = (struct line_budget){lines_per_s, lines_per_s * 1000,
+				      time_mono_ms()};
 	g_mutex_unlock(&lock);
 }
 
-/*
- * Take a token for one line; return false when there is none. A fifth of the
- * bucket is reserved for warnings and errors.
- */
-static bool allow_line(enum log_level level)
+bool line_budget_take(struct line_budget *b, int64_t now_ms, bool urgent)
 {
-	int64_t now = time_mono_ms();
-	int64_t reserved = level < LOG_WARNING ? rate_per_s / 5 : 0;
+	int64_t reserved = urgent ? 0 : b->rate_per_s / 5;
 	int64_t refill;
 
-	if (!rate_per_s)
+	if (!b->rate_per_s)
 		return true;
-	refill = (now - last_fill_ms) * rate_per_s / 1000;
-	if (refill > 0) {
-		lines_left = MIN(rate_per_s, lines_left + refill);
-		last_fill_ms = now;
-	}
-	if (lines_left <= reserved)
+	refill = (now_ms - b->filled_ms) * b->rate_per_s;
+	b->thousandths = MIN(b->thousandths + refill, b->rate_per_s * 1000);
+	b->filled_ms = now_ms;
+	if (b->thousandths < (reserved + 1) * 1000)
 		return false;
-	lines_left--;
+	b->thousandths -= 1000;
 	return true;
 }
 
@@ -76,7 +66,9 @@
 	char notice[64];
 
 	g_mutex_lock(&lock);
-	if (!allow_line(level) || write(out_fd, line, n) < 0) {
+	if (!line_budget_take(&budget, time_mono_ms(),
+			      level >= LOG_WARNING) ||
+	    write(out_fd, line, n) < 0) {
 		dropped_lines++; /* reported after the next line written */
 	} else if (dropped_lines) {
 		int len = snprintf(notice, sizeof(notice),
--- a/base/test-log.c
+++ b/base/test-log.c
@@ -31,6 +31,33 @@
 	g_test_trap_assert_stderr_unmatched("*node_started*");
 }
 
+/* Calls that come faster than lines refill get the full rate all the same. */
+static void test_full_rate(void)
+{
+	struct line_budget b = {.rate_per_s = 150};
+	int taken = 0;
+
+	for (int64_t now_ms = 0; now_ms <= 10000; now_ms += 9)
+		for (int i = 0; i < 4; i++)
+			taken += line_budget_take(&b, now_ms, true);
+	g_assert_cmpint(taken, >=, 1495);
+	g_assert_cmpint(taken, <=, 1500);
+}
+
+/* Ordinary lines leave a fifth of the budget to urgent ones. */
+static void test_urgent_reserve(void)
+{
+	struct line_budget b = {.rate_per_s = 100, .thousandths = 100000};
+	int ordinary = 0, urgent = 0;
+
+	while (line_budget_take(&b, 0, false))
+		ordinary++;
+	while (line_budget_take(&b, 0, true))
+		urgent++;
+	g_assert_cmpint(ordinary, ==, 80);
+	g_assert_cmpint(urgent, ==, 20);
+}
+
 static void test_numbers_are_unique(void)
 {
 	for (int i = 0; i < EV_COUNT; i++) {
@@ -45,6 +72,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/log/one-line", test_one_line_per_event);
 	g_test_add_func("/base/log/level", test_lower_level_is_dropped);
+	g_test_add_func("/base/log/full-rate", test_full_rate);
+	g_test_add_func("/base/log/urgent", test_urgent_reserve);
 	g_test_add_func("/base/log/numbers", test_numbers_are_unique);
 	return g_test_run();
 }
--- a/entry/buf.c
+++ b/entry/buf.c
@@ -36,15 +36,19 @@
 
 void buf_fmt(struct buf *b, const char *fmt, ...)
 {
-	char text[512]; /* longer output is truncated */
-	va_list ap;
+	va_list ap, again;
 	int n;
 
 	va_start(ap, fmt);
-	n = vsnprintf(text, sizeof(text), fmt, ap);
+	va_copy(again, ap);
+	n = vsnprintf(NULL, 0, fmt, ap);
 	va_end(ap);
-	if (n > 0)
-		buf_add(b, text, MIN((size_t)n, sizeof(text) - 1));
+	if (n > 0) {
+		reserve(b, (size_t)n + 1); /* vsnprintf adds a NUL */
+		vsnprintf(b->data + b->len, (size_t)n + 1, fmt, again);
+		b->len += (size_t)n;
+	}
+	va_end(again);
 }
 
 void buf_consume(struct buf *b, size_t n)
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -147,6 +147,9 @@
 		 MSG_NOSIGNAL);
 	if (n > 0) {
 		buf_consume(&c->output, (size_t)n);
+		/* A caller that reads slowly is not idle. */
+		if (!c->exchange && !c->request_began_ms)
+			set_timeout(c, limits_of(c).idle_ms);
 	} else if (n < 0 && errno != EAGAIN && errno != EINTR) {
 		close_caller(c);
 		return;
@@ -179,6 +182,9 @@
 
 	local_reply_error(&out, c->tr, arena, kind, 0, false);
 	c->close_when_sent = true;
+	/* The request has its answer; from here on the caller only reads it. */
+	c->request_began_ms = 0;
+	set_timeout(c, limits_of(c).idle_ms);
 	caller_write(c, buf_data(&out), buf_len(&out));
 	buf_clear(&out);
 	talloc_free(arena);
@@ -299,6 +305,8 @@
 		return;
 	}
 	set_timeout(c, limits_of(c).idle_ms);
+	g_queue_unlink(c->tr->callers, c->queue_link);
+	g_queue_push_tail_link(c->tr->callers, c->queue_link);
 	/* Pipelined input is parsed in the next iteration, not recursively. */
 	if (buf_len(&c->input))
 		ev_feed_event(c->tr->loop, &c->io, EV_CUSTOM);
@@ -370,7 +378,7 @@
 	return c;
 }
 
-/* Make room for a new connection by closing the oldest one that is idle. */
+/* Make room for a new connection by closing the one idle for longest. */
 static void evict_idle(struct traffic *tr)
 {
 	for (GList *l = tr->callers->head; l; l = l->next) {
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -418,7 +418,7 @@
 		/* A retry discards this response, so check beforehand. */
 		if (!timed_out && exchange_may_retry(x, x->possible_runs + 1) &&
 		    exchange_take_retry(x)) {
-			exchange_retry(x, true, false);
+			exchange_replace_attempt(x);
 			return;
 		}
 		if (!deliverable) {
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -90,6 +90,12 @@
  * true the exchange may have been freed.
  */
 bool exchange_retry(struct exchange *x, bool ran, bool charge);
+/*
+ * End an attempt that may have run and begin another one, after both
+ * exchange_may_retry and exchange_take_retry have allowed it. May free the
+ * exchange.
+ */
+void exchange_replace_attempt(struct exchange *x);
 /*
  * Retry a stream that has been silent past its stall deadline. Returns whether
  * it was moved to another target.
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -89,7 +89,8 @@
 	struct port ports[PORT_COUNT];
 	ev_async views_published; /* signalled by the control thread */
 	ev_timer housekeeping;    /* periodic */
-	GQueue *callers; /* struct caller, in the order of connecting */
+	/* struct caller, by the time of connecting or of the last response */
+	GQueue *callers;
 	int exchanges;   /* requests in progress */
 	int64_t buffered_body_bytes; /* request bodies held in memory */
 	bool serving; /* last advertised state: callers may be sent here */
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -58,7 +58,7 @@
 	u_quad_t targets_hash;
 };
 typedef struct store_query store_query;
-#define TARGET_TEXT_MAX 128
+#define TARGET_TEXT_MAX 200
 #define TARGET_UPDATES_MAX 16
 
 struct target_update {
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -25,7 +25,8 @@
 				 time_boot_ms());
 }
 
-bool exchange_retry(struct exchange *x, bool ran, bool charge)
+/* End the attempt, which the target may have run if ran. */
+static void end_attempt(struct exchange *x, bool ran)
 {
 	exchange_abandon_attempt(x);
 	sse_splitter_drop_partial(&x->splitter);
@@ -33,12 +34,11 @@
 	x->foreign_response = false;
 	if (ran)
 		x->possible_runs++;
-	if (!exchange_may_retry(x, x->possible_runs))
-		return false;
-	if (charge && !exchange_take_retry(x)) {
-		x->failure_cause = "no_retry_budget";
-		return false;
-	}
+}
+
+/* Begin another attempt after end_attempt; may free the exchange. */
+static void begin_retry(struct exchange *x, bool ran)
+{
 	metric_add(M_RETRIES_TOTAL, 1);
 	log_event(EV_REQUEST_REPEATED,
 		  "request=" STR_FMT " target=" STR_FMT
@@ -47,6 +47,24 @@
 		  x->failure_cause, ran, x->attempts,
 		  (int)x->splitter.last_number);
 	exchange_attempt(x);
+}
+
+void exchange_replace_attempt(struct exchange *x)
+{
+	end_attempt(x, true);
+	begin_retry(x, true);
+}
+
+bool exchange_retry(struct exchange *x, bool ran, bool charge)
+{
+	end_attempt(x, ran);
+	if (!exchange_may_retry(x, x->possible_runs))
+		return false;
+	if (charge && !exchange_take_retry(x)) {
+		x->failure_cause = "no_retry_budget";
+		return false;
+	}
+	begin_retry(x, ran);
 	return true;
 }
 
@@ -62,7 +80,7 @@
 		return false;
 	x->failure_cause = cause;
 	x->target->last_failed = true;
-	exchange_retry(x, true, false);
+	exchange_replace_attempt(x);
 	return true;
 }
 
--- a/entry/settings-gen.c
+++ b/entry/settings-gen.c
@@ -2,16 +2,16 @@
 #include <stddef.h>
 #include "entry/entry.h"
 static const struct setting_info infos[] = {
-	{ "node", "name", SETTING_STRING, NULL, NULL, 1, 128,
+	{ "node", "name", SETTING_STRING, NULL, NULL, 1, 64,
 	  offsetof(struct entry_settings, node_name),
 	  "Name of this instance, unique in the fleet." },
 	{ "node", "ip", SETTING_STRING, NULL, NULL, 7, 45,
 	  offsetof(struct entry_settings, node_ip),
 	  "IP address of this instance." },
-	{ "node", "zone", SETTING_STRING, NULL, NULL, 1, 128,
+	{ "node", "zone", SETTING_STRING, NULL, NULL, 1, 64,
 	  offsetof(struct entry_settings, node_zone),
 	  "Availability zone of this instance." },
-	{ "node", "region", SETTING_STRING, NULL, "", 0, 128,
+	{ "node", "region", SETTING_STRING, NULL, "", 0, 64,
 	  offsetof(struct entry_settings, node_region),
 	  "Region of this instance." },
 	{ "listen", "callers", SETTING_STRING, NULL, NULL, 9, 64,
--- /dev/null
+++ b/entry/test-retry.c
@@ -0,0 +1,118 @@
+/*
+ * Retries of an exchange. The functions of other files that retry.c calls are
+ * replaced here, as a real clock can't be stopped between two checks.
+ */
+#include "entry/exchange.h"
+
+static int64_t time_left_ms[8]; /* one for each look at the clock */
+static size_t looks;
+static int attempts_begun;
+
+int64_t exchange_time_left_ms(const struct exchange *x)
+{
+	(void)x;
+	g_assert_cmpuint(looks, <, G_N_ELEMENTS(time_left_ms));
+	return time_left_ms[looks++];
+}
+
+void exchange_attempt(struct exchange *x)
+{
+	x->attempts++;
+	attempts_begun++;
+}
+
+void exchange_abandon_attempt(struct exchange *x)
+{
+	x->target = NULL;
+}
+
+int exchange_priority(const struct exchange *x)
+{
+	(void)x;
+	return 0;
+}
+
+size_t caller_unsent_bytes(const struct caller *c)
+{
+	(void)c;
+	return 0;
+}
+
+void pool_record_error(struct target *t)
+{
+	t->consecutive_faults++;
+}
+
+void pool_record_fault(struct target *t)
+{
+	t->consecutive_faults++;
+}
+
+int64_t pool_newest_begun_ms(const struct target *t, int priority)
+{
+	(void)t;
+	(void)priority;
+	return 0;
+}
+
+struct retry_window *pool_retry_window(struct traffic *tr, struct str service)
+{
+	static struct retry_window w;
+
+	(void)tr;
+	(void)service;
+	w.window_ms = 1000;
+	w.allowance = 100;
+	return &w;
+}
+
+/*
+ * The deadline comes so close while a retry is being decided that a second look
+ * would refuse it. A retry that was decided begins: an attempt that ends without
+ * a successor would leave the caller without an answer.
+ */
+static void test_deadline_between_checks(void)
+{
+	struct entry_service service = {0};
+	struct route_rule route = {.retry = RETRY_RESUME, .runs_max = 2};
+	struct target target = {0};
+	struct exchange x = {
+		.route = &route,
+		.service = &service,
+		.target = &target,
+		.attempts = 1,
+	};
+
+	looks = 0;
+	attempts_begun = 0;
+	for (size_t i = 0; i < G_N_ELEMENTS(time_left_ms); i++)
+		time_left_ms[i] = i ? ATTEMPT_MIN_MS - 1 : ATTEMPT_MIN_MS;
+	g_assert_true(exchange_retry_if_stalled(&x));
+	g_assert_cmpint(attempts_begun, ==, 1);
+	g_assert_cmpint(x.possible_runs, ==, 1);
+}
+
+/* Without time for another attempt the one in progress goes on. */
+static void test_no_time_left(void)
+{
+	struct route_rule route = {.retry = RETRY_RESUME, .runs_max = 2};
+	struct target target = {0};
+	struct exchange x = {.route = &route, .target = &target, .attempts = 1};
+
+	looks = 0;
+	attempts_begun = 0;
+	time_left_ms[0] = ATTEMPT_MIN_MS - 1;
+	g_assert_false(exchange_retry_if_stalled(&x));
+	g_assert_cmpint(attempts_begun, ==, 0);
+	g_assert_true(x.target == &target);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_set_level("error");
+	g_test_add_func("/entry/retry/deadline-between-checks",
+			test_deadline_between_checks);
+	g_test_add_func("/entry/retry/no-time-left", test_no_time_left);
+	return g_test_run();
+}
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -38,7 +38,7 @@
 	unsigned hyper targets_hash;	/* of the sender's list */
 };
 
-const TARGET_TEXT_MAX = 128;
+const TARGET_TEXT_MAX = 200;	/* of a key or text in the store */
 const TARGET_UPDATES_MAX = 16;
 
 /* A change to the list of targets, as the sender read it from the store. */
