--- a/base/log.c
+++ b/base/log.c
@@ -66,8 +66,7 @@
 	char notice[64];
 
 	g_mutex_lock(&lock);
-	if (!line_budget_take(&budget, time_mono_ms(),
-			      level >= LOG_WARNING) ||
+	if (!line_budget_take(&budget, time_mono_ms(), level >= LOG_WARNING) ||
 	    write(out_fd, line, n) < 0) {
 		dropped_lines++; /* reported after the next line written */
 	} else if (dropped_lines) {
--- a/entry/control.c
+++ b/entry/control.c
@@ -194,7 +194,8 @@
 	if (!l)
 		return;
 	peers_send_loads(c, l, now_ms);
-	peers_query_readers(c, l, now_ms);
+	peers_query_relays(c, l, now_ms);
+	peers_relay_loads(c, l, now_ms);
 	peer_list_unref(l);
 }
 
@@ -398,6 +399,8 @@
 	c->peers_known_at_ms = time_boot_ms() + PEERS_KNOWN_MS;
 	parse_address(s->store_address, &store); /* checked by main */
 	e->store = e->o->store->open(c->loop, &store, s->store_timeout_ms);
+	c->started_ms = time_now_ms();
+	c->load_relay = load_relay_new();
 	c->sync = store_sync_new(e, c->loop);
 	c->discovery = discovery_new(e, c->loop);
 	c->holders_store = holders_store_new(e, c->loop);
@@ -428,6 +431,8 @@
 		discovery_free(c->discovery);
 	if (c->holders_store)
 		holders_store_free(c->holders_store);
+	if (c->load_relay)
+		load_relay_free(c->load_relay);
 	if (c->member)
 		member_free(c->member);
 	if (c->member_fd >= 0)
--- a/entry/control.h
+++ b/entry/control.h
@@ -5,6 +5,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include "entry/load-relay.h"
 #include "entry/store-clients.h"
 
 /* Receive buffer of the UDP sockets. */
@@ -27,12 +28,18 @@
 	uint64_t published_view;   /* member_view_version that was published */
 	int64_t peers_known_at_ms; /* all live nodes have reported by then */
 	int64_t send_at_ms;        /* next load report */
-	int64_t query_at_ms;       /* next query to a reader */
+	int64_t query_at_ms;       /* next query to a relay */
+	struct load_relay *load_relay;
+	int64_t load_report_at_ms; /* next report to the relay of this node */
+	int64_t load_total_ms;     /* last total from it; 0: none */
+	int64_t started_ms;        /* wall clock; orders sums across restarts */
+	uint64_t group_seq;        /* of the last sums sent */
+	size_t load_relay_choice;  /* index into the relays of this node */
 	int64_t settings_check_at_ms;
 	struct timespec settings_mtime; /* of the settings file in force */
 	int64_t introduce_at_ms;
-	GHashTable *seeds;  /* control addresses from the settings */
-	size_t next_reader; /* round-robin position for queries */
+	GHashTable *seeds; /* control addresses from the settings */
+	size_t next_relay; /* round-robin position for queries */
 };
 
 /*
@@ -44,10 +51,16 @@
 void peers_send_loads(struct control *c, const struct peer_list *l,
 		      int64_t now_ms);
 /*
- * When it is due, determine the readers, set in the store clients whether this
- * node is one, and query a reader if it is not.
+ * When it is due, determine the readers and relays, set in the store clients
+ * whether this node is a reader, and query a relay if it is not.
  */
-void peers_query_readers(struct control *c, const struct peer_list *l,
-			 int64_t now_ms);
+void peers_query_relays(struct control *c, const struct peer_list *l,
+			int64_t now_ms);
+/*
+ * In a large fleet, send the load report to this node's relay when it is due,
+ * and as a relay the sums to the other relays.
+ */
+void peers_relay_loads(struct control *c, const struct peer_list *l,
+		       int64_t now_ms);
 
 #endif
--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -12,7 +12,13 @@
 #define RETRY_MS        250
 #define RETRY_JITTER_MS 150
 /* Nodes that are no readers poll at this multiple of the interval. */
-#define NON_READER_POLL_FACTOR 6
+#define NON_READER_POLL_FACTOR 12
+/*
+ * Pause between writing this node's row and reading the others when the whole
+ * fleet starts for the first time, so that one read finds all of them.
+ */
+#define BOOTSTRAP_MS        1000
+#define BOOTSTRAP_JITTER_MS 500
 /* Interval while rows are added, as when many nodes start at once. */
 #define GROWING_POLL_MS 1000
 /* Can't collide with a node's row: no name of a node begins with a dot. */
@@ -27,9 +33,11 @@
 	bool registered; /* this node's row is written */
 	bool has_secret;
 	bool reader;
+	bool has_read;    /* rows have been read */
+	int64_t era;      /* of the store, when the row was written */
 	size_t row_count; /* largest number read so far */
 	bool growing;     /* the last read had more rows than before */
-	/* Secret that this node proposes when the store has none. */
+	/* The fleet's secret, or the one to propose when the store has none. */
 	uint8_t new_secret[MEMBER_KEY_BYTES];
 };
 
@@ -38,7 +46,7 @@
 	int64_t poll = d->e->control_settings.store_nodes_poll_ms;
 	int64_t pause = d->reader ? poll : poll * NON_READER_POLL_FACTOR;
 
-	if (d->growing)
+	if (d->growing && d->reader)
 		pause = GROWING_POLL_MS;
 	if (!ok || !d->has_secret)
 		pause = RETRY_MS + randombytes_uniform(RETRY_JITTER_MS);
@@ -63,6 +71,7 @@
 		return true;
 	}
 	control_set_secret(d->e->control, secret);
+	memcpy(d->new_secret, secret, sizeof(secret));
 	d->has_secret = true;
 	return true;
 }
@@ -155,6 +164,13 @@
 {
 	struct discovery *d = ctx;
 
+	if (p->status == STORE_OK && p->era > d->era) {
+		/* The copy may lack this node's row, and the secret. */
+		d->registered = false;
+		timer_start_once(d->loop, &d->timer, 0);
+		return;
+	}
+	d->has_read |= p->status == STORE_OK;
 	apply_rows(d, p);
 	d->growing = p->n > d->row_count;
 	d->row_count = MAX(d->row_count, p->n);
@@ -169,10 +185,15 @@
 	struct discovery *d = ctx;
 
 	d->registered = p->status == STORE_OK;
-	if (d->registered)
-		timer_start_once(d->loop, &d->timer, 0);
-	else
+	d->era = MAX(d->era, p->era);
+	if (!d->registered)
 		schedule(d, false);
+	else if (!d->has_read && d->e->control_settings.node_bootstrap)
+		timer_start_once(d->loop, &d->timer,
+				 BOOTSTRAP_MS + randombytes_uniform(
+							BOOTSTRAP_JITTER_MS));
+	else
+		timer_start_once(d->loop, &d->timer, 0);
 }
 
 /* Register this node first, then poll the rows of the others. */
@@ -197,6 +218,11 @@
 	json_decref(row);
 }
 
+bool discovery_has_read(const struct discovery *d)
+{
+	return d->has_read;
+}
+
 void discovery_set_reader(struct discovery *d, bool reader)
 {
 	d->reader = reader;
@@ -210,7 +236,6 @@
 	d->api = e->o->store;
 	d->loop = loop;
 	d->store = e->store;
-	d->reader = true;
 	randombytes_buf(d->new_secret, sizeof(d->new_secret));
 	ev_timer_init(&d->timer, on_timer, 0, 0);
 	d->timer.data = d;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -179,6 +179,7 @@
 	struct str signature;
 	struct str load;         /* requests running, requests queued, slots */
 	struct str not_run;      /* the target did not start the request */
+	struct str leaving;      /* "1": the target takes no new requests */
 	struct str prompt_parts; /* comma-separated list of ID:TOKENS */
 	struct str priority;
 	struct str last_event;
@@ -249,6 +250,14 @@
 /* Parse a non-negative decimal integer; -1 when the text is not one. */
 int64_t str_parse_number(struct str s);
 
+/*
+ * Parse the value of a Retry-After header: seconds, with or without a fraction,
+ * or a date of HTTP. Return the time to wait from the given wall-clock time in
+ * ms, at most RETRY_AFTER_MAX_MS, or -1 when the value is malformed.
+ */
+#define RETRY_AFTER_MAX_MS 3600000
+int64_t str_parse_retry_after(struct str s, int64_t wall_now_ms);
+
 enum read_error {
 	READ_OK,
 	READ_MALFORMED,
@@ -390,6 +399,8 @@
  * node whose reports are missing for several intervals counts as gone.
  */
 void loads_set_send_interval(struct loads *l, int64_t interval_ms);
+/* Return how old this node's knowledge of the others' requests may be. */
+int64_t loads_lag_ms(struct loads *l, int64_t now_ms);
 /* Set whether this node accepts callers' requests, for the next report. */
 void loads_set_serving(struct loads *l, bool serving);
 /*
@@ -399,6 +410,18 @@
 bool loads_serving_unsent(struct loads *l);
 /* Whether another node has reported recently that it accepts requests. */
 bool loads_peer_is_serving(struct loads *l, uint64_t node, int64_t now_ms);
+struct load_table;
+/*
+ * Fill in t with this node's requests, for its relay. The entries of t point to
+ * LOAD_TABLE_BYTES_MAX bytes. Control thread only.
+ */
+void loads_own_table(struct loads *l, struct load_table *t);
+/*
+ * Take a relay's total of the other nodes' requests, which loads_remote returns
+ * while it is recent. Return false when it is malformed. Control thread only.
+ */
+bool loads_receive_total(struct loads *l, const struct load_table *t,
+			 int64_t now_ms);
 struct loads_report;
 struct load_entry;
 #define LOADS_ENTRIES_MAX 120
@@ -444,7 +467,8 @@
 	enum store_status status;
 	const struct store_row *rows; /* by ascending keys */
 	size_t n;
-	int64_t revision; /* of the store */
+	int64_t era;      /* grows when the store comes back from a copy */
+	int64_t revision; /* of the store; comparable within an era only */
 	bool more;        /* there are further rows after the last one */
 	int64_t sent_ms;  /* when the call was sent: the page is no older */
 	const void *raw;  /* private to struct store_api */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -96,9 +96,17 @@
 	caller_exchange_done(c, keep);
 }
 
-static int64_t random_retry_after_ms(const struct exchange *x)
+/*
+ * Return the time after which the caller may come back: when targets of the
+ * service have asked for rest, once the first of them takes requests again.
+ */
+static int64_t retry_after_ms(const struct exchange *x)
 {
-	return RETRY_AFTER_MIN_MS +
+	int64_t now = time_boot_ms();
+	int64_t rest_end_ms =
+		x->service ? pool_rest_end_ms(x->tr, x->service, now) : 0;
+
+	return MAX(RETRY_AFTER_MIN_MS, x->all_resting ? rest_end_ms - now : 0) +
 	       g_rand_int_range(x->tr->rand, 0, RETRY_AFTER_SPREAD_MS);
 }
 
@@ -106,8 +114,7 @@
 static void reply_error(struct exchange *x, enum ramp_error kind)
 {
 	struct buf out = {0};
-	int64_t retry_after_ms =
-		error_responses[kind].retry ? random_retry_after_ms(x) : 0;
+	int64_t wait_ms = error_responses[kind].retry ? retry_after_ms(x) : 0;
 
 	log_end(x, error_responses[kind].http_status,
 		error_responses[kind].name);
@@ -123,8 +130,7 @@
 		caller_reset(c);
 		return;
 	}
-	local_reply_error(&out, x->tr, x->arena, kind, retry_after_ms,
-			  keeps_alive(x));
+	local_reply_error(&out, x->tr, x->arena, kind, wait_ms, keeps_alive(x));
 	caller_write(x->caller, buf_data(&out), buf_len(&out));
 	buf_clear(&out);
 	finish(x, keeps_alive(x));
@@ -310,6 +316,22 @@
 	       m->status >= 300;
 }
 
+/* Record that the target is leaving, or for how long it wants no requests. */
+static void record_wishes(struct exchange *x, const struct message *m)
+{
+	struct str leaving = message_header(m, x->tr->dialect->leaving);
+	struct str wait = message_header(m, STR_LIT("Retry-After"));
+	int64_t ms;
+
+	if (str_eq(leaving, STR_LIT("1")))
+		pool_record_leaving(x->target);
+	if (m->status != 503 || !wait.len)
+		return;
+	ms = str_parse_retry_after(wait, time_now_ms());
+	if (ms > 0)
+		pool_record_rest(x->target, time_boot_ms() + ms);
+}
+
 static bool on_head(void *ctx, struct message *m)
 {
 	struct exchange *x = ctx;
@@ -332,6 +354,7 @@
 	x->head_check_at_ms = 0;
 	pool_record_begun(x->target, exchange_priority(x), x->sent_ms);
 	pool_record_load(x->target, message_header(m, x->tr->dialect->load));
+	record_wishes(x, m);
 	x->streaming = is_event_stream(x) && m->status == 200 && echo.len &&
 		       is_deliverable(x);
 	if (x->streaming && x->service->model)
@@ -486,6 +509,7 @@
 
 	if (!t) {
 		x->failure_cause = "no_target";
+		x->all_resting = true;
 		if (x->possible_runs)
 			fail(x);
 		else
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -63,7 +63,8 @@
 	bool head_sent; /* the caller has got the head of a stream */
 	/* When the stream counts as stalled; 0: no event yet or no resume. */
 	int64_t stall_deadline_ms;
-	ev_timer timer;            /* the next of the deadlines above */
+	bool all_resting; /* no target takes requests, some for a time only */
+	ev_timer timer;   /* the next of the deadlines above */
 	const char *failure_cause; /* of the last failure, for the log */
 };
 
--- a/entry/holders-store.c
+++ b/entry/holders-store.c
@@ -20,6 +20,7 @@
 	ev_timer timer;
 	bool loaded;
 	bool writer;
+	int64_t era;            /* of the store, at the last call */
 	uint64_t saved_changes; /* holders_change_count() at the last save */
 };
 
@@ -84,6 +85,7 @@
 		json_decref(row);
 	}
 	s->loaded = true;
+	s->era = p->era;
 	s->saved_changes = holders_change_count(s->e->holders);
 	timer_start_once(s->loop, &s->timer, SAVE_INTERVAL_MS);
 }
@@ -92,9 +94,13 @@
 {
 	struct holders_store *s = ctx;
 
-	/* Retry a failed write at the next interval. */
-	if (p->status != STORE_OK)
+	/*
+	 * Retry a failed write at the next interval, and write again what a
+	 * store that came back from a copy has lost.
+	 */
+	if (p->status != STORE_OK || p->era > s->era)
 		s->saved_changes = 0;
+	s->era = MAX(s->era, p->era);
 	timer_start_once(s->loop, &s->timer, SAVE_INTERVAL_MS);
 }
 
@@ -141,6 +147,8 @@
 	s->api = e->o->store;
 	s->loop = loop;
 	s->store = e->store;
+	/* When the whole fleet starts for the first time there is no row. */
+	s->loaded = e->control_settings.node_bootstrap;
 	ev_timer_init(&s->timer, on_timer, 0, 0);
 	s->timer.data = s;
 	ev_timer_start(loop, &s->timer);
--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -4,6 +4,7 @@
  */
 #include <http_parser.h>
 #include <string.h>
+#include <time.h>
 #include <strings.h>
 #include <talloc.h>
 
@@ -111,6 +112,52 @@
 	return n;
 }
 
+/* Parse a date such as "Sun, 06 Nov 1994 08:49:37 GMT"; -1: malformed. */
+static int64_t parse_date_ms(struct str s)
+{
+	char text[40];
+	struct tm tm = {0};
+	const char *end;
+
+	if (s.len >= sizeof(text))
+		return -1;
+	memcpy(text, s.data, s.len);
+	text[s.len] = '\0';
+	end = strptime(text, "%a, %d %b %Y %H:%M:%S GMT", &tm);
+	return end && !*end ? (int64_t)timegm(&tm) * 1000 : -1;
+}
+
+int64_t str_parse_retry_after(struct str s, int64_t wall_now_ms)
+{
+	int64_t ms = 0, unit_ms = 1000;
+	bool fraction = false;
+	size_t digits = 0;
+
+	if (s.len && g_ascii_isalpha(s.data[0])) {
+		int64_t at = parse_date_ms(s);
+
+		return at < 0 ? -1
+			      : CLAMP(at - wall_now_ms, 0, RETRY_AFTER_MAX_MS);
+	}
+	for (size_t i = 0; i < s.len; i++) {
+		if (s.data[i] == '.' && !fraction && digits) {
+			fraction = true;
+			continue;
+		}
+		if (!g_ascii_isdigit(s.data[i]))
+			return -1;
+		digits++;
+		if (fraction) {
+			unit_ms /= 10;
+			ms += (s.data[i] - '0') * unit_ms;
+		} else {
+			ms = MIN(ms * 10 + (s.data[i] - '0') * 1000,
+				 RETRY_AFTER_MAX_MS);
+		}
+	}
+	return digits ? MIN(ms, RETRY_AFTER_MAX_MS) : -1;
+}
+
 static struct reader *reader_of(http_parser *p)
 {
 	return p->data;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -63,6 +63,8 @@
 	int consecutive_faults; /* in a row; see pool_record_fault */
 	int64_t ejected_until_ms; /* see pool_record_fault */
 	bool last_failed;         /* its latest outcome was a failure */
+	bool says_leaving;        /* a response said that it is leaving */
+	int64_t resting_until_ms; /* it asked for no requests before */
 	int64_t last_received_ms; /* last head or stream data; 0: never */
 	/*
 	 * Per priority, the send time of the most recently sent request that
@@ -85,13 +87,14 @@
 	struct peer_list *peers;
 	GHashTable *targets;       /* id -> struct target */
 	GHashTable *retry_windows; /* service name -> struct service_retries */
+	struct key_rates *key_rates; /* of placement keys, at this node */
 	GRand *rand;
 	struct port ports[PORT_COUNT];
 	ev_async views_published; /* signalled by the control thread */
 	ev_timer housekeeping;    /* periodic */
 	/* struct caller, by the time of connecting or of the last response */
 	GQueue *callers;
-	int exchanges;   /* requests in progress */
+	int exchanges;               /* requests in progress */
 	int64_t buffered_body_bytes; /* request bodies held in memory */
 	bool serving; /* last advertised state: callers may be sent here */
 	int64_t started_ms;
@@ -263,6 +266,16 @@
  * less urgent one, that the target has begun to answer; 0: none.
  */
 int64_t pool_newest_begun_ms(const struct target *t, int priority);
+/* A response says that the target is leaving: it gets no further request. */
+void pool_record_leaving(struct target *t);
+/* The target asked for no requests until then. */
+void pool_record_rest(struct target *t, int64_t until_ms);
+/*
+ * Return the soonest time at which a target of the service that asked for rest
+ * takes requests again; 0: none has asked.
+ */
+int64_t pool_rest_end_ms(const struct traffic *tr,
+			 const struct entry_service *s, int64_t now_ms);
 /* Parse and record the load that a response reports. */
 void pool_record_load(struct target *t, struct str load);
 /* Return the service's retry budget, updated from the settings. */
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -69,8 +69,16 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->sent_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->era))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->targets_revision))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->after_noticed))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->after_key, TARGET_TEXT_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -83,6 +91,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->noticed))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->removed))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
@@ -107,22 +117,155 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_quad_t (xdrs, &objp->query_sent_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->era))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_hash))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->config_bytes))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->config_age_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->targets_revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->targets_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->more))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->history_lost))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->targets_age_ms);
+		IXDR_PUT_BOOL(buf, objp->more);
+		IXDR_PUT_BOOL(buf, objp->history_lost);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->updates.updates_val, (u_int *) &objp->updates.updates_len, TARGET_UPDATES_MAX,
+			sizeof (target_update), (xdrproc_t) xdr_target_update))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_quad_t (xdrs, &objp->query_sent_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->era))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_hash))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->config_bytes))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->config_age_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->targets_revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->targets_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->more))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->history_lost))
+				 return FALSE;
+
+		} else {
+		objp->targets_age_ms = IXDR_GET_U_LONG(buf);
+		objp->more = IXDR_GET_BOOL(buf);
+		objp->history_lost = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->updates.updates_val, (u_int *) &objp->updates.updates_len, TARGET_UPDATES_MAX,
+			sizeof (target_update), (xdrproc_t) xdr_target_update))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_quad_t (xdrs, &objp->query_sent_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->era))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->config_bytes))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->config_age_ms))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->targets_revision))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->targets_age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->history_lost))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->updates.updates_val, (u_int *) &objp->updates.updates_len, TARGET_UPDATES_MAX,
 		sizeof (target_update), (xdrproc_t) xdr_target_update))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_config_query (XDR *xdrs, config_query *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_config_chunk (XDR *xdrs, config_chunk *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, CONFIG_CHUNK_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_load_table (XDR *xdrs, load_table *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->start))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parts))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LOAD_TABLE_BYTES_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -153,6 +296,26 @@
 		 if (!xdr_store_query_answer (xdrs, &objp->peer_message_u.answer))
 			 return FALSE;
 		break;
+	case PEER_CONFIG_QUERY:
+		 if (!xdr_config_query (xdrs, &objp->peer_message_u.config_query))
+			 return FALSE;
+		break;
+	case PEER_CONFIG_CHUNK:
+		 if (!xdr_config_chunk (xdrs, &objp->peer_message_u.config_chunk))
+			 return FALSE;
+		break;
+	case PEER_LOAD_REPORT:
+		 if (!xdr_load_table (xdrs, &objp->peer_message_u.load_report))
+			 return FALSE;
+		break;
+	case PEER_LOAD_GROUP:
+		 if (!xdr_load_table (xdrs, &objp->peer_message_u.load_group))
+			 return FALSE;
+		break;
+	case PEER_LOAD_TOTAL:
+		 if (!xdr_load_table (xdrs, &objp->peer_message_u.load_total))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -52,18 +52,23 @@
 	} new_holders;
 };
 typedef struct loads_report loads_report;
+#define TARGET_TEXT_MAX 200
+#define TARGET_UPDATES_MAX 16
 
 struct store_query {
 	quad_t sent_ms;
+	quad_t era;
 	u_quad_t targets_hash;
+	quad_t targets_revision;
+	quad_t after_noticed;
+	char *after_key;
 };
 typedef struct store_query store_query;
-#define TARGET_TEXT_MAX 200
-#define TARGET_UPDATES_MAX 16
 
 struct target_update {
 	char *key;
 	quad_t revision;
+	quad_t noticed;
 	bool_t removed;
 	bool_t draining;
 	u_quad_t id;
@@ -77,21 +82,65 @@
 
 struct store_query_answer {
 	quad_t query_sent_ms;
+	quad_t era;
 	quad_t config_version;
+	u_quad_t config_hash;
+	u_int config_bytes;
 	u_int config_age_ms;
 	u_quad_t targets_hash;
+	quad_t targets_revision;
 	u_int targets_age_ms;
+	bool_t more;
+	bool_t history_lost;
 	struct {
 		u_int updates_len;
 		target_update *updates_val;
 	} updates;
 };
 typedef struct store_query_answer store_query_answer;
+#define CONFIG_CHUNK_MAX 1100
+
+struct config_query {
+	quad_t config_version;
+	u_int offset;
+};
+typedef struct config_query config_query;
+
+struct config_chunk {
+	quad_t config_version;
+	u_int total;
+	u_int offset;
+	struct {
+		u_int bytes_len;
+		char *bytes_val;
+	} bytes;
+};
+typedef struct config_chunk config_chunk;
+#define LOAD_TABLE_ENTRY_BYTES 5
+#define LOAD_TABLE_BYTES_MAX 1250
+
+struct load_table {
+	u_quad_t node;
+	u_quad_t start;
+	u_quad_t seq;
+	u_int part;
+	u_int parts;
+	struct {
+		u_int entries_len;
+		char *entries_val;
+	} entries;
+};
+typedef struct load_table load_table;
 
 enum peer_kind {
 	PEER_LOADS = 0,
 	PEER_STORE_QUERY = 1,
 	PEER_STORE_ANSWER = 2,
+	PEER_CONFIG_QUERY = 3,
+	PEER_CONFIG_CHUNK = 4,
+	PEER_LOAD_REPORT = 5,
+	PEER_LOAD_GROUP = 6,
+	PEER_LOAD_TOTAL = 7,
 };
 typedef enum peer_kind peer_kind;
 
@@ -101,6 +150,11 @@
 		loads_report loads;
 		store_query query;
 		store_query_answer answer;
+		config_query config_query;
+		config_chunk config_chunk;
+		load_table load_report;
+		load_table load_group;
+		load_table load_total;
 	} peer_message_u;
 };
 typedef struct peer_message peer_message;
@@ -115,6 +169,9 @@
 extern  bool_t xdr_store_query (XDR *, store_query*);
 extern  bool_t xdr_target_update (XDR *, target_update*);
 extern  bool_t xdr_store_query_answer (XDR *, store_query_answer*);
+extern  bool_t xdr_config_query (XDR *, config_query*);
+extern  bool_t xdr_config_chunk (XDR *, config_chunk*);
+extern  bool_t xdr_load_table (XDR *, load_table*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
 
@@ -126,6 +183,9 @@
 extern bool_t xdr_store_query ();
 extern bool_t xdr_target_update ();
 extern bool_t xdr_store_query_answer ();
+extern bool_t xdr_config_query ();
+extern bool_t xdr_config_chunk ();
+extern bool_t xdr_load_table ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_message ();
 
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "entry/entry.h"
-#include "entry/loads-gen.h"
+#include "entry/load-relay.h"
 
 /*
  * A node's report expires after this time, or after this number of its send
@@ -15,6 +15,14 @@
 #define REPORT_TTL_MS        3000
 #define REPORT_TTL_INTERVALS 4
 
+/* A relay's total is used for this long. */
+#define RELAYED_TTL_MS 3000
+/*
+ * Age of the requests in a relay's total, beyond the time since it arrived: the
+ * intervals at which nodes and relays send.
+ */
+#define RELAYED_LAG_MS 250
+
 /* The last report of another node. */
 struct peer_load {
 	uint64_t start;
@@ -26,6 +34,9 @@
 
 struct loads {
 	GMutex lock;
+	GHashTable *relayed; /* see load_table: requests of all others */
+	int64_t relayed_ms;  /* when it last arrived; 0: never */
+	int64_t send_interval_ms;
 	uint64_t node;
 	uint64_t start;    /* wall-clock ms; orders reports across restarts */
 	uint64_t seq;      /* of the last report of this start */
@@ -77,6 +88,7 @@
 	l->node = node;
 	l->start = (uint64_t)time_now_ms();
 	l->report_ttl_ms = REPORT_TTL_MS;
+	l->relayed = g_hash_table_new(NULL, NULL);
 	l->own = counts_new();
 	l->peer_sums = counts_new();
 	l->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -86,6 +98,7 @@
 
 void loads_free(struct loads *l)
 {
+	g_hash_table_unref(l->relayed);
 	g_hash_table_unref(l->own);
 	g_hash_table_unref(l->peer_sums);
 	g_hash_table_unref(l->peers);
@@ -126,6 +139,12 @@
 	l->sums_expire_ms = now_ms + RESEND_MS;
 }
 
+/* Whether a relay's total is recent enough to be used. */
+static bool is_relayed(const struct loads *l, int64_t now_ms)
+{
+	return l->relayed_ms && now_ms - l->relayed_ms <= RELAYED_TTL_MS;
+}
+
 double loads_remote(struct loads *l, uint64_t target, int64_t now_ms)
 {
 	int n;
@@ -133,7 +152,11 @@
 	g_mutex_lock(&l->lock);
 	if (now_ms >= l->sums_expire_ms)
 		sum_peers(l, now_ms);
-	n = counts_get(l->peer_sums, target);
+	if (is_relayed(l, now_ms))
+		n = GPOINTER_TO_INT(g_hash_table_lookup(
+			l->relayed, GUINT_TO_POINTER((uint32_t)target)));
+	else
+		n = counts_get(l->peer_sums, target);
 	g_mutex_unlock(&l->lock);
 	return n;
 }
@@ -141,11 +164,56 @@
 void loads_set_send_interval(struct loads *l, int64_t interval_ms)
 {
 	g_mutex_lock(&l->lock);
+	l->send_interval_ms = interval_ms;
 	l->report_ttl_ms =
 		MAX(REPORT_TTL_MS, REPORT_TTL_INTERVALS * interval_ms);
 	g_mutex_unlock(&l->lock);
 }
 
+int64_t loads_lag_ms(struct loads *l, int64_t now_ms)
+{
+	int64_t ms;
+
+	g_mutex_lock(&l->lock);
+	ms = is_relayed(l, now_ms) ? now_ms - l->relayed_ms + RELAYED_LAG_MS
+				   : l->send_interval_ms;
+	g_mutex_unlock(&l->lock);
+	return ms;
+}
+
+void loads_own_table(struct loads *l, struct load_table *t)
+{
+	GHashTable *counts = g_hash_table_new(NULL, NULL);
+	GHashTableIter it;
+	gpointer id, n;
+
+	g_mutex_lock(&l->lock);
+	t->node = l->node;
+	t->start = l->start;
+	t->seq = ++l->seq;
+	g_hash_table_iter_init(&it, l->own);
+	while (g_hash_table_iter_next(&it, &id, &n))
+		g_hash_table_insert(
+			counts, GUINT_TO_POINTER((uint32_t) * (uint64_t *)id),
+			n);
+	g_mutex_unlock(&l->lock);
+	load_table_encode(counts, NULL, t);
+	g_hash_table_unref(counts);
+}
+
+bool loads_receive_total(struct loads *l, const struct load_table *t,
+			 int64_t now_ms)
+{
+	bool ok;
+
+	g_mutex_lock(&l->lock);
+	ok = load_table_decode(t, l->relayed);
+	if (ok)
+		l->relayed_ms = now_ms;
+	g_mutex_unlock(&l->lock);
+	return ok;
+}
+
 void loads_set_serving(struct loads *l, bool serving)
 {
 	g_mutex_lock(&l->lock);
@@ -199,7 +267,8 @@
 		.entries.entries_val = entries,
 	};
 	g_hash_table_iter_init(&it, l->own);
-	while (report->entries.entries_len < LOADS_ENTRIES_MAX &&
+	while (!is_relayed(l, now_ms) &&
+	       report->entries.entries_len < LOADS_ENTRIES_MAX &&
 	       g_hash_table_iter_next(&it, &id, &count))
 		entries[report->entries.entries_len++] = (struct load_entry){
 			*(uint64_t *)id, (u_int)GPOINTER_TO_INT(count)};
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -19,7 +19,15 @@
  * within the drain time of a target.
  */
 #define QUERY_INTERVAL_MS 400
-#define QUERIES_PER_DRAIN 5
+/* A relay's view adds to the age of those that rely on it. */
+#define RELAY_QUERY_INTERVAL_MS 200
+#define QUERIES_PER_DRAIN       5
+/* Fleets with more nodes exchange their loads over relays. */
+#define DIRECT_LOADS_NODES_MAX 24
+/* Interval of the reports to a relay, and of the sums between relays. */
+#define LOAD_REPORT_INTERVAL_MS 150
+/* Without a total for this long the node changes to its next relay. */
+#define LOAD_TOTAL_MISSING_MS 600
 
 /* An encoded message with its authentication code; n is 0 on failure. */
 struct datagram {
@@ -73,6 +81,44 @@
 	send_message(c, from, &m);
 }
 
+static void send_query(struct control *c, const struct sockaddr_in *to,
+		       bool continued)
+{
+	struct peer_message m = {.kind = PEER_STORE_QUERY};
+
+	store_sync_query(c->sync, time_boot_ms(), continued,
+			 &m.peer_message_u.query);
+	send_message(c, to, &m);
+}
+
+static void send_config_query(struct control *c, const struct sockaddr_in *to)
+{
+	struct peer_message m = {.kind = PEER_CONFIG_QUERY};
+
+	if (store_sync_config_query(c->sync, &m.peer_message_u.config_query))
+		send_message(c, to, &m);
+}
+
+static void answer_config_query(struct control *c,
+				const struct sockaddr_in *from,
+				const struct config_query *query)
+{
+	struct peer_message m = {.kind = PEER_CONFIG_CHUNK};
+
+	if (store_sync_config_chunk(c->sync, query,
+				    &m.peer_message_u.config_chunk))
+		send_message(c, from, &m);
+}
+
+static void apply_answer(struct control *c, const struct sockaddr_in *from,
+			 const struct store_query_answer *answer)
+{
+	if (store_sync_apply_answer(c->sync, answer))
+		send_query(c, from, true);
+	/* Also goes on with a configuration of which a piece was lost. */
+	send_config_query(c, from);
+}
+
 static void apply_loads(struct control *c, const struct loads_report *report)
 {
 	loads_receive(c->e->loads, time_boot_ms(), report);
@@ -88,6 +134,85 @@
 				   (const uint8_t *)p, n - MAC_BYTES, c->key);
 }
 
+static void receive_total(struct control *c, const struct load_table *t)
+{
+	if (loads_receive_total(c->e->loads, t, time_boot_ms()))
+		c->load_total_ms = time_boot_ms();
+	else
+		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
+}
+
+/* Send a table of counts in as many datagrams as it takes. */
+static void send_table(struct control *c, const struct sockaddr_in *to,
+		       struct peer_message *m, struct load_table *t,
+		       GHashTable *counts, GHashTable *except)
+{
+	char bytes[LOAD_TABLE_BYTES_MAX];
+
+	t->parts = load_table_parts(g_hash_table_size(counts));
+	t->entries.entries_val = bytes;
+	for (t->part = 0; t->part < t->parts; t->part++) {
+		load_table_encode(counts, except, t);
+		if (to)
+			send_message(c, to, m);
+		else
+			receive_total(c, t);
+	}
+}
+
+/* Send a node the requests of all others; to NULL: this node itself. */
+static void send_total(struct control *c, const struct sockaddr_in *to,
+		       uint64_t node)
+{
+	struct peer_message m = {.kind = PEER_LOAD_TOTAL};
+
+	send_table(c, to, &m, &m.peer_message_u.load_total,
+		   load_relay_total(c->load_relay, time_boot_ms()),
+		   load_relay_counts_of(c->load_relay, node));
+}
+
+static void receive_table(struct control *c, const struct sockaddr_in *from,
+			  bool from_relay, const struct load_table *t)
+{
+	if (!load_relay_receive(c->load_relay, from_relay, t, time_boot_ms()))
+		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
+	else if (!from_relay)
+		send_total(c, from, t->node);
+}
+
+static void handle_message(struct control *c, const struct sockaddr_in *from,
+			   const struct peer_message *m)
+{
+	switch (m->kind) {
+	case PEER_LOADS:
+		apply_loads(c, &m->peer_message_u.loads);
+		break;
+	case PEER_STORE_QUERY:
+		answer_query(c, from, &m->peer_message_u.query);
+		break;
+	case PEER_STORE_ANSWER:
+		apply_answer(c, from, &m->peer_message_u.answer);
+		break;
+	case PEER_CONFIG_QUERY:
+		answer_config_query(c, from, &m->peer_message_u.config_query);
+		break;
+	case PEER_CONFIG_CHUNK:
+		if (store_sync_apply_chunk(c->sync,
+					   &m->peer_message_u.config_chunk))
+			send_config_query(c, from);
+		break;
+	case PEER_LOAD_REPORT:
+		receive_table(c, from, false, &m->peer_message_u.load_report);
+		break;
+	case PEER_LOAD_GROUP:
+		receive_table(c, from, true, &m->peer_message_u.load_group);
+		break;
+	case PEER_LOAD_TOTAL:
+		receive_total(c, &m->peer_message_u.load_total);
+		break;
+	}
+}
+
 static void handle_datagram(struct control *c, const struct sockaddr_in *from,
 			    const char *p, size_t n)
 {
@@ -101,14 +226,10 @@
 	n -= MAC_BYTES;
 	memset(&m, 0, sizeof(m));
 	xdrmem_create(&x, (char *)p, (u_int)n, XDR_DECODE);
-	if (!xdr_peer_message(&x, &m))
-		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
-	else if (m.kind == PEER_LOADS)
-		apply_loads(c, &m.peer_message_u.loads);
-	else if (m.kind == PEER_STORE_QUERY)
-		answer_query(c, from, &m.peer_message_u.query);
+	if (xdr_peer_message(&x, &m))
+		handle_message(c, from, &m);
 	else
-		store_sync_apply_answer(c->sync, &m.peer_message_u.answer);
+		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
 	xdr_destroy(&x);
 	xdr_free((xdrproc_t)xdr_peer_message, (char *)&m);
 }
@@ -173,44 +294,156 @@
 	return NULL;
 }
 
-void peers_query_readers(struct control *c, const struct peer_list *l,
-			 int64_t now_ms)
+/* Return whether this node has its place in an order of nodes. */
+static bool contains(const uint64_t *ids, size_t n, uint64_t id)
+{
+	for (size_t i = 0; i < n; i++)
+		if (ids[i] == id)
+			return true;
+	return false;
+}
+
+/*
+ * Write the ids of the nodes from which relays are chosen to ids, and return
+ * their number: those that serve callers. Shortly after the start few have said
+ * so, and all live nodes are taken.
+ */
+static size_t relay_candidates(struct control *c, const struct peer_list *l,
+			       int64_t now_ms, uint64_t *ids)
 {
 	uint64_t self = member_id(c->e->control_settings.node_name);
-	struct peer_message m = {.kind = PEER_STORE_QUERY};
-	uint64_t *ids, readers[STORE_READERS];
-	bool reader = false;
-	size_t n = 0, k;
+	size_t n = 0;
 
-	if (now_ms < c->query_at_ms)
-		return;
-	c->query_at_ms = now_ms + MIN(QUERY_INTERVAL_MS,
-				      c->e->control_settings.bounds_drain_ms /
-					      QUERIES_PER_DRAIN);
-	ids = g_new(uint64_t, l->n + 1);
 	for (size_t i = 0; i < l->n; i++)
 		if (l->v[i].id == self ||
 		    loads_peer_is_serving(c->e->loads, l->v[i].id, now_ms))
 			ids[n++] = l->v[i].id;
-	/*
-	 * Shortly after the start few load reports have arrived: choose among
-	 * all live nodes instead.
-	 */
-	if (n <= STORE_READERS && now_ms < c->peers_known_at_ms)
-		for (n = 0; n < l->n; n++)
-			ids[n] = l->v[n].id;
-	k = store_readers_choose(ids, n, readers);
+	if (n * 2 > l->n || now_ms >= c->peers_known_at_ms)
+		return n;
+	for (n = 0; n < l->n; n++)
+		ids[n] = l->v[n].id;
+	return n;
+}
+
+/* The relays of the fleet, and those that this node queries. */
+struct relays {
+	uint64_t all[STORE_RELAYS_MAX];
+	size_t n;
+	uint64_t own[STORE_READERS];
+	size_t own_count;
+	bool reader; /* this node is one */
+	bool relay;  /* this node is one, perhaps a reader as well */
+};
+
+static void choose_relays(struct control *c, const struct peer_list *l,
+			  int64_t now_ms, struct relays *out)
+{
+	uint64_t self = member_id(c->e->control_settings.node_name);
+	uint64_t *ids = g_new(uint64_t, l->n + 1);
+	size_t n = relay_candidates(c, l, now_ms, ids), readers;
+
+	out->n = store_relays_choose(ids, n, out->all);
 	g_free(ids);
-	for (size_t i = 0; i < k; i++)
-		reader |= readers[i] == self;
-	store_sync_set_reader(c->sync, reader || !k);
-	discovery_set_reader(c->discovery, reader || !k);
-	holders_store_set_writer(c->holders_store, !k || readers[0] == self);
-	if (reader || !k)
+	readers = MIN(out->n, STORE_READERS);
+	out->reader = !out->n || contains(out->all, readers, self);
+	out->relay = contains(out->all, out->n, self);
+	/* A relay queries the readers, as it must not wait for another relay.
+	 */
+	out->own_count = store_relays_of(
+		self, out->all, out->relay ? readers : out->n, out->own);
+}
+
+/* Send the sums over this relay's nodes to all other relays. */
+static void send_groups(struct control *c, const struct peer_list *l,
+			const struct relays *r, int64_t now_ms)
+{
+	uint64_t self = member_id(c->e->control_settings.node_name);
+	struct peer_message m = {.kind = PEER_LOAD_GROUP};
+	struct load_table *t = &m.peer_message_u.load_group;
+	GHashTable *sums = load_relay_group(c->load_relay, now_ms);
+
+	t->node = self;
+	t->start = (uint64_t)c->started_ms;
+	t->seq = ++c->group_seq;
+	for (size_t i = 0; i < r->n; i++) {
+		const struct entry_peer *p =
+			r->all[i] == self ? NULL : find_peer(l, r->all[i]);
+
+		if (p)
+			send_table(c, &p->report_address, &m, t, sums, NULL);
+	}
+	g_hash_table_unref(sums);
+}
+
+/* Return the relay that gets this node's loads, and change it when silent. */
+static const struct entry_peer *load_relay_of(struct control *c,
+					      const struct peer_list *l,
+					      const struct relays *r,
+					      int64_t now_ms)
+{
+	if (now_ms - c->load_total_ms > LOAD_TOTAL_MISSING_MS) {
+		c->load_relay_choice++;
+		c->load_total_ms = now_ms;
+	}
+	return find_peer(l, r->own[c->load_relay_choice % r->own_count]);
+}
+
+void peers_relay_loads(struct control *c, const struct peer_list *l,
+		       int64_t now_ms)
+{
+	uint64_t self = member_id(c->e->control_settings.node_name);
+	struct peer_message m = {.kind = PEER_LOAD_REPORT};
+	struct load_table *t = &m.peer_message_u.load_report;
+	const struct entry_peer *p;
+	char bytes[LOAD_TABLE_BYTES_MAX];
+	struct relays r;
+
+	if (l->n <= DIRECT_LOADS_NODES_MAX || now_ms < c->load_report_at_ms)
+		return;
+	c->load_report_at_ms = now_ms + LOAD_REPORT_INTERVAL_MS;
+	choose_relays(c, l, now_ms, &r);
+	if (!r.n)
+		return;
+	t->parts = 1;
+	t->entries.entries_val = bytes;
+	loads_own_table(c->e->loads, t);
+	if (r.relay) {
+		load_relay_receive(c->load_relay, false, t, now_ms);
+		send_groups(c, l, &r, now_ms);
+		send_total(c, NULL, self);
+		return;
+	}
+	p = load_relay_of(c, l, &r, now_ms);
+	if (p)
+		send_message(c, &p->report_address, &m);
+}
+
+void peers_query_relays(struct control *c, const struct peer_list *l,
+			int64_t now_ms)
+{
+	const struct entry_peer *peer;
+	struct relays r;
+
+	if (now_ms < c->query_at_ms)
+		return;
+	choose_relays(c, l, now_ms, &r);
+	c->query_at_ms =
+		now_ms +
+		MIN(r.relay ? RELAY_QUERY_INTERVAL_MS : QUERY_INTERVAL_MS,
+		    c->e->control_settings.bounds_drain_ms / QUERIES_PER_DRAIN);
+	/* Until the other nodes are known, each is the only one to itself. */
+	if (r.n <= 1 && l->n <= 1 && now_ms < c->peers_known_at_ms &&
+	    !discovery_has_read(c->discovery))
+		return;
+	store_sync_set_reader(c->sync, r.reader, l->n);
+	discovery_set_reader(c->discovery, r.reader);
+	holders_store_set_writer(
+		c->holders_store,
+		!r.n || r.all[0] ==
+				member_id(c->e->control_settings.node_name));
+	if (r.reader)
 		return;
-	m.peer_message_u.query.sent_ms = now_ms;
-	m.peer_message_u.query.targets_hash = store_sync_targets_hash(c->sync);
-	send_message(
-		c, &find_peer(l, readers[c->next_reader++ % k])->report_address,
-		&m);
+	peer = find_peer(l, r.own[c->next_relay++ % r.own_count]);
+	if (peer)
+		send_query(c, &peer->report_address, false);
 }
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -167,6 +167,7 @@
 {
 	tr->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    target_free);
+	tr->key_rates = key_rates_new();
 	tr->retry_windows = g_hash_table_new_full(str_key_hash, str_key_equal,
 						  NULL, service_retries_free);
 }
@@ -175,6 +176,7 @@
 {
 	g_hash_table_unref(tr->targets);
 	g_hash_table_unref(tr->retry_windows);
+	key_rates_free(tr->key_rates);
 }
 
 static double random_double(void *ctx)
@@ -204,6 +206,7 @@
 static struct place_target make_candidate(struct target *t, int64_t now_ms)
 {
 	bool ejected = t->ejected_until_ms > now_ms;
+	bool resting = t->resting_until_ms > now_ms;
 
 	return (struct place_target){
 		.id = t->info.id,
@@ -211,8 +214,8 @@
 		.weight =
 			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
 		.avoid = ejected,
-		.draining = t->info.draining,
-		.can_export = !t->last_failed && !ejected,
+		.draining = t->info.draining || t->says_leaving || resting,
+		.can_export = !t->last_failed && !ejected && !resting,
 	};
 }
 
@@ -251,6 +254,25 @@
 				p[i].avoid = true;
 }
 
+/* Return the number of nodes, live or not, that share fleet-wide limits. */
+static double known_nodes(const struct traffic *tr)
+{
+	return tr->peers ? (double)MAX(tr->peers->known, 1) : 1;
+}
+
+/*
+ * Estimate the requests for a key that other nodes have sent and that this node
+ * doesn't know of yet, and count the request at hand.
+ */
+static double expect_unseen(struct traffic *tr, uint64_t key, int64_t now_ms)
+{
+	double others = tr->peers ? (double)tr->peers->n - 1 : 0;
+	double per_ms = key_rates_per_ms(tr->key_rates, key, now_ms);
+
+	key_rates_record(tr->key_rates, key, now_ms);
+	return per_ms * others * (double)loads_lag_ms(tr->e->loads, now_ms);
+}
+
 struct target *pool_choose_target(struct traffic *tr,
 				  const struct entry_service *s,
 				  const struct prompt *prompt,
@@ -266,6 +288,8 @@
 	GHashTableIter it;
 	gpointer v;
 
+	if (prompt->parts[0])
+		limits.unseen = expect_unseen(tr, prompt->parts[0], now);
 	*source = NULL;
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -310,12 +334,6 @@
 	return link_open(t->tr->loop, &t->info.address);
 }
 
-/* Return the number of nodes, live or not, that share fleet-wide limits. */
-static double known_nodes(const struct traffic *tr)
-{
-	return tr->peers ? (double)MAX(tr->peers->known, 1) : 1;
-}
-
 /* Return this node's share of the idle links that a target allows. */
 static guint idle_links_max(const struct target *t)
 {
@@ -338,7 +356,8 @@
 {
 	struct idle_link *i;
 
-	if (!t->listed || t->info.draining || t->tr->leaving_ms ||
+	if (!t->listed || t->info.draining || t->says_leaving ||
+	    t->tr->leaving_ms ||
 	    g_queue_get_length(t->idle_links) >= idle_links_max(t) ||
 	    link_idle_deadline_ms(l) <= time_boot_ms()) {
 		link_close(l);
@@ -407,6 +426,45 @@
 	return newest;
 }
 
+void pool_record_leaving(struct target *t)
+{
+	if (t->says_leaving)
+		return;
+	t->says_leaving = true;
+	close_idle_links(t);
+	log_event(EV_TARGET_LEAVING, "target=" STR_FMT " source=response",
+		  STR_ARG(t->info.name));
+}
+
+void pool_record_rest(struct target *t, int64_t until_ms)
+{
+	t->resting_until_ms = MAX(t->resting_until_ms, until_ms);
+	metric_add(M_TARGET_RESTS_TOTAL, 1);
+	log_event(EV_TARGET_RESTS, "target=" STR_FMT " ms=%d",
+		  STR_ARG(t->info.name), (int)(until_ms - time_boot_ms()));
+}
+
+int64_t pool_rest_end_ms(const struct traffic *tr,
+			 const struct entry_service *s, int64_t now_ms)
+{
+	int64_t soonest = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct target *t = v;
+
+		if (!t->listed || t->info.draining || t->says_leaving ||
+		    !str_eq(t->info.service, s->name) ||
+		    t->resting_until_ms <= now_ms)
+			continue;
+		if (!soonest || t->resting_until_ms < soonest)
+			soonest = t->resting_until_ms;
+	}
+	return soonest;
+}
+
 void pool_record_load(struct target *t, struct str load)
 {
 	char text[48];
--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -8,6 +8,7 @@
 	char *node_ip;
 	char *node_zone;
 	char *node_region;
+	bool node_bootstrap;
 	char *listen_callers;
 	char *listen_ready;
 	char *listen_entries;
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -14,11 +14,62 @@
 #include "entry/loads-gen.h"
 
 struct store_sync;
+struct target_table;
+
+/* target-table.c: the rows of the table of targets; see there. */
+struct target_table *target_table_new(void);
+void target_table_free(struct target_table *t);
+/* Hash of the usable targets; see target_info_hash. */
+uint64_t target_table_hash(const struct target_table *t);
+/* Revision of the store up to which the list is complete; 0: no list. */
+int64_t target_table_revision(const struct target_table *t);
+/* Whether the targets have changed since target_table_list. */
+bool target_table_changed(const struct target_table *t);
+/* Begin a read of the whole table, in pages. */
+void target_table_begin_read(struct target_table *t);
+/* Apply row i of a page, unless a newer revision is known. */
+void target_table_apply_row(struct target_table *t, const struct store_api *api,
+			    const struct store_page *p, size_t i,
+			    int64_t now_ms);
+/* All rows of the page are applied. */
+void target_table_end_page(struct target_table *t, const struct store_page *p);
+/* Finish the read after its last page, and remove rows that it lacked. */
+void target_table_finish_read(struct target_table *t, bool remove_missing,
+			      int64_t now_ms);
+/* Return the usable targets as a new list. */
+struct target_list *target_table_list(struct target_table *t);
+/*
+ * The store came back from an older copy. The targets stay until the copy or
+ * their own writes say otherwise; one that was leaving or removed does not come
+ * back because of an old row.
+ */
+void target_table_new_era(struct target_table *t, int64_t now_ms);
+/*
+ * Fill in the updates that a querying node lacks, more and history_lost.
+ * answer has room for TARGET_UPDATES_MAX updates, whose strings are borrowed.
+ */
+void target_table_updates(const struct target_table *t,
+			  const struct store_query *q,
+			  struct store_query_answer *answer);
+/* Apply the updates of an answer. */
+void target_table_apply_updates(struct target_table *t,
+				const struct store_query_answer *answer,
+				int64_t now_ms);
 
 struct store_sync *store_sync_new(struct entry *e, struct ev_loop *loop);
 void store_sync_free(struct store_sync *s);
-/* Set whether this node is a reader. It is one until this is called. */
-void store_sync_set_reader(struct store_sync *s, bool reader);
+/*
+ * Set whether this node is a reader, which it is not before, and the number of
+ * nodes that share the store.
+ */
+void store_sync_set_reader(struct store_sync *s, bool reader,
+			   size_t fleet_size);
+/*
+ * Fill in a query to another node. continued: it asks for the updates that
+ * follow those of the last answer. The strings are borrowed.
+ */
+void store_sync_query(struct store_sync *s, int64_t now_ms, bool continued,
+		      struct store_query *query);
 /*
  * Answer another node's query. updates has room for TARGET_UPDATES_MAX; answer
  * points to it. Its strings belong to s and are valid until s next changes.
@@ -26,11 +77,25 @@
 void store_sync_answer(struct store_sync *s, const struct store_query *query,
 		       struct store_query_answer *answer,
 		       struct target_update *updates);
-/* Return the hash of the list of targets in force, for a query. */
-uint64_t store_sync_targets_hash(const struct store_sync *s);
-/* Apply a reader's answer to this node's query. */
-void store_sync_apply_answer(struct store_sync *s,
+/*
+ * Apply another node's answer. Return whether more updates follow, to be asked
+ * for at once.
+ */
+bool store_sync_apply_answer(struct store_sync *s,
 			     const struct store_query_answer *answer);
+/*
+ * Fill in the query for the next piece of a newer configuration; false when
+ * none is being fetched.
+ */
+bool store_sync_config_query(const struct store_sync *s,
+			     struct config_query *query);
+/* Fill in a piece of the configuration in force; false for any other. */
+bool store_sync_config_chunk(const struct store_sync *s,
+			     const struct config_query *query,
+			     struct config_chunk *chunk);
+/* Apply a piece; return whether to ask for the next one at once. */
+bool store_sync_apply_chunk(struct store_sync *s,
+			    const struct config_chunk *chunk);
 
 /*
  * discovery.c: registers this node in the store, feeds the registered nodes to
@@ -40,6 +105,8 @@
 
 struct discovery *discovery_new(struct entry *e, struct ev_loop *loop);
 void discovery_free(struct discovery *d);
+/* Whether the nodes registered in the store have been read. */
+bool discovery_has_read(const struct discovery *d);
 /* Set whether this node is a reader, which reads the rows more often. */
 void discovery_set_reader(struct discovery *d, bool reader);
 
@@ -57,11 +124,22 @@
  * rendezvous order of a fixed key, so that nodes with the same view of the
  * fleet choose the same ones.
  */
-#define STORE_READERS 3
+#define STORE_READERS    3
+#define STORE_RELAYS_MAX 32
 
 /* Write the ids of the readers to out; return their number, at most
  * STORE_READERS. */
 size_t store_readers_choose(const uint64_t *nodes, size_t n, uint64_t *out);
+/*
+ * Write the ids of the relays to out, which has room for STORE_RELAYS_MAX;
+ * return their number. The first STORE_READERS of them are the readers. The
+ * others query a reader and answer queries as well, so that the number of
+ * queries to a node doesn't grow with the fleet.
+ */
+size_t store_relays_choose(const uint64_t *nodes, size_t n, uint64_t *out);
+/* Write the ids of the relays that a node queries, at most STORE_READERS. */
+size_t store_relays_of(uint64_t node, const uint64_t *relays, size_t n,
+		       uint64_t *out);
 
 /*
  * Return how long a reader's long poll of the configuration may wait. It is so
--- a/entry/store-readers.c
+++ b/entry/store-readers.c
@@ -1,24 +1,48 @@
 /* Which nodes read the store, and how long the others may rely on them. */
 #include "entry/store-clients.h"
 
+/* So that a relay answers some hundred queries a second at most. */
+#define NODES_PER_RELAY 24
 /* Key of the rendezvous order; the same constant on all nodes. */
 #define READERS_KEY 0x72656164
 
-size_t store_readers_choose(const uint64_t *nodes, size_t n, uint64_t *out)
+/* Write the first max nodes in the order of a key to out. */
+static size_t choose_first(uint64_t key, const uint64_t *nodes, size_t n,
+			   uint64_t *out, size_t max)
 {
 	struct rendezvous_candidate *r =
-		g_newa(struct rendezvous_candidate, n + 1);
-	struct rendezvous_candidate top[STORE_READERS];
+		g_new(struct rendezvous_candidate, n + 1);
+	struct rendezvous_candidate top[STORE_RELAYS_MAX];
 	size_t k;
 
 	for (size_t i = 0; i < n; i++)
 		r[i] = (struct rendezvous_candidate){nodes[i], i, 0};
-	k = rendezvous_top(READERS_KEY, r, n, top, STORE_READERS);
+	k = rendezvous_top(key, r, n, top, MIN(max, STORE_RELAYS_MAX));
 	for (size_t i = 0; i < k; i++)
 		out[i] = top[i].id;
+	g_free(r);
 	return k;
 }
 
+size_t store_readers_choose(const uint64_t *nodes, size_t n, uint64_t *out)
+{
+	return choose_first(READERS_KEY, nodes, n, out, STORE_READERS);
+}
+
+size_t store_relays_choose(const uint64_t *nodes, size_t n, uint64_t *out)
+{
+	size_t max = (n + NODES_PER_RELAY - 1) / NODES_PER_RELAY;
+
+	return choose_first(READERS_KEY, nodes, n, out,
+			    MAX(max, STORE_READERS));
+}
+
+size_t store_relays_of(uint64_t node, const uint64_t *relays, size_t n,
+		       uint64_t *out)
+{
+	return choose_first(node, relays, n, out, STORE_READERS);
+}
+
 /* Long polls within the time in which a revoked key may still be used. */
 #define POLLS_PER_REVOKE 7
 /* Allowance for the latency of a call to a slow store. */
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -9,8 +9,6 @@
 
 #include "entry/store-clients.h"
 
-/* Limit of the updates in a message, which must not need IP fragmentation. */
-#define UPDATES_BYTES_MAX 1200
 /* Pause after a failed call, plus a random jitter. */
 #define RETRY_MS        250
 #define RETRY_JITTER_MS 150
@@ -33,7 +31,7 @@
  * confirmed for this long, or for this part of the drain time of a target if
  * that is shorter: a read must fit into the rest of the drain time.
  */
-#define UNCONFIRMED_MAX_MS   1300
+#define UNCONFIRMED_MAX_MS   2000
 #define UNCONFIRMED_MAX_PART 0.65
 /*
  * Part of the time limit for revoking a key for which a node relies on readers
@@ -42,6 +40,26 @@
 #define RELIANCE_MAX_PART 0.4
 /* Interval at which a node that is no reader checks whether it has to read. */
 #define RECHECK_MS 100
+/*
+ * A node that is no reader reads the store itself at most once in this time for
+ * each node of the fleet: when no reader is current, as during an outage, all
+ * nodes are in this state, and the store has to bear it.
+ */
+#define OWN_READ_MS_PER_NODE 10
+#define OWN_READ_MAX_MS      4000
+/* After a start the other nodes get this long to confirm the first view. */
+#define OWN_READ_START_MS 3000
+/* A failed call doubles the pause up to this, on a node that is no reader. */
+#define RETRY_MAX_MS 2000
+/* A larger configuration is read from the store by each node. */
+#define CONFIG_PEER_MAX_BYTES (48 << 10)
+/* A configuration that another node sends has to arrive within this time. */
+#define CONFIG_PEER_MAX_MS 1200
+/*
+ * After the store has come back from a copy, the operator writes his
+ * configuration again. A lower version is not applied for this long.
+ */
+#define OLD_CONFIG_MS 5000
 /* Shortest interval between reads that are caused by a reader's answer. */
 #define TARGETS_READ_MIN_MS 300
 /* After a failed call, a paged read that began longer ago starts over. */
@@ -49,22 +67,6 @@
 /* Reads of the targets within the drain time of a target. */
 #define READS_PER_DRAIN 3
 
-/* The newest known state of a target's row. */
-struct target_row {
-	int64_t revision;
-	bool usable;          /* info is valid */
-	uint64_t read_number; /* of the last full read that contained it */
-	struct target_info info;
-	void *arena; /* owns the strings of info */
-};
-
-/* A recent change of the list, for nodes that query this one. */
-struct target_change {
-	char *key;
-	int64_t revision;
-	bool removed; /* deleted in the store, or no longer usable */
-};
-
 struct store_sync {
 	struct entry *e;
 	const struct store_api *api;
@@ -75,25 +77,37 @@
 	bool reader;   /* see store_sync_set_reader */
 	bool store_up; /* by the last call */
 
+	int64_t era;         /* of the store; see store_page.era */
+	int64_t era_seen_ms; /* when this node saw that it had changed; 0 */
+	size_t fleet_size;   /* see store_sync_set_reader */
+	int failures;        /* calls in a row */
+
 	int64_t config_version;      /* of the view in force; -1: none yet */
 	int64_t config_revision;     /* of the store, to wait from; 0: read */
 	int64_t config_read_ms;      /* start of the last full read */
+	int64_t config_own_at_ms;    /* no own read before, if no reader */
 	int64_t config_confirmed_ms; /* last query confirmed by a reader */
-	bool config_stale;           /* a peer has a newer version */
+	int64_t config_stale_ms;     /* since when a peer has a newer one; 0 */
 	bool config_busy;            /* a call to the store is in progress */
+	char *config_text;           /* of the view in force, as JSON */
+	uint64_t config_hash;        /* of config_text */
+	/* A newer version that another node is sending. */
+	int64_t fetch_version; /* -1: none */
+	GString *fetched;
 
-	GHashTable *rows;     /* key -> struct target_row */
-	uint64_t read_number; /* of the full read in progress, or the last */
+	struct target_table *table;
 	char *next_key; /* of the next page; NULL: before the first page */
 	int64_t read_started_ms; /* start of that read */
 	int64_t read_ended_ms;   /* end of the last complete read; 0: none */
 	int64_t targets_confirmed_ms; /* last known to be current; 0: never */
+	int64_t targets_own_at_ms;    /* no own read before, if no reader */
 	int64_t outage_ended_ms;      /* end of the last outage */
-	uint64_t targets_hash;        /* of the list in force */
-	GQueue *recent_changes;       /* struct target_change, newest first */
 	bool targets_stale;           /* a peer has a newer list */
 	bool targets_busy;            /* a call to the store is in progress */
-	bool unpublished; /* rows have changed since the list was published */
+	/* The last query to another node, and where its updates end. */
+	int64_t query_sent_ms;
+	int64_t after_noticed; /* 0: no update of a series received yet */
+	char *after_key;
 };
 
 static void schedule(struct store_sync *s, ev_timer *w, int64_t ms)
@@ -103,7 +117,20 @@
 
 static int64_t retry_pause_ms(struct store_sync *s)
 {
-	return RETRY_MS + g_rand_int_range(s->rand, 0, RETRY_JITTER_MS);
+	int64_t ms = RETRY_MS;
+
+	for (int i = 1; !s->reader && i < s->failures && ms < RETRY_MAX_MS; i++)
+		ms *= 2;
+	return ms + g_rand_int_range(s->rand, 0, RETRY_JITTER_MS);
+}
+
+/* Return when a node that is no reader may read the store itself again. */
+static int64_t next_own_read_ms(struct store_sync *s, int64_t now_ms)
+{
+	int64_t ms = MIN((int64_t)s->fleet_size * OWN_READ_MS_PER_NODE,
+			 OWN_READ_MAX_MS);
+
+	return now_ms + ms / 2 + g_rand_int_range(s->rand, 0, (gint32)ms + 1);
 }
 
 /* Log when the store becomes unreachable or reachable again. */
@@ -111,6 +138,7 @@
 {
 	bool up = p->status != STORE_FAILED;
 
+	s->failures = up ? 0 : s->failures + 1;
 	if (up == s->store_up)
 		return;
 	s->store_up = up;
@@ -119,31 +147,83 @@
 		  (int)(time_boot_ms() - atomic_load(&s->e->config_fresh_ms)));
 }
 
+/*
+ * Note the era of a page or of another node's answer. Return false when it is
+ * an earlier one, whose content is out of date.
+ */
+static bool accept_era(struct store_sync *s, int64_t era)
+{
+	int64_t now = time_boot_ms();
+
+	if (era <= s->era)
+		return era == s->era;
+	/* The first era that a process sees is not a change. */
+	if (s->era || s->config_version >= 0) {
+		log_event(EV_STORE_ERA, "era=%d before=%d config=%d", (int)era,
+			  (int)s->era, (int)s->config_version);
+		s->era_seen_ms = now;
+		s->config_revision = 0;
+		s->outage_ended_ms = now;
+		target_table_new_era(s->table, now);
+		g_clear_pointer(&s->next_key, g_free);
+	}
+	s->era = era;
+	return true;
+}
+
 /* Configuration. */
 
+/* Whether an older configuration may still be one from before a copy. */
+static bool awaits_operator(const struct store_sync *s)
+{
+	return s->era_seen_ms &&
+	       time_boot_ms() - s->era_seen_ms < OLD_CONFIG_MS;
+}
+
+/* Whether the configuration replaces the one in force. */
+static bool is_newer(const struct store_sync *s, const struct entry_config *c,
+		     const char *text)
+{
+	if (c->version > s->config_version)
+		return true;
+	/* A read may return an older state of the store. */
+	if (!s->era_seen_ms)
+		return false;
+	/* Versions are given out again after the store was restored. */
+	if (c->version == s->config_version)
+		return strcmp(text, s->config_text) != 0;
+	return !awaits_operator(s);
+}
+
 /*
  * Publish a configuration if it is newer than the one in force. Return false
- * when it is malformed or older.
+ * when it is malformed or the one in force may not be the newest.
  */
 static bool apply_config(struct store_sync *s, const json_t *value)
 {
 	GError *err = NULL;
 	struct entry_config *c = s->api->config(value, &err);
+	char *text;
+	bool current;
 
 	if (!c) {
 		log_event(EV_CONFIG_UNREADABLE, "error=\"%s\"", err->message);
 		g_error_free(err);
 		return false;
 	}
-	/* A read may return an older state of the store. */
-	if (c->version <= s->config_version) {
-		bool same = c->version == s->config_version;
-
+	text = json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS);
+	if (!is_newer(s, c, text)) {
+		s->config_stale_ms = 0;
+		current = c->version == s->config_version || awaits_operator(s);
 		entry_config_unref(c);
-		return same;
+		free(text);
+		return current;
 	}
+	free(s->config_text);
+	s->config_text = text;
+	s->config_hash = str_hash(str_c(text), 0);
 	s->config_version = c->version;
-	s->config_stale = false;
+	s->config_stale_ms = 0;
 	log_event(EV_CONFIG_APPLIED, "revision=%d routes=%d", (int)c->version,
 		  (int)c->route_count);
 	entry_publish_config(s->e, c);
@@ -181,7 +261,7 @@
 
 	s->config_busy = false;
 	log_store_state(s, p);
-	if (p->status != STORE_OK) {
+	if (p->status != STORE_OK || !accept_era(s, p->era)) {
 		s->config_revision = 0;
 		schedule(s, &s->config_timer,
 			 p->status == STORE_HISTORY_LOST ? 0
@@ -220,7 +300,7 @@
 						     .bounds_revoke_ms),
 	};
 
-	return !s->config_stale && peer_reliance_is_valid(&r, now_ms);
+	return !s->config_stale_ms && peer_reliance_is_valid(&r, now_ms);
 }
 
 static int64_t config_poll_wait_ms(const struct store_sync *s)
@@ -229,6 +309,29 @@
 				   s->e->control_settings.bounds_revoke_ms);
 }
 
+/* Whether a newer configuration is expected from another node. */
+static bool awaits_peer_config(const struct store_sync *s, int64_t now_ms)
+{
+	return s->config_stale_ms && s->fetch_version >= 0 &&
+	       now_ms - s->config_stale_ms < CONFIG_PEER_MAX_MS;
+}
+
+/* Whether a node that is no reader reads the configuration now. */
+static bool reads_config_itself(struct store_sync *s, int64_t now_ms)
+{
+	if (is_config_confirmed(s, now_ms) || awaits_peer_config(s, now_ms))
+		return false;
+	if (s->config_version < 0)
+		return true;
+	if (now_ms < s->config_own_at_ms)
+		return false;
+	s->config_own_at_ms = next_own_read_ms(s, now_ms);
+	log_event(EV_STORE_READ_OWN, "table=config reason=%s config=%d",
+		  s->config_stale_ms ? "peer_newer" : "unconfirmed",
+		  (int)s->config_version);
+	return true;
+}
+
 static void read_config(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct store_sync *s = w->data;
@@ -237,7 +340,7 @@
 
 	(void)loop;
 	(void)events;
-	if (!s->reader && is_config_confirmed(s, now)) {
+	if (!s->reader && !reads_config_itself(s, now)) {
 		/*
 		 * The revision to wait from becomes too old while the node does
 		 * not read, so the next call has to read the row.
@@ -258,109 +361,17 @@
 
 /* Targets. */
 
-static void target_row_free(void *p)
-{
-	struct target_row *row = p;
-
-	talloc_free(row->arena);
-	g_free(row);
-}
-
-static void change_free(void *p)
-{
-	g_free(((struct target_change *)p)->key);
-	g_free(p);
-}
-
-/* Keep a change for answers, which have room for the most recent ones only. */
-static void record_change(struct store_sync *s, const char *key,
-			  int64_t revision, bool removed)
-{
-	struct target_change *c = g_new(struct target_change, 1);
-
-	*c = (struct target_change){g_strdup(key), revision, removed};
-	g_queue_push_head(s->recent_changes, c);
-	if (g_queue_get_length(s->recent_changes) > TARGET_UPDATES_MAX)
-		change_free(g_queue_pop_tail(s->recent_changes));
-	s->unpublished = true;
-}
-
-/* Update a target from its row, unless a newer revision is known. */
-static void apply_target_row(struct store_sync *s, const struct store_page *p,
-			     size_t i)
-{
-	const struct store_row *r = &p->rows[i];
-	struct target_row *row = g_hash_table_lookup(s->rows, r->key);
-	struct target_info info;
-	void *arena;
-	json_t *value;
-	bool usable;
-
-	/* A read may return an older state of the store. */
-	if (row && row->revision >= r->revision) {
-		row->read_number = s->read_number;
-		return;
-	}
-	if (!row) {
-		row = g_new0(struct target_row, 1);
-		g_hash_table_insert(s->rows, g_strdup(r->key), row);
-	}
-	arena = talloc_new(NULL);
-	value = s->api->value(p, i);
-	usable = s->api->target(arena, r->key, value, &info);
-	json_decref(value);
-	if (!usable && (row->usable || !row->revision))
-		log_event(EV_TARGET_UNREADABLE, "key=%s revision=%d", r->key,
-			  (int)r->revision);
-	/* Heartbeats change the row's revision, but not the target. */
-	if (usable != row->usable ||
-	    (usable && target_info_hash(&info) != target_info_hash(&row->info)))
-		record_change(s, r->key, r->revision, !usable);
-	talloc_free(row->arena);
-	row->arena = arena;
-	row->info = info;
-	row->usable = usable;
-	row->revision = r->revision;
-	row->read_number = s->read_number;
-}
-
-/* Remove a row that the last full read did not contain. */
-static gboolean drop_missing_row(gpointer key, gpointer v, gpointer ctx)
-{
-	struct store_sync *s = ctx;
-	struct target_row *row = v;
-
-	if (row->read_number == s->read_number)
-		return false;
-	if (row->usable)
-		record_change(s, key, row->revision, true);
-	return true;
-}
-
-/* Publish the usable rows as the list of targets. */
+/* Publish the targets if they have changed. */
 static void publish_targets(struct store_sync *s)
 {
-	struct target_list *l = target_list_new(g_hash_table_size(s->rows));
-	GHashTableIter it;
+	struct target_list *l;
 	int draining = 0;
-	gpointer v;
-
-	s->targets_hash = 0;
-	g_hash_table_iter_init(&it, s->rows);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct target_row *row = v;
-		struct target_info *t = &l->v[l->n];
 
-		if (!row->usable)
-			continue;
-		*t = row->info;
-		t->name = str_dup(l->arena, row->info.name);
-		t->service = str_dup(l->arena, row->info.service);
-		t->zone = str_dup(l->arena, row->info.zone);
-		s->targets_hash ^= target_info_hash(t);
-		draining += t->draining;
-		l->n++;
-	}
+	if (!target_table_changed(s->table) && s->e->list)
+		return;
+	l = target_table_list(s->table);
+	for (size_t i = 0; i < l->n; i++)
+		draining += l->v[i].draining;
 	log_event(EV_TARGETS_CHANGED, "targets=%d leaving=%d", (int)l->n,
 		  draining);
 	entry_publish_targets(s->e, l);
@@ -372,18 +383,15 @@
 	int64_t now = time_boot_ms();
 	int64_t last_current_ms =
 		MAX(s->read_ended_ms, s->targets_confirmed_ms);
-	bool first = !s->read_ended_ms;
 
 	if (last_current_ms && now - last_current_ms > OUTAGE_MS)
 		s->outage_ended_ms = now;
 	s->read_ended_ms = now;
 	s->targets_confirmed_ms = s->read_started_ms;
 	s->targets_stale = false;
-	if (now - s->outage_ended_ms > RECOVERY_MS)
-		g_hash_table_foreach_remove(s->rows, drop_missing_row, s);
-	if (s->unpublished || first)
-		publish_targets(s);
-	s->unpublished = false;
+	target_table_finish_read(s->table,
+				 now - s->outage_ended_ms > RECOVERY_MS, now);
+	publish_targets(s);
 }
 
 static int64_t targets_pause_ms(const struct store_sync *s)
@@ -398,7 +406,7 @@
 
 	s->targets_busy = false;
 	log_store_state(s, p);
-	if (p->status != STORE_OK) {
+	if (p->status != STORE_OK || !accept_era(s, p->era)) {
 		/* Keep the pages read so far, unless they are too old. */
 		if (time_boot_ms() - s->read_started_ms > PAGED_READ_MAX_MS)
 			g_clear_pointer(&s->next_key, g_free);
@@ -407,7 +415,8 @@
 	}
 	g_clear_pointer(&s->next_key, g_free);
 	for (size_t i = 0; i < p->n; i++)
-		apply_target_row(s, p, i);
+		target_table_apply_row(s->table, s->api, p, i, time_boot_ms());
+	target_table_end_page(s->table, p);
 	if (p->n && p->more) {
 		/* The smallest key above the last one read. */
 		s->next_key = g_strconcat(p->rows[p->n - 1].key, "\001", NULL);
@@ -419,25 +428,36 @@
 	schedule(s, &s->targets_timer, targets_pause_ms(s));
 }
 
+/* Whether a node that is no reader reads the targets now. */
+static bool reads_targets_itself(struct store_sync *s, int64_t now_ms)
+{
+	if (s->next_key || !s->read_ended_ms)
+		return true;
+	if (!s->targets_stale &&
+	    !is_unconfirmed(s, s->targets_confirmed_ms, now_ms))
+		return false;
+	if (now_ms < s->targets_own_at_ms)
+		return false;
+	s->targets_own_at_ms = next_own_read_ms(s, now_ms);
+	log_event(EV_STORE_READ_OWN, "table=targets reason=%s age_ms=%d",
+		  s->targets_stale ? "list_differs" : "unconfirmed",
+		  (int)(now_ms - s->targets_confirmed_ms));
+	return true;
+}
+
 static void read_targets(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct store_sync *s = w->data;
 	int64_t now = time_boot_ms();
-	/*
-	 * After an outage rows may be missing everywhere, so that a list that
-	 * equals the readers' is not known to be complete.
-	 */
-	bool settled = now - s->outage_ended_ms > 2 * RECOVERY_MS;
 
 	(void)loop;
 	(void)events;
-	if (!s->next_key && !s->reader && settled && !s->targets_stale &&
-	    !is_unconfirmed(s, s->targets_confirmed_ms, now)) {
+	if (!s->reader && !reads_targets_itself(s, now)) {
 		schedule(s, w, RECHECK_MS);
 		return;
 	}
 	if (!s->next_key) {
-		s->read_number++;
+		target_table_begin_read(s->table);
 		s->read_started_ms = now;
 	}
 	s->targets_busy = true;
@@ -447,9 +467,10 @@
 
 /* Queries between nodes. */
 
-void store_sync_set_reader(struct store_sync *s, bool reader)
+void store_sync_set_reader(struct store_sync *s, bool reader, size_t fleet_size)
 {
 	s->reader = reader;
+	s->fleet_size = fleet_size;
 }
 
 /* Return the age of a point in time for an answer; UINT32_MAX: not known. */
@@ -458,176 +479,200 @@
 	return at_ms ? (unsigned)MIN(now_ms - at_ms, UINT32_MAX) : UINT32_MAX;
 }
 
-static const char *str_or_empty(struct str s)
-{
-	return s.data ? s.data : "";
-}
-
-/* Describe a change for another node; the strings are borrowed. */
-static void fill_update(struct store_sync *s, const struct target_change *c,
-			struct target_update *update)
-{
-	const struct target_row *row = g_hash_table_lookup(s->rows, c->key);
-
-	*update = (struct target_update){.key = c->key,
-					 .revision = c->revision,
-					 .removed = c->removed,
-					 .service = (char *)"",
-					 .zone = (char *)""};
-	if (c->removed || !row || !row->usable)
-		return;
-	/*
-	 * Send the current state; a later change of the same row, if any, is
-	 * earlier in the message.
-	 */
-	update->revision = row->revision;
-	update->draining = row->info.draining;
-	update->id = row->info.id;
-	update->service = (char *)str_or_empty(row->info.service);
-	update->zone = (char *)str_or_empty(row->info.zone);
-	update->ip = row->info.address.sin_addr.s_addr;
-	update->port = row->info.address.sin_port;
-	update->slots = (u_int)row->info.slots;
-}
-
-/* Apply an update from another node; false when it is not newer. */
-static bool apply_update(struct store_sync *s,
-			 const struct target_update *update)
-{
-	struct target_row *row = g_hash_table_lookup(s->rows, update->key);
-
-	if (update->removed) {
-		if (!row || row->revision > update->revision)
-			return false;
-		record_change(s, update->key, update->revision, true);
-		g_hash_table_remove(s->rows, update->key);
-		return true;
-	}
-	if (row && row->revision >= update->revision)
-		return false;
-	if (!row) {
-		row = g_new0(struct target_row, 1);
-		g_hash_table_insert(s->rows, g_strdup(update->key), row);
-	}
-	talloc_free(row->arena);
-	row->arena = talloc_new(NULL);
-	row->usable = true;
-	row->revision = update->revision;
-	row->read_number = s->read_number;
-	row->info = (struct target_info){
-		.id = update->id,
-		.name = str_dup(row->arena, str_c(update->key)),
-		.service = str_dup(row->arena, str_c(update->service)),
-		.zone = str_dup(row->arena, str_c(update->zone)),
-		.address = {.sin_family = AF_INET,
-			    .sin_port = (in_port_t)update->port,
-			    .sin_addr = {update->ip}},
-		.slots = update->slots,
-		.draining = update->draining,
-	};
-	record_change(s, update->key, update->revision, false);
-	return true;
-}
-
-/* Apply the updates of an answer, oldest first. */
-static void apply_updates(struct store_sync *s,
-			  const struct store_query_answer *answer)
+/* Size of the configuration that other nodes may fetch from this one. */
+static size_t config_bytes(const struct store_sync *s)
 {
-	bool changed = false;
+	size_t n = s->config_text ? strlen(s->config_text) : 0;
 
-	for (u_int i = answer->updates.updates_len; i-- > 0;)
-		changed |= apply_update(s, &answer->updates.updates_val[i]);
-	if (changed)
-		publish_targets(s);
-	s->unpublished = false;
+	return n <= CONFIG_PEER_MAX_BYTES ? n : 0;
 }
 
-/* Encoded size of an update, including length fields and padding. */
-static int update_bytes(const struct target_update *update)
+void store_sync_query(struct store_sync *s, int64_t now_ms, bool continued,
+		      struct store_query *query)
 {
-	return (int)xdr_sizeof((xdrproc_t)xdr_target_update, (void *)update);
+	if (!continued)
+		s->after_noticed = 0;
+	s->query_sent_ms = now_ms;
+	*query = (struct store_query){
+		.sent_ms = now_ms,
+		.era = s->era,
+		.targets_hash = target_table_hash(s->table),
+		.targets_revision = target_table_revision(s->table),
+		.after_noticed = s->after_noticed,
+		.after_key = s->after_noticed ? s->after_key : (char *)"",
+	};
 }
 
 void store_sync_answer(struct store_sync *s, const struct store_query *query,
 		       struct store_query_answer *answer,
 		       struct target_update *updates)
 {
-	GList *at = s->recent_changes->head;
 	int64_t now = time_boot_ms();
-	int room_bytes = UPDATES_BYTES_MAX;
-	bool settled = now - s->outage_ended_ms > RECOVERY_MS;
 
 	*answer = (struct store_query_answer){
 		.query_sent_ms = query->sent_ms,
+		.era = s->era,
 		.config_version = s->config_version,
+		.config_hash = s->config_hash,
+		.config_bytes = (u_int)config_bytes(s),
 		.config_age_ms =
 			age_ms_at(atomic_load(&s->e->config_fresh_ms), now),
-		.targets_hash = s->targets_hash,
-		.targets_age_ms =
-			settled ? age_ms_at(s->targets_confirmed_ms, now)
-				: UINT32_MAX,
+		.targets_hash = target_table_hash(s->table),
+		.targets_revision = target_table_revision(s->table),
+		.targets_age_ms = age_ms_at(s->targets_confirmed_ms, now),
 		.updates = {0, updates},
 	};
-	/* The querying node has the same list. */
-	if (query->targets_hash == s->targets_hash)
-		return;
-	for (; at && answer->updates.updates_len < TARGET_UPDATES_MAX;
-	     at = at->next) {
-		struct target_update *update =
-			&updates[answer->updates.updates_len];
-
-		fill_update(s, at->data, update);
-		room_bytes -= update_bytes(update);
-		if (room_bytes < 0)
-			break;
-		answer->updates.updates_len++;
-	}
+	/* The querying node has the same list, or one of another era. */
+	if (query->targets_hash != answer->targets_hash &&
+	    query->era == s->era && answer->targets_revision)
+		target_table_updates(s->table, query, answer);
 }
 
-uint64_t store_sync_targets_hash(const struct store_sync *s)
-{
-	return s->targets_hash;
-}
-
-void store_sync_apply_answer(struct store_sync *s,
-			     const struct store_query_answer *answer)
+/* Use what an answer says of the configuration. */
+static void apply_config_answer(struct store_sync *s,
+				const struct store_query_answer *answer)
 {
 	/*
-	 * The ages count back from the time of the answer, which is later than
-	 * that of the query. The times computed here are thus too early, which
-	 * is the safe side.
+	 * The age counts back from the time of the answer, which is later than
+	 * that of the query. The time computed here is thus too early, which is
+	 * the safe side.
 	 */
-	int64_t config_ms = answer->query_sent_ms - answer->config_age_ms;
-	int64_t targets_ms = answer->query_sent_ms - answer->targets_age_ms;
+	int64_t at_ms = answer->query_sent_ms - answer->config_age_ms;
 
-	if (answer->query_sent_ms > time_boot_ms())
-		return;
-	if (answer->config_age_ms != UINT32_MAX &&
-	    answer->config_version == s->config_version) {
-		entry_confirm_config(s->e, config_ms);
+	bool same = answer->config_version == s->config_version &&
+		    answer->config_hash == s->config_hash;
+
+	if (answer->config_age_ms != UINT32_MAX && same) {
+		entry_confirm_config(s->e, at_ms);
 		if (reader_is_current(answer->config_age_ms,
 				      config_poll_wait_ms(s)))
 			s->config_confirmed_ms = answer->query_sent_ms;
 	}
-	if (answer->config_version > s->config_version) {
-		s->config_stale = true;
-		if (!s->config_busy)
-			schedule(s, &s->config_timer, 0);
+	/*
+	 * After the store was restored a version may have other content, and
+	 * which of two nodes is behind only the store can tell.
+	 */
+	if (answer->config_version <= s->config_version &&
+	    (same || !s->era_seen_ms || awaits_operator(s)))
+		return;
+	if (!s->config_stale_ms)
+		s->config_stale_ms = time_boot_ms();
+	if (answer->config_version != s->fetch_version) {
+		bool fetch = answer->config_bytes &&
+			     answer->config_version > s->config_version;
+
+		s->fetch_version = fetch ? answer->config_version : -1;
+		g_string_truncate(s->fetched, 0);
 	}
+	if (s->fetch_version < 0 && !s->config_busy)
+		schedule(s, &s->config_timer, 0);
+}
+
+/* Continue a series of updates after the last one of an answer. */
+static void continue_after(struct store_sync *s,
+			   const struct store_query_answer *answer)
+{
+	const struct target_update *last =
+		&answer->updates.updates_val[answer->updates.updates_len - 1];
+
+	s->after_noticed = last->noticed;
+	g_free(s->after_key);
+	s->after_key = g_strdup(last->key);
+}
+
+/* Use the updates of targets; return whether more of them follow. */
+static bool apply_targets_answer(struct store_sync *s,
+				 const struct store_query_answer *answer)
+{
+	int64_t at_ms = answer->query_sent_ms - answer->targets_age_ms;
+
 	if (answer->targets_age_ms == UINT32_MAX || !s->read_ended_ms ||
-	    targets_ms <= s->targets_confirmed_ms)
-		return;
-	if (answer->targets_hash != s->targets_hash && !s->targets_busy)
-		apply_updates(s, answer);
-	if (answer->targets_hash == s->targets_hash) {
-		s->targets_stale = false;
-		s->targets_confirmed_ms = targets_ms;
-		return;
+	    s->targets_busy || at_ms <= s->targets_confirmed_ms)
+		return false;
+	metric_add(M_PEER_UPDATES_TOTAL, answer->updates.updates_len);
+	target_table_apply_updates(s->table, answer, time_boot_ms());
+	publish_targets(s);
+	if (answer->more && answer->updates.updates_len) {
+		continue_after(s, answer);
+		return true;
 	}
-	s->targets_stale = true;
-	if (!s->targets_busy &&
-	    time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
+	s->targets_stale = answer->targets_hash != target_table_hash(s->table);
+	if (!s->targets_stale)
+		s->targets_confirmed_ms = at_ms;
+	else if (time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
 		schedule(s, &s->targets_timer, 0);
+	return false;
+}
+
+bool store_sync_apply_answer(struct store_sync *s,
+			     const struct store_query_answer *answer)
+{
+	if (answer->query_sent_ms > time_boot_ms() ||
+	    !accept_era(s, answer->era))
+		return false;
+	apply_config_answer(s, answer);
+	/* Only the last query's answer continues this node's list. */
+	return answer->query_sent_ms == s->query_sent_ms &&
+	       apply_targets_answer(s, answer);
+}
+
+bool store_sync_config_query(const struct store_sync *s,
+			     struct config_query *query)
+{
+	if (s->fetch_version < 0)
+		return false;
+	*query = (struct config_query){.config_version = s->fetch_version,
+				       .offset = (u_int)s->fetched->len};
+	return true;
+}
+
+bool store_sync_config_chunk(const struct store_sync *s,
+			     const struct config_query *query,
+			     struct config_chunk *chunk)
+{
+	size_t n = config_bytes(s);
+
+	if (query->config_version != s->config_version || query->offset >= n)
+		return false;
+	*chunk = (struct config_chunk){
+		.config_version = s->config_version,
+		.total = (u_int)n,
+		.offset = query->offset,
+		.bytes = {(u_int)MIN(n - query->offset, CONFIG_CHUNK_MAX),
+			  s->config_text + query->offset},
+	};
+	return true;
+}
+
+/* Apply a configuration of which all chunks have arrived. */
+static void apply_fetched(struct store_sync *s)
+{
+	json_t *value = json_loadb(s->fetched->str, s->fetched->len, 0, NULL);
+
+	s->fetch_version = -1;
+	if (value && apply_config(s, value)) {
+		metric_add(M_PEER_CONFIG_TOTAL, 1);
+	} else {
+		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
+		schedule(s, &s->config_timer, 0);
+	}
+	json_decref(value);
+	g_string_truncate(s->fetched, 0);
+}
+
+bool store_sync_apply_chunk(struct store_sync *s,
+			    const struct config_chunk *chunk)
+{
+	if (chunk->config_version != s->fetch_version ||
+	    chunk->offset != s->fetched->len ||
+	    chunk->total > CONFIG_PEER_MAX_BYTES)
+		return false;
+	g_string_append_len(s->fetched, chunk->bytes.bytes_val,
+			    (gssize)chunk->bytes.bytes_len);
+	if (s->fetched->len < chunk->total)
+		return chunk->bytes.bytes_len > 0;
+	apply_fetched(s);
+	return false;
 }
 
 static void start_timer(struct store_sync *s, ev_timer *w,
@@ -648,12 +693,13 @@
 	s->store = e->store;
 	s->rand = g_rand_new();
 	s->config_version = -1;
-	s->reader = true;
+	s->fetch_version = -1;
+	s->fetched = g_string_new(NULL);
+	s->config_own_at_ms = time_boot_ms() + OWN_READ_START_MS;
+	s->targets_own_at_ms = s->config_own_at_ms;
 	s->store_up = true;
 	s->outage_ended_ms = INT64_MIN / 2;
-	s->recent_changes = g_queue_new();
-	s->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					target_row_free);
+	s->table = target_table_new();
 	start_timer(s, &s->config_timer, read_config);
 	start_timer(s, &s->targets_timer, read_targets);
 	return s;
@@ -663,8 +709,10 @@
 {
 	ev_timer_stop(s->loop, &s->config_timer);
 	ev_timer_stop(s->loop, &s->targets_timer);
-	g_queue_free_full(s->recent_changes, change_free);
-	g_hash_table_unref(s->rows);
+	target_table_free(s->table);
+	free(s->config_text);
+	g_string_free(s->fetched, TRUE);
+	g_free(s->after_key);
 	g_rand_free(s->rand);
 	g_free(s->next_key);
 	g_free(s);
--- a/entry/test-http-message.c
+++ b/entry/test-http-message.c
@@ -172,6 +172,34 @@
 	clear(&s);
 }
 
+static void test_retry_after(void)
+{
+	static const struct {
+		const char *text;
+		int64_t ms;
+	} cases[] = {
+		{"0", 0},
+		{"2", 2000},
+		{"1.25", 1250},
+		{"0.0004", 0},
+		{"", -1},
+		{"-1", -1},
+		{".5", -1},
+		{"1.2.3", -1},
+		{"2 s", -1},
+		{"99999999999999999999", RETRY_AFTER_MAX_MS},
+		{"Thu, 01 Jan 1970 00:01:40 GMT", 90000},
+		{"Thu, 01 Jan 1970 00:00:01 GMT", 0},
+		{"Thu, 01 Jan 2099 00:00:00 GMT", RETRY_AFTER_MAX_MS},
+		{"Thursday", -1},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpint(
+			str_parse_retry_after(str_c(cases[i].text), 10000), ==,
+			cases[i].ms);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -180,5 +208,6 @@
 	g_test_add_func("/entry/message/malformed", test_malformed);
 	g_test_add_func("/entry/message/until-close", test_until_close);
 	g_test_add_func("/entry/message/header-limit", test_header_limit);
+	g_test_add_func("/entry/http-message/retry-after", test_retry_after);
 	return g_test_run();
 }
--- a/entry/test-retry.c
+++ b/entry/test-retry.c
@@ -68,8 +68,8 @@
 
 /*
  * The deadline comes so close while a retry is being decided that a second look
- * would refuse it. A retry that was decided begins: an attempt that ends without
- * a successor would leave the caller without an answer.
+ * would refuse it. A retry that was decided begins: an attempt that ends
+ * without a successor would leave the caller without an answer.
  */
 static void test_deadline_between_checks(void)
 {
--- /dev/null
+++ b/entry/test-store-sync.c
@@ -0,0 +1,295 @@
+/*
+ * Two nodes that keep in step with a store: one reads it, the other learns from
+ * the first. The store is a set of callbacks that answer at once.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "entry/store-clients.h"
+
+#define WAIT_MS 10000
+
+/* The store: a configuration and no targets. */
+static struct {
+	int64_t version; /* of the configuration */
+	const char *content;
+	int64_t revision, era;
+	bool down;
+} store;
+
+/* A node without its threads. */
+struct node {
+	struct entry e;
+	struct entry_options options;
+	struct store_sync *sync;
+	int config_reads;
+};
+
+/* A call in progress; its callback runs from the loop. */
+struct call {
+	struct node *node;
+	enum store_table table;
+	store_done_fn *done;
+	void *ctx;
+	ev_timer timer;
+};
+
+static json_t *fake_value(const struct store_page *p, size_t i)
+{
+	(void)p;
+	(void)i;
+	return json_pack("{s:I,s:s}", "version", (json_int_t)store.version,
+			 "content", store.content);
+}
+
+static struct entry_config *fake_config(const json_t *value, GError **err)
+{
+	struct entry_config *c = entry_config_new();
+
+	(void)err;
+	c->version = json_integer_value(json_object_get(value, "version"));
+	entry_config_index(c);
+	return c;
+}
+
+static void finish_call(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct call *c = w->data;
+	struct store_row row = {"config", store.revision, false};
+	struct store_page p = {
+		.status = store.down ? STORE_FAILED : STORE_OK,
+		.rows = &row,
+		.n = c->table == STORE_CONFIG && !store.down,
+		.era = store.era,
+		.revision = store.revision,
+		.sent_ms = time_boot_ms(),
+	};
+
+	(void)loop;
+	(void)events;
+	c->done(c->ctx, &p);
+	g_free(c);
+}
+
+static void start_call(struct node *n, enum store_table t, store_done_fn *done,
+		       void *ctx)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	*c = (struct call){.node = n, .table = t, .done = done, .ctx = ctx};
+	n->config_reads += t == STORE_CONFIG;
+	ev_timer_init(&c->timer, finish_call, 0.002, 0);
+	c->timer.data = c;
+	ev_timer_start(n->e.tr.loop, &c->timer);
+}
+
+static void fake_read(void *node, enum store_table t, const char *from,
+		      store_done_fn *done, void *ctx)
+{
+	(void)from;
+	start_call(node, t, done, ctx);
+}
+
+static void fake_await(void *node, enum store_table t, int64_t revision,
+		       int64_t wait_ms, store_done_fn *done, void *ctx)
+{
+	(void)revision;
+	(void)wait_ms;
+	start_call(node, t, done, ctx);
+}
+
+static const struct store_api fake_api = {.read = fake_read,
+					  .await = fake_await,
+					  .value = fake_value,
+					  .config = fake_config};
+
+static void ignore_views(struct ev_loop *loop, ev_async *w, int events)
+{
+	(void)loop;
+	(void)w;
+	(void)events;
+}
+
+static struct node *node_new(struct ev_loop *loop, bool reader)
+{
+	struct node *n = g_new0(struct node, 1);
+
+	n->options.store = &fake_api;
+	n->e.o = &n->options;
+	n->e.store = n;
+	n->e.control_settings.bounds_drain_ms = 4000;
+	n->e.control_settings.bounds_revoke_ms = 60000;
+	n->e.control_settings.store_targets_poll_ms = 50;
+	n->e.control_settings.store_config_wait_ms = 50;
+	n->e.tr.loop = loop;
+	ev_async_init(&n->e.tr.views_published, ignore_views);
+	ev_async_start(loop, &n->e.tr.views_published);
+	n->sync = store_sync_new(&n->e, loop);
+	store_sync_set_reader(n->sync, reader, 100);
+	return n;
+}
+
+static int64_t version_of(const struct node *n)
+{
+	return n->e.config ? n->e.config->version : -1;
+}
+
+/* Run the loop until a node has a version. */
+static void run_until(struct ev_loop *loop, const struct node *n,
+		      int64_t version)
+{
+	int64_t until = time_mono_ms() + WAIT_MS;
+
+	while (version_of(n) != version) {
+		g_assert_cmpint(time_mono_ms(), <, until);
+		ev_run(loop, EVRUN_ONCE);
+	}
+}
+
+/*
+ * Let a node query another one and fetch what it announces. lose: this chunk is
+ * lost, if not negative. Return the number of chunks received.
+ */
+static int exchange(struct node *from, struct node *to, int lose)
+{
+	struct target_update updates[TARGET_UPDATES_MAX];
+	struct store_query_answer answer;
+	struct config_query wanted;
+	struct config_chunk chunk;
+	struct store_query query;
+	int chunks = 0;
+
+	store_sync_query(to->sync, time_boot_ms(), false, &query);
+	store_sync_answer(from->sync, &query, &answer, updates);
+	store_sync_apply_answer(to->sync, &answer);
+	while (store_sync_config_query(to->sync, &wanted)) {
+		g_assert_true(
+			store_sync_config_chunk(from->sync, &wanted, &chunk));
+		if (chunks++ == lose)
+			return chunks;
+		if (!store_sync_apply_chunk(to->sync, &chunk))
+			break;
+	}
+	return chunks;
+}
+
+/* Hash of the configuration in force, as a node tells it to others. */
+static uint64_t content_hash(const struct node *n)
+{
+	struct target_update updates[TARGET_UPDATES_MAX];
+	struct store_query_answer answer;
+	struct store_query query = {.after_key = (char *)""};
+
+	store_sync_answer(n->sync, &query, &answer, updates);
+	return answer.config_hash;
+}
+
+static void node_free(struct node *n, struct ev_loop *loop)
+{
+	store_sync_free(n->sync);
+	ev_async_stop(loop, &n->e.tr.views_published);
+	entry_config_unref(n->e.config);
+	target_list_unref(n->e.list);
+	g_free(n);
+}
+
+static void set_store(int64_t version, const char *content, int64_t era)
+{
+	store.version = version;
+	store.content = content;
+	store.era = era;
+	store.revision++;
+	store.down = false;
+}
+
+/* A new configuration reaches a node in pieces, and without a read of its own.
+ */
+static void test_config_from_peer(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	char *large = g_strnfill(5000, 'x');
+	struct node *reader, *node;
+	int reads;
+
+	set_store(1, "first", 1);
+	reader = node_new(loop, true);
+	node = node_new(loop, false);
+	run_until(loop, reader, 1);
+	run_until(loop, node, 1);
+	reads = node->config_reads;
+	set_store(2, large, 1);
+	run_until(loop, reader, 2);
+	/* The third piece is lost; the next answer goes on from there. */
+	g_assert_cmpint(exchange(reader, node, 2), ==, 3);
+	g_assert_cmpint(version_of(node), ==, 1);
+	g_assert_cmpint(exchange(reader, node, -1), ==, 3);
+	g_assert_cmpint(version_of(node), ==, 2);
+	g_assert_cmpint(node->config_reads, ==, reads);
+	/* Nothing more is fetched, and an old version is not given out. */
+	g_assert_cmpint(exchange(reader, node, -1), ==, 0);
+	node_free(reader, loop);
+	node_free(node, loop);
+	ev_loop_destroy(loop);
+	g_free(large);
+}
+
+/*
+ * The store comes back from a copy with an older configuration, and the
+ * operator then writes another one under the number that is in force. No node
+ * goes back, both take the new one, and an answer of the earlier era counts for
+ * nothing.
+ */
+static void test_restored_store(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct target_update updates[TARGET_UPDATES_MAX];
+	struct store_query_answer stale;
+	struct store_query query;
+	struct node *reader, *node;
+	uint64_t hash;
+	int64_t until;
+
+	set_store(7, "revoked", 1);
+	reader = node_new(loop, true);
+	node = node_new(loop, false);
+	run_until(loop, reader, 7);
+	run_until(loop, node, 7);
+	store_sync_query(node->sync, time_boot_ms(), false, &query);
+	store_sync_answer(reader->sync, &query, &stale, updates);
+	set_store(5, "old", 2);
+	until = time_mono_ms() + 300;
+	while (time_mono_ms() < until) {
+		ev_run(loop, EVRUN_ONCE);
+		g_assert_cmpint(version_of(reader), ==, 7);
+	}
+	set_store(7, "again", 2);
+	hash = content_hash(reader);
+	until = time_mono_ms() + WAIT_MS;
+	while (content_hash(reader) == hash ||
+	       content_hash(node) != content_hash(reader)) {
+		exchange(reader, node, -1);
+		g_assert_cmpint(time_mono_ms(), <, until);
+		ev_run(loop, EVRUN_ONCE);
+		g_assert_cmpint(version_of(node), ==, 7);
+	}
+	/* An answer of the earlier era announces nothing. */
+	stale.config_version = 9;
+	stale.config_bytes = 10;
+	store_sync_apply_answer(node->sync, &stale);
+	g_assert_false(
+		store_sync_config_query(node->sync, &(struct config_query){0}));
+	node_free(reader, loop);
+	node_free(node, loop);
+	ev_loop_destroy(loop);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_set_level("error");
+	g_test_add_func("/entry/store-sync/config-from-peer",
+			test_config_from_peer);
+	g_test_add_func("/entry/store-sync/restored-store",
+			test_restored_store);
+	return g_test_run();
+}
--- /dev/null
+++ b/entry/test-target-table.c
@@ -0,0 +1,288 @@
+/*
+ * The table of targets: what a node learns from the store and from another node
+ * must be the same list, whatever was lost in between, also across a store that
+ * came back from an older copy.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "entry/store-clients.h"
+
+#define TARGETS_MAX 64
+#define KEY_BYTES   16
+
+/* A store whose rows are plain structs; the value of a row is its index. */
+struct fake_row {
+	bool present, draining;
+	int64_t revision;
+	int64_t born_ms;
+};
+
+static struct fake_row store_rows[TARGETS_MAX];
+static int64_t store_revision;
+/* The rows of the page being applied, in the order of its rows. */
+static size_t page_rows[TARGETS_MAX];
+
+static json_t *fake_value(const struct store_page *p, size_t i)
+{
+	(void)p;
+	return json_integer((json_int_t)page_rows[i]);
+}
+
+static bool fake_target(void *arena, const char *key, const json_t *value,
+			struct target_info *out)
+{
+	const struct fake_row *r = &store_rows[json_integer_value(value)];
+
+	memset(out, 0, sizeof(*out));
+	out->name = str_dup(arena, str_c(key));
+	out->service = str_dup(arena, STR_LIT("pool"));
+	out->zone = str_dup(arena, STR_LIT("a"));
+	out->draining = r->draining;
+	out->id = str_hash(out->name, (uint64_t)r->born_ms);
+	return true;
+}
+
+static const struct store_api fake_api = {.value = fake_value,
+					  .target = fake_target};
+
+static void write_row(size_t i, bool present, bool draining)
+{
+	store_rows[i].present = present;
+	store_rows[i].draining = draining;
+	store_rows[i].revision = ++store_revision;
+}
+
+static void reset_store(size_t n)
+{
+	memset(store_rows, 0, sizeof(store_rows));
+	store_revision = 100;
+	for (size_t i = 0; i < n; i++)
+		write_row(i, true, false);
+}
+
+/* Read the store into a table, in pages of the given size. */
+static void read_store(struct target_table *t, size_t page_size,
+		       bool remove_missing, int64_t now_ms)
+{
+	char keys[TARGETS_MAX][KEY_BYTES];
+	struct store_row rows[TARGETS_MAX];
+	size_t at = 0;
+
+	target_table_begin_read(t);
+	while (at < TARGETS_MAX) {
+		struct store_page p = {.rows = rows,
+				       .revision = store_revision};
+
+		for (; at < TARGETS_MAX && p.n < page_size; at++) {
+			if (!store_rows[at].present)
+				continue;
+			g_snprintf(keys[p.n], KEY_BYTES, "t%03d", (int)at);
+			rows[p.n] = (struct store_row){
+				keys[p.n], store_rows[at].revision, false};
+			page_rows[p.n++] = at;
+		}
+		for (size_t i = 0; i < p.n; i++)
+			target_table_apply_row(t, &fake_api, &p, i, now_ms);
+		target_table_end_page(t, &p);
+	}
+	target_table_finish_read(t, remove_missing, now_ms);
+}
+
+/* Let a table learn from another one; return the messages that it took. */
+static int sync_tables(struct target_table *to, const struct target_table *from,
+		       bool *history_lost)
+{
+	char after_key[KEY_BYTES] = "";
+	struct store_query q = {
+		.targets_hash = target_table_hash(to),
+		.targets_revision = target_table_revision(to),
+		.after_key = after_key,
+	};
+	int messages = 0;
+	bool more = true;
+
+	*history_lost = false;
+	while (more) {
+		struct target_update updates[TARGET_UPDATES_MAX];
+		struct store_query_answer a = {
+			.targets_hash = target_table_hash(from),
+			.targets_revision = target_table_revision(from),
+			.updates = {0, updates},
+		};
+
+		if (q.targets_hash != a.targets_hash)
+			target_table_updates(from, &q, &a);
+		target_table_apply_updates(to, &a, 1000);
+		*history_lost |= a.history_lost;
+		more = a.more;
+		messages++;
+		if (a.updates.updates_len) {
+			const struct target_update *last =
+				&updates[a.updates.updates_len - 1];
+
+			q.after_noticed = last->noticed;
+			g_strlcpy(after_key, last->key, KEY_BYTES);
+		}
+	}
+	return messages;
+}
+
+static size_t list_size(struct target_table *t)
+{
+	struct target_list *l = target_table_list(t);
+	size_t n = l->n;
+
+	target_list_unref(l);
+	return n;
+}
+
+/*
+ * Half of the targets are replaced at once, more changes than a message has
+ * room for: a node gets them all from another one, in several messages.
+ */
+static void test_many_changes(void)
+{
+	struct target_table *relay = target_table_new();
+	struct target_table *node = target_table_new();
+	bool lost;
+
+	reset_store(40);
+	read_store(relay, 100, true, 1000);
+	read_store(node, 100, true, 1000);
+	for (size_t i = 0; i < 20; i++) {
+		write_row(i, false, false);
+		write_row(40 + i, true, false);
+	}
+	read_store(relay, 100, true, 1000);
+	g_assert_cmpint(sync_tables(node, relay, &lost), >, 2);
+	g_assert_false(lost);
+	g_assert_cmpuint(target_table_hash(node), ==, target_table_hash(relay));
+	g_assert_cmpint(target_table_revision(node), ==,
+			target_table_revision(relay));
+	g_assert_cmpuint(list_size(node), ==, 40);
+	target_table_free(relay);
+	target_table_free(node);
+}
+
+/*
+ * Random changes, read by two readers at different moments and in pages of
+ * different sizes, while a node asks one or the other and misses some rounds.
+ * After each series its list is that of the one it asked. The exception is a
+ * target that was removed and came back between two reads of that one, which
+ * noticed nothing: the hashes then differ, and the node reads the store itself.
+ */
+static void test_readers_differ(void)
+{
+	GRand *rand = g_rand_new_with_seed(11);
+	struct target_table *readers[2] = {target_table_new(),
+					   target_table_new()};
+	struct target_table *node = target_table_new();
+	int own_reads = 0, series = 0;
+
+	reset_store(30);
+	read_store(readers[0], 7, true, 1000);
+	read_store(readers[1], 500, true, 1000);
+	read_store(node, 500, true, 1000);
+	for (int round = 0; round < 2000; round++) {
+		struct target_table *r = readers[g_rand_int_range(rand, 0, 2)];
+		bool lost;
+
+		for (int i = g_rand_int_range(rand, 0, 6); i > 0; i--)
+			write_row(
+				(size_t)g_rand_int_range(rand, 0, TARGETS_MAX),
+				g_rand_boolean(rand), false);
+		read_store(r, g_rand_boolean(rand) ? 7 : 500, true, 1000);
+		if (target_table_revision(r) < target_table_revision(node) ||
+		    g_rand_boolean(rand))
+			continue;
+		sync_tables(node, r, &lost);
+		g_assert_false(lost);
+		series++;
+		if (target_table_hash(node) != target_table_hash(r)) {
+			read_store(node, 500, true, 1000);
+			own_reads++;
+		}
+		g_assert_cmpuint(target_table_hash(node), ==,
+				 target_table_hash(r));
+		g_assert_cmpuint(list_size(node), ==, list_size(r));
+	}
+	g_test_message("%d own reads in %d series", own_reads, series);
+	g_assert_cmpint(own_reads * 10, <, series);
+	target_table_free(readers[0]);
+	target_table_free(readers[1]);
+	target_table_free(node);
+	g_rand_free(rand);
+}
+
+/* A node that asks for changes from before a reader's start must read itself.
+ */
+static void test_history_lost(void)
+{
+	struct target_table *relay = target_table_new();
+	struct target_table *node = target_table_new();
+	bool lost;
+
+	reset_store(10);
+	read_store(node, 500, true, 1000);
+	write_row(3, false, false);
+	read_store(relay, 500, true, 1000);
+	sync_tables(node, relay, &lost);
+	g_assert_true(lost);
+	g_assert_cmpuint(target_table_hash(node), !=, target_table_hash(relay));
+	target_table_free(relay);
+	target_table_free(node);
+}
+
+/*
+ * The store comes back from a copy in which a target that was removed and one
+ * that was leaving are ready. Neither gets requests again. Its revisions are
+ * given out again, with other content.
+ */
+static void test_restored_store(void)
+{
+	struct target_table *t = target_table_new();
+	struct target_list *l;
+	struct fake_row copy[TARGETS_MAX];
+	int64_t copy_revision;
+
+	reset_store(5);
+	memcpy(copy, store_rows, sizeof(copy));
+	copy_revision = store_revision;
+	read_store(t, 500, true, 900);
+	write_row(1, true, true);   /* t001 is leaving */
+	write_row(2, false, false); /* t002 is gone */
+	write_row(6, true, false);  /* t006 has joined */
+	read_store(t, 500, true, 1000);
+	memcpy(store_rows, copy, sizeof(copy));
+	store_revision = copy_revision;
+	target_table_new_era(t, 2000);
+	write_row(7, true, false); /* at the revision that t001 had */
+	read_store(t, 500, false, 2100);
+	l = target_table_list(t);
+	g_assert_cmpuint(l->n, ==, 6); /* t000 1 3 4 6 7 */
+	for (size_t i = 0; i < l->n; i++) {
+		g_assert_false(str_eq(l->v[i].name, STR_LIT("t002")));
+		if (str_eq(l->v[i].name, STR_LIT("t001")))
+			g_assert_true(l->v[i].draining);
+	}
+	target_list_unref(l);
+	/* The row of a target that lives is still there later: it is used. */
+	store_rows[2].revision = ++store_revision;
+	read_store(t, 500, true, 9000);
+	g_assert_cmpuint(list_size(t), ==, 6); /* t006 is gone, t002 is back */
+	target_table_free(t);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_set_level("error");
+	g_test_add_func("/entry/target-table/many-changes", test_many_changes);
+	g_test_add_func("/entry/target-table/readers-differ",
+			test_readers_differ);
+	g_test_add_func("/entry/target-table/history-lost", test_history_lost);
+	g_test_add_func("/entry/target-table/restored-store",
+			test_restored_store);
+	return g_test_run();
+}
--- a/route/place.c
+++ b/route/place.c
@@ -3,6 +3,7 @@
  * its load is within bounds, and finds the target to fetch a cached prefix
  * from.
  */
+#include <glib.h>
 #include <math.h>
 #include <stdint.h>
 
@@ -21,14 +22,18 @@
 #define SHORT_FRACTION 0.3
 #define SHORT_SLACK    1.5
 
+/* Fewer unseen requests than this fit into the slack of the bound. */
+#define UNSEEN_MIN 2
+
 struct place_limits place_limits_for(int64_t shared_tokens, double factor)
 {
 	double excess = factor > 1 ? factor - 1 : 0;
 
 	if (shared_tokens >= LONG_TOKENS)
 		return (struct place_limits){1 + LONG_FRACTION * excess,
-					     LONG_SLACK};
-	return (struct place_limits){1 + SHORT_FRACTION * excess, SHORT_SLACK};
+					     LONG_SLACK, 0};
+	return (struct place_limits){1 + SHORT_FRACTION * excess, SHORT_SLACK,
+				     0};
 }
 
 /* A target takes its full share of the keys this long after it joined. */
@@ -106,6 +111,36 @@
 	return best;
 }
 
+/*
+ * Choose for a key of which other nodes send requests that this node does not
+ * see yet: all of them would take the same target while it seems to have room.
+ * Go through the targets with room in the key's order, and take each with the
+ * chance that its room lasts for the unseen requests.
+ */
+static size_t share_room(const struct place_limits *l, uint64_t key,
+			 const struct place_target *t, size_t n,
+			 bool allow_avoided, double bound,
+			 struct route_random random)
+{
+	struct rendezvous_candidate *r =
+		g_new(struct rendezvous_candidate, n + 1);
+	size_t candidates = 0, chosen = SIZE_MAX;
+
+	for (size_t i = 0; i < n; i++)
+		if (may_take(&t[i], allow_avoided) && t[i].load + 1 <= bound)
+			r[candidates++] = (struct rendezvous_candidate){
+				.id = t[i].id, .index = i};
+	rendezvous_sort(key, r, candidates);
+	for (size_t i = 0; i < candidates && chosen == SIZE_MAX; i++) {
+		double room = bound - t[r[i].index].load;
+
+		if (room >= l->unseen * random.next(random.ctx))
+			chosen = r[i].index;
+	}
+	g_free(r);
+	return chosen;
+}
+
 static size_t least_loaded(const struct place_target *t, size_t n,
 			   bool allow_avoided, struct route_random random)
 {
@@ -142,6 +177,12 @@
 	if (!key)
 		return least_loaded(t, n, allow_avoided, random);
 	bound = mean * l->factor + l->slack;
+	if (l->unseen > UNSEEN_MIN) {
+		i = share_room(l, key, t, n, allow_avoided, bound, random);
+		return i != SIZE_MAX
+			       ? i
+			       : least_loaded(t, n, allow_avoided, random);
+	}
 	i = highest_score(t, n, allow_avoided, key, true, INFINITY);
 	if (t[i].load + 1 > bound)
 		i = highest_score(t, n, allow_avoided, key, false, bound);
--- a/route/route.h
+++ b/route/route.h
@@ -558,6 +558,11 @@
 struct place_limits {
 	double factor;
 	double slack; /* requests */
+	/*
+	 * Requests for the key that the other nodes are expected to send before
+	 * this node hears of them. They share the room of each target.
+	 */
+	double unseen;
 };
 
 /*
@@ -590,6 +595,20 @@
 size_t place_source(const uint64_t *parts, size_t part_count,
 		    const struct prefix_index *index,
 		    const struct place_target *t, size_t n, size_t chosen);
+/*
+ * key-rate.c: how often requests for a key arrive at this node. Not
+ * thread-safe.
+ */
+struct key_rates;
+
+struct key_rates *key_rates_new(void);
+void key_rates_free(struct key_rates *r);
+/* Record a request for a key. */
+void key_rates_record(struct key_rates *r, uint64_t key, int64_t now_ms);
+/* Return the rate of recent requests for a key, per ms. */
+double key_rates_per_ms(const struct key_rates *r, uint64_t key,
+			int64_t now_ms);
+
 /* Return the weight, in (0, 1], of a target that joined joined_for_ms ago. */
 double place_weight(int64_t joined_for_ms);
 
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -32,19 +32,24 @@
 	prompt_holder new_holders<HOLDERS_PER_REPORT_MAX>;	/* added since the last message */
 };
 
+const TARGET_TEXT_MAX = 200;	/* of a key or text in the store */
+const TARGET_UPDATES_MAX = 16;
+
 /* Query for the receiver's copy of the store; the reply is a store_query_answer. */
 struct store_query {
 	hyper sent_ms;		/* sender's clock; echoed in the reply */
+	hyper era;		/* of the store, as the sender knows it */
 	unsigned hyper targets_hash;	/* of the sender's list */
+	hyper targets_revision;	/* the list is complete up to it; 0: no list */
+	hyper after_noticed;	/* of the last update received; 0: from the first */
+	string after_key<TARGET_TEXT_MAX>;	/* of that update */
 };
 
-const TARGET_TEXT_MAX = 200;	/* of a key or text in the store */
-const TARGET_UPDATES_MAX = 16;
-
 /* A change to the list of targets, as the sender read it from the store. */
 struct target_update {
 	string key<TARGET_TEXT_MAX>;
 	hyper revision;	/* of the store's row; the last one when removed */
+	hyper noticed;	/* store's revision at the read that showed the change */
 	bool removed;	/* deleted, or names no usable target */
 	bool draining;
 	unsigned hyper id;
@@ -57,17 +62,60 @@
 
 struct store_query_answer {
 	hyper query_sent_ms;	/* sent_ms of the query */
+	hyper era;		/* of the store, as the replying node knows it */
 	hyper config_version;
+	unsigned hyper config_hash;	/* of its content */
+	unsigned int config_bytes;	/* size as config_chunk has it; 0: ask the store */
 	unsigned int config_age_ms;	/* since it was last seen to be the newest */
 	unsigned hyper targets_hash;	/* of the replying node's list of targets */
+	hyper targets_revision;	/* that list is complete up to it */
 	unsigned int targets_age_ms;	/* as config_age_ms, for targets_hash */
-	target_update updates<TARGET_UPDATES_MAX>;	/* the most recent changes */
+	bool more;		/* further updates follow the last one */
+	bool history_lost;	/* changes after the query's revision are not known */
+	target_update updates<TARGET_UPDATES_MAX>;	/* by noticed and key, ascending */
+};
+
+const CONFIG_CHUNK_MAX = 1100;
+
+/* Query for a piece of a configuration; the reply is a config_chunk. */
+struct config_query {
+	hyper config_version;
+	unsigned int offset;
+};
+
+struct config_chunk {
+	hyper config_version;
+	unsigned int total;	/* bytes of the whole configuration */
+	unsigned int offset;
+	opaque bytes<CONFIG_CHUNK_MAX>;
+};
+
+/*
+ * Requests in progress at targets. Each entry has the low 32 bits of the
+ * target's id, in network byte order, and the number of requests, at most 255.
+ * A table may be sent in parts: a part has all targets with id % parts == part.
+ */
+const LOAD_TABLE_ENTRY_BYTES = 5;
+const LOAD_TABLE_BYTES_MAX = 1250;
+
+struct load_table {
+	unsigned hyper node;	/* hash of the sender's name */
+	unsigned hyper start;	/* wall-clock time of the sender's start, ms */
+	unsigned hyper seq;	/* grows with each table since start */
+	unsigned int part;
+	unsigned int parts;
+	opaque entries<LOAD_TABLE_BYTES_MAX>;
 };
 
 enum peer_kind {
 	PEER_LOADS = 0,
 	PEER_STORE_QUERY = 1,
-	PEER_STORE_ANSWER = 2
+	PEER_STORE_ANSWER = 2,
+	PEER_CONFIG_QUERY = 3,
+	PEER_CONFIG_CHUNK = 4,
+	PEER_LOAD_REPORT = 5,	/* a node's own requests, to its relay */
+	PEER_LOAD_GROUP = 6,	/* those of a relay's nodes, to other relays */
+	PEER_LOAD_TOTAL = 7	/* those of all other nodes, to a node */
 };
 
 union peer_message switch (peer_kind kind) {
@@ -77,4 +125,14 @@
 	store_query query;
 case PEER_STORE_ANSWER:
 	store_query_answer answer;
+case PEER_CONFIG_QUERY:
+	config_query config_query;
+case PEER_CONFIG_CHUNK:
+	config_chunk config_chunk;
+case PEER_LOAD_REPORT:
+	load_table load_report;
+case PEER_LOAD_GROUP:
+	load_table load_group;
+case PEER_LOAD_TOTAL:
+	load_table load_total;
 };
