Configurations travel as deltas; a restarted node writes its row only when it must

A node reads the nodes' table first and writes its row only if that differs.

Tests of entry and platform pass.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -34,7 +34,6 @@
 	bool has_secret;
 	bool reader;
 	bool has_read;    /* rows have been read */
-	int64_t era;      /* of the store, when the row was written */
 	size_t row_count; /* largest number read so far */
 	bool growing;     /* the last read had more rows than before */
 	/* The fleet's secret, or the one to propose when the store has none. */
@@ -160,22 +159,52 @@
 	json_decref(row);
 }
 
+/* This node's row as it should be. */
+static json_t *own_row(const struct discovery *d)
+{
+	const struct entry_settings *s = &d->e->control_settings;
+
+	return json_pack("{s:s, s:s, s:s, s:s}", "control",
+			 d->e->control_address, "address", s->listen_callers,
+			 "zone", s->node_zone, "region", s->node_region);
+}
+
+/* Whether a page has this node's row, as an earlier process has written it. */
+static bool page_has_own_row(const struct discovery *d,
+			     const struct store_page *p)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < p->n && !found; i++) {
+		json_t *row, *own;
+
+		if (strcmp(p->rows[i].key, d->e->control_settings.node_name) !=
+		    0)
+			continue;
+		row = d->api->value(p, i);
+		own = own_row(d);
+		found = json_equal(row, own);
+		json_decref(row);
+		json_decref(own);
+	}
+	return found;
+}
+
 static void on_rows(void *ctx, const struct store_page *p)
 {
 	struct discovery *d = ctx;
 
-	if (p->status == STORE_OK && p->era > d->era) {
-		/* The copy may lack this node's row, and the secret. */
-		d->registered = false;
-		timer_start_once(d->loop, &d->timer, 0);
-		return;
-	}
 	d->has_read |= p->status == STORE_OK;
+	/* A store that came back from a copy may lack this node's row. */
+	if (p->status == STORE_OK && !p->more)
+		d->registered = page_has_own_row(d, p);
 	apply_rows(d, p);
 	d->growing = p->n > d->row_count;
 	d->row_count = MAX(d->row_count, p->n);
 	if (p->status == STORE_OK && !page_has_secret(p))
 		create_secret(d);
+	else if (p->status == STORE_OK && !d->registered)
+		timer_start_once(d->loop, &d->timer, 0);
 	else
 		schedule(d, p->status == STORE_OK);
 }
@@ -185,34 +214,33 @@
 	struct discovery *d = ctx;
 
 	d->registered = p->status == STORE_OK;
-	d->era = MAX(d->era, p->era);
 	if (!d->registered)
 		schedule(d, false);
-	else if (!d->has_read && d->e->control_settings.node_bootstrap)
+	else if (d->has_read)
+		schedule(d, true);
+	else
 		timer_start_once(d->loop, &d->timer,
 				 BOOTSTRAP_MS + randombytes_uniform(
 							BOOTSTRAP_JITTER_MS));
-	else
-		timer_start_once(d->loop, &d->timer, 0);
 }
 
-/* Register this node first, then poll the rows of the others. */
+/*
+ * Read the rows, and write this node's row unless an earlier process has.
+ * Before the fleet's first start no row exists, so it is written first.
+ */
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct discovery *d = w->data;
+	bool write_first = d->e->control_settings.node_bootstrap;
 	json_t *row;
 
 	(void)loop;
 	(void)events;
-	if (d->registered) {
+	if (d->registered || (!d->has_read && !write_first)) {
 		d->api->read(d->store, STORE_NODES, "", on_rows, d);
 		return;
 	}
-	row = json_pack("{s:s, s:s, s:s, s:s}", "control",
-			d->e->control_address, "address",
-			d->e->control_settings.listen_callers, "zone",
-			d->e->control_settings.node_zone, "region",
-			d->e->control_settings.node_region);
+	row = own_row(d);
 	d->api->write(d->store, STORE_NODES, d->e->control_settings.node_name,
 		      row, on_registered, d);
 	json_decref(row);
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -127,8 +127,6 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_hash))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->config_bytes))
-			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->config_age_ms))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
@@ -162,8 +160,6 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_hash))
 			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->config_bytes))
-			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->config_age_ms))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
@@ -198,8 +194,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_hash))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->config_bytes))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->config_age_ms))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
@@ -225,6 +219,8 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_hash))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offset))
 		 return FALSE;
 	return TRUE;
@@ -237,6 +233,8 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_hash))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->total))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offset))
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -85,7 +85,6 @@
 	quad_t era;
 	quad_t config_version;
 	u_quad_t config_hash;
-	u_int config_bytes;
 	u_int config_age_ms;
 	u_quad_t targets_hash;
 	quad_t targets_revision;
@@ -102,12 +101,14 @@
 
 struct config_query {
 	quad_t config_version;
+	u_quad_t base_hash;
 	u_int offset;
 };
 typedef struct config_query config_query;
 
 struct config_chunk {
 	quad_t config_version;
+	u_quad_t base_hash;
 	u_int total;
 	u_int offset;
 	struct {
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -90,7 +90,7 @@
 bool store_sync_config_query(const struct store_sync *s,
 			     struct config_query *query);
 /* Fill in a piece of the configuration in force; false for any other. */
-bool store_sync_config_chunk(const struct store_sync *s,
+bool store_sync_config_chunk(struct store_sync *s,
 			     const struct config_query *query,
 			     struct config_chunk *chunk);
 /* Apply a piece; return whether to ask for the next one at once. */
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "entry/store-clients.h"
+#include "entry/text-delta.h"
 
 /* Pause after a failed call, plus a random jitter. */
 #define RETRY_MS        250
@@ -51,8 +52,15 @@
 #define OWN_READ_START_MS 3000
 /* A failed call doubles the pause up to this, on a node that is no reader. */
 #define RETRY_MAX_MS 2000
-/* A larger configuration is read from the store by each node. */
+/*
+ * Most bytes of a configuration, or of the delta to an earlier one, that nodes
+ * send each other; with more each node reads the store itself.
+ */
 #define CONFIG_PEER_MAX_BYTES (48 << 10)
+/* Limit of a configuration that a delta makes. */
+#define CONFIG_MAX_BYTES (16 << 20)
+/* Earlier configurations to which deltas are made. */
+#define CONFIG_BASES 4
 /* A configuration that another node sends has to arrive within this time. */
 #define CONFIG_PEER_MAX_MS 1200
 /*
@@ -91,8 +99,15 @@
 	bool config_busy;            /* a call to the store is in progress */
 	char *config_text;           /* of the view in force, as JSON */
 	uint64_t config_hash;        /* of config_text */
+	/* The configurations before, newest first, and deltas to this one. */
+	struct config_base {
+		char *text;
+		uint64_t hash;
+		GString *delta; /* NULL: not made yet */
+	} bases[CONFIG_BASES];
 	/* A newer version that another node is sending. */
 	int64_t fetch_version; /* -1: none */
+	uint64_t fetch_hash;   /* of its content */
 	GString *fetched;
 
 	struct target_table *table;
@@ -195,6 +210,30 @@
 	return !awaits_operator(s);
 }
 
+static void base_clear(struct config_base *b)
+{
+	free(b->text);
+	if (b->delta)
+		g_string_free(b->delta, TRUE);
+	*b = (struct config_base){0};
+}
+
+/* Keep the configuration in force as a base of deltas, before it changes. */
+static void keep_base(struct store_sync *s)
+{
+	if (!s->config_text)
+		return;
+	base_clear(&s->bases[CONFIG_BASES - 1]);
+	for (size_t i = CONFIG_BASES - 1; i > 0; i--) {
+		s->bases[i] = s->bases[i - 1];
+		if (s->bases[i].delta)
+			g_string_free(s->bases[i].delta, TRUE);
+		s->bases[i].delta = NULL;
+	}
+	s->bases[0] =
+		(struct config_base){s->config_text, s->config_hash, NULL};
+}
+
 /*
  * Publish a configuration if it is newer than the one in force. Return false
  * when it is malformed or the one in force may not be the newest.
@@ -219,7 +258,7 @@
 		free(text);
 		return current;
 	}
-	free(s->config_text);
+	keep_base(s);
 	s->config_text = text;
 	s->config_hash = str_hash(str_c(text), 0);
 	s->config_version = c->version;
@@ -479,14 +518,6 @@
 	return at_ms ? (unsigned)MIN(now_ms - at_ms, UINT32_MAX) : UINT32_MAX;
 }
 
-/* Size of the configuration that other nodes may fetch from this one. */
-static size_t config_bytes(const struct store_sync *s)
-{
-	size_t n = s->config_text ? strlen(s->config_text) : 0;
-
-	return n <= CONFIG_PEER_MAX_BYTES ? n : 0;
-}
-
 void store_sync_query(struct store_sync *s, int64_t now_ms, bool continued,
 		      struct store_query *query)
 {
@@ -514,7 +545,6 @@
 		.era = s->era,
 		.config_version = s->config_version,
 		.config_hash = s->config_hash,
-		.config_bytes = (u_int)config_bytes(s),
 		.config_age_ms =
 			age_ms_at(atomic_load(&s->e->config_fresh_ms), now),
 		.targets_hash = target_table_hash(s->table),
@@ -558,10 +588,10 @@
 	if (!s->config_stale_ms)
 		s->config_stale_ms = time_boot_ms();
 	if (answer->config_version != s->fetch_version) {
-		bool fetch = answer->config_bytes &&
-			     answer->config_version > s->config_version;
+		bool fetch = answer->config_version > s->config_version;
 
 		s->fetch_version = fetch ? answer->config_version : -1;
+		s->fetch_hash = answer->config_hash;
 		g_string_truncate(s->fetched, 0);
 	}
 	if (s->fetch_version < 0 && !s->config_busy)
@@ -622,56 +652,103 @@
 	if (s->fetch_version < 0)
 		return false;
 	*query = (struct config_query){.config_version = s->fetch_version,
+				       .base_hash = s->config_hash,
 				       .offset = (u_int)s->fetched->len};
 	return true;
 }
 
-bool store_sync_config_chunk(const struct store_sync *s,
+/* Return the delta from a node's configuration; {NULL, 0}: none is known. */
+static struct str delta_from(struct store_sync *s, uint64_t base_hash)
+{
+	for (size_t i = 0; i < CONFIG_BASES; i++) {
+		struct config_base *b = &s->bases[i];
+
+		if (!b->text || b->hash != base_hash)
+			continue;
+		if (!b->delta)
+			b->delta = text_delta_make(str_c(b->text),
+						   str_c(s->config_text));
+		return (struct str){b->delta->str, b->delta->len};
+	}
+	return (struct str){NULL, 0};
+}
+
+bool store_sync_config_chunk(struct store_sync *s,
 			     const struct config_query *query,
 			     struct config_chunk *chunk)
 {
-	size_t n = config_bytes(s);
+	struct str delta, whole, *sent;
 
-	if (query->config_version != s->config_version || query->offset >= n)
+	if (query->config_version != s->config_version || !s->config_text)
 		return false;
+	whole = str_c(s->config_text);
+	delta = delta_from(s, query->base_hash);
+	sent = delta.data && delta.len < whole.len ? &delta : &whole;
 	*chunk = (struct config_chunk){
 		.config_version = s->config_version,
-		.total = (u_int)n,
+		.base_hash = sent == &delta ? query->base_hash : 0,
 		.offset = query->offset,
-		.bytes = {(u_int)MIN(n - query->offset, CONFIG_CHUNK_MAX),
-			  s->config_text + query->offset},
 	};
+	if (sent->len > CONFIG_PEER_MAX_BYTES)
+		return true;
+	if (query->offset >= sent->len)
+		return false;
+	chunk->total = (u_int)sent->len;
+	chunk->bytes.bytes_val = (char *)sent->data + query->offset;
+	chunk->bytes.bytes_len =
+		(u_int)MIN(sent->len - query->offset, CONFIG_CHUNK_MAX);
 	return true;
 }
 
-/* Apply a configuration of which all chunks have arrived. */
-static void apply_fetched(struct store_sync *s)
+/* Read the store instead of waiting for other nodes. */
+static void give_up_fetch(struct store_sync *s)
 {
-	json_t *value = json_loadb(s->fetched->str, s->fetched->len, 0, NULL);
-
 	s->fetch_version = -1;
-	if (value && apply_config(s, value)) {
+	g_string_truncate(s->fetched, 0);
+	if (!s->config_busy)
+		schedule(s, &s->config_timer, 0);
+}
+
+/* Apply a configuration, or the delta to one, that has arrived whole. */
+static void apply_fetched(struct store_sync *s, bool is_delta)
+{
+	struct str received = {s->fetched->str, s->fetched->len};
+	GString *text = is_delta ? text_delta_apply(str_c(s->config_text),
+						    received, CONFIG_MAX_BYTES)
+				 : g_string_new_len(received.data,
+						    (gssize)received.len);
+	json_t *value = NULL;
+
+	if (text &&
+	    str_hash((struct str){text->str, text->len}, 0) == s->fetch_hash)
+		value = json_loadb(text->str, text->len, 0, NULL);
+	if (text)
+		g_string_free(text, TRUE);
+	if (value && apply_config(s, value))
 		metric_add(M_PEER_CONFIG_TOTAL, 1);
-	} else {
+	else
 		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
-		schedule(s, &s->config_timer, 0);
-	}
 	json_decref(value);
-	g_string_truncate(s->fetched, 0);
+	give_up_fetch(s);
 }
 
 bool store_sync_apply_chunk(struct store_sync *s,
 			    const struct config_chunk *chunk)
 {
 	if (chunk->config_version != s->fetch_version ||
-	    chunk->offset != s->fetched->len ||
-	    chunk->total > CONFIG_PEER_MAX_BYTES)
+	    (chunk->base_hash && chunk->base_hash != s->config_hash))
+		return false;
+	if (!chunk->total || chunk->total > CONFIG_PEER_MAX_BYTES) {
+		give_up_fetch(s);
+		return false;
+	}
+	if (chunk->offset != s->fetched->len)
 		return false;
 	g_string_append_len(s->fetched, chunk->bytes.bytes_val,
 			    (gssize)chunk->bytes.bytes_len);
 	if (s->fetched->len < chunk->total)
 		return chunk->bytes.bytes_len > 0;
-	apply_fetched(s);
+	apply_fetched(s, chunk->base_hash != 0);
 	return false;
 }
 
@@ -711,6 +788,8 @@
 	ev_timer_stop(s->loop, &s->targets_timer);
 	target_table_free(s->table);
 	free(s->config_text);
+	for (size_t i = 0; i < CONFIG_BASES; i++)
+		base_clear(&s->bases[i]);
 	g_string_free(s->fetched, TRUE);
 	g_free(s->after_key);
 	g_rand_free(s->rand);
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -225,6 +225,18 @@
 	g_assert_cmpint(exchange(reader, node, -1), ==, 3);
 	g_assert_cmpint(version_of(node), ==, 2);
 	g_assert_cmpint(node->config_reads, ==, reads);
+	/* One that shares its parts with the last comes as a delta in one
+	 * piece. */
+	large[100] = '{';
+	set_store(3, large, 1);
+	run_until(loop, reader, 3);
+	g_assert_cmpint(exchange(reader, node, -1), ==, 5);
+	g_assert_cmpint(version_of(node), ==, 3);
+	set_store(4, large, 1);
+	run_until(loop, reader, 4);
+	g_assert_cmpint(exchange(reader, node, -1), ==, 1);
+	g_assert_cmpint(version_of(node), ==, 4);
+	g_assert_cmpint(node->config_reads, ==, reads);
 	/* Nothing more is fetched, and an old version is not given out. */
 	g_assert_cmpint(exchange(reader, node, -1), ==, 0);
 	node_free(reader, loop);
@@ -274,7 +286,6 @@
 	}
 	/* An answer of the earlier era announces nothing. */
 	stale.config_version = 9;
-	stale.config_bytes = 10;
 	store_sync_apply_answer(node->sync, &stale);
 	g_assert_false(
 		store_sync_config_query(node->sync, &(struct config_query){0}));
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -65,7 +65,6 @@
 	hyper era;		/* of the store, as the replying node knows it */
 	hyper config_version;
 	unsigned hyper config_hash;	/* of its content */
-	unsigned int config_bytes;	/* size as config_chunk has it; 0: ask the store */
 	unsigned int config_age_ms;	/* since it was last seen to be the newest */
 	unsigned hyper targets_hash;	/* of the replying node's list of targets */
 	hyper targets_revision;	/* that list is complete up to it */
@@ -80,12 +79,14 @@
 /* Query for a piece of a configuration; the reply is a config_chunk. */
 struct config_query {
 	hyper config_version;
+	unsigned hyper base_hash;	/* of the configuration that the sender has; 0: none */
 	unsigned int offset;
 };
 
 struct config_chunk {
 	hyper config_version;
-	unsigned int total;	/* bytes of the whole configuration */
+	unsigned hyper base_hash;	/* a delta to that one; 0: the whole configuration */
+	unsigned int total;	/* bytes of the delta or configuration; 0: ask the store */
 	unsigned int offset;
 	opaque bytes<CONFIG_CHUNK_MAX>;
 };
