Relays are chosen among all live nodes while few of them serve

Cause, from reading: in an outage of the store each node stops serving after a while and then sees only itself serve, so that each became a reader and called the store without the limits of other nodes. The choice among serving nodes now needs more than half of the live ones (relays_are_serving, test-loads relays).

--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -158,6 +158,7 @@
 		else
 			receive_total(c, t);
 	}
+	t->entries.entries_val = NULL;
 }
 
 /* Send a node the requests of all others; to NULL: this node itself. */
@@ -305,8 +306,7 @@
 
 /*
  * Write the ids of the nodes from which relays are chosen to ids, and return
- * their number: those that serve callers. Shortly after the start few have said
- * so, and all live nodes are taken.
+ * their number: those that serve callers, if enough do, else all live ones.
  */
 static size_t relay_candidates(struct control *c, const struct peer_list *l,
 			       int64_t now_ms, uint64_t *ids)
@@ -318,7 +318,7 @@
 		if (l->v[i].id == self ||
 		    loads_peer_is_serving(c->e->loads, l->v[i].id, now_ms))
 			ids[n++] = l->v[i].id;
-	if (n * 2 > l->n || now_ms >= c->peers_known_at_ms)
+	if (relays_are_serving(n, l->n))
 		return n;
 	for (n = 0; n < l->n; n++)
 		ids[n] = l->v[n].id;
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -130,6 +130,12 @@
 /* Write the ids of the readers to out; return their number, at most
  * STORE_READERS. */
 size_t store_readers_choose(const uint64_t *nodes, size_t n, uint64_t *out);
+/*
+ * Whether relays are chosen among the nodes that serve callers only. While few
+ * do, as after a start or in an outage of the store, each node would see hardly
+ * any other than itself serve, and all of them would become readers.
+ */
+bool relays_are_serving(size_t serving, size_t live);
 /*
  * Write the ids of the relays to out, which has room for STORE_RELAYS_MAX;
  * return their number. The first STORE_READERS of them are the readers. The
--- a/entry/store-readers.c
+++ b/entry/store-readers.c
@@ -29,6 +29,11 @@
 	return choose_first(READERS_KEY, nodes, n, out, STORE_READERS);
 }
 
+bool relays_are_serving(size_t serving, size_t live)
+{
+	return serving * 2 > live;
+}
+
 size_t store_relays_choose(const uint64_t *nodes, size_t n, uint64_t *out)
 {
 	size_t max = (n + NODES_PER_RELAY - 1) / NODES_PER_RELAY;
--- a/entry/test-loads.c
+++ b/entry/test-loads.c
@@ -98,6 +98,39 @@
 	g_assert_cmpuint(store_readers_choose(nodes, 0, a), ==, 0);
 }
 
+/*
+ * 300 nodes know each other to be alive. However few of them serve, the number
+ * of readers stays the same and that of relays grows with the fleet; each node
+ * has three relays, and the load on them is even.
+ */
+static void test_relays(void)
+{
+	uint64_t nodes[300], relays[STORE_RELAYS_MAX], own[STORE_READERS];
+	unsigned asked[STORE_RELAYS_MAX] = {0};
+	size_t n;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++)
+		nodes[i] = i * 7919 + 1;
+	n = store_relays_choose(nodes, G_N_ELEMENTS(nodes), relays);
+	g_assert_cmpuint(n, ==, 13);
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++) {
+		g_assert_cmpuint(store_relays_of(nodes[i], relays, n, own), ==,
+				 STORE_READERS);
+		for (size_t k = 0; k < STORE_READERS; k++)
+			for (size_t r = 0; r < n; r++)
+				asked[r] += relays[r] == own[k];
+	}
+	for (size_t r = 0; r < n; r++)
+		g_assert_cmpuint(asked[r], <, 2 * 300 * STORE_READERS / n);
+	g_assert_cmpuint(store_relays_choose(nodes, 9, relays), ==,
+			 STORE_READERS);
+	g_assert_cmpuint(store_relays_choose(nodes, 2, relays), ==, 2);
+	/* In an outage of the store a node sees only itself serve. */
+	g_assert_false(relays_are_serving(1, 300));
+	g_assert_true(relays_are_serving(200, 300));
+	g_assert_true(relays_are_serving(1, 1));
+}
+
 /*
  * For any bound on revocation, a reader in contact with the store always counts
  * as current, and one that has lost the contact does so only for a short time.
@@ -165,6 +198,7 @@
 	g_test_add_func("/entry/loads/order", test_order);
 	g_test_add_func("/entry/loads/serving", test_serving);
 	g_test_add_func("/entry/readers/agree", test_readers);
+	g_test_add_func("/entry/loads/relays", test_relays);
 	g_test_add_func("/entry/readers/keeps-up", test_reader_is_current);
 	g_test_add_func("/entry/readers/alone", test_peer_reliance);
 	return g_test_run();
--- a/route/test-place-lag.c
+++ b/route/test-place-lag.c
@@ -80,7 +80,8 @@
 static double play(int64_t lag_ms, double hot)
 {
 	struct fleet *f = g_new0(struct fleet, 1);
-	double worst, due = 0;
+	double worst;
+	int due = 0;
 
 	f->rand = g_rand_new_with_seed(7);
 	f->lag_ms = lag_ms;
@@ -97,7 +98,8 @@
 					       f->over / (double)f->requests);
 			f->requests = f->over = 0;
 		}
-		for (due += REQUESTS_S * STEP_MS / 1000.0; due >= 1; due--)
+		due += REQUESTS_S * STEP_MS / 1000;
+		for (; due > 0; due--)
 			arrive(f, now);
 	}
 	worst = f->worst;
