Retries of the nodes' table back off in an outage

Starting nodes asked for the nodes' table four times a second. The pause now doubles up to 2 s; the holders of prompts are asked for every 1.5 s.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -8,9 +8,10 @@
 
 #include "entry/store-clients.h"
 
-/* Pause after a failed call, plus a random jitter. */
+/* Pause after a failed call, plus a random jitter; it doubles each time. */
 #define RETRY_MS        250
 #define RETRY_JITTER_MS 150
+#define RETRY_MAX_MS    2000
 /* Nodes that are no readers poll at this multiple of the interval. */
 #define NON_READER_POLL_FACTOR 12
 /*
@@ -34,6 +35,7 @@
 	bool has_secret;
 	bool reader;
 	bool has_read;    /* rows have been read */
+	int failures;     /* calls in a row */
 	size_t row_count; /* largest number read so far */
 	bool growing;     /* the last read had more rows than before */
 	/* The fleet's secret, or the one to propose when the store has none. */
@@ -47,8 +49,11 @@
 
 	if (d->growing && d->reader)
 		pause = GROWING_POLL_MS;
+	d->failures = ok ? 0 : d->failures + 1;
 	if (!ok || !d->has_secret)
-		pause = RETRY_MS + randombytes_uniform(RETRY_JITTER_MS);
+		pause = MIN(RETRY_MS << MIN(MAX(d->failures - 1, 0), 8),
+			    RETRY_MAX_MS) +
+			randombytes_uniform(RETRY_JITTER_MS);
 	timer_start_once(d->loop, &d->timer, pause);
 }
 
--- a/entry/holders-store.c
+++ b/entry/holders-store.c
@@ -9,7 +9,7 @@
 /* Bounds the rate of writes, and the loss when all nodes stop at once. */
 #define SAVE_INTERVAL_MS 3000
 /* Pause after a failed read. */
-#define RETRY_MS 500
+#define RETRY_MS 1500
 #define ROW_KEY  "held"
 
 struct holders_store {
