A target that is ready again after it was leaving gets requests

A target that had been leaving and then wrote itself ready under the same id stayed out of use, as the rule for rows of an older copy of the store held at all times; with all targets through such a phase nothing was left. The rule now holds only for the first sight of a row after the store came back from a copy (test-target-table ready-again).

--- a/entry/target-table.c
+++ b/entry/target-table.c
@@ -138,6 +138,17 @@
 	       now_ms < row->old_until_ms;
 }
 
+/*
+ * A target that was leaving before the store came back from a copy is still
+ * leaving if its row there is older. A later row counts as it is.
+ */
+static void keep_draining(const struct target_row *row,
+			  struct target_info *info)
+{
+	if (!row->revision && row->usable && row->info.id == info->id)
+		info->draining |= row->info.draining;
+}
+
 void target_table_apply_row(struct target_table *t, const struct store_api *api,
 			    const struct store_page *p, size_t i,
 			    int64_t now_ms)
@@ -166,9 +177,8 @@
 		talloc_free(arena);
 		return;
 	}
-	/* A target that is leaving does not come back under its id. */
-	if (usable && row->usable && row->info.id == info.id)
-		info.draining |= row->info.draining;
+	if (usable)
+		keep_draining(row, &info);
 	row->revision = r->revision;
 	row->read_number = t->read_number;
 	/* Heartbeats change the row's revision, but not the target. */
@@ -388,9 +398,9 @@
 	row = row_of(t, update->key);
 	row->noticed = MAX(row->noticed, update->noticed);
 	row->noticed_ms = now_ms;
-	row->revision = update->revision;
 	row->read_number = t->read_number;
 	if (update->removed) {
+		row->revision = update->revision;
 		if (row->usable)
 			set_row(t, row, NULL, NULL);
 		return;
@@ -407,8 +417,8 @@
 		.slots = update->slots,
 		.draining = update->draining,
 	};
-	if (row->usable && row->info.id == info.id)
-		info.draining |= row->info.draining;
+	keep_draining(row, &info);
+	row->revision = update->revision;
 	if (is_old_row(row, &info, now_ms) ||
 	    (row->usable &&
 	     target_info_hash(&info) == target_info_hash(&row->info))) {
--- a/entry/test-target-table.c
+++ b/entry/test-target-table.c
@@ -234,6 +234,33 @@
 	target_table_free(node);
 }
 
+/* A target that was leaving and says that it is ready gets requests again. */
+static void test_ready_again(void)
+{
+	struct target_table *t = target_table_new();
+	struct target_table *node = target_table_new();
+	struct target_list *l;
+	bool lost;
+
+	reset_store(1);
+	read_store(t, 500, true, 1000);
+	read_store(node, 500, true, 1000);
+	write_row(0, true, true);
+	read_store(t, 500, true, 1000);
+	sync_tables(node, t, &lost);
+	write_row(0, true, false);
+	read_store(t, 500, true, 1000);
+	sync_tables(node, t, &lost);
+	l = target_table_list(t);
+	g_assert_false(l->v[0].draining);
+	target_list_unref(l);
+	l = target_table_list(node);
+	g_assert_false(l->v[0].draining);
+	target_list_unref(l);
+	target_table_free(t);
+	target_table_free(node);
+}
+
 /*
  * The store comes back from a copy in which a target that was removed and one
  * that was leaving are ready. Neither gets requests again. Its revisions are
@@ -282,6 +309,7 @@
 	g_test_add_func("/entry/target-table/readers-differ",
 			test_readers_differ);
 	g_test_add_func("/entry/target-table/history-lost", test_history_lost);
+	g_test_add_func("/entry/target-table/ready-again", test_ready_again);
 	g_test_add_func("/entry/target-table/restored-store",
 			test_restored_store);
 	return g_test_run();
