--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -1,14 +1,13 @@
 /*
  * Keeps the configuration and the list of targets in step with the platform's
  * store. A few nodes of the fleet, the readers, poll the store all the time.
- * The others query the readers, and read the store themselves only when their
- * view is stale or when no reader confirms it.
+ * The others query them or relays (peer-sync.c), and read the store themselves
+ * only when their view is stale or when no reader confirms it.
  */
 #include <string.h>
 #include <talloc.h>
 
-#include "entry/store-clients.h"
-#include "entry/text-delta.h"
+#include "entry/store-sync.h"
 
 /* Pause after a failed call, plus a random jitter. */
 #define RETRY_MS        250
@@ -52,15 +51,6 @@
 #define OWN_READ_START_MS 3000
 /* A failed call doubles the pause up to this, on a node that is no reader. */
 #define RETRY_MAX_MS 2000
-/*
- * Most bytes of a configuration, or of the delta to an earlier one, that nodes
- * send each other; with more each node reads the store itself.
- */
-#define CONFIG_PEER_MAX_BYTES (48 << 10)
-/* Limit of a configuration that a delta makes. */
-#define CONFIG_MAX_BYTES (16 << 20)
-/* Earlier configurations to which deltas are made. */
-#define CONFIG_BASES 4
 /* A configuration that another node sends has to arrive within this time. */
 #define CONFIG_PEER_MAX_MS 1200
 /*
@@ -68,64 +58,12 @@
  * configuration again. A lower version is not applied for this long.
  */
 #define OLD_CONFIG_MS 5000
-/* Shortest interval between reads that are caused by a reader's answer. */
-#define TARGETS_READ_MIN_MS 300
 /* After a failed call, a paged read that began longer ago starts over. */
 #define PAGED_READ_MAX_MS 2000
 /* Reads of the targets within the drain time of a target. */
 #define READS_PER_DRAIN 3
 
-struct store_sync {
-	struct entry *e;
-	const struct store_api *api;
-	void *store;
-	struct ev_loop *loop;
-	ev_timer config_timer, targets_timer;
-	GRand *rand;
-	bool reader;   /* see store_sync_set_reader */
-	bool store_up; /* by the last call */
-
-	int64_t era;         /* of the store; see store_page.era */
-	int64_t era_seen_ms; /* when this node saw that it had changed; 0 */
-	size_t fleet_size;   /* see store_sync_set_reader */
-	int failures;        /* calls in a row */
-
-	int64_t config_version;      /* of the view in force; -1: none yet */
-	int64_t config_revision;     /* of the store, to wait from; 0: read */
-	int64_t config_read_ms;      /* start of the last full read */
-	int64_t config_own_at_ms;    /* no own read before, if no reader */
-	int64_t config_confirmed_ms; /* last query confirmed by a reader */
-	int64_t config_stale_ms;     /* since when a peer has a newer one; 0 */
-	bool config_busy;            /* a call to the store is in progress */
-	char *config_text;           /* of the view in force, as JSON */
-	uint64_t config_hash;        /* of config_text */
-	/* The configurations before, newest first, and deltas to this one. */
-	struct config_base {
-		char *text;
-		uint64_t hash;
-		GString *delta; /* NULL: not made yet */
-	} bases[CONFIG_BASES];
-	/* A newer version that another node is sending. */
-	int64_t fetch_version; /* -1: none */
-	uint64_t fetch_hash;   /* of its content */
-	GString *fetched;
-
-	struct target_table *table;
-	char *next_key; /* of the next page; NULL: before the first page */
-	int64_t read_started_ms; /* start of that read */
-	int64_t read_ended_ms;   /* end of the last complete read; 0: none */
-	int64_t targets_confirmed_ms; /* last known to be current; 0: never */
-	int64_t targets_own_at_ms;    /* no own read before, if no reader */
-	int64_t outage_ended_ms;      /* end of the last outage */
-	bool targets_stale;           /* a peer has a newer list */
-	bool targets_busy;            /* a call to the store is in progress */
-	/* The last query to another node, and where its updates end. */
-	int64_t query_sent_ms;
-	int64_t after_noticed; /* 0: no update of a series received yet */
-	char *after_key;
-};
-
-static void schedule(struct store_sync *s, ev_timer *w, int64_t ms)
+void store_sync_schedule(struct store_sync *s, ev_timer *w, int64_t ms)
 {
 	timer_start_once(s->loop, w, ms);
 }
@@ -166,7 +104,7 @@
  * Note the era of a page or of another node's answer. Return false when it is
  * an earlier one, whose content is out of date.
  */
-static bool accept_era(struct store_sync *s, int64_t era)
+bool store_sync_accept_era(struct store_sync *s, int64_t era)
 {
 	int64_t now = time_boot_ms();
 
@@ -189,7 +127,7 @@
 /* Configuration. */
 
 /* Whether an older configuration may still be one from before a copy. */
-static bool awaits_operator(const struct store_sync *s)
+bool store_sync_awaits_operator(const struct store_sync *s)
 {
 	return s->era_seen_ms &&
 	       time_boot_ms() - s->era_seen_ms < OLD_CONFIG_MS;
@@ -207,38 +145,14 @@
 	/* Versions are given out again after the store was restored. */
 	if (c->version == s->config_version)
 		return strcmp(text, s->config_text) != 0;
-	return !awaits_operator(s);
-}
-
-static void base_clear(struct config_base *b)
-{
-	free(b->text);
-	if (b->delta)
-		g_string_free(b->delta, TRUE);
-	*b = (struct config_base){0};
-}
-
-/* Keep the configuration in force as a base of deltas, before it changes. */
-static void keep_base(struct store_sync *s)
-{
-	if (!s->config_text)
-		return;
-	base_clear(&s->bases[CONFIG_BASES - 1]);
-	for (size_t i = CONFIG_BASES - 1; i > 0; i--) {
-		s->bases[i] = s->bases[i - 1];
-		if (s->bases[i].delta)
-			g_string_free(s->bases[i].delta, TRUE);
-		s->bases[i].delta = NULL;
-	}
-	s->bases[0] =
-		(struct config_base){s->config_text, s->config_hash, NULL};
+	return !store_sync_awaits_operator(s);
 }
 
 /*
  * Publish a configuration if it is newer than the one in force. Return false
  * when it is malformed or the one in force may not be the newest.
  */
-static bool apply_config(struct store_sync *s, const json_t *value)
+bool store_sync_apply_config(struct store_sync *s, const json_t *value)
 {
 	GError *err = NULL;
 	struct entry_config *c = s->api->config(value, &err);
@@ -253,12 +167,13 @@
 	text = json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS);
 	if (!is_newer(s, c, text)) {
 		s->config_stale_ms = 0;
-		current = c->version == s->config_version || awaits_operator(s);
+		current = c->version == s->config_version ||
+			  store_sync_awaits_operator(s);
 		entry_config_unref(c);
 		free(text);
 		return current;
 	}
-	keep_base(s);
+	store_sync_keep_base(s);
 	s->config_text = text;
 	s->config_hash = str_hash(str_c(text), 0);
 	s->config_version = c->version;
@@ -280,7 +195,7 @@
 		if (p->rows[i].deleted)
 			continue;
 		value = s->api->value(p, i);
-		ok = apply_config(s, value);
+		ok = store_sync_apply_config(s, value);
 		json_decref(value);
 	}
 	return ok && s->config_version >= 0;
@@ -300,17 +215,18 @@
 
 	s->config_busy = false;
 	log_store_state(s, p);
-	if (p->status != STORE_OK || !accept_era(s, p->era)) {
+	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
 		s->config_revision = 0;
-		schedule(s, &s->config_timer,
-			 p->status == STORE_HISTORY_LOST ? 0
-							 : retry_pause_ms(s));
+		store_sync_schedule(s, &s->config_timer,
+				    p->status == STORE_HISTORY_LOST
+					    ? 0
+					    : retry_pause_ms(s));
 		return;
 	}
 	if (apply_config_rows(s, p))
 		entry_confirm_config(s->e, p->sent_ms);
 	s->config_revision = p->revision;
-	schedule(s, &s->config_timer, config_pause_ms(s));
+	store_sync_schedule(s, &s->config_timer, config_pause_ms(s));
 }
 
 /* Time without confirmation after which a node reads the store itself. */
@@ -342,7 +258,7 @@
 	return !s->config_stale_ms && peer_reliance_is_valid(&r, now_ms);
 }
 
-static int64_t config_poll_wait_ms(const struct store_sync *s)
+int64_t store_sync_poll_wait_ms(const struct store_sync *s)
 {
 	return reader_poll_wait_ms(s->e->control_settings.store_config_wait_ms,
 				   s->e->control_settings.bounds_revoke_ms);
@@ -385,13 +301,13 @@
 		 * not read, so the next call has to read the row.
 		 */
 		s->config_revision = 0;
-		schedule(s, w, RECHECK_MS);
+		store_sync_schedule(s, w, RECHECK_MS);
 		return;
 	}
 	s->config_busy = true;
 	if (s->config_revision && s->reader && !full_read_due) {
 		s->api->await(s->store, STORE_CONFIG, s->config_revision,
-			      config_poll_wait_ms(s), on_config, s);
+			      store_sync_poll_wait_ms(s), on_config, s);
 		return;
 	}
 	s->config_read_ms = now;
@@ -401,7 +317,7 @@
 /* Targets. */
 
 /* Publish the targets if they have changed. */
-static void publish_targets(struct store_sync *s)
+void store_sync_publish_targets(struct store_sync *s)
 {
 	struct target_list *l;
 	int draining = 0;
@@ -430,7 +346,7 @@
 	s->targets_stale = false;
 	target_table_finish_read(s->table,
 				 now - s->outage_ended_ms > RECOVERY_MS, now);
-	publish_targets(s);
+	store_sync_publish_targets(s);
 }
 
 static int64_t targets_pause_ms(const struct store_sync *s)
@@ -445,11 +361,11 @@
 
 	s->targets_busy = false;
 	log_store_state(s, p);
-	if (p->status != STORE_OK || !accept_era(s, p->era)) {
+	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
 		/* Keep the pages read so far, unless they are too old. */
 		if (time_boot_ms() - s->read_started_ms > PAGED_READ_MAX_MS)
 			g_clear_pointer(&s->next_key, g_free);
-		schedule(s, &s->targets_timer, retry_pause_ms(s));
+		store_sync_schedule(s, &s->targets_timer, retry_pause_ms(s));
 		return;
 	}
 	g_clear_pointer(&s->next_key, g_free);
@@ -459,12 +375,12 @@
 	if (p->n && p->more) {
 		/* The smallest key above the last one read. */
 		s->next_key = g_strconcat(p->rows[p->n - 1].key, "\001", NULL);
-		schedule(s, &s->targets_timer, 0);
+		store_sync_schedule(s, &s->targets_timer, 0);
 		return;
 	}
 	finish_read(s);
 	/* A reader's answer with another hash brings the next read forward. */
-	schedule(s, &s->targets_timer, targets_pause_ms(s));
+	store_sync_schedule(s, &s->targets_timer, targets_pause_ms(s));
 }
 
 /* Whether a node that is no reader reads the targets now. */
@@ -492,7 +408,7 @@
 	(void)loop;
 	(void)events;
 	if (!s->reader && !reads_targets_itself(s, now)) {
-		schedule(s, w, RECHECK_MS);
+		store_sync_schedule(s, w, RECHECK_MS);
 		return;
 	}
 	if (!s->next_key) {
@@ -504,254 +420,12 @@
 		     on_targets, s);
 }
 
-/* Queries between nodes. */
-
 void store_sync_set_reader(struct store_sync *s, bool reader, size_t fleet_size)
 {
 	s->reader = reader;
 	s->fleet_size = fleet_size;
 }
 
-/* Return the age of a point in time for an answer; UINT32_MAX: not known. */
-static unsigned age_ms_at(int64_t at_ms, int64_t now_ms)
-{
-	return at_ms ? (unsigned)MIN(now_ms - at_ms, UINT32_MAX) : UINT32_MAX;
-}
-
-void store_sync_query(struct store_sync *s, int64_t now_ms, bool continued,
-		      struct store_query *query)
-{
-	if (!continued)
-		s->after_noticed = 0;
-	s->query_sent_ms = now_ms;
-	*query = (struct store_query){
-		.sent_ms = now_ms,
-		.era = s->era,
-		.targets_hash = target_table_hash(s->table),
-		.targets_revision = target_table_revision(s->table),
-		.after_noticed = s->after_noticed,
-		.after_key = s->after_noticed ? s->after_key : (char *)"",
-	};
-}
-
-void store_sync_answer(struct store_sync *s, const struct store_query *query,
-		       struct store_query_answer *answer,
-		       struct target_update *updates)
-{
-	int64_t now = time_boot_ms();
-
-	*answer = (struct store_query_answer){
-		.query_sent_ms = query->sent_ms,
-		.era = s->era,
-		.config_version = s->config_version,
-		.config_hash = s->config_hash,
-		.config_age_ms =
-			age_ms_at(atomic_load(&s->e->config_fresh_ms), now),
-		.targets_hash = target_table_hash(s->table),
-		.targets_revision = target_table_revision(s->table),
-		.targets_age_ms = age_ms_at(s->targets_confirmed_ms, now),
-		.updates = {0, updates},
-	};
-	/* The querying node has the same list, or one of another era. */
-	if (query->targets_hash != answer->targets_hash &&
-	    query->era == s->era && answer->targets_revision)
-		target_table_updates(s->table, query, answer);
-}
-
-/* Use what an answer says of the configuration. */
-static void apply_config_answer(struct store_sync *s,
-				const struct store_query_answer *answer)
-{
-	/*
-	 * The age counts back from the time of the answer, which is later than
-	 * that of the query. The time computed here is thus too early, which is
-	 * the safe side.
-	 */
-	int64_t at_ms = answer->query_sent_ms - answer->config_age_ms;
-
-	bool same = answer->config_version == s->config_version &&
-		    answer->config_hash == s->config_hash;
-
-	if (answer->config_age_ms != UINT32_MAX && same) {
-		entry_confirm_config(s->e, at_ms);
-		if (reader_is_current(answer->config_age_ms,
-				      config_poll_wait_ms(s)))
-			s->config_confirmed_ms = answer->query_sent_ms;
-	}
-	/*
-	 * After the store was restored a version may have other content, and
-	 * which of two nodes is behind only the store can tell.
-	 */
-	if (answer->config_version <= s->config_version &&
-	    (same || !s->era_seen_ms || awaits_operator(s)))
-		return;
-	if (!s->config_stale_ms)
-		s->config_stale_ms = time_boot_ms();
-	if (answer->config_version != s->fetch_version) {
-		bool fetch = answer->config_version > s->config_version;
-
-		s->fetch_version = fetch ? answer->config_version : -1;
-		s->fetch_hash = answer->config_hash;
-		g_string_truncate(s->fetched, 0);
-	}
-	if (s->fetch_version < 0 && !s->config_busy)
-		schedule(s, &s->config_timer, 0);
-}
-
-/* Continue a series of updates after the last one of an answer. */
-static void continue_after(struct store_sync *s,
-			   const struct store_query_answer *answer)
-{
-	const struct target_update *last =
-		&answer->updates.updates_val[answer->updates.updates_len - 1];
-
-	s->after_noticed = last->noticed;
-	g_free(s->after_key);
-	s->after_key = g_strdup(last->key);
-}
-
-/* Use the updates of targets; return whether more of them follow. */
-static bool apply_targets_answer(struct store_sync *s,
-				 const struct store_query_answer *answer)
-{
-	int64_t at_ms = answer->query_sent_ms - answer->targets_age_ms;
-
-	if (answer->targets_age_ms == UINT32_MAX || !s->read_ended_ms ||
-	    s->targets_busy || at_ms <= s->targets_confirmed_ms)
-		return false;
-	metric_add(M_PEER_UPDATES_TOTAL, answer->updates.updates_len);
-	target_table_apply_updates(s->table, answer, time_boot_ms());
-	publish_targets(s);
-	if (answer->more && answer->updates.updates_len) {
-		continue_after(s, answer);
-		return true;
-	}
-	s->targets_stale = answer->targets_hash != target_table_hash(s->table);
-	if (!s->targets_stale)
-		s->targets_confirmed_ms = at_ms;
-	else if (time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
-		schedule(s, &s->targets_timer, 0);
-	return false;
-}
-
-bool store_sync_apply_answer(struct store_sync *s,
-			     const struct store_query_answer *answer)
-{
-	if (answer->query_sent_ms > time_boot_ms() ||
-	    !accept_era(s, answer->era))
-		return false;
-	apply_config_answer(s, answer);
-	/* Only the last query's answer continues this node's list. */
-	return answer->query_sent_ms == s->query_sent_ms &&
-	       apply_targets_answer(s, answer);
-}
-
-bool store_sync_config_query(const struct store_sync *s,
-			     struct config_query *query)
-{
-	if (s->fetch_version < 0)
-		return false;
-	*query = (struct config_query){.config_version = s->fetch_version,
-				       .base_hash = s->config_hash,
-				       .offset = (u_int)s->fetched->len};
-	return true;
-}
-
-/* Return the delta from a node's configuration; {NULL, 0}: none is known. */
-static struct str delta_from(struct store_sync *s, uint64_t base_hash)
-{
-	for (size_t i = 0; i < CONFIG_BASES; i++) {
-		struct config_base *b = &s->bases[i];
-
-		if (!b->text || b->hash != base_hash)
-			continue;
-		if (!b->delta)
-			b->delta = text_delta_make(str_c(b->text),
-						   str_c(s->config_text));
-		return (struct str){b->delta->str, b->delta->len};
-	}
-	return (struct str){NULL, 0};
-}
-
-bool store_sync_config_chunk(struct store_sync *s,
-			     const struct config_query *query,
-			     struct config_chunk *chunk)
-{
-	struct str delta, whole, *sent;
-
-	if (query->config_version != s->config_version || !s->config_text)
-		return false;
-	whole = str_c(s->config_text);
-	delta = delta_from(s, query->base_hash);
-	sent = delta.data && delta.len < whole.len ? &delta : &whole;
-	*chunk = (struct config_chunk){
-		.config_version = s->config_version,
-		.base_hash = sent == &delta ? query->base_hash : 0,
-		.offset = query->offset,
-	};
-	if (sent->len > CONFIG_PEER_MAX_BYTES)
-		return true;
-	if (query->offset >= sent->len)
-		return false;
-	chunk->total = (u_int)sent->len;
-	chunk->bytes.bytes_val = (char *)sent->data + query->offset;
-	chunk->bytes.bytes_len =
-		(u_int)MIN(sent->len - query->offset, CONFIG_CHUNK_MAX);
-	return true;
-}
-
-/* Read the store instead of waiting for other nodes. */
-static void give_up_fetch(struct store_sync *s)
-{
-	s->fetch_version = -1;
-	g_string_truncate(s->fetched, 0);
-	if (!s->config_busy)
-		schedule(s, &s->config_timer, 0);
-}
-
-/* Apply a configuration, or the delta to one, that has arrived whole. */
-static void apply_fetched(struct store_sync *s, bool is_delta)
-{
-	struct str received = {s->fetched->str, s->fetched->len};
-	GString *text = is_delta ? text_delta_apply(str_c(s->config_text),
-						    received, CONFIG_MAX_BYTES)
-				 : g_string_new_len(received.data,
-						    (gssize)received.len);
-	json_t *value = NULL;
-
-	if (text &&
-	    str_hash((struct str){text->str, text->len}, 0) == s->fetch_hash)
-		value = json_loadb(text->str, text->len, 0, NULL);
-	if (text)
-		g_string_free(text, TRUE);
-	if (value && apply_config(s, value))
-		metric_add(M_PEER_CONFIG_TOTAL, 1);
-	else
-		metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
-	json_decref(value);
-	give_up_fetch(s);
-}
-
-bool store_sync_apply_chunk(struct store_sync *s,
-			    const struct config_chunk *chunk)
-{
-	if (chunk->config_version != s->fetch_version ||
-	    (chunk->base_hash && chunk->base_hash != s->config_hash))
-		return false;
-	if (!chunk->total || chunk->total > CONFIG_PEER_MAX_BYTES) {
-		give_up_fetch(s);
-		return false;
-	}
-	if (chunk->offset != s->fetched->len)
-		return false;
-	g_string_append_len(s->fetched, chunk->bytes.bytes_val,
-			    (gssize)chunk->bytes.bytes_len);
-	if (s->fetched->len < chunk->total)
-		return chunk->bytes.bytes_len > 0;
-	apply_fetched(s, chunk->base_hash != 0);
-	return false;
-}
-
 static void start_timer(struct store_sync *s, ev_timer *w,
 			void (*fn)(struct ev_loop *, ev_timer *, int))
 {
@@ -789,7 +463,7 @@
 	target_table_free(s->table);
 	free(s->config_text);
 	for (size_t i = 0; i < CONFIG_BASES; i++)
-		base_clear(&s->bases[i]);
+		store_sync_clear_base(&s->bases[i]);
 	g_string_free(s->fetched, TRUE);
 	g_free(s->after_key);
 	g_rand_free(s->rand);
