Logs name the version of a target's software and the attempt taken up

The version is decoded from a target's row and told to the other nodes with the row; no decision uses it yet.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -99,6 +99,7 @@
 	struct str name;
 	struct str service;
 	struct str zone;
+	struct str version; /* of its software; {NULL, 0}: not known */
 	struct sockaddr_in address;
 	int64_t slots;   /* requests that it runs at the same time */
 	int64_t born_ms; /* wall-clock time of its start; 0: not known */
@@ -183,6 +184,7 @@
 	struct str prompt_parts; /* comma-separated list of ID:TOKENS */
 	struct str priority;
 	struct str last_event;
+	struct str resumes; /* id of the attempt that brought the first event */
 	struct str fetch_from; /* IP:PORT of a target that holds the prompt */
 	/* Headers that only the entry may set; dropped from requests. */
 	const struct str *reserved;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -69,7 +69,8 @@
 		  "request=" STR_FMT " route=" STR_FMT
 		  " prompt=%x shared=%d target=" STR_FMT " source=" STR_FMT
 		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
-		  "cause=%s config=%d config_age_ms=%d",
+		  "cause=%s config=%d config_age_ms=%d version=" STR_FMT
+		  " resumes=" STR_FMT,
 		  STR_ARG(x->request_id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
 		  (unsigned)x->prompt.parts[0], (int)x->prompt.shared_tokens,
@@ -78,7 +79,8 @@
 		  x->possible_runs, (int)x->splitter.event_count,
 		  x->failure_cause ? x->failure_cause : "-",
 		  x->config ? (int)x->config->version : 0,
-		  fresh ? (int)(now - fresh) : -1);
+		  fresh ? (int)(now - fresh) : -1,
+		  STR_ARG(x->last_target_version), STR_ARG(x->resumes));
 }
 
 /* Whether the caller may send another request on its connection. */
@@ -518,6 +520,7 @@
 	}
 	x->target = t;
 	x->last_target_name = str_dup(x->arena, t->info.name);
+	x->last_target_version = str_dup(x->arena, t->info.version);
 	x->last_source_name = source ? str_dup(x->arena, source->info.name)
 				     : (struct str)STR_LIT("-");
 	pool_add_running(t, 1);
@@ -555,7 +558,9 @@
 	x->arrived_ms = arrived_ms;
 	x->config = tr->config ? entry_config_ref(tr->config) : NULL;
 	x->request_id = message_header(m, tr->dialect->request_id);
+	x->resumes = message_header(m, tr->dialect->resumes);
 	x->last_target_name = (struct str)STR_LIT("-");
+	x->last_target_version = x->last_target_name;
 	x->last_source_name = x->last_target_name;
 	x->splitter.last_number = -1;
 	ev_init(&x->timer, on_timer);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -36,13 +36,16 @@
 	const struct entry_service *service;
 	const struct entry_organisation *organisation;
 	struct str request_id;
+	/* Id of the caller's attempt whose stream this one continues, if any */
+	struct str resumes;
 	struct prompt prompt;
 	int64_t arrived_ms;
 	int64_t deadline_ms; /* the earlier of the caller's and the route's */
 
 	/* The attempt in progress. */
-	struct target *target;       /* NULL: no attempt */
-	struct str last_target_name; /* of this attempt or the one before */
+	struct target *target;          /* NULL: no attempt */
+	struct str last_target_name;    /* of this attempt or the one before */
+	struct str last_target_version; /* of its software */
 	struct str last_source_name; /* where that fetches the prompt, or "-" */
 	struct link *link;
 	bool link_reused; /* the link was idle, not opened for the attempt */
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -103,6 +103,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->zone, TARGET_TEXT_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software_version, TARGET_TEXT_MAX))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ip))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->port))
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -74,6 +74,7 @@
 	u_quad_t id;
 	char *service;
 	char *zone;
+	char *software_version;
 	u_int ip;
 	u_int port;
 	u_int slots;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -71,6 +71,7 @@
 	t->info.name = str_dup(t, info->name);
 	t->info.service = str_dup(t, info->service);
 	t->info.zone = str_dup(t, info->zone);
+	t->info.version = str_dup(t, info->version);
 	t->idle_links = g_queue_new();
 	return t;
 }
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -41,11 +41,11 @@
 {
 	metric_add(M_RETRIES_TOTAL, 1);
 	log_event(EV_REQUEST_REPEATED,
-		  "request=" STR_FMT " target=" STR_FMT
+		  "request=" STR_FMT " target=" STR_FMT " version=" STR_FMT
 		  " cause=%s ran=%d sends=%d after=%d",
 		  STR_ARG(x->request_id), STR_ARG(x->last_target_name),
-		  x->failure_cause, ran, x->attempts,
-		  (int)x->splitter.last_number);
+		  STR_ARG(x->last_target_version), x->failure_cause, ran,
+		  x->attempts, (int)x->splitter.last_number);
 	exchange_attempt(x);
 }
 
--- a/entry/target-table.c
+++ b/entry/target-table.c
@@ -260,6 +260,7 @@
 		info->name = str_dup(l->arena, row->info.name);
 		info->service = str_dup(l->arena, row->info.service);
 		info->zone = str_dup(l->arena, row->info.zone);
+		info->version = str_dup(l->arena, row->info.version);
 		l->n++;
 	}
 	t->changed = false;
@@ -333,6 +334,7 @@
 		.removed = !row->usable,
 		.service = (char *)str_or_empty(row->info.service),
 		.zone = (char *)str_or_empty(row->info.zone),
+		.software_version = (char *)str_or_empty(row->info.version),
 	};
 	if (!row->usable)
 		return;
@@ -411,6 +413,7 @@
 		.name = str_dup(arena, str_c(update->key)),
 		.service = str_dup(arena, str_c(update->service)),
 		.zone = str_dup(arena, str_c(update->zone)),
+		.version = str_dup(arena, str_c(update->software_version)),
 		.address = {.sin_family = AF_INET,
 			    .sin_port = (in_port_t)update->port,
 			    .sin_addr = {update->ip}},
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -55,6 +55,7 @@
 	unsigned hyper id;
 	string service<TARGET_TEXT_MAX>;
 	string zone<TARGET_TEXT_MAX>;
+	string software_version<TARGET_TEXT_MAX>;	/* of its software */
 	unsigned int ip;
 	unsigned int port;
 	unsigned int slots;
