--- a/entry/control.c
+++ b/entry/control.c
@@ -196,6 +196,8 @@
 	peers_send_loads(c, l, now_ms);
 	peers_query_relays(c, l, now_ms);
 	peers_relay_loads(c, l, now_ms);
+	peers_send_origins(c, l, now_ms);
+	peers_ask_origins(c, l, now_ms);
 	peer_list_unref(l);
 }
 
@@ -286,6 +288,19 @@
 	begin_leave(w->data);
 }
 
+static void on_origin_asked(struct ev_loop *loop, ev_async *w, int events)
+{
+	struct control *c = w->data;
+	struct peer_list *l = peers_ref(c);
+
+	(void)loop;
+	(void)events;
+	if (!l)
+		return;
+	peers_ask_origins(c, l, time_boot_ms());
+	peer_list_unref(l);
+}
+
 static void on_hup(struct ev_loop *loop, ev_signal *w, int events)
 {
 	(void)loop;
@@ -313,6 +328,11 @@
 	c->has_key = true;
 }
 
+void control_ask_origins(struct control *c)
+{
+	ev_async_send(c->loop, &c->origin_asked);
+}
+
 void control_leave(struct control *c)
 {
 	ev_async_send(c->loop, &c->leave);
@@ -396,6 +416,9 @@
 	ev_async_init(&c->leave, on_leave);
 	c->leave.data = c;
 	ev_async_start(c->loop, &c->leave);
+	ev_async_init(&c->origin_asked, on_origin_asked);
+	c->origin_asked.data = c;
+	ev_async_start(c->loop, &c->origin_asked);
 	c->peers_known_at_ms = time_boot_ms() + PEERS_KNOWN_MS;
 	parse_address(s->store_address, &store); /* checked by main */
 	e->store = e->o->store->open(c->loop, &store, s->store_timeout_ms);
--- a/entry/control.h
+++ b/entry/control.h
@@ -6,6 +6,7 @@
 #define CONTROL_H
 
 #include "entry/load-relay.h"
+#include "entry/origins.h"
 #include "entry/store-clients.h"
 
 /* Receive buffer of the UDP sockets. */
@@ -20,6 +21,7 @@
 	ev_timer tick;
 	ev_signal term, hup;
 	ev_async stop, leave;
+	ev_async origin_asked; /* the traffic thread looks a stream up */
 	uint8_t key[MEMBER_KEY_BYTES]; /* authenticates messages */
 	bool has_key; /* nothing is sent or accepted without the key */
 	struct discovery *discovery;
@@ -62,5 +64,20 @@
  */
 void peers_relay_loads(struct control *c, const struct peer_list *l,
 		       int64_t now_ms);
+/* Send a message; one that is lost is not repeated. */
+void peers_send_message(const struct control *c, const struct sockaddr_in *to,
+			struct peer_message *m);
+
+/* peer-origins.c: messages about the versions at which streams began. */
+
+/* Send the records of streams that other nodes need. */
+void peers_send_origins(struct control *c, const struct peer_list *l,
+			int64_t now_ms);
+/* Send the questions that are due. */
+void peers_ask_origins(struct control *c, const struct peer_list *l,
+		       int64_t now_ms);
+void peers_answer_origins(struct control *c, const struct sockaddr_in *from,
+			  const struct origin_query *query);
+void peers_apply_origins(struct control *c, const struct origin_answer *answer);
 
 #endif
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "entry/internal.h"
+#include "entry/origins.h"
 
 #define HOUSEKEEPING_MS 100
 /*
@@ -73,6 +74,9 @@
 {
 	struct target_list *old;
 
+	/* First, so that no stream begins at a version that is not known. */
+	if (origins_set_targets(e->origins, l, time_boot_ms()))
+		log_event(EV_VERSIONS_CHANGED, "targets=%d", (int)l->n);
 	g_mutex_lock(&e->lock);
 	old = e->list;
 	e->list = l;
@@ -242,11 +246,15 @@
 	defer_init(tr->loop);
 	pool_init(tr);
 	tr->callers = g_queue_new();
+	tr->taking_up = g_queue_new();
 	tr->rand = g_rand_new();
 	tr->started_ms = time_boot_ms();
 	ev_async_init(&tr->views_published, on_views_published);
 	tr->views_published.data = tr;
 	ev_async_start(tr->loop, &tr->views_published);
+	ev_async_init(&tr->origins_settled, exchanges_on_origins);
+	tr->origins_settled.data = tr;
+	ev_async_start(tr->loop, &tr->origins_settled);
 	ev_timer_init(&tr->housekeeping, on_housekeeping, 0,
 		      HOUSEKEEPING_MS / 1000.0);
 	tr->housekeeping.data = tr;
@@ -265,6 +273,7 @@
 					     (int)e->settings.peers_port);
 	e->loads = loads_new(member_id(e->settings.node_name));
 	e->holders = holders_new();
+	e->origins = origins_new();
 	traffic_init(e);
 	open_metrics(&e->tr);
 	if (open_ports(&e->tr, &error))
@@ -311,6 +320,7 @@
 	if (e->control)
 		control_free(e->control);
 	g_queue_free(tr->callers);
+	g_queue_free(tr->taking_up);
 	g_rand_free(tr->rand);
 	entry_config_unref(tr->config);
 	target_list_unref(tr->list);
@@ -322,6 +332,7 @@
 	ev_loop_destroy(tr->loop);
 	loads_free(e->loads);
 	holders_free(e->holders);
+	origins_free(e->origins);
 	g_free(e->control_address);
 	g_free(e);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -150,8 +150,8 @@
 struct target_list *target_list_ref(struct target_list *l);
 void target_list_unref(struct target_list *l);
 /*
- * Hash the identity, service, address and drain state of a target. The hash of
- * a list is the XOR of the hashes of its targets.
+ * Hash the identity, service, version, address and drain state of a target. The
+ * hash of a list is the XOR of the hashes of its targets.
  */
 uint64_t target_info_hash(const struct target_info *t);
 struct peer_list *peer_list_new(size_t n);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -9,6 +9,7 @@
 #include <talloc.h>
 
 #include "entry/exchange.h"
+#include "entry/origins.h"
 
 /* Largest response that is buffered until complete; a longer one fails. */
 #define RESPONSE_MAX_BYTES (8 << 20)
@@ -48,6 +49,7 @@
 static void destroy(struct exchange *x)
 {
 	exchange_abandon_attempt(x);
+	exchange_leave_take_up(x);
 	ev_timer_stop(x->tr->loop, &x->timer);
 	sse_splitter_clear(&x->splitter);
 	buf_clear(&x->response_body);
@@ -138,6 +140,11 @@
 	finish(x, keeps_alive(x));
 }
 
+void exchange_refuse(struct exchange *x, enum ramp_error kind)
+{
+	reply_error(x, kind);
+}
+
 void exchange_cancel(struct exchange *x)
 {
 	log_end(x, 0, "caller_left");
@@ -204,8 +211,7 @@
 		   STALL_GAP_FACTOR * x->route->event_gap_target_ms);
 }
 
-/* Arm the timer for the earliest of the exchange's deadlines. */
-static void arm_timer(struct exchange *x)
+void exchange_arm_timer(struct exchange *x)
 {
 	int64_t at = x->deadline_ms + DEADLINE_SLACK_MS;
 
@@ -213,9 +219,22 @@
 		at = MIN(at, x->stall_deadline_ms);
 	if (x->head_check_at_ms)
 		at = MIN(at, x->head_check_at_ms);
+	if (x->taking_up)
+		at = MIN(at, x->take_up_started_ms + ORIGIN_LOOKUP_MS);
 	timer_start_once(x->tr->loop, &x->timer, at - time_boot_ms());
 }
 
+/* The first event decides at which version the stream may go on. */
+static void note_version(struct exchange *x)
+{
+	if (x->version)
+		return;
+	x->version = x->attempt_version;
+	if (x->route->retry == RETRY_RESUME)
+		origins_record(x->tr->e->origins, x->request_id,
+			       x->service->name, x->version, time_boot_ms());
+}
+
 /* Send one complete event of a stream to the caller, as one chunk. */
 static void deliver_event(void *ctx, const char *p, size_t n)
 {
@@ -226,6 +245,7 @@
 		write_response_head(x, &out);
 		buf_fmt(&out, "Transfer-Encoding: chunked\r\n\r\n");
 		x->head_sent = true;
+		note_version(x);
 		metric_observe(M_FIRST_EVENT_MS,
 			       time_boot_ms() - x->arrived_ms);
 	}
@@ -238,7 +258,7 @@
 
 		x->stall_deadline_ms = time_boot_ms() + stall_timeout_ms(x);
 		if (first)
-			arm_timer(x);
+			exchange_arm_timer(x);
 	}
 	buf_fmt(&out, "%zx\r\n", n);
 	buf_add(&out, p, n);
@@ -499,14 +519,18 @@
 	if (x->head_check_at_ms && now >= x->head_check_at_ms &&
 	    exchange_check_target(x, now))
 		return;
-	arm_timer(x);
+	if (x->taking_up && now >= x->take_up_started_ms + ORIGIN_LOOKUP_MS) {
+		exchange_take_up(x);
+		return;
+	}
+	exchange_arm_timer(x);
 }
 
 void exchange_attempt(struct exchange *x)
 {
 	struct target *source;
 	struct target *t = pool_choose_target(x->tr, x->service, &x->prompt,
-					      x->tried_targets,
+					      x->version, x->tried_targets,
 					      (size_t)x->attempts, &source);
 
 	if (!t) {
@@ -519,6 +543,7 @@
 		return;
 	}
 	x->target = t;
+	x->attempt_version = t->version;
 	x->last_target_name = str_dup(x->arena, t->info.name);
 	x->last_target_version = str_dup(x->arena, t->info.version);
 	x->last_source_name = source ? str_dup(x->arena, source->info.name)
@@ -541,7 +566,7 @@
 					       x->deadline_ms - x->sent_ms);
 	x->head_check_at_ms = x->sent_ms + x->head_timeout_ms;
 	x->silence_counted = false;
-	arm_timer(x);
+	exchange_arm_timer(x);
 }
 
 struct exchange *exchange_new(struct caller *c, struct message *m,
@@ -581,5 +606,8 @@
 	}
 	retry_window_add_request(pool_retry_window(x->tr, x->service->name),
 				 time_boot_ms());
-	exchange_attempt(x);
+	if (exchange_is_take_up(x))
+		exchange_take_up(x);
+	else
+		exchange_attempt(x);
 }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -43,8 +43,9 @@
 	int64_t deadline_ms; /* the earlier of the caller's and the route's */
 
 	/* The attempt in progress. */
-	struct target *target;          /* NULL: no attempt */
-	struct str last_target_name;    /* of this attempt or the one before */
+	struct target *target;       /* NULL: no attempt */
+	uint64_t attempt_version;    /* id of the target's, when it was sent */
+	struct str last_target_name; /* of this attempt or the one before */
 	struct str last_target_version; /* of its software */
 	struct str last_source_name; /* where that fetches the prompt, or "-" */
 	struct link *link;
@@ -62,6 +63,13 @@
 	uint64_t tried_targets[ATTEMPTS_MAX]; /* ids */
 	int attempts;
 	int possible_runs; /* attempts that the target may have run */
+	/*
+	 * Id of the version at which the stream began, and so has to go on; 0:
+	 * no event of it has been given to the caller.
+	 */
+	uint64_t version;
+	bool taking_up;             /* waits for that version; in the queue */
+	int64_t take_up_started_ms; /* when the request began to wait */
 	struct sse_splitter splitter;
 	bool head_sent; /* the caller has got the head of a stream */
 	/* When the stream counts as stalled; 0: no event yet or no resume. */
@@ -75,6 +83,10 @@
 int64_t exchange_time_left_ms(const struct exchange *x);
 /* Choose a target and forward. May end and free the exchange. */
 void exchange_attempt(struct exchange *x);
+/* Refuse the request, which has not run, and free the exchange. */
+void exchange_refuse(struct exchange *x, enum ramp_error kind);
+/* Arm the timer for the earliest of the exchange's deadlines. */
+void exchange_arm_timer(struct exchange *x);
 /* End the attempt. Closing its connection cancels the work at the target. */
 void exchange_abandon_attempt(struct exchange *x);
 
@@ -112,6 +124,18 @@
  */
 bool exchange_check_target(struct exchange *x, int64_t now);
 
+/* take-up.c: a stream that another attempt of the caller began. */
+
+/* Whether the caller has events of the stream already. */
+bool exchange_is_take_up(const struct exchange *x);
+/*
+ * Find the version at which the stream began and forward to a target that has
+ * it, or refuse. May wait for other nodes; may end and free the exchange.
+ */
+void exchange_take_up(struct exchange *x);
+/* Stop waiting. */
+void exchange_leave_take_up(struct exchange *x);
+
 /* resolve.c: looks up the configuration that applies to the request. */
 
 /*
--- a/entry/holders-store.c
+++ b/entry/holders-store.c
@@ -1,9 +1,11 @@
 /*
  * Saves the index of prompt holders to a row of the store, so that it survives
- * a restart of the whole fleet. One node writes the row; each node reads it
- * once, when it starts. An entry that is out of date costs one needless cache
- * lookup at a target. Runs on the control thread.
+ * a restart of the whole fleet, and beside it the software versions that have
+ * served lately. One node writes the row; each node reads it once, when it
+ * starts. A holder that is out of date costs one needless cache lookup at a
+ * target. Runs on the control thread.
  */
+#include "entry/origins.h"
 #include "entry/store-clients.h"
 
 /* Bounds the rate of writes, and the loss when all nodes stop at once. */
@@ -11,6 +13,8 @@
 /* Pause after a failed read. */
 #define RETRY_MS 1500
 #define ROW_KEY  "held"
+/* Field of the row that holds the versions; see origins_versions. */
+#define VERSIONS_FIELD "versions"
 
 struct holders_store {
 	struct entry *e;
@@ -20,8 +24,9 @@
 	ev_timer timer;
 	bool loaded;
 	bool writer;
-	int64_t era;            /* of the store, at the last call */
-	uint64_t saved_changes; /* holders_change_count() at the last save */
+	int64_t era;             /* of the store, at the last call */
+	uint64_t saved_changes;  /* holders_change_count() at the last save */
+	uint64_t saved_versions; /* origins_versions_changes() at that time */
 };
 
 static json_t *encode_row(const struct prompt_holder *v, size_t n)
@@ -70,6 +75,15 @@
 	g_free(p);
 }
 
+/* A row of an earlier release has no versions, which are then not known. */
+static void load_versions(struct holders_store *s, const json_t *row)
+{
+	const json_t *versions = json_object_get(row, VERSIONS_FIELD);
+
+	if (json_is_array(versions))
+		origins_load_versions(s->e->origins, versions, time_boot_ms());
+}
+
 static void on_read(void *ctx, const struct store_page *p)
 {
 	struct holders_store *s = ctx;
@@ -82,8 +96,12 @@
 		json_t *row = s->api->value(p, i);
 
 		decode_row(s, row);
+		load_versions(s, row);
 		json_decref(row);
 	}
+	/* No node has saved anything, so none has served before. */
+	if (!p->n)
+		origins_load_versions(s->e->origins, NULL, time_boot_ms());
 	s->loaded = true;
 	s->era = p->era;
 	s->saved_changes = holders_change_count(s->e->holders);
@@ -112,13 +130,22 @@
 	json_t *row;
 
 	s->saved_changes = holders_change_count(s->e->holders);
+	s->saved_versions = origins_versions_changes(s->e->origins);
 	n = holders_list(s->e->holders, v, HOLDERS_STORED_MAX);
 	row = encode_row(v, n);
+	json_object_set_new(row, VERSIONS_FIELD,
+			    origins_versions(s->e->origins, time_boot_ms()));
 	s->api->write(s->store, STORE_PROMPTS, ROW_KEY, row, on_saved, s);
 	json_decref(row);
 	g_free(v);
 }
 
+static bool has_changed(struct holders_store *s)
+{
+	return s->saved_changes != holders_change_count(s->e->holders) ||
+	       s->saved_versions != origins_versions_changes(s->e->origins);
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct holders_store *s = w->data;
@@ -127,8 +154,7 @@
 	(void)events;
 	if (!s->loaded)
 		s->api->read(s->store, STORE_PROMPTS, "", on_read, s);
-	else if (s->writer &&
-		 s->saved_changes != holders_change_count(s->e->holders))
+	else if (s->writer && has_changed(s))
 		save(s);
 	else
 		timer_start_once(s->loop, w, SAVE_INTERVAL_MS);
@@ -149,6 +175,8 @@
 	s->store = e->store;
 	/* When the whole fleet starts for the first time there is no row. */
 	s->loaded = e->control_settings.node_bootstrap;
+	if (s->loaded)
+		origins_load_versions(e->origins, NULL, time_boot_ms());
 	ev_timer_init(&s->timer, on_timer, 0, 0);
 	s->timer.data = s;
 	ev_timer_start(loop, &s->timer);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -55,6 +55,7 @@
 	void *arena;
 	struct target_info info;
 	struct traffic *tr;
+	uint64_t version;       /* id of its software's version */
 	int64_t joined_ms;      /* when it was first listed; 0: unknown */
 	bool listed;            /* is in the current target list */
 	int running;            /* requests that this node has in progress */
@@ -91,6 +92,8 @@
 	GRand *rand;
 	struct port ports[PORT_COUNT];
 	ev_async views_published; /* signalled by the control thread */
+	ev_async origins_settled; /* the same; see take-up.c */
+	GQueue *taking_up;        /* exchanges that wait for a look-up */
 	ev_timer housekeeping;    /* periodic */
 	/* struct caller, by the time of connecting or of the last response */
 	GQueue *callers;
@@ -114,6 +117,7 @@
 	struct traffic tr;
 	struct loads *loads;
 	struct holders *holders;
+	struct origins *origins;
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
 	char *control_address;
@@ -217,6 +221,8 @@
 void exchange_cancel(struct exchange *x);
 /* The caller's socket took output: resume reading from the target. */
 void exchange_caller_drained(struct exchange *x);
+/* Go on with the exchanges that wait for a look-up of origins. */
+void exchanges_on_origins(struct ev_loop *loop, ev_async *w, int events);
 
 /* pool.c: the targets, their health, and connections to them. */
 
@@ -228,15 +234,19 @@
 void pool_sweep(struct traffic *tr);
 /*
  * Choose a target for a request to the service, or NULL when there is none.
+ * version: only targets with that version of the software; 0: any.
  * Targets whose ids are in tried are chosen only when no other is left. *source
  * is set to the target from which the chosen one should fetch the prompt, or
  * NULL.
  */
 struct target *pool_choose_target(struct traffic *tr,
 				  const struct entry_service *s,
-				  const struct prompt *prompt,
+				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
 				  struct target **source);
+/* Whether a target of the service and version takes new requests. */
+bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
+			 uint64_t version);
 /*
  * Return an idle link to the target, or a new one that is still connecting, or
  * NULL when no socket can be opened. *reused tells which.
@@ -318,6 +328,8 @@
 void control_seed(struct control *c, const struct member_info *infos, size_t n);
 /* Set the key that authenticates node messages. Control thread only. */
 void control_set_secret(struct control *c, const uint8_t *secret);
+/* Send questions that wait in origins. Called from another thread. */
+void control_ask_origins(struct control *c);
 /* Begin to leave the fleet. Called from another thread. */
 void control_leave(struct control *c);
 /* End control_run. Called from another thread. */
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -266,6 +266,83 @@
 	return TRUE;
 }
 
+bool_t
+xdr_stream_origin (XDR *xdrs, stream_origin *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_stream_origins (XDR *xdrs, stream_origins *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, STREAM_ORIGINS_MAX,
+		sizeof (stream_origin), (xdrproc_t) xdr_stream_origin))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_origin_question (XDR *xdrs, origin_question *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_origin_query (XDR *xdrs, origin_query *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ORIGIN_QUESTIONS_MAX,
+		sizeof (origin_question), (xdrproc_t) xdr_origin_question))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_origin_reply (XDR *xdrs, origin_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sole))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->several))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_origin_answer (XDR *xdrs, origin_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ORIGIN_QUESTIONS_MAX,
+		sizeof (origin_reply), (xdrproc_t) xdr_origin_reply))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -316,6 +393,18 @@
 		 if (!xdr_load_table (xdrs, &objp->peer_message_u.load_total))
 			 return FALSE;
 		break;
+	case PEER_ORIGINS:
+		 if (!xdr_stream_origins (xdrs, &objp->peer_message_u.origins))
+			 return FALSE;
+		break;
+	case PEER_ORIGIN_QUERY:
+		 if (!xdr_origin_query (xdrs, &objp->peer_message_u.origin_query))
+			 return FALSE;
+		break;
+	case PEER_ORIGIN_ANSWER:
+		 if (!xdr_origin_answer (xdrs, &objp->peer_message_u.origin_answer))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -133,6 +133,54 @@
 	} entries;
 };
 typedef struct load_table load_table;
+#define STREAM_ORIGINS_MAX 64
+
+struct stream_origin {
+	u_quad_t request;
+	u_quad_t software;
+};
+typedef struct stream_origin stream_origin;
+
+struct stream_origins {
+	struct {
+		u_int entries_len;
+		stream_origin *entries_val;
+	} entries;
+};
+typedef struct stream_origins stream_origins;
+#define ORIGIN_QUESTIONS_MAX 24
+
+struct origin_question {
+	u_quad_t request;
+	u_quad_t service;
+};
+typedef struct origin_question origin_question;
+
+struct origin_query {
+	struct {
+		u_int entries_len;
+		origin_question *entries_val;
+	} entries;
+};
+typedef struct origin_query origin_query;
+
+struct origin_reply {
+	u_quad_t request;
+	u_quad_t service;
+	u_quad_t software;
+	u_quad_t sole;
+	bool_t several;
+};
+typedef struct origin_reply origin_reply;
+
+struct origin_answer {
+	u_quad_t node;
+	struct {
+		u_int entries_len;
+		origin_reply *entries_val;
+	} entries;
+};
+typedef struct origin_answer origin_answer;
 
 enum peer_kind {
 	PEER_LOADS = 0,
@@ -143,6 +191,9 @@
 	PEER_LOAD_REPORT = 5,
 	PEER_LOAD_GROUP = 6,
 	PEER_LOAD_TOTAL = 7,
+	PEER_ORIGINS = 8,
+	PEER_ORIGIN_QUERY = 9,
+	PEER_ORIGIN_ANSWER = 10,
 };
 typedef enum peer_kind peer_kind;
 
@@ -157,6 +208,9 @@
 		load_table load_report;
 		load_table load_group;
 		load_table load_total;
+		stream_origins origins;
+		origin_query origin_query;
+		origin_answer origin_answer;
 	} peer_message_u;
 };
 typedef struct peer_message peer_message;
@@ -174,6 +228,12 @@
 extern  bool_t xdr_config_query (XDR *, config_query*);
 extern  bool_t xdr_config_chunk (XDR *, config_chunk*);
 extern  bool_t xdr_load_table (XDR *, load_table*);
+extern  bool_t xdr_stream_origin (XDR *, stream_origin*);
+extern  bool_t xdr_stream_origins (XDR *, stream_origins*);
+extern  bool_t xdr_origin_question (XDR *, origin_question*);
+extern  bool_t xdr_origin_query (XDR *, origin_query*);
+extern  bool_t xdr_origin_reply (XDR *, origin_reply*);
+extern  bool_t xdr_origin_answer (XDR *, origin_answer*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
 
@@ -188,6 +248,12 @@
 extern bool_t xdr_config_query ();
 extern bool_t xdr_config_chunk ();
 extern bool_t xdr_load_table ();
+extern bool_t xdr_stream_origin ();
+extern bool_t xdr_stream_origins ();
+extern bool_t xdr_origin_question ();
+extern bool_t xdr_origin_query ();
+extern bool_t xdr_origin_reply ();
+extern bool_t xdr_origin_answer ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_message ();
 
--- /dev/null
+++ b/entry/origins.c
@@ -0,0 +1,639 @@
+/*
+ * At which version of a service's software streams began.
+ *
+ * A node records each stream that it begins and may have to resume. While one
+ * version of a service serves, and none other has lately, that version is the
+ * answer for every stream and no record is sent. As soon as several do, nodes
+ * send their records to others, those of earlier streams included. A node
+ * without a record asks the nodes that should hold it; when none does, the
+ * stream goes on only if these nodes know of a single version as well: a node
+ * whose list of targets is out of date can't tell by itself.
+ */
+#include <jansson.h>
+#include <string.h>
+
+#include "entry/origins.h"
+
+/*
+ * Time for which a stream may be taken up after its first event, and for which
+ * a version counts as serving after its last target was removed, as streams may
+ * still run there. Longer than the timeouts of routes.
+ */
+#define ORIGIN_TTL_MS 60000
+/* Limit of the records; the oldest are dropped. Some 100 bytes each. */
+#define RECORDS_MAX 65536
+/* A question without an answer is sent again after this time. */
+#define RESEND_MS 100
+/* The result of a look-up is kept this long. */
+#define LOOKUP_KEPT_MS 1000
+/* A list of targets that is older says nothing of other versions. */
+#define LIST_FRESH_MS 1500
+/* Nodes that a question goes to, at most. */
+#define ASKED_MAX 32
+
+struct record {
+	uint64_t request;
+	uint64_t version;
+	int64_t expires_ms;
+};
+
+/* A version of a service's software. */
+struct version {
+	uint64_t id;
+	bool listed;
+	int64_t expires_ms; /* when not listed: forgotten from then on */
+};
+
+struct service {
+	uint64_t id;
+	GArray *versions; /* struct version: listed, or not yet forgotten */
+	GQueue unsent;    /* struct stream_origin of this node */
+};
+
+struct lookup {
+	struct origin_question question;
+	int64_t ends_ms; /* no reply counts from then on */
+	int64_t send_at_ms;
+	int64_t forget_ms;
+	uint64_t asked[ASKED_MAX]; /* ids of nodes */
+	bool replied[ASKED_MAX];
+	size_t asked_count, reply_count;
+	uint64_t version; /* found, or concluded; 0: none */
+	uint64_t sole;    /* that the replies name; 0: none */
+	bool several;     /* a reply, or two of them, know of several */
+	unsigned rounds;  /* of questions sent */
+	bool settled;
+};
+
+struct origins {
+	GMutex lock;
+	GHashTable *records; /* request -> struct record */
+	GQueue by_age;       /* struct record, oldest first */
+	GHashTable *services;
+	GHashTable *lookups; /* struct origin_question -> struct lookup */
+	uint64_t changes;
+	/* Versions that served before are all known from then on; 0: no list */
+	int64_t history_complete_ms;
+	int64_t list_confirmed_ms; /* the targets were the newest then */
+};
+
+uint64_t software_version_id(struct str service, struct str version)
+{
+	uint64_t id = str_hash(version, str_hash(service, 0));
+
+	return id ? id : 1;
+}
+
+static void service_free(void *p)
+{
+	struct service *s = p;
+
+	g_array_unref(s->versions);
+	g_queue_clear_full(&s->unsent, g_free);
+	g_free(s);
+}
+
+static guint question_hash(gconstpointer p)
+{
+	const struct origin_question *q = p;
+
+	return (guint)(q->request ^ q->service);
+}
+
+static gboolean question_equal(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, sizeof(struct origin_question));
+}
+
+struct origins *origins_new(void)
+{
+	struct origins *o = g_new0(struct origins, 1);
+
+	o->records = g_hash_table_new(g_int64_hash, g_int64_equal);
+	o->services = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    service_free);
+	o->lookups = g_hash_table_new_full(question_hash, question_equal, NULL,
+					   g_free);
+	return o;
+}
+
+void origins_free(struct origins *o)
+{
+	g_hash_table_unref(o->records);
+	g_queue_clear_full(&o->by_age, g_free);
+	g_hash_table_unref(o->services);
+	g_hash_table_unref(o->lookups);
+	g_free(o);
+}
+
+/* Versions. The functions below are called with the lock held. */
+
+static struct service *service_of(struct origins *o, uint64_t id)
+{
+	struct service *s = g_hash_table_lookup(o->services, &id);
+
+	if (s)
+		return s;
+	s = g_new0(struct service, 1);
+	s->id = id;
+	s->versions = g_array_new(FALSE, FALSE, sizeof(struct version));
+	g_hash_table_insert(o->services, &s->id, s);
+	return s;
+}
+
+static struct version *find_version(struct service *s, uint64_t id)
+{
+	for (guint i = 0; i < s->versions->len; i++) {
+		struct version *v =
+			&g_array_index(s->versions, struct version, i);
+
+		if (v->id == id)
+			return v;
+	}
+	return NULL;
+}
+
+/* Return the number of versions that served lately, and one of them. */
+static guint recent_versions(const struct service *s, int64_t now_ms,
+			     uint64_t *one)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < s->versions->len; i++) {
+		const struct version *v =
+			&g_array_index(s->versions, struct version, i);
+
+		if (!v->listed && now_ms >= v->expires_ms)
+			continue;
+		*one = v->id;
+		n++;
+	}
+	return n;
+}
+
+static bool is_history_known(const struct origins *o, int64_t now_ms)
+{
+	return o->history_complete_ms && now_ms >= o->history_complete_ms;
+}
+
+/* Return the only version that has served lately; 0: not known. */
+static uint64_t sole_version(const struct origins *o, const struct service *s,
+			     int64_t now_ms)
+{
+	uint64_t one = 0;
+
+	return recent_versions(s, now_ms, &one) == 1 &&
+			       is_history_known(o, now_ms)
+		       ? one
+		       : 0;
+}
+
+static bool has_several(const struct service *s, int64_t now_ms)
+{
+	uint64_t one;
+
+	return recent_versions(s, now_ms, &one) > 1;
+}
+
+/* Drop the versions that have expired; return whether there were any. */
+static bool drop_expired(struct service *s, int64_t now_ms)
+{
+	bool dropped = false;
+
+	for (guint i = s->versions->len; i-- > 0;) {
+		const struct version *v =
+			&g_array_index(s->versions, struct version, i);
+
+		if (v->listed || now_ms < v->expires_ms)
+			continue;
+		g_array_remove_index_fast(s->versions, i);
+		dropped = true;
+	}
+	return dropped;
+}
+
+/* Take out the marks of the last list. */
+static void unlist_all(struct origins *o, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct service *s = p;
+
+		for (guint i = 0; i < s->versions->len; i++) {
+			struct version *v =
+				&g_array_index(s->versions, struct version, i);
+
+			if (v->listed)
+				v->expires_ms = now_ms + ORIGIN_TTL_MS;
+			v->listed = false;
+		}
+	}
+}
+
+bool origins_set_targets(struct origins *o, const struct target_list *l,
+			 int64_t now_ms)
+{
+	bool changed = false;
+
+	g_mutex_lock(&o->lock);
+	if (!o->history_complete_ms)
+		o->history_complete_ms = now_ms + ORIGIN_TTL_MS;
+	unlist_all(o, now_ms);
+	for (size_t i = 0; i < l->n; i++) {
+		const struct target_info *t = &l->v[i];
+		struct version added = {
+			.id = software_version_id(t->service, t->version),
+			.listed = true};
+		struct service *s = service_of(o, str_hash(t->service, 0));
+		struct version *v = find_version(s, added.id);
+
+		if (v) {
+			v->listed = true;
+			continue;
+		}
+		g_array_append_val(s->versions, added);
+		changed = true;
+	}
+	if (changed)
+		o->changes++;
+	g_mutex_unlock(&o->lock);
+	return changed;
+}
+
+json_t *origins_versions(struct origins *o, int64_t now_ms)
+{
+	json_t *rows = json_array();
+	GHashTableIter it;
+	gpointer p;
+
+	g_mutex_lock(&o->lock);
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct service *s = p;
+
+		for (guint i = 0; i < s->versions->len; i++) {
+			const struct version *v =
+				&g_array_index(s->versions, struct version, i);
+
+			if (v->listed || now_ms < v->expires_ms)
+				json_array_append_new(
+					rows,
+					json_pack("[I,I]", (json_int_t)s->id,
+						  (json_int_t)v->id));
+		}
+	}
+	g_mutex_unlock(&o->lock);
+	return rows;
+}
+
+uint64_t origins_versions_changes(struct origins *o)
+{
+	uint64_t n;
+
+	g_mutex_lock(&o->lock);
+	n = o->changes;
+	g_mutex_unlock(&o->lock);
+	return n;
+}
+
+void origins_load_versions(struct origins *o, const json_t *rows,
+			   int64_t now_ms)
+{
+	const json_t *row;
+	size_t i;
+
+	g_mutex_lock(&o->lock);
+	json_array_foreach (rows, i, row) {
+		struct version added = {.id = (uint64_t)json_integer_value(
+						json_array_get(row, 1)),
+					.expires_ms = now_ms + ORIGIN_TTL_MS};
+		struct service *s = service_of(
+			o,
+			(uint64_t)json_integer_value(json_array_get(row, 0)));
+
+		if (!find_version(s, added.id))
+			g_array_append_val(s->versions, added);
+	}
+	o->history_complete_ms = now_ms;
+	g_mutex_unlock(&o->lock);
+}
+
+/* Records. */
+
+/* Called with the lock held. */
+static void drop_oldest_record(struct origins *o)
+{
+	struct record *r = g_queue_pop_head(&o->by_age);
+
+	g_hash_table_remove(o->records, &r->request);
+	g_free(r);
+}
+
+/* Called with the lock held. A stream's first record stays. */
+static bool add_record(struct origins *o, uint64_t request, uint64_t version,
+		       int64_t now_ms)
+{
+	struct record *r;
+
+	if (g_hash_table_contains(o->records, &request))
+		return false;
+	if (g_hash_table_size(o->records) >= RECORDS_MAX)
+		drop_oldest_record(o);
+	r = g_new(struct record, 1);
+	*r = (struct record){request, version, now_ms + ORIGIN_TTL_MS};
+	g_hash_table_insert(o->records, &r->request, r);
+	g_queue_push_tail(&o->by_age, r);
+	return true;
+}
+
+void origins_record(struct origins *o, struct str request_id,
+		    struct str service, uint64_t version, int64_t now_ms)
+{
+	struct stream_origin origin = {str_hash(request_id, 0), version};
+
+	g_mutex_lock(&o->lock);
+	if (add_record(o, origin.request, version, now_ms))
+		g_queue_push_tail(&service_of(o, str_hash(service, 0))->unsent,
+				  g_memdup2(&origin, sizeof(origin)));
+	g_mutex_unlock(&o->lock);
+}
+
+/* Forget the unsent records that have expired; called with the lock held. */
+static void drop_unsent(struct origins *o, struct service *s)
+{
+	struct stream_origin *first;
+
+	while ((first = g_queue_peek_head(&s->unsent)) &&
+	       !g_hash_table_contains(o->records, &first->request))
+		g_free(g_queue_pop_head(&s->unsent));
+}
+
+static gboolean is_forgotten(gpointer key, gpointer p, gpointer now_ms)
+{
+	const struct lookup *l = p;
+
+	(void)key;
+	return *(const int64_t *)now_ms >= l->forget_ms;
+}
+
+void origins_sweep(struct origins *o, int64_t now_ms)
+{
+	const struct record *oldest;
+	GHashTableIter it;
+	gpointer p;
+
+	g_mutex_lock(&o->lock);
+	while ((oldest = g_queue_peek_head(&o->by_age)) &&
+	       now_ms >= oldest->expires_ms)
+		drop_oldest_record(o);
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (drop_expired(p, now_ms))
+			o->changes++;
+		drop_unsent(o, p);
+	}
+	g_hash_table_foreach_remove(o->lookups, is_forgotten, &now_ms);
+	g_mutex_unlock(&o->lock);
+}
+
+size_t origins_take_unsent(struct origins *o, int64_t now_ms,
+			   struct stream_origin *out, size_t max)
+{
+	GHashTableIter it;
+	gpointer p;
+	size_t n = 0;
+
+	g_mutex_lock(&o->lock);
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct service *s = p;
+		struct stream_origin *v;
+
+		/* Until the history is known there may have been others. */
+		if (!has_several(s, now_ms) && is_history_known(o, now_ms))
+			continue;
+		while (n < max && (v = g_queue_pop_head(&s->unsent))) {
+			out[n++] = *v;
+			g_free(v);
+		}
+	}
+	g_mutex_unlock(&o->lock);
+	return n;
+}
+
+/* Keep what a record says for a look-up; called with the lock held. */
+static void settle(struct lookup *l, uint64_t version)
+{
+	l->version = version;
+	l->settled = true;
+}
+
+void origins_receive(struct origins *o, const struct stream_origin *v, size_t n,
+		     int64_t now_ms)
+{
+	g_mutex_lock(&o->lock);
+	for (size_t i = 0; i < n; i++)
+		add_record(o, v[i].request, v[i].software, now_ms);
+	g_mutex_unlock(&o->lock);
+	metric_add(M_ORIGINS_RECEIVED_TOTAL, (int64_t)n);
+}
+
+/* Look-ups. */
+
+/*
+ * Settle a look-up of which no node has a record. Called with the lock held.
+ * Without another node that agrees, this node's own list counts if it is not
+ * out of date.
+ */
+static void conclude(struct origins *o, struct lookup *l, int64_t now_ms)
+{
+	const struct service *s = service_of(o, l->question.service);
+	uint64_t own = sole_version(o, s, now_ms);
+	bool fresh = now_ms - o->list_confirmed_ms <= LIST_FRESH_MS;
+	uint64_t sole = l->sole || !fresh ? l->sole : own;
+
+	if (l->several || has_several(s, now_ms) || (own && own != sole))
+		sole = 0;
+	settle(l, sole);
+}
+
+static struct lookup *lookup_of(struct origins *o,
+				const struct origin_question *q, int64_t now_ms)
+{
+	struct lookup *l = g_hash_table_lookup(o->lookups, q);
+
+	if (l)
+		return l;
+	l = g_new0(struct lookup, 1);
+	l->question = *q;
+	l->ends_ms = now_ms + ORIGIN_LOOKUP_MS;
+	l->send_at_ms = now_ms;
+	l->forget_ms = l->ends_ms + LOOKUP_KEPT_MS;
+	g_hash_table_insert(o->lookups, &l->question, l);
+	return l;
+}
+
+enum origin_status origins_find(struct origins *o, struct str request_id,
+				struct str service, int64_t now_ms,
+				uint64_t *version)
+{
+	struct origin_question q = {str_hash(request_id, 0),
+				    str_hash(service, 0)};
+	const struct record *r;
+	struct lookup *l;
+	bool settled;
+
+	g_mutex_lock(&o->lock);
+	r = g_hash_table_lookup(o->records, &q.request);
+	if (r) {
+		*version = r->version;
+		g_mutex_unlock(&o->lock);
+		return ORIGIN_FOUND;
+	}
+	l = lookup_of(o, &q, now_ms);
+	if (!l->settled && now_ms >= l->ends_ms)
+		conclude(o, l, now_ms);
+	settled = l->settled;
+	*version = l->version;
+	g_mutex_unlock(&o->lock);
+	if (!settled)
+		return ORIGIN_ASKED;
+	return *version ? ORIGIN_FOUND : ORIGIN_UNKNOWN;
+}
+
+size_t origin_holders(uint64_t request, const uint64_t *nodes, size_t n,
+		      unsigned rounds, uint64_t *out)
+{
+	struct rendezvous_candidate *r, top[ORIGIN_SMALL_FLEET];
+	size_t k = n <= ORIGIN_SMALL_FLEET
+			   ? n
+			   : MIN(ORIGIN_HOLDERS * rounds, ORIGIN_SMALL_FLEET);
+
+	r = g_new(struct rendezvous_candidate, n + 1);
+	for (size_t i = 0; i < n; i++)
+		r[i] = (struct rendezvous_candidate){nodes[i], i, 0};
+	k = rendezvous_top(request, r, n, top, k);
+	for (size_t i = 0; i < k; i++)
+		out[i] = top[i].id;
+	g_free(r);
+	return k;
+}
+
+bool origins_next_question(struct origins *o, int64_t now_ms,
+			   struct origin_question *out, unsigned *rounds)
+{
+	GHashTableIter it;
+	bool found = false;
+	gpointer p;
+
+	g_mutex_lock(&o->lock);
+	g_hash_table_iter_init(&it, o->lookups);
+	while (!found && g_hash_table_iter_next(&it, NULL, &p)) {
+		struct lookup *l = p;
+
+		if (l->settled || now_ms < l->send_at_ms ||
+		    now_ms >= l->ends_ms)
+			continue;
+		l->send_at_ms = now_ms + RESEND_MS;
+		*out = l->question;
+		*rounds = ++l->rounds;
+		found = true;
+	}
+	g_mutex_unlock(&o->lock);
+	return found;
+}
+
+void origins_asked(struct origins *o, const struct origin_question *q,
+		   uint64_t node)
+{
+	struct lookup *l;
+
+	g_mutex_lock(&o->lock);
+	l = g_hash_table_lookup(o->lookups, q);
+	for (size_t i = 0; l && i < l->asked_count; i++)
+		if (l->asked[i] == node)
+			l = NULL;
+	if (l && l->asked_count < ASKED_MAX)
+		l->asked[l->asked_count++] = node;
+	g_mutex_unlock(&o->lock);
+}
+
+void origins_settle_alone(struct origins *o, const struct origin_question *q,
+			  int64_t now_ms)
+{
+	struct lookup *l;
+
+	g_mutex_lock(&o->lock);
+	l = g_hash_table_lookup(o->lookups, q);
+	if (l && !l->settled)
+		conclude(o, l, now_ms);
+	g_mutex_unlock(&o->lock);
+}
+
+void origins_set_list_time(struct origins *o, int64_t confirmed_ms)
+{
+	g_mutex_lock(&o->lock);
+	o->list_confirmed_ms = confirmed_ms;
+	g_mutex_unlock(&o->lock);
+}
+
+void origins_answer(struct origins *o, const struct origin_question *q,
+		    int64_t now_ms, struct origin_reply *out)
+{
+	const struct record *r;
+	const struct service *s;
+
+	g_mutex_lock(&o->lock);
+	r = g_hash_table_lookup(o->records, &q->request);
+	s = service_of(o, q->service);
+	*out = (struct origin_reply){
+		.request = q->request,
+		.service = q->service,
+		.software = r ? r->version : 0,
+		.sole = sole_version(o, s, now_ms),
+		.several = has_several(s, now_ms),
+	};
+	g_mutex_unlock(&o->lock);
+}
+
+/* Note the first reply of a node; false for any other. */
+static bool note_reply(struct lookup *l, uint64_t node)
+{
+	for (size_t i = 0; i < l->asked_count; i++) {
+		if (l->asked[i] != node || l->replied[i])
+			continue;
+		l->replied[i] = true;
+		l->reply_count++;
+		return true;
+	}
+	return false;
+}
+
+bool origins_apply_reply(struct origins *o, uint64_t node,
+			 const struct origin_reply *reply, int64_t now_ms)
+{
+	struct origin_question q = {reply->request, reply->service};
+	struct lookup *l;
+	bool settled = false;
+
+	g_mutex_lock(&o->lock);
+	l = g_hash_table_lookup(o->lookups, &q);
+	if (l && !l->settled && note_reply(l, node)) {
+		l->several |= reply->several || (l->sole && reply->sole &&
+						 l->sole != reply->sole);
+		if (reply->sole)
+			l->sole = reply->sole;
+		if (reply->software) {
+			add_record(o, q.request, reply->software, now_ms);
+			settle(l, reply->software);
+		} else if (l->reply_count == l->asked_count) {
+			conclude(o, l, now_ms);
+		}
+		settled = l->settled;
+	}
+	g_mutex_unlock(&o->lock);
+	return settled;
+}
--- /dev/null
+++ b/entry/origins.h
@@ -0,0 +1,106 @@
+/*
+ * origins: at which version of a service's software streams began, so that a
+ * stream that a caller takes up goes on at that version only. See origins.c.
+ *
+ * The traffic thread records streams and looks them up; the control thread
+ * exchanges records with the other nodes (peer-origins.c). A lock protects the
+ * state, so any thread may call each function.
+ */
+#ifndef ORIGINS_H
+#define ORIGINS_H
+
+#include "entry/entry.h"
+#include "entry/loads-gen.h"
+
+struct origins;
+
+/* The result of a look-up. */
+enum origin_status {
+	ORIGIN_FOUND,
+	ORIGIN_ASKED,   /* other nodes have been asked */
+	ORIGIN_UNKNOWN, /* for good */
+};
+
+struct origins *origins_new(void);
+void origins_free(struct origins *o);
+
+/* Return the id of a version of a service's software; never 0. */
+uint64_t software_version_id(struct str service, struct str version);
+
+/* Record the version at which a caller's attempt has begun a stream. */
+void origins_record(struct origins *o, struct str request_id,
+		    struct str service, uint64_t version, int64_t now_ms);
+/*
+ * Look up the version at which the stream of an attempt began; the id is empty
+ * when the caller doesn't name it. Without a record the other nodes have to be
+ * asked: call again until the status is another one, which takes at most
+ * ORIGIN_LOOKUP_MS.
+ */
+#define ORIGIN_LOOKUP_MS 300
+enum origin_status origins_find(struct origins *o, struct str request_id,
+				struct str service, int64_t now_ms,
+				uint64_t *version);
+
+/*
+ * Update the versions that serve from the list of targets; return whether they
+ * have changed.
+ */
+bool origins_set_targets(struct origins *o, const struct target_list *l,
+			 int64_t now_ms);
+/* Forget what has expired. */
+void origins_sweep(struct origins *o, int64_t now_ms);
+/*
+ * The versions that served lately, as rows of [service, version]. They are
+ * saved in the store, as a fleet of which all nodes have restarted knows only
+ * those that serve now. The counter grows with each change.
+ */
+json_t *origins_versions(struct origins *o, int64_t now_ms);
+uint64_t origins_versions_changes(struct origins *o);
+/*
+ * Add the versions that were saved; NULL: none have been, as no node has served
+ * before. Until then, or for the time that they are kept, a version that serves
+ * alone is not known to have done so before.
+ */
+void origins_load_versions(struct origins *o, const json_t *rows,
+			   int64_t now_ms);
+
+/*
+ * Take records for other nodes, at most max, of services of which several
+ * versions have served lately. Return their number.
+ */
+size_t origins_take_unsent(struct origins *o, int64_t now_ms,
+			   struct stream_origin *out, size_t max);
+/* Add records of other nodes. */
+void origins_receive(struct origins *o, const struct stream_origin *v, size_t n,
+		     int64_t now_ms);
+
+/*
+ * Nodes that hold the record of a stream, in the order of its rendezvous: all
+ * nodes of a small fleet, the first ORIGIN_HOLDERS of a large one. With more
+ * rounds as many again follow, which held it while others were missing. Write
+ * their ids to out, which has room for ORIGIN_SMALL_FLEET; return their number.
+ */
+#define ORIGIN_SMALL_FLEET 24
+#define ORIGIN_HOLDERS     3
+size_t origin_holders(uint64_t request, const uint64_t *nodes, size_t n,
+		      unsigned rounds, uint64_t *out);
+
+/* Take a question that is due to be sent, for which time, from 1. */
+bool origins_next_question(struct origins *o, int64_t now_ms,
+			   struct origin_question *out, unsigned *rounds);
+/* Note that a node has been asked. */
+void origins_asked(struct origins *o, const struct origin_question *q,
+		   uint64_t node);
+/* Note when the list of targets was last known to be the newest. */
+void origins_set_list_time(struct origins *o, int64_t confirmed_ms);
+/* Settle a look-up at once, as no other node is live. */
+void origins_settle_alone(struct origins *o, const struct origin_question *q,
+			  int64_t now_ms);
+/* Answer another node's question. */
+void origins_answer(struct origins *o, const struct origin_question *q,
+		    int64_t now_ms, struct origin_reply *out);
+/* Apply a node's reply; return whether it has settled a look-up. */
+bool origins_apply_reply(struct origins *o, uint64_t node,
+			 const struct origin_reply *reply, int64_t now_ms);
+
+#endif
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -62,8 +62,8 @@
 			   (int64_t)d->n + MEMBER_IP_UDP_HEADER_BYTES);
 }
 
-static void send_message(const struct control *c, const struct sockaddr_in *to,
-			 struct peer_message *m)
+void peers_send_message(const struct control *c, const struct sockaddr_in *to,
+			struct peer_message *m)
 {
 	struct datagram d;
 
@@ -78,7 +78,7 @@
 	struct target_update updates[TARGET_UPDATES_MAX];
 
 	store_sync_answer(c->sync, query, &m.peer_message_u.answer, updates);
-	send_message(c, from, &m);
+	peers_send_message(c, from, &m);
 }
 
 static void send_query(struct control *c, const struct sockaddr_in *to,
@@ -88,7 +88,7 @@
 
 	store_sync_query(c->sync, time_boot_ms(), continued,
 			 &m.peer_message_u.query);
-	send_message(c, to, &m);
+	peers_send_message(c, to, &m);
 }
 
 static void send_config_query(struct control *c, const struct sockaddr_in *to)
@@ -96,7 +96,7 @@
 	struct peer_message m = {.kind = PEER_CONFIG_QUERY};
 
 	if (store_sync_config_query(c->sync, &m.peer_message_u.config_query))
-		send_message(c, to, &m);
+		peers_send_message(c, to, &m);
 }
 
 static void answer_config_query(struct control *c,
@@ -107,7 +107,7 @@
 
 	if (store_sync_config_chunk(c->sync, query,
 				    &m.peer_message_u.config_chunk))
-		send_message(c, from, &m);
+		peers_send_message(c, from, &m);
 }
 
 static void apply_answer(struct control *c, const struct sockaddr_in *from,
@@ -154,7 +154,7 @@
 	for (t->part = 0; t->part < t->parts; t->part++) {
 		load_table_encode(counts, except, t);
 		if (to)
-			send_message(c, to, m);
+			peers_send_message(c, to, m);
 		else
 			receive_total(c, t);
 	}
@@ -211,6 +211,18 @@
 	case PEER_LOAD_TOTAL:
 		receive_total(c, &m->peer_message_u.load_total);
 		break;
+	case PEER_ORIGINS:
+		origins_receive(c->e->origins,
+				m->peer_message_u.origins.entries.entries_val,
+				m->peer_message_u.origins.entries.entries_len,
+				time_boot_ms());
+		break;
+	case PEER_ORIGIN_QUERY:
+		peers_answer_origins(c, from, &m->peer_message_u.origin_query);
+		break;
+	case PEER_ORIGIN_ANSWER:
+		peers_apply_origins(c, &m->peer_message_u.origin_answer);
+		break;
 	}
 }
 
@@ -415,7 +427,7 @@
 	}
 	p = load_relay_of(c, l, &r, now_ms);
 	if (p)
-		send_message(c, &p->report_address, &m);
+		peers_send_message(c, &p->report_address, &m);
 }
 
 void peers_query_relays(struct control *c, const struct peer_list *l,
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "entry/internal.h"
+#include "entry/origins.h"
 
 /* Most idle links kept to one target. */
 #define IDLE_LINKS_MAX 16
@@ -60,6 +61,15 @@
 	talloc_free(t->arena);
 }
 
+/* A target without a start time may come back with other software. */
+static void set_version(struct target *t, const struct target_info *info)
+{
+	if (t->version && str_eq(t->info.version, info->version))
+		return;
+	t->info.version = str_dup(t, info->version);
+	t->version = software_version_id(info->service, info->version);
+}
+
 static struct target *target_new(struct traffic *tr,
 				 const struct target_info *info)
 {
@@ -71,7 +81,8 @@
 	t->info.name = str_dup(t, info->name);
 	t->info.service = str_dup(t, info->service);
 	t->info.zone = str_dup(t, info->zone);
-	t->info.version = str_dup(t, info->version);
+	t->info.version = (struct str){NULL, 0};
+	set_version(t, info);
 	t->idle_links = g_queue_new();
 	return t;
 }
@@ -142,6 +153,7 @@
 		t->listed = true;
 		t->info.address = l->v[i].address;
 		t->info.slots = l->v[i].slots;
+		set_version(t, &l->v[i]);
 		t->info.draining = l->v[i].draining;
 		if (t->info.draining)
 			close_idle_links(t);
@@ -274,9 +286,32 @@
 	return per_ms * others * (double)loads_lag_ms(tr->e->loads, now_ms);
 }
 
+/* Whether the target is listed for the service, with that version if any. */
+static bool is_candidate(const struct target *t, const struct entry_service *s,
+			 uint64_t version)
+{
+	return t->listed && str_eq(t->info.service, s->name) &&
+	       (!version || version == t->version);
+}
+
+bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
+			 uint64_t version)
+{
+	int64_t now = time_boot_ms();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (is_candidate(v, s, version) &&
+		    !make_candidate(v, now).draining)
+			return true;
+	return false;
+}
+
 struct target *pool_choose_target(struct traffic *tr,
 				  const struct entry_service *s,
-				  const struct prompt *prompt,
+				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
 				  struct target **source)
 {
@@ -296,7 +331,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct target *t = v;
 
-		if (!t->listed || !str_eq(t->info.service, s->name))
+		if (!is_candidate(t, s, version))
 			continue;
 		targets[n] = t;
 		p[n++] = make_candidate(t, now);
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -75,7 +75,9 @@
  */
 static bool replace_attempt(struct exchange *x, const char *cause)
 {
+	/* A target that is late is better than none. */
 	if (!exchange_may_retry(x, x->possible_runs + 1) ||
+	    !pool_serves_version(x->tr, x->service, x->version) ||
 	    !exchange_take_retry(x))
 		return false;
 	x->failure_cause = cause;
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -64,6 +64,8 @@
  */
 void store_sync_set_reader(struct store_sync *s, bool reader,
 			   size_t fleet_size);
+/* Return when the list of targets was last known to be the newest; 0: never. */
+int64_t store_sync_targets_confirmed_ms(const struct store_sync *s);
 /*
  * Fill in a query to another node. continued: it asks for the updates that
  * follow those of the last answer. The strings are borrowed.
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -434,6 +434,11 @@
 	ev_timer_start(s->loop, w);
 }
 
+int64_t store_sync_targets_confirmed_ms(const struct store_sync *s)
+{
+	return s->targets_confirmed_ms;
+}
+
 struct store_sync *store_sync_new(struct entry *e, struct ev_loop *loop)
 {
 	struct store_sync *s = g_new0(struct store_sync, 1);
--- /dev/null
+++ b/entry/take-up.c
@@ -0,0 +1,114 @@
+/*
+ * A stream that a caller takes up with another attempt goes on at the version
+ * of the target's software that began it, at whichever entry.
+ */
+#include "entry/exchange.h"
+#include "entry/origins.h"
+
+bool exchange_is_take_up(const struct exchange *x)
+{
+	return x->route->stream &&
+	       (x->resumes.len ||
+		message_header(x->request, x->tr->dialect->last_event).len);
+}
+
+void exchange_leave_take_up(struct exchange *x)
+{
+	if (x->taking_up)
+		g_queue_remove(x->tr->taking_up, x);
+	x->taking_up = false;
+}
+
+/* Return the route's service of which targets have the version, or NULL. */
+static const struct entry_service *find_service(const struct exchange *x,
+						uint64_t version)
+{
+	for (size_t i = 0; i < x->route->destination_count; i++) {
+		const struct entry_service *s =
+			&x->config->services[x->route->destinations[i].service];
+
+		if (x->route->destinations[i].weight > 0 &&
+		    pool_serves_version(x->tr, s, version))
+			return s;
+	}
+	return NULL;
+}
+
+static void log_take_up(const struct exchange *x, uint64_t version,
+			const char *result)
+{
+	int64_t now = time_boot_ms();
+
+	metric_add(M_TAKE_UPS_TOTAL, 1);
+	log_event(EV_STREAM_TAKEN_UP,
+		  "request=" STR_FMT " resumes=" STR_FMT
+		  " result=%s version_id=%" G_GINT64_MODIFIER "x ms=%d",
+		  STR_ARG(x->request_id), STR_ARG(x->resumes), result, version,
+		  x->take_up_started_ms ? (int)(now - x->take_up_started_ms)
+					: 0);
+}
+
+/* Refuse, as the caller would get events that don't fit those it has. */
+static void refuse(struct exchange *x, uint64_t version, const char *cause)
+{
+	log_take_up(x, version, cause);
+	metric_add(M_TAKE_UPS_REFUSED_TOTAL, 1);
+	x->failure_cause = cause;
+	exchange_refuse(x, RAMP_ERR_NO_TARGET);
+}
+
+/* Wait for the other nodes' answers. */
+static void await_answers(struct exchange *x)
+{
+	if (!x->take_up_started_ms)
+		x->take_up_started_ms = time_boot_ms();
+	if (!x->taking_up)
+		g_queue_push_tail(x->tr->taking_up, x);
+	x->taking_up = true;
+	exchange_arm_timer(x);
+	control_ask_origins(x->tr->e->control);
+}
+
+void exchange_take_up(struct exchange *x)
+{
+	const struct entry_service *s;
+	uint64_t version = 0;
+
+	switch (origins_find(x->tr->e->origins, x->resumes, x->service->name,
+			     time_boot_ms(), &version)) {
+	case ORIGIN_ASKED:
+		await_answers(x);
+		return;
+	case ORIGIN_UNKNOWN:
+		refuse(x, version, "version_unknown");
+		return;
+	case ORIGIN_FOUND:
+		break;
+	}
+	exchange_leave_take_up(x);
+	s = find_service(x, version);
+	if (!s) {
+		refuse(x, version, "version_gone");
+		return;
+	}
+	log_take_up(x, version, "goes_on");
+	x->service = s;
+	x->version = version;
+	exchange_attempt(x);
+}
+
+void exchanges_on_origins(struct ev_loop *loop, ev_async *w, int events)
+{
+	struct traffic *tr = w->data;
+	GQueue waiting = *tr->taking_up;
+	struct exchange *x;
+
+	(void)loop;
+	(void)events;
+	/* Those that go on waiting are queued anew. */
+	g_queue_init(tr->taking_up);
+	while ((x = g_queue_pop_head(&waiting))) {
+		x->taking_up = false;
+		exchange_take_up(x);
+	}
+}
--- a/entry/test-retry.c
+++ b/entry/test-retry.c
@@ -7,6 +7,7 @@
 static int64_t time_left_ms[8]; /* one for each look at the clock */
 static size_t looks;
 static int attempts_begun;
+static bool version_served = true;
 
 int64_t exchange_time_left_ms(const struct exchange *x)
 {
@@ -55,6 +56,15 @@
 	return 0;
 }
 
+bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
+			 uint64_t version)
+{
+	(void)tr;
+	(void)s;
+	(void)version;
+	return version_served;
+}
+
 struct retry_window *pool_retry_window(struct traffic *tr, struct str service)
 {
 	static struct retry_window w;
@@ -107,6 +117,28 @@
 	g_assert_true(x.target == &target);
 }
 
+/* A stalled stream is given up though no target of its version is left. */
+static void test_version_not_served(void)
+{
+	struct entry_service service = {0};
+	struct route_rule route = {.retry = RETRY_RESUME, .runs_max = 2};
+	struct target target = {0};
+	struct exchange x = {.route = &route,
+			     .service = &service,
+			     .target = &target,
+			     .attempts = 1,
+			     .version = 1};
+
+	looks = 0;
+	attempts_begun = 0;
+	time_left_ms[0] = 1000;
+	version_served = false;
+	g_assert_false(exchange_retry_if_stalled(&x));
+	version_served = true;
+	g_assert_cmpint(attempts_begun, ==, 0);
+	g_assert_true(x.target == &target);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -114,5 +146,7 @@
 	g_test_add_func("/entry/retry/deadline-between-checks",
 			test_deadline_between_checks);
 	g_test_add_func("/entry/retry/no-time-left", test_no_time_left);
+	g_test_add_func("/entry/retry/version-not-served",
+			test_version_not_served);
 	return g_test_run();
 }
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "entry/origins.h"
 #include "entry/store-clients.h"
 
 #define WAIT_MS 10000
@@ -122,6 +123,7 @@
 	n->e.control_settings.store_targets_poll_ms = 50;
 	n->e.control_settings.store_config_wait_ms = 50;
 	n->e.tr.loop = loop;
+	n->e.origins = origins_new();
 	ev_async_init(&n->e.tr.views_published, ignore_views);
 	ev_async_start(loop, &n->e.tr.views_published);
 	n->sync = store_sync_new(&n->e, loop);
@@ -190,6 +192,7 @@
 	ev_async_stop(loop, &n->e.tr.views_published);
 	entry_config_unref(n->e.config);
 	target_list_unref(n->e.list);
+	origins_free(n->e.origins);
 	g_free(n);
 }
 
--- a/entry/view.c
+++ b/entry/view.c
@@ -117,6 +117,7 @@
 {
 	uint64_t h = str_hash(t->service, t->id);
 
+	h = str_hash(t->version, h);
 	h = str_hash((struct str){(const char *)&t->address.sin_addr,
 				  sizeof(t->address.sin_addr)},
 		     h + t->address.sin_port);
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -109,6 +109,43 @@
 	opaque entries<LOAD_TABLE_BYTES_MAX>;
 };
 
+const STREAM_ORIGINS_MAX = 64;
+
+/* The version of a service's software at which a stream began. */
+struct stream_origin {
+	unsigned hyper request;	/* hash of the id of the caller's attempt */
+	unsigned hyper software;	/* id of the version; see software_version_id */
+};
+
+struct stream_origins {
+	stream_origin entries<STREAM_ORIGINS_MAX>;
+};
+
+const ORIGIN_QUESTIONS_MAX = 24;
+
+/* Query for the version at which a stream began. */
+struct origin_question {
+	unsigned hyper request;	/* as in stream_origin */
+	unsigned hyper service;	/* hash of its name */
+};
+
+struct origin_query {
+	origin_question entries<ORIGIN_QUESTIONS_MAX>;
+};
+
+struct origin_reply {
+	unsigned hyper request;
+	unsigned hyper service;
+	unsigned hyper software;	/* 0: no record of the stream */
+	unsigned hyper sole;	/* the only version that served lately; 0: not known */
+	bool several;		/* several versions have served lately */
+};
+
+struct origin_answer {
+	unsigned hyper node;	/* hash of the sender's name */
+	origin_reply entries<ORIGIN_QUESTIONS_MAX>;
+};
+
 enum peer_kind {
 	PEER_LOADS = 0,
 	PEER_STORE_QUERY = 1,
@@ -117,7 +154,10 @@
 	PEER_CONFIG_CHUNK = 4,
 	PEER_LOAD_REPORT = 5,	/* a node's own requests, to its relay */
 	PEER_LOAD_GROUP = 6,	/* those of a relay's nodes, to other relays */
-	PEER_LOAD_TOTAL = 7	/* those of all other nodes, to a node */
+	PEER_LOAD_TOTAL = 7,	/* those of all other nodes, to a node */
+	PEER_ORIGINS = 8,
+	PEER_ORIGIN_QUERY = 9,
+	PEER_ORIGIN_ANSWER = 10
 };
 
 union peer_message switch (peer_kind kind) {
@@ -137,4 +177,10 @@
 	load_table load_group;
 case PEER_LOAD_TOTAL:
 	load_table load_total;
+case PEER_ORIGINS:
+	stream_origins origins;
+case PEER_ORIGIN_QUERY:
+	origin_query origin_query;
+case PEER_ORIGIN_ANSWER:
+	origin_answer origin_answer;
 };
