Look-ups of a stream's version settle without a dead node's reply

Cause: a look-up settled when all nodes asked had replied or its time was over, and a lone node settled at once with what it knew. Now it settles after the first 100 ms if the replies there are agree, and a lone node waits for its list and the saved versions. A result without a record is kept for 100 ms, as another version may serve by then; it was kept for over a second.

Test: test-origins sole-version, history-unknown.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -220,7 +220,7 @@
 	if (x->head_check_at_ms)
 		at = MIN(at, x->head_check_at_ms);
 	if (x->taking_up)
-		at = MIN(at, x->take_up_started_ms + ORIGIN_LOOKUP_MS);
+		at = MIN(at, x->take_up_deadline_ms);
 	timer_start_once(x->tr->loop, &x->timer, at - time_boot_ms());
 }
 
@@ -519,7 +519,7 @@
 	if (x->head_check_at_ms && now >= x->head_check_at_ms &&
 	    exchange_check_target(x, now))
 		return;
-	if (x->taking_up && now >= x->take_up_started_ms + ORIGIN_LOOKUP_MS) {
+	if (x->taking_up && now >= x->take_up_deadline_ms) {
 		exchange_take_up(x);
 		return;
 	}
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -68,8 +68,8 @@
 	 * no event of it has been given to the caller.
 	 */
 	uint64_t version;
-	bool taking_up;             /* waits for that version; in the queue */
-	int64_t take_up_started_ms; /* when the request began to wait */
+	bool taking_up;              /* waits for that version; in the queue */
+	int64_t take_up_deadline_ms; /* of that wait; 0: has not waited */
 	struct sse_splitter splitter;
 	bool head_sent; /* the caller has got the head of a stream */
 	/* When the stream counts as stalled; 0: no event yet or no resume. */
--- a/entry/origins.c
+++ b/entry/origins.c
@@ -24,8 +24,11 @@
 #define RECORDS_MAX 65536
 /* A question without an answer is sent again after this time. */
 #define RESEND_MS 100
-/* The result of a look-up is kept this long. */
-#define LOOKUP_KEPT_MS 1000
+/*
+ * The result of a look-up is kept this long, for the requests that wait for it.
+ * It is out of date once another version serves.
+ */
+#define LOOKUP_KEPT_MS 100
 /* A list of targets that is older says nothing of other versions. */
 #define LIST_FRESH_MS 1500
 /* Nodes that a question goes to, at most. */
@@ -74,6 +77,7 @@
 	uint64_t changes;
 	/* Versions that served before are all known from then on; 0: no list */
 	int64_t history_complete_ms;
+	bool has_settled;          /* a look-up, since origins_take_settled */
 	int64_t list_confirmed_ms; /* the targets were the newest then */
 };
 
@@ -371,6 +375,48 @@
 		g_free(g_queue_pop_head(&s->unsent));
 }
 
+/* Called with the lock held. */
+static void settle(struct origins *o, struct lookup *l, uint64_t version,
+		   int64_t now_ms)
+{
+	o->has_settled = true;
+	l->version = version;
+	l->settled = true;
+	l->forget_ms = now_ms + LOOKUP_KEPT_MS;
+}
+
+/*
+ * Settle a look-up of which no node has a record. Called with the lock held.
+ * Without another node that agrees, this node's own list counts if it is not
+ * out of date.
+ */
+static void conclude(struct origins *o, struct lookup *l, int64_t now_ms)
+{
+	const struct service *s = service_of(o, l->question.service);
+	uint64_t own = sole_version(o, s, now_ms);
+	bool fresh = now_ms - o->list_confirmed_ms <= LIST_FRESH_MS;
+	uint64_t sole = l->sole || !fresh ? l->sole : own;
+
+	if (l->several || has_several(s, now_ms) || (own && own != sole))
+		sole = 0;
+	settle(o, l, sole, now_ms);
+}
+
+/* Settle the look-ups that are over; called with the lock held. */
+static void settle_ended(struct origins *o, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->lookups);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct lookup *l = p;
+
+		if (!l->settled && now_ms >= l->ends_ms)
+			conclude(o, l, now_ms);
+	}
+}
+
 static gboolean is_forgotten(gpointer key, gpointer p, gpointer now_ms)
 {
 	const struct lookup *l = p;
@@ -386,6 +432,7 @@
 	gpointer p;
 
 	g_mutex_lock(&o->lock);
+	settle_ended(o, now_ms);
 	while ((oldest = g_queue_peek_head(&o->by_age)) &&
 	       now_ms >= oldest->expires_ms)
 		drop_oldest_record(o);
@@ -424,13 +471,6 @@
 	return n;
 }
 
-/* Keep what a record says for a look-up; called with the lock held. */
-static void settle(struct lookup *l, uint64_t version)
-{
-	l->version = version;
-	l->settled = true;
-}
-
 void origins_receive(struct origins *o, const struct stream_origin *v, size_t n,
 		     int64_t now_ms)
 {
@@ -443,35 +483,20 @@
 
 /* Look-ups. */
 
-/*
- * Settle a look-up of which no node has a record. Called with the lock held.
- * Without another node that agrees, this node's own list counts if it is not
- * out of date.
- */
-static void conclude(struct origins *o, struct lookup *l, int64_t now_ms)
-{
-	const struct service *s = service_of(o, l->question.service);
-	uint64_t own = sole_version(o, s, now_ms);
-	bool fresh = now_ms - o->list_confirmed_ms <= LIST_FRESH_MS;
-	uint64_t sole = l->sole || !fresh ? l->sole : own;
-
-	if (l->several || has_several(s, now_ms) || (own && own != sole))
-		sole = 0;
-	settle(l, sole);
-}
-
 static struct lookup *lookup_of(struct origins *o,
 				const struct origin_question *q, int64_t now_ms)
 {
 	struct lookup *l = g_hash_table_lookup(o->lookups, q);
 
-	if (l)
+	if (l && !is_forgotten(NULL, l, &now_ms))
 		return l;
+	if (l)
+		g_hash_table_remove(o->lookups, q);
 	l = g_new0(struct lookup, 1);
 	l->question = *q;
 	l->ends_ms = now_ms + ORIGIN_LOOKUP_MS;
 	l->send_at_ms = now_ms;
-	l->forget_ms = l->ends_ms + LOOKUP_KEPT_MS;
+	l->forget_ms = INT64_MAX;
 	g_hash_table_insert(o->lookups, &l->question, l);
 	return l;
 }
@@ -534,6 +559,9 @@
 	while (!found && g_hash_table_iter_next(&it, NULL, &p)) {
 		struct lookup *l = p;
 
+		/* A node that is late may be dead, and the others agree. */
+		if (!l->settled && l->sole && now_ms >= l->send_at_ms)
+			conclude(o, l, now_ms);
 		if (l->settled || now_ms < l->send_at_ms ||
 		    now_ms >= l->ends_ms)
 			continue;
@@ -568,8 +596,14 @@
 
 	g_mutex_lock(&o->lock);
 	l = g_hash_table_lookup(o->lookups, q);
-	if (l && !l->settled)
+	if (l && !l->settled) {
 		conclude(o, l, now_ms);
+		/* The list or the versions before it may still be read. */
+		l->settled = l->version ||
+			     has_several(service_of(o, q->service), now_ms);
+		if (!l->settled)
+			l->forget_ms = INT64_MAX;
+	}
 	g_mutex_unlock(&o->lock);
 }
 
@@ -612,12 +646,11 @@
 	return false;
 }
 
-bool origins_apply_reply(struct origins *o, uint64_t node,
+void origins_apply_reply(struct origins *o, uint64_t node,
 			 const struct origin_reply *reply, int64_t now_ms)
 {
 	struct origin_question q = {reply->request, reply->service};
 	struct lookup *l;
-	bool settled = false;
 
 	g_mutex_lock(&o->lock);
 	l = g_hash_table_lookup(o->lookups, &q);
@@ -628,12 +661,21 @@
 			l->sole = reply->sole;
 		if (reply->software) {
 			add_record(o, q.request, reply->software, now_ms);
-			settle(l, reply->software);
+			settle(o, l, reply->software, now_ms);
 		} else if (l->reply_count == l->asked_count) {
 			conclude(o, l, now_ms);
 		}
-		settled = l->settled;
 	}
 	g_mutex_unlock(&o->lock);
+}
+
+bool origins_take_settled(struct origins *o)
+{
+	bool settled;
+
+	g_mutex_lock(&o->lock);
+	settled = o->has_settled;
+	o->has_settled = false;
+	g_mutex_unlock(&o->lock);
 	return settled;
 }
--- a/entry/origins.h
+++ b/entry/origins.h
@@ -93,14 +93,16 @@
 		   uint64_t node);
 /* Note when the list of targets was last known to be the newest. */
 void origins_set_list_time(struct origins *o, int64_t confirmed_ms);
-/* Settle a look-up at once, as no other node is live. */
+/* Settle a look-up by this node's list if it can, as no other node is live. */
 void origins_settle_alone(struct origins *o, const struct origin_question *q,
 			  int64_t now_ms);
 /* Answer another node's question. */
 void origins_answer(struct origins *o, const struct origin_question *q,
 		    int64_t now_ms, struct origin_reply *out);
-/* Apply a node's reply; return whether it has settled a look-up. */
-bool origins_apply_reply(struct origins *o, uint64_t node,
+/* Return whether a look-up was settled since the last call. */
+bool origins_take_settled(struct origins *o);
+/* Apply a node's reply. */
+void origins_apply_reply(struct origins *o, uint64_t node,
 			 const struct origin_reply *reply, int64_t now_ms);
 
 #endif
--- a/entry/peer-origins.c
+++ b/entry/peer-origins.c
@@ -150,7 +150,6 @@
 
 	if (b->peers->n <= 1 && discovery_has_read(c->discovery)) {
 		origins_settle_alone(c->e->origins, q, now_ms);
-		ev_async_send(c->e->tr.loop, &c->e->tr.origins_settled);
 		return;
 	}
 	for (size_t h = 0; h < k; h++) {
@@ -161,6 +160,13 @@
 	}
 }
 
+/* Let the traffic thread go on with the requests that wait. */
+static void notify_settled(struct control *c)
+{
+	if (origins_take_settled(c->e->origins))
+		ev_async_send(c->e->tr.loop, &c->e->tr.origins_settled);
+}
+
 void peers_ask_origins(struct control *c, const struct peer_list *l,
 		       int64_t now_ms)
 {
@@ -168,13 +174,15 @@
 	struct outboxes b;
 	unsigned rounds;
 
-	if (!origins_next_question(c->e->origins, now_ms, &q, &rounds))
-		return;
-	outboxes_init(&b, c, l, PEER_ORIGIN_QUERY);
-	do {
-		ask_holders(&b, &q, rounds, now_ms);
-	} while (origins_next_question(c->e->origins, now_ms, &q, &rounds));
-	outboxes_finish(&b);
+	if (origins_next_question(c->e->origins, now_ms, &q, &rounds)) {
+		outboxes_init(&b, c, l, PEER_ORIGIN_QUERY);
+		do {
+			ask_holders(&b, &q, rounds, now_ms);
+		} while (origins_next_question(c->e->origins, now_ms, &q,
+					       &rounds));
+		outboxes_finish(&b);
+	}
+	notify_settled(c);
 }
 
 void peers_answer_origins(struct control *c, const struct sockaddr_in *from,
@@ -195,12 +203,9 @@
 
 void peers_apply_origins(struct control *c, const struct origin_answer *answer)
 {
-	bool settled = false;
-
 	for (u_int i = 0; i < answer->entries.entries_len; i++)
-		settled |= origins_apply_reply(c->e->origins, answer->node,
-					       &answer->entries.entries_val[i],
-					       time_boot_ms());
-	if (settled)
-		ev_async_send(c->e->tr.loop, &c->e->tr.origins_settled);
+		origins_apply_reply(c->e->origins, answer->node,
+				    &answer->entries.entries_val[i],
+				    time_boot_ms());
+	notify_settled(c);
 }
--- a/entry/take-up.c
+++ b/entry/take-up.c
@@ -44,8 +44,7 @@
 		  "request=" STR_FMT " resumes=" STR_FMT
 		  " result=%s version_id=%" G_GINT64_MODIFIER "x ms=%d",
 		  STR_ARG(x->request_id), STR_ARG(x->resumes), result, version,
-		  x->take_up_started_ms ? (int)(now - x->take_up_started_ms)
-					: 0);
+		  (int)(now - x->arrived_ms));
 }
 
 /* Refuse, as the caller would get events that don't fit those it has. */
@@ -60,8 +59,8 @@
 /* Wait for the other nodes' answers. */
 static void await_answers(struct exchange *x)
 {
-	if (!x->take_up_started_ms)
-		x->take_up_started_ms = time_boot_ms();
+	if (!x->take_up_deadline_ms)
+		x->take_up_deadline_ms = time_boot_ms() + ORIGIN_LOOKUP_MS;
 	if (!x->taking_up)
 		g_queue_push_tail(x->tr->taking_up, x);
 	x->taking_up = true;
@@ -72,18 +71,19 @@
 void exchange_take_up(struct exchange *x)
 {
 	const struct entry_service *s;
+	int64_t now = time_boot_ms();
 	uint64_t version = 0;
+	enum origin_status found = origins_find(
+		x->tr->e->origins, x->resumes, x->service->name, now, &version);
 
-	switch (origins_find(x->tr->e->origins, x->resumes, x->service->name,
-			     time_boot_ms(), &version)) {
-	case ORIGIN_ASKED:
+	if (found == ORIGIN_ASKED &&
+	    (!x->take_up_deadline_ms || now < x->take_up_deadline_ms)) {
 		await_answers(x);
 		return;
-	case ORIGIN_UNKNOWN:
+	}
+	if (found != ORIGIN_FOUND) {
 		refuse(x, version, "version_unknown");
 		return;
-	case ORIGIN_FOUND:
-		break;
 	}
 	exchange_leave_take_up(x);
 	s = find_service(x, version);
--- a/entry/test-origins.c
+++ b/entry/test-origins.c
@@ -131,6 +131,13 @@
 	ask(a, b, 7, START_MS);
 	g_assert_cmpint(find(a, "s", START_MS, &version), ==, ORIGIN_FOUND);
 	g_assert_cmpuint(version, ==, version_id("v1"));
+	/* One of the nodes that it asks is dead. */
+	find(a, "u", START_MS, &version);
+	ask(a, NULL, 8, START_MS);
+	ask(a, b, 7, START_MS + 100);
+	ask(a, b, 7, START_MS + 200);
+	g_assert_cmpint(find(a, "u", START_MS + 200, &version), ==,
+			ORIGIN_FOUND);
 	/* All nodes that it asks are dead. */
 	find(a, "t", START_MS, &version);
 	ask(a, NULL, 7, START_MS);
@@ -176,7 +183,10 @@
 			     &(struct origin_question){
 				     str_hash(STR_LIT("s"), 0), service_id()},
 			     START_MS);
-	g_assert_cmpint(find(o, "s", START_MS, &version), ==, ORIGIN_UNKNOWN);
+	/* What was saved may still be read. */
+	g_assert_cmpint(find(o, "s", START_MS, &version), ==, ORIGIN_ASKED);
+	g_assert_cmpint(find(o, "s", START_MS + ORIGIN_LOOKUP_MS, &version), ==,
+			ORIGIN_UNKNOWN);
 	saved = origins_versions(other, START_MS);
 	origins_load_versions(o, saved, START_MS);
 	find(o, "t", START_MS, &version);
