A taken-up stream goes on at the service that began it

On a route that is split over two services a caller that took its stream up after the entry that began it was gone got the rest from either: the service was picked by the hash of the new attempt's id. It is picked by the id of the attempt that is continued. Where a record of the stream is found, its version already names the service.

--- a/entry/resolve.c
+++ b/entry/resolve.c
@@ -70,16 +70,18 @@
 
 /*
  * Pick one of the route's services by weight. The hash of the request id
- * decides, so repeats of a request get the same service.
+ * decides, so repeats of a request get the same service, and a stream that is
+ * taken up that of the attempt which began it.
  */
 static const struct entry_service *pick_service(const struct exchange *x)
 {
 	const struct route_rule *r = x->route;
+	struct str id = x->resumes.len ? x->resumes : x->request_id;
 	int64_t at;
 
 	if (!r->destination_count || r->weight_sum <= 0)
 		return NULL;
-	at = (int64_t)(str_hash(x->request_id, 1) % (uint64_t)r->weight_sum);
+	at = (int64_t)(str_hash(id, 1) % (uint64_t)r->weight_sum);
 	for (size_t i = 0; i < r->destination_count; i++) {
 		at -= r->destinations[i].weight;
 		if (at < 0)
