node: an answer runs anew at a target of its own version only

Callers of chat completions could get the rest of an answer from a target of another software version when theirs was lost, if the new run repeated the words already given: the same fault as on the users' platform, on the other data path. The answers of two versions don't fit together even when their beginnings are equal. Targets' version comes from the instance list; an answer that has begun is run anew only at the version that gave its first event, else its outcome is unknown. A resume at another entry goes to the target that holds the answer, so it needs nothing.

test-streams engine-killed has a case with two versions, which failed before (the caller got the whole answer) and passes now.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -11,6 +11,7 @@
 	g_free(t->pool);
 	g_free(t->address);
 	g_free(t->zone);
+	g_free(t->version);
 	g_free(t);
 }
 
@@ -41,6 +42,7 @@
 	t->pool = g_strdup(string_or_empty(j, "pool"));
 	t->address = g_strdup(string_or_empty(j, "address"));
 	t->zone = g_strdup(string_or_empty(j, "zone"));
+	t->version = g_strdup(string_or_empty(j, "version"));
 	t->id = str_hash(str_c(t->name), 0);
 	t->leaving = !strcmp(string_or_empty(j, "state"), "leaving");
 	g_ptr_array_add(f->targets, t);
@@ -93,6 +95,7 @@
 	t->pool = g_strdup(from->pool);
 	t->address = g_strdup(from->address);
 	t->zone = g_strdup(from->zone);
+	t->version = g_strdup(from->version);
 	g_ptr_array_add(f->targets, t);
 }
 
@@ -146,9 +149,11 @@
 	for (guint i = 0; i < f->targets->len; i++) {
 		const struct target *t = g_ptr_array_index(f->targets, i);
 
-		json_array_append_new(list, instance_json("target", t->name,
-							  t->pool, t->address,
-							  t->zone, t->leaving));
+		json_t *j = instance_json("target", t->name, t->pool,
+					  t->address, t->zone, t->leaving);
+
+		json_object_set_new(j, "version", json_string(t->version));
+		json_array_append_new(list, j);
 	}
 	for (guint i = 0; i < f->peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(f->peers, i);
--- a/node/node.h
+++ b/node/node.h
@@ -25,7 +25,8 @@
 	char *pool;
 	char *address; /* "IP:port" */
 	char *zone;
-	uint64_t id; /* hash of the name */
+	char *version; /* of its software; empty: not known */
+	uint64_t id;   /* hash of the name */
 	bool leaving;
 	bool down; /* unreachable, or reachable again for too short a time */
 };
--- a/node/relay.c
+++ b/node/relay.c
@@ -35,6 +35,7 @@
 	struct pace pace;
 	const struct target *tried[RUNS_MAX]; /* may still be working */
 	unsigned run_count;
+	const struct target *began_at; /* gave the first event; NULL: none */
 	bool resuming;   /* the connection asked for the rest of an answer */
 	bool responded;  /* valid headers have arrived on the connection */
 	bool progressed; /* new event on the connection, or idle in a queue */
@@ -298,6 +299,8 @@
 	rl->receive_pos++;
 	rl->progressed = true;
 	if (rl->receive_pos > rl->deliver_pos) {
+		if (!rl->began_at)
+			rl->began_at = rl->target;
 		rl->deliver_pos = rl->receive_pos;
 		rl->delivered_hash = rl->received_hash;
 		return RECEIVED_EVENT;
@@ -414,6 +417,15 @@
 	       rl->run_count < RUNS_MAX && !is_deadline_passed(rl);
 }
 
+/*
+ * Whether a target may go on with the answer. What targets of two versions
+ * write does not fit together, even if it is the same up to here.
+ */
+static bool may_continue(const struct relay *rl, const struct target *t)
+{
+	return !rl->began_at || !g_strcmp0(t->version, rl->began_at->version);
+}
+
 /* Rerun the request on another target after the answer was lost. */
 static enum ramp_error rerun_elsewhere(struct relay *rl, enum ramp_error err)
 {
@@ -421,7 +433,7 @@
 	const struct target **targets = dispatch_rank_targets(rl->rq, &n);
 
 	for (size_t i = 0; i < n && may_rerun(rl); i++) {
-		if (was_tried(rl, targets[i]))
+		if (was_tried(rl, targets[i]) || !may_continue(rl, targets[i]))
 			continue;
 		log_event(EV_STREAM_RUN_AGAIN,
 			  "request=" STR_FMT " lost=%s target=%s",
--- a/node/test-harness.c
+++ b/node/test-harness.c
@@ -138,11 +138,12 @@
 		if (p[i].pid)
 			json_array_append_new(
 				list,
-				json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:s}",
+				json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s*}",
 					  "name", p[i].name, "role", role,
 					  "pool", pool, "zone", "a", "region",
 					  "local", "address", address, "state",
-					  p[i].leaving ? "leaving" : "live"));
+					  p[i].leaving ? "leaving" : "live",
+					  "version", p[i].version));
 		g_free(address);
 	}
 }
--- a/node/test-harness.h
+++ b/node/test-harness.h
@@ -39,6 +39,7 @@
 	int port;
 	int advertised_port; /* port in the platform's instance list */
 	bool leaving;        /* state in that list */
+	const char *version; /* of an engine's software there; NULL: none */
 };
 
 /* One platform stand-in, and engines, plain services and nodes. */
--- a/node/test-streams.c
+++ b/node/test-streams.c
@@ -224,27 +224,34 @@
 
 /*
  * The engine is killed in mid-answer. Only an idempotent request runs again on
- * the other engine, and the caller gets the rest only if the new answer repeats
- * the words already delivered.
+ * the other engine, if that has the same version, and the caller gets the rest
+ * only if the new answer repeats the words already delivered.
  */
 static void test_engine_killed(void)
 {
 	static const struct {
 		const char *service;
 		bool other_differs; /* the other engine gives another answer */
+		const char *other_version; /* of its software */
 		bool complete;
+		int runs; /* at the other engine */
 	} cases[] = {
-		{"assistant", false, true},
-		{"assistant", true, false},
-		{"report", false, false},
+		{"assistant", false, "v1", true, 1},
+		{"assistant", true, "v1", false, 1},
+		{"assistant", false, "v2", false, 0},
+		{"report", false, "v1", false, 0},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct rig *g = start_rig(2, 1);
-		struct chat_stream *a = chat_stream_open(
-			g->nodes[0].port, cases[i].service, "seven", TOKENS);
+		struct rig *g = rig_new(2, 1, SETTINGS);
+		struct chat_stream *a;
 		struct proc *busy;
 
+		g->engines[0].version = "v1";
+		g->engines[1].version = cases[i].other_version;
+		rig_start(g);
+		a = chat_stream_open(g->nodes[0].port, cases[i].service,
+				     "seven", TOKENS);
 		chat_stream_read(a, FEW_TOKENS);
 		busy = find_busy_engine(g);
 		for (unsigned k = 0; k < 2 && cases[i].other_differs; k++) {
@@ -263,8 +270,7 @@
 			g_assert_cmpstr(a->outcome, ==, "unknown");
 		}
 		/* Runs at the killed engine no longer count. */
-		g_assert_cmpint(rig_engine_runs(g), ==,
-				strcmp(cases[i].service, "report") ? 1 : 0);
+		g_assert_cmpint(rig_engine_runs(g), ==, cases[i].runs);
 		chat_stream_free(a);
 		rig_free(g);
 	}
