A refusal of no request no longer lets a request run twice (TWICE)

A request that may run once ran at two targets, and its caller could get 503, which says that it has not run.

Cause: targets echo a request's id, and a response with another id is skipped; but one without any id was taken for the response to the request in progress. Bytes that belong to no request may arrive on a kept connection (a late refusal, a 400 to bytes that had no id). When they say 'not executed', the request was sent to the next target while the first one ran it. Class: the outcome of one request taken for that of another. On a connection that was opened for the request such a response can be of no other, so it counts there; on a kept one it now breaks the connection, and the outcome is unknown.

Ruled out by reading: a connect timeout that fires beside an established connection (nothing has been sent by then, as output waits in the process, and libev drops the pending event of the one that is stopped), replacement of silent attempts (not for requests that may run once), bare 503 and 408.

Test refusal-of-none failed before (three requests at targets for two calls).

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -372,6 +372,14 @@
 			  STR_ARG(echo));
 		return true;
 	}
+	/*
+	 * On a kept connection a response without an id may be of no request,
+	 * and says nothing of this one, least of all that it has not run.
+	 */
+	if (!echo.len && x->link_reused) {
+		on_link_fault(x, LINK_MALFORMED, true);
+		return false;
+	}
 	x->response = m;
 	x->head_check_at_ms = 0;
 	pool_record_begun(x->target, exchange_priority(x), x->sent_ms);
