soak: targets of two versions, streams taken up, refusals of no request

The soak of real processes had shown neither ORDER nor TWICE: its targets had one version, its callers never took a stream up, and its targets sent no bytes that belong to no request. Now one target of three has another version, which each event names; callers take broken streams up at other entries, a third of them after losing part of a whole one; and on kept connections 30 of 1000 responses follow a refusal without an id.

--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -18,6 +18,7 @@
 	GHashTable *requests; /* id -> struct request_record */
 	unsigned last_number; /* of a request; part of its id */
 	int served_count;
+	int take_up_count, gone_on_count;
 	int broken_count;
 };
 
@@ -95,6 +96,22 @@
 	g_mutex_unlock(&l->lock);
 }
 
+void ledger_record_take_up(struct ledger *l, bool went_on)
+{
+	g_mutex_lock(&l->lock);
+	l->take_up_count++;
+	l->gone_on_count += went_on;
+	g_mutex_unlock(&l->lock);
+}
+
+void ledger_count_take_ups(struct ledger *l, int *taken_up, int *gone_on)
+{
+	g_mutex_lock(&l->lock);
+	*taken_up = l->take_up_count;
+	*gone_on = l->gone_on_count;
+	g_mutex_unlock(&l->lock);
+}
+
 int ledger_served_count(const struct ledger *l)
 {
 	return l->served_count;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -19,6 +19,10 @@
 #define TARGETS       3
 #define CALLERS       6
 #define STREAM_EVENTS 6
+/* Events that a caller keeps when it loses its connection. */
+#define EVENTS_KEPT 3
+/* Attempts that a caller makes to take a broken stream up. */
+#define TAKE_UPS_MAX 2
 /* Time for all entries to serve again after the last fault. */
 #define RECOVERY_MAX_MS 12000
 /* Part of an entry's log that is printed when it exits unexpectedly. */
@@ -65,11 +69,22 @@
 
 static struct soak *running_soak; /* a script has no context argument */
 
+static void respond_version_event(struct rig_request *req, int id)
+{
+	char *text = g_strdup_printf("id: %d\ndata: %s\n\n", id,
+				     req->target->version);
+
+	respond_raw(req, "%x\r\n%s\r\n", (unsigned)strlen(text), text);
+	g_free(text);
+}
+
 /*
  * Answer as a target that often fails. Of 1000 requests 40 are rejected and 30
  * get no response, 20 of these a TCP reset. The next 30 get status 500 unless
  * they are streams; 10 of them end with a close, a stream after its third
- * event. All others succeed. The response takes up to 50 ms to begin.
+ * event. All others succeed. The response takes up to 50 ms to begin. 20 more
+ * streams break after their third event, and on kept connections 30 responses
+ * follow a refusal that is of no request.
  */
 static void run_script(struct rig_request *req)
 {
@@ -88,14 +103,19 @@
 	req->reset_connection = r < 60;
 	if (r < 70)
 		return;
+	if (r >= 970 && req->on_connection > 1)
+		respond_raw(req, "HTTP/1.1 503 Full\r\n"
+				 "Auburnramp-Not-Executed: 1\r\n"
+				 "Content-Length: 0\r\n\r\n");
 	g_usleep(r * 50);
 	if (!stream) {
 		respond_signed(req, r < 100 ? 500 : 200, req->attempt_id);
 		return;
 	}
+	req->close_connection |= r < 120;
 	respond_stream_start(req);
 	for (int i = first_event; i <= STREAM_EVENTS; i++) {
-		respond_stream_event(req, i);
+		respond_version_event(req, i);
 		g_usleep(10000);
 		if (req->close_connection && i == 3)
 			return;
@@ -103,25 +123,44 @@
 	respond_stream_end(req);
 }
 
-/* Check that a stream's events are a prefix of those sent, or all of them. */
-static void check_stream(struct soak *s, const char *id, const struct reply *r)
+/* What a caller has got of a stream, over its attempts. */
+struct received {
+	char version[8]; /* that sent its events; empty: no event yet */
+	int events;
+};
+
+/*
+ * Check that a stream's events go on after those received, from one version,
+ * and are all of them if it is complete.
+ */
+static void check_stream(struct soak *s, const char *id, const struct reply *r,
+			 struct received *got)
 {
 	GString *expected = g_string_new(NULL);
-
-	for (int i = 1; i <= STREAM_EVENTS; i++)
-		g_string_append_printf(expected, "id: %d\ndata: e%d\n\n", i, i);
+	int events = 0;
+
+	if (!*got->version && r->body->len)
+		g_strlcpy(got->version,
+			  strstr(r->body->str, "data: v2") ? "v2" : "v1",
+			  sizeof(got->version));
+	for (int i = got->events + 1; i <= STREAM_EVENTS; i++) {
+		g_string_append_printf(expected, "id: %d\ndata: %s\n\n", i,
+				       got->version);
+		events += expected->len <= r->body->len;
+	}
 	if (!g_str_has_prefix(expected->str, r->body->str))
-		ledger_record_broken(
-			s->ledger, "%s: events are not a prefix of those sent",
-			id);
+		ledger_record_broken(s->ledger,
+				     "%s: events do not go on after %d of %s",
+				     id, got->events, got->version);
 	if (r->complete && r->body->len != expected->len)
 		ledger_record_broken(
 			s->ledger, "%s: complete without its last events", id);
+	got->events += events;
 	g_string_free(expected, TRUE);
 }
 
 /* Check entry's guarantees for every response. */
-static void check_reply(struct soak *s, const char *id, bool stream,
+static void check_reply(struct soak *s, const char *id, struct received *got,
 			const struct reply *r)
 {
 	if (r->malformed)
@@ -139,8 +178,8 @@
 	if (!strstr(r->headers, id))
 		ledger_record_broken(s->ledger,
 				     "%s: response to another request", id);
-	if (stream)
-		check_stream(s, id, r);
+	if (got)
+		check_stream(s, id, r, got);
 	else if (r->complete && strcmp(r->body->str, id) != 0)
 		ledger_record_broken(s->ledger, "%s: body of another request",
 				     id);
@@ -148,47 +187,90 @@
 		ledger_record_served(s->ledger);
 }
 
-/* Send a request through an entry and check the response; return its status. */
-static int call_and_check(struct soak *s, size_t entry, uint32_t kind, int key)
+/* A request of a caller that may take several attempts. */
+struct call {
+	size_t entry;
+	uint32_t kind;
+	int key;
+	struct received got; /* of a stream */
+	char first_id[32];   /* of the attempt that brought its first event */
+};
+
+/* Make an attempt through an entry and check the response; return its status.
+ */
+static int call_and_check(struct soak *s, struct call *c, bool *complete)
 {
 	static const char *const paths[] = {"/once/", "/safe/", "/stream/",
 					    "/stream-once/"};
-	bool stream = kind >= REQUEST_STREAM;
 	int64_t sent_ms = time_mono_ms(), revoked_ms;
-	char id[32], name[16];
+	char id[32], name[16], *headers = NULL;
 	struct reply *r;
 	int status;
 
-	ledger_add_request(s->ledger,
-			   kind == REQUEST_ONCE || kind == REQUEST_STREAM_ONCE,
-			   id);
-	snprintf(name, sizeof(name), "k%d", key);
-	r = rig_call_as(s->rig, entry, id, name,
-			kind == REQUEST_SAFE ? "GET" : "POST", paths[kind]);
-	check_reply(s, id, stream, r);
-	revoked_ms = atomic_load(&s->key_revoked_ms[key]);
+	ledger_add_request(
+		s->ledger,
+		c->kind == REQUEST_ONCE || c->kind == REQUEST_STREAM_ONCE, id);
+	snprintf(name, sizeof(name), "k%d", c->key);
+	if (c->got.events)
+		headers =
+			g_strdup_printf("Last-Event-Id: %d\r\nResumes: %s\r\n",
+					c->got.events, c->first_id);
+	r = rig_call_as(s->rig, c->entry, id, name,
+			c->kind == REQUEST_SAFE ? "GET" : "POST",
+			paths[c->kind], headers);
+	check_reply(s, id, c->kind >= REQUEST_STREAM ? &c->got : NULL, r);
+	if (c->got.events && !*c->first_id)
+		g_strlcpy(c->first_id, id, sizeof(c->first_id));
+	revoked_ms = atomic_load(&s->key_revoked_ms[c->key]);
 	if (r->status == 200 && revoked_ms && sent_ms > revoked_ms + REVOKE_MS)
 		ledger_record_broken(s->ledger,
 				     "%s: ran with a key revoked %d ms ago", id,
 				     (int)(sent_ms - revoked_ms));
 	status = r->status;
+	*complete = r->complete;
 	reply_free(r);
+	g_free(headers);
 	return status;
 }
 
+/* Take a broken stream up at other entries. */
+static void take_up(struct soak *s, struct call *c)
+{
+	bool complete = false;
+
+	for (int i = 0; i < TAKE_UPS_MAX && !complete; i++) {
+		int status;
+
+		c->entry = (size_t)g_random_int_range(0, ENTRIES);
+		status = call_and_check(s, c, &complete);
+		if (status)
+			ledger_record_take_up(s->ledger, status == 200);
+	}
+}
+
 /* Send random requests until the soak stops, some with the last revoked key. */
 static void *caller_thread(void *arg)
 {
 	struct soak *s = arg;
 
 	while (!atomic_load(&s->stop)) {
-		int key = atomic_load(&s->key);
-
-		if (key > 1 && g_random_int_range(0, 5) == 0)
-			key--; /* a revoked one */
-		call_and_check(s, (size_t)g_random_int_range(0, ENTRIES),
-			       (uint32_t)g_random_int_range(0, REQUEST_KINDS),
-			       key);
+		struct call c = {
+			.entry = (size_t)g_random_int_range(0, ENTRIES),
+			.kind = (uint32_t)g_random_int_range(0, REQUEST_KINDS),
+			.key = atomic_load(&s->key)};
+		bool complete;
+
+		if (c.key > 1 && g_random_int_range(0, 5) == 0)
+			c.key--; /* a revoked one */
+		call_and_check(s, &c, &complete);
+		/* Some callers lose what came after the third event. */
+		if (complete && c.got.events > EVENTS_KEPT &&
+		    g_random_int_range(0, 3) == 0) {
+			c.got.events = EVENTS_KEPT;
+			complete = false;
+		}
+		if (c.kind == REQUEST_STREAM && c.got.events && !complete)
+			take_up(s, &c);
 		g_usleep((gulong)g_random_int_range(1000, 20000));
 	}
 	return NULL;
@@ -386,8 +468,11 @@
 
 		while (successes < RECOVERY_SUCCESSES &&
 		       time_mono_ms() < deadline_ms) {
-			int status = call_and_check(s, i, REQUEST_SAFE,
-						    atomic_load(&s->key));
+			struct call c = {.entry = i,
+					 .kind = REQUEST_SAFE,
+					 .key = atomic_load(&s->key)};
+			bool complete;
+			int status = call_and_check(s, &c, &complete);
 
 			successes = status == 200 || status == 500
 					    ? successes + 1
@@ -406,6 +491,8 @@
 static void set_up(struct soak *s)
 {
 	s->rig = rig_new(TARGETS, 0, run_script);
+	for (size_t i = 0; i < TARGETS; i++)
+		s->rig->targets[i].version = i ? "v1" : "v2";
 	for (size_t i = 0; i < TARGETS; i++) {
 		s->target_proxies[i] = proxy_new(s->rig->targets[i].port);
 		s->rig->targets[i].advertised_port =
@@ -450,7 +537,7 @@
 	GThread *callers[CALLERS];
 	uint32_t seed = argc > 1 ? (uint32_t)atoi(argv[1]) : 1;
 	int64_t end_ms;
-	int broken;
+	int broken, taken_up, gone_on;
 
 	signal(SIGPIPE, SIG_IGN);
 	running_soak = &s;
@@ -478,9 +565,11 @@
 		g_thread_join(callers[i]);
 	tear_down(&s);
 	broken = ledger_check(s.ledger);
-	printf("%s 1 - soak seed %u: %d served, %d guarantees broken\n1..1\n",
+	ledger_count_take_ups(s.ledger, &taken_up, &gone_on);
+	printf("%s 1 - soak seed %u: %d served, %d of %d streams taken up went "
+	       "on, %d guarantees broken\n1..1\n",
 	       broken ? "not ok" : "ok", seed, ledger_served_count(s.ledger),
-	       broken);
+	       gone_on, taken_up, broken);
 	ledger_free(s.ledger);
 	g_rand_free(s.fault_rand);
 	return broken != 0;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -48,6 +48,9 @@
 void ledger_record_not_run(struct ledger *l, const char *id);
 /* Count a request that was answered completely. */
 void ledger_record_served(struct ledger *l);
+/* Record whether a stream that a caller took up went on. */
+void ledger_record_take_up(struct ledger *l, bool went_on);
+void ledger_count_take_ups(struct ledger *l, int *taken_up, int *gone_on);
 /* Record a broken guarantee; the first 20 are printed. */
 void ledger_record_broken(struct ledger *l, const char *fmt, ...)
 	G_GNUC_PRINTF(2, 3);
