--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -68,12 +68,12 @@
 	 * no event of it has been given to the caller.
 	 */
 	uint64_t version;
-	bool taking_up;              /* waits for that version; in the queue */
 	int64_t take_up_deadline_ms; /* of that wait; 0: has not waited */
 	struct sse_splitter splitter;
 	bool head_sent; /* the caller has got the head of a stream */
 	/* When the stream counts as stalled; 0: no event yet or no resume. */
 	int64_t stall_deadline_ms;
+	bool taking_up;   /* waits for that version; in the queue */
 	bool all_resting; /* no target takes requests, some for a time only */
 	ev_timer timer;   /* the next of the deadlines above */
 	const char *failure_cause; /* of the last failure, for the log */
--- a/node/test-streams.c
+++ b/node/test-streams.c
@@ -231,15 +231,15 @@
 {
 	static const struct {
 		const char *service;
+		const char *other_version; /* of the other engine's software */
+		int runs;                  /* at the other engine */
 		bool other_differs; /* the other engine gives another answer */
-		const char *other_version; /* of its software */
 		bool complete;
-		int runs; /* at the other engine */
 	} cases[] = {
-		{"assistant", false, "v1", true, 1},
-		{"assistant", true, "v1", false, 1},
-		{"assistant", false, "v2", false, 0},
-		{"report", false, "v1", false, 0},
+		{"assistant", "v1", 1, false, true},
+		{"assistant", "v1", 1, true, false},
+		{"assistant", "v2", 0, false, false},
+		{"report", "v1", 0, false, false},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
