The first node of a fleet lists itself at once

Cause: after the node had created the fleet's secret it waited for its next regular read of the rows before it wrote its own, so that the nodes that started with it knew none and took themselves for the only one. The row is written right after the secret. Fleets with node.bootstrap write it first and are not concerned. Test listed-at-once, whose reads are 30 s apart, failed before and passed three times in a row.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -148,7 +148,10 @@
 		control_set_secret(d->e->control, d->new_secret);
 		d->has_secret = true;
 	}
-	schedule(d, d->has_secret);
+	if (d->has_secret && !d->registered)
+		timer_start_once(d->loop, &d->timer, 0);
+	else
+		schedule(d, d->has_secret);
 }
 
 static void create_secret(struct discovery *d)
