--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -50,7 +50,7 @@
 	{ 2009, LOG_INFO, "holders_loaded" },
 	{ 2012, LOG_WARNING, "store_era" },
 	{ 2013, LOG_INFO, "store_read_own" },
-	{ 2014, LOG_INFO, "versions_changed" },
+	{ 2014, LOG_INFO, "version_serves" },
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
 	{ 2011, LOG_WARNING, "metrics_unavailable" },
 	{ 7008, LOG_INFO, "serving_changed" },
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -75,8 +75,7 @@
 	struct target_list *old;
 
 	/* First, so that no stream begins at a version that is not known. */
-	if (origins_set_targets(e->origins, l, time_boot_ms()))
-		log_event(EV_VERSIONS_CHANGED, "targets=%d", (int)l->n);
+	origins_set_targets(e->origins, l, time_boot_ms());
 	g_mutex_lock(&e->lock);
 	old = e->list;
 	e->list = l;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -114,8 +114,7 @@
 	       g_rand_int_range(x->tr->rand, 0, RETRY_AFTER_SPREAD_MS);
 }
 
-/* End the exchange with an error response that the entry generates. */
-static void reply_error(struct exchange *x, enum ramp_error kind)
+void exchange_reply_error(struct exchange *x, enum ramp_error kind)
 {
 	struct buf out = {0};
 	int64_t wait_ms = error_responses[kind].retry ? retry_after_ms(x) : 0;
@@ -140,11 +139,6 @@
 	finish(x, keeps_alive(x));
 }
 
-void exchange_refuse(struct exchange *x, enum ramp_error kind)
-{
-	reply_error(x, kind);
-}
-
 void exchange_cancel(struct exchange *x)
 {
 	log_end(x, 0, "caller_left");
@@ -285,11 +279,12 @@
 static void fail(struct exchange *x)
 {
 	if (x->possible_runs)
-		reply_error(x, exchange_time_left_ms(x) < ATTEMPT_MIN_MS
-				       ? RAMP_ERR_TIMED_OUT
-				       : RAMP_ERR_OUTCOME_UNKNOWN);
+		exchange_reply_error(x,
+				     exchange_time_left_ms(x) < ATTEMPT_MIN_MS
+					     ? RAMP_ERR_TIMED_OUT
+					     : RAMP_ERR_OUTCOME_UNKNOWN);
 	else
-		reply_error(x, RAMP_ERR_OVERLOADED);
+		exchange_reply_error(x, RAMP_ERR_OVERLOADED);
 }
 
 static void on_link_fault(void *ctx, enum link_fault f, bool response_started)
@@ -515,8 +510,8 @@
 		if (x->link && link_connected(x->link))
 			x->possible_runs++;
 		exchange_abandon_attempt(x);
-		reply_error(x, x->possible_runs ? RAMP_ERR_TIMED_OUT
-						: RAMP_ERR_OVERLOADED);
+		exchange_reply_error(x, x->possible_runs ? RAMP_ERR_TIMED_OUT
+							 : RAMP_ERR_OVERLOADED);
 		return;
 	}
 	if (x->stall_deadline_ms && now >= x->stall_deadline_ms) {
@@ -547,7 +542,7 @@
 		if (x->possible_runs)
 			fail(x);
 		else
-			reply_error(x, RAMP_ERR_NO_TARGET);
+			exchange_reply_error(x, RAMP_ERR_NO_TARGET);
 		return;
 	}
 	x->target = t;
@@ -609,7 +604,7 @@
 	enum ramp_error e = exchange_resolve(x);
 
 	if (e != RAMP_OK) {
-		reply_error(x, e);
+		exchange_reply_error(x, e);
 		return;
 	}
 	retry_window_add_request(pool_retry_window(x->tr, x->service->name),
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -83,8 +83,8 @@
 int64_t exchange_time_left_ms(const struct exchange *x);
 /* Choose a target and forward. May end and free the exchange. */
 void exchange_attempt(struct exchange *x);
-/* Refuse the request, which has not run, and free the exchange. */
-void exchange_refuse(struct exchange *x, enum ramp_error kind);
+/* End the exchange with an error response that the entry generates. */
+void exchange_reply_error(struct exchange *x, enum ramp_error kind);
 /* Arm the timer for the earliest of the exchange's deadlines. */
 void exchange_arm_timer(struct exchange *x);
 /* End the attempt. Closing its connection cancels the work at the target. */
--- a/entry/origins.c
+++ b/entry/origins.c
@@ -237,11 +237,9 @@
 	}
 }
 
-bool origins_set_targets(struct origins *o, const struct target_list *l,
+void origins_set_targets(struct origins *o, const struct target_list *l,
 			 int64_t now_ms)
 {
-	bool changed = false;
-
 	g_mutex_lock(&o->lock);
 	if (!o->history_complete_ms)
 		o->history_complete_ms = now_ms + ORIGIN_TTL_MS;
@@ -259,12 +257,13 @@
 			continue;
 		}
 		g_array_append_val(s->versions, added);
-		changed = true;
-	}
-	if (changed)
 		o->changes++;
+		log_event(EV_VERSION_SERVES,
+			  "service=" STR_FMT " version=" STR_FMT " versions=%u",
+			  STR_ARG(t->service), STR_ARG(t->version),
+			  s->versions->len);
+	}
 	g_mutex_unlock(&o->lock);
-	return changed;
 }
 
 json_t *origins_versions(struct origins *o, int64_t now_ms)
--- a/entry/origins.h
+++ b/entry/origins.h
@@ -41,11 +41,8 @@
 				struct str service, int64_t now_ms,
 				uint64_t *version);
 
-/*
- * Update the versions that serve from the list of targets; return whether they
- * have changed.
- */
-bool origins_set_targets(struct origins *o, const struct target_list *l,
+/* Update the versions that serve from the list of targets. */
+void origins_set_targets(struct origins *o, const struct target_list *l,
 			 int64_t now_ms);
 /* Forget what has expired. */
 void origins_sweep(struct origins *o, int64_t now_ms);
--- a/entry/peer-origins.c
+++ b/entry/peer-origins.c
@@ -10,22 +10,27 @@
 /* Records or questions for one node. */
 struct outbox {
 	const struct entry_peer *peer;
-	struct peer_message message;
-	struct stream_origin origins[STREAM_ORIGINS_MAX];
-	struct origin_question questions[ORIGIN_QUESTIONS_MAX];
+	u_int n; /* entries */
+	union {
+		struct stream_origin origins[STREAM_ORIGINS_MAX];
+		struct origin_question questions[ORIGIN_QUESTIONS_MAX];
+	} v;
 };
 
-static void flush(struct control *c, struct outbox *b)
+static void flush(struct control *c, enum peer_kind kind, struct outbox *b)
 {
-	if (b->message.kind == PEER_ORIGINS)
-		b->message.peer_message_u.origins.entries.entries_val =
-			b->origins;
-	else
-		b->message.peer_message_u.origin_query.entries.entries_val =
-			b->questions;
-	peers_send_message(c, &b->peer->report_address, &b->message);
-	/* Both kinds count their entries at the same place. */
-	b->message.peer_message_u.origins.entries.entries_len = 0;
+	struct peer_message m = {.kind = kind};
+
+	if (kind == PEER_ORIGINS) {
+		m.peer_message_u.origins.entries.entries_len = b->n;
+		m.peer_message_u.origins.entries.entries_val = b->v.origins;
+	} else {
+		m.peer_message_u.origin_query.entries.entries_len = b->n;
+		m.peer_message_u.origin_query.entries.entries_val =
+			b->v.questions;
+	}
+	peers_send_message(c, &b->peer->report_address, &m);
+	b->n = 0;
 }
 
 /* The messages of one kind that are being filled, by node. */
@@ -55,10 +60,8 @@
 
 	g_hash_table_iter_init(&it, b->v);
 	while (g_hash_table_iter_next(&it, NULL, &p))
-		if (((struct outbox *)p)
-			    ->message.peer_message_u.origins.entries
-			    .entries_len)
-			flush(b->c, p);
+		if (((struct outbox *)p)->n)
+			flush(b->c, b->kind, p);
 	g_hash_table_unref(b->v);
 	g_free(b->ids);
 }
@@ -75,7 +78,6 @@
 			continue;
 		out = g_new0(struct outbox, 1);
 		out->peer = &b->peers->v[i];
-		out->message.kind = b->kind;
 		g_hash_table_insert(b->v, (gpointer)&out->peer->id, out);
 		return out;
 	}
@@ -86,28 +88,24 @@
 		       const struct stream_origin *origin)
 {
 	struct outbox *out = outbox_of(b, node);
-	u_int *n;
 
 	if (!out)
 		return;
-	n = &out->message.peer_message_u.origins.entries.entries_len;
-	out->origins[(*n)++] = *origin;
-	if (*n == STREAM_ORIGINS_MAX)
-		flush(b->c, out);
+	out->v.origins[out->n++] = *origin;
+	if (out->n == STREAM_ORIGINS_MAX)
+		flush(b->c, b->kind, out);
 }
 
 static bool add_question(struct outboxes *b, uint64_t node,
 			 const struct origin_question *q)
 {
 	struct outbox *out = outbox_of(b, node);
-	u_int *n;
 
 	if (!out)
 		return false;
-	n = &out->message.peer_message_u.origin_query.entries.entries_len;
-	out->questions[(*n)++] = *q;
-	if (*n == ORIGIN_QUESTIONS_MAX)
-		flush(b->c, out);
+	out->v.questions[out->n++] = *q;
+	if (out->n == ORIGIN_QUESTIONS_MAX)
+		flush(b->c, b->kind, out);
 	return true;
 }
 
--- a/entry/take-up.c
+++ b/entry/take-up.c
@@ -53,7 +53,7 @@
 	log_take_up(x, version, cause);
 	metric_add(M_TAKE_UPS_REFUSED_TOTAL, 1);
 	x->failure_cause = cause;
-	exchange_refuse(x, RAMP_ERR_NO_TARGET);
+	exchange_reply_error(x, RAMP_ERR_NO_TARGET);
 }
 
 /* Wait for the other nodes' answers. */
