soak: up to 32 entries; entries recover side by side

The soak had three entries, so records of streams that only some nodes hold were never in play with real processes. The number is an argument now. Each entry has that bound for itself now, as the constant's comment says, and is called by a thread of its own.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -1,7 +1,7 @@
 /*
- * soak SEED SECONDS: one run. Prints a TAP line, and a comment line for each
- * broken guarantee. The seed chooses the faults; the timing of processes and
- * callers varies from run to run.
+ * soak SEED SECONDS [ENTRIES]: one run. Prints a TAP line, and a comment line
+ * for each broken guarantee. The seed chooses the faults; the timing of
+ * processes and callers varies from run to run.
  */
 #include <fcntl.h>
 #include <signal.h>
@@ -15,7 +15,7 @@
 
 #include "soak/soak.h"
 
-#define ENTRIES       3
+#define ENTRIES       3 /* unless the command line says otherwise */
 #define TARGETS       3
 #define CALLERS       6
 #define STREAM_EVENTS 6
@@ -54,16 +54,18 @@
 struct soak {
 	struct rig *rig;
 	struct ledger *ledger;
-	struct proxy *store_proxies[ENTRIES];
+	size_t entry_count;
+	struct proxy *store_proxies[RIG_ENTRIES_MAX];
 	struct proxy *target_proxies[TARGETS];
-	struct entry_process entries[ENTRIES];
+	struct entry_process entries[RIG_ENTRIES_MAX];
 	GRand *fault_rand; /* chooses the faults; used by main only */
 	atomic_bool stop;
-	atomic_int key; /* number of the current key */
+	atomic_int recovering; /* entries whose check has not ended */
+	atomic_int key;        /* number of the current key */
 	/* By key number; 0: not revoked. */
 	atomic_int_least64_t key_revoked_ms[KEY_SLOTS];
-	/* When each proxy's fault ends; those to the store come first. */
-	int64_t fault_end_ms[ENTRIES + TARGETS];
+	/* When each proxy's fault ends; those to the targets come first. */
+	int64_t fault_end_ms[RIG_ENTRIES_MAX + TARGETS];
 	char *program_path;
 };
 
@@ -241,7 +243,8 @@
 	for (int i = 0; i < TAKE_UPS_MAX && !complete; i++) {
 		int status;
 
-		c->entry = (size_t)g_random_int_range(0, ENTRIES);
+		c->entry =
+			(size_t)g_random_int_range(0, (gint32)s->entry_count);
 		status = call_and_check(s, c, &complete);
 		if (status)
 			ledger_record_take_up(s->ledger, status == 200);
@@ -255,7 +258,8 @@
 
 	while (!atomic_load(&s->stop)) {
 		struct call c = {
-			.entry = (size_t)g_random_int_range(0, ENTRIES),
+			.entry = (size_t)g_random_int_range(
+				0, (gint32)s->entry_count),
 			.kind = (uint32_t)g_random_int_range(0, REQUEST_KINDS),
 			.key = atomic_load(&s->key)};
 		bool complete;
@@ -356,7 +360,7 @@
 /* Restart entries that have exited; note those that became ready. */
 static void restart_exited(struct soak *s)
 {
-	for (size_t i = 0; i < ENTRIES; i++) {
+	for (size_t i = 0; i < s->entry_count; i++) {
 		struct entry_process *process = &s->entries[i];
 		int status;
 
@@ -390,7 +394,8 @@
 /* Inject one fault; it overlaps with earlier ones that have not ended. */
 static void inject_fault(struct soak *s, int64_t now_ms)
 {
-	size_t e = (size_t)g_rand_int_range(s->fault_rand, 0, ENTRIES);
+	size_t e = (size_t)g_rand_int_range(s->fault_rand, 0,
+					    (gint32)s->entry_count);
 	size_t t = (size_t)g_rand_int_range(s->fault_rand, 0, TARGETS);
 	int fault = g_rand_int_range(s->fault_rand, 1, PROXY_FAULT_COUNT);
 	int64_t end_ms = now_ms + g_rand_int_range(s->fault_rand, 200, 4000);
@@ -398,11 +403,11 @@
 	switch (g_rand_int_range(s->fault_rand, 0, 9)) {
 	case 0:
 		proxy_set_fault(s->store_proxies[e], (enum proxy_fault)fault);
-		s->fault_end_ms[e] = end_ms;
+		s->fault_end_ms[TARGETS + e] = end_ms;
 		return;
 	case 1:
 		proxy_set_fault(s->target_proxies[t], (enum proxy_fault)fault);
-		s->fault_end_ms[ENTRIES + t] = end_ms;
+		s->fault_end_ms[t] = end_ms;
 		return;
 	case 2:
 		stop_entry(s, e, SIGKILL);
@@ -437,14 +442,14 @@
  */
 static void clear_faults(struct soak *s, int64_t now_ms, bool all)
 {
-	for (size_t i = 0; i < ENTRIES + TARGETS; i++) {
+	for (size_t i = 0; i < TARGETS + s->entry_count; i++) {
 		if (!all && now_ms < s->fault_end_ms[i])
 			continue;
-		proxy_set_fault(i < ENTRIES ? s->store_proxies[i]
-					    : s->target_proxies[i - ENTRIES],
+		proxy_set_fault(i < TARGETS ? s->target_proxies[i]
+					    : s->store_proxies[i - TARGETS],
 				PROXY_FAULT_NONE);
 	}
-	for (size_t i = 0; i < ENTRIES; i++) {
+	for (size_t i = 0; i < s->entry_count; i++) {
 		struct entry_process *process = &s->entries[i];
 
 		if (!process->suspended ||
@@ -458,29 +463,55 @@
 			rig_publish(s->rig, t, "ready");
 }
 
+/* The check of one entry; its thread ends once the entry has recovered. */
+struct recovery {
+	struct soak *soak;
+	size_t entry;
+	int64_t deadline_ms;
+	bool recovered;
+};
+
+static void *recovery_thread(void *arg)
+{
+	struct recovery *r = arg;
+	int successes = 0;
+
+	while (successes < RECOVERY_SUCCESSES &&
+	       time_mono_ms() < r->deadline_ms) {
+		struct call c = {.entry = r->entry,
+				 .kind = REQUEST_SAFE,
+				 .key = atomic_load(&r->soak->key)};
+		bool complete;
+		int status = call_and_check(r->soak, &c, &complete);
+
+		successes = status == 200 || status == 500 ? successes + 1 : 0;
+		g_usleep(20000);
+	}
+	r->recovered = successes >= RECOVERY_SUCCESSES;
+	atomic_fetch_sub(&r->soak->recovering, 1);
+	return NULL;
+}
+
 /* Check that every entry serves again now that all faults are cleared. */
 static void check_recovery(struct soak *s)
 {
 	int64_t deadline_ms = time_mono_ms() + RECOVERY_MAX_MS;
-
-	for (size_t i = 0; i < ENTRIES; i++) {
-		int successes = 0;
-
-		while (successes < RECOVERY_SUCCESSES &&
-		       time_mono_ms() < deadline_ms) {
-			struct call c = {.entry = i,
-					 .kind = REQUEST_SAFE,
-					 .key = atomic_load(&s->key)};
-			bool complete;
-			int status = call_and_check(s, &c, &complete);
-
-			successes = status == 200 || status == 500
-					    ? successes + 1
-					    : 0;
-			g_usleep(20000);
-			restart_exited(s);
-		}
-		if (successes < RECOVERY_SUCCESSES)
+	struct recovery checks[RIG_ENTRIES_MAX];
+	GThread *threads[RIG_ENTRIES_MAX];
+
+	atomic_store(&s->recovering, (int)s->entry_count);
+	for (size_t i = 0; i < s->entry_count; i++) {
+		checks[i] = (struct recovery){s, i, deadline_ms, false};
+		threads[i] =
+			g_thread_new("recovery", recovery_thread, &checks[i]);
+	}
+	while (atomic_load(&s->recovering)) {
+		restart_exited(s);
+		g_usleep(20000);
+	}
+	for (size_t i = 0; i < s->entry_count; i++) {
+		g_thread_join(threads[i]);
+		if (!checks[i].recovered)
 			ledger_record_broken(s->ledger,
 					     "entry %d did not recover in time",
 					     (int)i);
@@ -501,7 +532,7 @@
 	}
 	rig_write_config(s->rig, "k1");
 	atomic_store(&s->key, 1);
-	for (size_t i = 0; i < ENTRIES; i++) {
+	for (size_t i = 0; i < s->entry_count; i++) {
 		char *text;
 		int fd;
 
@@ -520,7 +551,7 @@
 
 static void tear_down(struct soak *s)
 {
-	for (size_t i = 0; i < ENTRIES; i++) {
+	for (size_t i = 0; i < s->entry_count; i++) {
 		stop_entry(s, i, SIGKILL);
 		unlink(s->entries[i].settings_path);
 		g_free(s->entries[i].settings_path);
@@ -541,6 +572,9 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	running_soak = &s;
+	s.entry_count =
+		argc > 3 ? (size_t)CLAMP(atoi(argv[3]), 1, RIG_ENTRIES_MAX)
+			 : ENTRIES;
 	end_ms = time_mono_ms() + 1000 * (argc > 2 ? atoi(argv[2]) : 10);
 	s.program_path =
 		getenv("RAMPENTRY") ? getenv("RAMPENTRY") : "bin/rampentry";
