--- a/soak/soak.c
+++ b/soak/soak.c
@@ -467,6 +467,7 @@
 struct recovery {
 	struct soak *soak;
 	size_t entry;
+	GThread *thread;
 	int64_t deadline_ms;
 	bool recovered;
 };
@@ -496,13 +497,14 @@
 static void check_recovery(struct soak *s)
 {
 	int64_t deadline_ms = time_mono_ms() + RECOVERY_MAX_MS;
-	struct recovery checks[RIG_ENTRIES_MAX];
-	GThread *threads[RIG_ENTRIES_MAX];
+	struct recovery checks[RIG_ENTRIES_MAX] = {0};
 
 	atomic_store(&s->recovering, (int)s->entry_count);
 	for (size_t i = 0; i < s->entry_count; i++) {
-		checks[i] = (struct recovery){s, i, deadline_ms, false};
-		threads[i] =
+		checks[i].soak = s;
+		checks[i].entry = i;
+		checks[i].deadline_ms = deadline_ms;
+		checks[i].thread =
 			g_thread_new("recovery", recovery_thread, &checks[i]);
 	}
 	while (atomic_load(&s->recovering)) {
@@ -510,7 +512,7 @@
 		g_usleep(20000);
 	}
 	for (size_t i = 0; i < s->entry_count; i++) {
-		g_thread_join(threads[i]);
+		g_thread_join(checks[i].thread);
 		if (!checks[i].recovered)
 			ledger_record_broken(s->ledger,
 					     "entry %d did not recover in time",
