Tests: a refusal of none and a take-up are written in the rig only

Read once more: the soak spelled names of the platform's wire, which belong to platform/, and so doubled a response of test-entry and the headers of test-versions. The rig has one function for each; assertions stay. No product source changes.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -106,9 +106,7 @@
 	if (r < 70)
 		return;
 	if (r >= 970 && req->on_connection > 1)
-		respond_raw(req, "HTTP/1.1 503 Full\r\n"
-				 "Auburnramp-Not-Executed: 1\r\n"
-				 "Content-Length: 0\r\n\r\n");
+		respond_refusal_of_none(req);
 	g_usleep(r * 50);
 	if (!stream) {
 		respond_signed(req, r < 100 ? 500 : 200, req->attempt_id);
@@ -214,9 +212,7 @@
 		c->kind == REQUEST_ONCE || c->kind == REQUEST_STREAM_ONCE, id);
 	snprintf(name, sizeof(name), "k%d", c->key);
 	if (c->got.events)
-		headers =
-			g_strdup_printf("Last-Event-Id: %d\r\nResumes: %s\r\n",
-					c->got.events, c->first_id);
+		headers = rig_take_up_headers(c->got.events, c->first_id);
 	r = rig_call_as(s->rig, c->entry, id, name,
 			c->kind == REQUEST_SAFE ? "GET" : "POST",
 			paths[c->kind], headers);
