--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -69,16 +69,19 @@
 	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
 	log_event(EV_REQUEST_ENDED,
 		  "request=" STR_FMT " route=" STR_FMT
-		  " prompt=%x shared=%d target=" STR_FMT " source=" STR_FMT
+		  " prompt=%x parts=%s shared=%d target=" STR_FMT
+		  " source=" STR_FMT
 		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
 		  "cause=%s config=%d config_age_ms=%d version=" STR_FMT
 		  " resumes=" STR_FMT,
 		  STR_ARG(x->request_id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
-		  (unsigned)x->prompt.parts[0], (int)x->prompt.shared_tokens,
-		  STR_ARG(x->last_target_name), STR_ARG(x->last_source_name),
-		  status, how, (int)(now - x->arrived_ms), x->attempts,
-		  x->possible_runs, (int)x->splitter.event_count,
+		  (unsigned)x->prompt.parts[0],
+		  prompt_parts_text(x->arena, x->parts),
+		  (int)x->prompt.shared_tokens, STR_ARG(x->last_target_name),
+		  STR_ARG(x->last_source_name), status, how,
+		  (int)(now - x->arrived_ms), x->attempts, x->possible_runs,
+		  (int)x->splitter.event_count,
 		  x->failure_cause ? x->failure_cause : "-",
 		  x->config ? (int)x->config->version : 0,
 		  fresh ? (int)(now - fresh) : -1,
@@ -235,6 +238,8 @@
 	struct exchange *x = ctx;
 	struct buf out = {0};
 
+	if (!x->first_event_ms)
+		x->first_event_ms = time_boot_ms();
 	if (!x->head_sent) {
 		write_response_head(x, &out);
 		buf_fmt(&out, "Transfer-Encoding: chunked\r\n\r\n");
@@ -565,6 +570,7 @@
 	/* On a new connection the bytes are sent once it is established. */
 	exchange_forward(x, source);
 	x->sent_ms = time_boot_ms();
+	x->first_event_ms = 0;
 	x->head_timeout_ms = stall_timeout_for(x->route->latency_target_ms,
 					       x->deadline_ms - x->sent_ms);
 	x->head_check_at_ms = x->sent_ms + x->head_timeout_ms;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -39,6 +39,7 @@
 	/* Id of the caller's attempt whose stream this one continues, if any */
 	struct str resumes;
 	struct prompt prompt;
+	struct prompt_parts *parts; /* NULL: the request names none */
 	int64_t arrived_ms;
 	int64_t deadline_ms; /* the earlier of the caller's and the route's */
 
@@ -51,6 +52,7 @@
 	struct link *link;
 	bool link_reused; /* the link was idle, not opened for the attempt */
 	int64_t sent_ms;
+	int64_t first_event_ms; /* of the attempt; 0: none yet */
 	/* When to check why no response has begun; 0: one has. */
 	int64_t head_check_at_ms;
 	int64_t head_timeout_ms; /* time from sent_ms to the first check */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -47,6 +47,16 @@
 	size_t part_count;
 };
 
+/* Most shared parts of a prompt that are examined; the first are kept. */
+#define PROMPT_SHARED_MAX 64
+
+/* Hashes of a prompt's parts, in their order. */
+struct prompt_parts {
+	uint64_t shared[PROMPT_SHARED_MAX];
+	size_t n;
+	uint64_t own; /* the last one: of the request or its chat; 0: none */
+};
+
 /* Number of request priorities; 0 is the most urgent. */
 #define PRIORITY_COUNT 10
 
@@ -168,6 +178,18 @@
  */
 void timer_start_once(struct ev_loop *loop, ev_timer *w, int64_t ms);
 
+/* prompt.c: the parts of prompts. */
+
+/*
+ * Parse the prompt's parts, a comma-separated list of ID:TOKENS. The last part
+ * is the request's own and so not shared. If it is the only one it is used as
+ * the placement key all the same, as later requests of the same chat may begin
+ * with it. parts gets all of them, whether they serve placement or not.
+ */
+struct prompt prompt_parse(struct str text, struct prompt_parts *parts);
+/* Format the shared parts for the log; in the arena. parts may be NULL. */
+const char *prompt_parts_text(void *arena, const struct prompt_parts *parts);
+
 /* caller.c: connections of callers. */
 
 /* Accept all connections that wait on the port. */
--- a/entry/resolve.c
+++ b/entry/resolve.c
@@ -7,49 +7,19 @@
 
 #include "entry/exchange.h"
 
-/*
- * Insert a part, which is longer than those so far, at the front. The shortest
- * is dropped when there is no room.
- */
-static void prepend_part(struct prompt *p, struct str part)
+/* Parse the prompt; placement uses it only if the route says so. */
+static void read_prompt(struct exchange *x)
 {
-	memmove(&p->parts[1], &p->parts[0],
-		(PROMPT_PARTS_MAX - 1) * sizeof(p->parts[0]));
-	p->parts[0] = str_hash(part, 0);
-	p->part_count = MIN(p->part_count + 1, PROMPT_PARTS_MAX);
-}
+	struct str text =
+		message_header(x->request, x->tr->dialect->prompt_parts);
+	struct prompt prompt;
 
-/*
- * Parse the prompt's parts, a comma-separated list of ID:TOKENS. The last part
- * is the request's own and so not shared. If it is the only one it is used as
- * the key all the same, as later requests of the same chat may begin with it.
- */
-static struct prompt parse_prompt(struct str parts)
-{
-	const char *p = parts.data, *end = parts.data + parts.len;
-	struct prompt out = {0};
-	struct str last = {NULL, 0};
-	int64_t tokens = 0;
-
-	while (p && p < end) {
-		const char *comma = memchr(p, ',', (size_t)(end - p));
-		const char *stop = comma ? comma : end;
-		const char *colon = memchr(p, ':', (size_t)(stop - p));
-		int64_t n = 0;
-
-		if (last.len)
-			prepend_part(&out, last);
-		out.shared_tokens = tokens;
-		if (colon)
-			n = str_parse_number((struct str){
-				colon + 1, (size_t)(stop - colon - 1)});
-		last = (struct str){p, (size_t)((colon ? colon : stop) - p)};
-		tokens += MAX(n, 0);
-		p = stop + 1;
-	}
-	if (!out.part_count && last.len)
-		prepend_part(&out, last);
-	return out;
+	if (!text.len)
+		return;
+	x->parts = talloc_zero(x->arena, struct prompt_parts);
+	prompt = prompt_parse(text, x->parts);
+	if (x->route->prefix_affinity)
+		x->prompt = prompt;
 }
 
 /* Return the host without its port, in lower case. */
@@ -124,8 +94,7 @@
 		x->deadline_ms = MIN(x->deadline_ms, x->arrived_ms + wait_ms);
 	if (exchange_time_left_ms(x) < ATTEMPT_MIN_MS)
 		return RAMP_ERR_OVERLOADED;
-	if (x->route->prefix_affinity)
-		x->prompt = parse_prompt(message_header(m, d->prompt_parts));
+	read_prompt(x);
 	x->service = pick_service(x);
 	return x->service ? RAMP_OK : RAMP_ERR_NO_TARGET;
 }
