Parts of prompts that crash targets are found and refused

Callers lost their streams as one target after the other crashed: each that begins to respond to one part of a prompt ends, whatever else the request has, and is back after some seconds.

Cause: no decision related a crash to what the requests in progress there held. A broken attempt was repeated at the next target, other requests with the part went to any, and no node told the others.

Nodes now keep, for each shared part, the targets that crashed under an attempt with it that had not begun, and when a response with it last began, exchange these records, and refuse requests with a part once four targets have crashed. The mend works as it separates the part from those that come with it: responses with those begin, at this node or another, which clears them; and of two that can't be told apart the later one in the prompt is blocked, which is in fewer sound requests. A broken connection counts only if the target accepts no new one. All attempts go through exchange_attempt, so first ones, repeats, resumed and taken-up streams are refused alike.

Ruled out: load as the cause (each target that crashed had such an attempt). Tried: three different requests before a part is blocked, which took up to nine crashes, as each request crashes four targets with its caller's second attempt; blocking on another node's word only if the own records suffice, which left a node without the block for 15 s. Both changed.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -51,6 +51,8 @@
 	{ 2012, LOG_WARNING, "store_era" },
 	{ 2013, LOG_INFO, "store_read_own" },
 	{ 2014, LOG_INFO, "version_serves" },
+	{ 4013, LOG_WARNING, "prompt_blocked" },
+	{ 4014, LOG_INFO, "prompt_freed" },
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
 	{ 2011, LOG_WARNING, "metrics_unavailable" },
 	{ 7008, LOG_INFO, "serving_changed" },
--- a/entry/control.h
+++ b/entry/control.h
@@ -40,8 +40,9 @@
 	int64_t settings_check_at_ms;
 	struct timespec settings_mtime; /* of the settings file in force */
 	int64_t introduce_at_ms;
-	GHashTable *seeds; /* control addresses from the settings */
-	size_t next_relay; /* round-robin position for queries */
+	GHashTable *seeds;        /* control addresses from the settings */
+	int64_t parts_list_at_ms; /* suspected parts are sent again then */
+	size_t next_relay;        /* round-robin position for queries */
 };
 
 /*
@@ -80,4 +81,11 @@
 			  const struct origin_query *query);
 void peers_apply_origins(struct control *c, const struct origin_answer *answer);
 
+/* peer-parts.c: messages about the parts of prompts that crash targets. */
+
+/* Decide which parts are blocked, and send what other nodes lack. */
+void peers_send_parts(struct control *c, const struct peer_list *l,
+		      int64_t now_ms);
+void peers_receive_parts(struct control *c, const struct part_reports *m);
+
 #endif
--- /dev/null
+++ b/entry/crash-check.c
@@ -0,0 +1,99 @@
+/*
+ * Finds out whether a target has crashed when connections to it break: one that
+ * lives accepts a new connection, which is closed at once. Connections break
+ * for other reasons as well, and what a prompt holds is not to blame for them.
+ */
+#include "entry/internal.h"
+
+/* Interval of the looks at whether the connection is established. */
+#define CHECK_INTERVAL_MS 10
+/* Attempts that are kept for the result of one check. */
+#define SUSPECTS_MAX 64
+
+struct crash_check {
+	struct traffic *tr;
+	uint64_t target; /* id */
+	int64_t broke_ms;
+	struct link *link;
+	ev_timer timer;
+	struct prompt_parts suspects[SUSPECTS_MAX];
+	size_t n;
+};
+
+static void check_free(void *p)
+{
+	struct crash_check *c = p;
+
+	ev_timer_stop(c->tr->loop, &c->timer);
+	link_close(c->link);
+	g_free(c);
+}
+
+static void on_not_connected(void *ctx)
+{
+	struct crash_check *c = ctx;
+
+	for (size_t i = 0; i < c->n && !link_connected(c->link); i++) {
+		const struct prompt_parts *s = &c->suspects[i];
+
+		prompt_faults_crashed(
+			c->tr->e->prompt_faults,
+			(struct prompt_part_list){s->shared, s->n}, s->own,
+			c->target, c->broke_ms);
+	}
+	g_hash_table_remove(c->tr->crash_checks, &c->target);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct crash_check *c = w->data;
+
+	(void)events;
+	if (link_connected(c->link))
+		g_hash_table_remove(c->tr->crash_checks, &c->target);
+	else
+		timer_start_once(loop, w, CHECK_INTERVAL_MS);
+}
+
+static struct crash_check *check_new(struct traffic *tr, const struct target *t)
+{
+	struct link *l = link_open(tr->loop, &t->info.address);
+	struct crash_check *c;
+
+	if (!l)
+		return NULL;
+	c = g_new0(struct crash_check, 1);
+	c->tr = tr;
+	c->target = t->info.id;
+	c->broke_ms = time_boot_ms();
+	c->link = l;
+	link_set_idle(l, on_not_connected, c);
+	ev_init(&c->timer, on_timer);
+	c->timer.data = c;
+	timer_start_once(tr->loop, &c->timer, CHECK_INTERVAL_MS);
+	g_hash_table_insert(tr->crash_checks, &c->target, c);
+	return c;
+}
+
+void crash_check(struct traffic *tr, const struct target *t,
+		 const struct prompt_parts *parts)
+{
+	struct crash_check *c =
+		g_hash_table_lookup(tr->crash_checks, &t->info.id);
+
+	if (!c)
+		c = check_new(tr, t);
+	if (c && c->n < SUSPECTS_MAX)
+		c->suspects[c->n++] = *parts;
+}
+
+void crash_checks_init(struct traffic *tr)
+{
+	tr->crash_checks = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, check_free);
+}
+
+void crash_checks_free(struct traffic *tr)
+{
+	g_hash_table_unref(tr->crash_checks);
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -244,6 +244,7 @@
 	tr->loop = ev_loop_new(EVFLAG_AUTO);
 	defer_init(tr->loop);
 	pool_init(tr);
+	crash_checks_init(tr);
 	tr->callers = g_queue_new();
 	tr->taking_up = g_queue_new();
 	tr->rand = g_rand_new();
@@ -260,6 +261,18 @@
 	ev_timer_start(tr->loop, &tr->housekeeping);
 }
 
+/* A part of prompts is blocked or freed. */
+static void on_part_changed(void *ctx, const struct part_record *r,
+			    const char *why)
+{
+	(void)ctx;
+	metric_add(M_PROMPT_PARTS_BLOCKED, r->blocked ? 1 : -1);
+	log_event(r->blocked ? EV_PROMPT_BLOCKED : EV_PROMPT_FREED,
+		  "part=%x depth=%d crashes=%d began_before=%d why=%s",
+		  (unsigned)r->part, (int)r->depth, (int)r->crash_count,
+		  r->began_ms != 0, why);
+}
+
 struct entry *entry_new(const struct entry_options *o, GError **err)
 {
 	struct entry *e = g_new0(struct entry, 1);
@@ -273,6 +286,7 @@
 	e->loads = loads_new(member_id(e->settings.node_name));
 	e->holders = holders_new();
 	e->origins = origins_new();
+	e->prompt_faults = prompt_faults_new(on_part_changed, NULL);
 	traffic_init(e);
 	open_metrics(&e->tr);
 	if (open_ports(&e->tr, &error))
@@ -315,6 +329,7 @@
 	callers_close_all(tr);
 	for (int i = 0; i < PORT_COUNT; i++)
 		close_port(tr, (enum port_kind)i);
+	crash_checks_free(tr);
 	pool_free(tr);
 	if (e->control)
 		control_free(e->control);
@@ -332,6 +347,7 @@
 	loads_free(e->loads);
 	holders_free(e->holders);
 	origins_free(e->origins);
+	prompt_faults_free(e->prompt_faults);
 	g_free(e->control_address);
 	g_free(e);
 }
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -24,6 +24,11 @@
  */
 #define STALL_GAP_FACTOR 3
 #define STALL_MIN_MS     1000
+/*
+ * A target that crashes of a prompt does so within this time of the first
+ * event, if it gives one at all.
+ */
+#define BEGUN_AFTER_MS 300
 /* Retry-After of a refusal: the minimum plus a random part up to the spread. */
 #define RETRY_AFTER_MIN_MS    100
 #define RETRY_AFTER_SPREAD_MS 200
@@ -107,12 +112,15 @@
  * Return the time after which the caller may come back: when targets of the
  * service have asked for rest, once the first of them takes requests again.
  */
-static int64_t retry_after_ms(const struct exchange *x)
+static int64_t retry_after_ms(const struct exchange *x, enum ramp_error kind)
 {
 	int64_t now = time_boot_ms();
 	int64_t rest_end_ms =
 		x->service ? pool_rest_end_ms(x->tr, x->service, now) : 0;
 
+	/* No earlier request with the part is served. */
+	if (kind == RAMP_ERR_PROMPT_BLOCKED)
+		return PART_BLOCK_IDLE_MS;
 	return MAX(RETRY_AFTER_MIN_MS, x->all_resting ? rest_end_ms - now : 0) +
 	       g_rand_int_range(x->tr->rand, 0, RETRY_AFTER_SPREAD_MS);
 }
@@ -120,7 +128,8 @@
 void exchange_reply_error(struct exchange *x, enum ramp_error kind)
 {
 	struct buf out = {0};
-	int64_t wait_ms = error_responses[kind].retry ? retry_after_ms(x) : 0;
+	int64_t wait_ms =
+		error_responses[kind].retry ? retry_after_ms(x, kind) : 0;
 
 	log_end(x, error_responses[kind].http_status,
 		error_responses[kind].name);
@@ -232,14 +241,45 @@
 			       x->service->name, x->version, time_boot_ms());
 }
 
+/* Return the shared parts of the prompt; an empty list when it has none. */
+static struct prompt_part_list shared_parts(const struct exchange *x)
+{
+	return x->parts ? (struct prompt_part_list){x->parts->shared,
+						    x->parts->n}
+			: (struct prompt_part_list){NULL, 0};
+}
+
+/* The attempt's response has begun and its target has not crashed of it. */
+static void record_begin(struct exchange *x, int64_t began_ms)
+{
+	if (x->begin_recorded || !x->parts)
+		return;
+	x->begin_recorded = true;
+	prompt_faults_began(x->tr->e->prompt_faults, shared_parts(x), began_ms);
+}
+
+/* The connection broke, perhaps as the target crashed when it was to begin. */
+static void record_break(struct exchange *x)
+{
+	if (x->begin_recorded || !x->parts)
+		return;
+	crash_check(x->tr, x->target, x->parts);
+}
+
 /* Send one complete event of a stream to the caller, as one chunk. */
 static void deliver_event(void *ctx, const char *p, size_t n)
 {
 	struct exchange *x = ctx;
 	struct buf out = {0};
 
-	if (!x->first_event_ms)
-		x->first_event_ms = time_boot_ms();
+	if (!x->begin_recorded && x->parts) {
+		int64_t now = time_boot_ms();
+
+		if (!x->first_event_ms)
+			x->first_event_ms = now;
+		if (now - x->first_event_ms >= BEGUN_AFTER_MS)
+			record_begin(x, x->first_event_ms);
+	}
 	if (!x->head_sent) {
 		write_response_head(x, &out);
 		buf_fmt(&out, "Transfer-Encoding: chunked\r\n\r\n");
@@ -301,6 +341,8 @@
 
 	(void)response_started;
 	x->failure_cause = causes[f];
+	if (f == LINK_BROKEN)
+		record_break(x);
 	/*
 	 * A reused connection may break because the target closed it as idle,
 	 * so that is not counted as a fault.
@@ -424,12 +466,14 @@
 	/* A stream that ends within an event, or without any, was truncated. */
 	if (buf_len(&x->splitter.partial) || !x->splitter.event_count) {
 		x->failure_cause = "stream_cut";
+		record_break(x);
 		pool_record_response(x->target, false);
 		if (!exchange_retry(x, true, true))
 			fail(x);
 		return;
 	}
 	pool_record_response(x->target, true);
+	record_begin(x, x->first_event_ms);
 	log_end(x, 200, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
 	caller_write(x->caller, "0\r\n\r\n", 5);
@@ -480,6 +524,8 @@
 			return;
 		}
 	}
+	if (status == 200)
+		record_begin(x, time_boot_ms());
 	deliver_response(x);
 }
 
@@ -534,13 +580,32 @@
 	exchange_arm_timer(x);
 }
 
+/*
+ * Refuse the request if a part of its prompt crashes targets. Return whether it
+ * was refused.
+ */
+static bool refuse_blocked_prompt(struct exchange *x)
+{
+	if (!prompt_faults_blocks(x->tr->e->prompt_faults, shared_parts(x),
+				  time_boot_ms()))
+		return false;
+	metric_add(M_PROMPT_REFUSALS_TOTAL, 1);
+	x->failure_cause = "prompt_blocked";
+	if (x->possible_runs)
+		fail(x);
+	else
+		exchange_reply_error(x, RAMP_ERR_PROMPT_BLOCKED);
+	return true;
+}
+
 void exchange_attempt(struct exchange *x)
 {
-	struct target *source;
-	struct target *t = pool_choose_target(x->tr, x->service, &x->prompt,
-					      x->version, x->tried_targets,
-					      (size_t)x->attempts, &source);
+	struct target *source, *t;
 
+	if (refuse_blocked_prompt(x))
+		return;
+	t = pool_choose_target(x->tr, x->service, &x->prompt, x->version,
+			       x->tried_targets, (size_t)x->attempts, &source);
 	if (!t) {
 		x->failure_cause = "no_target";
 		x->all_resting = true;
@@ -571,6 +636,7 @@
 	exchange_forward(x, source);
 	x->sent_ms = time_boot_ms();
 	x->first_event_ms = 0;
+	x->begin_recorded = false;
 	x->head_timeout_ms = stall_timeout_for(x->route->latency_target_ms,
 					       x->deadline_ms - x->sent_ms);
 	x->head_check_at_ms = x->sent_ms + x->head_timeout_ms;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -57,6 +57,7 @@
 	int64_t head_check_at_ms;
 	int64_t head_timeout_ms; /* time from sent_ms to the first check */
 	bool silence_counted;    /* a fault was recorded for this silence */
+	bool begin_recorded;     /* that it began without a crash */
 	bool foreign_response; /* the one being read has another request's id */
 	bool streaming;
 	struct message *response; /* its head; owned by the link */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -13,6 +13,7 @@
 
 #include "entry/entry.h"
 #include "member/member.h"
+#include "route/prompt-faults.h"
 
 struct exchange;
 struct caller;
@@ -97,6 +98,7 @@
 	struct target_list *list;
 	struct peer_list *peers;
 	GHashTable *targets;       /* id -> struct target */
+	GHashTable *crash_checks;  /* target id -> struct crash_check */
 	GHashTable *retry_windows; /* service name -> struct service_retries */
 	struct key_rates *key_rates; /* of placement keys, at this node */
 	GRand *rand;
@@ -128,6 +130,7 @@
 	struct loads *loads;
 	struct holders *holders;
 	struct origins *origins;
+	struct prompt_faults *prompt_faults;
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
 	char *control_address;
@@ -190,6 +193,18 @@
 /* Format the shared parts for the log; in the arena. parts may be NULL. */
 const char *prompt_parts_text(void *arena, const struct prompt_parts *parts);
 
+/* crash-check.c: whether a target whose connection broke has crashed. */
+
+void crash_checks_init(struct traffic *tr);
+/* Cancel the checks in progress. */
+void crash_checks_free(struct traffic *tr);
+/*
+ * The connection of an attempt broke before its response began. If the target
+ * turns out to have crashed, record that for the parts of its prompt.
+ */
+void crash_check(struct traffic *tr, const struct target *t,
+		 const struct prompt_parts *parts);
+
 /* caller.c: connections of callers. */
 
 /* Accept all connections that wait on the port. */
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -181,6 +181,37 @@
 	} entries;
 };
 typedef struct origin_answer origin_answer;
+#define PART_REPORTS_MAX 7
+#define PART_REPORT_CRASHES_MAX 12
+
+struct part_crash_report {
+	u_int target;
+	u_int request;
+	u_int age_ms;
+};
+typedef struct part_crash_report part_crash_report;
+#define PART_NEVER_MS 0xffffffff
+
+struct part_report {
+	u_quad_t part;
+	u_int began_age_ms;
+	u_int asked_age_ms;
+	u_int depth;
+	bool_t blocked;
+	struct {
+		u_int crashes_len;
+		part_crash_report *crashes_val;
+	} crashes;
+};
+typedef struct part_report part_report;
+
+struct part_reports {
+	struct {
+		u_int entries_len;
+		part_report *entries_val;
+	} entries;
+};
+typedef struct part_reports part_reports;
 
 enum peer_kind {
 	PEER_LOADS = 0,
@@ -194,6 +225,7 @@
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
+	PEER_PARTS = 11,
 };
 typedef enum peer_kind peer_kind;
 
@@ -211,6 +243,7 @@
 		stream_origins origins;
 		origin_query origin_query;
 		origin_answer origin_answer;
+		part_reports parts;
 	} peer_message_u;
 };
 typedef struct peer_message peer_message;
@@ -234,6 +267,9 @@
 extern  bool_t xdr_origin_query (XDR *, origin_query*);
 extern  bool_t xdr_origin_reply (XDR *, origin_reply*);
 extern  bool_t xdr_origin_answer (XDR *, origin_answer*);
+extern  bool_t xdr_part_crash_report (XDR *, part_crash_report*);
+extern  bool_t xdr_part_report (XDR *, part_report*);
+extern  bool_t xdr_part_reports (XDR *, part_reports*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
 
@@ -254,6 +290,9 @@
 extern bool_t xdr_origin_query ();
 extern bool_t xdr_origin_reply ();
 extern bool_t xdr_origin_answer ();
+extern bool_t xdr_part_crash_report ();
+extern bool_t xdr_part_report ();
+extern bool_t xdr_part_reports ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_message ();
 
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -223,6 +223,9 @@
 	case PEER_ORIGIN_ANSWER:
 		peers_apply_origins(c, &m->peer_message_u.origin_answer);
 		break;
+	case PEER_PARTS:
+		peers_receive_parts(c, &m->peer_message_u.parts);
+		break;
 	}
 }
 
--- /dev/null
+++ b/entry/peer-parts.c
@@ -0,0 +1,145 @@
+/*
+ * Messages between nodes about the parts of prompts that crash targets. A small
+ * fleet sends what is new to all nodes; in a large one each node that learns of
+ * it sends it on to some others. Runs on the control thread.
+ */
+#include "entry/control.h"
+
+/* Fleets with more nodes pass news on. */
+#define DIRECT_NODES_MAX 24
+/* Datagrams of news that a node sends in a tick, to each that gets them. */
+#define NEWS_PER_TICK 4
+/* Nodes that get news in a tick of a large fleet. */
+#define NEWS_FANOUT 4
+/* How often news is sent, as datagrams get lost and fan out at random. */
+#define DIRECT_ROUNDS 2
+#define FANOUT_ROUNDS 3
+/* Nodes that are reminded of suspected parts, and how often. */
+#define REMINDED_NODES     3
+#define REMIND_INTERVAL_MS 300
+
+static u_int age_of(int64_t at_ms, int64_t now_ms)
+{
+	return at_ms ? (u_int)CLAMP(now_ms - at_ms, 0, PART_NEVER_MS - 1)
+		     : PART_NEVER_MS;
+}
+
+static int64_t time_of(u_int age_ms, int64_t now_ms)
+{
+	return age_ms == PART_NEVER_MS ? 0 : MAX(now_ms - (int64_t)age_ms, 1);
+}
+
+/* Records as they are sent; the entries of m point into the others. */
+struct part_datagram {
+	struct peer_message m;
+	struct part_report reports[PART_REPORTS_MAX];
+	struct part_crash_report crashes[PART_REPORTS_MAX]
+					[PART_REPORT_CRASHES_MAX];
+};
+
+G_STATIC_ASSERT(PART_REPORT_CRASHES_MAX == PART_CRASHES_MAX);
+
+static void fill_in(struct part_datagram *d, const struct part_record *v,
+		    size_t n, int64_t now_ms)
+{
+	d->m = (struct peer_message){.kind = PEER_PARTS};
+	d->m.peer_message_u.parts.entries.entries_len = (u_int)n;
+	d->m.peer_message_u.parts.entries.entries_val = d->reports;
+	for (size_t i = 0; i < n; i++) {
+		d->reports[i] = (struct part_report){
+			.part = v[i].part,
+			.began_age_ms = age_of(v[i].began_ms, now_ms),
+			.asked_age_ms = age_of(v[i].asked_ms, now_ms),
+			.depth = v[i].depth,
+			.blocked = v[i].blocked,
+			.crashes = {v[i].crash_count, d->crashes[i]},
+		};
+		for (uint32_t k = 0; k < v[i].crash_count; k++)
+			d->crashes[i][k] = (struct part_crash_report){
+				v[i].crashes[k].target, v[i].crashes[k].request,
+				age_of(v[i].crashes[k].at_ms, now_ms)};
+	}
+}
+
+static void send_to_all(struct control *c, const struct peer_list *l,
+			struct peer_message *m)
+{
+	uint64_t self = member_id(c->e->control_settings.node_name);
+
+	for (size_t i = 0; i < l->n; i++)
+		if (l->v[i].id != self)
+			peers_send_message(c, &l->v[i].report_address, m);
+}
+
+/* Send to nodes chosen at random; some may be chosen twice. */
+static void send_to_some(struct control *c, const struct peer_list *l,
+			 size_t count, struct peer_message *m)
+{
+	uint64_t self = member_id(c->e->control_settings.node_name);
+
+	for (size_t i = 0; i < count; i++) {
+		const struct entry_peer *p =
+			&l->v[g_random_int_range(0, (gint32)l->n)];
+
+		if (p->id != self)
+			peers_send_message(c, &p->report_address, m);
+	}
+}
+
+void peers_send_parts(struct control *c, const struct peer_list *l,
+		      int64_t now_ms)
+{
+	struct prompt_faults *f = c->e->prompt_faults;
+	bool direct = l->n <= DIRECT_NODES_MAX;
+	struct part_record v[PART_REPORTS_MAX];
+	struct part_datagram d;
+	size_t n;
+
+	prompt_faults_set_rounds(f, direct ? DIRECT_ROUNDS : FANOUT_ROUNDS,
+				 !direct);
+	prompt_faults_decide(f, now_ms);
+	if (l->n <= 1)
+		return;
+	for (int i = 0; i < NEWS_PER_TICK; i++) {
+		n = prompt_faults_take_news(f, v, PART_REPORTS_MAX);
+		if (!n)
+			break;
+		fill_in(&d, v, n, now_ms);
+		if (direct)
+			send_to_all(c, l, &d.m);
+		else
+			send_to_some(c, l, NEWS_FANOUT, &d.m);
+	}
+	if (now_ms < c->parts_list_at_ms)
+		return;
+	c->parts_list_at_ms = now_ms + REMIND_INTERVAL_MS;
+	n = prompt_faults_list(f, v, PART_REPORTS_MAX);
+	if (!n)
+		return;
+	fill_in(&d, v, n, now_ms);
+	send_to_some(c, l, REMINDED_NODES, &d.m);
+}
+
+void peers_receive_parts(struct control *c, const struct part_reports *m)
+{
+	int64_t now = time_boot_ms();
+
+	for (u_int i = 0; i < m->entries.entries_len; i++) {
+		const struct part_report *e = &m->entries.entries_val[i];
+		struct part_record r = {
+			.part = e->part,
+			.began_ms = time_of(e->began_age_ms, now),
+			.asked_ms = time_of(e->asked_age_ms, now),
+			.depth = e->depth,
+			.blocked = e->blocked,
+			.crash_count = e->crashes.crashes_len,
+		};
+
+		for (u_int k = 0; k < r.crash_count; k++)
+			r.crashes[k] = (struct part_crash){
+				e->crashes.crashes_val[k].target,
+				e->crashes.crashes_val[k].request,
+				time_of(e->crashes.crashes_val[k].age_ms, now)};
+		prompt_faults_receive(c->e->prompt_faults, &r, now);
+	}
+}
--- /dev/null
+++ b/route/test-prompt-faults.c
@@ -0,0 +1,403 @@
+/*
+ * Parts of prompts that crash targets, in a fleet whose nodes exchange their
+ * records by messages that may be lost. Time is simulated.
+ */
+#include <string.h>
+
+#include "route/prompt-faults.h"
+
+#define TICK_MS      50
+#define REMIND_TICKS 6
+#define FANOUT       4
+#define DIRECT_MAX   24
+#define PER_MESSAGE  7
+#define CONTACT_MS   3000
+/* Time from a request's arrival to the crash or to the first event. */
+#define TARGET_MS 120
+/* Requests that may reach targets once the fleet has to know the part. */
+#define REQUESTS_AFTER 3
+
+#define FIRST  0xf1ull /* part of all prompts */
+#define SECOND 0xf2ull /* always comes with BAD, at times without */
+#define BAD    0xbadull
+#define BAD2   0xbad2ull
+
+struct fleet {
+	struct prompt_faults **nodes;
+	bool *cut; /* the node's messages are lost */
+	size_t n;
+	double loss;
+	int64_t now_ms;
+	int ticks;
+	uint64_t next_target, next_request;
+	int64_t crash_ms[64]; /* of the first ones */
+	size_t crashes;
+	int late;    /* bad requests that reached targets too late */
+	int refused; /* sound requests that were refused */
+};
+
+static struct fleet *fleet_new(size_t n)
+{
+	struct fleet *f = g_new0(struct fleet, 1);
+
+	f->n = n;
+	f->now_ms = 1000000;
+	f->nodes = g_new0(struct prompt_faults *, n);
+	f->cut = g_new0(bool, n);
+	for (size_t i = 0; i < n; i++) {
+		f->nodes[i] = prompt_faults_new(NULL, NULL);
+		prompt_faults_set_rounds(f->nodes[i], n > DIRECT_MAX ? 3 : 2,
+					 n > DIRECT_MAX);
+	}
+	return f;
+}
+
+static void fleet_free(struct fleet *f)
+{
+	for (size_t i = 0; i < f->n; i++)
+		prompt_faults_free(f->nodes[i]);
+	g_free(f->nodes);
+	g_free(f->cut);
+	g_free(f);
+}
+
+static void deliver(struct fleet *f, size_t from, size_t to,
+		    const struct part_record *v, size_t n)
+{
+	if (from == to || f->cut[from] || f->cut[to] ||
+	    g_random_double() < f->loss)
+		return;
+	for (size_t i = 0; i < n; i++)
+		prompt_faults_receive(f->nodes[to], &v[i], f->now_ms);
+}
+
+static void send_records(struct fleet *f, size_t from, bool all,
+			 const struct part_record *v, size_t n)
+{
+	for (size_t k = 0; n && k < (all ? f->n : FANOUT); k++)
+		deliver(f, from,
+			all ? k : (size_t)g_random_int_range(0, (gint32)f->n),
+			v, n);
+}
+
+static void tick(struct fleet *f)
+{
+	struct part_record v[PER_MESSAGE];
+
+	f->now_ms += TICK_MS;
+	f->ticks++;
+	for (size_t i = 0; i < f->n; i++) {
+		prompt_faults_decide(f->nodes[i], f->now_ms);
+		send_records(
+			f, i, f->n <= DIRECT_MAX, v,
+			prompt_faults_take_news(f->nodes[i], v, PER_MESSAGE));
+		if ((f->ticks + (int)i) % REMIND_TICKS == 0)
+			send_records(f, i, false, v,
+				     prompt_faults_list(f->nodes[i], v,
+							PER_MESSAGE));
+	}
+}
+
+static void run_for(struct fleet *f, int64_t ms)
+{
+	for (int64_t t = 0; t < ms; t += TICK_MS)
+		tick(f);
+}
+
+static bool blocks(struct fleet *f, size_t node, uint64_t part)
+{
+	return prompt_faults_blocks(
+		f->nodes[node], (struct prompt_part_list){&part, 1}, f->now_ms);
+}
+
+static size_t count_blocking(struct fleet *f, uint64_t part)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < f->n; i++)
+		n += blocks(f, i, part);
+	return n;
+}
+
+static void note_crash(struct fleet *f)
+{
+	if (f->crashes < G_N_ELEMENTS(f->crash_ms))
+		f->crash_ms[f->crashes] = f->now_ms;
+	f->crashes++;
+}
+
+/* A request that crashes its target, and is repeated once at another. */
+static void call_bad(struct fleet *f, size_t node, const uint64_t *parts,
+		     size_t n)
+{
+	struct prompt_part_list p = {parts, n};
+	uint64_t request = ++f->next_request;
+
+	for (int i = 0; i < 2; i++) {
+		if (prompt_faults_blocks(f->nodes[node], p, f->now_ms))
+			return;
+		f->late += f->crashes >= 5 &&
+			   f->now_ms > f->crash_ms[4] + CONTACT_MS;
+		run_for(f, TARGET_MS);
+		prompt_faults_crashed(f->nodes[node], p, request,
+				      ++f->next_target, f->now_ms);
+		note_crash(f);
+	}
+}
+
+static void call_sound(struct fleet *f, size_t node, const uint64_t *parts,
+		       size_t n)
+{
+	struct prompt_part_list p = {parts, n};
+
+	if (prompt_faults_blocks(f->nodes[node], p, f->now_ms)) {
+		f->refused++;
+		return;
+	}
+	prompt_faults_began(f->nodes[node], p, f->now_ms);
+}
+
+static size_t any_node(struct fleet *f)
+{
+	return (size_t)g_random_int_range(0, (gint32)f->n);
+}
+
+/*
+ * Seconds of a day: bad requests per second, beside sound ones of which all
+ * have FIRST and one in ten SECOND.
+ */
+static void play(struct fleet *f, int seconds, int bad_per_s)
+{
+	static const uint64_t bad[] = {FIRST, SECOND, BAD};
+
+	for (int s = 0; s < seconds; s++) {
+		int64_t end_ms = f->now_ms + 1000;
+
+		for (int i = 0; i < 20; i++) {
+			uint64_t sound[] = {FIRST, SECOND};
+
+			call_sound(f, any_node(f), sound, i % 10 ? 1 : 2);
+		}
+		for (int i = 0; i < bad_per_s; i++)
+			call_bad(f, any_node(f), bad, 3);
+		while (f->now_ms < end_ms)
+			tick(f);
+	}
+}
+
+/* Crashes of which no node has seen two are not related to each other. */
+static void test_pieces_at_many_nodes(void)
+{
+	static const size_t sizes[] = {1, 6, 24, 73, 370};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet *f = fleet_new(sizes[i]);
+
+		f->loss = 0.05;
+		play(f, 20, 1);
+		g_assert_cmpuint(f->crashes, >=, 4);
+		g_assert_cmpint(f->late, <=, REQUESTS_AFTER);
+		g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
+		g_assert_cmpuint(count_blocking(f, SECOND), ==, 0);
+		g_assert_cmpuint(count_blocking(f, FIRST), ==, 0);
+		g_assert_cmpint(f->refused, ==, 0);
+		fleet_free(f);
+	}
+}
+
+/* Of two parts that crash targets at the same time only one is found. */
+static void test_two_parts(void)
+{
+	struct fleet *f = fleet_new(6);
+
+	for (int i = 0; i < 12; i++) {
+		uint64_t bad[] = {FIRST, i % 2 ? BAD : BAD2};
+		uint64_t sound[] = {FIRST, SECOND};
+
+		call_sound(f, any_node(f), sound, 2);
+		call_bad(f, any_node(f), bad, 2);
+		run_for(f, 200);
+	}
+	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
+	g_assert_cmpuint(count_blocking(f, BAD2), ==, f->n);
+	g_assert_cmpuint(count_blocking(f, FIRST), ==, 0);
+	fleet_free(f);
+}
+
+/* A part that was sound for long and then crashes targets is never blocked. */
+static void test_part_turns_bad(void)
+{
+	struct fleet *f = fleet_new(6);
+	static const uint64_t parts[] = {FIRST, SECOND, BAD};
+
+	for (int i = 0; i < 50; i++) {
+		call_sound(f, any_node(f), parts, 3);
+		run_for(f, 100);
+	}
+	play(f, 10, 1);
+	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
+	g_assert_cmpuint(count_blocking(f, SECOND), ==, 0);
+	g_assert_cmpint(f->refused, ==, 0);
+	fleet_free(f);
+}
+
+/* Parts that always come together are both blocked, or the general one is. */
+static void test_always_together(void)
+{
+	struct fleet *f = fleet_new(6);
+	static const uint64_t bad[] = {SECOND, BAD};
+
+	for (int i = 0; i < 8; i++)
+		call_bad(f, any_node(f), bad, 2);
+	run_for(f, 1000);
+	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
+	g_assert_cmpuint(count_blocking(f, SECOND), ==, 0);
+	fleet_free(f);
+}
+
+/* Many targets that crash at once make a frequent part look bad. */
+static void test_many_targets_crash_at_once(void)
+{
+	struct fleet *f = fleet_new(6);
+
+	for (int k = 0; k < 2; k++) {
+		for (int i = 0; i < 30; i++) {
+			uint64_t parts[] = {FIRST, 1000 + (uint64_t)(i % 4)};
+
+			prompt_faults_crashed(
+				f->nodes[any_node(f)],
+				(struct prompt_part_list){parts, 2},
+				++f->next_request, ++f->next_target, f->now_ms);
+		}
+		run_for(f, 4000);
+	}
+	g_assert_cmpuint(count_blocking(f, FIRST), ==, 0);
+	for (uint64_t part = 1000; part < 1004; part++)
+		g_assert_cmpuint(count_blocking(f, part), ==, 0);
+	fleet_free(f);
+}
+
+/* A sound part that breaks off at times, as all do, is blocked. */
+static void test_other_causes(void)
+{
+	struct fleet *f = fleet_new(6);
+
+	for (int i = 0; i < 20000; i++) {
+		uint64_t parts[] = {FIRST, 1000 + (uint64_t)(i % 50)};
+		struct prompt_part_list p = {parts, 2};
+		size_t node = any_node(f);
+
+		if (g_random_double() < 0.05)
+			prompt_faults_crashed(f->nodes[node], p,
+					      ++f->next_request,
+					      ++f->next_target, f->now_ms);
+		else
+			call_sound(f, node, parts, 2);
+		if (i % 5 == 0)
+			tick(f);
+	}
+	g_assert_cmpint(f->refused, ==, 0);
+	fleet_free(f);
+}
+
+/* A part is let through while requests with it still come. */
+static void test_blocked_while_it_comes(void)
+{
+	struct fleet *f = fleet_new(6);
+	static const uint64_t bad[] = {FIRST, BAD};
+
+	play(f, 8, 1);
+	for (int i = 0; i < 20; i++) {
+		run_for(f, PART_BLOCK_IDLE_MS / 2);
+		g_assert_true(blocks(f, (size_t)i % f->n, BAD));
+	}
+	/* One node's requests count for all. */
+	run_for(f, PART_BLOCK_IDLE_MS - 5000);
+	g_assert_true(blocks(f, 0, BAD));
+	run_for(f, PART_BLOCK_IDLE_MS - 5000);
+	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
+	run_for(f, PART_BLOCK_IDLE_MS + 5000);
+	g_assert_cmpuint(count_blocking(f, BAD), ==, 0);
+	/* It has crashed targets before, so once more is enough. */
+	f->crashes = 0;
+	call_bad(f, 1, bad, 2);
+	run_for(f, 1000);
+	g_assert_cmpuint(f->crashes, <=, 2);
+	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
+	fleet_free(f);
+}
+
+/* A response that begins with a blocked part leaves it blocked. */
+static void test_begin_frees(void)
+{
+	struct fleet *f = fleet_new(6);
+	static const uint64_t parts[] = {FIRST, SECOND, BAD};
+
+	play(f, 8, 1);
+	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
+	prompt_faults_began(f->nodes[3], (struct prompt_part_list){parts, 3},
+			    f->now_ms);
+	run_for(f, 2000);
+	g_assert_cmpuint(count_blocking(f, BAD), ==, 0);
+	fleet_free(f);
+}
+
+/* A node that was cut off, or has just started, lets the part through. */
+static void test_cut_and_new_nodes(void)
+{
+	static const size_t sizes[] = {6, 370};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet *f = fleet_new(sizes[i]);
+
+		f->cut[1] = true;
+		play(f, 10, 1);
+		prompt_faults_free(f->nodes[2]);
+		f->nodes[2] = prompt_faults_new(NULL, NULL);
+		f->cut[1] = false;
+		run_for(f, CONTACT_MS);
+		g_assert_true(blocks(f, 1, BAD));
+		g_assert_true(blocks(f, 2, BAD));
+		fleet_free(f);
+	}
+}
+
+/* Parts without number push a blocked one out of memory. */
+static void test_memory_bounded(void)
+{
+	struct fleet *f = fleet_new(1);
+
+	play(f, 8, 1);
+	for (uint64_t i = 0; i < 100000; i++) {
+		uint64_t parts[] = {FIRST, i * 2654435761u};
+		struct prompt_part_list p = {parts, 2};
+
+		if (i % 2)
+			prompt_faults_crashed(f->nodes[0], p, i, i, f->now_ms);
+		else
+			prompt_faults_began(f->nodes[0], p, f->now_ms);
+	}
+	g_assert_true(blocks(f, 0, BAD));
+	fleet_free(f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_random_set_seed(1);
+	g_test_add_func("/prompt-faults/pieces-at-many-nodes",
+			test_pieces_at_many_nodes);
+	g_test_add_func("/prompt-faults/two-parts", test_two_parts);
+	g_test_add_func("/prompt-faults/turns-bad", test_part_turns_bad);
+	g_test_add_func("/prompt-faults/always-together", test_always_together);
+	g_test_add_func("/prompt-faults/many-targets-at-once",
+			test_many_targets_crash_at_once);
+	g_test_add_func("/prompt-faults/other-causes", test_other_causes);
+	g_test_add_func("/prompt-faults/blocked-while-it-comes",
+			test_blocked_while_it_comes);
+	g_test_add_func("/prompt-faults/begin-frees", test_begin_frees);
+	g_test_add_func("/prompt-faults/cut-and-new-nodes",
+			test_cut_and_new_nodes);
+	g_test_add_func("/prompt-faults/memory-bounded", test_memory_bounded);
+	return g_test_run();
+}
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -146,6 +146,32 @@
 	origin_reply entries<ORIGIN_QUESTIONS_MAX>;
 };
 
+const PART_REPORTS_MAX = 7;
+const PART_REPORT_CRASHES_MAX = 12;
+
+/* A target crashed that was to begin a response; see route/prompt-faults.h. */
+struct part_crash_report {
+	unsigned int target;	/* low bits of its id */
+	unsigned int request;	/* low bits of the hash of the prompt's last part */
+	unsigned int age_ms;
+};
+
+const PART_NEVER_MS = 0xffffffff;	/* an age */
+
+/* What the sender knows of a part of prompts. */
+struct part_report {
+	unsigned hyper part;	/* hash of its id */
+	unsigned int began_age_ms;	/* since a response with it last began */
+	unsigned int asked_age_ms;	/* since a request with it was last refused */
+	unsigned int depth;	/* parts before it in the prompt */
+	bool blocked;
+	part_crash_report crashes<PART_REPORT_CRASHES_MAX>;	/* oldest first */
+};
+
+struct part_reports {
+	part_report entries<PART_REPORTS_MAX>;
+};
+
 enum peer_kind {
 	PEER_LOADS = 0,
 	PEER_STORE_QUERY = 1,
@@ -157,7 +183,8 @@
 	PEER_LOAD_TOTAL = 7,	/* those of all other nodes, to a node */
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
-	PEER_ORIGIN_ANSWER = 10
+	PEER_ORIGIN_ANSWER = 10,
+	PEER_PARTS = 11
 };
 
 union peer_message switch (peer_kind kind) {
@@ -183,4 +210,6 @@
 	origin_query origin_query;
 case PEER_ORIGIN_ANSWER:
 	origin_answer origin_answer;
+case PEER_PARTS:
+	part_reports parts;
 };
