Logs name the limits that targets name

LIMIT, observability: the header Server-Limit was not decoded, so the logs could not tell whether nodes know the limit that a target names and exceed it, or don't know it. It is read now, and target_limited logs each change of it at a node. No decision takes it.

The number is parsed by the part of str_parse_retry_after that reads seconds with a fraction, which is a function of its own now.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -13,6 +13,7 @@
 	{ 3001, LOG_INFO, "target_up" },
 	{ 3002, LOG_INFO, "target_leaving" },
 	{ 3004, LOG_INFO, "target_rests" },
+	{ 3005, LOG_INFO, "target_limited" },
 	{ 3003, LOG_WARNING, "target_down" },
 	{ 4001, LOG_WARNING, "request_failed" },
 	{ 4002, LOG_WARNING, "answer_crossed" },
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -178,9 +178,10 @@
 	struct str organisation;
 	struct str expected_target;
 	struct str signature;
-	struct str load;         /* requests running, requests queued, slots */
-	struct str not_run;      /* the target did not start the request */
-	struct str leaving;      /* "1": the target takes no new requests */
+	struct str load;    /* requests running, requests queued, slots */
+	struct str not_run; /* the target did not start the request */
+	struct str limit;   /* requests a second that the target takes in all */
+	struct str leaving; /* "1": the target takes no new requests */
 	struct str prompt_parts; /* comma-separated list of ID:TOKENS */
 	struct str priority;
 	struct str last_event;
@@ -252,6 +253,12 @@
 /* Parse a non-negative decimal integer; -1 when the text is not one. */
 int64_t str_parse_number(struct str s);
 
+/*
+ * Parse a decimal number, with or without a fraction. Return it in thousandths,
+ * at most max, or -1 when the text is not one.
+ */
+int64_t str_parse_milli(struct str s, int64_t max);
+
 /*
  * Parse the value of a Retry-After header: seconds, with or without a fraction,
  * or a date of HTTP. Return the time to wait from the given wall-clock time in
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -380,15 +380,24 @@
 	       m->status >= 300;
 }
 
-/* Record that the target is leaving, or for how long it wants no requests. */
+/* Most requests in 1,000 seconds that a target's limit is taken for. */
+#define LIMIT_MAX_PER_1000_S 1000000000
+
+/*
+ * Record that the target is leaving, how many requests it takes from all nodes
+ * together, or for how long it wants none.
+ */
 static void record_wishes(struct exchange *x, const struct message *m)
 {
+	struct str limit = message_header(m, x->tr->dialect->limit);
 	struct str leaving = message_header(m, x->tr->dialect->leaving);
 	struct str wait = message_header(m, STR_LIT("Retry-After"));
 	int64_t ms;
 
 	if (str_eq(leaving, STR_LIT("1")))
 		pool_record_leaving(x->target);
+	pool_record_limit(x->target,
+			  str_parse_milli(limit, LIMIT_MAX_PER_1000_S));
 	if (m->status != 503 || !wait.len)
 		return;
 	ms = str_parse_retry_after(wait, time_now_ms());
--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -127,18 +127,12 @@
 	return end && !*end ? (int64_t)timegm(&tm) * 1000 : -1;
 }
 
-int64_t str_parse_retry_after(struct str s, int64_t wall_now_ms)
+int64_t str_parse_milli(struct str s, int64_t max)
 {
-	int64_t ms = 0, unit_ms = 1000;
+	int64_t n = 0, unit = 1000;
 	bool fraction = false;
 	size_t digits = 0;
 
-	if (s.len && g_ascii_isalpha(s.data[0])) {
-		int64_t at = parse_date_ms(s);
-
-		return at < 0 ? -1
-			      : CLAMP(at - wall_now_ms, 0, RETRY_AFTER_MAX_MS);
-	}
 	for (size_t i = 0; i < s.len; i++) {
 		if (s.data[i] == '.' && !fraction && digits) {
 			fraction = true;
@@ -148,14 +142,24 @@
 			return -1;
 		digits++;
 		if (fraction) {
-			unit_ms /= 10;
-			ms += (s.data[i] - '0') * unit_ms;
+			unit /= 10;
+			n += (s.data[i] - '0') * unit;
 		} else {
-			ms = MIN(ms * 10 + (s.data[i] - '0') * 1000,
-				 RETRY_AFTER_MAX_MS);
+			n = MIN(n * 10 + (s.data[i] - '0') * 1000, max);
 		}
 	}
-	return digits ? MIN(ms, RETRY_AFTER_MAX_MS) : -1;
+	return digits ? MIN(n, max) : -1;
+}
+
+int64_t str_parse_retry_after(struct str s, int64_t wall_now_ms)
+{
+	if (s.len && g_ascii_isalpha(s.data[0])) {
+		int64_t at = parse_date_ms(s);
+
+		return at < 0 ? -1
+			      : CLAMP(at - wall_now_ms, 0, RETRY_AFTER_MAX_MS);
+	}
+	return str_parse_milli(s, RETRY_AFTER_MAX_MS);
 }
 
 static struct reader *reader_of(http_parser *p)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -83,6 +83,7 @@
 	 * the target has begun to answer; 0: none.
 	 */
 	int64_t begun_sent_ms[PRIORITY_COUNT];
+	int64_t limit_per_1000_s;  /* requests that it takes in all; -1: any */
 	int64_t load_reported_ms;  /* time of its last load report; 0: none */
 	double reported_load;      /* running and waiting in that report */
 	int64_t running_at_report; /* value of running at that time */
@@ -315,6 +316,8 @@
 int64_t pool_newest_begun_ms(const struct target *t, int priority);
 /* A response says that the target is leaving: it gets no further request. */
 void pool_record_leaving(struct target *t);
+/* The target named a limit, in requests in 1,000 s; -1: none. */
+void pool_record_limit(struct target *t, int64_t per_1000_s);
 /* The target asked for no requests until then. */
 void pool_record_rest(struct target *t, int64_t until_ms);
 /*
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -84,6 +84,7 @@
 	t->info.version = (struct str){NULL, 0};
 	set_version(t, info);
 	t->idle_links = g_queue_new();
+	t->limit_per_1000_s = -1;
 	return t;
 }
 
@@ -472,6 +473,15 @@
 		  STR_ARG(t->info.name));
 }
 
+void pool_record_limit(struct target *t, int64_t per_1000_s)
+{
+	if (t->limit_per_1000_s == per_1000_s)
+		return;
+	t->limit_per_1000_s = per_1000_s;
+	log_event(EV_TARGET_LIMITED, "target=" STR_FMT " per_s=%.3f",
+		  STR_ARG(t->info.name), (double)per_1000_s / 1000);
+}
+
 void pool_record_rest(struct target *t, int64_t until_ms)
 {
 	t->resting_until_ms = MAX(t->resting_until_ms, until_ms);
