Nodes share the limits that targets name

A target that names how many requests a second it takes from all nodes together (Server-Limit) got all that placement sent it: 29 requests in four seconds where 21 are allowed, at six targets of six.

Cause: no decision took the limit, and nothing that a node had could keep to one that holds for the sum over the nodes. Evidence: each node had read the limits within two seconds and went on as before (target_limited in the logs). Ruled out: repeats, of which there were none at these targets.

Nodes tell each other of limits, and the first ones in the rendezvous order of the target share it, each with a token bucket that begins empty. It works without a message for a request, so neither bursts nor the loss of the store or of nodes exceed it: the buckets of the nodes that have a share hold 3 and twice the limit together. All attempts choose their target in pool_choose_target, where one without a token is no candidate; what can't be placed is refused at once with the time of the next token.

--- a/entry/control.h
+++ b/entry/control.h
@@ -9,6 +9,18 @@
 #include "entry/origins.h"
 #include "entry/store-clients.h"
 
+/*
+ * Nodes of a fleet that send what is new to all others; in a larger one each
+ * node that learns of it sends it on to some.
+ */
+#define DIRECT_NEWS_NODES_MAX 24
+/* How often news is sent, as datagrams get lost and fan out at random. */
+#define DIRECT_NEWS_ROUNDS 2
+#define FANOUT_NEWS_ROUNDS 3
+/* Nodes that are reminded of what they may have missed, and how often. */
+#define REMINDED_NODES     3
+#define REMIND_INTERVAL_MS 300
+
 /* Receive buffer of the UDP sockets. */
 #define DATAGRAM_BYTES 2048
 
@@ -40,9 +52,11 @@
 	int64_t settings_check_at_ms;
 	struct timespec settings_mtime; /* of the settings file in force */
 	int64_t introduce_at_ms;
-	GHashTable *seeds;        /* control addresses from the settings */
-	int64_t parts_list_at_ms; /* suspected parts are sent again then */
-	size_t next_relay;        /* round-robin position for queries */
+	GHashTable *seeds;         /* control addresses from the settings */
+	int64_t limits_list_at_ms; /* limits are sent again then */
+	uint64_t limits_view;      /* published_view whose nodes share them */
+	int64_t parts_list_at_ms;  /* suspected parts are sent again then */
+	size_t next_relay;         /* round-robin position for queries */
 };
 
 /*
@@ -65,6 +79,12 @@
  */
 void peers_relay_loads(struct control *c, const struct peer_list *l,
 		       int64_t now_ms);
+/* Send news to all other nodes of a small fleet, to some of a large one. */
+void peers_send_news(const struct control *c, const struct peer_list *l,
+		     struct peer_message *m);
+/* Send to some nodes, chosen at random. */
+void peers_send_to_some(const struct control *c, const struct peer_list *l,
+			size_t count, struct peer_message *m);
 /* Send a message; one that is lost is not repeated. */
 void peers_send_message(const struct control *c, const struct sockaddr_in *to,
 			struct peer_message *m);
@@ -81,6 +101,13 @@
 			  const struct origin_query *query);
 void peers_apply_origins(struct control *c, const struct origin_answer *answer);
 
+/* peer-limits.c: messages about the limits that targets name. */
+
+/* Set the nodes that share limits, and send the limits that others lack. */
+void peers_send_limits(struct control *c, const struct peer_list *l,
+		       int64_t now_ms);
+void peers_receive_limits(struct control *c, const struct limit_reports *m);
+
 /* peer-parts.c: messages about the parts of prompts that crash targets. */
 
 /* Decide which parts are blocked, and send what other nodes lack. */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -261,6 +261,15 @@
 	ev_timer_start(tr->loop, &tr->housekeeping);
 }
 
+/* A target's limit changes, by a response here or at another node. */
+static void on_limit_changed(void *ctx, const struct target_limit *l)
+{
+	(void)ctx;
+	log_event(EV_TARGET_LIMITED,
+		  "target_id=%" G_GINT64_MODIFIER "x per_s=%.3f source=fleet",
+		  l->target, (double)l->per_1000_s / 1000);
+}
+
 /* A part of prompts is blocked or freed. */
 static void on_part_changed(void *ctx, const struct part_record *r,
 			    const char *why)
@@ -287,6 +296,8 @@
 	e->holders = holders_new();
 	e->origins = origins_new();
 	e->prompt_faults = prompt_faults_new(on_part_changed, NULL);
+	e->target_limits = target_limits_new(member_id(e->settings.node_name),
+					     on_limit_changed, NULL);
 	traffic_init(e);
 	open_metrics(&e->tr);
 	if (open_ports(&e->tr, &error))
@@ -348,6 +359,7 @@
 	holders_free(e->holders);
 	origins_free(e->origins);
 	prompt_faults_free(e->prompt_faults);
+	target_limits_free(e->target_limits);
 	g_free(e->control_address);
 	g_free(e);
 }
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -14,6 +14,7 @@
 #include "entry/entry.h"
 #include "member/member.h"
 #include "route/prompt-faults.h"
+#include "route/target-limits.h"
 
 struct exchange;
 struct caller;
@@ -83,7 +84,7 @@
 	 * the target has begun to answer; 0: none.
 	 */
 	int64_t begun_sent_ms[PRIORITY_COUNT];
-	int64_t limit_per_1000_s;  /* requests that it takes in all; -1: any */
+	int64_t limit_per_1000_s;  /* that its last response named */
 	int64_t load_reported_ms;  /* time of its last load report; 0: none */
 	double reported_load;      /* running and waiting in that report */
 	int64_t running_at_report; /* value of running at that time */
@@ -132,6 +133,7 @@
 	struct holders *holders;
 	struct origins *origins;
 	struct prompt_faults *prompt_faults;
+	struct target_limits *target_limits;
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
 	char *control_address;
@@ -316,13 +318,13 @@
 int64_t pool_newest_begun_ms(const struct target *t, int priority);
 /* A response says that the target is leaving: it gets no further request. */
 void pool_record_leaving(struct target *t);
-/* The target named a limit, in requests in 1,000 s; -1: none. */
+/* A response names a limit, in requests in 1,000 s, or LIMIT_NONE. */
 void pool_record_limit(struct target *t, int64_t per_1000_s);
 /* The target asked for no requests until then. */
 void pool_record_rest(struct target *t, int64_t until_ms);
 /*
- * Return the soonest time at which a target of the service that asked for rest
- * takes requests again; 0: none has asked.
+ * Return the soonest time at which a target of the service takes requests again
+ * that asked for rest or has a limit; 0: none does.
  */
 int64_t pool_rest_end_ms(const struct traffic *tr,
 			 const struct entry_service *s, int64_t now_ms);
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -440,6 +440,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_limit_report (XDR *xdrs, limit_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->per_1000_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_limit_reports (XDR *xdrs, limit_reports *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LIMIT_REPORTS_MAX,
+		sizeof (limit_report), (xdrproc_t) xdr_limit_report))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -506,6 +531,10 @@
 		 if (!xdr_part_reports (xdrs, &objp->peer_message_u.parts))
 			 return FALSE;
 		break;
+	case PEER_LIMITS:
+		 if (!xdr_limit_reports (xdrs, &objp->peer_message_u.limits))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -212,6 +212,22 @@
 	} entries;
 };
 typedef struct part_reports part_reports;
+#define LIMIT_REPORTS_MAX 48
+
+struct limit_report {
+	u_quad_t target;
+	int per_1000_s;
+	u_int age_ms;
+};
+typedef struct limit_report limit_report;
+
+struct limit_reports {
+	struct {
+		u_int entries_len;
+		limit_report *entries_val;
+	} entries;
+};
+typedef struct limit_reports limit_reports;
 
 enum peer_kind {
 	PEER_LOADS = 0,
@@ -226,6 +242,7 @@
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
 	PEER_PARTS = 11,
+	PEER_LIMITS = 12,
 };
 typedef enum peer_kind peer_kind;
 
@@ -244,6 +261,7 @@
 		origin_query origin_query;
 		origin_answer origin_answer;
 		part_reports parts;
+		limit_reports limits;
 	} peer_message_u;
 };
 typedef struct peer_message peer_message;
@@ -270,6 +288,8 @@
 extern  bool_t xdr_part_crash_report (XDR *, part_crash_report*);
 extern  bool_t xdr_part_report (XDR *, part_report*);
 extern  bool_t xdr_part_reports (XDR *, part_reports*);
+extern  bool_t xdr_limit_report (XDR *, limit_report*);
+extern  bool_t xdr_limit_reports (XDR *, limit_reports*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
 
@@ -293,6 +313,8 @@
 extern bool_t xdr_part_crash_report ();
 extern bool_t xdr_part_report ();
 extern bool_t xdr_part_reports ();
+extern bool_t xdr_limit_report ();
+extern bool_t xdr_limit_reports ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_message ();
 
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -8,6 +8,8 @@
 
 #include "entry/control.h"
 
+/* Nodes of a large fleet that a node sends news to. */
+#define NEWS_FANOUT 4
 /* Length of the authentication code at the end of each datagram. */
 #define MAC_BYTES crypto_auth_BYTES
 /* Interval of load reports, unless LOAD_DATAGRAMS_PER_S makes it longer. */
@@ -71,6 +73,38 @@
 	send_datagram(c, to, &d);
 }
 
+void peers_send_to_some(const struct control *c, const struct peer_list *l,
+			size_t count, struct peer_message *m)
+{
+	uint64_t self = member_id(c->e->control_settings.node_name);
+	struct datagram d;
+
+	encode_datagram(c, m, &d);
+	for (size_t i = 0; i < count; i++) {
+		const struct entry_peer *p =
+			&l->v[g_random_int_range(0, (gint32)l->n)];
+
+		if (p->id != self)
+			send_datagram(c, &p->report_address, &d);
+	}
+}
+
+void peers_send_news(const struct control *c, const struct peer_list *l,
+		     struct peer_message *m)
+{
+	uint64_t self = member_id(c->e->control_settings.node_name);
+	struct datagram d;
+
+	if (l->n > DIRECT_NEWS_NODES_MAX) {
+		peers_send_to_some(c, l, NEWS_FANOUT, m);
+		return;
+	}
+	encode_datagram(c, m, &d);
+	for (size_t i = 0; i < l->n; i++)
+		if (l->v[i].id != self)
+			send_datagram(c, &l->v[i].report_address, &d);
+}
+
 static void answer_query(struct control *c, const struct sockaddr_in *from,
 			 const struct store_query *query)
 {
@@ -226,6 +260,9 @@
 	case PEER_PARTS:
 		peers_receive_parts(c, &m->peer_message_u.parts);
 		break;
+	case PEER_LIMITS:
+		peers_receive_limits(c, &m->peer_message_u.limits);
+		break;
 	}
 }
 
--- a/entry/peer-parts.c
+++ b/entry/peer-parts.c
@@ -5,18 +5,8 @@
  */
 #include "entry/control.h"
 
-/* Fleets with more nodes pass news on. */
-#define DIRECT_NODES_MAX 24
 /* Datagrams of news that a node sends in a tick, to each that gets them. */
 #define NEWS_PER_TICK 4
-/* Nodes that get news in a tick of a large fleet. */
-#define NEWS_FANOUT 4
-/* How often news is sent, as datagrams get lost and fan out at random. */
-#define DIRECT_ROUNDS 2
-#define FANOUT_ROUNDS 3
-/* Nodes that are reminded of suspected parts, and how often. */
-#define REMINDED_NODES     3
-#define REMIND_INTERVAL_MS 300
 
 static u_int age_of(int64_t at_ms, int64_t now_ms)
 {
@@ -61,42 +51,17 @@
 	}
 }
 
-static void send_to_all(struct control *c, const struct peer_list *l,
-			struct peer_message *m)
-{
-	uint64_t self = member_id(c->e->control_settings.node_name);
-
-	for (size_t i = 0; i < l->n; i++)
-		if (l->v[i].id != self)
-			peers_send_message(c, &l->v[i].report_address, m);
-}
-
-/* Send to nodes chosen at random; some may be chosen twice. */
-static void send_to_some(struct control *c, const struct peer_list *l,
-			 size_t count, struct peer_message *m)
-{
-	uint64_t self = member_id(c->e->control_settings.node_name);
-
-	for (size_t i = 0; i < count; i++) {
-		const struct entry_peer *p =
-			&l->v[g_random_int_range(0, (gint32)l->n)];
-
-		if (p->id != self)
-			peers_send_message(c, &p->report_address, m);
-	}
-}
-
 void peers_send_parts(struct control *c, const struct peer_list *l,
 		      int64_t now_ms)
 {
 	struct prompt_faults *f = c->e->prompt_faults;
-	bool direct = l->n <= DIRECT_NODES_MAX;
+	bool direct = l->n <= DIRECT_NEWS_NODES_MAX;
 	struct part_record v[PART_REPORTS_MAX];
 	struct part_datagram d;
 	size_t n;
 
-	prompt_faults_set_rounds(f, direct ? DIRECT_ROUNDS : FANOUT_ROUNDS,
-				 !direct);
+	prompt_faults_set_rounds(
+		f, direct ? DIRECT_NEWS_ROUNDS : FANOUT_NEWS_ROUNDS, !direct);
 	prompt_faults_decide(f, now_ms);
 	if (l->n <= 1)
 		return;
@@ -105,10 +70,7 @@
 		if (!n)
 			break;
 		fill_in(&d, v, n, now_ms);
-		if (direct)
-			send_to_all(c, l, &d.m);
-		else
-			send_to_some(c, l, NEWS_FANOUT, &d.m);
+		peers_send_news(c, l, &d.m);
 	}
 	if (now_ms < c->parts_list_at_ms)
 		return;
@@ -117,7 +79,7 @@
 	if (!n)
 		return;
 	fill_in(&d, v, n, now_ms);
-	send_to_some(c, l, REMINDED_NODES, &d.m);
+	peers_send_to_some(c, l, REMINDED_NODES, &d.m);
 }
 
 void peers_receive_parts(struct control *c, const struct part_reports *m)
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -20,6 +20,11 @@
 #define ERROR_RATE_WEIGHT 0.15
 /* A target is avoided above this excess over the others' mean error rate. */
 #define ERROR_EXCESS_MAX 0.35
+/*
+ * Share of a target's slots that requests may take while others have limits;
+ * beyond it they slow each other down.
+ */
+#define ROOM_SHARE 0.5
 /* A load report of a target is used for this long. */
 #define LOAD_REPORT_VALID_MS 250
 
@@ -84,7 +89,7 @@
 	t->info.version = (struct str){NULL, 0};
 	set_version(t, info);
 	t->idle_links = g_queue_new();
-	t->limit_per_1000_s = -1;
+	t->limit_per_1000_s = LIMIT_NONE;
 	return t;
 }
 
@@ -221,6 +226,8 @@
 {
 	bool ejected = t->ejected_until_ms > now_ms;
 	bool resting = t->resting_until_ms > now_ms;
+	bool limited = target_limits_next_ms(t->tr->e->target_limits,
+					     t->info.id, now_ms) > now_ms;
 
 	return (struct place_target){
 		.id = t->info.id,
@@ -229,6 +236,7 @@
 			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
 		.avoid = ejected,
 		.draining = t->info.draining || t->says_leaving || resting,
+		.limited = limited,
 		.can_export = !t->last_failed && !ejected && !resting,
 	};
 }
@@ -295,6 +303,11 @@
 	       (!version || version == t->version);
 }
 
+static bool may_send(struct place_target p)
+{
+	return !p.draining && !p.limited;
+}
+
 bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
 			 uint64_t version)
 {
@@ -305,7 +318,7 @@
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		if (is_candidate(v, s, version) &&
-		    !make_candidate(v, now).draining)
+		    may_send(make_candidate(v, now)))
 			return true;
 	return false;
 }
@@ -334,6 +347,8 @@
 
 		if (!is_candidate(t, s, version))
 			continue;
+		limits.room =
+			MAX(limits.room, ROOM_SHARE * (double)t->info.slots);
 		targets[n] = t;
 		p[n++] = make_candidate(t, now);
 	}
@@ -343,6 +358,7 @@
 			      (struct route_random){random_double, tr->rand});
 	if (chosen == SIZE_MAX)
 		return NULL;
+	target_limits_take(tr->e->target_limits, targets[chosen]->info.id, now);
 	if (!s->kv_transfer)
 		return targets[chosen];
 	donor = holders_fetch_source(tr->e->holders, prompt, p, n, chosen);
@@ -475,11 +491,15 @@
 
 void pool_record_limit(struct target *t, int64_t per_1000_s)
 {
+	target_limits_name(t->tr->e->target_limits, t->info.id, per_1000_s,
+			   time_boot_ms());
 	if (t->limit_per_1000_s == per_1000_s)
 		return;
 	t->limit_per_1000_s = per_1000_s;
-	log_event(EV_TARGET_LIMITED, "target=" STR_FMT " per_s=%.3f",
-		  STR_ARG(t->info.name), (double)per_1000_s / 1000);
+	log_event(EV_TARGET_LIMITED,
+		  "target=" STR_FMT " target_id=%" G_GINT64_MODIFIER
+		  "x per_s=%.3f source=response",
+		  STR_ARG(t->info.name), t->info.id, (double)per_1000_s / 1000);
 }
 
 void pool_record_rest(struct target *t, int64_t until_ms)
@@ -500,13 +520,17 @@
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct target *t = v;
+		int64_t at_ms;
 
 		if (!t->listed || t->info.draining || t->says_leaving ||
-		    !str_eq(t->info.service, s->name) ||
-		    t->resting_until_ms <= now_ms)
+		    !str_eq(t->info.service, s->name))
 			continue;
-		if (!soonest || t->resting_until_ms < soonest)
-			soonest = t->resting_until_ms;
+		at_ms = MAX(t->resting_until_ms,
+			    target_limits_next_ms(tr->e->target_limits,
+						  t->info.id, now_ms));
+		if (at_ms > now_ms && at_ms < INT64_MAX &&
+		    (!soonest || at_ms < soonest))
+			soonest = at_ms;
 	}
 	return soonest;
 }
--- a/route/place.c
+++ b/route/place.c
@@ -30,10 +30,11 @@
 	double excess = factor > 1 ? factor - 1 : 0;
 
 	if (shared_tokens >= LONG_TOKENS)
-		return (struct place_limits){1 + LONG_FRACTION * excess,
-					     LONG_SLACK, 0};
-	return (struct place_limits){1 + SHORT_FRACTION * excess, SHORT_SLACK,
-				     0};
+		return (struct place_limits){.factor =
+						     1 + LONG_FRACTION * excess,
+					     .slack = LONG_SLACK};
+	return (struct place_limits){.factor = 1 + SHORT_FRACTION * excess,
+				     .slack = SHORT_SLACK};
 }
 
 /* A target takes its full share of the keys this long after it joined. */
@@ -66,23 +67,28 @@
  */
 static bool may_take(const struct place_target *t, bool allow_avoided)
 {
-	return !t->draining && (!t->avoid || allow_avoided);
+	return !t->draining && !t->limited && (!t->avoid || allow_avoided);
 }
 
-/* Return the mean load of the targets that may get requests, -1 for none. */
+/*
+ * Return the mean load of the targets that the service's requests are spread
+ * over, -1 if none may get one from this node.
+ */
 static double mean_load(const struct place_target *t, size_t n,
 			bool allow_avoided)
 {
 	double sum = 0;
 	size_t k = 0;
+	bool any = false;
 
 	for (size_t i = 0; i < n; i++) {
-		if (!may_take(&t[i], allow_avoided))
+		if (t[i].draining || (t[i].avoid && !allow_avoided))
 			continue;
+		any |= !t[i].limited;
 		sum += t[i].load;
 		k++;
 	}
-	return k ? sum / (double)k : -1;
+	return any ? sum / (double)k : -1;
 }
 
 /*
@@ -162,6 +168,14 @@
 	return best;
 }
 
+static bool has_limited(const struct place_target *t, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		if (t[i].limited && !t[i].draining)
+			return true;
+	return false;
+}
+
 size_t place_choose(const struct place_limits *l, uint64_t key,
 		    const struct place_target *t, size_t n,
 		    struct route_random random)
@@ -177,6 +191,8 @@
 	if (!key)
 		return least_loaded(t, n, allow_avoided, random);
 	bound = mean * l->factor + l->slack;
+	if (has_limited(t, n))
+		bound = MAX(bound, l->room);
 	if (l->unseen > UNSEEN_MIN) {
 		i = share_room(l, key, t, n, allow_avoided, bound, random);
 		return i != SIZE_MAX
--- a/route/rendezvous.c
+++ b/route/rendezvous.c
@@ -14,7 +14,7 @@
 	return x->id < y->id ? -1 : x->id > y->id;
 }
 
-static uint64_t score(uint64_t key, uint64_t id)
+uint64_t rendezvous_score(uint64_t key, uint64_t id)
 {
 	return XXH3_64bits_withSeed(&id, sizeof(id), key);
 }
@@ -22,7 +22,7 @@
 void rendezvous_sort(uint64_t key, struct rendezvous_candidate *r, size_t n)
 {
 	for (size_t i = 0; i < n; i++)
-		r[i].score = score(key, r[i].id);
+		r[i].score = rendezvous_score(key, r[i].id);
 	qsort(r, n, sizeof(*r), compare);
 }
 
@@ -36,7 +36,7 @@
 	for (size_t i = 0; i < n; i++) {
 		size_t j;
 
-		r[i].score = score(key, r[i].id);
+		r[i].score = rendezvous_score(key, r[i].id);
 		if (m == k && compare(&r[i], &out[m - 1]) > 0)
 			continue;
 		j = m < k ? m++ : m - 1;
@@ -52,8 +52,8 @@
 	struct rendezvous_candidate best = {0};
 
 	for (size_t i = 0; i < n; i++) {
-		struct rendezvous_candidate r = {nodes[i], i,
-						 score(target, nodes[i])};
+		struct rendezvous_candidate r = {
+			nodes[i], i, rendezvous_score(target, nodes[i])};
 
 		if (i == 0 || compare(&r, &best) < 0)
 			best = r;
--- a/route/route.h
+++ b/route/route.h
@@ -34,6 +34,9 @@
 
 /* rendezvous.c: rendezvous (highest random weight) hashing. */
 
+/* Return the score of an id for a key, by which ids are ordered. */
+uint64_t rendezvous_score(uint64_t key, uint64_t id);
+
 /*
  * Sort n candidates by their score for the key, highest first. When a candidate
  * joins or leaves, only the keys for which it scores highest move.
@@ -550,7 +553,12 @@
 	 * when there is no other.
 	 */
 	bool avoid;
-	bool draining;   /* gets no new requests */
+	bool draining; /* gets no new requests */
+	/*
+	 * Gets none from this node for now, but does from others: it counts for
+	 * the mean load.
+	 */
+	bool limited;
 	bool can_export; /* other targets can fetch cached prefixes from it */
 };
 
@@ -563,6 +571,11 @@
 	 * this node hears of them. They share the room of each target.
 	 */
 	double unseen;
+	/*
+	 * While some targets are limited, the others may have this load
+	 * whatever the mean, as what those can't take has to go somewhere.
+	 */
+	double room;
 };
 
 /*
--- a/route/test-place.c
+++ b/route/test-place.c
@@ -307,6 +307,51 @@
 	prefix_index_free(x);
 }
 
+/*
+ * A target that may get no request for now gets one, or the others are filled
+ * up as if it didn't exist, which leaves limited targets with room unused.
+ */
+static void test_limited(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_target t[TARGETS];
+
+	fill(t, 20);
+	for (size_t i = 2; i < TARGETS; i++) {
+		t[i].load = 1;
+		t[i].limited = i > 2;
+	}
+	for (uint64_t key = 1; key < 200; key++)
+		g_assert_cmpuint(choose(key, t, TARGETS, r), ==, 2);
+	for (size_t i = 0; i < TARGETS; i++)
+		t[i].limited = true;
+	g_assert_cmpuint(choose(1, t, TARGETS, r), ==, SIZE_MAX);
+	g_rand_free(r);
+}
+
+/* Keys leave targets that have room, as others with limits are idle. */
+static void test_room_beside_limited(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_limits l = place_limits_for(10000, 2);
+	struct place_target t[TARGETS];
+
+	fill(t, 0);
+	t[3].load = t[4].load = 20;
+	l.room = 32;
+	for (size_t i = 5; i < TARGETS; i++)
+		t[i].limited = true;
+	for (uint64_t key = 1; key < 200; key++) {
+		size_t i = place_choose(&l, key, t, TARGETS, random_of(r));
+
+		t[3].load = t[4].load = 0;
+		g_assert_cmpuint(
+			place_choose(&l, key, t, TARGETS, random_of(r)), ==, i);
+		t[3].load = t[4].load = 20;
+	}
+	g_rand_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -322,5 +367,8 @@
 	g_test_add_func("/route/place/source-of-newcomer",
 			test_source_of_newcomer);
 	g_test_add_func("/route/place/source-known", test_source_known);
+	g_test_add_func("/route/place/limited", test_limited);
+	g_test_add_func("/route/place/room-beside-limited",
+			test_room_beside_limited);
 	return g_test_run();
 }
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -172,6 +172,19 @@
 	part_report entries<PART_REPORTS_MAX>;
 };
 
+const LIMIT_REPORTS_MAX = 48;
+
+/* How many requests a second a target takes from all nodes together. */
+struct limit_report {
+	unsigned hyper target;	/* hash of its id */
+	int per_1000_s;	/* requests in 1,000 seconds; -1: any */
+	unsigned int age_ms;	/* since the response that said so */
+};
+
+struct limit_reports {
+	limit_report entries<LIMIT_REPORTS_MAX>;
+};
+
 enum peer_kind {
 	PEER_LOADS = 0,
 	PEER_STORE_QUERY = 1,
@@ -184,7 +197,8 @@
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
-	PEER_PARTS = 11
+	PEER_PARTS = 11,
+	PEER_LIMITS = 12
 };
 
 union peer_message switch (peer_kind kind) {
@@ -212,4 +226,6 @@
 	origin_answer origin_answer;
 case PEER_PARTS:
 	part_reports parts;
+case PEER_LIMITS:
+	limit_reports limits;
 };
