Responses without end are cut off, whatever they repeat

Targets in trouble may send bytes that are no response without end, in a head or a body, until the connection is closed. What callers would have seen: a request that hangs to its deadline, and a node that runs out of memory.

Cause: three ways in which a response was not bounded. Interim responses (1xx) were skipped without a count; a response to another request was skipped whatever its length; and each response could take 8 MB, without a bound for all of them.

Now more than 16 interim responses are malformed, skipped bytes count as those of a response do, and all buffered responses together may take 0.15 of the memory, beyond which a response of more than 256 KB fails. Headers, chunk sizes, extensions, trailers and events were bounded before.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -18,7 +18,6 @@
 #define TARGET_FILES_RESERVED 400
 /* Share of the memory limit that request bodies may take. */
 #define BODY_MEMORY_SHARE 0.4
-#define MB_BYTES          1048576
 /* Limits until a configuration is known. */
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES   (4 << 20)
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -13,6 +13,12 @@
 
 /* Largest response that is buffered until complete; a longer one fails. */
 #define RESPONSE_MAX_BYTES (8 << 20)
+/*
+ * Share of the process's memory that all buffered responses may take. One that
+ * is complete is copied for its caller.
+ */
+#define RESPONSE_MEMORY_SHARE 0.15
+#define SMALL_RESPONSE_BYTES  (256 << 10)
 /*
  * Time past the deadline before the entry answers with an error: the target has
  * the same deadline, and its own error response should arrive first.
@@ -39,6 +45,27 @@
 	return x->route && x->route->stream;
 }
 
+/* Update the memory that responses take; 0 once it is freed. */
+static void count_buffered(struct exchange *x, size_t bytes)
+{
+	x->tr->buffered_response_bytes +=
+		(int64_t)bytes - (int64_t)x->buffered_bytes;
+	x->buffered_bytes = bytes;
+}
+
+/*
+ * Whether the response takes more memory than there is for all responses. Small
+ * ones always have room.
+ */
+static bool is_out_of_memory(const struct exchange *x)
+{
+	return x->buffered_bytes > SMALL_RESPONSE_BYTES &&
+	       (double)x->tr->buffered_response_bytes >
+		       RESPONSE_MEMORY_SHARE *
+			       (double)x->tr->settings->limits_memory_mb *
+			       MB_BYTES;
+}
+
 void exchange_abandon_attempt(struct exchange *x)
 {
 	if (x->link)
@@ -48,7 +75,8 @@
 	if (x->target)
 		pool_add_running(x->target, -1);
 	x->target = NULL;
-	buf_consume(&x->response_body, buf_len(&x->response_body));
+	buf_clear(&x->response_body);
+	count_buffered(x, 0);
 }
 
 static void destroy(struct exchange *x)
@@ -448,8 +476,13 @@
 {
 	struct exchange *x = ctx;
 
-	if (x->foreign_response)
-		return true;
+	if (x->foreign_response) {
+		x->foreign_bytes += n;
+		if (x->foreign_bytes <= RESPONSE_MAX_BYTES)
+			return true;
+		on_link_fault(x, LINK_MALFORMED, true);
+		return false;
+	}
 	if (x->streaming) {
 		struct link *l = x->link;
 
@@ -458,6 +491,11 @@
 			on_link_fault(x, LINK_MALFORMED, true);
 			return false;
 		}
+		count_buffered(x, buf_len(&x->splitter.partial));
+		if (is_out_of_memory(x)) {
+			on_link_fault(x, LINK_MALFORMED, true);
+			return false;
+		}
 		if (caller_unsent_bytes(x->caller) > UNSENT_MAX_BYTES)
 			link_set_paused(l, true);
 		return true;
@@ -467,7 +505,11 @@
 		return false;
 	}
 	buf_add(&x->response_body, p, n);
-	return true;
+	count_buffered(x, buf_len(&x->response_body));
+	if (!is_out_of_memory(x))
+		return true;
+	on_link_fault(x, LINK_MALFORMED, true);
+	return false;
 }
 
 static void finish_stream(struct exchange *x)
@@ -646,6 +688,7 @@
 	x->sent_ms = time_boot_ms();
 	x->first_event_ms = 0;
 	x->begin_recorded = false;
+	x->foreign_bytes = 0;
 	x->head_timeout_ms = stall_timeout_for(x->route->latency_target_ms,
 					       x->deadline_ms - x->sent_ms);
 	x->head_check_at_ms = x->sent_ms + x->head_timeout_ms;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -62,6 +62,8 @@
 	bool streaming;
 	struct message *response; /* its head; owned by the link */
 	struct buf response_body; /* so far, unless streaming */
+	size_t buffered_bytes;    /* of it, or of an incomplete event */
+	size_t foreign_bytes;     /* of responses to other requests */
 
 	uint64_t tried_targets[ATTEMPTS_MAX]; /* ids */
 	int attempts;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -16,6 +16,8 @@
 #include "route/prompt-faults.h"
 #include "route/target-limits.h"
 
+#define MB_BYTES 1048576
+
 struct exchange;
 struct caller;
 
@@ -111,8 +113,9 @@
 	ev_timer housekeeping;    /* periodic */
 	/* struct caller, by the time of connecting or of the last response */
 	GQueue *callers;
-	int exchanges;               /* requests in progress */
-	int64_t buffered_body_bytes; /* request bodies held in memory */
+	int exchanges;                   /* requests in progress */
+	int64_t buffered_body_bytes;     /* request bodies held in memory */
+	int64_t buffered_response_bytes; /* the same of responses */
 	bool serving; /* last advertised state: callers may be sent here */
 	int64_t started_ms;
 	int64_t leaving_ms;   /* when SIGTERM arrived; 0: not leaving */
--- a/entry/link.c
+++ b/entry/link.c
@@ -18,6 +18,8 @@
  * that no request is sent while the peer closes it.
  */
 #define IDLE_TIMEOUT_SHARE 0.7
+/* Interim responses before one that is a result; more make no sense. */
+#define INTERIM_MAX 16
 /* Keep-alive timeout when the peer's response has none. */
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
 
@@ -35,6 +37,7 @@
 	struct message *response; /* last complete one; ops may use it */
 	int64_t idle_timeout_ms;  /* see IDLE_TIMEOUT_SHARE */
 	bool connected;
+	unsigned interim;      /* responses (1xx) before the result */
 	bool response_started; /* bytes of the response have arrived */
 	bool keep_alive;       /* the response lets the connection be reused */
 	bool paused;
@@ -133,7 +136,7 @@
 
 	if (m->status / 100 == 1) {
 		talloc_free(m);
-		return true;
+		return ++l->interim <= INTERIM_MAX;
 	}
 	talloc_free(l->response);
 	l->response = m;
@@ -163,6 +166,8 @@
 		}
 		l->response_started = true;
 		used = reader_feed(l->reader, p, n, &err);
+		if (!l->closed && l->interim > INTERIM_MAX)
+			err = READ_MALFORMED;
 		if (l->closed || err == READ_STOPPED)
 			return;
 		if (err) {
@@ -286,6 +291,7 @@
 	l->ops = ops;
 	l->ctx = ctx;
 	l->response_started = false;
+	l->interim = 0;
 	l->paused = false;
 	update_events(l);
 }
