Chats whose message crashes engines are refused

A refusal is 503, not-run.

Test: /chat-faults/message-stops with real processes and an engine stand-in that ends on a word; before, 502 in place of 503. What a node knows stays with it: sharing it is left.

--- /dev/null
+++ b/node/chat-faults.c
@@ -0,0 +1,120 @@
+/*
+ * Messages of chats that crash the targets which begin to answer them. Each
+ * message but the last is a part of the prompt as route/prompt-faults.h has it.
+ * A node knows what it has seen itself.
+ */
+#include <string.h>
+#include <talloc.h>
+
+#include "node/node.h"
+
+/* Interval of the decisions which messages are blocked. */
+#define DECIDE_INTERVAL_MS 50
+/*
+ * A target has the same id after a restart. It can't crash twice within this
+ * time.
+ */
+#define CRASH_ID_MS 1000
+
+struct decider {
+	struct node *node;
+	int64_t next_ms;
+};
+
+static uint64_t hash_message(const json_t *m)
+{
+	const char *role = json_string_value(json_object_get(m, "role"));
+	char *text = json_dumps(json_object_get(m, "content"),
+				JSON_COMPACT | JSON_ENCODE_ANY);
+	uint64_t hash = str_hash(str_c(text), str_hash(str_c(role), 0));
+
+	free(text);
+	return hash;
+}
+
+void chat_faults_set_parts(struct request *rq, const json_t *body)
+{
+	const json_t *messages = json_object_get(body, "messages");
+	size_t n = json_array_size(messages);
+
+	if (!n)
+		return;
+	rq->own_part = hash_message(json_array_get(messages, n - 1));
+	n = MIN(n - 1, CHAT_PARTS_MAX);
+	rq->parts = talloc_array(rq->arena, uint64_t, n + 1);
+	for (size_t i = 0; i < n; i++)
+		rq->parts[i] = hash_message(json_array_get(messages, i));
+	rq->part_count = n;
+}
+
+static struct prompt_part_list parts_of(const struct request *rq)
+{
+	return (struct prompt_part_list){rq->parts, rq->part_count};
+}
+
+bool chat_faults_blocks(const struct request *rq)
+{
+	if (!prompt_faults_blocks(rq->node->prompt_faults, parts_of(rq),
+				  time_mono_ms()))
+		return false;
+	metric_add(M_PROMPT_REFUSALS_TOTAL, 1);
+	return true;
+}
+
+void chat_faults_began(const struct request *rq, int64_t began_ms)
+{
+	prompt_faults_began(rq->node->prompt_faults, parts_of(rq), began_ms);
+}
+
+void chat_faults_crashed(const struct request *rq, const struct target *t)
+{
+	int64_t now = time_mono_ms();
+
+	prompt_faults_crashed(rq->node->prompt_faults, parts_of(rq),
+			      rq->own_part,
+			      t->id + (uint64_t)(now / CRASH_ID_MS), now);
+}
+
+static void on_part_changed(void *ctx, const struct part_record *r,
+			    const char *why)
+{
+	(void)ctx;
+	metric_add(M_PROMPT_PARTS_BLOCKED, r->blocked ? 1 : -1);
+	log_event(r->blocked ? EV_PROMPT_BLOCKED : EV_PROMPT_FREED,
+		  "part=%x depth=%d crashes=%d why=%s", (unsigned)r->part,
+		  (int)r->depth, (int)r->crash_count, why);
+}
+
+struct prompt_faults *chat_faults_new(void)
+{
+	return prompt_faults_new(on_part_changed, NULL);
+}
+
+static void *start(struct control_env *env)
+{
+	struct decider *d = g_new0(struct decider, 1);
+
+	d->node = env->node;
+	return d;
+}
+
+static void tick(void *ctx, int64_t now_ms)
+{
+	struct decider *d = ctx;
+
+	if (now_ms < d->next_ms)
+		return;
+	d->next_ms = now_ms + DECIDE_INTERVAL_MS;
+	prompt_faults_decide(d->node->prompt_faults, now_ms);
+}
+
+static void stop(void *ctx)
+{
+	g_free(ctx);
+}
+
+const struct control_module chat_faults_module = {
+	.start = start,
+	.tick = tick,
+	.stop = stop,
+};
--- a/node/chat.c
+++ b/node/chat.c
@@ -299,6 +299,7 @@
 	}
 	rq->stream = json_is_true(json_object_get(body, "stream"));
 	rq->work = estimate_work(body, rq->owner->organisation->name, rq->chat);
+	chat_faults_set_parts(rq, body);
 	set_target_body(rq, body);
 	json_decref(body);
 	return RAMP_OK;
@@ -344,6 +345,8 @@
 		request_free(rq);
 		return U_CALLBACK_COMPLETE;
 	}
+	if (e == RAMP_OK && chat_faults_blocks(rq))
+		e = RAMP_ERR_PROMPT_BLOCKED;
 	if (e == RAMP_OK)
 		e = dispatch(rq, &rl);
 	if (e != RAMP_OK) {
--- a/node/control.c
+++ b/node/control.c
@@ -10,7 +10,7 @@
 /* Started in this order and stopped in reverse. */
 static const struct control_module *const modules[] = {
 	&config_module, &list_module,  &orders_module, &sweep_module,
-	&gossip_module, &loads_module, &limits_module,
+	&gossip_module, &loads_module, &limits_module, &chat_faults_module,
 };
 
 /*
--- a/node/node.h
+++ b/node/node.h
@@ -16,6 +16,7 @@
 #include "http/http.h"
 #include "member/member.h"
 #include "node/admission.h"
+#include "route/prompt-faults.h"
 #include "route/route.h"
 #include "state/state.h"
 
@@ -101,6 +102,7 @@
 	struct resume_key *resume_key;
 	struct admission *admission;
 	struct health *health;
+	struct prompt_faults *prompt_faults; /* of messages */
 	struct limits *limits;
 	struct limit_pools *limit_pools;
 	GThreadPool *cancel_pool; /* cancel.c */
@@ -205,6 +207,8 @@
 extern const struct control_module loads_module;
 /* Renews this node's grants of the organisations' limits. */
 extern const struct control_module limits_module;
+/* Decides which messages of chats are blocked. */
+extern const struct control_module chat_faults_module;
 
 /* Run the control thread until the node's stop_control is set. */
 void *control_run(void *node);
@@ -259,6 +263,9 @@
 	int caller_fd; /* caller's connection for http_call_watch_peer, or -1 */
 	bool caller_gone; /* the caller has closed its connection */
 	struct work_estimate work;
+	uint64_t *parts; /* hashes of the chat's messages but the last */
+	size_t part_count;
+	uint64_t own_part;            /* hash of the last */
 	struct admission_grant grant; /* held while the work runs */
 	bool limit_taken;      /* counted against its organisation's limits */
 	int64_t reused_tokens; /* as the target reported; -1: not reported */
@@ -426,6 +433,21 @@
  */
 const struct target **dispatch_rank_targets(struct request *rq, size_t *n);
 
+/* chat-faults.c: messages that crash the targets which begin to answer them. */
+
+/* Most messages of a chat that are examined; the first are kept. */
+#define CHAT_PARTS_MAX 64
+
+struct prompt_faults *chat_faults_new(void);
+/* Set the parts of the request from its body. */
+void chat_faults_set_parts(struct request *rq, const json_t *body);
+/* Return whether to refuse the request, also before it is run again. */
+bool chat_faults_blocks(const struct request *rq);
+/* An answer began at a monotonic time, and its target goes on. */
+void chat_faults_began(const struct request *rq, int64_t began_ms);
+/* The target can't be reached any more, before its answer began. */
+void chat_faults_crashed(const struct request *rq, const struct target *t);
+
 /*
  * health.c: ejects targets that fail or are slow for a while, and limits
  * retries to a budget that first attempts fill. Safe from any thread.
--- a/node/relay.c
+++ b/node/relay.c
@@ -14,6 +14,9 @@
 #define RECONNECTS_MAX     4 /* in a row without progress */
 #define RUNS_MAX           3 /* per request, each on another target */
 #define READER_BYTES       8
+/* A target that crashes of an answer does so this soon after its first event.
+ */
+#define BEGUN_AFTER_MS 300
 
 struct relay {
 	struct request *rq;
@@ -36,6 +39,8 @@
 	const struct target *tried[RUNS_MAX]; /* may still be working */
 	unsigned run_count;
 	const struct target *began_at; /* gave the first event; NULL: none */
+	int64_t first_event_ms;        /* of the run; 0: none */
+	bool judged; /* whether the run began or its target crashed is known */
 	bool resuming;   /* the connection asked for the rest of an answer */
 	bool responded;  /* valid headers have arrived on the connection */
 	bool progressed; /* new event on the connection, or idle in a queue */
@@ -152,6 +157,22 @@
 		   request_deadline_mono_ms(rl->rq));
 }
 
+/* The run has begun and its target has not crashed of it. */
+static void record_begin(struct relay *rl)
+{
+	if (!rl->judged)
+		chat_faults_began(rl->rq, rl->first_event_ms);
+	rl->judged = true;
+}
+
+/* The target of a run that had not begun can't be reached any more. */
+static void record_crash(struct relay *rl)
+{
+	if (!rl->judged)
+		chat_faults_crashed(rl->rq, rl->target);
+	rl->judged = true;
+}
+
 static bool is_deadline_passed(const struct relay *rl)
 {
 	return time_now_ms() >= rl->rq->deadline_ms;
@@ -298,6 +319,10 @@
 	rl->received_hash = hash_event(e->data, rl->received_hash);
 	rl->receive_pos++;
 	rl->progressed = true;
+	if (!rl->first_event_ms)
+		rl->first_event_ms = time_mono_ms();
+	if (time_mono_ms() - rl->first_event_ms >= BEGUN_AFTER_MS)
+		record_begin(rl);
 	if (rl->receive_pos > rl->deliver_pos) {
 		if (!rl->began_at)
 			rl->began_at = rl->target;
@@ -325,6 +350,8 @@
 	if (str_eq(e->data, STR_LIT("[DONE]"))) {
 		rl->diverged = rl->receive_pos < rl->deliver_pos;
 		rl->ended = !rl->diverged;
+		if (rl->first_event_ms)
+			record_begin(rl);
 		return rl->ended ? RECEIVED_EVENT : RECEIVED_DUPLICATE;
 	}
 	if (!parse_event_id(rl, e->id, &number) || number > rl->receive_pos)
@@ -348,6 +375,8 @@
 	if (!http_call_maybe_sent(rl->http_call) && (rl->resuming || !rl->hop))
 		node_observe_target(rl->rq->node, rl->target->name,
 				    TARGET_CONNECT_FAILED);
+	if (!http_call_maybe_sent(rl->http_call) && rl->resuming)
+		record_crash(rl);
 	if (!rl->resuming && !http_call_maybe_sent(rl->http_call))
 		return RAMP_ERR_NO_TARGET;
 	return reconnect(rl);
@@ -403,6 +432,8 @@
 	rl->receive_pos = 0;
 	rl->received_hash = 0;
 	rl->reconnects = 0;
+	rl->first_event_ms = 0;
+	rl->judged = false;
 	rl->pace = (struct pace){0};
 }
 
@@ -414,7 +445,8 @@
 {
 	return rl->rq->service->idempotent && !rl->rq->is_resume &&
 	       !rl->rq->caller_gone && !rl->diverged &&
-	       rl->run_count < RUNS_MAX && !is_deadline_passed(rl);
+	       !chat_faults_blocks(rl->rq) && rl->run_count < RUNS_MAX &&
+	       !is_deadline_passed(rl);
 }
 
 /*
--- a/node/request.c
+++ b/node/request.c
@@ -133,10 +133,13 @@
 }
 
 /* Add jitter, so that callers refused together don't retry together. */
-static int64_t retry_after_ms(const struct request *rq)
+static int64_t retry_after_ms(const struct request *rq, enum ramp_error e)
 {
 	int64_t remaining_ms = rq->retry_at_ms - time_now_ms();
 
+	/* No earlier request with the message is served. */
+	if (e == RAMP_ERR_PROMPT_BLOCKED)
+		return PART_BLOCK_IDLE_MS;
 	if (remaining_ms > 0)
 		return remaining_ms;
 	return RETRY_AFTER_MEAN_MS / 2 +
@@ -148,7 +151,7 @@
 {
 	const struct error_response *a = &error_responses[e];
 	enum outcome o = refusal_outcome(rq, a);
-	int64_t after_ms = a->retry ? retry_after_ms(rq) : 0;
+	int64_t after_ms = a->retry ? retry_after_ms(rq, e) : 0;
 	json_t *j = ramp_error_json(e, detail,
 				    a->retry ? time_now_ms() + after_ms : 0);
 
--- a/node/test-harness.c
+++ b/node/test-harness.c
@@ -252,6 +252,26 @@
 	}
 }
 
+int rig_restart_engines(struct rig *g)
+{
+	int n = 0;
+
+	for (unsigned i = 0; i < g->engine_count; i++) {
+		char *name = g_strdup_printf("e%u", i + 1);
+
+		if (waitpid(g->engines[i].pid, NULL, WNOHANG) > 0) {
+			g->engines[i].pid = 0;
+			proc_start(g, &g->engines[i], name,
+				   "build/standin/engine", NULL);
+			n++;
+		}
+		g_free(name);
+	}
+	if (n)
+		rig_publish(g);
+	return n;
+}
+
 struct rig *rig_new(unsigned engines, unsigned nodes,
 		    const char *extra_settings)
 {
--- a/node/test-harness.h
+++ b/node/test-harness.h
@@ -71,6 +71,9 @@
 /* Return how often the process logged an event, such as "caller_left". */
 int rig_count_logged(const struct rig *g, const struct proc *p,
 		     const char *event);
+/* Start the engines that have ended by themselves again; return their number.
+ */
+int rig_restart_engines(struct rig *g);
 /* Sum the requests run, or cancelled, by all engines that are up. */
 int64_t rig_engine_runs(const struct rig *g);
 int64_t rig_engine_cancellations(const struct rig *g);
--- a/standin/engine-batch.c
+++ b/standin/engine-batch.c
@@ -3,6 +3,7 @@
  * which advance in each step.
  */
 #include <string.h>
+#include <unistd.h>
 
 #include "standin/engine.h"
 
@@ -35,12 +36,15 @@
 }
 
 /* Process a part of the prompt or generate one token. */
-static void advance_job(struct job *j)
+static void advance_job(const struct engine *e, struct job *j)
 {
 	if (j->prefill_tokens_left > 0) {
 		j->prefill_tokens_left -= PREFILL_TOKENS_PER_STEP;
 		return;
 	}
+	/* No clean-up: the connections break as in a crash. */
+	if (*e->faults.crash_word && strstr(j->prompt, e->faults.crash_word))
+		_exit(1);
 	j->generated_tokens++;
 	if (j->generated_tokens >= j->max_tokens)
 		mark_finished(j);
@@ -87,7 +91,7 @@
 		struct job *j = g_ptr_array_index(e->queue, i);
 
 		if (i < (guint)e->batch_size && !j->cancelled)
-			advance_job(j);
+			advance_job(e, j);
 		if (j->cancelled && !j->finished_ms)
 			mark_finished(j);
 		if (j->finished_ms)
--- a/standin/engine-control.c
+++ b/standin/engine-control.c
@@ -171,17 +171,21 @@
 	struct faults f = {0};
 	int ignore_fence = 0, down = 0, different_words = 0, leaving = 0;
 	int no_load = 0;
+	const char *crash_word = "";
 	int invalid = json_unpack(
 		body,
-		"{s?I,s?I,s?b,s?I,s?I,s?I,s?I,s?I,s?I,s?b,s?b,s?I,s?b,s?b !}",
+		"{s?I,s?I,s?b,s?I,s?I,s?I,s?I,s?I,s?I,s?b,s?b,s?I,s?b,s?b,"
+		"s?s !}",
 		"lag_ms", &f.report_lag_ms, "gap", &f.drop_event_every,
 		"ignore_fence", &ignore_fence, "cross", &f.crossed_answers,
 		"lose", &f.lost_answers, "silent", &f.silent_streams,
 		"silent_at", &f.silent_at_token, "slow", &f.step_time_factor,
 		"fail", &f.refused_requests, "down", &down, "differ",
 		&different_words, "vanish", &f.lost_then_down, "leaving",
-		&leaving, "no_load", &no_load);
+		&leaving, "no_load", &no_load, "crash_word", &crash_word);
 
+	if (!invalid)
+		g_strlcpy(f.crash_word, crash_word, sizeof(f.crash_word));
 	json_decref(body);
 	if (invalid)
 		return refuse_request(r, 400, "unknown fault");
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -23,6 +23,8 @@
 	int64_t step_time_factor; /* of the duration of a step; 0 is 1 */
 	int64_t refused_requests; /* next requests are refused, not run */
 	bool different_words;     /* generate other words than other engines */
+	char crash_word[32];      /* prompts with it end the process, when */
+				  /* the answer begins; "": none */
 	bool down;                /* refuse chats, streams and load reports */
 	bool leaving;             /* refuse new jobs; running ones continue */
 	bool no_load;             /* close calls for load reports unanswered */
