Requests that limited targets leave over are refused at once

Cause: a target without a limit counted as one that takes any number of requests. What the limited ones don't take goes on coming, so its queue does not get shorter.

A stream that has begun goes first.

Test: /route/place/overflow.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -656,7 +656,10 @@
 	if (refuse_blocked_prompt(x))
 		return;
 	t = pool_choose_target(x->tr, x->service, &x->prompt, x->version,
-			       x->tried_targets, (size_t)x->attempts, &source);
+			       x->tried_targets, (size_t)x->attempts,
+			       /* What a caller has begun to get goes first. */
+			       x->head_sent ? 0 : exchange_priority(x),
+			       &source);
 	if (!t) {
 		x->failure_cause = "no_target";
 		x->all_resting = true;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -278,7 +278,8 @@
 /*
  * Choose a target for a request to the service, or NULL when there is none.
  * version: only targets with that version of the software; 0: any.
- * Targets whose ids are in tried are chosen only when no other is left. *source
+ * Targets whose ids are in tried are chosen only when no other is left.
+ * priority: see place_limit_overflow. *source
  * is set to the target from which the chosen one should fetch the prompt, or
  * NULL.
  */
@@ -286,7 +287,7 @@
 				  const struct entry_service *s,
 				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
-				  struct target **source);
+				  int priority, struct target **source);
 /* Whether a target of the service and version takes new requests. */
 bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
 			 uint64_t version);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -232,6 +232,7 @@
 	return (struct place_target){
 		.id = t->info.id,
 		.load = estimate_load(t, now_ms),
+		.slots = (double)t->info.slots,
 		.weight =
 			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
 		.avoid = ejected,
@@ -327,7 +328,7 @@
 				  const struct entry_service *s,
 				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
-				  struct target **source)
+				  int priority, struct target **source)
 {
 	size_t max = g_hash_table_size(tr->targets), n = 0, chosen, donor;
 	struct place_target *p = g_newa(struct place_target, max + 1);
@@ -352,6 +353,7 @@
 		targets[n] = t;
 		p[n++] = make_candidate(t, now);
 	}
+	place_limit_overflow(p, n, priority);
 	avoid_outliers(p, targets, n);
 	avoid_tried(p, n, tried, tried_count);
 	chosen = place_choose(&limits, prompt->parts[0], p, n,
--- a/route/place.c
+++ b/route/place.c
@@ -37,6 +37,12 @@
 				     .slack = SHORT_SLACK};
 }
 
+/*
+ * Load, as a multiple of its slots, up to which a target takes requests of a
+ * priority while others are limited; the last is that of all less urgent ones.
+ */
+static const double overflow_loads[] = {2, 1.5, 1};
+
 /* A target takes its full share of the keys this long after it joined. */
 #define JOIN_RAMP_MS 30000
 /* Weight on joining: above 0, so that the target gets some keys at once. */
@@ -176,6 +182,18 @@
 	return false;
 }
 
+void place_limit_overflow(struct place_target *t, size_t n, int priority)
+{
+	int last = (int)G_N_ELEMENTS(overflow_loads) - 1;
+	double factor = overflow_loads[CLAMP(priority, 0, last)];
+
+	if (!has_limited(t, n))
+		return;
+	for (size_t i = 0; i < n; i++)
+		t[i].limited |=
+			t[i].slots > 0 && t[i].load >= factor * t[i].slots;
+}
+
 size_t place_choose(const struct place_limits *l, uint64_t key,
 		    const struct place_target *t, size_t n,
 		    struct route_random random)
--- a/route/route.h
+++ b/route/route.h
@@ -542,7 +542,8 @@
 
 struct place_target {
 	uint64_t id;
-	double load; /* requests in progress, as far as this node knows */
+	double load;  /* requests in progress, as far as this node knows */
+	double slots; /* requests that it runs at the same time */
 	/*
 	 * Fraction of its full share of the keys: 0 when the target has just
 	 * joined with an empty cache, 1 when it takes its full share.
@@ -584,6 +585,13 @@
  * stricter.
  */
 struct place_limits place_limits_for(int64_t shared_tokens, double factor);
+/*
+ * While some targets are limited, mark those as limited as well that are too
+ * full for a request of the priority (0 is the most urgent): in their queues it
+ * would wait to its deadline, as what the limited ones don't take goes on
+ * coming.
+ */
+void place_limit_overflow(struct place_target *t, size_t n, int priority);
 
 /*
  * Choose a target: the first in the key's weighted rendezvous order when its
--- a/route/test-place.c
+++ b/route/test-place.c
@@ -329,6 +329,39 @@
 	g_rand_free(r);
 }
 
+/*
+ * What limited targets don't take fills the queues of the others until nothing
+ * is answered in time, or the urgent requests are refused with the rest.
+ */
+static void test_overflow(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_target t[TARGETS];
+
+	for (int priority = 0; priority < 10; priority++) {
+		fill(t, 14);
+		for (size_t i = 0; i < TARGETS; i++)
+			t[i].slots = 12;
+		place_limit_overflow(t, TARGETS, priority);
+		g_assert_cmpuint(choose(1, t, TARGETS, r), !=, SIZE_MAX);
+		t[0].limited = true;
+		place_limit_overflow(t, TARGETS, priority);
+		if (priority < 2)
+			g_assert_cmpuint(choose(1, t, TARGETS, r), !=,
+					 SIZE_MAX);
+		else
+			g_assert_cmpuint(choose(1, t, TARGETS, r), ==,
+					 SIZE_MAX);
+		fill(t, 30);
+		for (size_t i = 0; i < TARGETS; i++)
+			t[i].slots = 12;
+		t[0].limited = true;
+		place_limit_overflow(t, TARGETS, priority);
+		g_assert_cmpuint(choose(1, t, TARGETS, r), ==, SIZE_MAX);
+	}
+	g_rand_free(r);
+}
+
 /* Keys leave targets that have room, as others with limits are idle. */
 static void test_room_beside_limited(void)
 {
@@ -368,6 +401,7 @@
 			test_source_of_newcomer);
 	g_test_add_func("/route/place/source-known", test_source_known);
 	g_test_add_func("/route/place/limited", test_limited);
+	g_test_add_func("/route/place/overflow", test_overflow);
 	g_test_add_func("/route/place/room-beside-limited",
 			test_room_beside_limited);
 	return g_test_run();
