The memory of buffered responses counts as allocated

/endless/memory failed once, beside load and after the other cases of its program: 106.6 MB of 104.9 allowed. Traced: a buffer doubles as it grows, and only the bytes in it were counted, so 48 responses of 38 MB in all took up to twice that. The capacity is counted now.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -491,7 +491,7 @@
 			on_link_fault(x, LINK_MALFORMED, true);
 			return false;
 		}
-		count_buffered(x, buf_len(&x->splitter.partial));
+		count_buffered(x, x->splitter.partial.cap);
 		if (is_out_of_memory(x)) {
 			on_link_fault(x, LINK_MALFORMED, true);
 			return false;
@@ -505,7 +505,7 @@
 		return false;
 	}
 	buf_add(&x->response_body, p, n);
-	count_buffered(x, buf_len(&x->response_body));
+	count_buffered(x, x->response_body.cap);
 	if (!is_out_of_memory(x))
 		return true;
 	on_link_fault(x, LINK_MALFORMED, true);
