The records of begun and broken attempts are in one file

Read again: exchange.c had grown by what belongs to crash-check.c. No behaviour changes; tests of platform's entry and prompt-faults and of route's prompt-faults: passed.

--- a/entry/crash-check.c
+++ b/entry/crash-check.c
@@ -1,15 +1,17 @@
 /*
- * Finds out whether a target has crashed when connections to it break: one that
- * lives accepts a new connection, which is closed at once. Connections break
- * for other reasons as well, and what a prompt holds is not to blame for them.
+ * Records which attempts began and which broke as their target crashed, by the
+ * parts of their prompts (route/prompt-faults.c). A target that lives accepts a
+ * new connection, which is closed at once: connections break for other reasons
+ * as well, and what a prompt holds is not to blame for them.
  */
-#include "entry/internal.h"
+#include "entry/exchange.h"
 
 /* Interval of the looks at whether the connection is established. */
 #define CHECK_INTERVAL_MS 10
 /* Attempts that are kept for the result of one check. */
 #define SUSPECTS_MAX 64
 
+/* Finds out whether a target has crashed. */
 struct crash_check {
 	struct traffic *tr;
 	uint64_t target; /* id */
@@ -75,16 +77,39 @@
 	return c;
 }
 
-void crash_check(struct traffic *tr, const struct target *t,
-		 const struct prompt_parts *parts)
+/* Return the shared parts of the prompt; an empty list when it has none. */
+static struct prompt_part_list shared_parts(const struct exchange *x)
 {
-	struct crash_check *c =
-		g_hash_table_lookup(tr->crash_checks, &t->info.id);
+	return x->parts ? (struct prompt_part_list){x->parts->shared,
+						    x->parts->n}
+			: (struct prompt_part_list){NULL, 0};
+}
+
+bool exchange_prompt_is_blocked(const struct exchange *x)
+{
+	return prompt_faults_blocks(x->tr->e->prompt_faults, shared_parts(x),
+				    time_boot_ms());
+}
+
+void exchange_record_begin(struct exchange *x, int64_t began_ms)
+{
+	if (x->begin_recorded || !x->parts)
+		return;
+	x->begin_recorded = true;
+	prompt_faults_began(x->tr->e->prompt_faults, shared_parts(x), began_ms);
+}
+
+void exchange_record_break(struct exchange *x)
+{
+	struct crash_check *c;
 
+	if (x->begin_recorded || !x->parts)
+		return;
+	c = g_hash_table_lookup(x->tr->crash_checks, &x->target->info.id);
 	if (!c)
-		c = check_new(tr, t);
+		c = check_new(x->tr, x->target);
 	if (c && c->n < SUSPECTS_MAX)
-		c->suspects[c->n++] = *parts;
+		c->suspects[c->n++] = *x->parts;
 }
 
 void crash_checks_init(struct traffic *tr)
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -269,31 +269,6 @@
 			       x->service->name, x->version, time_boot_ms());
 }
 
-/* Return the shared parts of the prompt; an empty list when it has none. */
-static struct prompt_part_list shared_parts(const struct exchange *x)
-{
-	return x->parts ? (struct prompt_part_list){x->parts->shared,
-						    x->parts->n}
-			: (struct prompt_part_list){NULL, 0};
-}
-
-/* The attempt's response has begun and its target has not crashed of it. */
-static void record_begin(struct exchange *x, int64_t began_ms)
-{
-	if (x->begin_recorded || !x->parts)
-		return;
-	x->begin_recorded = true;
-	prompt_faults_began(x->tr->e->prompt_faults, shared_parts(x), began_ms);
-}
-
-/* The connection broke, perhaps as the target crashed when it was to begin. */
-static void record_break(struct exchange *x)
-{
-	if (x->begin_recorded || !x->parts)
-		return;
-	crash_check(x->tr, x->target, x->parts);
-}
-
 /* Send one complete event of a stream to the caller, as one chunk. */
 static void deliver_event(void *ctx, const char *p, size_t n)
 {
@@ -306,7 +281,7 @@
 		if (!x->first_event_ms)
 			x->first_event_ms = now;
 		if (now - x->first_event_ms >= BEGUN_AFTER_MS)
-			record_begin(x, x->first_event_ms);
+			exchange_record_begin(x, x->first_event_ms);
 	}
 	if (!x->head_sent) {
 		write_response_head(x, &out);
@@ -370,7 +345,7 @@
 	(void)response_started;
 	x->failure_cause = causes[f];
 	if (f == LINK_BROKEN)
-		record_break(x);
+		exchange_record_break(x);
 	/*
 	 * A reused connection may break because the target closed it as idle,
 	 * so that is not counted as a fault.
@@ -517,14 +492,14 @@
 	/* A stream that ends within an event, or without any, was truncated. */
 	if (buf_len(&x->splitter.partial) || !x->splitter.event_count) {
 		x->failure_cause = "stream_cut";
-		record_break(x);
+		exchange_record_break(x);
 		pool_record_response(x->target, false);
 		if (!exchange_retry(x, true, true))
 			fail(x);
 		return;
 	}
 	pool_record_response(x->target, true);
-	record_begin(x, x->first_event_ms);
+	exchange_record_begin(x, x->first_event_ms);
 	log_end(x, 200, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
 	caller_write(x->caller, "0\r\n\r\n", 5);
@@ -576,7 +551,7 @@
 		}
 	}
 	if (status == 200)
-		record_begin(x, time_boot_ms());
+		exchange_record_begin(x, time_boot_ms());
 	deliver_response(x);
 }
 
@@ -637,8 +612,7 @@
  */
 static bool refuse_blocked_prompt(struct exchange *x)
 {
-	if (!prompt_faults_blocks(x->tr->e->prompt_faults, shared_parts(x),
-				  time_boot_ms()))
+	if (!exchange_prompt_is_blocked(x))
 		return false;
 	metric_add(M_PROMPT_REFUSALS_TOTAL, 1);
 	x->failure_cause = "prompt_blocked";
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -129,6 +129,15 @@
  */
 bool exchange_check_target(struct exchange *x, int64_t now);
 
+/* crash-check.c: what becomes of attempts, by the parts of their prompts. */
+
+/* Whether a part of the prompt crashes targets, so that no attempt is made. */
+bool exchange_prompt_is_blocked(const struct exchange *x);
+/* The attempt's response began then, and its target has not crashed since. */
+void exchange_record_begin(struct exchange *x, int64_t began_ms);
+/* The attempt's connection broke; its target may have crashed of the prompt. */
+void exchange_record_break(struct exchange *x);
+
 /* take-up.c: a stream that another attempt of the caller began. */
 
 /* Whether the caller has events of the stream already. */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -204,12 +204,6 @@
 void crash_checks_init(struct traffic *tr);
 /* Cancel the checks in progress. */
 void crash_checks_free(struct traffic *tr);
-/*
- * The connection of an attempt broke before its response began. If the target
- * turns out to have crashed, record that for the parts of its prompt.
- */
-void crash_check(struct traffic *tr, const struct target *t,
-		 const struct prompt_parts *parts);
 
 /* caller.c: connections of callers. */
 
--- a/node/chat-faults.c
+++ b/node/chat-faults.c
@@ -3,7 +3,6 @@
  * message but the last is a part of the prompt as route/prompt-faults.h has it.
  * A node knows what it has seen itself.
  */
-#include <string.h>
 #include <talloc.h>
 
 #include "node/node.h"
--- a/route/prompt-faults.c
+++ b/route/prompt-faults.c
@@ -11,7 +11,6 @@
  * request reaches them all.
  */
 #include <stdatomic.h>
-#include <string.h>
 
 #include "route/prompt-faults.h"
 
--- a/route/target-limits.c
+++ b/route/target-limits.c
@@ -7,7 +7,6 @@
  * that had it before may have used it up.
  */
 #include <stdatomic.h>
-#include <string.h>
 
 #include "route/route.h"
 #include "route/target-limits.h"
