--- a/route/prompt-faults.c
+++ b/route/prompt-faults.c
@@ -59,6 +59,7 @@
 	unsigned rounds;
 	bool forward;
 	bool has_news;
+	uint64_t changes; /* parts blocked or freed so far */
 	part_changed_fn *changed;
 	void *ctx;
 };
@@ -97,9 +98,20 @@
 	f->has_news = true;
 }
 
-static void report(const struct prompt_faults *f, const struct part *p,
+uint64_t prompt_faults_changes(struct prompt_faults *f)
+{
+	uint64_t n;
+
+	g_mutex_lock(&f->lock);
+	n = f->changes;
+	g_mutex_unlock(&f->lock);
+	return n;
+}
+
+static void report(struct prompt_faults *f, const struct part *p,
 		   const char *why)
 {
+	f->changes++;
 	if (f->changed)
 		f->changed(f->ctx, &p->r, why);
 }
--- a/route/prompt-faults.h
+++ b/route/prompt-faults.h
@@ -86,6 +86,8 @@
 /* List the blocked parts and those most suspected; return their number. */
 size_t prompt_faults_list(struct prompt_faults *f, struct part_record *out,
 			  size_t max);
+/* Return a counter that grows when a part is blocked or freed. */
+uint64_t prompt_faults_changes(struct prompt_faults *f);
 /*
  * Set how often a record is sent, and whether those that came from another node
  * are sent on.
