Wording of the exchange of records between nodes

Read again: "news" that is "spread" are updates that are queued; nodes are not reminded but sent records again. In these files take_news became take_updates, send_news send_update, NEWS UPDATE, has_news has_updates, is_news is_update, spread queue_update, REMIND RESEND, and judged recorded in node/relay.c; comments follow. No behaviour changes.

--- a/entry/control.h
+++ b/entry/control.h
@@ -10,16 +10,16 @@
 #include "entry/store-clients.h"
 
 /*
- * Nodes of a fleet that send what is new to all others; in a larger one each
+ * Nodes of a fleet that send an update to all others; in a larger one each
  * node that learns of it sends it on to some.
  */
-#define DIRECT_NEWS_NODES_MAX 24
-/* How often news is sent, as datagrams get lost and fan out at random. */
-#define DIRECT_NEWS_ROUNDS 2
-#define FANOUT_NEWS_ROUNDS 3
-/* Nodes that are reminded of what they may have missed, and how often. */
-#define REMINDED_NODES     3
-#define REMIND_INTERVAL_MS 300
+#define DIRECT_UPDATE_NODES_MAX 24
+/* How often an update is sent, as datagrams get lost and fan out at random. */
+#define DIRECT_UPDATE_ROUNDS 2
+#define FANOUT_UPDATE_ROUNDS 3
+/* Nodes that get again what they may have missed, and how often. */
+#define RESEND_NODES       3
+#define RESEND_INTERVAL_MS 300
 
 /* Receive buffer of the UDP sockets. */
 #define DATAGRAM_BYTES 2048
@@ -79,9 +79,10 @@
  */
 void peers_relay_loads(struct control *c, const struct peer_list *l,
 		       int64_t now_ms);
-/* Send news to all other nodes of a small fleet, to some of a large one. */
-void peers_send_news(const struct control *c, const struct peer_list *l,
-		     struct peer_message *m);
+/* Send an update to all other nodes of a small fleet, to some of a large one.
+ */
+void peers_send_update(const struct control *c, const struct peer_list *l,
+		       struct peer_message *m);
 /* Send to some nodes, chosen at random. */
 void peers_send_to_some(const struct control *c, const struct peer_list *l,
 			size_t count, struct peer_message *m);
--- a/entry/peer-limits.c
+++ b/entry/peer-limits.c
@@ -8,7 +8,7 @@
 #define LIMIT_TTL_MS 3600000
 
 static void send_limits(struct control *c, const struct peer_list *l,
-			const struct target_limit *v, size_t n, bool news,
+			const struct target_limit *v, size_t n, bool update,
 			int64_t now_ms)
 {
 	struct peer_message m = {.kind = PEER_LIMITS};
@@ -20,10 +20,10 @@
 		reports[i] = (struct limit_report){
 			v[i].target, (int)v[i].per_1000_s,
 			(u_int)CLAMP(now_ms - v[i].named_ms, 0, UINT32_MAX)};
-	if (news)
-		peers_send_news(c, l, &m);
+	if (update)
+		peers_send_update(c, l, &m);
 	else
-		peers_send_to_some(c, l, REMINDED_NODES, &m);
+		peers_send_to_some(c, l, RESEND_NODES, &m);
 }
 
 /*
@@ -55,20 +55,21 @@
 		       int64_t now_ms)
 {
 	struct target_limits *t = c->e->target_limits;
-	bool direct = l->n <= DIRECT_NEWS_NODES_MAX;
+	bool direct = l->n <= DIRECT_UPDATE_NODES_MAX;
 	struct target_limit v[LIMIT_REPORTS_MAX];
 	size_t n;
 
 	set_nodes(c, l, now_ms);
 	target_limits_set_rounds(
-		t, direct ? DIRECT_NEWS_ROUNDS : FANOUT_NEWS_ROUNDS, !direct);
+		t, direct ? DIRECT_UPDATE_ROUNDS : FANOUT_UPDATE_ROUNDS,
+		!direct);
 	if (l->n <= 1)
 		return;
-	while ((n = target_limits_take_news(t, v, LIMIT_REPORTS_MAX)))
+	while ((n = target_limits_take_updates(t, v, LIMIT_REPORTS_MAX)))
 		send_limits(c, l, v, n, true, now_ms);
 	if (now_ms < c->limits_list_at_ms)
 		return;
-	c->limits_list_at_ms = now_ms + REMIND_INTERVAL_MS;
+	c->limits_list_at_ms = now_ms + RESEND_INTERVAL_MS;
 	target_limits_expire(t, now_ms - LIMIT_TTL_MS);
 	n = target_limits_list(t, v, LIMIT_REPORTS_MAX);
 	if (n)
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -8,8 +8,8 @@
 
 #include "entry/control.h"
 
-/* Nodes of a large fleet that a node sends news to. */
-#define NEWS_FANOUT 4
+/* Nodes of a large fleet that a node sends an update to. */
+#define UPDATE_FANOUT 4
 /* Length of the authentication code at the end of each datagram. */
 #define MAC_BYTES crypto_auth_BYTES
 /* Interval of load reports, unless LOAD_DATAGRAMS_PER_S makes it longer. */
@@ -89,14 +89,14 @@
 	}
 }
 
-void peers_send_news(const struct control *c, const struct peer_list *l,
-		     struct peer_message *m)
+void peers_send_update(const struct control *c, const struct peer_list *l,
+		       struct peer_message *m)
 {
 	uint64_t self = member_id(c->e->control_settings.node_name);
 	struct datagram d;
 
-	if (l->n > DIRECT_NEWS_NODES_MAX) {
-		peers_send_to_some(c, l, NEWS_FANOUT, m);
+	if (l->n > DIRECT_UPDATE_NODES_MAX) {
+		peers_send_to_some(c, l, UPDATE_FANOUT, m);
 		return;
 	}
 	encode_datagram(c, m, &d);
--- a/entry/peer-parts.c
+++ b/entry/peer-parts.c
@@ -1,12 +1,12 @@
 /*
  * Messages between nodes about the parts of prompts that crash targets. A small
- * fleet sends what is new to all nodes; in a large one each node that learns of
+ * fleet sends updates to all nodes; in a large one each node that learns of
  * it sends it on to some others. Runs on the control thread.
  */
 #include "entry/control.h"
 
-/* Datagrams of news that a node sends in a tick, to each that gets them. */
-#define NEWS_PER_TICK 4
+/* Datagrams with updates that a node sends in a tick, to each receiver. */
+#define UPDATES_PER_TICK 4
 
 static u_int age_of(int64_t at_ms, int64_t now_ms)
 {
@@ -55,31 +55,32 @@
 		      int64_t now_ms)
 {
 	struct prompt_faults *f = c->e->prompt_faults;
-	bool direct = l->n <= DIRECT_NEWS_NODES_MAX;
+	bool direct = l->n <= DIRECT_UPDATE_NODES_MAX;
 	struct part_record v[PART_REPORTS_MAX];
 	struct part_datagram d;
 	size_t n;
 
 	prompt_faults_set_rounds(
-		f, direct ? DIRECT_NEWS_ROUNDS : FANOUT_NEWS_ROUNDS, !direct);
+		f, direct ? DIRECT_UPDATE_ROUNDS : FANOUT_UPDATE_ROUNDS,
+		!direct);
 	prompt_faults_decide(f, now_ms);
 	if (l->n <= 1)
 		return;
-	for (int i = 0; i < NEWS_PER_TICK; i++) {
-		n = prompt_faults_take_news(f, v, PART_REPORTS_MAX);
+	for (int i = 0; i < UPDATES_PER_TICK; i++) {
+		n = prompt_faults_take_updates(f, v, PART_REPORTS_MAX);
 		if (!n)
 			break;
 		fill_in(&d, v, n, now_ms);
-		peers_send_news(c, l, &d.m);
+		peers_send_update(c, l, &d.m);
 	}
 	if (now_ms < c->parts_list_at_ms)
 		return;
-	c->parts_list_at_ms = now_ms + REMIND_INTERVAL_MS;
+	c->parts_list_at_ms = now_ms + RESEND_INTERVAL_MS;
 	n = prompt_faults_list(f, v, PART_REPORTS_MAX);
 	if (!n)
 		return;
 	fill_in(&d, v, n, now_ms);
-	peers_send_to_some(c, l, REMINDED_NODES, &d.m);
+	peers_send_to_some(c, l, RESEND_NODES, &d.m);
 }
 
 void peers_receive_parts(struct control *c, const struct part_reports *m)
--- a/node/relay.c
+++ b/node/relay.c
@@ -40,7 +40,7 @@
 	unsigned run_count;
 	const struct target *began_at; /* gave the first event; NULL: none */
 	int64_t first_event_ms;        /* of the run; 0: none */
-	bool judged; /* whether the run began or its target crashed is known */
+	bool recorded;   /* that the run began, or that its target crashed */
 	bool resuming;   /* the connection asked for the rest of an answer */
 	bool responded;  /* valid headers have arrived on the connection */
 	bool progressed; /* new event on the connection, or idle in a queue */
@@ -160,17 +160,17 @@
 /* The run has begun and its target has not crashed of it. */
 static void record_begin(struct relay *rl)
 {
-	if (!rl->judged)
+	if (!rl->recorded)
 		chat_faults_began(rl->rq, rl->first_event_ms);
-	rl->judged = true;
+	rl->recorded = true;
 }
 
 /* The target of a run that had not begun can't be reached any more. */
 static void record_crash(struct relay *rl)
 {
-	if (!rl->judged)
+	if (!rl->recorded)
 		chat_faults_crashed(rl->rq, rl->target);
-	rl->judged = true;
+	rl->recorded = true;
 }
 
 static bool is_deadline_passed(const struct relay *rl)
@@ -433,7 +433,7 @@
 	rl->received_hash = 0;
 	rl->reconnects = 0;
 	rl->first_event_ms = 0;
-	rl->judged = false;
+	rl->recorded = false;
 	rl->pace = (struct pace){0};
 }
 
--- a/route/prompt-faults.c
+++ b/route/prompt-faults.c
@@ -58,7 +58,7 @@
 	atomic_size_t blocks; /* blocked_count, to be read without the lock */
 	unsigned rounds;
 	bool forward;
-	bool has_news;
+	bool has_updates;
 	uint64_t changes; /* parts blocked or freed so far */
 	part_changed_fn *changed;
 	void *ctx;
@@ -92,10 +92,10 @@
 	g_mutex_unlock(&f->lock);
 }
 
-static void spread(struct prompt_faults *f, struct part *p)
+static void queue_update(struct prompt_faults *f, struct part *p)
 {
 	p->rounds_left = f->rounds;
-	f->has_news = true;
+	f->has_updates = true;
 }
 
 uint64_t prompt_faults_changes(struct prompt_faults *f)
@@ -406,7 +406,7 @@
 			continue;
 		part->r.depth = (uint32_t)i;
 		if (add_crash(f, part, c))
-			spread(f, part);
+			queue_update(f, part);
 	}
 	g_mutex_unlock(&f->lock);
 }
@@ -433,7 +433,7 @@
 		struct part *part = use_part(f, p.v[i]);
 
 		if (clear_part(f, part, began_ms))
-			spread(f, part);
+			queue_update(f, part);
 	}
 	g_mutex_unlock(&f->lock);
 }
@@ -518,7 +518,7 @@
 		while ((p = next_to_block(f, now_ms))) {
 			p->r.asked_ms = now_ms;
 			block_part(f, p, "crashes");
-			spread(f, p);
+			queue_update(f, p);
 			explain(f, p);
 		}
 	}
@@ -553,12 +553,12 @@
 	return n;
 }
 
-static bool is_news(const struct part *p)
+static bool is_update(const struct part *p)
 {
 	return p->rounds_left > 0;
 }
 
-/* A single crash is no ground to remind other nodes of a part. */
+/* Parts with a single crash are not sent again. */
 static bool is_suspect(const struct part *p)
 {
 	return p->r.blocked || p->r.crash_count > 1;
@@ -579,15 +579,15 @@
 	return copy_first(parts, out, max);
 }
 
-size_t prompt_faults_take_news(struct prompt_faults *f, struct part_record *out,
-			       size_t max)
+size_t prompt_faults_take_updates(struct prompt_faults *f,
+				  struct part_record *out, size_t max)
 {
 	size_t n = 0;
 
 	g_mutex_lock(&f->lock);
-	if (f->has_news)
-		n = select_parts(f, is_news, out, max);
-	f->has_news = n > 0;
+	if (f->has_updates)
+		n = select_parts(f, is_update, out, max);
+	f->has_updates = n > 0;
 	g_mutex_unlock(&f->lock);
 	return n;
 }
@@ -604,7 +604,7 @@
 	return n;
 }
 
-/* Take over what the record knows of the part; return whether it was news. */
+/* Merge the record into the part; return whether that changed it. */
 static bool merge(struct prompt_faults *f, struct part *p,
 		  const struct part_record *r, int64_t now_ms)
 {
@@ -639,8 +639,8 @@
 	g_mutex_lock(&f->lock);
 	p = use_part(f, r->part);
 	if (r->crash_count && knows_more(p, r))
-		spread(f, p);
+		queue_update(f, p);
 	if (merge(f, p, r, now_ms) && f->forward)
-		spread(f, p);
+		queue_update(f, p);
 	g_mutex_unlock(&f->lock);
 }
--- a/route/prompt-faults.h
+++ b/route/prompt-faults.h
@@ -81,8 +81,8 @@
  * Take records that other nodes lack, at most max; each is taken as often as
  * the last prompt_faults_set_rounds says. Return their number.
  */
-size_t prompt_faults_take_news(struct prompt_faults *f, struct part_record *out,
-			       size_t max);
+size_t prompt_faults_take_updates(struct prompt_faults *f,
+				  struct part_record *out, size_t max);
 /* List the blocked parts and those most suspected; return their number. */
 size_t prompt_faults_list(struct prompt_faults *f, struct part_record *out,
 			  size_t max);
--- a/route/target-limits.c
+++ b/route/target-limits.c
@@ -43,7 +43,7 @@
 	size_t list_next; /* where target_limits_list goes on */
 	unsigned rounds;
 	bool forward;
-	bool has_news;
+	bool has_updates;
 	limit_changed_fn *changed;
 	void *ctx;
 };
@@ -207,12 +207,12 @@
 	return true;
 }
 
-static void spread(struct target_limits *t, uint64_t target)
+static void queue_update(struct target_limits *t, uint64_t target)
 {
 	struct limited *x = g_hash_table_lookup(t->targets, &target);
 
 	x->rounds_left = t->rounds;
-	t->has_news = true;
+	t->has_updates = true;
 }
 
 void target_limits_name(struct target_limits *t, uint64_t target,
@@ -224,7 +224,7 @@
 		return;
 	g_mutex_lock(&t->lock);
 	if (set_limit(t, &l))
-		spread(t, target);
+		queue_update(t, target);
 	g_mutex_unlock(&t->lock);
 }
 
@@ -233,19 +233,19 @@
 {
 	g_mutex_lock(&t->lock);
 	if (set_limit(t, l) && t->forward)
-		spread(t, l->target);
+		queue_update(t, l->target);
 	g_mutex_unlock(&t->lock);
 }
 
-size_t target_limits_take_news(struct target_limits *t,
-			       struct target_limit *out, size_t max)
+size_t target_limits_take_updates(struct target_limits *t,
+				  struct target_limit *out, size_t max)
 {
 	GHashTableIter it;
 	gpointer v;
 	size_t n = 0;
 
 	g_mutex_lock(&t->lock);
-	if (t->has_news) {
+	if (t->has_updates) {
 		g_hash_table_iter_init(&it, t->targets);
 		while (n < max && g_hash_table_iter_next(&it, NULL, &v)) {
 			struct limited *x = v;
@@ -256,7 +256,7 @@
 			out[n++] = x->l;
 		}
 	}
-	t->has_news = n > 0;
+	t->has_updates = n > 0;
 	g_mutex_unlock(&t->lock);
 	return n;
 }
--- a/route/target-limits.h
+++ b/route/target-limits.h
@@ -57,8 +57,8 @@
  * Take limits that other nodes lack, at most max; each is taken as often as
  * target_limits_set_rounds says. Return their number.
  */
-size_t target_limits_take_news(struct target_limits *t,
-			       struct target_limit *out, size_t max);
+size_t target_limits_take_updates(struct target_limits *t,
+				  struct target_limit *out, size_t max);
 /* List limits, at most max, in turn over the calls; return their number. */
 size_t target_limits_list(struct target_limits *t, struct target_limit *out,
 			  size_t max);
--- a/route/test-prompt-faults.c
+++ b/route/test-prompt-faults.c
@@ -88,9 +88,9 @@
 	f->ticks++;
 	for (size_t i = 0; i < f->n; i++) {
 		prompt_faults_decide(f->nodes[i], f->now_ms);
-		send_records(
-			f, i, f->n <= DIRECT_MAX, v,
-			prompt_faults_take_news(f->nodes[i], v, PER_MESSAGE));
+		send_records(f, i, f->n <= DIRECT_MAX, v,
+			     prompt_faults_take_updates(f->nodes[i], v,
+							PER_MESSAGE));
 		if ((f->ticks + (int)i) % REMIND_TICKS == 0)
 			send_records(f, i, false, v,
 				     prompt_faults_list(f->nodes[i], v,
--- a/route/test-target-limits.c
+++ b/route/test-target-limits.c
@@ -66,7 +66,7 @@
 static void exchange(struct fleet *f, size_t from)
 {
 	struct target_limit v[PER_MESSAGE];
-	size_t n = target_limits_take_news(f->nodes[from], v, PER_MESSAGE);
+	size_t n = target_limits_take_updates(f->nodes[from], v, PER_MESSAGE);
 
 	for (size_t k = 0; n && f->n <= DIRECT_MAX && k < f->n; k++)
 		send_to(f, k, v, n);
@@ -217,7 +217,7 @@
 }
 
 /* A response that arrives late brings an older limit back. */
-static void test_older_news(void)
+static void test_older_update(void)
 {
 	struct target_limits *t = target_limits_new(1, NULL, NULL);
 	static const uint64_t nodes[] = {1};
@@ -245,6 +245,6 @@
 	g_test_add_func("/target-limits/unknown-nodes", test_unknown_nodes);
 	g_test_add_func("/target-limits/limit-ends-everywhere",
 			test_limit_ends);
-	g_test_add_func("/target-limits/older-news", test_older_news);
+	g_test_add_func("/target-limits/older-news", test_older_update);
 	return g_test_run();
 }
