--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -102,14 +102,14 @@
 	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
 	log_event(EV_REQUEST_ENDED,
 		  "request=" STR_FMT " route=" STR_FMT
-		  " prompt=%x parts=%s shared=%d target=" STR_FMT
+		  " whole=%x prompt=%x parts=%s shared=%d target=" STR_FMT
 		  " source=" STR_FMT
 		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
 		  "cause=%s config=%d config_age_ms=%d version=" STR_FMT
 		  " resumes=" STR_FMT,
 		  STR_ARG(x->request_id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
-		  (unsigned)x->prompt.parts[0],
+		  (unsigned)x->whole, (unsigned)x->prompt.parts[0],
 		  prompt_parts_text(x->arena, x->parts),
 		  (int)x->prompt.shared_tokens, STR_ARG(x->last_target_name),
 		  STR_ARG(x->last_source_name), status, how,
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -40,6 +40,8 @@
 	struct str resumes;
 	struct prompt prompt;
 	struct prompt_parts *parts; /* NULL: the request names none */
+	/* Hash of what stays the same when the request comes again. */
+	uint64_t whole;
 	int64_t arrived_ms;
 	int64_t deadline_ms; /* the earlier of the caller's and the route's */
 
--- a/entry/resolve.c
+++ b/entry/resolve.c
@@ -38,6 +38,18 @@
 	return (struct str){lower, host.len};
 }
 
+/* Hash what a caller's later attempts and other requests of its have too. */
+static uint64_t hash_whole(const struct exchange *x, struct str host)
+{
+	uint64_t h = str_hash(x->request->method, 0);
+
+	h = str_hash(host, h);
+	h = str_hash(x->request->url, h);
+	if (x->organisation)
+		h = str_hash(x->organisation->name, h);
+	return str_hash(x->body, h);
+}
+
 /*
  * Pick one of the route's services by weight. The hash of the request id
  * decides, so repeats of a request get the same service, and a stream that is
@@ -64,7 +76,8 @@
 {
 	const struct dialect *d = x->tr->dialect;
 	const struct message *m = x->request;
-	struct str host = message_header(m, STR_LIT("Host"));
+	struct str host =
+		normalise_host(x->arena, message_header(m, STR_LIT("Host")));
 	int64_t now = time_boot_ms();
 	bool fresh = entry_config_is_valid(x->tr->e, now);
 	int64_t wait_ms;
@@ -75,8 +88,7 @@
 		return RAMP_ERR_NOT_READY;
 	if (!m->url.len || m->url.data[0] != '/' || !x->request_id.len)
 		return RAMP_ERR_BAD_REQUEST;
-	x->route = entry_config_route(x->config, normalise_host(x->arena, host),
-				      url_path(m->url));
+	x->route = entry_config_route(x->config, host, url_path(m->url));
 	/* A stale configuration proves neither a missing route nor a key. */
 	if (!x->route)
 		return fresh ? RAMP_ERR_NOT_FOUND : RAMP_ERR_NOT_READY;
@@ -95,6 +107,7 @@
 	if (exchange_time_left_ms(x) < ATTEMPT_MIN_MS)
 		return RAMP_ERR_OVERLOADED;
 	read_prompt(x);
+	x->whole = hash_whole(x, host);
 	x->service = pick_service(x);
 	return x->service ? RAMP_OK : RAMP_ERR_NO_TARGET;
 }
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -40,14 +40,15 @@
 static void begin_retry(struct exchange *x, bool ran)
 {
 	metric_add(M_RETRIES_TOTAL, 1);
-	log_event(EV_REQUEST_REPEATED,
-		  "request=" STR_FMT " target=" STR_FMT " version=" STR_FMT
-		  " cause=%s ran=%d sends=%d after=%d began=%d parts=%s",
-		  STR_ARG(x->request_id), STR_ARG(x->last_target_name),
-		  STR_ARG(x->last_target_version), x->failure_cause, ran,
-		  x->attempts, (int)x->splitter.last_number,
-		  x->first_event_ms != 0,
-		  prompt_parts_text(x->arena, x->parts));
+	log_event(
+		EV_REQUEST_REPEATED,
+		"request=" STR_FMT " target=" STR_FMT " version=" STR_FMT
+		" cause=%s ran=%d sends=%d after=%d began=%d whole=%x parts=%s",
+		STR_ARG(x->request_id), STR_ARG(x->last_target_name),
+		STR_ARG(x->last_target_version), x->failure_cause, ran,
+		x->attempts, (int)x->splitter.last_number,
+		x->first_event_ms != 0, (unsigned)x->whole,
+		prompt_parts_text(x->arena, x->parts));
 	exchange_attempt(x);
 }
 
