--- a/entry/control.h
+++ b/entry/control.h
@@ -109,11 +109,11 @@
 		       int64_t now_ms);
 void peers_receive_limits(struct control *c, const struct limit_reports *m);
 
-/* peer-parts.c: messages about the parts of prompts that crash targets. */
+/* peer-causes.c: messages about the parts of prompts that crash targets. */
 
 /* Decide which parts are blocked, and send what other nodes lack. */
-void peers_send_parts(struct control *c, const struct peer_list *l,
-		      int64_t now_ms);
-void peers_receive_parts(struct control *c, const struct part_reports *m);
+void peers_send_causes(struct control *c, const struct peer_list *l,
+		       int64_t now_ms);
+void peers_receive_causes(struct control *c, const struct part_reports *m);
 
 #endif
--- a/entry/crash-check.c
+++ b/entry/crash-check.c
@@ -1,6 +1,6 @@
 /*
  * Records which attempts began and which broke as their target crashed, by the
- * parts of their prompts (route/prompt-faults.c). A target that lives accepts a
+ * parts of their prompts (route/crash-causes.c). A target that lives accepts a
  * new connection, which is closed at once: connections break for other reasons
  * as well, and what a prompt holds is not to blame for them.
  */
@@ -38,10 +38,9 @@
 	for (size_t i = 0; i < c->n && !link_connected(c->link); i++) {
 		const struct prompt_parts *s = &c->suspects[i];
 
-		prompt_faults_crashed(
-			c->tr->e->prompt_faults,
-			(struct prompt_part_list){s->shared, s->n}, s->own,
-			c->target, c->broke_ms);
+		crash_causes_crashed(c->tr->e->crash_causes,
+				     (struct cause_keys){s->shared, s->n},
+				     s->own, c->target, c->broke_ms);
 	}
 	g_hash_table_remove(c->tr->crash_checks, &c->target);
 }
@@ -78,17 +77,16 @@
 }
 
 /* Return the shared parts of the prompt; an empty list when it has none. */
-static struct prompt_part_list shared_parts(const struct exchange *x)
+static struct cause_keys shared_parts(const struct exchange *x)
 {
-	return x->parts ? (struct prompt_part_list){x->parts->shared,
-						    x->parts->n}
-			: (struct prompt_part_list){NULL, 0};
+	return x->parts ? (struct cause_keys){x->parts->shared, x->parts->n}
+			: (struct cause_keys){NULL, 0};
 }
 
 bool exchange_prompt_is_blocked(const struct exchange *x)
 {
-	return prompt_faults_blocks(x->tr->e->prompt_faults, shared_parts(x),
-				    time_boot_ms());
+	return crash_causes_block(x->tr->e->crash_causes, shared_parts(x),
+				  time_boot_ms());
 }
 
 void exchange_record_begin(struct exchange *x, int64_t began_ms)
@@ -96,7 +94,7 @@
 	if (x->begin_recorded || !x->parts)
 		return;
 	x->begin_recorded = true;
-	prompt_faults_began(x->tr->e->prompt_faults, shared_parts(x), began_ms);
+	crash_causes_began(x->tr->e->crash_causes, shared_parts(x), began_ms);
 }
 
 void exchange_record_break(struct exchange *x)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -271,7 +271,7 @@
 }
 
 /* A part of prompts is blocked or freed. */
-static void on_part_changed(void *ctx, const struct part_record *r,
+static void on_part_changed(void *ctx, const struct cause_record *r,
 			    const char *why)
 {
 	(void)ctx;
@@ -295,7 +295,7 @@
 	e->loads = loads_new(member_id(e->settings.node_name));
 	e->holders = holders_new();
 	e->origins = origins_new();
-	e->prompt_faults = prompt_faults_new(on_part_changed, NULL);
+	e->crash_causes = crash_causes_new(on_part_changed, NULL);
 	e->target_limits = target_limits_new(member_id(e->settings.node_name),
 					     on_limit_changed, NULL);
 	traffic_init(e);
@@ -358,7 +358,7 @@
 	loads_free(e->loads);
 	holders_free(e->holders);
 	origins_free(e->origins);
-	prompt_faults_free(e->prompt_faults);
+	crash_causes_free(e->crash_causes);
 	target_limits_free(e->target_limits);
 	g_free(e->control_address);
 	g_free(e);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -148,7 +148,7 @@
 
 	/* No earlier request with the part is served. */
 	if (kind == RAMP_ERR_PROMPT_BLOCKED)
-		return PART_BLOCK_IDLE_MS;
+		return CAUSE_BLOCK_IDLE_MS;
 	return MAX(RETRY_AFTER_MIN_MS, x->all_resting ? rest_end_ms - now : 0) +
 	       g_rand_int_range(x->tr->rand, 0, RETRY_AFTER_SPREAD_MS);
 }
--- a/entry/holders-store.c
+++ b/entry/holders-store.c
@@ -15,7 +15,7 @@
 #define ROW_KEY  "held"
 /* Field of the row that holds the versions; see origins_versions. */
 #define VERSIONS_FIELD "versions"
-/* Field of the row that holds the blocked parts; see stored-parts.c. */
+/* Field of the row that holds the blocked parts; see stored-causes.c. */
 #define BLOCKED_FIELD "blocked"
 
 struct holders_store {
@@ -29,7 +29,7 @@
 	int64_t era;             /* of the store, at the last call */
 	uint64_t saved_changes;  /* holders_change_count() at the last save */
 	uint64_t saved_versions; /* origins_versions_changes() at that time */
-	uint64_t saved_blocked;  /* prompt_faults_changes() at that time */
+	uint64_t saved_blocked;  /* crash_causes_changes() at that time */
 };
 
 static json_t *encode_row(const struct prompt_holder *v, size_t n)
@@ -100,8 +100,8 @@
 
 		decode_row(s, row);
 		load_versions(s, row);
-		stored_parts_load(s->e->prompt_faults,
-				  json_object_get(row, BLOCKED_FIELD));
+		stored_causes_load(s->e->crash_causes,
+				   json_object_get(row, BLOCKED_FIELD));
 		json_decref(row);
 	}
 	/* No node has saved anything, so none has served before. */
@@ -136,13 +136,13 @@
 
 	s->saved_changes = holders_change_count(s->e->holders);
 	s->saved_versions = origins_versions_changes(s->e->origins);
-	s->saved_blocked = prompt_faults_changes(s->e->prompt_faults);
+	s->saved_blocked = crash_causes_changes(s->e->crash_causes);
 	n = holders_list(s->e->holders, v, HOLDERS_STORED_MAX);
 	row = encode_row(v, n);
 	json_object_set_new(row, VERSIONS_FIELD,
 			    origins_versions(s->e->origins, time_boot_ms()));
 	json_object_set_new(row, BLOCKED_FIELD,
-			    stored_parts_encode(s->e->prompt_faults));
+			    stored_causes_encode(s->e->crash_causes));
 	s->api->write(s->store, STORE_PROMPTS, ROW_KEY, row, on_saved, s);
 	json_decref(row);
 	g_free(v);
@@ -152,7 +152,7 @@
 {
 	return s->saved_changes != holders_change_count(s->e->holders) ||
 	       s->saved_versions != origins_versions_changes(s->e->origins) ||
-	       s->saved_blocked != prompt_faults_changes(s->e->prompt_faults);
+	       s->saved_blocked != crash_causes_changes(s->e->crash_causes);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -13,7 +13,7 @@
 
 #include "entry/entry.h"
 #include "member/member.h"
-#include "route/prompt-faults.h"
+#include "route/crash-causes.h"
 #include "route/target-limits.h"
 
 #define MB_BYTES 1048576
@@ -135,7 +135,7 @@
 	struct loads *loads;
 	struct holders *holders;
 	struct origins *origins;
-	struct prompt_faults *prompt_faults;
+	struct crash_causes *crash_causes;
 	struct target_limits *target_limits;
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
--- a/entry/peer-parts.c
+++ b/entry/peer-causes.c
@@ -27,9 +27,9 @@
 					[PART_REPORT_CRASHES_MAX];
 };
 
-G_STATIC_ASSERT(PART_REPORT_CRASHES_MAX == PART_CRASHES_MAX);
+G_STATIC_ASSERT(PART_REPORT_CRASHES_MAX == CAUSE_CRASHES_MAX);
 
-static void fill_in(struct part_datagram *d, const struct part_record *v,
+static void fill_in(struct part_datagram *d, const struct cause_record *v,
 		    size_t n, int64_t now_ms)
 {
 	d->m = (struct peer_message){.kind = PEER_PARTS};
@@ -51,23 +51,23 @@
 	}
 }
 
-void peers_send_parts(struct control *c, const struct peer_list *l,
-		      int64_t now_ms)
+void peers_send_causes(struct control *c, const struct peer_list *l,
+		       int64_t now_ms)
 {
-	struct prompt_faults *f = c->e->prompt_faults;
+	struct crash_causes *f = c->e->crash_causes;
 	bool direct = l->n <= DIRECT_UPDATE_NODES_MAX;
-	struct part_record v[PART_REPORTS_MAX];
+	struct cause_record v[PART_REPORTS_MAX];
 	struct part_datagram d;
 	size_t n;
 
-	prompt_faults_set_rounds(
+	crash_causes_set_rounds(
 		f, direct ? DIRECT_UPDATE_ROUNDS : FANOUT_UPDATE_ROUNDS,
 		!direct);
-	prompt_faults_decide(f, now_ms);
+	crash_causes_decide(f, now_ms);
 	if (l->n <= 1)
 		return;
 	for (int i = 0; i < UPDATES_PER_TICK; i++) {
-		n = prompt_faults_take_updates(f, v, PART_REPORTS_MAX);
+		n = crash_causes_take_updates(f, v, PART_REPORTS_MAX);
 		if (!n)
 			break;
 		fill_in(&d, v, n, now_ms);
@@ -76,20 +76,20 @@
 	if (now_ms < c->parts_list_at_ms)
 		return;
 	c->parts_list_at_ms = now_ms + RESEND_INTERVAL_MS;
-	n = prompt_faults_list(f, v, PART_REPORTS_MAX);
+	n = crash_causes_list(f, v, PART_REPORTS_MAX);
 	if (!n)
 		return;
 	fill_in(&d, v, n, now_ms);
 	peers_send_to_some(c, l, RESEND_NODES, &d.m);
 }
 
-void peers_receive_parts(struct control *c, const struct part_reports *m)
+void peers_receive_causes(struct control *c, const struct part_reports *m)
 {
 	int64_t now = time_boot_ms();
 
 	for (u_int i = 0; i < m->entries.entries_len; i++) {
 		const struct part_report *e = &m->entries.entries_val[i];
-		struct part_record r = {
+		struct cause_record r = {
 			.part = e->part,
 			.began_ms = time_of(e->began_age_ms, now),
 			.asked_ms = time_of(e->asked_age_ms, now),
@@ -99,10 +99,10 @@
 		};
 
 		for (u_int k = 0; k < r.crash_count; k++)
-			r.crashes[k] = (struct part_crash){
+			r.crashes[k] = (struct cause_crash){
 				e->crashes.crashes_val[k].target,
 				e->crashes.crashes_val[k].request,
 				time_of(e->crashes.crashes_val[k].age_ms, now)};
-		prompt_faults_receive(c->e->prompt_faults, &r, now);
+		crash_causes_receive(c->e->crash_causes, &r, now);
 	}
 }
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -258,7 +258,7 @@
 		peers_apply_origins(c, &m->peer_message_u.origin_answer);
 		break;
 	case PEER_PARTS:
-		peers_receive_parts(c, &m->peer_message_u.parts);
+		peers_receive_causes(c, &m->peer_message_u.parts);
 		break;
 	case PEER_LIMITS:
 		peers_receive_limits(c, &m->peer_message_u.limits);
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -112,10 +112,10 @@
 /* Set whether this node is a reader, which reads the rows more often. */
 void discovery_set_reader(struct discovery *d, bool reader);
 
-/* stored-parts.c: blocked parts of prompts as rows of the store. */
-json_t *stored_parts_encode(struct prompt_faults *f);
+/* stored-causes.c: blocked parts of prompts as rows of the store. */
+json_t *stored_causes_encode(struct crash_causes *f);
 /* Block the parts that were saved; rows may be NULL. */
-void stored_parts_load(struct prompt_faults *f, const json_t *rows);
+void stored_causes_load(struct crash_causes *f, const json_t *rows);
 
 /* holders-store.c: saves the prompt holders to the store and loads them. */
 struct holders_store;
--- a/entry/stored-parts.c
+++ b/entry/stored-causes.c
@@ -8,7 +8,7 @@
 /* Parts that are saved; some 500 bytes each. */
 #define PARTS_SAVED_MAX 16
 
-static json_t *encode_part(const struct part_record *r, int64_t wall_offset_ms)
+static json_t *encode_part(const struct cause_record *r, int64_t wall_offset_ms)
 {
 	json_t *crashes = json_array();
 
@@ -23,10 +23,10 @@
 			 crashes);
 }
 
-json_t *stored_parts_encode(struct prompt_faults *f)
+json_t *stored_causes_encode(struct crash_causes *f)
 {
-	struct part_record v[PARTS_SAVED_MAX];
-	size_t n = prompt_faults_list(f, v, PARTS_SAVED_MAX);
+	struct cause_record v[PARTS_SAVED_MAX];
+	size_t n = crash_causes_list(f, v, PARTS_SAVED_MAX);
 	int64_t wall_offset_ms = time_now_ms() - time_boot_ms();
 	json_t *rows = json_array();
 
@@ -39,7 +39,7 @@
 
 /* Decode a part; false when it is malformed. */
 static bool decode_part(const json_t *row, int64_t wall_offset_ms,
-			struct part_record *r)
+			struct cause_record *r)
 {
 	json_int_t part, depth, target, request, at_ms;
 	json_t *crashes, *c;
@@ -50,18 +50,18 @@
 	r->part = (uint64_t)part;
 	r->depth = (uint32_t)depth;
 	json_array_foreach (crashes, i, c) {
-		if (r->crash_count == PART_CRASHES_MAX ||
+		if (r->crash_count == CAUSE_CRASHES_MAX ||
 		    json_unpack(c, "[I,I,I]", &target, &request, &at_ms) < 0)
 			return false;
 		/* This machine may have started after the crash. */
-		r->crashes[r->crash_count++] = (struct part_crash){
+		r->crashes[r->crash_count++] = (struct cause_crash){
 			(uint32_t)target, (uint32_t)request,
 			CLAMP(at_ms - wall_offset_ms, 1, time_boot_ms())};
 	}
 	return true;
 }
 
-void stored_parts_load(struct prompt_faults *f, const json_t *rows)
+void stored_causes_load(struct crash_causes *f, const json_t *rows)
 {
 	int64_t now = time_boot_ms();
 	int64_t wall_offset_ms = time_now_ms() - now;
@@ -71,10 +71,10 @@
 	json_array_foreach (rows, i, row) {
 		/* When a request last came is not known: it may have just now.
 		 */
-		struct part_record r = {.blocked = true, .asked_ms = now};
+		struct cause_record r = {.blocked = true, .asked_ms = now};
 
 		if (decode_part(row, wall_offset_ms, &r))
-			prompt_faults_receive(f, &r, now);
+			crash_causes_receive(f, &r, now);
 		else
 			metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
 	}
--- a/node/auburnramp.c
+++ b/node/auburnramp.c
@@ -166,7 +166,7 @@
 	n.admission =
 		admission_new(randombytes_random(), n.set.loads_target_work);
 	n.health = health_new(randombytes_random());
-	n.prompt_faults = chat_faults_new();
+	n.crash_causes = chat_faults_new();
 	n.limits = limits_new(randombytes_random());
 	n.limit_pools = limit_pools_new();
 	return run(&n, port_file->count ? port_file->filename[0] : NULL);
--- a/node/chat-faults.c
+++ b/node/chat-faults.c
@@ -1,6 +1,6 @@
 /*
  * Messages of chats that crash the targets which begin to answer them. Each
- * message but the last is a part of the prompt as route/prompt-faults.h has it.
+ * message but the last is a part of the prompt as route/crash-causes.h has it.
  * A node knows what it has seen itself.
  */
 #include <talloc.h>
@@ -46,15 +46,15 @@
 	rq->part_count = n;
 }
 
-static struct prompt_part_list parts_of(const struct request *rq)
+static struct cause_keys parts_of(const struct request *rq)
 {
-	return (struct prompt_part_list){rq->parts, rq->part_count};
+	return (struct cause_keys){rq->parts, rq->part_count};
 }
 
 bool chat_faults_blocks(const struct request *rq)
 {
-	if (!prompt_faults_blocks(rq->node->prompt_faults, parts_of(rq),
-				  time_mono_ms()))
+	if (!crash_causes_block(rq->node->crash_causes, parts_of(rq),
+				time_mono_ms()))
 		return false;
 	metric_add(M_PROMPT_REFUSALS_TOTAL, 1);
 	return true;
@@ -62,19 +62,18 @@
 
 void chat_faults_began(const struct request *rq, int64_t began_ms)
 {
-	prompt_faults_began(rq->node->prompt_faults, parts_of(rq), began_ms);
+	crash_causes_began(rq->node->crash_causes, parts_of(rq), began_ms);
 }
 
 void chat_faults_crashed(const struct request *rq, const struct target *t)
 {
 	int64_t now = time_mono_ms();
 
-	prompt_faults_crashed(rq->node->prompt_faults, parts_of(rq),
-			      rq->own_part,
-			      t->id + (uint64_t)(now / CRASH_ID_MS), now);
+	crash_causes_crashed(rq->node->crash_causes, parts_of(rq), rq->own_part,
+			     t->id + (uint64_t)(now / CRASH_ID_MS), now);
 }
 
-static void on_part_changed(void *ctx, const struct part_record *r,
+static void on_part_changed(void *ctx, const struct cause_record *r,
 			    const char *why)
 {
 	(void)ctx;
@@ -84,9 +83,9 @@
 		  (int)r->depth, (int)r->crash_count, why);
 }
 
-struct prompt_faults *chat_faults_new(void)
+struct crash_causes *chat_faults_new(void)
 {
-	return prompt_faults_new(on_part_changed, NULL);
+	return crash_causes_new(on_part_changed, NULL);
 }
 
 static void *start(struct control_env *env)
@@ -104,7 +103,7 @@
 	if (now_ms < d->next_ms)
 		return;
 	d->next_ms = now_ms + DECIDE_INTERVAL_MS;
-	prompt_faults_decide(d->node->prompt_faults, now_ms);
+	crash_causes_decide(d->node->crash_causes, now_ms);
 }
 
 static void stop(void *ctx)
--- a/node/node.h
+++ b/node/node.h
@@ -16,7 +16,7 @@
 #include "http/http.h"
 #include "member/member.h"
 #include "node/admission.h"
-#include "route/prompt-faults.h"
+#include "route/crash-causes.h"
 #include "route/route.h"
 #include "state/state.h"
 
@@ -102,7 +102,7 @@
 	struct resume_key *resume_key;
 	struct admission *admission;
 	struct health *health;
-	struct prompt_faults *prompt_faults; /* of messages */
+	struct crash_causes *crash_causes; /* of messages */
 	struct limits *limits;
 	struct limit_pools *limit_pools;
 	GThreadPool *cancel_pool; /* cancel.c */
@@ -438,7 +438,7 @@
 /* Most messages of a chat that are examined; the first are kept. */
 #define CHAT_PARTS_MAX 64
 
-struct prompt_faults *chat_faults_new(void);
+struct crash_causes *chat_faults_new(void);
 /* Set the parts of the request from its body. */
 void chat_faults_set_parts(struct request *rq, const json_t *body);
 /* Return whether to refuse the request, also before it is run again. */
--- a/node/request.c
+++ b/node/request.c
@@ -139,7 +139,7 @@
 
 	/* No earlier request with the message is served. */
 	if (e == RAMP_ERR_PROMPT_BLOCKED)
-		return PART_BLOCK_IDLE_MS;
+		return CAUSE_BLOCK_IDLE_MS;
 	if (remaining_ms > 0)
 		return remaining_ms;
 	return RETRY_AFTER_MEAN_MS / 2 +
--- a/route/prompt-faults.c
+++ b/route/crash-causes.c
@@ -12,7 +12,7 @@
  */
 #include <stdatomic.h>
 
-#include "route/prompt-faults.h"
+#include "route/crash-causes.h"
 
 /* Crashes, and requests in them, that block a part. */
 #define BLOCK_CRASHES  4
@@ -39,34 +39,34 @@
 #define BLOCKED_MAX 64
 
 struct part {
-	struct part_record r;
+	struct cause_record r;
 	int64_t qualified_ms; /* since when it is to be blocked; 0: it isn't */
 	int64_t freed_ms;     /* blocked again only after a later crash */
 	unsigned rounds_left; /* how often it is still to be sent */
 	GList link;           /* in the order of use */
 };
 
-struct prompt_faults {
+struct crash_causes {
 	GMutex lock;
 	GHashTable *parts; /* hash -> struct part */
 	GQueue used;       /* struct part, most recently used first */
 	size_t suspected;  /* parts with crashes */
 	struct part *blocked[BLOCKED_MAX];
 	size_t blocked_count;
-	struct part_crash recent[RECENT_MAX]; /* the last of all parts */
+	struct cause_crash recent[RECENT_MAX]; /* the last of all parts */
 	size_t next_recent;
 	atomic_size_t blocks; /* blocked_count, to be read without the lock */
 	unsigned rounds;
 	bool forward;
 	bool has_updates;
 	uint64_t changes; /* parts blocked or freed so far */
-	part_changed_fn *changed;
+	cause_changed_fn *changed;
 	void *ctx;
 };
 
-struct prompt_faults *prompt_faults_new(part_changed_fn *changed, void *ctx)
+struct crash_causes *crash_causes_new(cause_changed_fn *changed, void *ctx)
 {
-	struct prompt_faults *f = g_new0(struct prompt_faults, 1);
+	struct crash_causes *f = g_new0(struct crash_causes, 1);
 
 	f->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
@@ -77,14 +77,14 @@
 	return f;
 }
 
-void prompt_faults_free(struct prompt_faults *f)
+void crash_causes_free(struct crash_causes *f)
 {
 	g_hash_table_unref(f->parts);
 	g_free(f);
 }
 
-void prompt_faults_set_rounds(struct prompt_faults *f, unsigned rounds,
-			      bool forward)
+void crash_causes_set_rounds(struct crash_causes *f, unsigned rounds,
+			     bool forward)
 {
 	g_mutex_lock(&f->lock);
 	f->rounds = rounds;
@@ -92,13 +92,13 @@
 	g_mutex_unlock(&f->lock);
 }
 
-static void queue_update(struct prompt_faults *f, struct part *p)
+static void queue_update(struct crash_causes *f, struct part *p)
 {
 	p->rounds_left = f->rounds;
 	f->has_updates = true;
 }
 
-uint64_t prompt_faults_changes(struct prompt_faults *f)
+uint64_t crash_causes_changes(struct crash_causes *f)
 {
 	uint64_t n;
 
@@ -108,7 +108,7 @@
 	return n;
 }
 
-static void report(struct prompt_faults *f, const struct part *p,
+static void report(struct crash_causes *f, const struct part *p,
 		   const char *why)
 {
 	f->changes++;
@@ -117,7 +117,7 @@
 }
 
 /* Stop refusing requests with the part. */
-static void free_part(struct prompt_faults *f, struct part *p, const char *why)
+static void free_part(struct crash_causes *f, struct part *p, const char *why)
 {
 	size_t i = 0;
 
@@ -131,7 +131,7 @@
 	report(f, p, why);
 }
 
-static void free_longest_idle(struct prompt_faults *f)
+static void free_longest_idle(struct crash_causes *f)
 {
 	struct part *p = f->blocked[0];
 
@@ -141,7 +141,7 @@
 	free_part(f, p, "too_many");
 }
 
-static void block_part(struct prompt_faults *f, struct part *p, const char *why)
+static void block_part(struct crash_causes *f, struct part *p, const char *why)
 {
 	if (p->r.blocked)
 		return;
@@ -155,7 +155,7 @@
 }
 
 /* Forget the part that was not used for the longest time. */
-static void evict(struct prompt_faults *f)
+static void evict(struct crash_causes *f)
 {
 	GList *l = f->used.tail;
 	struct part *p;
@@ -170,13 +170,13 @@
 	g_hash_table_remove(f->parts, &p->r.part);
 }
 
-static struct part *find_part(struct prompt_faults *f, uint64_t id)
+static struct part *find_part(struct crash_causes *f, uint64_t id)
 {
 	return g_hash_table_lookup(f->parts, &id);
 }
 
 /* Return the part, which is new if it is not known, and mark it as used. */
-static struct part *use_part(struct prompt_faults *f, uint64_t id)
+static struct part *use_part(struct crash_causes *f, uint64_t id)
 {
 	struct part *p = find_part(f, id);
 
@@ -194,7 +194,7 @@
 	return p;
 }
 
-static bool has_target(const struct part_record *r, uint32_t target)
+static bool has_target(const struct cause_record *r, uint32_t target)
 {
 	for (uint32_t i = 0; i < r->crash_count; i++)
 		if (r->crashes[i].target == target)
@@ -203,12 +203,12 @@
 }
 
 /* Remove the crashes for which drop returns true; return whether any was. */
-static bool drop_crashes(struct prompt_faults *f, struct part *p,
-			 bool (*drop)(const struct part_crash *c,
+static bool drop_crashes(struct crash_causes *f, struct part *p,
+			 bool (*drop)(const struct cause_crash *c,
 				      const void *ctx),
 			 const void *ctx)
 {
-	struct part_record *r = &p->r;
+	struct cause_record *r = &p->r;
 	uint32_t kept = 0, before = r->crash_count;
 
 	for (uint32_t i = 0; i < before; i++)
@@ -219,18 +219,18 @@
 	return kept < before;
 }
 
-static bool is_not_later(const struct part_crash *c, const void *at_ms)
+static bool is_not_later(const struct cause_crash *c, const void *at_ms)
 {
 	return c->at_ms <= *(const int64_t *)at_ms;
 }
 
-static bool is_of_part(const struct part_crash *c, const void *part)
+static bool is_of_part(const struct cause_crash *c, const void *part)
 {
 	return has_target(&((const struct part *)part)->r, c->target);
 }
 
 /* Whether a blocked part other than p accounts for the target's crash. */
-static bool is_explained(const struct prompt_faults *f, const struct part *p,
+static bool is_explained(const struct crash_causes *f, const struct part *p,
 			 uint32_t target)
 {
 	for (size_t i = 0; i < f->blocked_count; i++)
@@ -240,7 +240,7 @@
 }
 
 /* Remember that the target crashed, whichever part it is put on. */
-static void note_target(struct prompt_faults *f, struct part_crash c)
+static void note_target(struct crash_causes *f, struct cause_crash c)
 {
 	for (size_t i = 0; i < RECENT_MAX; i++)
 		if (f->recent[i].at_ms && f->recent[i].target == c.target)
@@ -249,18 +249,18 @@
 }
 
 /* Add a crash in its order of time; return whether it was new. */
-static bool add_crash(struct prompt_faults *f, struct part *p,
-		      struct part_crash c)
+static bool add_crash(struct crash_causes *f, struct part *p,
+		      struct cause_crash c)
 {
-	struct part_record *r = &p->r;
+	struct cause_record *r = &p->r;
 	uint32_t i;
 
 	note_target(f, c);
 	if (c.at_ms <= r->began_ms || has_target(r, c.target) ||
 	    is_explained(f, p, c.target))
 		return false;
-	if (r->crash_count == PART_CRASHES_MAX) {
-		if (c.at_ms <= r->crashes[PART_CRASHES_MAX - 1].at_ms)
+	if (r->crash_count == CAUSE_CRASHES_MAX) {
+		if (c.at_ms <= r->crashes[CAUSE_CRASHES_MAX - 1].at_ms)
 			return false;
 		r->crash_count--;
 	}
@@ -273,7 +273,7 @@
 }
 
 /* Count the requests that differ in the part's crashes. */
-static size_t count_requests(const struct part_record *r)
+static size_t count_requests(const struct cause_record *r)
 {
 	size_t n = 0;
 
@@ -288,7 +288,7 @@
 }
 
 /* Count the moments of the part's crashes; see CRASH_GAP_MS. */
-static size_t count_moments(const struct part_record *r)
+static size_t count_moments(const struct cause_record *r)
 {
 	int64_t last_ms = 0;
 	size_t n = 0;
@@ -305,7 +305,7 @@
 /* Whether the part has crashed enough targets to be blocked by a node. */
 static bool has_crashes(const struct part *p)
 {
-	const struct part_record *r = &p->r;
+	const struct cause_record *r = &p->r;
 
 	return r->crash_count >= BLOCK_CRASHES &&
 	       r->crashes[r->crash_count - 1].at_ms > p->freed_ms;
@@ -313,7 +313,7 @@
 
 static bool qualifies(const struct part *p)
 {
-	const struct part_record *r = &p->r;
+	const struct cause_record *r = &p->r;
 
 	return has_crashes(p) && count_requests(r) >= BLOCK_REQUESTS &&
 	       count_moments(r) >= BLOCK_MOMENTS;
@@ -323,7 +323,7 @@
  * Count the targets that crashed from the part's first crash to its last, less
  * those that blocked parts account for.
  */
-static size_t count_targets(const struct prompt_faults *f, const struct part *p)
+static size_t count_targets(const struct crash_causes *f, const struct part *p)
 {
 	int64_t first_ms = p->r.crashes[0].at_ms;
 	int64_t last_ms = p->r.crashes[p->r.crash_count - 1].at_ms;
@@ -337,14 +337,15 @@
 }
 
 /* Whether the part's crashes are more than chance puts on a sound part. */
-static bool stands_out(const struct prompt_faults *f, const struct part *p)
+static bool stands_out(const struct crash_causes *f, const struct part *p)
 {
 	return p->r.crash_count >= BLOCK_CRASHES_AMONG_MANY ||
 	       (size_t)p->r.crash_count * CRASH_SHARE >= count_targets(f, p);
 }
 
 /* Whether all crashes of a are crashes of b. */
-static bool is_within(const struct part_record *a, const struct part_record *b)
+static bool is_within(const struct cause_record *a,
+		      const struct cause_record *b)
 {
 	for (uint32_t i = 0; i < a->crash_count; i++)
 		if (!has_target(b, a->crashes[i].target))
@@ -357,8 +358,8 @@
  * together can't be told apart; the one that stands later in the prompt is in
  * fewer sound requests.
  */
-static bool is_likelier(const struct part_record *a,
-			const struct part_record *b)
+static bool is_likelier(const struct cause_record *a,
+			const struct cause_record *b)
 {
 	if (!a->began_ms != !b->began_ms)
 		return !a->began_ms;
@@ -368,7 +369,7 @@
 }
 
 /* Take the crashes that the blocked part explains off all less likely ones. */
-static void explain(struct prompt_faults *f, struct part *p)
+static void explain(struct crash_causes *f, struct part *p)
 {
 	GHashTableIter it;
 	gpointer v;
@@ -386,10 +387,10 @@
 	}
 }
 
-void prompt_faults_crashed(struct prompt_faults *f, struct prompt_part_list p,
-			   uint64_t request, uint64_t target, int64_t now_ms)
+void crash_causes_crashed(struct crash_causes *f, struct cause_keys p,
+			  uint64_t request, uint64_t target, int64_t now_ms)
 {
-	struct part_crash c = {(uint32_t)target, (uint32_t)request, now_ms};
+	struct cause_crash c = {(uint32_t)target, (uint32_t)request, now_ms};
 	bool blocked = false;
 
 	g_mutex_lock(&f->lock);
@@ -412,8 +413,7 @@
 }
 
 /* A response with the part began then, which clears it of earlier crashes. */
-static bool clear_part(struct prompt_faults *f, struct part *p,
-		       int64_t began_ms)
+static bool clear_part(struct crash_causes *f, struct part *p, int64_t began_ms)
 {
 	if (began_ms <= p->r.began_ms)
 		return false;
@@ -425,8 +425,8 @@
 	return true;
 }
 
-void prompt_faults_began(struct prompt_faults *f, struct prompt_part_list p,
-			 int64_t began_ms)
+void crash_causes_began(struct crash_causes *f, struct cause_keys p,
+			int64_t began_ms)
 {
 	g_mutex_lock(&f->lock);
 	for (size_t i = 0; i < p.n; i++) {
@@ -438,8 +438,8 @@
 	g_mutex_unlock(&f->lock);
 }
 
-bool prompt_faults_blocks(struct prompt_faults *f, struct prompt_part_list p,
-			  int64_t now_ms)
+bool crash_causes_block(struct crash_causes *f, struct cause_keys p,
+			int64_t now_ms)
 {
 	bool blocks = false;
 
@@ -459,7 +459,7 @@
 }
 
 /* Return the likeliest of the parts that have qualified for SETTLE_MS. */
-static struct part *next_to_block(struct prompt_faults *f, int64_t now_ms)
+static struct part *next_to_block(struct crash_causes *f, int64_t now_ms)
 {
 	struct part *best = NULL;
 	GHashTableIter it;
@@ -484,7 +484,7 @@
 	return best;
 }
 
-static void expire(struct prompt_faults *f, int64_t now_ms)
+static void expire(struct crash_causes *f, int64_t now_ms)
 {
 	int64_t oldest_ms = now_ms - CRASH_TTL_MS;
 	GHashTableIter it;
@@ -493,7 +493,7 @@
 	for (size_t i = f->blocked_count; i-- > 0;) {
 		struct part *p = f->blocked[i];
 
-		if (now_ms - p->r.asked_ms < PART_BLOCK_IDLE_MS)
+		if (now_ms - p->r.asked_ms < CAUSE_BLOCK_IDLE_MS)
 			continue;
 		p->freed_ms = now_ms;
 		free_part(f, p, "idle");
@@ -508,7 +508,7 @@
 	}
 }
 
-void prompt_faults_decide(struct prompt_faults *f, int64_t now_ms)
+void crash_causes_decide(struct crash_causes *f, int64_t now_ms)
 {
 	struct part *p;
 
@@ -528,8 +528,8 @@
 /* Blocked parts first, then by their crashes. */
 static int compare(const void *a, const void *b)
 {
-	const struct part_record *x = &(*(struct part *const *)a)->r;
-	const struct part_record *y = &(*(struct part *const *)b)->r;
+	const struct cause_record *x = &(*(struct part *const *)a)->r;
+	const struct cause_record *y = &(*(struct part *const *)b)->r;
 
 	if (x->blocked != y->blocked)
 		return x->blocked ? -1 : 1;
@@ -537,7 +537,7 @@
 }
 
 /* Copy the first parts of an array, which is freed, and sort it before. */
-static size_t copy_first(GPtrArray *parts, struct part_record *out, size_t max)
+static size_t copy_first(GPtrArray *parts, struct cause_record *out, size_t max)
 {
 	size_t n = MIN(parts->len, max);
 
@@ -564,9 +564,9 @@
 	return p->r.blocked || p->r.crash_count > 1;
 }
 
-static size_t select_parts(struct prompt_faults *f,
+static size_t select_parts(struct crash_causes *f,
 			   bool (*wanted)(const struct part *p),
-			   struct part_record *out, size_t max)
+			   struct cause_record *out, size_t max)
 {
 	GPtrArray *parts = g_ptr_array_new();
 	GHashTableIter it;
@@ -579,8 +579,8 @@
 	return copy_first(parts, out, max);
 }
 
-size_t prompt_faults_take_updates(struct prompt_faults *f,
-				  struct part_record *out, size_t max)
+size_t crash_causes_take_updates(struct crash_causes *f,
+				 struct cause_record *out, size_t max)
 {
 	size_t n = 0;
 
@@ -592,8 +592,8 @@
 	return n;
 }
 
-size_t prompt_faults_list(struct prompt_faults *f, struct part_record *out,
-			  size_t max)
+size_t crash_causes_list(struct crash_causes *f, struct cause_record *out,
+			 size_t max)
 {
 	size_t n = 0;
 
@@ -605,11 +605,11 @@
 }
 
 /* Merge the record into the part; return whether that changed it. */
-static bool merge(struct prompt_faults *f, struct part *p,
-		  const struct part_record *r, int64_t now_ms)
+static bool merge(struct crash_causes *f, struct part *p,
+		  const struct cause_record *r, int64_t now_ms)
 {
 	bool changed = clear_part(f, p, r->began_ms);
-	bool blocks = r->blocked && now_ms - r->asked_ms < PART_BLOCK_IDLE_MS;
+	bool blocks = r->blocked && now_ms - r->asked_ms < CAUSE_BLOCK_IDLE_MS;
 
 	p->r.asked_ms = MAX(p->r.asked_ms, r->asked_ms);
 	if (!p->r.crash_count)
@@ -625,14 +625,14 @@
 }
 
 /* Whether this node knows of a later response with the part. */
-static bool knows_more(const struct part *p, const struct part_record *r)
+static bool knows_more(const struct part *p, const struct cause_record *r)
 {
 	return p->r.began_ms > r->began_ms &&
 	       (!r->began_ms || r->crashes[0].at_ms <= p->r.began_ms);
 }
 
-void prompt_faults_receive(struct prompt_faults *f, const struct part_record *r,
-			   int64_t now_ms)
+void crash_causes_receive(struct crash_causes *f, const struct cause_record *r,
+			  int64_t now_ms)
 {
 	struct part *p;
 
--- a/route/test-prompt-faults.c
+++ b/route/test-crash-causes.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "route/prompt-faults.h"
+#include "route/crash-causes.h"
 
 #define TICK_MS      50
 #define REMIND_TICKS 6
@@ -23,7 +23,7 @@
 #define BAD2   0xbad2ull
 
 struct fleet {
-	struct prompt_faults **nodes;
+	struct crash_causes **nodes;
 	bool *cut; /* the node's messages are lost */
 	size_t n;
 	double loss;
@@ -42,12 +42,12 @@
 
 	f->n = n;
 	f->now_ms = 1000000;
-	f->nodes = g_new0(struct prompt_faults *, n);
+	f->nodes = g_new0(struct crash_causes *, n);
 	f->cut = g_new0(bool, n);
 	for (size_t i = 0; i < n; i++) {
-		f->nodes[i] = prompt_faults_new(NULL, NULL);
-		prompt_faults_set_rounds(f->nodes[i], n > DIRECT_MAX ? 3 : 2,
-					 n > DIRECT_MAX);
+		f->nodes[i] = crash_causes_new(NULL, NULL);
+		crash_causes_set_rounds(f->nodes[i], n > DIRECT_MAX ? 3 : 2,
+					n > DIRECT_MAX);
 	}
 	return f;
 }
@@ -55,24 +55,24 @@
 static void fleet_free(struct fleet *f)
 {
 	for (size_t i = 0; i < f->n; i++)
-		prompt_faults_free(f->nodes[i]);
+		crash_causes_free(f->nodes[i]);
 	g_free(f->nodes);
 	g_free(f->cut);
 	g_free(f);
 }
 
 static void deliver(struct fleet *f, size_t from, size_t to,
-		    const struct part_record *v, size_t n)
+		    const struct cause_record *v, size_t n)
 {
 	if (from == to || f->cut[from] || f->cut[to] ||
 	    g_random_double() < f->loss)
 		return;
 	for (size_t i = 0; i < n; i++)
-		prompt_faults_receive(f->nodes[to], &v[i], f->now_ms);
+		crash_causes_receive(f->nodes[to], &v[i], f->now_ms);
 }
 
 static void send_records(struct fleet *f, size_t from, bool all,
-			 const struct part_record *v, size_t n)
+			 const struct cause_record *v, size_t n)
 {
 	for (size_t k = 0; n && k < (all ? f->n : FANOUT); k++)
 		deliver(f, from,
@@ -82,19 +82,19 @@
 
 static void tick(struct fleet *f)
 {
-	struct part_record v[PER_MESSAGE];
+	struct cause_record v[PER_MESSAGE];
 
 	f->now_ms += TICK_MS;
 	f->ticks++;
 	for (size_t i = 0; i < f->n; i++) {
-		prompt_faults_decide(f->nodes[i], f->now_ms);
-		send_records(f, i, f->n <= DIRECT_MAX, v,
-			     prompt_faults_take_updates(f->nodes[i], v,
-							PER_MESSAGE));
+		crash_causes_decide(f->nodes[i], f->now_ms);
+		send_records(
+			f, i, f->n <= DIRECT_MAX, v,
+			crash_causes_take_updates(f->nodes[i], v, PER_MESSAGE));
 		if ((f->ticks + (int)i) % REMIND_TICKS == 0)
-			send_records(f, i, false, v,
-				     prompt_faults_list(f->nodes[i], v,
-							PER_MESSAGE));
+			send_records(
+				f, i, false, v,
+				crash_causes_list(f->nodes[i], v, PER_MESSAGE));
 	}
 }
 
@@ -106,8 +106,8 @@
 
 static bool blocks(struct fleet *f, size_t node, uint64_t part)
 {
-	return prompt_faults_blocks(
-		f->nodes[node], (struct prompt_part_list){&part, 1}, f->now_ms);
+	return crash_causes_block(f->nodes[node], (struct cause_keys){&part, 1},
+				  f->now_ms);
 }
 
 static size_t count_blocking(struct fleet *f, uint64_t part)
@@ -130,17 +130,17 @@
 static void call_bad(struct fleet *f, size_t node, const uint64_t *parts,
 		     size_t n)
 {
-	struct prompt_part_list p = {parts, n};
+	struct cause_keys p = {parts, n};
 	uint64_t request = ++f->next_request;
 
 	for (int i = 0; i < 2; i++) {
-		if (prompt_faults_blocks(f->nodes[node], p, f->now_ms))
+		if (crash_causes_block(f->nodes[node], p, f->now_ms))
 			return;
 		f->late += f->crashes >= 5 &&
 			   f->now_ms > f->crash_ms[4] + CONTACT_MS;
 		run_for(f, TARGET_MS);
-		prompt_faults_crashed(f->nodes[node], p, request,
-				      ++f->next_target, f->now_ms);
+		crash_causes_crashed(f->nodes[node], p, request,
+				     ++f->next_target, f->now_ms);
 		note_crash(f);
 	}
 }
@@ -148,13 +148,13 @@
 static void call_sound(struct fleet *f, size_t node, const uint64_t *parts,
 		       size_t n)
 {
-	struct prompt_part_list p = {parts, n};
+	struct cause_keys p = {parts, n};
 
-	if (prompt_faults_blocks(f->nodes[node], p, f->now_ms)) {
+	if (crash_causes_block(f->nodes[node], p, f->now_ms)) {
 		f->refused++;
 		return;
 	}
-	prompt_faults_began(f->nodes[node], p, f->now_ms);
+	crash_causes_began(f->nodes[node], p, f->now_ms);
 }
 
 static size_t any_node(struct fleet *f)
@@ -264,10 +264,10 @@
 		for (int i = 0; i < 30; i++) {
 			uint64_t parts[] = {FIRST, 1000 + (uint64_t)(i % 4)};
 
-			prompt_faults_crashed(
-				f->nodes[any_node(f)],
-				(struct prompt_part_list){parts, 2},
-				++f->next_request, ++f->next_target, f->now_ms);
+			crash_causes_crashed(f->nodes[any_node(f)],
+					     (struct cause_keys){parts, 2},
+					     ++f->next_request,
+					     ++f->next_target, f->now_ms);
 		}
 		run_for(f, 4000);
 	}
@@ -284,13 +284,13 @@
 
 	for (int i = 0; i < 20000; i++) {
 		uint64_t parts[] = {FIRST, 1000 + (uint64_t)(i % 50)};
-		struct prompt_part_list p = {parts, 2};
+		struct cause_keys p = {parts, 2};
 		size_t node = any_node(f);
 
 		if (g_random_double() < 0.05)
-			prompt_faults_crashed(f->nodes[node], p,
-					      ++f->next_request,
-					      ++f->next_target, f->now_ms);
+			crash_causes_crashed(f->nodes[node], p,
+					     ++f->next_request,
+					     ++f->next_target, f->now_ms);
 		else
 			call_sound(f, node, parts, 2);
 		if (i % 5 == 0)
@@ -308,15 +308,15 @@
 
 	play(f, 8, 1);
 	for (int i = 0; i < 20; i++) {
-		run_for(f, PART_BLOCK_IDLE_MS / 2);
+		run_for(f, CAUSE_BLOCK_IDLE_MS / 2);
 		g_assert_true(blocks(f, (size_t)i % f->n, BAD));
 	}
 	/* One node's requests count for all. */
-	run_for(f, PART_BLOCK_IDLE_MS - 5000);
+	run_for(f, CAUSE_BLOCK_IDLE_MS - 5000);
 	g_assert_true(blocks(f, 0, BAD));
-	run_for(f, PART_BLOCK_IDLE_MS - 5000);
+	run_for(f, CAUSE_BLOCK_IDLE_MS - 5000);
 	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
-	run_for(f, PART_BLOCK_IDLE_MS + 5000);
+	run_for(f, CAUSE_BLOCK_IDLE_MS + 5000);
 	g_assert_cmpuint(count_blocking(f, BAD), ==, 0);
 	/* It has crashed targets before, so once more is enough. */
 	f->crashes = 0;
@@ -335,8 +335,8 @@
 
 	play(f, 8, 1);
 	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
-	prompt_faults_began(f->nodes[3], (struct prompt_part_list){parts, 3},
-			    f->now_ms);
+	crash_causes_began(f->nodes[3], (struct cause_keys){parts, 3},
+			   f->now_ms);
 	run_for(f, 2000);
 	g_assert_cmpuint(count_blocking(f, BAD), ==, 0);
 	fleet_free(f);
@@ -352,8 +352,8 @@
 
 		f->cut[1] = true;
 		play(f, 10, 1);
-		prompt_faults_free(f->nodes[2]);
-		f->nodes[2] = prompt_faults_new(NULL, NULL);
+		crash_causes_free(f->nodes[2]);
+		f->nodes[2] = crash_causes_new(NULL, NULL);
 		f->cut[1] = false;
 		run_for(f, CONTACT_MS);
 		g_assert_true(blocks(f, 1, BAD));
@@ -370,12 +370,12 @@
 	play(f, 8, 1);
 	for (uint64_t i = 0; i < 100000; i++) {
 		uint64_t parts[] = {FIRST, i * 2654435761u};
-		struct prompt_part_list p = {parts, 2};
+		struct cause_keys p = {parts, 2};
 
 		if (i % 2)
-			prompt_faults_crashed(f->nodes[0], p, i, i, f->now_ms);
+			crash_causes_crashed(f->nodes[0], p, i, i, f->now_ms);
 		else
-			prompt_faults_began(f->nodes[0], p, f->now_ms);
+			crash_causes_began(f->nodes[0], p, f->now_ms);
 	}
 	g_assert_true(blocks(f, 0, BAD));
 	fleet_free(f);
