--- a/base/errors-gen.c
+++ b/base/errors-gen.c
@@ -25,6 +25,8 @@
 	  "no target is available" },
 	{ "prompt_blocked", 503, OUTCOME_NOT_RUN, true,
 	  "a part of the prompt crashes targets" },
+	{ "request_blocked", 503, OUTCOME_NOT_RUN, true,
+	  "the request crashes targets" },
 	{ "leaving", 503, OUTCOME_NOT_RUN, true,
 	  "this node is leaving" },
 	{ "deadline_passed", 504, OUTCOME_NOT_RUN, false,
--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -54,6 +54,8 @@
 	{ 2014, LOG_INFO, "version_serves" },
 	{ 4013, LOG_WARNING, "prompt_blocked" },
 	{ 4014, LOG_INFO, "prompt_freed" },
+	{ 4015, LOG_WARNING, "request_blocked" },
+	{ 4016, LOG_INFO, "request_freed" },
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
 	{ 2011, LOG_WARNING, "metrics_unavailable" },
 	{ 7008, LOG_INFO, "serving_changed" },
--- a/entry/control.c
+++ b/entry/control.c
@@ -428,7 +428,8 @@
 	c->load_relay = load_relay_new();
 	c->sync = store_sync_new(e, c->loop);
 	c->discovery = discovery_new(e, c->loop);
-	c->holders_store = holders_store_new(e, c->loop);
+	c->causes_store = causes_store_new(e, c->loop);
+	c->holders_store = holders_store_new(e, c->loop, c->causes_store);
 	return c;
 }
 
@@ -456,6 +457,8 @@
 		discovery_free(c->discovery);
 	if (c->holders_store)
 		holders_store_free(c->holders_store);
+	if (c->causes_store)
+		causes_store_free(c->causes_store);
 	if (c->load_relay)
 		load_relay_free(c->load_relay);
 	if (c->member)
--- a/entry/control.h
+++ b/entry/control.h
@@ -39,6 +39,7 @@
 	struct discovery *discovery;
 	struct store_sync *sync;
 	struct holders_store *holders_store;
+	struct causes_store *causes_store;
 	uint64_t published_view;   /* member_view_version that was published */
 	int64_t peers_known_at_ms; /* all live nodes have reported by then */
 	int64_t send_at_ms;        /* next load report */
@@ -109,11 +110,11 @@
 		       int64_t now_ms);
 void peers_receive_limits(struct control *c, const struct limit_reports *m);
 
-/* peer-causes.c: messages about the parts of prompts that crash targets. */
+/* peer-causes.c: messages about what crashes targets. */
 
-/* Decide which parts are blocked, and send what other nodes lack. */
+/* Decide which keys are blocked, and send what other nodes lack. */
 void peers_send_causes(struct control *c, const struct peer_list *l,
 		       int64_t now_ms);
-void peers_receive_causes(struct control *c, const struct part_reports *m);
+void peers_receive_causes(struct control *c, const struct cause_reports *m);
 
 #endif
--- a/entry/crash-check.c
+++ b/entry/crash-check.c
@@ -1,8 +1,8 @@
 /*
- * Records which attempts began and which broke as their target crashed, by the
- * parts of their prompts (route/crash-causes.c). A target that lives accepts a
+ * Records which attempts began and which broke as their target crashed, by
+ * their keys (route/crash-causes.c). A target that lives accepts a
  * new connection, which is closed at once: connections break for other reasons
- * as well, and what a prompt holds is not to blame for them.
+ * as well, and what is asked for is not to blame for them.
  */
 #include "entry/exchange.h"
 
@@ -18,7 +18,7 @@
 	int64_t broke_ms;
 	struct link *link;
 	ev_timer timer;
-	struct prompt_parts suspects[SUSPECTS_MAX];
+	struct cause_keys suspects[SUSPECTS_MAX]; /* with their parts */
 	size_t n;
 };
 
@@ -28,6 +28,8 @@
 
 	ev_timer_stop(c->tr->loop, &c->timer);
 	link_close(c->link);
+	for (size_t i = 0; i < c->n; i++)
+		g_free((uint64_t *)c->suspects[i].parts);
 	g_free(c);
 }
 
@@ -35,13 +37,9 @@
 {
 	struct crash_check *c = ctx;
 
-	for (size_t i = 0; i < c->n && !link_connected(c->link); i++) {
-		const struct prompt_parts *s = &c->suspects[i];
-
-		crash_causes_crashed(c->tr->e->crash_causes,
-				     (struct cause_keys){s->shared, s->n},
-				     s->own, c->target, c->broke_ms);
-	}
+	for (size_t i = 0; i < c->n && !link_connected(c->link); i++)
+		crash_causes_crashed(c->tr->e->crash_causes, &c->suspects[i],
+				     c->target, c->broke_ms);
 	g_hash_table_remove(c->tr->crash_checks, &c->target);
 }
 
@@ -76,38 +74,59 @@
 	return c;
 }
 
-/* Return the shared parts of the prompt; an empty list when it has none. */
-static struct cause_keys shared_parts(const struct exchange *x)
+static struct cause_keys keys_of(const struct exchange *x)
+{
+	struct cause_keys k = {
+		.whole = x->whole,
+		.attempt = str_hash(x->request_id, 0),
+	};
+
+	if (!x->parts)
+		return k;
+	k.parts = x->parts->shared;
+	k.n = x->parts->n;
+	k.own = x->parts->own;
+	return k;
+}
+
+enum cause_block exchange_crash_block(const struct exchange *x)
 {
-	return x->parts ? (struct cause_keys){x->parts->shared, x->parts->n}
-			: (struct cause_keys){NULL, 0};
+	struct cause_keys k = keys_of(x);
+
+	return crash_causes_block(x->tr->e->crash_causes, &k, time_boot_ms());
 }
 
-bool exchange_prompt_is_blocked(const struct exchange *x)
+bool exchange_is_suspect(const struct exchange *x)
 {
-	return crash_causes_block(x->tr->e->crash_causes, shared_parts(x),
-				  time_boot_ms());
+	struct cause_keys k = keys_of(x);
+
+	return crash_causes_suspect(x->tr->e->crash_causes, &k);
 }
 
 void exchange_record_begin(struct exchange *x, int64_t began_ms)
 {
-	if (x->begin_recorded || !x->parts)
+	struct cause_keys k = keys_of(x);
+
+	if (x->begin_recorded)
 		return;
 	x->begin_recorded = true;
-	crash_causes_began(x->tr->e->crash_causes, shared_parts(x), began_ms);
+	crash_causes_began(x->tr->e->crash_causes, &k, began_ms);
 }
 
 void exchange_record_break(struct exchange *x)
 {
+	struct cause_keys k = keys_of(x);
 	struct crash_check *c;
 
-	if (x->begin_recorded || !x->parts)
+	if (x->begin_recorded)
 		return;
 	c = g_hash_table_lookup(x->tr->crash_checks, &x->target->info.id);
 	if (!c)
 		c = check_new(x->tr, x->target);
-	if (c && c->n < SUSPECTS_MAX)
-		c->suspects[c->n++] = *x->parts;
+	if (!c || c->n == SUSPECTS_MAX)
+		return;
+	k.parts = g_memdup2(k.parts, k.n * sizeof(*k.parts));
+	c->suspects[c->n++] = k;
 }
 
 void crash_checks_init(struct traffic *tr)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -270,15 +270,22 @@
 		  l->target, (double)l->per_1000_s / 1000);
 }
 
-/* A part of prompts is blocked or freed. */
-static void on_part_changed(void *ctx, const struct cause_record *r,
-			    const char *why)
+/* A part of prompts or a request is blocked or freed. */
+static void on_cause_changed(void *ctx, const struct cause_record *r,
+			     const char *why)
 {
 	(void)ctx;
+	if (r->whole) {
+		metric_add(M_REQUESTS_BLOCKED, r->blocked ? 1 : -1);
+		log_event(r->blocked ? EV_REQUEST_BLOCKED : EV_REQUEST_FREED,
+			  "whole=%x crashes=%d why=%s", (unsigned)r->key,
+			  (int)r->crash_count, why);
+		return;
+	}
 	metric_add(M_PROMPT_PARTS_BLOCKED, r->blocked ? 1 : -1);
 	log_event(r->blocked ? EV_PROMPT_BLOCKED : EV_PROMPT_FREED,
 		  "part=%x depth=%d crashes=%d began_before=%d why=%s",
-		  (unsigned)r->part, (int)r->depth, (int)r->crash_count,
+		  (unsigned)r->key, (int)r->depth, (int)r->crash_count,
 		  r->began_ms != 0, why);
 }
 
@@ -295,7 +302,7 @@
 	e->loads = loads_new(member_id(e->settings.node_name));
 	e->holders = holders_new();
 	e->origins = origins_new();
-	e->crash_causes = crash_causes_new(on_part_changed, NULL);
+	e->crash_causes = crash_causes_new(on_cause_changed, NULL);
 	e->target_limits = target_limits_new(member_id(e->settings.node_name),
 					     on_limit_changed, NULL);
 	traffic_init(e);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -146,8 +146,8 @@
 	int64_t rest_end_ms =
 		x->service ? pool_rest_end_ms(x->tr, x->service, now) : 0;
 
-	/* No earlier request with the part is served. */
-	if (kind == RAMP_ERR_PROMPT_BLOCKED)
+	/* None is served earlier. */
+	if (kind == RAMP_ERR_PROMPT_BLOCKED || kind == RAMP_ERR_REQUEST_BLOCKED)
 		return CAUSE_BLOCK_IDLE_MS;
 	return MAX(RETRY_AFTER_MIN_MS, x->all_resting ? rest_end_ms - now : 0) +
 	       g_rand_int_range(x->tr->rand, 0, RETRY_AFTER_SPREAD_MS);
@@ -275,7 +275,7 @@
 	struct exchange *x = ctx;
 	struct buf out = {0};
 
-	if (!x->begin_recorded && x->parts) {
+	if (!x->begin_recorded) {
 		int64_t now = time_boot_ms();
 
 		if (!x->first_event_ms)
@@ -550,7 +550,7 @@
 			return;
 		}
 	}
-	if (status == 200)
+	if (status / 100 == 2)
 		exchange_record_begin(x, time_boot_ms());
 	deliver_response(x);
 }
@@ -607,19 +607,31 @@
 }
 
 /*
- * Refuse the request if a part of its prompt crashes targets. Return whether it
- * was refused.
+ * Refuse the request if it, or a part of its prompt, crashes targets. Return
+ * whether it was refused.
  */
-static bool refuse_blocked_prompt(struct exchange *x)
-{
-	if (!exchange_prompt_is_blocked(x))
+static bool refuse_blocked(struct exchange *x)
+{
+	static const struct {
+		const char *cause;
+		enum ramp_error error;
+		int metric;
+	} refusals[] = {
+		[CAUSE_PART] = {"prompt_blocked", RAMP_ERR_PROMPT_BLOCKED,
+				M_PROMPT_REFUSALS_TOTAL},
+		[CAUSE_REQUEST] = {"request_blocked", RAMP_ERR_REQUEST_BLOCKED,
+				   M_REQUEST_REFUSALS_TOTAL},
+	};
+	enum cause_block block = exchange_crash_block(x);
+
+	if (block == CAUSE_NONE)
 		return false;
-	metric_add(M_PROMPT_REFUSALS_TOTAL, 1);
-	x->failure_cause = "prompt_blocked";
+	metric_add(refusals[block].metric, 1);
+	x->failure_cause = refusals[block].cause;
 	if (x->possible_runs)
 		fail(x);
 	else
-		exchange_reply_error(x, RAMP_ERR_PROMPT_BLOCKED);
+		exchange_reply_error(x, refusals[block].error);
 	return true;
 }
 
@@ -627,7 +639,7 @@
 {
 	struct target *source, *t;
 
-	if (refuse_blocked_prompt(x))
+	if (refuse_blocked(x))
 		return;
 	t = pool_choose_target(x->tr, x->service, &x->prompt, x->version,
 			       x->tried_targets, (size_t)x->attempts,
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -131,13 +131,15 @@
  */
 bool exchange_check_target(struct exchange *x, int64_t now);
 
-/* crash-check.c: what becomes of attempts, by the parts of their prompts. */
+/* crash-check.c: what becomes of attempts, by the keys of their requests. */
 
-/* Whether a part of the prompt crashes targets, so that no attempt is made. */
-bool exchange_prompt_is_blocked(const struct exchange *x);
+/* Which key of the request crashes targets, so that no attempt is made. */
+enum cause_block exchange_crash_block(const struct exchange *x);
+/* Whether the request may be what crashes targets: see crash_causes_suspect. */
+bool exchange_is_suspect(const struct exchange *x);
 /* The attempt's response began then, and its target has not crashed since. */
 void exchange_record_begin(struct exchange *x, int64_t began_ms);
-/* The attempt's connection broke; its target may have crashed of the prompt. */
+/* The attempt's connection broke; its target may have crashed of it. */
 void exchange_record_break(struct exchange *x);
 
 /* take-up.c: a stream that another attempt of the caller began. */
--- a/entry/holders-store.c
+++ b/entry/holders-store.c
@@ -1,8 +1,8 @@
 /*
  * Saves the index of prompt holders to a row of the store, so that it survives
  * a restart of the whole fleet, and beside it the software versions that have
- * served lately and the parts of prompts that are blocked. One node writes the
- * row; each node reads it once, when it starts. A holder that is out of date
+ * served lately. One node writes the row; each node reads it once, when it
+ * starts, and with it the row of stored-causes.c. A holder that is out of date
  * costs one needless cache lookup at a target. Runs on the control thread.
  */
 #include "entry/origins.h"
@@ -15,21 +15,19 @@
 #define ROW_KEY  "held"
 /* Field of the row that holds the versions; see origins_versions. */
 #define VERSIONS_FIELD "versions"
-/* Field of the row that holds the blocked parts; see stored-causes.c. */
-#define BLOCKED_FIELD "blocked"
 
 struct holders_store {
 	struct entry *e;
 	const struct store_api *api;
 	void *store;
 	struct ev_loop *loop;
+	struct causes_store *causes;
 	ev_timer timer;
 	bool loaded;
 	bool writer;
 	int64_t era;             /* of the store, at the last call */
 	uint64_t saved_changes;  /* holders_change_count() at the last save */
 	uint64_t saved_versions; /* origins_versions_changes() at that time */
-	uint64_t saved_blocked;  /* crash_causes_changes() at that time */
 };
 
 static json_t *encode_row(const struct prompt_holder *v, size_t n)
@@ -100,8 +98,7 @@
 
 		decode_row(s, row);
 		load_versions(s, row);
-		stored_causes_load(s->e->crash_causes,
-				   json_object_get(row, BLOCKED_FIELD));
+		causes_store_load(s->causes, row);
 		json_decref(row);
 	}
 	/* No node has saved anything, so none has served before. */
@@ -109,6 +106,7 @@
 		origins_load_versions(s->e->origins, NULL, time_boot_ms());
 	s->loaded = true;
 	s->era = p->era;
+	causes_store_set_loaded(s->causes, p->era);
 	s->saved_changes = holders_change_count(s->e->holders);
 	timer_start_once(s->loop, &s->timer, SAVE_INTERVAL_MS);
 }
@@ -136,13 +134,10 @@
 
 	s->saved_changes = holders_change_count(s->e->holders);
 	s->saved_versions = origins_versions_changes(s->e->origins);
-	s->saved_blocked = crash_causes_changes(s->e->crash_causes);
 	n = holders_list(s->e->holders, v, HOLDERS_STORED_MAX);
 	row = encode_row(v, n);
 	json_object_set_new(row, VERSIONS_FIELD,
 			    origins_versions(s->e->origins, time_boot_ms()));
-	json_object_set_new(row, BLOCKED_FIELD,
-			    stored_causes_encode(s->e->crash_causes));
 	s->api->write(s->store, STORE_PROMPTS, ROW_KEY, row, on_saved, s);
 	json_decref(row);
 	g_free(v);
@@ -151,8 +146,7 @@
 static bool has_changed(struct holders_store *s)
 {
 	return s->saved_changes != holders_change_count(s->e->holders) ||
-	       s->saved_versions != origins_versions_changes(s->e->origins) ||
-	       s->saved_blocked != crash_causes_changes(s->e->crash_causes);
+	       s->saved_versions != origins_versions_changes(s->e->origins);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
@@ -174,7 +168,8 @@
 	s->writer = writer;
 }
 
-struct holders_store *holders_store_new(struct entry *e, struct ev_loop *loop)
+struct holders_store *holders_store_new(struct entry *e, struct ev_loop *loop,
+					struct causes_store *causes)
 {
 	struct holders_store *s = g_new0(struct holders_store, 1);
 
@@ -182,10 +177,13 @@
 	s->api = e->o->store;
 	s->loop = loop;
 	s->store = e->store;
+	s->causes = causes;
 	/* When the whole fleet starts for the first time there is no row. */
 	s->loaded = e->control_settings.node_bootstrap;
-	if (s->loaded)
+	if (s->loaded) {
 		origins_load_versions(e->origins, NULL, time_boot_ms());
+		causes_store_set_loaded(causes, 0);
+	}
 	ev_timer_init(&s->timer, on_timer, 0, 0);
 	s->timer.data = s;
 	ev_timer_start(loop, &s->timer);
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -344,13 +344,13 @@
 }
 
 bool_t
-xdr_part_crash_report (XDR *xdrs, part_crash_report *objp)
+xdr_cause_crash_report (XDR *xdrs, cause_crash_report *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_u_int (xdrs, &objp->target))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->request))
+	 if (!xdr_u_int (xdrs, &objp->attempt))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
@@ -358,16 +358,18 @@
 }
 
 bool_t
-xdr_part_report (XDR *xdrs, part_report *objp)
+xdr_cause_report (XDR *xdrs, cause_report *objp)
 {
 	register int32_t *buf;
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 if (!xdr_u_quad_t (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->began_age_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->asked_age_ms))
@@ -378,20 +380,23 @@
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_BOOL(buf, objp->whole);
 		IXDR_PUT_U_LONG(buf, objp->began_age_ms);
 		IXDR_PUT_U_LONG(buf, objp->asked_age_ms);
 		IXDR_PUT_U_LONG(buf, objp->depth);
 		IXDR_PUT_BOOL(buf, objp->blocked);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, PART_REPORT_CRASHES_MAX,
-			sizeof (part_crash_report), (xdrproc_t) xdr_part_crash_report))
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CAUSE_REPORT_CRASHES_MAX,
+			sizeof (cause_crash_report), (xdrproc_t) xdr_cause_crash_report))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 if (!xdr_u_quad_t (xdrs, &objp->key))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->began_age_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->asked_age_ms))
@@ -402,18 +407,21 @@
 				 return FALSE;
 
 		} else {
+		objp->whole = IXDR_GET_BOOL(buf);
 		objp->began_age_ms = IXDR_GET_U_LONG(buf);
 		objp->asked_age_ms = IXDR_GET_U_LONG(buf);
 		objp->depth = IXDR_GET_U_LONG(buf);
 		objp->blocked = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, PART_REPORT_CRASHES_MAX,
-			sizeof (part_crash_report), (xdrproc_t) xdr_part_crash_report))
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CAUSE_REPORT_CRASHES_MAX,
+			sizeof (cause_crash_report), (xdrproc_t) xdr_cause_crash_report))
 			 return FALSE;
 	 return TRUE;
 	}
 
-	 if (!xdr_u_quad_t (xdrs, &objp->part))
+	 if (!xdr_u_quad_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->began_age_ms))
 		 return FALSE;
@@ -423,19 +431,19 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->blocked))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, PART_REPORT_CRASHES_MAX,
-		sizeof (part_crash_report), (xdrproc_t) xdr_part_crash_report))
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CAUSE_REPORT_CRASHES_MAX,
+		sizeof (cause_crash_report), (xdrproc_t) xdr_cause_crash_report))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_part_reports (XDR *xdrs, part_reports *objp)
+xdr_cause_reports (XDR *xdrs, cause_reports *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PART_REPORTS_MAX,
-		sizeof (part_report), (xdrproc_t) xdr_part_report))
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CAUSE_REPORTS_MAX,
+		sizeof (cause_report), (xdrproc_t) xdr_cause_report))
 		 return FALSE;
 	return TRUE;
 }
@@ -527,8 +535,8 @@
 		 if (!xdr_origin_answer (xdrs, &objp->peer_message_u.origin_answer))
 			 return FALSE;
 		break;
-	case PEER_PARTS:
-		 if (!xdr_part_reports (xdrs, &objp->peer_message_u.parts))
+	case PEER_CAUSES:
+		 if (!xdr_cause_reports (xdrs, &objp->peer_message_u.causes))
 			 return FALSE;
 		break;
 	case PEER_LIMITS:
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -181,37 +181,38 @@
 	} entries;
 };
 typedef struct origin_answer origin_answer;
-#define PART_REPORTS_MAX 7
-#define PART_REPORT_CRASHES_MAX 12
+#define CAUSE_REPORTS_MAX 7
+#define CAUSE_REPORT_CRASHES_MAX 12
 
-struct part_crash_report {
+struct cause_crash_report {
 	u_int target;
-	u_int request;
+	u_int attempt;
 	u_int age_ms;
 };
-typedef struct part_crash_report part_crash_report;
-#define PART_NEVER_MS 0xffffffff
+typedef struct cause_crash_report cause_crash_report;
+#define CAUSE_NEVER_MS 0xffffffff
 
-struct part_report {
-	u_quad_t part;
+struct cause_report {
+	u_quad_t key;
+	bool_t whole;
 	u_int began_age_ms;
 	u_int asked_age_ms;
 	u_int depth;
 	bool_t blocked;
 	struct {
 		u_int crashes_len;
-		part_crash_report *crashes_val;
+		cause_crash_report *crashes_val;
 	} crashes;
 };
-typedef struct part_report part_report;
+typedef struct cause_report cause_report;
 
-struct part_reports {
+struct cause_reports {
 	struct {
 		u_int entries_len;
-		part_report *entries_val;
+		cause_report *entries_val;
 	} entries;
 };
-typedef struct part_reports part_reports;
+typedef struct cause_reports cause_reports;
 #define LIMIT_REPORTS_MAX 48
 
 struct limit_report {
@@ -241,7 +242,7 @@
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
-	PEER_PARTS = 11,
+	PEER_CAUSES = 11,
 	PEER_LIMITS = 12,
 };
 typedef enum peer_kind peer_kind;
@@ -260,7 +261,7 @@
 		stream_origins origins;
 		origin_query origin_query;
 		origin_answer origin_answer;
-		part_reports parts;
+		cause_reports causes;
 		limit_reports limits;
 	} peer_message_u;
 };
@@ -285,9 +286,9 @@
 extern  bool_t xdr_origin_query (XDR *, origin_query*);
 extern  bool_t xdr_origin_reply (XDR *, origin_reply*);
 extern  bool_t xdr_origin_answer (XDR *, origin_answer*);
-extern  bool_t xdr_part_crash_report (XDR *, part_crash_report*);
-extern  bool_t xdr_part_report (XDR *, part_report*);
-extern  bool_t xdr_part_reports (XDR *, part_reports*);
+extern  bool_t xdr_cause_crash_report (XDR *, cause_crash_report*);
+extern  bool_t xdr_cause_report (XDR *, cause_report*);
+extern  bool_t xdr_cause_reports (XDR *, cause_reports*);
 extern  bool_t xdr_limit_report (XDR *, limit_report*);
 extern  bool_t xdr_limit_reports (XDR *, limit_reports*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
@@ -310,9 +311,9 @@
 extern bool_t xdr_origin_query ();
 extern bool_t xdr_origin_reply ();
 extern bool_t xdr_origin_answer ();
-extern bool_t xdr_part_crash_report ();
-extern bool_t xdr_part_report ();
-extern bool_t xdr_part_reports ();
+extern bool_t xdr_cause_crash_report ();
+extern bool_t xdr_cause_report ();
+extern bool_t xdr_cause_reports ();
 extern bool_t xdr_limit_report ();
 extern bool_t xdr_limit_reports ();
 extern bool_t xdr_peer_kind ();
--- a/entry/peer-limits.c
+++ b/entry/peer-limits.c
@@ -48,6 +48,9 @@
 	for (size_t i = 0; i < l->n; i++)
 		ids[i] = l->v[i].id;
 	target_limits_set_nodes(c->e->target_limits, ids, l->n);
+	crash_causes_set_nodes(c->e->crash_causes,
+			       member_id(c->e->control_settings.node_name), ids,
+			       l->n);
 	g_free(ids);
 }
 
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -257,8 +257,8 @@
 	case PEER_ORIGIN_ANSWER:
 		peers_apply_origins(c, &m->peer_message_u.origin_answer);
 		break;
-	case PEER_PARTS:
-		peers_receive_causes(c, &m->peer_message_u.parts);
+	case PEER_CAUSES:
+		peers_receive_causes(c, &m->peer_message_u.causes);
 		break;
 	case PEER_LIMITS:
 		peers_receive_limits(c, &m->peer_message_u.limits);
@@ -475,6 +475,7 @@
 {
 	const struct entry_peer *peer;
 	struct relays r;
+	bool writer;
 
 	if (now_ms < c->query_at_ms)
 		return;
@@ -489,10 +490,10 @@
 		return;
 	store_sync_set_reader(c->sync, r.reader, l->n);
 	discovery_set_reader(c->discovery, r.reader);
-	holders_store_set_writer(
-		c->holders_store,
-		!r.n || r.all[0] ==
-				member_id(c->e->control_settings.node_name));
+	writer =
+		!r.n || r.all[0] == member_id(c->e->control_settings.node_name);
+	holders_store_set_writer(c->holders_store, writer);
+	causes_store_set_writer(c->causes_store, writer);
 	if (r.reader)
 		return;
 	peer = find_peer(l, r.own[c->next_relay++ % r.own_count]);
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -12,7 +12,7 @@
 	if (!possible_runs)
 		return true;
 	if (possible_runs >= x->route->runs_max ||
-	    x->route->retry == RETRY_NEVER)
+	    x->route->retry == RETRY_NEVER || exchange_is_suspect(x))
 		return false;
 	/* A stream that has begun can resume only after a numbered event. */
 	return !x->head_sent || (x->route->retry == RETRY_RESUME &&
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -112,15 +112,24 @@
 /* Set whether this node is a reader, which reads the rows more often. */
 void discovery_set_reader(struct discovery *d, bool reader);
 
-/* stored-causes.c: blocked parts of prompts as rows of the store. */
-json_t *stored_causes_encode(struct crash_causes *f);
-/* Block the parts that were saved; rows may be NULL. */
-void stored_causes_load(struct crash_causes *f, const json_t *rows);
+/* stored-causes.c: saves what crashes targets to the store. */
+struct causes_store;
+
+struct causes_store *causes_store_new(struct entry *e, struct ev_loop *loop);
+void causes_store_free(struct causes_store *s);
+/* Set whether this node is the one that saves. */
+void causes_store_set_writer(struct causes_store *s, bool writer);
+/* Take over what a row of the table of prompts holds, if it is that row. */
+void causes_store_load(struct causes_store *s, const json_t *row);
+/* All rows were read; before, nothing is saved. */
+void causes_store_set_loaded(struct causes_store *s, int64_t era);
 
 /* holders-store.c: saves the prompt holders to the store and loads them. */
 struct holders_store;
 
-struct holders_store *holders_store_new(struct entry *e, struct ev_loop *loop);
+/* causes: gets what is read beside the holders; the caller keeps it. */
+struct holders_store *holders_store_new(struct entry *e, struct ev_loop *loop,
+					struct causes_store *causes);
 void holders_store_free(struct holders_store *s);
 /* Set whether this node is the one that saves. */
 void holders_store_set_writer(struct holders_store *s, bool writer);
--- a/entry/stored-causes.c
+++ b/entry/stored-causes.c
@@ -1,14 +1,33 @@
 /*
- * The blocked parts of prompts as they are saved in the store, so that a fleet
- * of which all nodes have restarted goes on to refuse them. Times are saved by
- * the wall clock, as the boot-time clock differs between nodes.
+ * Saves what crashes targets to a row of the store, so that a fleet of which
+ * all nodes have restarted goes on to refuse it. One node writes the row, soon
+ * after each change; each node reads it once, when it starts (holders-store.c).
+ * Times are saved by the wall clock, as the boot-time clock differs between
+ * nodes. Runs on the control thread.
  */
 #include "entry/store-clients.h"
 
-/* Parts that are saved; some 500 bytes each. */
-#define PARTS_SAVED_MAX 16
+/* Causes that are saved; some 500 bytes each. */
+#define SAVED_MAX 32
+/* Bounds the rate of writes, and the loss when all nodes stop at once. */
+#define SAVE_INTERVAL_MS 200
+#define RETRY_MS         1500
+#define ROW_KEY          "causes"
 
-static json_t *encode_part(const struct cause_record *r, int64_t wall_offset_ms)
+struct causes_store {
+	struct entry *e;
+	const struct store_api *api;
+	void *store;
+	struct ev_loop *loop;
+	ev_timer timer;
+	bool loaded;
+	bool writer;
+	int64_t era;            /* of the store, at the last call */
+	uint64_t saved_changes; /* crash_causes_changes() at the last save */
+};
+
+static json_t *encode_cause(const struct cause_record *r,
+			    int64_t wall_offset_ms)
 {
 	json_t *crashes = json_array();
 
@@ -16,66 +35,132 @@
 		json_array_append_new(
 			crashes,
 			json_pack("[I,I,I]", (json_int_t)r->crashes[i].target,
-				  (json_int_t)r->crashes[i].request,
+				  (json_int_t)r->crashes[i].attempt,
 				  (json_int_t)r->crashes[i].at_ms +
 					  wall_offset_ms));
-	return json_pack("[I,I,o]", (json_int_t)r->part, (json_int_t)r->depth,
-			 crashes);
+	return json_pack("[I,I,o,b,b]", (json_int_t)r->key,
+			 (json_int_t)r->depth, crashes, r->whole, r->blocked);
 }
 
-json_t *stored_causes_encode(struct crash_causes *f)
+static json_t *encode_row(struct crash_causes *f)
 {
-	struct cause_record v[PARTS_SAVED_MAX];
-	size_t n = crash_causes_list(f, v, PARTS_SAVED_MAX);
+	struct cause_record v[SAVED_MAX];
+	size_t n = crash_causes_list(f, v, SAVED_MAX);
 	int64_t wall_offset_ms = time_now_ms() - time_boot_ms();
 	json_t *rows = json_array();
 
 	for (size_t i = 0; i < n; i++)
-		if (v[i].blocked)
-			json_array_append_new(
-				rows, encode_part(&v[i], wall_offset_ms));
-	return rows;
+		json_array_append_new(rows,
+				      encode_cause(&v[i], wall_offset_ms));
+	return json_pack("{s:o}", ROW_KEY, rows);
 }
 
-/* Decode a part; false when it is malformed. */
-static bool decode_part(const json_t *row, int64_t wall_offset_ms,
-			struct cause_record *r)
+/* Decode a cause; false when it is malformed. */
+static bool decode_cause(const json_t *row, int64_t wall_offset_ms,
+			 struct cause_record *r)
 {
-	json_int_t part, depth, target, request, at_ms;
+	json_int_t key, depth, target, attempt, at_ms;
 	json_t *crashes, *c;
+	int whole, blocked;
 	size_t i;
 
-	if (json_unpack((json_t *)row, "[I,I,o]", &part, &depth, &crashes) < 0)
+	if (json_unpack((json_t *)row, "[I,I,o,b,b]", &key, &depth, &crashes,
+			&whole, &blocked) < 0)
 		return false;
-	r->part = (uint64_t)part;
+	r->key = (uint64_t)key;
 	r->depth = (uint32_t)depth;
+	r->whole = whole;
+	r->blocked = blocked;
 	json_array_foreach (crashes, i, c) {
 		if (r->crash_count == CAUSE_CRASHES_MAX ||
-		    json_unpack(c, "[I,I,I]", &target, &request, &at_ms) < 0)
+		    json_unpack(c, "[I,I,I]", &target, &attempt, &at_ms) < 0)
 			return false;
 		/* This machine may have started after the crash. */
 		r->crashes[r->crash_count++] = (struct cause_crash){
-			(uint32_t)target, (uint32_t)request,
+			(uint32_t)target, (uint32_t)attempt,
 			CLAMP(at_ms - wall_offset_ms, 1, time_boot_ms())};
 	}
 	return true;
 }
 
-void stored_causes_load(struct crash_causes *f, const json_t *rows)
+void causes_store_load(struct causes_store *s, const json_t *row)
 {
 	int64_t now = time_boot_ms();
 	int64_t wall_offset_ms = time_now_ms() - now;
-	const json_t *row;
+	const json_t *cause;
 	size_t i;
 
-	json_array_foreach (rows, i, row) {
-		/* When a request last came is not known: it may have just now.
-		 */
-		struct cause_record r = {.blocked = true, .asked_ms = now};
+	json_array_foreach (json_object_get(row, ROW_KEY), i, cause) {
+		/* When it last came is not known: it may have just now. */
+		struct cause_record r = {.asked_ms = now};
 
-		if (decode_part(row, wall_offset_ms, &r))
-			crash_causes_receive(f, &r, now);
+		if (decode_cause(cause, wall_offset_ms, &r))
+			crash_causes_receive(s->e->crash_causes, &r, now);
 		else
 			metric_add(M_CONTROL_MALFORMED_TOTAL, 1);
 	}
 }
+
+void causes_store_set_loaded(struct causes_store *s, int64_t era)
+{
+	s->loaded = true;
+	s->era = era;
+	s->saved_changes = crash_causes_changes(s->e->crash_causes);
+}
+
+static void on_saved(void *ctx, const struct store_page *p)
+{
+	struct causes_store *s = ctx;
+
+	/*
+	 * Retry a failed write, and write again what a store that came back
+	 * from a copy has lost.
+	 */
+	if (p->status != STORE_OK || p->era > s->era)
+		s->saved_changes = 0;
+	s->era = MAX(s->era, p->era);
+	timer_start_once(s->loop, &s->timer,
+			 p->status == STORE_OK ? SAVE_INTERVAL_MS : RETRY_MS);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct causes_store *s = w->data;
+	uint64_t changes = crash_causes_changes(s->e->crash_causes);
+	json_t *row;
+
+	(void)events;
+	if (!s->loaded || !s->writer || changes == s->saved_changes) {
+		timer_start_once(loop, w, SAVE_INTERVAL_MS);
+		return;
+	}
+	s->saved_changes = changes;
+	row = encode_row(s->e->crash_causes);
+	s->api->write(s->store, STORE_PROMPTS, ROW_KEY, row, on_saved, s);
+	json_decref(row);
+}
+
+void causes_store_set_writer(struct causes_store *s, bool writer)
+{
+	s->writer = writer;
+}
+
+struct causes_store *causes_store_new(struct entry *e, struct ev_loop *loop)
+{
+	struct causes_store *s = g_new0(struct causes_store, 1);
+
+	s->e = e;
+	s->api = e->o->store;
+	s->loop = loop;
+	s->store = e->store;
+	ev_init(&s->timer, on_timer);
+	s->timer.data = s;
+	timer_start_once(loop, &s->timer, SAVE_INTERVAL_MS);
+	return s;
+}
+
+void causes_store_free(struct causes_store *s)
+{
+	ev_timer_stop(s->loop, &s->timer);
+	g_free(s);
+}
--- a/entry/test-retry.c
+++ b/entry/test-retry.c
@@ -8,6 +8,7 @@
 static size_t looks;
 static int attempts_begun;
 static bool version_served = true;
+static bool is_suspect;
 
 int64_t exchange_time_left_ms(const struct exchange *x)
 {
@@ -27,6 +28,12 @@
 	x->target = NULL;
 }
 
+bool exchange_is_suspect(const struct exchange *x)
+{
+	(void)x;
+	return is_suspect;
+}
+
 int exchange_priority(const struct exchange *x)
 {
 	(void)x;
@@ -139,6 +146,26 @@
 	g_assert_true(x.target == &target);
 }
 
+/* A request under which targets have crashed is sent to one more. */
+static void test_suspect_not_repeated(void)
+{
+	struct entry_service service = {0};
+	struct route_rule route = {.retry = RETRY_IDEMPOTENT, .runs_max = 3};
+	struct exchange x = {
+		.route = &route, .service = &service, .attempts = 1};
+
+	attempts_begun = 0;
+	for (size_t i = 0; i < G_N_ELEMENTS(time_left_ms); i++)
+		time_left_ms[i] = 10 * ATTEMPT_MIN_MS;
+	is_suspect = true;
+	looks = 0;
+	g_assert_false(exchange_may_retry(&x, 1));
+	/* One that has not run is no danger. */
+	g_assert_true(exchange_may_retry(&x, 0));
+	is_suspect = false;
+	g_assert_true(exchange_may_retry(&x, 1));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -146,6 +173,8 @@
 	g_test_add_func("/entry/retry/deadline-between-checks",
 			test_deadline_between_checks);
 	g_test_add_func("/entry/retry/no-time-left", test_no_time_left);
+	g_test_add_func("/entry/retry/suspect-not-repeated",
+			test_suspect_not_repeated);
 	g_test_add_func("/entry/retry/version-not-served",
 			test_version_not_served);
 	return g_test_run();
--- a/node/chat.c
+++ b/node/chat.c
@@ -345,8 +345,8 @@
 		request_free(rq);
 		return U_CALLBACK_COMPLETE;
 	}
-	if (e == RAMP_OK && chat_faults_blocks(rq))
-		e = RAMP_ERR_PROMPT_BLOCKED;
+	if (e == RAMP_OK)
+		e = chat_faults_check(rq);
 	if (e == RAMP_OK)
 		e = dispatch(rq, &rl);
 	if (e != RAMP_OK) {
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -250,7 +250,7 @@
 {
 	int64_t pause_ms;
 
-	if (!may_run_elsewhere(c->rq, e) || chat_faults_blocks(c->rq))
+	if (!may_run_elsewhere(c->rq, e) || chat_faults_suspect(c->rq))
 		return false;
 	if (c->attempts == attempts_before)
 		return true;
--- a/node/node.h
+++ b/node/node.h
@@ -266,6 +266,7 @@
 	uint64_t *parts; /* hashes of the chat's messages but the last */
 	size_t part_count;
 	uint64_t own_part;            /* hash of the last */
+	uint64_t whole;               /* of all of them and the organisation */
 	struct admission_grant grant; /* held while the work runs */
 	bool limit_taken;      /* counted against its organisation's limits */
 	int64_t reused_tokens; /* as the target reported; -1: not reported */
@@ -439,10 +440,12 @@
 #define CHAT_PARTS_MAX 64
 
 struct crash_causes *chat_faults_new(void);
-/* Set the parts of the request from its body. */
+/* Set the keys of the request from its body. */
 void chat_faults_set_parts(struct request *rq, const json_t *body);
-/* Return whether to refuse the request, also before it is run again. */
-bool chat_faults_blocks(const struct request *rq);
+/* Return RAMP_OK, or the error to refuse the request with. */
+enum ramp_error chat_faults_check(const struct request *rq);
+/* Return whether the request may crash the target that runs it next. */
+bool chat_faults_suspect(const struct request *rq);
 /* An answer began at a monotonic time, and its target goes on. */
 void chat_faults_began(const struct request *rq, int64_t began_ms);
 /* The target can't be reached any more, before its answer began. */
--- a/node/relay.c
+++ b/node/relay.c
@@ -445,7 +445,7 @@
 {
 	return rl->rq->service->idempotent && !rl->rq->is_resume &&
 	       !rl->rq->caller_gone && !rl->diverged &&
-	       !chat_faults_blocks(rl->rq) && rl->run_count < RUNS_MAX &&
+	       !chat_faults_suspect(rl->rq) && rl->run_count < RUNS_MAX &&
 	       !is_deadline_passed(rl);
 }
 
--- a/route/crash-causes.c
+++ b/route/crash-causes.c
@@ -1,65 +1,90 @@
 /*
- * A part that crashes targets is among the parts of each attempt that such a
- * crash breaks before its response begins, and no response with it begins. Of
- * the other parts in these attempts responses begin before long, at the same
- * node or at another.
+ * A cause is a key of requests: a part of their prompts, or the hash of one
+ * request that comes again as it is. What crashes targets is among the keys of
+ * each attempt that such a crash breaks before its response begins, and no
+ * response with it begins. With the other keys of these attempts responses
+ * begin before long, at the same node or at another.
  *
- * So a part is blocked once several targets, in requests that differ, have
- * crashed since a response with it last began. Where several parts qualify, one
+ * So a key is blocked once several targets, in attempts that differ, have
+ * crashed since a response with it last began. Where several keys qualify, one
  * is blocked, and the crashes that it explains are taken off the others. Many
  * targets that crash at the same moment count as one crash, as no single
  * request reaches them all.
+ *
+ * A request that comes again explains the crashes of the parts of its prompt as
+ * long as no other request has crashed a target with them.
  */
 #include <stdatomic.h>
 
 #include "route/crash-causes.h"
+#include "route/route.h"
+
+/* What blocks a key. */
+struct block_rule {
+	size_t crashes;
+	size_t attempts; /* that differ: see cause_crash */
+	size_t moments;  /* see CRASH_GAP_MS */
+	/*
+	 * Crashes that suffice while other targets crash that the key doesn't
+	 * account for, and its own are less than one in CRASH_SHARE.
+	 */
+	size_t crashes_among_many;
+	/*
+	 * Time after the last crash in which one request is let through to see
+	 * whether it is sound; doubles with each crash. 0: none is.
+	 */
+	int64_t trial_ms;
+};
 
-/* Crashes, and requests in them, that block a part. */
-#define BLOCK_CRASHES  4
-#define BLOCK_REQUESTS 2
-/*
- * While other targets crash that the part doesn't account for, and its own are
- * less than one in CRASH_SHARE, it takes more of them.
- */
-#define CRASH_SHARE              2
-#define BLOCK_CRASHES_AMONG_MANY 7
-/* Crashes of all parts that are remembered for this. */
+static const struct block_rule part_rule = {4, 2, 3, 7, 0};
+/* All attempts of a request come one after the other. */
+static const struct block_rule whole_rule = {3, 2, 2, 3, 60000};
+
+/* Crashes of one request after which it gets no second target by itself. */
+#define SUSPECT_CRASHES 2
+/* Time for the result of a trial to arrive. */
+#define TRIAL_RESULT_MS 10000
+/* See block_rule. */
+#define CRASH_SHARE 2
+/* Crashes of all keys that are remembered for this. */
 #define RECENT_MAX 128
-/* Crashes closer together than this may have one cause outside the prompt. */
+/* Crashes closer together than this may have a cause outside the requests. */
 #define CRASH_GAP_MS 150
-/* Moments of crashes that block a part; see CRASH_GAP_MS. */
-#define BLOCK_MOMENTS 3
-/* Time for records of other nodes to arrive before a part is blocked. */
+/* Time for records of other nodes to arrive before a key is blocked. */
 #define SETTLE_MS 150
 /* Crashes are forgotten after this time. */
 #define CRASH_TTL_MS 600000
-/* Parts that are remembered; the longest unused ones are forgotten. */
-#define PARTS_MAX 2048
-/* Parts that are blocked at the same time; more free the longest idle one. */
+/* Keys that are remembered; the longest unused ones are forgotten. */
+#define CAUSES_MAX 2048
+/* Keys that are blocked at the same time; more free the longest idle one. */
 #define BLOCKED_MAX 64
 
-struct part {
+struct cause {
 	struct cause_record r;
 	int64_t qualified_ms; /* since when it is to be blocked; 0: it isn't */
 	int64_t freed_ms;     /* blocked again only after a later crash */
+	int64_t trial_at_ms;  /* last request let through; 0: none */
 	unsigned rounds_left; /* how often it is still to be sent */
 	GList link;           /* in the order of use */
 };
 
 struct crash_causes {
 	GMutex lock;
-	GHashTable *parts; /* hash -> struct part */
-	GQueue used;       /* struct part, most recently used first */
-	size_t suspected;  /* parts with crashes */
-	struct part *blocked[BLOCKED_MAX];
+	GHashTable *causes; /* key -> struct cause */
+	GQueue used;        /* struct cause, most recently used first */
+	size_t suspected;   /* causes with crashes */
+	struct cause *blocked[BLOCKED_MAX];
 	size_t blocked_count;
-	struct cause_crash recent[RECENT_MAX]; /* the last of all parts */
+	struct cause_crash recent[RECENT_MAX]; /* the last of all keys */
 	size_t next_recent;
 	atomic_size_t blocks; /* blocked_count, to be read without the lock */
 	unsigned rounds;
 	bool forward;
 	bool has_updates;
-	uint64_t changes; /* parts blocked or freed so far */
+	uint64_t changes; /* of what is to be saved, so far */
+	uint64_t self;
+	uint64_t *nodes; /* live ones */
+	size_t node_count;
 	cause_changed_fn *changed;
 	void *ctx;
 };
@@ -68,8 +93,8 @@
 {
 	struct crash_causes *f = g_new0(struct crash_causes, 1);
 
-	f->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 g_free);
+	f->causes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					  g_free);
 	g_queue_init(&f->used);
 	f->rounds = 1;
 	f->changed = changed;
@@ -79,10 +104,27 @@
 
 void crash_causes_free(struct crash_causes *f)
 {
-	g_hash_table_unref(f->parts);
+	g_hash_table_unref(f->causes);
+	g_free(f->nodes);
 	g_free(f);
 }
 
+void crash_causes_set_nodes(struct crash_causes *f, uint64_t self,
+			    const uint64_t *nodes, size_t n)
+{
+	g_mutex_lock(&f->lock);
+	f->self = self;
+	g_free(f->nodes);
+	f->nodes = g_memdup2(nodes, n * sizeof(*nodes));
+	f->node_count = n;
+	g_mutex_unlock(&f->lock);
+}
+
+static const struct block_rule *rule_of(const struct cause_record *r)
+{
+	return r->whole ? &whole_rule : &part_rule;
+}
+
 void crash_causes_set_rounds(struct crash_causes *f, unsigned rounds,
 			     bool forward)
 {
@@ -92,7 +134,7 @@
 	g_mutex_unlock(&f->lock);
 }
 
-static void queue_update(struct crash_causes *f, struct part *p)
+static void queue_update(struct crash_causes *f, struct cause *p)
 {
 	p->rounds_left = f->rounds;
 	f->has_updates = true;
@@ -108,7 +150,7 @@
 	return n;
 }
 
-static void report(struct crash_causes *f, const struct part *p,
+static void report(struct crash_causes *f, const struct cause *p,
 		   const char *why)
 {
 	f->changes++;
@@ -116,8 +158,8 @@
 		f->changed(f->ctx, &p->r, why);
 }
 
-/* Stop refusing requests with the part. */
-static void free_part(struct crash_causes *f, struct part *p, const char *why)
+/* Stop refusing requests with the key. */
+static void free_cause(struct crash_causes *f, struct cause *p, const char *why)
 {
 	size_t i = 0;
 
@@ -133,15 +175,16 @@
 
 static void free_longest_idle(struct crash_causes *f)
 {
-	struct part *p = f->blocked[0];
+	struct cause *p = f->blocked[0];
 
 	for (size_t i = 1; i < f->blocked_count; i++)
 		if (f->blocked[i]->r.asked_ms < p->r.asked_ms)
 			p = f->blocked[i];
-	free_part(f, p, "too_many");
+	free_cause(f, p, "too_many");
 }
 
-static void block_part(struct crash_causes *f, struct part *p, const char *why)
+static void block_cause(struct crash_causes *f, struct cause *p,
+			const char *why)
 {
 	if (p->r.blocked)
 		return;
@@ -154,41 +197,42 @@
 	report(f, p, why);
 }
 
-/* Forget the part that was not used for the longest time. */
+/* Forget the key that was not used for the longest time. */
 static void evict(struct crash_causes *f)
 {
 	GList *l = f->used.tail;
-	struct part *p;
+	struct cause *p;
 
-	while (l && ((struct part *)l->data)->r.blocked)
+	while (l && ((struct cause *)l->data)->r.blocked)
 		l = l->prev;
 	if (!l)
 		return;
 	p = l->data;
 	f->suspected -= p->r.crash_count > 0;
 	g_queue_unlink(&f->used, l);
-	g_hash_table_remove(f->parts, &p->r.part);
+	g_hash_table_remove(f->causes, &p->r.key);
 }
 
-static struct part *find_part(struct crash_causes *f, uint64_t id)
+static struct cause *find_cause(struct crash_causes *f, uint64_t id)
 {
-	return g_hash_table_lookup(f->parts, &id);
+	return g_hash_table_lookup(f->causes, &id);
 }
 
-/* Return the part, which is new if it is not known, and mark it as used. */
-static struct part *use_part(struct crash_causes *f, uint64_t id)
+/* Return the key's record, which is new if none is known; mark it as used. */
+static struct cause *use_cause(struct crash_causes *f, uint64_t id, bool whole)
 {
-	struct part *p = find_part(f, id);
+	struct cause *p = find_cause(f, id);
 
 	if (p) {
 		g_queue_unlink(&f->used, &p->link);
 	} else {
-		if (g_hash_table_size(f->parts) >= PARTS_MAX)
+		if (g_hash_table_size(f->causes) >= CAUSES_MAX)
 			evict(f);
-		p = g_new0(struct part, 1);
-		p->r.part = id;
+		p = g_new0(struct cause, 1);
+		p->r.key = id;
+		p->r.whole = whole;
 		p->link.data = p;
-		g_hash_table_insert(f->parts, &p->r.part, p);
+		g_hash_table_insert(f->causes, &p->r.key, p);
 	}
 	g_queue_push_head_link(&f->used, &p->link);
 	return p;
@@ -203,7 +247,7 @@
 }
 
 /* Remove the crashes for which drop returns true; return whether any was. */
-static bool drop_crashes(struct crash_causes *f, struct part *p,
+static bool drop_crashes(struct crash_causes *f, struct cause *p,
 			 bool (*drop)(const struct cause_crash *c,
 				      const void *ctx),
 			 const void *ctx)
@@ -224,21 +268,49 @@
 	return c->at_ms <= *(const int64_t *)at_ms;
 }
 
-static bool is_of_part(const struct cause_crash *c, const void *part)
+static bool is_of_cause(const struct cause_crash *c, const void *cause)
 {
-	return has_target(&((const struct part *)part)->r, c->target);
+	return has_target(&((const struct cause *)cause)->r, c->target);
 }
 
-/* Whether a blocked part other than p accounts for the target's crash. */
-static bool is_explained(const struct crash_causes *f, const struct part *p,
+/*
+ * Whether a key may account for crashes in place of another. A request doesn't
+ * for a part of its prompt, which others may have as well: see count_attempts.
+ */
+static bool may_explain(const struct cause_record *by,
+			const struct cause_record *r)
+{
+	return !by->whole || r->whole;
+}
+
+/* Whether a blocked key other than p's accounts for the target's crash. */
+static bool is_explained(const struct crash_causes *f, const struct cause *p,
 			 uint32_t target)
 {
 	for (size_t i = 0; i < f->blocked_count; i++)
-		if (f->blocked[i] != p && has_target(&f->blocked[i]->r, target))
+		if (f->blocked[i] != p &&
+		    may_explain(&f->blocked[i]->r, &p->r) &&
+		    has_target(&f->blocked[i]->r, target))
 			return true;
 	return false;
 }
 
+/* Return the blocked request under which the target crashed; 0: none. */
+static uint64_t blocked_request(const struct crash_causes *f, uint32_t target)
+{
+	for (size_t i = 0; i < f->blocked_count; i++)
+		if (f->blocked[i]->r.whole &&
+		    has_target(&f->blocked[i]->r, target))
+			return f->blocked[i]->r.key;
+	return 0;
+}
+
+/* Keys with a single crash are not sent again, nor saved. */
+static bool is_suspect(const struct cause *p)
+{
+	return p->r.blocked || p->r.crash_count > 1;
+}
+
 /* Remember that the target crashed, whichever part it is put on. */
 static void note_target(struct crash_causes *f, struct cause_crash c)
 {
@@ -249,7 +321,7 @@
 }
 
 /* Add a crash in its order of time; return whether it was new. */
-static bool add_crash(struct crash_causes *f, struct part *p,
+static bool add_crash(struct crash_causes *f, struct cause *p,
 		      struct cause_crash c)
 {
 	struct cause_record *r = &p->r;
@@ -269,25 +341,34 @@
 	     i--)
 		r->crashes[i] = r->crashes[i - 1];
 	r->crashes[i] = c;
+	f->changes += is_suspect(p);
 	return true;
 }
 
-/* Count the requests that differ in the part's crashes. */
-static size_t count_requests(const struct cause_record *r)
+/*
+ * Count the attempts that differ in the key's crashes. All crashes of a blocked
+ * request are of one, whichever request was recorded there.
+ */
+static size_t count_attempts(const struct crash_causes *f,
+			     const struct cause_record *r)
 {
+	uint64_t v[CAUSE_CRASHES_MAX];
 	size_t n = 0;
 
 	for (uint32_t i = 0; i < r->crash_count; i++) {
-		uint32_t k = 0;
+		size_t k = 0;
 
-		while (k < i && r->crashes[k].request != r->crashes[i].request)
+		v[n] = r->whole ? 0 : blocked_request(f, r->crashes[i].target);
+		if (!v[n])
+			v[n] = r->crashes[i].attempt;
+		while (k < n && v[k] != v[n])
 			k++;
-		n += k == i;
+		n += k == n;
 	}
 	return n;
 }
 
-/* Count the moments of the part's crashes; see CRASH_GAP_MS. */
+/* Count the moments of the key's crashes; see CRASH_GAP_MS. */
 static size_t count_moments(const struct cause_record *r)
 {
 	int64_t last_ms = 0;
@@ -302,28 +383,28 @@
 	return n;
 }
 
-/* Whether the part has crashed enough targets to be blocked by a node. */
-static bool has_crashes(const struct part *p)
+/* Whether enough targets have crashed for the key to be blocked by a node. */
+static bool has_crashes(const struct cause *p)
 {
 	const struct cause_record *r = &p->r;
 
-	return r->crash_count >= BLOCK_CRASHES &&
+	return r->crash_count >= rule_of(r)->crashes &&
 	       r->crashes[r->crash_count - 1].at_ms > p->freed_ms;
 }
 
-static bool qualifies(const struct part *p)
+static bool qualifies(const struct crash_causes *f, const struct cause *p)
 {
-	const struct cause_record *r = &p->r;
+	const struct block_rule *rule = rule_of(&p->r);
 
-	return has_crashes(p) && count_requests(r) >= BLOCK_REQUESTS &&
-	       count_moments(r) >= BLOCK_MOMENTS;
+	return has_crashes(p) && count_attempts(f, &p->r) >= rule->attempts &&
+	       count_moments(&p->r) >= rule->moments;
 }
 
 /*
  * Count the targets that crashed from the part's first crash to its last, less
  * those that blocked parts account for.
  */
-static size_t count_targets(const struct crash_causes *f, const struct part *p)
+static size_t count_targets(const struct crash_causes *f, const struct cause *p)
 {
 	int64_t first_ms = p->r.crashes[0].at_ms;
 	int64_t last_ms = p->r.crashes[p->r.crash_count - 1].at_ms;
@@ -332,14 +413,16 @@
 	for (size_t i = 0; i < RECENT_MAX; i++)
 		n += f->recent[i].at_ms >= first_ms &&
 		     f->recent[i].at_ms <= last_ms &&
-		     !is_explained(f, p, f->recent[i].target);
+		     !is_explained(f, p, f->recent[i].target) &&
+		     (has_target(&p->r, f->recent[i].target) ||
+		      !blocked_request(f, f->recent[i].target));
 	return n;
 }
 
-/* Whether the part's crashes are more than chance puts on a sound part. */
-static bool stands_out(const struct crash_causes *f, const struct part *p)
+/* Whether the key's crashes are more than chance puts on a sound one. */
+static bool stands_out(const struct crash_causes *f, const struct cause *p)
 {
-	return p->r.crash_count >= BLOCK_CRASHES_AMONG_MANY ||
+	return p->r.crash_count >= rule_of(&p->r)->crashes_among_many ||
 	       (size_t)p->r.crash_count * CRASH_SHARE >= count_targets(f, p);
 }
 
@@ -356,122 +439,188 @@
 /*
  * Whether a accounts for the crashes rather than b does. Parts that always come
  * together can't be told apart; the one that stands later in the prompt is in
- * fewer sound requests.
+ * fewer sound requests. A request that has all crashes of a part is likelier
+ * than the part.
  */
 static bool is_likelier(const struct cause_record *a,
 			const struct cause_record *b)
 {
 	if (!a->began_ms != !b->began_ms)
 		return !a->began_ms;
+	if (a->whole != b->whole)
+		return a->whole ? is_within(b, a) : !is_within(a, b);
 	if (is_within(a, b) || is_within(b, a))
 		return a->depth > b->depth;
 	return a->crash_count > b->crash_count;
 }
 
-/* Take the crashes that the blocked part explains off all less likely ones. */
-static void explain(struct crash_causes *f, struct part *p)
+/* Take the crashes that the blocked key explains off all less likely ones. */
+static void explain(struct crash_causes *f, struct cause *p)
 {
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, f->parts);
+	g_hash_table_iter_init(&it, f->causes);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct part *other = v;
+		struct cause *other = v;
 
 		if (other == p || !other->r.crash_count ||
+		    !may_explain(&p->r, &other->r) ||
 		    !is_likelier(&p->r, &other->r) ||
-		    !drop_crashes(f, other, is_of_part, p))
+		    !drop_crashes(f, other, is_of_cause, p))
 			continue;
-		if (!qualifies(other))
-			free_part(f, other, "explained");
+		if (!qualifies(f, other))
+			free_cause(f, other, "explained");
 	}
 }
 
-void crash_causes_crashed(struct crash_causes *f, struct cause_keys p,
-			  uint64_t request, uint64_t target, int64_t now_ms)
+/* Whether a part of the prompt is blocked. */
+static bool has_blocked_part(struct crash_causes *f, const struct cause_keys *k)
 {
-	struct cause_crash c = {(uint32_t)target, (uint32_t)request, now_ms};
-	bool blocked = false;
-
-	g_mutex_lock(&f->lock);
-	for (size_t i = 0; i < p.n; i++) {
-		struct part *part = find_part(f, p.v[i]);
+	for (size_t i = 0; i < k->n; i++) {
+		struct cause *part = find_cause(f, k->parts[i]);
 
-		blocked |= part && part->r.blocked;
+		if (part && part->r.blocked)
+			return true;
 	}
-	for (size_t i = 0; i < p.n; i++) {
-		struct part *part = use_part(f, p.v[i]);
+	return false;
+}
+
+void crash_causes_crashed(struct crash_causes *f, const struct cause_keys *k,
+			  uint64_t target, int64_t now_ms)
+{
+	struct cause_crash c = {(uint32_t)target, (uint32_t)k->own, now_ms};
+	struct cause *p;
+	bool blocked;
 
-		/* A part that is blocked already accounts for the crash. */
-		if (blocked && !part->r.blocked)
+	g_mutex_lock(&f->lock);
+	/* A part that is blocked already accounts for the crash. */
+	blocked = has_blocked_part(f, k);
+	for (size_t i = 0; i < k->n; i++) {
+		p = use_cause(f, k->parts[i], false);
+		if (blocked && !p->r.blocked)
 			continue;
-		part->r.depth = (uint32_t)i;
-		if (add_crash(f, part, c))
-			queue_update(f, part);
+		p->r.depth = (uint32_t)i;
+		if (add_crash(f, p, c))
+			queue_update(f, p);
+	}
+	c.attempt = (uint32_t)k->attempt;
+	if (k->whole && !blocked) {
+		p = use_cause(f, k->whole, true);
+		if (add_crash(f, p, c))
+			queue_update(f, p);
 	}
 	g_mutex_unlock(&f->lock);
 }
 
-/* A response with the part began then, which clears it of earlier crashes. */
-static bool clear_part(struct crash_causes *f, struct part *p, int64_t began_ms)
+/* A response with the key began then, which clears it of earlier crashes. */
+static bool clear_cause(struct crash_causes *f, struct cause *p,
+			int64_t began_ms)
 {
 	if (began_ms <= p->r.began_ms)
 		return false;
 	p->r.began_ms = began_ms;
 	if (!drop_crashes(f, p, is_not_later, &began_ms))
 		return false;
-	if (!qualifies(p))
-		free_part(f, p, "began");
+	f->changes++;
+	if (!qualifies(f, p))
+		free_cause(f, p, "began");
 	return true;
 }
 
-void crash_causes_began(struct crash_causes *f, struct cause_keys p,
+void crash_causes_began(struct crash_causes *f, const struct cause_keys *k,
 			int64_t began_ms)
 {
-	g_mutex_lock(&f->lock);
-	for (size_t i = 0; i < p.n; i++) {
-		struct part *part = use_part(f, p.v[i]);
+	struct cause *p;
 
-		if (clear_part(f, part, began_ms))
-			queue_update(f, part);
+	g_mutex_lock(&f->lock);
+	for (size_t i = 0; i < k->n; i++) {
+		p = use_cause(f, k->parts[i], false);
+		if (clear_cause(f, p, began_ms))
+			queue_update(f, p);
 	}
+	/* Most requests never come again: they are recorded once they crash. */
+	p = find_cause(f, k->whole);
+	if (p && clear_cause(f, p, began_ms))
+		queue_update(f, p);
 	g_mutex_unlock(&f->lock);
 }
 
-bool crash_causes_block(struct crash_causes *f, struct cause_keys p,
-			int64_t now_ms)
+/*
+ * Whether to let a blocked request through, as it may be sound by now. One node
+ * does so for all.
+ */
+static bool take_trial(const struct crash_causes *f, struct cause *p,
+		       int64_t now_ms)
 {
-	bool blocks = false;
+	const struct cause_record *r = &p->r;
+	int64_t wait_ms = rule_of(r)->trial_ms;
 
-	if (!atomic_load(&f->blocks))
+	if (!wait_ms || !r->crash_count || !f->node_count ||
+	    f->nodes[rendezvous_owner(r->key, f->nodes, f->node_count)] !=
+		    f->self)
 		return false;
-	g_mutex_lock(&f->lock);
-	for (size_t i = 0; i < p.n; i++) {
-		struct part *part = find_part(f, p.v[i]);
+	for (size_t i = rule_of(r)->crashes; i < r->crash_count; i++)
+		wait_ms *= 2;
+	if (now_ms - r->crashes[r->crash_count - 1].at_ms < wait_ms ||
+	    (p->trial_at_ms && now_ms - p->trial_at_ms < TRIAL_RESULT_MS))
+		return false;
+	p->trial_at_ms = now_ms;
+	return true;
+}
+
+enum cause_block crash_causes_block(struct crash_causes *f,
+				    const struct cause_keys *k, int64_t now_ms)
+{
+	enum cause_block block = CAUSE_NONE;
+	struct cause *p;
 
-		if (!part || !part->r.blocked)
+	if (!atomic_load(&f->blocks))
+		return CAUSE_NONE;
+	g_mutex_lock(&f->lock);
+	p = find_cause(f, k->whole);
+	if (p && p->r.blocked) {
+		p->r.asked_ms = now_ms;
+		if (!take_trial(f, p, now_ms))
+			block = CAUSE_REQUEST;
+	}
+	for (size_t i = 0; i < k->n; i++) {
+		p = find_cause(f, k->parts[i]);
+		if (!p || !p->r.blocked)
 			continue;
-		part->r.asked_ms = now_ms;
-		blocks = true;
+		p->r.asked_ms = now_ms;
+		block = CAUSE_PART;
 	}
 	g_mutex_unlock(&f->lock);
-	return blocks;
+	return block;
 }
 
-/* Return the likeliest of the parts that have qualified for SETTLE_MS. */
-static struct part *next_to_block(struct crash_causes *f, int64_t now_ms)
+bool crash_causes_suspect(struct crash_causes *f, const struct cause_keys *k)
 {
-	struct part *best = NULL;
+	const struct cause *p;
+	bool suspect;
+
+	g_mutex_lock(&f->lock);
+	p = find_cause(f, k->whole);
+	suspect = p && p->r.crash_count >= SUSPECT_CRASHES;
+	g_mutex_unlock(&f->lock);
+	return suspect;
+}
+
+/* Return the likeliest of the keys that have qualified for SETTLE_MS. */
+static struct cause *next_to_block(struct crash_causes *f, int64_t now_ms)
+{
+	struct cause *best = NULL;
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, f->parts);
+	g_hash_table_iter_init(&it, f->causes);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct part *p = v;
+		struct cause *p = v;
 
 		if (!p->r.crash_count || p->r.blocked)
 			continue;
-		if (!qualifies(p) || !stands_out(f, p)) {
+		if (!qualifies(f, p) || !stands_out(f, p)) {
 			p->qualified_ms = 0;
 			continue;
 		}
@@ -491,16 +640,16 @@
 	gpointer v;
 
 	for (size_t i = f->blocked_count; i-- > 0;) {
-		struct part *p = f->blocked[i];
+		struct cause *p = f->blocked[i];
 
 		if (now_ms - p->r.asked_ms < CAUSE_BLOCK_IDLE_MS)
 			continue;
 		p->freed_ms = now_ms;
-		free_part(f, p, "idle");
+		free_cause(f, p, "idle");
 	}
-	g_hash_table_iter_init(&it, f->parts);
+	g_hash_table_iter_init(&it, f->causes);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct part *p = v;
+		struct cause *p = v;
 
 		/* Those of a part that was blocked lately are kept. */
 		if (p->r.crash_count && p->r.asked_ms <= oldest_ms)
@@ -510,14 +659,14 @@
 
 void crash_causes_decide(struct crash_causes *f, int64_t now_ms)
 {
-	struct part *p;
+	struct cause *p;
 
 	g_mutex_lock(&f->lock);
 	if (f->suspected) {
 		expire(f, now_ms);
 		while ((p = next_to_block(f, now_ms))) {
 			p->r.asked_ms = now_ms;
-			block_part(f, p, "crashes");
+			block_cause(f, p, "crashes");
 			queue_update(f, p);
 			explain(f, p);
 		}
@@ -525,58 +674,53 @@
 	g_mutex_unlock(&f->lock);
 }
 
-/* Blocked parts first, then by their crashes. */
+/* Blocked keys first, then by their crashes. */
 static int compare(const void *a, const void *b)
 {
-	const struct cause_record *x = &(*(struct part *const *)a)->r;
-	const struct cause_record *y = &(*(struct part *const *)b)->r;
+	const struct cause_record *x = &(*(struct cause *const *)a)->r;
+	const struct cause_record *y = &(*(struct cause *const *)b)->r;
 
 	if (x->blocked != y->blocked)
 		return x->blocked ? -1 : 1;
 	return (int)y->crash_count - (int)x->crash_count;
 }
 
-/* Copy the first parts of an array, which is freed, and sort it before. */
-static size_t copy_first(GPtrArray *parts, struct cause_record *out, size_t max)
+/* Copy the first causes of an array, which is freed, and sort it before. */
+static size_t copy_first(GPtrArray *causes, struct cause_record *out,
+			 size_t max)
 {
-	size_t n = MIN(parts->len, max);
+	size_t n = MIN(causes->len, max);
 
-	g_ptr_array_sort(parts, compare);
+	g_ptr_array_sort(causes, compare);
 	for (size_t i = 0; i < n; i++) {
-		struct part *p = g_ptr_array_index(parts, i);
+		struct cause *p = g_ptr_array_index(causes, i);
 
 		out[i] = p->r;
 		if (p->rounds_left)
 			p->rounds_left--;
 	}
-	g_ptr_array_unref(parts);
+	g_ptr_array_unref(causes);
 	return n;
 }
 
-static bool is_update(const struct part *p)
+static bool is_update(const struct cause *p)
 {
 	return p->rounds_left > 0;
 }
 
-/* Parts with a single crash are not sent again. */
-static bool is_suspect(const struct part *p)
-{
-	return p->r.blocked || p->r.crash_count > 1;
-}
-
-static size_t select_parts(struct crash_causes *f,
-			   bool (*wanted)(const struct part *p),
-			   struct cause_record *out, size_t max)
+static size_t select_causes(struct crash_causes *f,
+			    bool (*wanted)(const struct cause *p),
+			    struct cause_record *out, size_t max)
 {
-	GPtrArray *parts = g_ptr_array_new();
+	GPtrArray *causes = g_ptr_array_new();
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, f->parts);
+	g_hash_table_iter_init(&it, f->causes);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		if (wanted(v))
-			g_ptr_array_add(parts, v);
-	return copy_first(parts, out, max);
+			g_ptr_array_add(causes, v);
+	return copy_first(causes, out, max);
 }
 
 size_t crash_causes_take_updates(struct crash_causes *f,
@@ -586,7 +730,7 @@
 
 	g_mutex_lock(&f->lock);
 	if (f->has_updates)
-		n = select_parts(f, is_update, out, max);
+		n = select_causes(f, is_update, out, max);
 	f->has_updates = n > 0;
 	g_mutex_unlock(&f->lock);
 	return n;
@@ -599,16 +743,16 @@
 
 	g_mutex_lock(&f->lock);
 	if (f->suspected)
-		n = select_parts(f, is_suspect, out, max);
+		n = select_causes(f, is_suspect, out, max);
 	g_mutex_unlock(&f->lock);
 	return n;
 }
 
-/* Merge the record into the part; return whether that changed it. */
-static bool merge(struct crash_causes *f, struct part *p,
+/* Merge the record into the cause; return whether that changed it. */
+static bool merge(struct crash_causes *f, struct cause *p,
 		  const struct cause_record *r, int64_t now_ms)
 {
-	bool changed = clear_part(f, p, r->began_ms);
+	bool changed = clear_cause(f, p, r->began_ms);
 	bool blocks = r->blocked && now_ms - r->asked_ms < CAUSE_BLOCK_IDLE_MS;
 
 	p->r.asked_ms = MAX(p->r.asked_ms, r->asked_ms);
@@ -619,13 +763,13 @@
 	/* Which of a target's requests it recorded differs between nodes. */
 	if (!blocks || p->r.blocked || !has_crashes(p))
 		return changed;
-	block_part(f, p, "other_node");
+	block_cause(f, p, "other_node");
 	explain(f, p);
 	return true;
 }
 
-/* Whether this node knows of a later response with the part. */
-static bool knows_more(const struct part *p, const struct cause_record *r)
+/* Whether this node knows of a later response with the key. */
+static bool knows_more(const struct cause *p, const struct cause_record *r)
 {
 	return p->r.began_ms > r->began_ms &&
 	       (!r->began_ms || r->crashes[0].at_ms <= p->r.began_ms);
@@ -634,10 +778,10 @@
 void crash_causes_receive(struct crash_causes *f, const struct cause_record *r,
 			  int64_t now_ms)
 {
-	struct part *p;
+	struct cause *p;
 
 	g_mutex_lock(&f->lock);
-	p = use_part(f, r->part);
+	p = use_cause(f, r->key, r->whole);
 	if (r->crash_count && knows_more(p, r))
 		queue_update(f, p);
 	if (merge(f, p, r, now_ms) && f->forward)
--- a/route/crash-causes.h
+++ b/route/crash-causes.h
@@ -1,6 +1,7 @@
 /*
- * crash-causes: finds the parts of prompts that crash the targets which begin
- * to respond to them, and tells which requests to refuse for it.
+ * crash-causes: finds what crashes the targets that begin to respond to it, a
+ * part of prompts or one request that comes again as it is, and tells which
+ * requests to refuse for it.
  *
  * Each node records the attempts that broke before a response began, and those
  * that began. Nodes send each other these records, so that crashes count which
@@ -16,40 +17,55 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Crashes that are kept of a part: the first ones and the last. */
+/* Crashes that are kept of a key: the first ones and the last. */
 #define CAUSE_CRASHES_MAX 12
-/* A part is blocked until no request with it has come for this long. */
+/* A key is blocked until no request with it has come for this long. */
 #define CAUSE_BLOCK_IDLE_MS 60000
 
 struct crash_causes;
 
 /* A target crashed that was to begin a response. */
 struct cause_crash {
-	uint32_t target;  /* low bits of its id, which a restart changes */
-	uint32_t request; /* low bits of the hash of the prompt's last part */
+	uint32_t target; /* low bits of its id, which a restart changes */
+	/*
+	 * Low bits of what tells attempts apart: for a part of prompts the own
+	 * part of the request, for a request the attempt of its caller.
+	 */
+	uint32_t attempt;
 	int64_t at_ms;
 };
 
-/* What is known of a part. */
+/* What is known of a key. */
 struct cause_record {
-	uint64_t part;    /* hash of its id */
+	uint64_t key;     /* hash of the part or of the request */
 	int64_t began_ms; /* when a response with it last began; 0: not known */
 	int64_t asked_ms; /* when a request with it was last refused; 0: never
 			   */
-	uint32_t depth;   /* number of parts before it in the prompt */
-	bool blocked;     /* requests with it are refused */
-	uint32_t crash_count;
 	struct cause_crash crashes[CAUSE_CRASHES_MAX]; /* oldest first */
+	uint32_t crash_count;
+	uint32_t depth; /* of a part: number of those before it */
+	bool whole;     /* of a request, not of a part of prompts */
+	bool blocked;   /* requests with it are refused */
 };
 
-/* The shared parts of a prompt, in their order, as hashes. */
+/* The keys of a request, as hashes. */
 struct cause_keys {
-	const uint64_t *v;
+	const uint64_t *parts; /* shared parts of the prompt, in their order */
 	size_t n;
+	uint64_t own;     /* the prompt's last part, which others don't have */
+	uint64_t whole;   /* what stays when the request comes again; 0: none */
+	uint64_t attempt; /* id of the caller's attempt */
+};
+
+/* Which of a request's keys is blocked. */
+enum cause_block {
+	CAUSE_NONE,
+	CAUSE_PART,
+	CAUSE_REQUEST,
 };
 
 /*
- * Called when a part is blocked or freed, by whichever function finds it; must
+ * Called when a key is blocked or freed, by whichever function finds it; must
  * not call back. why: a word for the log.
  */
 typedef void cause_changed_fn(void *ctx, const struct cause_record *r,
@@ -59,22 +75,28 @@
 struct crash_causes *crash_causes_new(cause_changed_fn *changed, void *ctx);
 void crash_causes_free(struct crash_causes *f);
 
-/*
- * An attempt broke before its response began. request: hash of the prompt's
- * last part, which a caller's next attempt has as well.
- */
-void crash_causes_crashed(struct crash_causes *f, struct cause_keys p,
-			  uint64_t request, uint64_t target, int64_t now_ms);
+/* Set the live nodes, this one included. */
+void crash_causes_set_nodes(struct crash_causes *f, uint64_t self,
+			    const uint64_t *nodes, size_t n);
+
+/* An attempt broke before its response began, as its target crashed. */
+void crash_causes_crashed(struct crash_causes *f, const struct cause_keys *k,
+			  uint64_t target, int64_t now_ms);
 /* A response began at a time, and its target has not crashed since. */
-void crash_causes_began(struct crash_causes *f, struct cause_keys p,
+void crash_causes_began(struct crash_causes *f, const struct cause_keys *k,
 			int64_t began_ms);
 /*
- * Return whether to refuse a request, which counts as one that came with the
- * blocked part.
+ * Return whether and why to refuse a request, which counts as one that came
+ * with the blocked key.
+ */
+enum cause_block crash_causes_block(struct crash_causes *f,
+				    const struct cause_keys *k, int64_t now_ms);
+/*
+ * Whether targets have crashed under the request, so that it should not be sent
+ * to another one unless its caller asks again.
  */
-bool crash_causes_block(struct crash_causes *f, struct cause_keys p,
-			int64_t now_ms);
-/* Decide which parts are blocked. To be called several times a second. */
+bool crash_causes_suspect(struct crash_causes *f, const struct cause_keys *k);
+/* Decide which keys are blocked. To be called several times a second. */
 void crash_causes_decide(struct crash_causes *f, int64_t now_ms);
 
 /*
@@ -83,10 +105,10 @@
  */
 size_t crash_causes_take_updates(struct crash_causes *f,
 				 struct cause_record *out, size_t max);
-/* List the blocked parts and those most suspected; return their number. */
+/* List the blocked keys and those most suspected; return their number. */
 size_t crash_causes_list(struct crash_causes *f, struct cause_record *out,
 			 size_t max);
-/* Return a counter that grows when a part is blocked or freed. */
+/* Return a counter that grows when what crash_causes_list gives changes. */
 uint64_t crash_causes_changes(struct crash_causes *f);
 /*
  * Set how often a record is sent, and whether those that came from another node
--- a/route/test-crash-causes.c
+++ b/route/test-crash-causes.c
@@ -17,10 +17,11 @@
 /* Requests that may reach targets once the fleet has to know the part. */
 #define REQUESTS_AFTER 3
 
-#define FIRST  0xf1ull /* part of all prompts */
-#define SECOND 0xf2ull /* always comes with BAD, at times without */
-#define BAD    0xbadull
-#define BAD2   0xbad2ull
+#define FIRST   0xf1ull /* part of all prompts */
+#define SECOND  0xf2ull /* always comes with BAD, at times without */
+#define BAD     0xbadull
+#define BAD2    0xbad2ull
+#define REQUEST 0x100000000ull /* keys of requests are above */
 
 struct fleet {
 	struct crash_causes **nodes;
@@ -106,8 +107,9 @@
 
 static bool blocks(struct fleet *f, size_t node, uint64_t part)
 {
-	return crash_causes_block(f->nodes[node], (struct cause_keys){&part, 1},
-				  f->now_ms);
+	struct cause_keys k = {.parts = &part, .n = 1};
+
+	return crash_causes_block(f->nodes[node], &k, f->now_ms) != CAUSE_NONE;
 }
 
 static size_t count_blocking(struct fleet *f, uint64_t part)
@@ -126,21 +128,30 @@
 	f->crashes++;
 }
 
+/* The keys of a request that never comes again. */
+static struct cause_keys keys_of(struct fleet *f, const uint64_t *parts,
+				 size_t n)
+{
+	uint64_t request = ++f->next_request;
+
+	return (struct cause_keys){parts, n, request, REQUEST + request,
+				   request};
+}
+
 /* A request that crashes its target, and is repeated once at another. */
 static void call_bad(struct fleet *f, size_t node, const uint64_t *parts,
 		     size_t n)
 {
-	struct cause_keys p = {parts, n};
-	uint64_t request = ++f->next_request;
+	struct cause_keys k = keys_of(f, parts, n);
 
 	for (int i = 0; i < 2; i++) {
-		if (crash_causes_block(f->nodes[node], p, f->now_ms))
+		if (crash_causes_block(f->nodes[node], &k, f->now_ms))
 			return;
 		f->late += f->crashes >= 5 &&
 			   f->now_ms > f->crash_ms[4] + CONTACT_MS;
 		run_for(f, TARGET_MS);
-		crash_causes_crashed(f->nodes[node], p, request,
-				     ++f->next_target, f->now_ms);
+		crash_causes_crashed(f->nodes[node], &k, ++f->next_target,
+				     f->now_ms);
 		note_crash(f);
 	}
 }
@@ -148,13 +159,13 @@
 static void call_sound(struct fleet *f, size_t node, const uint64_t *parts,
 		       size_t n)
 {
-	struct cause_keys p = {parts, n};
+	struct cause_keys k = keys_of(f, parts, n);
 
-	if (crash_causes_block(f->nodes[node], p, f->now_ms)) {
+	if (crash_causes_block(f->nodes[node], &k, f->now_ms)) {
 		f->refused++;
 		return;
 	}
-	crash_causes_began(f->nodes[node], p, f->now_ms);
+	crash_causes_began(f->nodes[node], &k, f->now_ms);
 }
 
 static size_t any_node(struct fleet *f)
@@ -260,13 +271,12 @@
 {
 	struct fleet *f = fleet_new(6);
 
-	for (int k = 0; k < 2; k++) {
+	for (int round = 0; round < 2; round++) {
 		for (int i = 0; i < 30; i++) {
 			uint64_t parts[] = {FIRST, 1000 + (uint64_t)(i % 4)};
+			struct cause_keys k = keys_of(f, parts, 2);
 
-			crash_causes_crashed(f->nodes[any_node(f)],
-					     (struct cause_keys){parts, 2},
-					     ++f->next_request,
+			crash_causes_crashed(f->nodes[any_node(f)], &k,
 					     ++f->next_target, f->now_ms);
 		}
 		run_for(f, 4000);
@@ -284,12 +294,11 @@
 
 	for (int i = 0; i < 20000; i++) {
 		uint64_t parts[] = {FIRST, 1000 + (uint64_t)(i % 50)};
-		struct cause_keys p = {parts, 2};
+		struct cause_keys k = keys_of(f, parts, 2);
 		size_t node = any_node(f);
 
 		if (g_random_double() < 0.05)
-			crash_causes_crashed(f->nodes[node], p,
-					     ++f->next_request,
+			crash_causes_crashed(f->nodes[node], &k,
 					     ++f->next_target, f->now_ms);
 		else
 			call_sound(f, node, parts, 2);
@@ -332,11 +341,12 @@
 {
 	struct fleet *f = fleet_new(6);
 	static const uint64_t parts[] = {FIRST, SECOND, BAD};
+	struct cause_keys k;
 
 	play(f, 8, 1);
 	g_assert_cmpuint(count_blocking(f, BAD), ==, f->n);
-	crash_causes_began(f->nodes[3], (struct cause_keys){parts, 3},
-			   f->now_ms);
+	k = keys_of(f, parts, 3);
+	crash_causes_began(f->nodes[3], &k, f->now_ms);
 	run_for(f, 2000);
 	g_assert_cmpuint(count_blocking(f, BAD), ==, 0);
 	fleet_free(f);
@@ -370,17 +380,161 @@
 	play(f, 8, 1);
 	for (uint64_t i = 0; i < 100000; i++) {
 		uint64_t parts[] = {FIRST, i * 2654435761u};
-		struct cause_keys p = {parts, 2};
+		struct cause_keys k = {parts, 2, i, REQUEST + i, i};
 
 		if (i % 2)
-			crash_causes_crashed(f->nodes[0], p, i, i, f->now_ms);
+			crash_causes_crashed(f->nodes[0], &k, i, f->now_ms);
 		else
-			crash_causes_began(f->nodes[0], p, f->now_ms);
+			crash_causes_began(f->nodes[0], &k, f->now_ms);
 	}
 	g_assert_true(blocks(f, 0, BAD));
 	fleet_free(f);
 }
 
+/* Whether a node refuses a request that comes again. */
+static bool refuses_again(struct fleet *f, size_t node, uint64_t whole)
+{
+	struct cause_keys k = {.whole = whole, .attempt = ++f->next_request};
+
+	return crash_causes_block(f->nodes[node], &k, f->now_ms) ==
+	       CAUSE_REQUEST;
+}
+
+/*
+ * A request comes again and crashes its target; others, which never come again,
+ * are at that target too. Return whether it was sent.
+ */
+static bool call_again(struct fleet *f, uint64_t whole, size_t bystanders)
+{
+	static const uint64_t parts[] = {FIRST, SECOND};
+	size_t node = any_node(f);
+	struct cause_keys k = {parts, 2, 7, whole, ++f->next_request};
+	bool sent = false;
+
+	for (int i = 0; i < 2; i++) {
+		if (crash_causes_block(f->nodes[node], &k, f->now_ms) ||
+		    (i && crash_causes_suspect(f->nodes[node], &k)))
+			return sent;
+		sent = true;
+		run_for(f, TARGET_MS);
+		f->next_target++;
+		for (size_t b = 0; b < bystanders; b++) {
+			struct cause_keys other = keys_of(f, parts, 2);
+
+			crash_causes_crashed(f->nodes[any_node(f)], &other,
+					     f->next_target, f->now_ms);
+		}
+		crash_causes_crashed(f->nodes[node], &k, f->next_target,
+				     f->now_ms);
+		f->crashes++;
+	}
+	return sent;
+}
+
+#define AGAIN (REQUEST + 0xa9a1)
+
+/* A request that comes again, at any node, goes on to crash targets. */
+static void test_request_again(void)
+{
+	static const size_t sizes[] = {1, 6, 24, 73, 370};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet *f = fleet_new(sizes[i]);
+
+		f->loss = 0.05;
+		for (int k = 0; k < 20; k++) {
+			static const uint64_t sound[] = {FIRST, SECOND};
+
+			call_again(f, AGAIN, 2);
+			run_for(f, 500);
+			call_sound(f, any_node(f), sound, 2);
+		}
+		/* Those that three allow, and some on the way to all nodes. */
+		g_assert_cmpuint(f->crashes, <=, 5);
+		for (size_t n = 0; n < f->n; n++)
+			g_assert_true(refuses_again(f, n, AGAIN));
+		g_assert_cmpuint(count_blocking(f, SECOND), ==, 0);
+		g_assert_cmpuint(count_blocking(f, FIRST), ==, 0);
+		g_assert_cmpint(f->refused, ==, 0);
+		fleet_free(f);
+	}
+}
+
+/* Requests that were at the targets which it crashed are refused as well. */
+static void test_bystanders(void)
+{
+	struct fleet *f = fleet_new(6);
+	uint64_t last;
+
+	for (int k = 0; k < 10; k++) {
+		call_again(f, AGAIN, 4);
+		run_for(f, 1000);
+	}
+	g_assert_true(refuses_again(f, 0, AGAIN));
+	last = f->next_request;
+	for (uint64_t r = 1; r <= last; r++)
+		g_assert_false(refuses_again(f, r % f->n, REQUEST + r));
+	fleet_free(f);
+}
+
+/* The parts of a request that crashes targets by itself are refused. */
+static void test_parts_of_request(void)
+{
+	static const uint64_t parts[] = {FIRST, SECOND};
+	struct fleet *f = fleet_new(6);
+
+	for (int k = 0; k < 10; k++) {
+		call_again(f, AGAIN, 1);
+		run_for(f, 1000);
+	}
+	g_assert_cmpuint(count_blocking(f, FIRST), ==, 0);
+	g_assert_cmpuint(count_blocking(f, SECOND), ==, 0);
+	call_sound(f, 1, parts, 2);
+	g_assert_cmpint(f->refused, ==, 0);
+	fleet_free(f);
+}
+
+/* A sound request that was blocked by chance is never served again. */
+static void test_trial(void)
+{
+	struct fleet *f = fleet_new(6);
+	struct cause_keys k = {.whole = AGAIN};
+	int sent = 0;
+
+	for (size_t i = 0; i < f->n; i++) {
+		uint64_t ids[] = {11, 22, 33, 44, 55, 66};
+
+		crash_causes_set_nodes(f->nodes[i], ids[i], ids, f->n);
+	}
+	for (int i = 0; i < 4; i++) {
+		call_again(f, AGAIN, 0);
+		run_for(f, 1000);
+	}
+	g_assert_true(refuses_again(f, 0, AGAIN));
+	/* It comes all the time, and goes on to crash targets. */
+	for (int s = 0; s < 400; s++) {
+		k.attempt++;
+		if (!crash_causes_block(f->nodes[s % 6], &k, f->now_ms)) {
+			sent++;
+			crash_causes_crashed(f->nodes[s % 6], &k,
+					     ++f->next_target, f->now_ms);
+		}
+		run_for(f, 1000);
+	}
+	g_assert_cmpint(sent, >=, 1);
+	g_assert_cmpint(sent, <=, REQUESTS_AFTER);
+	/* By now it is sound. */
+	for (int s = 0;
+	     s < 2000 && crash_causes_block(f->nodes[s % 6], &k, f->now_ms);
+	     s++)
+		run_for(f, 1000);
+	crash_causes_began(f->nodes[0], &k, f->now_ms);
+	run_for(f, 2000);
+	for (size_t i = 0; i < f->n; i++)
+		g_assert_false(refuses_again(f, i, AGAIN));
+	fleet_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -399,5 +553,10 @@
 	g_test_add_func("/prompt-faults/cut-and-new-nodes",
 			test_cut_and_new_nodes);
 	g_test_add_func("/prompt-faults/memory-bounded", test_memory_bounded);
+	g_test_add_func("/crash-causes/request-again", test_request_again);
+	g_test_add_func("/crash-causes/bystanders", test_bystanders);
+	g_test_add_func("/crash-causes/parts-of-request",
+			test_parts_of_request);
+	g_test_add_func("/crash-causes/trial", test_trial);
 	return g_test_run();
 }
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -146,30 +146,31 @@
 	origin_reply entries<ORIGIN_QUESTIONS_MAX>;
 };
 
-const PART_REPORTS_MAX = 7;
-const PART_REPORT_CRASHES_MAX = 12;
+const CAUSE_REPORTS_MAX = 7;
+const CAUSE_REPORT_CRASHES_MAX = 12;
 
-/* A target crashed that was to begin a response; see route/prompt-faults.h. */
-struct part_crash_report {
+/* A target crashed that was to begin a response; see route/crash-causes.h. */
+struct cause_crash_report {
 	unsigned int target;	/* low bits of its id */
-	unsigned int request;	/* low bits of the hash of the prompt's last part */
+	unsigned int attempt;	/* see cause_crash */
 	unsigned int age_ms;
 };
 
-const PART_NEVER_MS = 0xffffffff;	/* an age */
+const CAUSE_NEVER_MS = 0xffffffff;	/* an age */
 
-/* What the sender knows of a part of prompts. */
-struct part_report {
-	unsigned hyper part;	/* hash of its id */
+/* What the sender knows of a part of prompts or of a request. */
+struct cause_report {
+	unsigned hyper key;	/* hash of the part or of the request */
+	bool whole;	/* of a request */
 	unsigned int began_age_ms;	/* since a response with it last began */
 	unsigned int asked_age_ms;	/* since a request with it was last refused */
-	unsigned int depth;	/* parts before it in the prompt */
+	unsigned int depth;	/* of a part: those before it in the prompt */
 	bool blocked;
-	part_crash_report crashes<PART_REPORT_CRASHES_MAX>;	/* oldest first */
+	cause_crash_report crashes<CAUSE_REPORT_CRASHES_MAX>;	/* oldest first */
 };
 
-struct part_reports {
-	part_report entries<PART_REPORTS_MAX>;
+struct cause_reports {
+	cause_report entries<CAUSE_REPORTS_MAX>;
 };
 
 const LIMIT_REPORTS_MAX = 48;
@@ -197,7 +198,7 @@
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
-	PEER_PARTS = 11,
+	PEER_CAUSES = 11,
 	PEER_LIMITS = 12
 };
 
@@ -224,8 +225,8 @@
 	origin_query origin_query;
 case PEER_ORIGIN_ANSWER:
 	origin_answer origin_answer;
-case PEER_PARTS:
-	part_reports parts;
+case PEER_CAUSES:
+	cause_reports causes;
 case PEER_LIMITS:
 	limit_reports limits;
 };
