Entries that are cut off from all targets: tests that fail

When those of one or two entries hang, reset or refuse, these entries serve none of their callers, while the others reach the targets.

The proxy of the soak moves to platform/ for it, and can refuse, crash and cut.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -10,28 +10,9 @@
 #ifndef SOAK_H
 #define SOAK_H
 
+#include "platform/test-proxy.h"
 #include "platform/test-rig.h"
 
-/* proxy.c: a TCP proxy on loopback that injects one fault at a time. */
-enum proxy_fault {
-	PROXY_FAULT_NONE,
-	PROXY_FAULT_DELAY,   /* forwards each read after 100 ms */
-	PROXY_FAULT_STALL,   /* forwards nothing; connections stay open */
-	PROXY_FAULT_ONE_WAY, /* forwards nothing to the connecting side */
-	PROXY_FAULT_RESET,   /* resets all connections, new ones as well */
-	PROXY_FAULT_COUNT,
-};
-
-struct proxy;
-
-/* Start a proxy on a free port to a port of loopback. */
-struct proxy *proxy_new(int to_port);
-/* Close all connections and wait for their threads. */
-void proxy_free(struct proxy *p);
-/* Return the port that the proxy listens on. */
-int proxy_port(const struct proxy *p);
-void proxy_set_fault(struct proxy *p, enum proxy_fault fault);
-
 /* ledger.c: each request's runs and outcome, and the guarantees broken. */
 struct ledger;
 
