A node that has lost its way to targets reaches them through others

Callers of nodes that were partitioned from all targets were refused or waited in vain, 22 of 188 first tries served there and 281 of 283 at the other nodes, as these nodes went on to take requests and had no way but their own connections. Evidence: on one node target after target is ejected within two seconds, while the others reach them; the store and the nodes reach each other.

A failed or silent target is now checked: by a new connection, and when that fails by asking two other nodes to connect (entry/reach-check.c). If one can, the target is reached through other nodes (entry/tunnel.c), all silent targets of its service as soon as two are, and a connection of the node's own is tried twice a second. A tunnel copies bytes only: the node that has the caller makes all decisions, so there is one deadline, one account of retries and limits, keys are checked once, and what may run once is sent once. Targets are not blamed for the cut: no fault and no crash is recorded of one that others reach, and crashes of targets that are still listed ten seconds later are taken back, for the case that all nodes are cut off.

--- a/entry/control.c
+++ b/entry/control.c
@@ -328,6 +328,10 @@
 {
 	memcpy(c->key, secret, sizeof(c->key));
 	c->has_key = true;
+	g_mutex_lock(&c->e->lock);
+	memcpy(c->e->secret, secret, sizeof(c->e->secret));
+	c->e->has_secret = true;
+	g_mutex_unlock(&c->e->lock);
 }
 
 void control_ask_origins(struct control *c)
--- a/entry/control.h
+++ b/entry/control.h
@@ -53,11 +53,12 @@
 	int64_t settings_check_at_ms;
 	struct timespec settings_mtime; /* of the settings file in force */
 	int64_t introduce_at_ms;
-	GHashTable *seeds;         /* control addresses from the settings */
-	int64_t limits_list_at_ms; /* limits are sent again then */
-	uint64_t limits_view;      /* published_view whose nodes share them */
-	int64_t parts_list_at_ms;  /* suspected parts are sent again then */
-	size_t next_relay;         /* round-robin position for queries */
+	GHashTable *seeds;          /* control addresses from the settings */
+	int64_t limits_list_at_ms;  /* limits are sent again then */
+	uint64_t limits_view;       /* published_view whose nodes share them */
+	int64_t parts_list_at_ms;   /* suspected parts are sent again then */
+	int64_t listed_check_at_ms; /* next look which targets are listed */
+	size_t next_relay;          /* round-robin position for queries */
 };
 
 /*
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -9,6 +9,7 @@
 
 #include "entry/internal.h"
 #include "entry/origins.h"
+#include "entry/tunnel.h"
 
 #define HOUSEKEEPING_MS 100
 /*
@@ -154,8 +155,8 @@
 		callers_close_idle(tr);
 	if (now_ms >= tr->refuse_at_ms)
 		close_port(tr, PORT_CALLERS);
-	if (now_ms >= tr->stop_at_ms ||
-	    (now_ms >= tr->refuse_at_ms && !tr->exchanges))
+	if (now_ms >= tr->stop_at_ms || (now_ms >= tr->refuse_at_ms &&
+					 !tr->exchanges && !tr->tunnels->head))
 		ev_break(tr->loop, EVBREAK_ALL);
 }
 
@@ -183,6 +184,7 @@
 	(void)loop;
 	(void)events;
 	pool_sweep(tr);
+	pool_probe_ways(tr, now);
 	update_serving(tr, now);
 	stop_if_done(tr, now);
 }
@@ -194,6 +196,13 @@
 	caller_accept(w->data);
 }
 
+static void on_tunnels(struct ev_loop *loop, ev_io *w, int events)
+{
+	(void)loop;
+	(void)events;
+	tunnels_accept(w->data);
+}
+
 /* Listen on a port; an empty address leaves it closed. */
 static bool open_port(struct traffic *tr, enum port_kind kind,
 		      const char *address, GError **err)
@@ -208,7 +217,8 @@
 	p->fd = sock_listen(address, err);
 	if (p->fd < 0)
 		return false;
-	ev_io_init(&p->io, on_accept, p->fd, EV_READ);
+	ev_io_init(&p->io, kind == PORT_TUNNELS ? on_tunnels : on_accept, p->fd,
+		   EV_READ);
 	p->io.data = p;
 	ev_io_start(tr->loop, &p->io);
 	return true;
@@ -228,10 +238,16 @@
 static bool open_ports(struct traffic *tr, GError **err)
 {
 	const struct entry_settings *s = tr->settings;
+	char tunnels[64];
+
+	/* The port of the messages between nodes, here of TCP. */
+	snprintf(tunnels, sizeof(tunnels), "%s:%d", s->node_ip,
+		 (int)s->peers_port + 1);
 
 	return open_port(tr, PORT_CALLERS, s->listen_callers, err) &&
 	       open_port(tr, PORT_READY, s->listen_ready, err) &&
-	       open_port(tr, PORT_ENTRIES, s->listen_entries, err);
+	       open_port(tr, PORT_ENTRIES, s->listen_entries, err) &&
+	       open_port(tr, PORT_TUNNELS, tunnels, err);
 }
 
 static void traffic_init(struct entry *e)
@@ -244,7 +260,8 @@
 	tr->loop = ev_loop_new(EVFLAG_AUTO);
 	defer_init(tr->loop);
 	pool_init(tr);
-	crash_checks_init(tr);
+	reach_checks_init(tr);
+	tr->tunnels = g_queue_new();
 	tr->callers = g_queue_new();
 	tr->taking_up = g_queue_new();
 	tr->rand = g_rand_new();
@@ -347,12 +364,14 @@
 	callers_close_all(tr);
 	for (int i = 0; i < PORT_COUNT; i++)
 		close_port(tr, (enum port_kind)i);
-	crash_checks_free(tr);
+	tunnels_close_all(tr);
+	reach_checks_free(tr);
 	pool_free(tr);
 	if (e->control)
 		control_free(e->control);
 	g_queue_free(tr->callers);
 	g_queue_free(tr->taking_up);
+	g_queue_free(tr->tunnels);
 	g_rand_free(tr->rand);
 	entry_config_unref(tr->config);
 	target_list_unref(tr->list);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -318,6 +318,7 @@
 	LINK_NOT_CONNECTED, /* not established, so nothing was sent */
 	LINK_BROKEN,    /* reset, or closed before the end of the response */
 	LINK_MALFORMED, /* the received bytes are not an HTTP response */
+	LINK_NO_TUNNEL, /* the other node did not help; nothing was sent */
 };
 
 struct link;
@@ -340,6 +341,16 @@
  * from the event loop, never from within this function.
  */
 struct link *link_open(struct ev_loop *loop, const struct sockaddr_in *to);
+/*
+ * The same through another node, which gets the hello: see tunnel.h. Connected
+ * means that this node has connected to the target.
+ */
+struct link *link_open_through(struct ev_loop *loop,
+			       const struct sockaddr_in *helper,
+			       const uint8_t *hello, size_t n);
+/* Return the byte that the other node sent; 0: none. */
+int link_tunnel_reply(const struct link *l);
+bool link_is_tunnel(const struct link *l);
 /*
  * Mark the link as idle. When a byte arrives, which belongs to no request, or
  * when the peer closes, on_lost is called, which has to close the link.
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -10,6 +10,7 @@
 
 #include "entry/exchange.h"
 #include "entry/origins.h"
+#include "entry/tunnel.h"
 
 /* Largest response that is buffered until complete; a longer one fails. */
 #define RESPONSE_MAX_BYTES (8 << 20)
@@ -335,17 +336,13 @@
 		exchange_reply_error(x, RAMP_ERR_OVERLOADED);
 }
 
-static void on_link_fault(void *ctx, enum link_fault f, bool response_started)
+/* Put a fault on the target, or on the node through which it was reached. */
+static void record_link_fault(const struct exchange *x, enum link_fault f)
 {
-	static const char *const causes[] = {
-		"connection_refused", "connection_broken", "answer_malformed"};
-	struct exchange *x = ctx;
-	bool may_have_run = f != LINK_NOT_CONNECTED;
-
-	(void)response_started;
-	x->failure_cause = causes[f];
-	if (f == LINK_BROKEN)
-		exchange_record_break(x);
+	if (f == LINK_NO_TUNNEL || (f == LINK_BROKEN && x->helper)) {
+		reach_avoid_helper(x->tr, x->helper);
+		return;
+	}
 	/*
 	 * A reused connection may break because the target closed it as idle,
 	 * so that is not counted as a fault.
@@ -355,6 +352,25 @@
 	else
 		pool_record_response(x->target, false);
 	x->target->last_failed = true;
+}
+
+static void on_link_fault(void *ctx, enum link_fault f, bool response_started)
+{
+	static const char *const causes[] = {
+		[LINK_NOT_CONNECTED] = "connection_refused",
+		[LINK_BROKEN] = "connection_broken",
+		[LINK_MALFORMED] = "answer_malformed",
+		[LINK_NO_TUNNEL] = "no_tunnel"};
+	struct exchange *x = ctx;
+	bool may_have_run = f == LINK_BROKEN || f == LINK_MALFORMED;
+
+	(void)response_started;
+	x->failure_cause = causes[f];
+	if (f == LINK_BROKEN)
+		exchange_record_break(x);
+	if (f == LINK_NOT_CONNECTED && !x->helper)
+		reach_check_start(x->target, NULL);
+	record_link_fault(x, f);
 	if (!exchange_retry(x, may_have_run, may_have_run))
 		fail(x);
 }
@@ -663,7 +679,7 @@
 				     : (struct str)STR_LIT("-");
 	pool_add_running(t, 1);
 	x->tried_targets[x->attempts++] = t->info.id;
-	x->link = pool_acquire_link(t, &x->link_reused);
+	x->link = pool_acquire_link(t, &x->link_reused, &x->helper);
 	if (!x->link) {
 		x->failure_cause = "no_descriptor";
 		if (!exchange_retry(x, false, false))
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -52,6 +52,7 @@
 	struct str last_target_version; /* of its software */
 	struct str last_source_name; /* where that fetches the prompt, or "-" */
 	struct link *link;
+	uint64_t helper;  /* the node through which the link goes; 0: none */
 	bool link_reused; /* the link was idle, not opened for the attempt */
 	int64_t sent_ms;
 	int64_t first_event_ms; /* of the attempt; 0: none yet */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -27,6 +27,7 @@
 	PORT_READY,   /* readiness probe */
 	PORT_ENTRIES, /* addresses of the entries that accept requests */
 	PORT_METRICS,
+	PORT_TUNNELS, /* connections of other nodes to targets */
 	PORT_COUNT,
 };
 
@@ -64,6 +65,14 @@
 /* Number of request priorities; 0 is the most urgent. */
 #define PRIORITY_COUNT 10
 
+/* What a check has found of this node's way to a target. */
+enum target_way {
+	WAY_UNKNOWN,
+	WAY_OPEN,
+	WAY_CUT,         /* others can connect, this node can't */
+	WAY_TARGET_DOWN, /* nobody can */
+};
+
 /* A target and the state that the traffic thread keeps for it. */
 struct target {
 	void *arena;
@@ -81,6 +90,9 @@
 	bool says_leaving;        /* a response said that it is leaving */
 	int64_t resting_until_ms; /* it asked for no requests before */
 	int64_t last_received_ms; /* last head or stream data; 0: never */
+	int64_t cut_since_ms; /* it is reached through others; 0: it isn't */
+	bool cut_checked;     /* that was found of it, not of others */
+	int64_t probe_at_ms;  /* when to see whether the way is back */
 	/*
 	 * Per priority, the send time of the most recently sent request that
 	 * the target has begun to answer; 0: none.
@@ -101,8 +113,10 @@
 	struct entry_config *config; /* NULL until the first one arrives */
 	struct target_list *list;
 	struct peer_list *peers;
-	GHashTable *targets;       /* id -> struct target */
-	GHashTable *crash_checks;  /* target id -> struct crash_check */
+	GHashTable *targets;         /* id -> struct target */
+	GHashTable *reach_checks;    /* target id -> struct reach_check */
+	GHashTable *avoided_helpers; /* node id -> until when, ms */
+	GQueue *tunnels;             /* of other nodes, see tunnel.c */
 	GHashTable *retry_windows; /* service name -> struct service_retries */
 	struct key_rates *key_rates; /* of placement keys, at this node */
 	GRand *rand;
@@ -148,6 +162,8 @@
 	struct entry_settings reloaded; /* only its numbers are used */
 	bool has_reloaded;              /* reloaded has not been applied yet */
 	bool leaving;
+	uint8_t secret[MEMBER_KEY_BYTES]; /* that nodes share */
+	bool has_secret;
 
 	atomic_int_least64_t config_fresh_ms; /* see entry_confirm_config */
 	atomic_bool stop_now;
@@ -199,12 +215,6 @@
 /* Format the shared parts for the log; in the arena. parts may be NULL. */
 const char *prompt_parts_text(void *arena, const struct prompt_parts *parts);
 
-/* crash-check.c: whether a target whose connection broke has crashed. */
-
-void crash_checks_init(struct traffic *tr);
-/* Cancel the checks in progress. */
-void crash_checks_free(struct traffic *tr);
-
 /* caller.c: connections of callers. */
 
 /* Accept all connections that wait on the port. */
@@ -287,9 +297,11 @@
 			 uint64_t version);
 /*
  * Return an idle link to the target, or a new one that is still connecting, or
- * NULL when no socket can be opened. *reused tells which.
+ * NULL when no socket can be opened. *reused tells which. *helper is the node
+ * through which it goes; 0: none.
  */
-struct link *pool_acquire_link(struct target *t, bool *reused);
+struct link *pool_acquire_link(struct target *t, bool *reused,
+			       uint64_t *helper);
 /* Keep a reusable link as idle, or close it. */
 void pool_release_link(struct target *t, struct link *l);
 /* Change the number of this node's requests in progress at the target. */
@@ -307,6 +319,13 @@
  * only when no other target can.
  */
 void pool_record_fault(struct target *t);
+/*
+ * Record what a check has found. While this node's way to the target is cut, it
+ * is reached through other nodes, and no fault is recorded of it.
+ */
+void pool_record_way(struct target *t, enum target_way way);
+/* Look at times whether ways that were cut are open again. */
+void pool_probe_ways(struct traffic *tr, int64_t now_ms);
 /* Record that the target has begun to answer a request sent at sent_ms. */
 void pool_record_begun(struct target *t, int priority, int64_t sent_ms);
 /*
--- a/entry/link.c
+++ b/entry/link.c
@@ -8,11 +8,13 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "entry/internal.h"
+#include "entry/tunnel.h"
 
 #define READ_CHUNK_BYTES 16384
 /* Time to establish a connection; the network takes about 1 ms one way. */
 #define CONNECT_TIMEOUT_MS 400
+/* The same through another node, which connects within the time above. */
+#define TUNNEL_TIMEOUT_MS 700
 /*
  * Share of the peer's keep-alive timeout for which a connection is used, so
  * that no request is sent while the peer closes it.
@@ -34,9 +36,13 @@
 	void (*on_lost)(void *ctx); /* while ops is NULL */
 	void *ctx;
 	struct buf output;
+	struct buf request;       /* waits until the tunnel is open */
 	struct message *response; /* last complete one; ops may use it */
 	int64_t idle_timeout_ms;  /* see IDLE_TIMEOUT_SHARE */
 	bool connected;
+	bool tunnel;     /* through another node */
+	bool hello_sent; /* to it; its reply is due */
+	char tunnel_reply;
 	unsigned interim;      /* responses (1xx) before the result */
 	bool response_started; /* bytes of the response have arrived */
 	bool keep_alive;       /* the response lets the connection be reused */
@@ -51,6 +57,7 @@
 	reader_free(l->reader);
 	talloc_free(l->response);
 	buf_clear(&l->output);
+	buf_clear(&l->request);
 	g_free(l);
 }
 
@@ -78,7 +85,7 @@
 	if (!l->connected || buf_len(&l->output))
 		events |= EV_WRITE;
 	if (!l->connected)
-		events = EV_WRITE;
+		events = l->hello_sent ? EV_READ : EV_WRITE;
 	if (events == l->io_events)
 		return;
 	ev_io_stop(l->loop, &l->io);
@@ -227,16 +234,43 @@
 		report_fault(l, LINK_NOT_CONNECTED);
 		return;
 	}
+	if (l->tunnel) {
+		l->hello_sent = true;
+		flush_output(l);
+		return;
+	}
 	ev_timer_stop(l->loop, &l->connect_timer);
 	l->connected = true;
 }
 
+/* Read whether the other node has connected to the target. */
+static void read_tunnel_reply(struct link *l)
+{
+	ssize_t n = recv(l->fd, &l->tunnel_reply, 1, 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n == 1 && l->tunnel_reply == TUNNEL_OPEN) {
+		ev_timer_stop(l->loop, &l->connect_timer);
+		l->connected = true;
+		buf_add(&l->output, buf_data(&l->request),
+			buf_len(&l->request));
+		buf_clear(&l->request);
+		return;
+	}
+	report_fault(l, l->tunnel_reply == TUNNEL_TARGET_DOWN
+				? LINK_NOT_CONNECTED
+				: LINK_NO_TUNNEL);
+}
+
 static void on_io(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct link *l = w->data;
 
 	(void)loop;
-	if (!l->connected)
+	if (l->hello_sent && !l->connected)
+		read_tunnel_reply(l);
+	else if (!l->connected)
 		on_connected(l);
 	else if (events & EV_READ)
 		read_input(l);
@@ -251,10 +285,11 @@
 
 	(void)loop;
 	(void)events;
-	report_fault(l, LINK_NOT_CONNECTED);
+	report_fault(l, l->tunnel ? LINK_NO_TUNNEL : LINK_NOT_CONNECTED);
 }
 
-struct link *link_open(struct ev_loop *loop, const struct sockaddr_in *to)
+static struct link *open_within(struct ev_loop *loop,
+				const struct sockaddr_in *to, int64_t ms)
 {
 	int fd = sock_connect(to);
 	struct link *l;
@@ -270,13 +305,41 @@
 	l->io.data = l;
 	l->io_events = EV_WRITE;
 	ev_io_start(loop, &l->io);
-	ev_timer_init(&l->connect_timer, on_connect_timeout,
-		      CONNECT_TIMEOUT_MS / 1000.0, 0);
+	ev_timer_init(&l->connect_timer, on_connect_timeout, (double)ms / 1000,
+		      0);
 	l->connect_timer.data = l;
 	ev_timer_start(loop, &l->connect_timer);
 	return l;
 }
 
+struct link *link_open(struct ev_loop *loop, const struct sockaddr_in *to)
+{
+	return open_within(loop, to, CONNECT_TIMEOUT_MS);
+}
+
+struct link *link_open_through(struct ev_loop *loop,
+			       const struct sockaddr_in *helper,
+			       const uint8_t *hello, size_t n)
+{
+	struct link *l = open_within(loop, helper, TUNNEL_TIMEOUT_MS);
+
+	if (!l)
+		return NULL;
+	l->tunnel = true;
+	buf_add(&l->output, (const char *)hello, n);
+	return l;
+}
+
+int link_tunnel_reply(const struct link *l)
+{
+	return l->tunnel_reply;
+}
+
+bool link_is_tunnel(const struct link *l)
+{
+	return l->tunnel;
+}
+
 void link_set_idle(struct link *l, void (*on_lost)(void *ctx), void *ctx)
 {
 	l->ops = NULL;
@@ -298,7 +361,7 @@
 
 void link_send(struct link *l, const char *p, size_t n)
 {
-	buf_add(&l->output, p, n);
+	buf_add(l->tunnel && !l->connected ? &l->request : &l->output, p, n);
 	if (l->connected) {
 		ssize_t sent = send(l->fd, buf_data(&l->output),
 				    buf_len(&l->output), MSG_NOSIGNAL);
--- a/entry/peer-causes.c
+++ b/entry/peer-causes.c
@@ -52,6 +52,33 @@
 	}
 }
 
+/*
+ * A target that is listed this long after it seemed to crash has not, as the
+ * store removes those that are silent for some seconds.
+ */
+#define LISTED_AFTER_MS 10000
+/* Age up to which this node's list of targets says so. */
+#define LIST_AGE_MAX_MS 2000
+/* Interval of the looks at the list. */
+#define LISTED_INTERVAL_MS 1000
+
+static void retract_crashes(struct control *c, int64_t now_ms)
+{
+	struct target_list *l;
+
+	if (now_ms < c->listed_check_at_ms ||
+	    now_ms - store_sync_targets_confirmed_ms(c->sync) > LIST_AGE_MAX_MS)
+		return;
+	c->listed_check_at_ms = now_ms + LISTED_INTERVAL_MS;
+	g_mutex_lock(&c->e->lock);
+	l = c->e->list ? target_list_ref(c->e->list) : NULL;
+	g_mutex_unlock(&c->e->lock);
+	for (size_t i = 0; l && i < l->n; i++)
+		crash_causes_alive(c->e->crash_causes, l->v[i].id,
+				   now_ms - LISTED_AFTER_MS);
+	target_list_unref(l);
+}
+
 void peers_send_causes(struct control *c, const struct peer_list *l,
 		       int64_t now_ms)
 {
@@ -64,6 +91,7 @@
 	crash_causes_set_rounds(
 		f, direct ? DIRECT_UPDATE_ROUNDS : FANOUT_UPDATE_ROUNDS,
 		!direct);
+	retract_crashes(c, now_ms);
 	crash_causes_decide(f, now_ms);
 	if (l->n <= 1)
 		return;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -8,6 +8,7 @@
 
 #include "entry/internal.h"
 #include "entry/origins.h"
+#include "entry/tunnel.h"
 
 /* Most idle links kept to one target. */
 #define IDLE_LINKS_MAX 16
@@ -27,6 +28,17 @@
 #define ROOM_SHARE 0.5
 /* A load report of a target is used for this long. */
 #define LOAD_REPORT_VALID_MS 250
+/*
+ * Targets of a service to which this node has lost its way, from which on it is
+ * taken for lost to all others that have sent nothing for SILENT_MS.
+ */
+#define CUT_TARGETS 2
+#define SILENT_MS   500
+/* Interval of the looks at whether the way to a target is back. */
+#define PROBE_INTERVAL_MS 500
+/* Most of them at a time, as a part of the targets, and at least. */
+#define PROBES_SHARE 0.125
+#define PROBES_MIN   2
 
 struct idle_link {
 	struct target *target;
@@ -369,12 +381,19 @@
 	return targets[chosen];
 }
 
-struct link *pool_acquire_link(struct target *t, bool *reused)
+struct link *pool_acquire_link(struct target *t, bool *reused, uint64_t *helper)
 {
 	int64_t now = time_boot_ms();
 	struct idle_link *i;
+	struct link *through;
 
 	*reused = false;
+	*helper = 0;
+	if (t->cut_since_ms) {
+		through = reach_through_peer(t, helper);
+		if (through)
+			return through;
+	}
 	while ((i = g_queue_pop_head(t->idle_links))) {
 		struct link *l = i->link;
 		bool usable = i->until_ms > now;
@@ -412,7 +431,7 @@
 	struct idle_link *i;
 
 	if (!t->listed || t->info.draining || t->says_leaving ||
-	    t->tr->leaving_ms ||
+	    t->tr->leaving_ms || t->cut_since_ms || link_is_tunnel(l) ||
 	    g_queue_get_length(t->idle_links) >= idle_links_max(t) ||
 	    link_idle_deadline_ms(l) <= time_boot_ms()) {
 		link_close(l);
@@ -461,12 +480,110 @@
 
 void pool_record_fault(struct target *t)
 {
+	if (t->cut_since_ms)
+		return;
 	t->last_failed = true;
 	pool_record_error(t);
 	if (++t->consecutive_faults >= EJECT_FAULTS)
 		eject(t);
 }
 
+static void set_cut(struct target *t, bool checked)
+{
+	t->cut_checked |= checked;
+	if (t->cut_since_ms)
+		return;
+	t->cut_since_ms = time_boot_ms();
+	t->probe_at_ms = t->cut_since_ms + PROBE_INTERVAL_MS;
+	/* It was not to blame for what failed. */
+	t->consecutive_faults = 0;
+	t->ejected_until_ms = 0;
+	t->error_rate = 0;
+	t->last_failed = false;
+	close_idle_links(t);
+	log_event(EV_WAY_LOST, "target=" STR_FMT " checked=%d silent_ms=%d",
+		  STR_ARG(t->info.name), checked,
+		  t->last_received_ms
+			  ? (int)(t->cut_since_ms - t->last_received_ms)
+			  : -1);
+}
+
+/* Whether this node has lost its way to several targets of the service. */
+static bool is_service_cut(const struct traffic *tr, struct str service)
+{
+	size_t cut = 0, listed = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct target *t = v;
+
+		if (!t->listed || !str_eq(t->info.service, service))
+			continue;
+		listed++;
+		cut += t->cut_checked;
+	}
+	return cut && cut >= MIN(CUT_TARGETS, listed);
+}
+
+/* Take the way to the service's targets that are silent for lost. */
+static void cut_silent(struct traffic *tr, struct str service)
+{
+	int64_t since_ms = time_boot_ms() - SILENT_MS;
+	GHashTableIter it;
+	gpointer v;
+
+	if (!is_service_cut(tr, service))
+		return;
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct target *t = v;
+
+		if (t->listed && str_eq(t->info.service, service) &&
+		    t->last_received_ms < since_ms)
+			set_cut(t, false);
+	}
+}
+
+void pool_record_way(struct target *t, enum target_way way)
+{
+	if (way == WAY_CUT) {
+		set_cut(t, true);
+		cut_silent(t->tr, t->info.service);
+	} else if (way == WAY_OPEN && t->cut_since_ms) {
+		log_event(EV_WAY_BACK, "target=" STR_FMT " ms=%d",
+			  STR_ARG(t->info.name),
+			  (int)(time_boot_ms() - t->cut_since_ms));
+		t->cut_since_ms = 0;
+		t->cut_checked = false;
+	}
+}
+
+void pool_probe_ways(struct traffic *tr, int64_t now_ms)
+{
+	size_t most =
+		(size_t)(PROBES_SHARE * (double)g_hash_table_size(tr->targets));
+	size_t cut = 0, n = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct target *t = v;
+
+		if (!t->cut_since_ms || !t->listed)
+			continue;
+		cut++;
+		if (now_ms < t->probe_at_ms || n >= MAX(most, PROBES_MIN))
+			continue;
+		n++;
+		t->probe_at_ms = now_ms + PROBE_INTERVAL_MS;
+		reach_probe_start(t);
+	}
+	metric_set(M_TARGETS_CUT, (int64_t)cut);
+}
+
 void pool_record_begun(struct target *t, int priority, int64_t sent_ms)
 {
 	t->begun_sent_ms[priority] = MAX(t->begun_sent_ms[priority], sent_ms);
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -3,6 +3,7 @@
  * target, and starts the retry.
  */
 #include "entry/exchange.h"
+#include "entry/tunnel.h"
 
 bool exchange_may_retry(const struct exchange *x, int possible_runs)
 {
@@ -121,8 +122,10 @@
 		 * A single lost request is possible, so silence counts as one
 		 * fault for each attempt; two in a row eject the target.
 		 */
-		if (!x->silence_counted)
+		if (!x->silence_counted) {
 			pool_record_fault(t);
+			reach_check_start(t, NULL);
+		}
 		x->silence_counted = true;
 		return replace_attempt(x, "target_silent");
 	case STALL_REQUEST_OVERTAKEN:
--- a/entry/test-retry.c
+++ b/entry/test-retry.c
@@ -3,6 +3,7 @@
  * replaced here, as a real clock can't be stopped between two checks.
  */
 #include "entry/exchange.h"
+#include "entry/tunnel.h"
 
 static int64_t time_left_ms[8]; /* one for each look at the clock */
 static size_t looks;
@@ -28,6 +29,12 @@
 	x->target = NULL;
 }
 
+void reach_check_start(struct target *t, const struct cause_keys *suspect)
+{
+	(void)t;
+	(void)suspect;
+}
+
 bool exchange_is_suspect(const struct exchange *x)
 {
 	(void)x;
--- a/route/crash-causes.c
+++ b/route/crash-causes.c
@@ -68,6 +68,13 @@
 	GList link;           /* in the order of use */
 };
 
+/* A target that has crashed, or seemed to. */
+struct recent_crash {
+	uint32_t target;
+	int64_t at_ms;
+	int64_t alive_ms; /* it had not crashed before; 0: it had */
+};
+
 struct crash_causes {
 	GMutex lock;
 	GHashTable *causes; /* key -> struct cause */
@@ -75,7 +82,7 @@
 	size_t suspected;   /* causes with crashes */
 	struct cause *blocked[BLOCKED_MAX];
 	size_t blocked_count;
-	struct cause_crash recent[RECENT_MAX]; /* the last of all keys */
+	struct recent_crash recent[RECENT_MAX]; /* the last of all keys */
 	size_t next_recent;
 	atomic_size_t blocks; /* blocked_count, to be read without the lock */
 	unsigned rounds;
@@ -311,13 +318,24 @@
 	return p->r.blocked || p->r.crash_count > 1;
 }
 
-/* Remember that the target crashed, whichever part it is put on. */
-static void note_target(struct crash_causes *f, struct cause_crash c)
+/*
+ * Remember that the target crashed, whichever key it is put on. Return whether
+ * it has, and not gone on afterwards.
+ */
+static bool note_target(struct crash_causes *f, struct cause_crash c)
 {
-	for (size_t i = 0; i < RECENT_MAX; i++)
-		if (f->recent[i].at_ms && f->recent[i].target == c.target)
-			return;
-	f->recent[f->next_recent++ % RECENT_MAX] = c;
+	struct recent_crash *r;
+
+	for (size_t i = 0; i < RECENT_MAX; i++) {
+		r = &f->recent[i];
+		if (!r->at_ms || r->target != c.target)
+			continue;
+		r->at_ms = MAX(r->at_ms, c.at_ms);
+		return c.at_ms > r->alive_ms;
+	}
+	r = &f->recent[f->next_recent++ % RECENT_MAX];
+	*r = (struct recent_crash){c.target, c.at_ms, 0};
+	return true;
 }
 
 /* Add a crash in its order of time; return whether it was new. */
@@ -327,9 +345,8 @@
 	struct cause_record *r = &p->r;
 	uint32_t i;
 
-	note_target(f, c);
-	if (c.at_ms <= r->began_ms || has_target(r, c.target) ||
-	    is_explained(f, p, c.target))
+	if (!note_target(f, c) || c.at_ms <= r->began_ms ||
+	    has_target(r, c.target) || is_explained(f, p, c.target))
 		return false;
 	if (r->crash_count == CAUSE_CRASHES_MAX) {
 		if (c.at_ms <= r->crashes[CAUSE_CRASHES_MAX - 1].at_ms)
@@ -411,7 +428,8 @@
 	size_t n = 0;
 
 	for (size_t i = 0; i < RECENT_MAX; i++)
-		n += f->recent[i].at_ms >= first_ms &&
+		n += f->recent[i].at_ms > f->recent[i].alive_ms &&
+		     f->recent[i].at_ms >= first_ms &&
 		     f->recent[i].at_ms <= last_ms &&
 		     !is_explained(f, p, f->recent[i].target) &&
 		     (has_target(&p->r, f->recent[i].target) ||
@@ -546,6 +564,47 @@
 	g_mutex_unlock(&f->lock);
 }
 
+static bool is_of_target(const struct cause_crash *c, const void *r)
+{
+	const struct recent_crash *alive = r;
+
+	return c->target == alive->target && c->at_ms <= alive->alive_ms;
+}
+
+/* Take the crashes that a target has not had off all keys. */
+static void retract(struct crash_causes *f, const struct recent_crash *r)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, f->causes);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct cause *p = v;
+
+		if (!p->r.crash_count || !drop_crashes(f, p, is_of_target, r))
+			continue;
+		f->changes++;
+		if (!qualifies(f, p))
+			free_cause(f, p, "target_lives");
+	}
+}
+
+void crash_causes_alive(struct crash_causes *f, uint64_t target,
+			int64_t alive_ms)
+{
+	g_mutex_lock(&f->lock);
+	for (size_t i = 0; i < RECENT_MAX; i++) {
+		struct recent_crash *r = &f->recent[i];
+
+		if (!r->at_ms || r->target != (uint32_t)target ||
+		    r->at_ms > alive_ms || r->at_ms <= r->alive_ms)
+			continue;
+		r->alive_ms = alive_ms;
+		retract(f, r);
+	}
+	g_mutex_unlock(&f->lock);
+}
+
 /*
  * Whether to let a blocked request through, as it may be sound by now. One node
  * does so for all.
--- a/route/crash-causes.h
+++ b/route/crash-causes.h
@@ -85,6 +85,12 @@
 /* A response began at a time, and its target has not crashed since. */
 void crash_causes_began(struct crash_causes *f, const struct cause_keys *k,
 			int64_t began_ms);
+/*
+ * The target has not crashed up to then, though connections broke. A response
+ * is no sign of it, as a target may start again at its address under its name.
+ */
+void crash_causes_alive(struct crash_causes *f, uint64_t target,
+			int64_t alive_ms);
 /*
  * Return whether and why to refuse a request, which counts as one that came
  * with the blocked key.
--- a/route/test-crash-causes.c
+++ b/route/test-crash-causes.c
@@ -494,6 +494,38 @@
 	fleet_free(f);
 }
 
+/* A target that goes on after its connections broke counts as crashed. */
+static void test_target_lives(void)
+{
+	struct fleet *f = fleet_new(6);
+	struct cause_keys k = {.whole = AGAIN};
+	uint64_t first = f->next_target + 1;
+
+	for (int i = 0; i < 4; i++) {
+		call_again(f, AGAIN, 0);
+		run_for(f, 1000);
+	}
+	g_assert_true(refuses_again(f, 0, AGAIN));
+	/* What was sent before is no sign of it, and one target not enough. */
+	for (size_t n = 0; n < f->n; n++) {
+		crash_causes_alive(f->nodes[n], first + 1, f->now_ms - 10000);
+		g_assert_true(refuses_again(f, n, AGAIN));
+		for (uint64_t t = first; t <= f->next_target; t++)
+			crash_causes_alive(f->nodes[n], t, f->now_ms);
+	}
+	run_for(f, 2000);
+	for (size_t n = 0; n < f->n; n++)
+		g_assert_false(refuses_again(f, n, AGAIN));
+	/* It counts again when it crashes later. */
+	for (uint64_t t = first; t < first + 3; t++) {
+		k.attempt++;
+		crash_causes_crashed(f->nodes[0], &k, t, f->now_ms);
+		run_for(f, 1000);
+	}
+	g_assert_true(refuses_again(f, 0, AGAIN));
+	fleet_free(f);
+}
+
 /* A sound request that was blocked by chance is never served again. */
 static void test_trial(void)
 {
@@ -558,5 +590,6 @@
 	g_test_add_func("/crash-causes/parts-of-request",
 			test_parts_of_request);
 	g_test_add_func("/crash-causes/trial", test_trial);
+	g_test_add_func("/crash-causes/target-lives", test_target_lives);
 	return g_test_run();
 }
