Listing suspected causes no longer takes from what is sent to other nodes

Nodes that had to learn of a crash got it once instead of two or three times when a resend or a save fell between: copy_first counted down the sends also when crash_causes_list called it. The count now goes down only for updates that are taken. Test: /crash-causes/list-takes-no-updates.

--- a/route/crash-causes.c
+++ b/route/crash-causes.c
@@ -744,9 +744,12 @@
 	return (int)y->crash_count - (int)x->crash_count;
 }
 
-/* Copy the first causes of an array, which is freed, and sort it before. */
-static size_t copy_first(GPtrArray *causes, struct cause_record *out,
-			 size_t max)
+/*
+ * Copy the first causes of an array, which is freed, and sort it before.
+ * update: they are sent to the nodes that lack them, which counts.
+ */
+static size_t copy_first(GPtrArray *causes, bool update,
+			 struct cause_record *out, size_t max)
 {
 	size_t n = MIN(causes->len, max);
 
@@ -755,7 +758,7 @@
 		struct cause *p = g_ptr_array_index(causes, i);
 
 		out[i] = p->r;
-		if (p->rounds_left)
+		if (update)
 			p->rounds_left--;
 	}
 	g_ptr_array_unref(causes);
@@ -779,7 +782,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		if (wanted(v))
 			g_ptr_array_add(causes, v);
-	return copy_first(causes, out, max);
+	return copy_first(causes, wanted == is_update, out, max);
 }
 
 size_t crash_causes_take_updates(struct crash_causes *f,
--- a/route/test-crash-causes.c
+++ b/route/test-crash-causes.c
@@ -567,6 +567,25 @@
 	fleet_free(f);
 }
 
+/* Listing what is suspected takes from what is sent to the other nodes. */
+static void test_list_takes_no_updates(void)
+{
+	struct crash_causes *f = crash_causes_new(NULL, NULL);
+	struct cause_keys k = {.whole = AGAIN, .attempt = 1};
+	struct cause_record v[PER_MESSAGE];
+
+	crash_causes_set_rounds(f, 2, false);
+	crash_causes_crashed(f, &k, 1, 1000);
+	crash_causes_crashed(f, &k, 2, 2000);
+	for (int i = 0; i < 3; i++)
+		g_assert_cmpuint(crash_causes_list(f, v, PER_MESSAGE), ==, 1);
+	for (int i = 0; i < 2; i++)
+		g_assert_cmpuint(crash_causes_take_updates(f, v, PER_MESSAGE),
+				 ==, 1);
+	g_assert_cmpuint(crash_causes_take_updates(f, v, PER_MESSAGE), ==, 0);
+	crash_causes_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -591,5 +610,7 @@
 			test_parts_of_request);
 	g_test_add_func("/crash-causes/trial", test_trial);
 	g_test_add_func("/crash-causes/target-lives", test_target_lives);
+	g_test_add_func("/crash-causes/list-takes-no-updates",
+			test_list_takes_no_updates);
 	return g_test_run();
 }
