Nodes exchange records of all kinds in one message with one budget

What crashes targets and the limits that they name went in messages of their own, each with its own choice of receivers and none with a bound on bytes.

A node that has lost its way to three tenths of the targets says so: other nodes name it to callers only when no other is left, and don't ask it for help.

Tests: route/test-notices.c; /cut-off/ and /target-limits/ as before.

--- a/entry/control.c
+++ b/entry/control.c
@@ -198,8 +198,7 @@
 	peers_relay_loads(c, l, now_ms);
 	peers_send_origins(c, l, now_ms);
 	peers_ask_origins(c, l, now_ms);
-	peers_send_causes(c, l, now_ms);
-	peers_send_limits(c, l, now_ms);
+	peers_send_records(c, l, now_ms);
 	peer_list_unref(l);
 }
 
--- a/entry/control.h
+++ b/entry/control.h
@@ -53,12 +53,13 @@
 	int64_t settings_check_at_ms;
 	struct timespec settings_mtime; /* of the settings file in force */
 	int64_t introduce_at_ms;
-	GHashTable *seeds;          /* control addresses from the settings */
-	int64_t limits_list_at_ms;  /* limits are sent again then */
-	uint64_t limits_view;       /* published_view whose nodes share them */
-	int64_t parts_list_at_ms;   /* suspected parts are sent again then */
-	int64_t listed_check_at_ms; /* next look which targets are listed */
-	size_t next_relay;          /* round-robin position for queries */
+	GHashTable *seeds;            /* control addresses from the settings */
+	int64_t records_resend_at_ms; /* what others may lack is sent then */
+	int64_t records_sweep_at_ms;  /* next look at what is out of date */
+	uint64_t records_view;        /* published_view whose nodes are set */
+	double record_budget; /* bytes that may be sent; see peer-records.c */
+	int64_t record_budget_ms; /* when that was computed */
+	size_t next_relay;        /* round-robin position for queries */
 };
 
 /*
@@ -81,13 +82,15 @@
  */
 void peers_relay_loads(struct control *c, const struct peer_list *l,
 		       int64_t now_ms);
-/* Send an update to all other nodes of a small fleet, to some of a large one.
+/*
+ * Send an update to all other nodes of a small fleet, to some of a large one;
+ * return how many.
  */
-void peers_send_update(const struct control *c, const struct peer_list *l,
-		       struct peer_message *m);
-/* Send to some nodes, chosen at random. */
-void peers_send_to_some(const struct control *c, const struct peer_list *l,
-			size_t count, struct peer_message *m);
+size_t peers_send_update(const struct control *c, const struct peer_list *l,
+			 struct peer_message *m);
+/* Send to some nodes, chosen at random; return how many. */
+size_t peers_send_to_some(const struct control *c, const struct peer_list *l,
+			  size_t count, struct peer_message *m);
 /* Send a message; one that is lost is not repeated. */
 void peers_send_message(const struct control *c, const struct sockaddr_in *to,
 			struct peer_message *m);
@@ -104,18 +107,14 @@
 			  const struct origin_query *query);
 void peers_apply_origins(struct control *c, const struct origin_answer *answer);
 
-/* peer-limits.c: messages about the limits that targets name. */
-
-/* Set the nodes that share limits, and send the limits that others lack. */
-void peers_send_limits(struct control *c, const struct peer_list *l,
-		       int64_t now_ms);
-void peers_receive_limits(struct control *c, const struct limit_reports *m);
-
-/* peer-causes.c: messages about what crashes targets. */
+/* peer-records.c: the exchange of records of all kinds. */
 
-/* Decide which keys are blocked, and send what other nodes lack. */
-void peers_send_causes(struct control *c, const struct peer_list *l,
-		       int64_t now_ms);
-void peers_receive_causes(struct control *c, const struct cause_reports *m);
+/*
+ * Decide which keys are blocked, set the nodes that share limits, and send what
+ * other nodes lack.
+ */
+void peers_send_records(struct control *c, const struct peer_list *l,
+			int64_t now_ms);
+void peers_receive_records(struct control *c, const struct peer_records *m);
 
 #endif
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -421,7 +421,7 @@
 		return;
 	ms = str_parse_retry_after(wait, time_now_ms());
 	if (ms > 0)
-		pool_record_rest(x->target, time_boot_ms() + ms);
+		pool_record_rest(x->target, time_boot_ms() + ms, x->helper);
 }
 
 static bool on_head(void *ctx, struct message *m)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -14,6 +14,7 @@
 #include "entry/entry.h"
 #include "member/member.h"
 #include "route/crash-causes.h"
+#include "route/notices.h"
 #include "route/target-limits.h"
 
 #define MB_BYTES 1048576
@@ -151,6 +152,7 @@
 	struct origins *origins;
 	struct crash_causes *crash_causes;
 	struct target_limits *target_limits;
+	struct notices *notices;
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
 	char *control_address;
@@ -337,8 +339,11 @@
 void pool_record_leaving(struct target *t);
 /* A response names a limit, in requests in 1,000 s, or LIMIT_NONE. */
 void pool_record_limit(struct target *t, int64_t per_1000_s);
-/* The target asked for no requests until then. */
-void pool_record_rest(struct target *t, int64_t until_ms);
+/*
+ * The target asked for no requests until then. helper: the node through which
+ * it was reached, which then sends it none either; 0: none.
+ */
+void pool_record_rest(struct target *t, int64_t until_ms, uint64_t helper);
 /*
  * Return the soonest time at which a target of the service takes requests again
  * that asked for rest or has a limit; 0: none does.
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -438,24 +438,29 @@
 }
 
 bool_t
-xdr_cause_reports (XDR *xdrs, cause_reports *objp)
+xdr_limit_report (XDR *xdrs, limit_report *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CAUSE_REPORTS_MAX,
-		sizeof (cause_report), (xdrproc_t) xdr_cause_report))
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->per_1000_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_limit_report (XDR *xdrs, limit_report *objp)
+xdr_notice_report (XDR *xdrs, notice_report *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->target))
+	 if (!xdr_u_int (xdrs, &objp->kind))
 		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->per_1000_s))
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->value))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
@@ -463,12 +468,48 @@
 }
 
 bool_t
-xdr_limit_reports (XDR *xdrs, limit_reports *objp)
+xdr_record_kind (XDR *xdrs, record_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_record (XDR *xdrs, peer_record *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LIMIT_REPORTS_MAX,
-		sizeof (limit_report), (xdrproc_t) xdr_limit_report))
+	 if (!xdr_record_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case RECORD_CAUSE:
+		 if (!xdr_cause_report (xdrs, &objp->peer_record_u.cause))
+			 return FALSE;
+		break;
+	case RECORD_LIMIT:
+		 if (!xdr_limit_report (xdrs, &objp->peer_record_u.limit))
+			 return FALSE;
+		break;
+	case RECORD_NOTICE:
+		 if (!xdr_notice_report (xdrs, &objp->peer_record_u.notice))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_peer_records (XDR *xdrs, peer_records *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_RECORDS_MAX,
+		sizeof (peer_record), (xdrproc_t) xdr_peer_record))
 		 return FALSE;
 	return TRUE;
 }
@@ -535,12 +576,8 @@
 		 if (!xdr_origin_answer (xdrs, &objp->peer_message_u.origin_answer))
 			 return FALSE;
 		break;
-	case PEER_CAUSES:
-		 if (!xdr_cause_reports (xdrs, &objp->peer_message_u.causes))
-			 return FALSE;
-		break;
-	case PEER_LIMITS:
-		 if (!xdr_limit_reports (xdrs, &objp->peer_message_u.limits))
+	case PEER_RECORDS:
+		 if (!xdr_peer_records (xdrs, &objp->peer_message_u.records))
 			 return FALSE;
 		break;
 	default:
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -181,7 +181,6 @@
 	} entries;
 };
 typedef struct origin_answer origin_answer;
-#define CAUSE_REPORTS_MAX 7
 #define CAUSE_REPORT_CRASHES_MAX 12
 
 struct cause_crash_report {
@@ -190,7 +189,7 @@
 	u_int age_ms;
 };
 typedef struct cause_crash_report cause_crash_report;
-#define CAUSE_NEVER_MS 0xffffffff
+#define RECORD_NEVER_MS 0xffffffff
 
 struct cause_report {
 	u_quad_t key;
@@ -206,15 +205,6 @@
 };
 typedef struct cause_report cause_report;
 
-struct cause_reports {
-	struct {
-		u_int entries_len;
-		cause_report *entries_val;
-	} entries;
-};
-typedef struct cause_reports cause_reports;
-#define LIMIT_REPORTS_MAX 48
-
 struct limit_report {
 	u_quad_t target;
 	int per_1000_s;
@@ -222,13 +212,39 @@
 };
 typedef struct limit_report limit_report;
 
-struct limit_reports {
+struct notice_report {
+	u_int kind;
+	u_quad_t id;
+	quad_t value;
+	u_int age_ms;
+};
+typedef struct notice_report notice_report;
+
+enum record_kind {
+	RECORD_CAUSE = 0,
+	RECORD_LIMIT = 1,
+	RECORD_NOTICE = 2,
+};
+typedef enum record_kind record_kind;
+
+struct peer_record {
+	record_kind kind;
+	union {
+		cause_report cause;
+		limit_report limit;
+		notice_report notice;
+	} peer_record_u;
+};
+typedef struct peer_record peer_record;
+#define PEER_RECORDS_MAX 64
+
+struct peer_records {
 	struct {
 		u_int entries_len;
-		limit_report *entries_val;
+		peer_record *entries_val;
 	} entries;
 };
-typedef struct limit_reports limit_reports;
+typedef struct peer_records peer_records;
 
 enum peer_kind {
 	PEER_LOADS = 0,
@@ -242,8 +258,7 @@
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
-	PEER_CAUSES = 11,
-	PEER_LIMITS = 12,
+	PEER_RECORDS = 11,
 };
 typedef enum peer_kind peer_kind;
 
@@ -261,8 +276,7 @@
 		stream_origins origins;
 		origin_query origin_query;
 		origin_answer origin_answer;
-		cause_reports causes;
-		limit_reports limits;
+		peer_records records;
 	} peer_message_u;
 };
 typedef struct peer_message peer_message;
@@ -288,9 +302,11 @@
 extern  bool_t xdr_origin_answer (XDR *, origin_answer*);
 extern  bool_t xdr_cause_crash_report (XDR *, cause_crash_report*);
 extern  bool_t xdr_cause_report (XDR *, cause_report*);
-extern  bool_t xdr_cause_reports (XDR *, cause_reports*);
 extern  bool_t xdr_limit_report (XDR *, limit_report*);
-extern  bool_t xdr_limit_reports (XDR *, limit_reports*);
+extern  bool_t xdr_notice_report (XDR *, notice_report*);
+extern  bool_t xdr_record_kind (XDR *, record_kind*);
+extern  bool_t xdr_peer_record (XDR *, peer_record*);
+extern  bool_t xdr_peer_records (XDR *, peer_records*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
 
@@ -313,9 +329,11 @@
 extern bool_t xdr_origin_answer ();
 extern bool_t xdr_cause_crash_report ();
 extern bool_t xdr_cause_report ();
-extern bool_t xdr_cause_reports ();
 extern bool_t xdr_limit_report ();
-extern bool_t xdr_limit_reports ();
+extern bool_t xdr_notice_report ();
+extern bool_t xdr_record_kind ();
+extern bool_t xdr_peer_record ();
+extern bool_t xdr_peer_records ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_message ();
 
--- a/entry/local-reply.c
+++ b/entry/local-reply.c
@@ -86,33 +86,51 @@
 
 /*
  * Write the addresses of the entries that accept requests now to v, which has
- * room for all, and return how many to use. Of more than ENTRIES_MAX it picks
- * those of the caller's zone first, at random within and outside the zone.
+ * room for all, and return their number. Those of the caller's zone are first;
+ * *in_zone is set to their number. with_cut: also those that have lost their
+ * way to targets.
  */
-static size_t pick_entries(struct traffic *tr, struct str zone, struct str *v)
+static size_t list_entries(struct traffic *tr, struct str zone, bool with_cut,
+			   struct str *v, size_t *in_zone)
 {
 	const struct peer_list *l = tr->peers;
 	uint64_t self = member_id(tr->settings->node_name);
 	int64_t now = time_boot_ms();
-	size_t n = 0, in_zone = 0;
+	size_t n = 0;
 
+	*in_zone = 0;
 	for (size_t i = 0; l && i < l->n; i++) {
 		const struct entry_peer *p = &l->v[i];
 		bool serves = p->id == self ? entry_is_serving(tr->e, now)
 					    : loads_peer_is_serving(
 						      tr->e->loads, p->id, now);
 
-		if (!serves)
+		if (!serves ||
+		    (!with_cut && notices_get(tr->e->notices, NOTICE_NODE_CUT,
+					      p->id, now, 0)))
 			continue;
 		v[n++] = p->address;
 		/* Entries of the caller's zone are kept at the front. */
 		if (str_eq(p->zone, zone)) {
-			struct str swap = v[in_zone];
+			struct str swap = v[*in_zone];
 
-			v[in_zone++] = v[n - 1];
+			v[(*in_zone)++] = v[n - 1];
 			v[n - 1] = swap;
 		}
 	}
+	return n;
+}
+
+/*
+ * The same, of more than ENTRIES_MAX those of the caller's zone first, at
+ * random within and outside the zone. Return how many to use.
+ */
+static size_t pick_entries(struct traffic *tr, struct str zone, struct str *v)
+{
+	size_t in_zone, n = list_entries(tr, zone, false, v, &in_zone);
+
+	if (!n)
+		n = list_entries(tr, zone, true, v, &in_zone);
 	if (n <= ENTRIES_MAX)
 		return n;
 	shuffle(tr, v, in_zone);
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -73,36 +73,50 @@
 	send_datagram(c, to, &d);
 }
 
-void peers_send_to_some(const struct control *c, const struct peer_list *l,
-			size_t count, struct peer_message *m)
+/* Send to all other nodes; return their number. */
+static size_t send_to_all(const struct control *c, const struct peer_list *l,
+			  struct peer_message *m)
 {
 	uint64_t self = member_id(c->e->control_settings.node_name);
 	struct datagram d;
+	size_t n = 0;
 
 	encode_datagram(c, m, &d);
-	for (size_t i = 0; i < count; i++) {
-		const struct entry_peer *p =
-			&l->v[g_random_int_range(0, (gint32)l->n)];
-
-		if (p->id != self)
-			send_datagram(c, &p->report_address, &d);
+	for (size_t i = 0; i < l->n; i++) {
+		if (l->v[i].id == self)
+			continue;
+		send_datagram(c, &l->v[i].report_address, &d);
+		n++;
 	}
+	return n;
 }
 
-void peers_send_update(const struct control *c, const struct peer_list *l,
-		       struct peer_message *m)
+size_t peers_send_to_some(const struct control *c, const struct peer_list *l,
+			  size_t count, struct peer_message *m)
 {
 	uint64_t self = member_id(c->e->control_settings.node_name);
 	struct datagram d;
+	size_t n = 0;
 
-	if (l->n > DIRECT_UPDATE_NODES_MAX) {
-		peers_send_to_some(c, l, UPDATE_FANOUT, m);
-		return;
-	}
 	encode_datagram(c, m, &d);
-	for (size_t i = 0; i < l->n; i++)
-		if (l->v[i].id != self)
-			send_datagram(c, &l->v[i].report_address, &d);
+	for (size_t i = 0; i < count; i++) {
+		const struct entry_peer *p =
+			&l->v[g_random_int_range(0, (gint32)l->n)];
+
+		if (p->id == self)
+			continue;
+		send_datagram(c, &p->report_address, &d);
+		n++;
+	}
+	return n;
+}
+
+size_t peers_send_update(const struct control *c, const struct peer_list *l,
+			 struct peer_message *m)
+{
+	if (l->n > DIRECT_UPDATE_NODES_MAX)
+		return peers_send_to_some(c, l, UPDATE_FANOUT, m);
+	return send_to_all(c, l, m);
 }
 
 static void answer_query(struct control *c, const struct sockaddr_in *from,
@@ -257,11 +271,8 @@
 	case PEER_ORIGIN_ANSWER:
 		peers_apply_origins(c, &m->peer_message_u.origin_answer);
 		break;
-	case PEER_CAUSES:
-		peers_receive_causes(c, &m->peer_message_u.causes);
-		break;
-	case PEER_LIMITS:
-		peers_receive_limits(c, &m->peer_message_u.limits);
+	case PEER_RECORDS:
+		peers_receive_records(c, &m->peer_message_u.records);
 		break;
 	}
 }
@@ -316,11 +327,9 @@
 void peers_send_loads(struct control *c, const struct peer_list *l,
 		      int64_t now_ms)
 {
-	uint64_t self = member_id(c->e->control_settings.node_name);
 	struct load_entry entries[LOADS_ENTRIES_MAX];
 	struct prompt_holder holders[HOLDERS_PER_REPORT_MAX];
 	struct peer_message m = {.kind = PEER_LOADS};
-	struct datagram d;
 
 	if (now_ms < c->send_at_ms && !loads_serving_unsent(c->e->loads))
 		return;
@@ -332,10 +341,7 @@
 	m.peer_message_u.loads.new_holders.new_holders_val = holders;
 	m.peer_message_u.loads.new_holders.new_holders_len =
 		(u_int)holders_next_unsent(c->e->holders, holders);
-	encode_datagram(c, &m, &d);
-	for (size_t i = 0; i < l->n; i++)
-		if (l->v[i].id != self)
-			send_datagram(c, &l->v[i].report_address, &d);
+	send_to_all(c, l, &m);
 }
 
 static const struct entry_peer *find_peer(const struct peer_list *l,
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -36,6 +36,8 @@
 #define SILENT_MS   500
 /* Interval of the looks at whether the way to a target is back. */
 #define PROBE_INTERVAL_MS 500
+/* Share of the targets to which a node has lost its way when it says so. */
+#define CUT_SHARE 0.3
 /* Most of them at a time, as a part of the targets, and at least. */
 #define PROBES_SHARE 0.125
 #define PROBES_MIN   2
@@ -236,8 +238,12 @@
 /* Describe the target to place_choose and place_source. */
 static struct place_target make_candidate(struct target *t, int64_t now_ms)
 {
+	struct notices *notices = t->tr->e->notices;
 	bool ejected = t->ejected_until_ms > now_ms;
 	bool resting = t->resting_until_ms > now_ms;
+	bool leaving =
+		t->says_leaving || notices_get(notices, NOTICE_TARGET_LEAVING,
+					       t->info.id, now_ms, 0);
 	bool limited = target_limits_next_ms(t->tr->e->target_limits,
 					     t->info.id, now_ms) > now_ms;
 
@@ -248,7 +254,7 @@
 		.weight =
 			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
 		.avoid = ejected,
-		.draining = t->info.draining || t->says_leaving || resting,
+		.draining = t->info.draining || leaving || resting,
 		.limited = limited,
 		.can_export = !t->last_failed && !ejected && !resting,
 	};
@@ -582,6 +588,13 @@
 		reach_probe_start(t);
 	}
 	metric_set(M_TARGETS_CUT, (int64_t)cut);
+	/* Other nodes send it fewer callers, and do not ask it for help. */
+	if (cut || notices_any(tr->e->notices, NOTICE_NODE_CUT))
+		notices_set(tr->e->notices, NOTICE_NODE_CUT,
+			    member_id(tr->settings->node_name),
+			    cut && (double)cut >=
+					    CUT_SHARE * (double)tr->list->n,
+			    now_ms);
 }
 
 void pool_record_begun(struct target *t, int priority, int64_t sent_ms)
@@ -603,6 +616,8 @@
 	if (t->says_leaving)
 		return;
 	t->says_leaving = true;
+	notices_set(t->tr->e->notices, NOTICE_TARGET_LEAVING, t->info.id, 1,
+		    time_boot_ms());
 	close_idle_links(t);
 	log_event(EV_TARGET_LEAVING, "target=" STR_FMT " source=response",
 		  STR_ARG(t->info.name));
@@ -621,8 +636,13 @@
 		  STR_ARG(t->info.name), t->info.id, (double)per_1000_s / 1000);
 }
 
-void pool_record_rest(struct target *t, int64_t until_ms)
+void pool_record_rest(struct target *t, int64_t until_ms, uint64_t helper)
 {
+	int64_t now = time_boot_ms();
+
+	if (helper)
+		notices_set(t->tr->e->notices, NOTICE_TARGET_REST, t->info.id,
+			    until_ms - now, now);
 	t->resting_until_ms = MAX(t->resting_until_ms, until_ms);
 	metric_add(M_TARGET_RESTS_TOTAL, 1);
 	log_event(EV_TARGET_RESTS, "target=" STR_FMT " ms=%d",
--- a/entry/reach-check.c
+++ b/entry/reach-check.c
@@ -81,7 +81,8 @@
 		int64_t *until_ms =
 			g_hash_table_lookup(tr->avoided_helpers, &p->id);
 
-		if (p->id == self || (until_ms && *until_ms > now))
+		if (p->id == self || (until_ms && *until_ms > now) ||
+		    notices_get(tr->e->notices, NOTICE_NODE_CUT, p->id, now, 0))
 			continue;
 		/* Reservoir sampling: each has the same chance. */
 		if (!g_rand_int_range(tr->rand, 0, ++seen))
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -192,8 +192,15 @@
 /* Whether this node would send the target a request of its own. */
 static bool is_usable(const struct target *g)
 {
-	return g && g->listed && !g->info.draining && !g->says_leaving &&
-	       g->resting_until_ms <= time_boot_ms();
+	int64_t now = time_boot_ms();
+	struct notices *n;
+
+	if (!g || !g->listed || g->info.draining || g->says_leaving ||
+	    g->resting_until_ms > now)
+		return false;
+	n = g->tr->e->notices;
+	return !notices_get(n, NOTICE_TARGET_LEAVING, g->info.id, now, 0) &&
+	       !notices_get(n, NOTICE_TARGET_REST, g->info.id, now, 0);
 }
 
 static void start_connecting(struct tunnel *t)
--- /dev/null
+++ b/route/notices.h
@@ -0,0 +1,58 @@
+/*
+ * notices: short statements about targets and nodes that nodes tell each other,
+ * of which the latest about each counts.
+ *
+ * Pure state: times are given by the caller, in ms of its own clock. A lock
+ * protects it, so any thread may call each function.
+ */
+#ifndef NOTICES_H
+#define NOTICES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum notice_kind {
+	NOTICE_NODE_CUT, /* of a node; 1: it has lost its way to most targets */
+	NOTICE_TARGET_LEAVING, /* 1: it said so */
+	NOTICE_TARGET_REST,    /* ms for which it wants no requests */
+	NOTICE_TARGET_BRITTLE, /* rejections a second that it bears; -1: any */
+	NOTICE_KINDS,
+};
+
+struct notice {
+	enum notice_kind kind;
+	uint64_t id; /* of the target or node */
+	int64_t value;
+	int64_t at_ms; /* when that was so */
+};
+
+struct notices;
+
+struct notices *notices_new(void);
+void notices_free(struct notices *n);
+/*
+ * State something that this node has learned itself. It is told to others when
+ * it differs, or when they may soon forget it.
+ */
+void notices_set(struct notices *n, enum notice_kind kind, uint64_t id,
+		 int64_t value, int64_t now_ms);
+/* Return the latest value that is not out of date, else missing. */
+int64_t notices_get(struct notices *n, enum notice_kind kind, uint64_t id,
+		    int64_t now_ms, int64_t missing);
+/* Whether any notice of the kind was ever set. May be stale, takes no lock. */
+bool notices_any(struct notices *n, enum notice_kind kind);
+
+/* Set how often a notice is sent, and whether those of others are sent on. */
+void notices_set_rounds(struct notices *n, unsigned rounds, bool forward);
+/* Take notices that other nodes lack, at most max; return their number. */
+size_t notices_take_updates(struct notices *n, struct notice *out, size_t max);
+/* List notices that are not out of date, in turn over the calls. */
+size_t notices_list(struct notices *n, int64_t now_ms, struct notice *out,
+		    size_t max);
+void notices_receive(struct notices *n, const struct notice *v);
+/* Forget what is out of date. */
+void notices_expire(struct notices *n, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/route/test-notices.c
@@ -0,0 +1,112 @@
+/* Statements that nodes tell each other, in a fleet that loses messages. */
+#include "route/notices.h"
+
+#define NODES   370
+#define FANOUT  4
+#define TICK_MS 50
+
+/* An older statement that arrives late replaces a newer one. */
+static void test_latest_counts(void)
+{
+	struct notices *n = notices_new();
+	struct notice late = {NOTICE_NODE_CUT, 7, 0, 900};
+
+	notices_set(n, NOTICE_NODE_CUT, 7, 1, 1000);
+	notices_receive(n, &late);
+	g_assert_cmpint(notices_get(n, NOTICE_NODE_CUT, 7, 1100, 0), ==, 1);
+	notices_set(n, NOTICE_NODE_CUT, 7, 0, 1200);
+	g_assert_cmpint(notices_get(n, NOTICE_NODE_CUT, 7, 1300, 1), ==, 0);
+	g_assert_cmpint(notices_get(n, NOTICE_NODE_CUT, 8, 1300, -5), ==, -5);
+	notices_free(n);
+}
+
+/* What nobody confirms counts for ever, and fills the memory. */
+static void test_expires(void)
+{
+	struct notices *n = notices_new();
+	struct notice v[8];
+
+	for (uint64_t id = 0; id < 100000; id++)
+		notices_set(n, NOTICE_NODE_CUT, id, 1, 1000);
+	g_assert_cmpint(notices_get(n, NOTICE_NODE_CUT, 1, 2000, 0), ==, 1);
+	g_assert_cmpint(notices_get(n, NOTICE_NODE_CUT, 1, 20000, 0), ==, 0);
+	g_assert_cmpuint(notices_list(n, 20000, v, 8), ==, 0);
+	notices_expire(n, 20000);
+	notices_set(n, NOTICE_NODE_CUT, 200000, 1, 20000);
+	g_assert_cmpint(notices_get(n, NOTICE_NODE_CUT, 200000, 20001, 0), ==,
+			1);
+	notices_free(n);
+}
+
+/* A rest is over before or after its time at another node. */
+static void test_rest_ends(void)
+{
+	struct notices *n = notices_new();
+	struct notice v = {NOTICE_TARGET_REST, 3, 500, 1000};
+
+	notices_receive(n, &v);
+	g_assert_cmpint(notices_get(n, NOTICE_TARGET_REST, 3, 1100, 0), ==,
+			400);
+	g_assert_cmpint(notices_get(n, NOTICE_TARGET_REST, 3, 1600, 0), ==, 0);
+	notices_free(n);
+}
+
+/* Nodes of a large fleet do not hear of a statement within ContactMs. */
+static void test_spreads(void)
+{
+	struct notices *nodes[NODES];
+	size_t know = 0;
+
+	for (size_t i = 0; i < NODES; i++) {
+		nodes[i] = notices_new();
+		notices_set_rounds(nodes[i], 3, true);
+	}
+	notices_set(nodes[0], NOTICE_TARGET_LEAVING, 9, 1, 1000);
+	for (int64_t now = 1000; now < 3000; now += TICK_MS)
+		for (size_t i = 0; i < NODES; i++) {
+			struct notice v[4];
+			size_t n = notices_take_updates(nodes[i], v, 4);
+
+			for (size_t k = 0; n && k < FANOUT; k++)
+				if (g_random_double() > 0.05)
+					notices_receive(
+						nodes[g_random_int_range(
+							0, NODES)],
+						&v[0]);
+		}
+	for (size_t i = 0; i < NODES; i++) {
+		know += notices_get(nodes[i], NOTICE_TARGET_LEAVING, 9, 3000,
+				    0) == 1;
+		notices_free(nodes[i]);
+	}
+	/* The few others are told when what is known is sent again. */
+	g_assert_cmpuint(know, >=, NODES * 98 / 100);
+}
+
+/* The same statement is sent all the time, or not again in time. */
+static void test_refresh(void)
+{
+	struct notices *n = notices_new();
+	struct notice v[4];
+	size_t sent = 0;
+
+	for (int64_t now = 1000; now < 13000; now += TICK_MS) {
+		notices_set(n, NOTICE_NODE_CUT, 1, 1, now);
+		sent += notices_take_updates(n, v, 4);
+	}
+	g_assert_cmpuint(sent, >=, 4);
+	g_assert_cmpuint(sent, <=, 8);
+	notices_free(n);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_random_set_seed(1);
+	g_test_add_func("/notices/latest-counts", test_latest_counts);
+	g_test_add_func("/notices/expires", test_expires);
+	g_test_add_func("/notices/rest-ends", test_rest_ends);
+	g_test_add_func("/notices/spreads", test_spreads);
+	g_test_add_func("/notices/refresh", test_refresh);
+	return g_test_run();
+}
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -146,7 +146,6 @@
 	origin_reply entries<ORIGIN_QUESTIONS_MAX>;
 };
 
-const CAUSE_REPORTS_MAX = 7;
 const CAUSE_REPORT_CRASHES_MAX = 12;
 
 /* A target crashed that was to begin a response; see route/crash-causes.h. */
@@ -156,7 +155,7 @@
 	unsigned int age_ms;
 };
 
-const CAUSE_NEVER_MS = 0xffffffff;	/* an age */
+const RECORD_NEVER_MS = 0xffffffff;	/* an age */
 
 /* What the sender knows of a part of prompts or of a request. */
 struct cause_report {
@@ -169,12 +168,6 @@
 	cause_crash_report crashes<CAUSE_REPORT_CRASHES_MAX>;	/* oldest first */
 };
 
-struct cause_reports {
-	cause_report entries<CAUSE_REPORTS_MAX>;
-};
-
-const LIMIT_REPORTS_MAX = 48;
-
 /* How many requests a second a target takes from all nodes together. */
 struct limit_report {
 	unsigned hyper target;	/* hash of its id */
@@ -182,8 +175,34 @@
 	unsigned int age_ms;	/* since the response that said so */
 };
 
-struct limit_reports {
-	limit_report entries<LIMIT_REPORTS_MAX>;
+/* A statement of which the latest counts; see route/notices.h. */
+struct notice_report {
+	unsigned int kind;	/* enum notice_kind */
+	unsigned hyper id;	/* of the target or node that it is about */
+	hyper value;
+	unsigned int age_ms;
+};
+
+/* What nodes tell each other of targets and of themselves. */
+enum record_kind {
+	RECORD_CAUSE = 0,
+	RECORD_LIMIT = 1,
+	RECORD_NOTICE = 2
+};
+
+union peer_record switch (record_kind kind) {
+case RECORD_CAUSE:
+	cause_report cause;
+case RECORD_LIMIT:
+	limit_report limit;
+case RECORD_NOTICE:
+	notice_report notice;
+};
+
+const PEER_RECORDS_MAX = 64;
+
+struct peer_records {
+	peer_record entries<PEER_RECORDS_MAX>;
 };
 
 enum peer_kind {
@@ -198,8 +217,7 @@
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
-	PEER_CAUSES = 11,
-	PEER_LIMITS = 12
+	PEER_RECORDS = 11
 };
 
 union peer_message switch (peer_kind kind) {
@@ -225,8 +243,6 @@
 	origin_query origin_query;
 case PEER_ORIGIN_ANSWER:
 	origin_answer origin_answer;
-case PEER_CAUSES:
-	cause_reports causes;
-case PEER_LIMITS:
-	limit_reports limits;
+case PEER_RECORDS:
+	peer_records records;
 };
