Brittle targets get no more than they can take without rejecting

Nothing read the header, and each node sent by its own view of the load, which is older than a short request takes.

Nodes now read Server-Brittle and tell each other (notices). While a brittle target is far from full, nodes send as before; beyond a third of its slots, and for a second after it rejected a request, each node keeps to its part of three quarters of the slots. What goes beyond that is counted as a rejection and taken from the same kind of account as Server-Limit (route/target-limits.c, with a policy of its own), which all nodes share. What no target takes is refused at once. This works as the parts add up to less than the slots whatever a node knows of the others.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -321,7 +321,10 @@
 	e->origins = origins_new();
 	e->crash_causes = crash_causes_new(on_cause_changed, NULL);
 	e->notices = notices_new();
-	e->target_limits = target_limits_new(member_id(e->settings.node_name),
+	e->overflow_limits = target_limits_new(
+		&limit_overflow, member_id(e->settings.node_name), NULL, NULL);
+	e->target_limits = target_limits_new(&limit_requests,
+					     member_id(e->settings.node_name),
 					     on_limit_changed, NULL);
 	traffic_init(e);
 	open_metrics(&e->tr);
@@ -387,6 +390,7 @@
 	origins_free(e->origins);
 	crash_causes_free(e->crash_causes);
 	target_limits_free(e->target_limits);
+	target_limits_free(e->overflow_limits);
 	notices_free(e->notices);
 	g_free(e->control_address);
 	g_free(e);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -181,6 +181,7 @@
 	struct str load;    /* requests running, requests queued, slots */
 	struct str not_run; /* the target did not start the request */
 	struct str limit;   /* requests a second that the target takes in all */
+	struct str brittle; /* rejections a second that it bears, if few */
 	struct str leaving; /* "1": the target takes no new requests */
 	struct str prompt_parts; /* comma-separated list of ID:TOKENS */
 	struct str priority;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -409,6 +409,7 @@
 static void record_wishes(struct exchange *x, const struct message *m)
 {
 	struct str limit = message_header(m, x->tr->dialect->limit);
+	struct str brittle = message_header(m, x->tr->dialect->brittle);
 	struct str leaving = message_header(m, x->tr->dialect->leaving);
 	struct str wait = message_header(m, STR_LIT("Retry-After"));
 	int64_t ms;
@@ -417,6 +418,8 @@
 		pool_record_leaving(x->target);
 	pool_record_limit(x->target,
 			  str_parse_milli(limit, LIMIT_MAX_PER_1000_S));
+	pool_record_brittle(x->target,
+			    str_parse_milli(brittle, LIMIT_MAX_PER_1000_S));
 	if (m->status != 503 || !wait.len)
 		return;
 	ms = str_parse_retry_after(wait, time_now_ms());
@@ -538,6 +541,8 @@
 	int status = x->response->status;
 
 	if (target_did_not_run(x)) {
+		if (x->response->status == 503)
+			pool_record_rejection(x->target);
 		x->failure_cause = "target_not_run";
 		if (!exchange_retry(x, false, true))
 			fail(x);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -91,6 +91,7 @@
 	bool says_leaving;        /* a response said that it is leaving */
 	int64_t resting_until_ms; /* it asked for no requests before */
 	int64_t last_received_ms; /* last head or stream data; 0: never */
+	int64_t rejected_ms;      /* its last rejection for want of room */
 	int64_t cut_since_ms; /* it is reached through others; 0: it isn't */
 	bool cut_checked;     /* that was found of it, not of others */
 	int64_t probe_at_ms;  /* when to see whether the way is back */
@@ -152,6 +153,7 @@
 	struct origins *origins;
 	struct crash_causes *crash_causes;
 	struct target_limits *target_limits;
+	struct target_limits *overflow_limits; /* of brittle targets */
 	struct notices *notices;
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
@@ -339,6 +341,10 @@
 void pool_record_leaving(struct target *t);
 /* A response names a limit, in requests in 1,000 s, or LIMIT_NONE. */
 void pool_record_limit(struct target *t, int64_t per_1000_s);
+/* The target rejected a request for want of room. */
+void pool_record_rejection(struct target *t);
+/* A response says how many rejections in 1,000 s it bears, or LIMIT_NONE. */
+void pool_record_brittle(struct target *t, int64_t per_1000_s);
 /*
  * The target asked for no requests until then. helper: the node through which
  * it was reached, which then sends it none either; 0: none.
--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -246,6 +246,7 @@
 	for (size_t i = 0; i < l->n; i++)
 		ids[i] = l->v[i].id;
 	target_limits_set_nodes(c->e->target_limits, ids, l->n);
+	target_limits_set_nodes(c->e->overflow_limits, ids, l->n);
 	crash_causes_set_nodes(c->e->crash_causes,
 			       member_id(c->e->control_settings.node_name), ids,
 			       l->n);
@@ -275,6 +276,7 @@
 	c->records_sweep_at_ms = now_ms + SWEEP_INTERVAL_MS;
 	retract_crashes(c, now_ms);
 	target_limits_expire(c->e->target_limits, now_ms - LIMIT_TTL_MS);
+	target_limits_expire(c->e->overflow_limits, now_ms - LIMIT_TTL_MS);
 	notices_expire(c->e->notices, now_ms);
 }
 
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -26,6 +26,18 @@
  * beyond it they slow each other down.
  */
 #define ROOM_SHARE 0.5
+/*
+ * Shares of the slots of a target that bears few rejections. While all nodes
+ * together take less than the first, as far as this node knows, it sends a
+ * request as to any target. Beyond that each node keeps to its part of the
+ * second; the rest is for those that it can't know of.
+ */
+#define BRITTLE_CALM_SHARE 0.35
+#define BRITTLE_ROOM_SHARE 0.75
+/* Time after a rejection in which the part of each node counts. */
+#define REJECTED_MS 1000
+/* Share of the rejections that it bears which the nodes may cause. */
+#define BRITTLE_REJECTIONS_SHARE 0.5
 /* A load report of a target is used for this long. */
 #define LOAD_REPORT_VALID_MS 250
 /*
@@ -235,6 +247,64 @@
 	return MAX(summed, reported);
 }
 
+/* Return this node's part of a number of requests at the target at a time. */
+static int own_part(const struct target *t, int requests)
+{
+	uint64_t self = member_id(t->tr->settings->node_name);
+	uint64_t own = rendezvous_score(t->info.id, self);
+	const struct peer_list *l = t->tr->peers;
+	int n = l ? (int)l->n : 1, before = 0;
+
+	for (int i = 0; l && i < n; i++)
+		before += l->v[i].id != self &&
+			  rendezvous_score(t->info.id, l->v[i].id) > own;
+	return requests / MAX(n, 1) + (before < requests % MAX(n, 1));
+}
+
+/* Whether a brittle target may have to reject one more request. */
+static bool is_full(const struct target *t, double load, int64_t now_ms)
+{
+	double slots = (double)t->info.slots;
+
+	if (now_ms - t->rejected_ms >= REJECTED_MS &&
+	    load + 1 <= BRITTLE_CALM_SHARE * slots)
+		return false;
+	return t->running >=
+	       own_part(t, (int)MAX(BRITTLE_ROOM_SHARE * slots, 1));
+}
+
+/*
+ * Return how many rejections in 1,000 s the target bears; LIMIT_NONE: any. The
+ * nodes share them.
+ */
+static int64_t brittle_limit(struct target *t, int64_t now_ms)
+{
+	struct entry *e = t->tr->e;
+	int64_t per_1000_s;
+
+	if (!notices_any(e->notices, NOTICE_TARGET_BRITTLE))
+		return LIMIT_NONE;
+	per_1000_s = notices_get(e->notices, NOTICE_TARGET_BRITTLE, t->info.id,
+				 now_ms, LIMIT_NONE);
+
+	target_limits_name(e->overflow_limits, t->info.id,
+			   per_1000_s == LIMIT_NONE
+				   ? LIMIT_NONE
+				   : (int64_t)(BRITTLE_REJECTIONS_SHARE *
+					       (double)per_1000_s),
+			   now_ms);
+	return per_1000_s;
+}
+
+/* Whether a request to the target now would be one too many. */
+static bool is_overfull(struct target *t, double load, int64_t now_ms)
+{
+	return brittle_limit(t, now_ms) != LIMIT_NONE &&
+	       is_full(t, load, now_ms) &&
+	       target_limits_next_ms(t->tr->e->overflow_limits, t->info.id,
+				     now_ms) > now_ms;
+}
+
 /* Describe the target to place_choose and place_source. */
 static struct place_target make_candidate(struct target *t, int64_t now_ms)
 {
@@ -247,15 +317,17 @@
 	bool limited = target_limits_next_ms(t->tr->e->target_limits,
 					     t->info.id, now_ms) > now_ms;
 
+	double load = estimate_load(t, now_ms);
+
 	return (struct place_target){
 		.id = t->info.id,
-		.load = estimate_load(t, now_ms),
+		.load = load,
 		.slots = (double)t->info.slots,
 		.weight =
 			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
 		.avoid = ejected,
 		.draining = t->info.draining || leaving || resting,
-		.limited = limited,
+		.limited = limited || is_overfull(t, load, now_ms),
 		.can_export = !t->last_failed && !ejected && !resting,
 	};
 }
@@ -379,6 +451,9 @@
 	if (chosen == SIZE_MAX)
 		return NULL;
 	target_limits_take(tr->e->target_limits, targets[chosen]->info.id, now);
+	if (is_full(targets[chosen], p[chosen].load, now))
+		target_limits_take(tr->e->overflow_limits,
+				   targets[chosen]->info.id, now);
 	if (!s->kv_transfer)
 		return targets[chosen];
 	donor = holders_fetch_source(tr->e->holders, prompt, p, n, chosen);
@@ -636,6 +711,23 @@
 		  STR_ARG(t->info.name), t->info.id, (double)per_1000_s / 1000);
 }
 
+void pool_record_rejection(struct target *t)
+{
+	t->rejected_ms = time_boot_ms();
+}
+
+void pool_record_brittle(struct target *t, int64_t per_1000_s)
+{
+	struct notices *n = t->tr->e->notices;
+	int64_t now = time_boot_ms();
+
+	if (per_1000_s == LIMIT_NONE &&
+	    notices_get(n, NOTICE_TARGET_BRITTLE, t->info.id, now,
+			LIMIT_NONE) == LIMIT_NONE)
+		return;
+	notices_set(n, NOTICE_TARGET_BRITTLE, t->info.id, per_1000_s, now);
+}
+
 void pool_record_rest(struct target *t, int64_t until_ms, uint64_t helper)
 {
 	int64_t now = time_boot_ms();
--- a/route/notices.h
+++ b/route/notices.h
@@ -17,7 +17,8 @@
 	NOTICE_NODE_CUT, /* of a node; 1: it has lost its way to most targets */
 	NOTICE_TARGET_LEAVING, /* 1: it said so */
 	NOTICE_TARGET_REST,    /* ms for which it wants no requests */
-	NOTICE_TARGET_BRITTLE, /* rejections a second that it bears; -1: any */
+	/* Rejections in 1,000 s that it bears; LIMIT_NONE: any. */
+	NOTICE_TARGET_BRITTLE,
 	NOTICE_KINDS,
 };
 
--- a/route/target-limits.c
+++ b/route/target-limits.c
@@ -11,17 +11,8 @@
 #include "route/route.h"
 #include "route/target-limits.h"
 
-/*
- * Requests that all nodes together may send at once, beyond the limit's rate:
- * BURST_MIN and those of BURST_S seconds.
- */
-#define BURST_MIN 3
-#define BURST_S   2
-/*
- * The least limit that is applied. A target that gets no request at all can't
- * tell when its limit ends.
- */
-#define LIMIT_MIN_PER_1000_S 250
+const struct limit_policy limit_requests = {3, 2, 250};
+const struct limit_policy limit_overflow = {0, 0.5, 0};
 
 struct limited {
 	struct target_limit l;
@@ -33,6 +24,7 @@
 };
 
 struct target_limits {
+	const struct limit_policy *policy;
 	GMutex lock;
 	GHashTable *targets; /* id -> struct limited */
 	atomic_size_t count; /* of targets, to be read without the lock */
@@ -48,11 +40,13 @@
 	void *ctx;
 };
 
-struct target_limits *target_limits_new(uint64_t self,
+struct target_limits *target_limits_new(const struct limit_policy *policy,
+					uint64_t self,
 					limit_changed_fn *changed, void *ctx)
 {
 	struct target_limits *t = g_new0(struct target_limits, 1);
 
+	t->policy = policy;
 	t->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   g_free);
 	t->self = self;
@@ -108,9 +102,9 @@
 static void compute_share(const struct target_limits *t, struct limited *x,
 			  int64_t now_ms)
 {
-	double per_s =
-		(double)MAX(x->l.per_1000_s, LIMIT_MIN_PER_1000_S) / 1000;
-	double burst = BURST_MIN + BURST_S * per_s;
+	const struct limit_policy *p = t->policy;
+	double per_s = (double)MAX(x->l.per_1000_s, p->min_per_1000_s) / 1000;
+	double burst = p->burst_min + p->burst_s * per_s;
 	size_t n = MIN((size_t)burst, MAX(t->node_count, 1));
 	bool had_share = x->per_ms > 0;
 
--- a/route/target-limits.h
+++ b/route/target-limits.h
@@ -26,11 +26,33 @@
 
 #define LIMIT_NONE (-1)
 
+/*
+ * How a limit is kept: all nodes together may send burst_min requests and those
+ * of burst_s seconds at once, beyond the limit's rate.
+ */
+struct limit_policy {
+	double burst_min;
+	double burst_s;
+	int64_t min_per_1000_s; /* the least limit that is applied */
+};
+
+/*
+ * Requests of all kinds. A target that gets none can't tell when its limit
+ * ends.
+ */
+extern const struct limit_policy limit_requests;
+/*
+ * Requests beyond the room of a target that bears few rejections: in any second
+ * no more than the limit.
+ */
+extern const struct limit_policy limit_overflow;
+
 /* Called when a target's limit changes; must not call back. */
 typedef void limit_changed_fn(void *ctx, const struct target_limit *l);
 
 /* self: id of this node. changed may be NULL. */
-struct target_limits *target_limits_new(uint64_t self,
+struct target_limits *target_limits_new(const struct limit_policy *policy,
+					uint64_t self,
 					limit_changed_fn *changed, void *ctx);
 void target_limits_free(struct target_limits *t);
 /*
--- a/route/test-target-limits.c
+++ b/route/test-target-limits.c
@@ -37,7 +37,8 @@
 	for (size_t i = 0; i < n; i++)
 		f->ids[i] = 1000 + i * 2654435761u;
 	for (size_t i = 0; i < n; i++) {
-		f->nodes[i] = target_limits_new(f->ids[i], NULL, NULL);
+		f->nodes[i] = target_limits_new(&limit_requests, f->ids[i],
+						NULL, NULL);
 		target_limits_set_rounds(f->nodes[i], n > DIRECT_MAX ? 3 : 2,
 					 n > DIRECT_MAX);
 		target_limits_set_nodes(f->nodes[i], f->ids, n);
@@ -186,7 +187,8 @@
 /* A node that has just started begins with a share that it may not have. */
 static void test_unknown_nodes(void)
 {
-	struct target_limits *t = target_limits_new(1, NULL, NULL);
+	struct target_limits *t =
+		target_limits_new(&limit_requests, 1, NULL, NULL);
 	static const uint64_t nodes[] = {1, 2};
 
 	target_limits_name(t, TARGET, 4000, 1000);
@@ -219,7 +221,8 @@
 /* A response that arrives late brings an older limit back. */
 static void test_older_update(void)
 {
-	struct target_limits *t = target_limits_new(1, NULL, NULL);
+	struct target_limits *t =
+		target_limits_new(&limit_requests, 1, NULL, NULL);
 	static const uint64_t nodes[] = {1};
 	struct target_limit old = {TARGET, 1000, 5000};
 
