A target that is silent for a second or two is not taken for dead

A sound target may be silent for a second or so; its streams broke and what could not be repeated was lost. The time is 2.5 s now, less than the 3 s in which a cut has to be noticed, which does not rest on it any more: reach checks find it earlier.

--- a/entry/sock.c
+++ b/entry/sock.c
@@ -10,14 +10,12 @@
 
 #define LISTEN_BACKLOG 512
 /*
- * A connection breaks when sent data stays unacknowledged for this long, which
- * allows for several retransmissions, of 200 ms and up.
- */
-#define UNACKED_TIMEOUT_MS 1500
-/*
- * Keep-alive probes of a silent connection: it breaks after the idle time plus
- * probes x interval.
+ * A connection breaks when sent data, or keep-alive probes, stay unacknowledged
+ * for this long: the kernel then does not wait for the number of probes. A peer
+ * that is silent for a second or two goes on.
  */
+#define UNACKED_TIMEOUT_MS 2500
+/* Keep-alive probes of a silent connection. */
 #define KEEPALIVE_IDLE_S     1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
