soak: nodes that lose their way to targets, a request that crashes them

Entries of runs up to three reach the targets through proxies of their own, all of which hang, reset, refuse or are cut at a time; one request in a hundred crashes its target, which resets its connections, refuses new ones and starts again under another start time. At the end that request comes at each entry three times and may reach three targets, once it has crashed three.

More kinds of faults are drawn, so the schedule of each seed differs from before.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -31,6 +31,16 @@
 #define RECOVERY_SUCCESSES 10
 /* bounds.revoke of the rig's settings */
 #define REVOKE_MS 3000
+/* Most entries that reach the targets through proxies of their own. */
+#define WAYS_MAX 3
+/* Share of the requests that crash their target; see run_script. */
+#define DEADLY_SHARE 0.01
+/* Crashes after which, and a time, a request may reach so many targets more. */
+#define DEADLY_CRASHES 3
+#define CONTACT_MS     3000
+#define DEADLY_MORE    3
+/* Time for which a target that has crashed is down. */
+#define DOWN_MS 700
 /* Keys k1 and up, each of which replaces the one before. */
 #define KEYS_MAX  250
 #define KEY_SLOTS 256
@@ -57,6 +67,10 @@
 	size_t entry_count;
 	struct proxy *store_proxies[RIG_ENTRIES_MAX];
 	struct proxy *target_proxies[TARGETS];
+	struct proxy *ways[WAYS_MAX][TARGETS]; /* of entries to these */
+	int64_t cut_end_ms[WAYS_MAX];          /* when the ways open again */
+	atomic_int_least64_t crash_end_ms[TARGETS]; /* 0: it runs */
+	atomic_int deadly_sends;
 	struct entry_process entries[RIG_ENTRIES_MAX];
 	GRand *fault_rand; /* chooses the faults; used by main only */
 	atomic_bool stop;
@@ -80,6 +94,17 @@
 	g_free(text);
 }
 
+/* Crash the target: its connections are reset and new ones refused. */
+static void crash(struct soak *s, struct rig_request *req)
+{
+	size_t t = (size_t)(req->target - s->rig->targets);
+
+	atomic_fetch_add(&s->deadly_sends, 1);
+	atomic_store(&s->crash_end_ms[t], time_mono_ms() + DOWN_MS);
+	proxy_set_fault(s->target_proxies[t], PROXY_FAULT_CRASH);
+	req->close_connection = true;
+}
+
 /*
  * Answer as a target that often fails. Of 1000 requests 40 are rejected and 30
  * get no response, 20 of these a TCP reset. The next 30 get status 500 unless
@@ -90,10 +115,14 @@
  */
 static void run_script(struct rig_request *req)
 {
-	uint32_t r = g_random_int_range(0, 1000);
+	uint32_t r = (uint32_t)g_random_int_range(0, 1000);
 	int first_event = resume_after(req) + 1;
 	bool stream = strstr(req->text, "/stream") != NULL;
 
+	if (strstr(req->text, "/deadly")) {
+		crash(running_soak, req);
+		return;
+	}
 	if (r < 40) {
 		respond_not_executed(req);
 		return;
@@ -247,6 +276,21 @@
 	}
 }
 
+/* Send the request that crashes targets, which comes again at any entry. */
+static void call_deadly(struct soak *s, size_t entry)
+{
+	char key[16];
+	char id[32];
+	struct reply *r;
+
+	ledger_add_request(s->ledger, false, id);
+	snprintf(key, sizeof(key), "k%d", atomic_load(&s->key));
+	r = rig_call_as(s->rig, entry, id, key, "GET", "/safe/deadly", NULL);
+	if (r->status == 200)
+		ledger_record_broken(s->ledger, "%s: a crash was answered", id);
+	reply_free(r);
+}
+
 /* Send random requests until the soak stops, some with the last revoked key. */
 static void *caller_thread(void *arg)
 {
@@ -262,6 +306,8 @@
 
 		if (c.key > 1 && g_random_int_range(0, 5) == 0)
 			c.key--; /* a revoked one */
+		if (g_random_double() < DEADLY_SHARE)
+			call_deadly(s, c.entry);
 		call_and_check(s, &c, &complete);
 		/* Some callers lose what came after the third event. */
 		if (complete && c.got.events > EVENTS_KEPT &&
@@ -387,6 +433,32 @@
 	atomic_store(&s->key, old_key + 1);
 }
 
+/* An entry loses its way to all targets. */
+static void cut_off(struct soak *s, size_t entry, enum proxy_fault fault,
+		    int64_t end_ms)
+{
+	if (entry >= WAYS_MAX || !s->ways[entry][0])
+		return;
+	for (size_t t = 0; t < TARGETS; t++)
+		proxy_set_fault(s->ways[entry][t], fault);
+	s->cut_end_ms[entry] = end_ms;
+}
+
+/* Start the targets that have crashed again, under another start time. */
+static void restart_targets(struct soak *s, int64_t now_ms)
+{
+	for (size_t t = 0; t < TARGETS; t++) {
+		int64_t end_ms = atomic_load(&s->crash_end_ms[t]);
+
+		if (!end_ms || now_ms < end_ms)
+			continue;
+		atomic_store(&s->crash_end_ms[t], 0);
+		s->rig->targets[t].advertised_start_ms = time_now_ms();
+		proxy_set_fault(s->target_proxies[t], PROXY_FAULT_NONE);
+		rig_publish(s->rig, t, "ready");
+	}
+}
+
 /* Inject one fault; it overlaps with earlier ones that have not ended. */
 static void inject_fault(struct soak *s, int64_t now_ms)
 {
@@ -396,7 +468,7 @@
 	int fault = g_rand_int_range(s->fault_rand, 1, PROXY_FAULT_COUNT);
 	int64_t end_ms = now_ms + g_rand_int_range(s->fault_rand, 200, 4000);
 
-	switch (g_rand_int_range(s->fault_rand, 0, 9)) {
+	switch (g_rand_int_range(s->fault_rand, 0, 10)) {
 	case 0:
 		proxy_set_fault(s->store_proxies[e], (enum proxy_fault)fault);
 		s->fault_end_ms[TARGETS + e] = end_ms;
@@ -426,6 +498,9 @@
 	case 7:
 		rig_publish(s->rig, t, "draining");
 		return;
+	case 8:
+		cut_off(s, e, (enum proxy_fault)fault, end_ms);
+		return;
 	default:
 		rig_publish(s->rig, t, NULL);
 		return;
@@ -441,6 +516,8 @@
 	for (size_t i = 0; i < TARGETS + s->entry_count; i++) {
 		if (!all && now_ms < s->fault_end_ms[i])
 			continue;
+		if (i < TARGETS && atomic_load(&s->crash_end_ms[i]))
+			continue;
 		proxy_set_fault(i < TARGETS ? s->target_proxies[i]
 					    : s->store_proxies[i - TARGETS],
 				PROXY_FAULT_NONE);
@@ -454,6 +531,11 @@
 		kill(process->pid, SIGCONT);
 		process->suspended = false;
 	}
+	for (size_t e = 0; e < WAYS_MAX && s->ways[e][0]; e++)
+		for (size_t t = 0; t < TARGETS; t++)
+			if (all || now_ms >= s->cut_end_ms[e])
+				proxy_set_fault(s->ways[e][t],
+						PROXY_FAULT_NONE);
 	for (size_t t = 0; t < TARGETS; t++)
 		if (all || !g_rand_int_range(s->fault_rand, 0, 4))
 			rig_publish(s->rig, t, "ready");
@@ -516,6 +598,34 @@
 	}
 }
 
+/*
+ * With all faults cleared, the request that crashes targets goes on to reach
+ * them.
+ */
+static void check_deadly(struct soak *s)
+{
+	int before;
+
+	for (size_t i = 0; i < 3 * s->entry_count ||
+			   atomic_load(&s->deadly_sends) < DEADLY_CRASHES;
+	     i++) {
+		call_deadly(s, i % s->entry_count);
+		g_usleep(300 * 1000);
+		restart_targets(s, time_mono_ms());
+	}
+	g_usleep(CONTACT_MS * 1000);
+	restart_targets(s, time_mono_ms());
+	before = atomic_load(&s->deadly_sends);
+	for (size_t i = 0; i < 3 * s->entry_count; i++)
+		call_deadly(s, i % s->entry_count);
+	if (atomic_load(&s->deadly_sends) - before > DEADLY_MORE)
+		ledger_record_broken(s->ledger,
+				     "a request reached %d targets after it "
+				     "had crashed %d",
+				     atomic_load(&s->deadly_sends) - before,
+				     before);
+}
+
 /* Start the rig, the proxies and the entry processes behind them. */
 static void set_up(struct soak *s)
 {
@@ -534,6 +644,13 @@
 		char *text;
 		int fd;
 
+		for (size_t t = 0; s->entry_count <= WAYS_MAX && t < TARGETS;
+		     t++) {
+			s->ways[i][t] =
+				proxy_new(proxy_port(s->target_proxies[t]));
+			s->rig->stores[i].target_ports[t] =
+				proxy_port(s->ways[i][t]);
+		}
 		s->store_proxies[i] = proxy_new(s->rig->stores[i].port);
 		text = rig_entry_settings(s->rig, i,
 					  proxy_port(s->store_proxies[i]));
@@ -554,6 +671,9 @@
 		unlink(s->entries[i].settings_path);
 		g_free(s->entries[i].settings_path);
 		proxy_free(s->store_proxies[i]);
+		for (size_t t = 0; i < WAYS_MAX && s->ways[i][t] && t < TARGETS;
+		     t++)
+			proxy_free(s->ways[i][t]);
 	}
 	for (size_t i = 0; i < TARGETS; i++)
 		proxy_free(s->target_proxies[i]);
@@ -587,14 +707,17 @@
 		inject_fault(&s, now_ms);
 		g_usleep((gulong)g_rand_int_range(s.fault_rand, 100, 700) *
 			 1000);
+		restart_targets(&s, time_mono_ms());
 		clear_faults(&s, time_mono_ms(), false);
 		restart_exited(&s);
 	}
+	restart_targets(&s, INT64_MAX);
 	clear_faults(&s, 0, true);
 	check_recovery(&s);
 	atomic_store(&s.stop, true);
 	for (int i = 0; i < CALLERS; i++)
 		g_thread_join(callers[i]);
+	check_deadly(&s);
 	tear_down(&s);
 	broken = ledger_check(s.ledger);
 	ledger_count_take_ups(s.ledger, &taken_up, &gone_on);
