--- a/entry/pool.c
+++ b/entry/pool.c
@@ -46,6 +46,8 @@
  */
 #define CUT_TARGETS 2
 #define SILENT_MS   500
+/* Least interval of the checks of targets of all services after a cut. */
+#define CHECK_SERVICES_INTERVAL_MS 500
 /* Interval of the looks at whether the way to a target is back. */
 #define PROBE_INTERVAL_MS 500
 /* Share of the targets to which a node has lost its way when it says so. */
@@ -627,11 +629,40 @@
 	}
 }
 
+/* What cut the way to one service may have cut that to others: check some. */
+static void check_other_services(struct traffic *tr)
+{
+	int64_t now = time_boot_ms();
+	GHashTable *checked;
+	GHashTableIter it;
+	gpointer v;
+
+	if (now - tr->services_checked_ms < CHECK_SERVICES_INTERVAL_MS)
+		return;
+	tr->services_checked_ms = now;
+	checked = g_hash_table_new(str_key_hash, str_key_equal);
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct target *t = v;
+		int n = GPOINTER_TO_INT(
+			g_hash_table_lookup(checked, &t->info.service));
+
+		if (!t->listed || t->cut_since_ms || n == CUT_TARGETS ||
+		    now - t->last_received_ms < SILENT_MS)
+			continue;
+		g_hash_table_insert(checked, &t->info.service,
+				    GINT_TO_POINTER(n + 1));
+		reach_check_start(t, NULL);
+	}
+	g_hash_table_unref(checked);
+}
+
 void pool_record_way(struct target *t, enum target_way way)
 {
 	if (way == WAY_CUT) {
 		set_cut(t, true);
 		cut_silent(t->tr, t->info.service);
+		check_other_services(t->tr);
 	} else if (way == WAY_OPEN && t->cut_since_ms) {
 		log_event(EV_WAY_BACK, "target=" STR_FMT " ms=%d",
 			  STR_ARG(t->info.name),
