--- a/soak/soak.c
+++ b/soak/soak.c
@@ -474,6 +474,9 @@
 		s->fault_end_ms[TARGETS + e] = end_ms;
 		return;
 	case 1:
+		/* A proxy before it would wait for the connection. */
+		if (fault == PROXY_FAULT_CUT)
+			fault = PROXY_FAULT_STALL;
 		proxy_set_fault(s->target_proxies[t], (enum proxy_fault)fault);
 		s->fault_end_ms[t] = end_ms;
 		return;
