--- a/entry/entry.c
+++ b/entry/entry.c
@@ -184,7 +184,7 @@
 	(void)loop;
 	(void)events;
 	pool_sweep(tr);
-	pool_probe_ways(tr, now);
+	ways_probe(tr, now);
 	update_serving(tr, now);
 	stop_if_done(tr, now);
 }
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -307,6 +307,8 @@
  */
 struct link *pool_acquire_link(struct target *t, bool *reused,
 			       uint64_t *helper);
+/* Close the idle links to the target. */
+void pool_close_idle_links(struct target *t);
 /* Keep a reusable link as idle, or close it. */
 void pool_release_link(struct target *t, struct link *l);
 /* Change the number of this node's requests in progress at the target. */
@@ -324,13 +326,6 @@
  * only when no other target can.
  */
 void pool_record_fault(struct target *t);
-/*
- * Record what a check has found. While this node's way to the target is cut, it
- * is reached through other nodes, and no fault is recorded of it.
- */
-void pool_record_way(struct target *t, enum target_way way);
-/* Look at times whether ways that were cut are open again. */
-void pool_probe_ways(struct traffic *tr, int64_t now_ms);
 /* Record that the target has begun to answer a request sent at sent_ms. */
 void pool_record_begun(struct target *t, int priority, int64_t sent_ms);
 /*
@@ -362,6 +357,16 @@
 /* Return the service's retry budget, updated from the settings. */
 struct retry_window *pool_retry_window(struct traffic *tr, struct str service);
 
+/* ways.c: the ways to targets that this node has lost. */
+
+/*
+ * Record what a check has found. While this node's way to the target is cut, it
+ * is reached through other nodes, and no fault is recorded of it.
+ */
+void ways_record(struct target *t, enum target_way way);
+/* Look at times whether ways that were cut are open again. */
+void ways_probe(struct traffic *tr, int64_t now_ms);
+
 /*
  * holders.c: index of the targets that have parts of prompts cached, as far as
  * this node knows. Any thread may call it.
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -40,21 +40,6 @@
 #define BRITTLE_REJECTIONS_SHARE 0.5
 /* A load report of a target is used for this long. */
 #define LOAD_REPORT_VALID_MS 250
-/*
- * Targets of a service to which this node has lost its way, from which on it is
- * taken for lost to all others that have sent nothing for SILENT_MS.
- */
-#define CUT_TARGETS 2
-#define SILENT_MS   500
-/* Least interval of the checks of targets of all services after a cut. */
-#define CHECK_SERVICES_INTERVAL_MS 500
-/* Interval of the looks at whether the way to a target is back. */
-#define PROBE_INTERVAL_MS 500
-/* Share of the targets to which a node has lost its way when it says so. */
-#define CUT_SHARE 0.3
-/* Most of them at a time, as a part of the targets, and at least. */
-#define PROBES_SHARE 0.125
-#define PROBES_MIN   2
 
 struct idle_link {
 	struct target *target;
@@ -77,7 +62,7 @@
 	close_idle_link(i);
 }
 
-static void close_idle_links(struct target *t)
+void pool_close_idle_links(struct target *t)
 {
 	struct idle_link *i;
 
@@ -89,7 +74,7 @@
 {
 	struct target *t = p;
 
-	close_idle_links(t);
+	pool_close_idle_links(t);
 	g_queue_free(t->idle_links);
 	talloc_free(t->arena);
 }
@@ -190,12 +175,12 @@
 		set_version(t, &l->v[i]);
 		t->info.draining = l->v[i].draining;
 		if (t->info.draining)
-			close_idle_links(t);
+			pool_close_idle_links(t);
 	}
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		if (!((struct target *)v)->listed)
-			close_idle_links(v);
+			pool_close_idle_links(v);
 	pool_sweep(tr);
 }
 
@@ -571,138 +556,6 @@
 		eject(t);
 }
 
-static void set_cut(struct target *t, bool checked)
-{
-	t->cut_checked |= checked;
-	if (t->cut_since_ms)
-		return;
-	t->cut_since_ms = time_boot_ms();
-	t->probe_at_ms = t->cut_since_ms + PROBE_INTERVAL_MS;
-	/* It was not to blame for what failed. */
-	t->consecutive_faults = 0;
-	t->ejected_until_ms = 0;
-	t->error_rate = 0;
-	t->last_failed = false;
-	close_idle_links(t);
-	log_event(EV_WAY_LOST, "target=" STR_FMT " checked=%d silent_ms=%d",
-		  STR_ARG(t->info.name), checked,
-		  t->last_received_ms
-			  ? (int)(t->cut_since_ms - t->last_received_ms)
-			  : -1);
-}
-
-/* Whether this node has lost its way to several targets of the service. */
-static bool is_service_cut(const struct traffic *tr, struct str service)
-{
-	size_t cut = 0, listed = 0;
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, tr->targets);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct target *t = v;
-
-		if (!t->listed || !str_eq(t->info.service, service))
-			continue;
-		listed++;
-		cut += t->cut_checked;
-	}
-	return cut && cut >= MIN(CUT_TARGETS, listed);
-}
-
-/* Take the way to the service's targets that are silent for lost. */
-static void cut_silent(struct traffic *tr, struct str service)
-{
-	int64_t since_ms = time_boot_ms() - SILENT_MS;
-	GHashTableIter it;
-	gpointer v;
-
-	if (!is_service_cut(tr, service))
-		return;
-	g_hash_table_iter_init(&it, tr->targets);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct target *t = v;
-
-		if (t->listed && str_eq(t->info.service, service) &&
-		    t->last_received_ms < since_ms)
-			set_cut(t, false);
-	}
-}
-
-/* What cut the way to one service may have cut that to others: check some. */
-static void check_other_services(struct traffic *tr)
-{
-	int64_t now = time_boot_ms();
-	GHashTable *checked;
-	GHashTableIter it;
-	gpointer v;
-
-	if (now - tr->services_checked_ms < CHECK_SERVICES_INTERVAL_MS)
-		return;
-	tr->services_checked_ms = now;
-	checked = g_hash_table_new(str_key_hash, str_key_equal);
-	g_hash_table_iter_init(&it, tr->targets);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct target *t = v;
-		int n = GPOINTER_TO_INT(
-			g_hash_table_lookup(checked, &t->info.service));
-
-		if (!t->listed || t->cut_since_ms || n == CUT_TARGETS ||
-		    now - t->last_received_ms < SILENT_MS)
-			continue;
-		g_hash_table_insert(checked, &t->info.service,
-				    GINT_TO_POINTER(n + 1));
-		reach_check_start(t, NULL);
-	}
-	g_hash_table_unref(checked);
-}
-
-void pool_record_way(struct target *t, enum target_way way)
-{
-	if (way == WAY_CUT) {
-		set_cut(t, true);
-		cut_silent(t->tr, t->info.service);
-		check_other_services(t->tr);
-	} else if (way == WAY_OPEN && t->cut_since_ms) {
-		log_event(EV_WAY_BACK, "target=" STR_FMT " ms=%d",
-			  STR_ARG(t->info.name),
-			  (int)(time_boot_ms() - t->cut_since_ms));
-		t->cut_since_ms = 0;
-		t->cut_checked = false;
-	}
-}
-
-void pool_probe_ways(struct traffic *tr, int64_t now_ms)
-{
-	size_t most =
-		(size_t)(PROBES_SHARE * (double)g_hash_table_size(tr->targets));
-	size_t cut = 0, n = 0;
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, tr->targets);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct target *t = v;
-
-		if (!t->cut_since_ms || !t->listed)
-			continue;
-		cut++;
-		if (now_ms < t->probe_at_ms || n >= MAX(most, PROBES_MIN))
-			continue;
-		n++;
-		t->probe_at_ms = now_ms + PROBE_INTERVAL_MS;
-		reach_probe_start(t);
-	}
-	metric_set(M_TARGETS_CUT, (int64_t)cut);
-	/* Other nodes send it fewer callers, and do not ask it for help. */
-	if (cut || notices_any(tr->e->notices, NOTICE_NODE_CUT))
-		notices_set(tr->e->notices, NOTICE_NODE_CUT,
-			    member_id(tr->settings->node_name),
-			    cut && (double)cut >=
-					    CUT_SHARE * (double)tr->list->n,
-			    now_ms);
-}
-
 void pool_record_begun(struct target *t, int priority, int64_t sent_ms)
 {
 	t->begun_sent_ms[priority] = MAX(t->begun_sent_ms[priority], sent_ms);
@@ -724,7 +577,7 @@
 	t->says_leaving = true;
 	notices_set(t->tr->e->notices, NOTICE_TARGET_LEAVING, t->info.id, 1,
 		    time_boot_ms());
-	close_idle_links(t);
+	pool_close_idle_links(t);
 	log_event(EV_TARGET_LEAVING, "target=" STR_FMT " source=response",
 		  STR_ARG(t->info.name));
 }
--- a/entry/reach-check.c
+++ b/entry/reach-check.c
@@ -63,7 +63,7 @@
 		crash_causes_crashed(c->tr->e->crash_causes, &c->suspects[i],
 				     c->target, c->broke_ms);
 	if (t)
-		pool_record_way(t, way);
+		ways_record(t, way);
 	g_hash_table_remove(c->tr->reach_checks, &c->target);
 }
 
--- a/entry/tunnel.h
+++ b/entry/tunnel.h
@@ -38,7 +38,7 @@
 /* Cancel the checks in progress. */
 void reach_checks_free(struct traffic *tr);
 /*
- * Find out about a target that has failed; the result goes to pool_record_way.
+ * Find out about a target that has failed; the result goes to ways_record.
  * suspect: the request that broke off, of which the parts are copied; NULL:
  * none did.
  */
