--- a/soak/soak.c
+++ b/soak/soak.c
@@ -589,6 +589,7 @@
 			g_thread_new("recovery", recovery_thread, &checks[i]);
 	}
 	while (atomic_load(&s->recovering)) {
+		restart_targets(s, time_mono_ms());
 		restart_exited(s);
 		g_usleep(20000);
 	}
