Two crashes of an engine within a second count as two (chats)

Engines that start again quickly crash twice within a second, and the node took crashes of an engine in one second for one, so the message had fewer crashes than block it.

--- a/node/chat-faults.c
+++ b/node/chat-faults.c
@@ -13,7 +13,7 @@
  * A target has the same id after a restart. It can't crash twice within this
  * time.
  */
-#define CRASH_ID_MS 1000
+#define CRASH_ID_MS 250
 
 struct decider {
 	struct node *node;
