Wording of the records of crashes; the file of attempts' records

crash-check.c records attempts since reach-check.c checks, so it is crash-record.c. Comments and the tables of rules by their fields' names; no code differs.

--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -132,7 +132,7 @@
  */
 bool exchange_check_target(struct exchange *x, int64_t now);
 
-/* crash-check.c: what becomes of attempts, by the keys of their requests. */
+/* crash-record.c: what becomes of attempts, by the keys of their requests. */
 
 /* Which key of the request crashes targets, so that no attempt is made. */
 enum cause_block exchange_crash_block(const struct exchange *x);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -248,7 +248,7 @@
 	return requests / MAX(n, 1) + (before < requests % MAX(n, 1));
 }
 
-/* Whether a brittle target may have to reject one more request. */
+/* Whether the target, if it is brittle, may have to reject one more request. */
 static bool is_full(const struct target *t, double load, int64_t now_ms)
 {
 	double slots = (double)t->info.slots;
--- a/route/crash-causes.c
+++ b/route/crash-causes.c
@@ -36,9 +36,20 @@
 	int64_t trial_ms;
 };
 
-static const struct block_rule part_rule = {4, 2, 3, 7, 0};
-/* All attempts of a request come one after the other. */
-static const struct block_rule whole_rule = {3, 2, 2, 3, 60000};
+static const struct block_rule part_rule = {
+	.crashes = 4,
+	.attempts = 2,
+	.moments = 3,
+	.crashes_among_many = 7,
+};
+/* All attempts of a request come one after the other, so few say much. */
+static const struct block_rule whole_rule = {
+	.crashes = 3,
+	.attempts = 2,
+	.moments = 2,
+	.crashes_among_many = 3,
+	.trial_ms = 60000,
+};
 
 /* Crashes of one request after which it gets no second target by itself. */
 #define SUSPECT_CRASHES 2
@@ -418,8 +429,8 @@
 }
 
 /*
- * Count the targets that crashed from the part's first crash to its last, less
- * those that blocked parts account for.
+ * Count the targets that crashed from the key's first crash to its last, less
+ * those that blocked keys account for.
  */
 static size_t count_targets(const struct crash_causes *f, const struct cause *p)
 {
@@ -710,7 +721,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct cause *p = v;
 
-		/* Those of a part that was blocked lately are kept. */
+		/* Those of a key that was blocked lately are kept. */
 		if (p->r.crash_count && p->r.asked_ms <= oldest_ms)
 			drop_crashes(f, p, is_not_later, &oldest_ms);
 	}
