--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -8,11 +8,12 @@
 
 #include <rpc/rpc.h>
 
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-#define LOADS_MAX              120
+#define LOADS_MAX 120
 #define HOLDERS_PER_REPORT_MAX 24
 
 struct load_entry {
@@ -51,7 +52,7 @@
 	} new_holders;
 };
 typedef struct loads_report loads_report;
-#define TARGET_TEXT_MAX    200
+#define TARGET_TEXT_MAX 200
 #define TARGET_UPDATES_MAX 16
 
 struct store_query {
@@ -118,7 +119,7 @@
 };
 typedef struct config_chunk config_chunk;
 #define LOAD_TABLE_ENTRY_BYTES 5
-#define LOAD_TABLE_BYTES_MAX   1250
+#define LOAD_TABLE_BYTES_MAX 1250
 
 struct load_table {
 	u_quad_t node;
@@ -283,58 +284,58 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_load_entry(XDR *, load_entry *);
-extern bool_t xdr_prompt_holder(XDR *, prompt_holder *);
-extern bool_t xdr_prompt_holder_list(XDR *, prompt_holder_list *);
-extern bool_t xdr_loads_report(XDR *, loads_report *);
-extern bool_t xdr_store_query(XDR *, store_query *);
-extern bool_t xdr_target_update(XDR *, target_update *);
-extern bool_t xdr_store_query_answer(XDR *, store_query_answer *);
-extern bool_t xdr_config_query(XDR *, config_query *);
-extern bool_t xdr_config_chunk(XDR *, config_chunk *);
-extern bool_t xdr_load_table(XDR *, load_table *);
-extern bool_t xdr_stream_origin(XDR *, stream_origin *);
-extern bool_t xdr_stream_origins(XDR *, stream_origins *);
-extern bool_t xdr_origin_question(XDR *, origin_question *);
-extern bool_t xdr_origin_query(XDR *, origin_query *);
-extern bool_t xdr_origin_reply(XDR *, origin_reply *);
-extern bool_t xdr_origin_answer(XDR *, origin_answer *);
-extern bool_t xdr_cause_crash_report(XDR *, cause_crash_report *);
-extern bool_t xdr_cause_report(XDR *, cause_report *);
-extern bool_t xdr_limit_report(XDR *, limit_report *);
-extern bool_t xdr_notice_report(XDR *, notice_report *);
-extern bool_t xdr_record_kind(XDR *, record_kind *);
-extern bool_t xdr_peer_record(XDR *, peer_record *);
-extern bool_t xdr_peer_records(XDR *, peer_records *);
-extern bool_t xdr_peer_kind(XDR *, peer_kind *);
-extern bool_t xdr_peer_message(XDR *, peer_message *);
+extern  bool_t xdr_load_entry (XDR *, load_entry*);
+extern  bool_t xdr_prompt_holder (XDR *, prompt_holder*);
+extern  bool_t xdr_prompt_holder_list (XDR *, prompt_holder_list*);
+extern  bool_t xdr_loads_report (XDR *, loads_report*);
+extern  bool_t xdr_store_query (XDR *, store_query*);
+extern  bool_t xdr_target_update (XDR *, target_update*);
+extern  bool_t xdr_store_query_answer (XDR *, store_query_answer*);
+extern  bool_t xdr_config_query (XDR *, config_query*);
+extern  bool_t xdr_config_chunk (XDR *, config_chunk*);
+extern  bool_t xdr_load_table (XDR *, load_table*);
+extern  bool_t xdr_stream_origin (XDR *, stream_origin*);
+extern  bool_t xdr_stream_origins (XDR *, stream_origins*);
+extern  bool_t xdr_origin_question (XDR *, origin_question*);
+extern  bool_t xdr_origin_query (XDR *, origin_query*);
+extern  bool_t xdr_origin_reply (XDR *, origin_reply*);
+extern  bool_t xdr_origin_answer (XDR *, origin_answer*);
+extern  bool_t xdr_cause_crash_report (XDR *, cause_crash_report*);
+extern  bool_t xdr_cause_report (XDR *, cause_report*);
+extern  bool_t xdr_limit_report (XDR *, limit_report*);
+extern  bool_t xdr_notice_report (XDR *, notice_report*);
+extern  bool_t xdr_record_kind (XDR *, record_kind*);
+extern  bool_t xdr_peer_record (XDR *, peer_record*);
+extern  bool_t xdr_peer_records (XDR *, peer_records*);
+extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
+extern  bool_t xdr_peer_message (XDR *, peer_message*);
 
 #else /* K&R C */
-extern bool_t xdr_load_entry();
-extern bool_t xdr_prompt_holder();
-extern bool_t xdr_prompt_holder_list();
-extern bool_t xdr_loads_report();
-extern bool_t xdr_store_query();
-extern bool_t xdr_target_update();
-extern bool_t xdr_store_query_answer();
-extern bool_t xdr_config_query();
-extern bool_t xdr_config_chunk();
-extern bool_t xdr_load_table();
-extern bool_t xdr_stream_origin();
-extern bool_t xdr_stream_origins();
-extern bool_t xdr_origin_question();
-extern bool_t xdr_origin_query();
-extern bool_t xdr_origin_reply();
-extern bool_t xdr_origin_answer();
-extern bool_t xdr_cause_crash_report();
-extern bool_t xdr_cause_report();
-extern bool_t xdr_limit_report();
-extern bool_t xdr_notice_report();
-extern bool_t xdr_record_kind();
-extern bool_t xdr_peer_record();
-extern bool_t xdr_peer_records();
-extern bool_t xdr_peer_kind();
-extern bool_t xdr_peer_message();
+extern bool_t xdr_load_entry ();
+extern bool_t xdr_prompt_holder ();
+extern bool_t xdr_prompt_holder_list ();
+extern bool_t xdr_loads_report ();
+extern bool_t xdr_store_query ();
+extern bool_t xdr_target_update ();
+extern bool_t xdr_store_query_answer ();
+extern bool_t xdr_config_query ();
+extern bool_t xdr_config_chunk ();
+extern bool_t xdr_load_table ();
+extern bool_t xdr_stream_origin ();
+extern bool_t xdr_stream_origins ();
+extern bool_t xdr_origin_question ();
+extern bool_t xdr_origin_query ();
+extern bool_t xdr_origin_reply ();
+extern bool_t xdr_origin_answer ();
+extern bool_t xdr_cause_crash_report ();
+extern bool_t xdr_cause_report ();
+extern bool_t xdr_limit_report ();
+extern bool_t xdr_notice_report ();
+extern bool_t xdr_record_kind ();
+extern bool_t xdr_peer_record ();
+extern bool_t xdr_peer_records ();
+extern bool_t xdr_peer_kind ();
+extern bool_t xdr_peer_message ();
 
 #endif /* K&R C */
 
