Nodes repeat notices only when others may lack them

Found by reading: once one node had said that it was cut off, every node said every two seconds that it was not, and a node that had heard of a brittle target from others told them of it again with its own next response. In a fleet of 370 nodes, which sends notices on, that would fill the budget of the exchange (computed: 12 datagrams' records for each of 370 notices every two seconds). A node now speaks of a cut only while it has one and once after it, and what was heard counts as told.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -118,6 +118,7 @@
 	GHashTable *targets;         /* id -> struct target */
 	GHashTable *reach_checks;    /* target id -> struct reach_check */
 	GHashTable *avoided_helpers; /* node id -> until when, ms */
+	bool says_cut;               /* in its notice to other nodes */
 	int64_t services_checked_ms; /* see check_other_services */
 	GQueue *tunnels;             /* of other nodes, see tunnel.c */
 	GHashTable *retry_windows; /* service name -> struct service_retries */
--- a/entry/ways.c
+++ b/entry/ways.c
@@ -122,6 +122,20 @@
 	}
 }
 
+/*
+ * Tell other nodes whether this one has lost its way, so that they send it
+ * fewer callers and don't ask it for help. Those that never have say nothing.
+ */
+static void tell_others(struct traffic *tr, size_t cut, int64_t now_ms)
+{
+	bool is_cut = cut && (double)cut >= CUT_SHARE * (double)tr->list->n;
+
+	if (is_cut || tr->says_cut)
+		notices_set(tr->e->notices, NOTICE_NODE_CUT,
+			    member_id(tr->settings->node_name), is_cut, now_ms);
+	tr->says_cut = is_cut;
+}
+
 void ways_probe(struct traffic *tr, int64_t now_ms)
 {
 	size_t most =
@@ -144,11 +158,5 @@
 		reach_probe_start(t);
 	}
 	metric_set(M_TARGETS_CUT, (int64_t)cut);
-	/* Other nodes send it fewer callers, and do not ask it for help. */
-	if (cut || notices_any(tr->e->notices, NOTICE_NODE_CUT))
-		notices_set(tr->e->notices, NOTICE_NODE_CUT,
-			    member_id(tr->settings->node_name),
-			    cut && (double)cut >=
-					    CUT_SHARE * (double)tr->list->n,
-			    now_ms);
+	tell_others(tr, cut, now_ms);
 }
--- a/route/notices.c
+++ b/route/notices.c
@@ -11,14 +11,14 @@
 	[NOTICE_NODE_CUT] = 6000,
 	[NOTICE_TARGET_LEAVING] = 60000,
 	[NOTICE_TARGET_REST] = 3600000,
-	[NOTICE_TARGET_BRITTLE] = 60000,
+	[NOTICE_TARGET_BRITTLE] = 180000,
 };
 /* Part of it after which the same statement is sent again. */
 #define REFRESH_PART 3
 
 struct entry {
 	struct notice v;
-	int64_t sent_at_ms;   /* at_ms of what was last queued */
+	int64_t told_at_ms;   /* at_ms of what was last sent or received */
 	unsigned rounds_left; /* how often it is still to be sent */
 };
 
@@ -77,7 +77,6 @@
 
 static void queue(struct notices *n, struct entry *e)
 {
-	e->sent_at_ms = e->v.at_ms;
 	e->rounds_left = n->rounds;
 	n->has_updates = true;
 }
@@ -91,11 +90,14 @@
 	if (!e || v->at_ms <= e->v.at_ms)
 		return NULL;
 	news = e->v.at_ms == INT64_MIN || e->v.value != v->value ||
-	       v->at_ms - e->sent_at_ms > ttl_ms[v->kind] / REFRESH_PART;
+	       v->at_ms - e->told_at_ms > ttl_ms[v->kind] / REFRESH_PART;
 	e->v.value = v->value;
 	e->v.at_ms = v->at_ms;
 	atomic_fetch_add(&n->set[v->kind], 1);
-	return news ? e : NULL;
+	if (!news)
+		return NULL;
+	e->told_at_ms = v->at_ms;
+	return e;
 }
 
 void notices_set(struct notices *n, enum notice_kind kind, uint64_t id,
--- a/route/test-notices.c
+++ b/route/test-notices.c
@@ -99,6 +99,20 @@
 	notices_free(n);
 }
 
+/* Each node that learns the same from a target tells all others of it again. */
+static void test_known_is_not_told(void)
+{
+	struct notices *n = notices_new();
+	struct notice v = {NOTICE_TARGET_BRITTLE, 3, 5, 1000};
+
+	notices_receive(n, &v);
+	notices_set(n, NOTICE_TARGET_BRITTLE, 3, 5, 1100);
+	g_assert_cmpuint(notices_take_updates(n, &v, 1), ==, 0);
+	notices_set(n, NOTICE_TARGET_BRITTLE, 3, 6, 1200);
+	g_assert_cmpuint(notices_take_updates(n, &v, 1), ==, 1);
+	notices_free(n);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -108,5 +122,6 @@
 	g_test_add_func("/notices/rest-ends", test_rest_ends);
 	g_test_add_func("/notices/spreads", test_spreads);
 	g_test_add_func("/notices/refresh", test_refresh);
+	g_test_add_func("/notices/known-is-not-told", test_known_is_not_told);
 	return g_test_run();
 }
