Silent targets are taken for cut off only while none of their service answers

Now a target of the service that answers on this node's own connection excludes it.

All of /cut-off/ pass.

--- a/entry/ways.c
+++ b/entry/ways.c
@@ -41,8 +41,12 @@
 			  : -1);
 }
 
-/* Whether this node has lost its way to several targets of the service. */
-static bool is_service_cut(const struct traffic *tr, struct str service)
+/*
+ * Whether this node has lost its way to several targets of the service, and
+ * none of the others has sent anything since then or shortly before.
+ */
+static bool is_service_cut(const struct traffic *tr, struct str service,
+			   int64_t since_ms)
 {
 	size_t cut = 0, listed = 0;
 	GHashTableIter it;
@@ -54,6 +58,8 @@
 
 		if (!t->listed || !str_eq(t->info.service, service))
 			continue;
+		if (!t->cut_since_ms && t->last_received_ms >= since_ms)
+			return false;
 		listed++;
 		cut += t->cut_checked;
 	}
@@ -67,7 +73,7 @@
 	GHashTableIter it;
 	gpointer v;
 
-	if (!is_service_cut(tr, service))
+	if (!is_service_cut(tr, service, since_ms))
 		return;
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
