A request that was there by chance does not hide the one that crashes targets

A blocked request no longer explains crashes as they are recorded, and takes them off another one only if it has more.

Test: /crash-causes/bystander-first, which failed before (a node that heard of the other request first never blocked the bad one).

--- a/route/crash-causes.c
+++ b/route/crash-causes.c
@@ -292,22 +292,15 @@
 }
 
 /*
- * Whether a key may account for crashes in place of another. A request doesn't
- * for a part of its prompt, which others may have as well: see count_attempts.
+ * Whether a blocked part other than p's key accounts for the target's crash. A
+ * blocked request doesn't: it may itself be one that was there by chance, and
+ * others may have the parts of its prompt as well; see count_attempts.
  */
-static bool may_explain(const struct cause_record *by,
-			const struct cause_record *r)
-{
-	return !by->whole || r->whole;
-}
-
-/* Whether a blocked key other than p's accounts for the target's crash. */
 static bool is_explained(const struct crash_causes *f, const struct cause *p,
 			 uint32_t target)
 {
 	for (size_t i = 0; i < f->blocked_count; i++)
-		if (f->blocked[i] != p &&
-		    may_explain(&f->blocked[i]->r, &p->r) &&
+		if (f->blocked[i] != p && !f->blocked[i]->r.whole &&
 		    has_target(&f->blocked[i]->r, target))
 			return true;
 	return false;
@@ -478,6 +471,8 @@
 		return !a->began_ms;
 	if (a->whole != b->whole)
 		return a->whole ? is_within(b, a) : !is_within(a, b);
+	if (a->whole)
+		return a->crash_count > b->crash_count;
 	if (is_within(a, b) || is_within(b, a))
 		return a->depth > b->depth;
 	return a->crash_count > b->crash_count;
@@ -494,7 +489,7 @@
 		struct cause *other = v;
 
 		if (other == p || !other->r.crash_count ||
-		    !may_explain(&p->r, &other->r) ||
+		    (p->r.whole && !other->r.whole) ||
 		    !is_likelier(&p->r, &other->r) ||
 		    !drop_crashes(f, other, is_of_cause, p))
 			continue;
--- a/route/test-crash-causes.c
+++ b/route/test-crash-causes.c
@@ -477,6 +477,30 @@
 	fleet_free(f);
 }
 
+/*
+ * A sound request that was at the same targets, and is known first, hides the
+ * one that crashes them.
+ */
+static void test_bystander_first(void)
+{
+	struct fleet *f = fleet_new(6);
+	struct cause_keys bad = {.whole = AGAIN};
+	struct cause_keys other = {.whole = AGAIN + 1};
+
+	f->cut[1] = true;
+	for (uint64_t t = 1; t <= 3; t++) {
+		bad.attempt = other.attempt = t;
+		crash_causes_crashed(f->nodes[0], &other, t, f->now_ms);
+		crash_causes_crashed(f->nodes[1], &bad, t, f->now_ms);
+		run_for(f, 1000);
+	}
+	f->cut[1] = false;
+	run_for(f, CONTACT_MS);
+	for (size_t i = 0; i < f->n; i++)
+		g_assert_true(refuses_again(f, i, AGAIN));
+	fleet_free(f);
+}
+
 /* The parts of a request that crashes targets by itself are refused. */
 static void test_parts_of_request(void)
 {
@@ -606,6 +630,7 @@
 	g_test_add_func("/prompt-faults/memory-bounded", test_memory_bounded);
 	g_test_add_func("/crash-causes/request-again", test_request_again);
 	g_test_add_func("/crash-causes/bystanders", test_bystanders);
+	g_test_add_func("/crash-causes/bystander-first", test_bystander_first);
 	g_test_add_func("/crash-causes/parts-of-request",
 			test_parts_of_request);
 	g_test_add_func("/crash-causes/trial", test_trial);
