A part of the slots is computed for brittle targets only; a field that nobody read

Found when reading the change again. Each request to a target with more than a third of its slots taken went through the list of nodes to compute this node's part, also when the target is not brittle; the account it was for ignores such targets, so nothing else changes. may_reject now answers both places. reach_check.asked was set and never read.

--- a/entry/pool.c
+++ b/entry/pool.c
@@ -283,11 +283,17 @@
 	return per_1000_s;
 }
 
+/* Whether a request to the target now is one that it may have to reject. */
+static bool may_reject(struct target *t, double load, int64_t now_ms)
+{
+	return brittle_limit(t, now_ms) != LIMIT_NONE &&
+	       is_full(t, load, now_ms);
+}
+
 /* Whether a request to the target now would be one too many. */
 static bool is_overfull(struct target *t, double load, int64_t now_ms)
 {
-	return brittle_limit(t, now_ms) != LIMIT_NONE &&
-	       is_full(t, load, now_ms) &&
+	return may_reject(t, load, now_ms) &&
 	       target_limits_next_ms(t->tr->e->overflow_limits, t->info.id,
 				     now_ms) > now_ms;
 }
@@ -438,7 +444,7 @@
 	if (chosen == SIZE_MAX)
 		return NULL;
 	target_limits_take(tr->e->target_limits, targets[chosen]->info.id, now);
-	if (is_full(targets[chosen], p[chosen].load, now))
+	if (may_reject(targets[chosen], p[chosen].load, now))
 		target_limits_take(tr->e->overflow_limits,
 				   targets[chosen]->info.id, now);
 	if (!s->kv_transfer)
--- a/entry/reach-check.c
+++ b/entry/reach-check.c
@@ -25,7 +25,6 @@
 	uint64_t target; /* id */
 	int64_t broke_ms;
 	bool probe; /* only whether this node's way is back */
-	bool asked; /* other nodes */
 	bool down;  /* a node that was asked can't connect either */
 	bool cut;   /* a node that was asked has lost its way too */
 	struct attempt direct, through[HELPERS];
@@ -138,7 +137,6 @@
 	struct target *t = g_hash_table_lookup(c->tr->targets, &c->target);
 	uint64_t helper;
 
-	c->asked = true;
 	for (size_t i = 0; t && i < HELPERS; i++) {
 		c->through[i].check = c;
 		c->through[i].link = reach_through_peer(t, &helper);
