--- a/entry/internal.h
+++ b/entry/internal.h
@@ -298,6 +298,19 @@
 				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
 				  int priority, struct target **source);
+/* Describe the target to place_choose and place_source. */
+struct place_target pool_candidate(struct target *t, int64_t now_ms);
+
+/* Load and slots of the targets of a service that take new requests. */
+struct service_room {
+	size_t targets;
+	double load;  /* requests running and waiting there */
+	double slots; /* requests that they run at the same time */
+};
+
+struct service_room pool_service_room(struct traffic *tr,
+				      const struct entry_service *s,
+				      int64_t now_ms);
 /* Whether a target of the service and version takes new requests. */
 bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
 			 uint64_t version);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -298,8 +298,7 @@
 				     now_ms) > now_ms;
 }
 
-/* Describe the target to place_choose and place_source. */
-static struct place_target make_candidate(struct target *t, int64_t now_ms)
+struct place_target pool_candidate(struct target *t, int64_t now_ms)
 {
 	struct notices *notices = t->tr->e->notices;
 	bool ejected = t->ejected_until_ms > now_ms;
@@ -392,6 +391,30 @@
 	return !p.draining && !p.limited;
 }
 
+struct service_room pool_service_room(struct traffic *tr,
+				      const struct entry_service *s,
+				      int64_t now_ms)
+{
+	struct service_room room = {0};
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct place_target p;
+
+		if (!is_candidate(v, s, 0))
+			continue;
+		p = pool_candidate(v, now_ms);
+		if (p.draining || p.avoid)
+			continue;
+		room.targets++;
+		room.load += p.load;
+		room.slots += p.slots;
+	}
+	return room;
+}
+
 bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
 			 uint64_t version)
 {
@@ -402,7 +425,7 @@
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		if (is_candidate(v, s, version) &&
-		    may_send(make_candidate(v, now)))
+		    may_send(pool_candidate(v, now)))
 			return true;
 	return false;
 }
@@ -434,7 +457,7 @@
 		limits.room =
 			MAX(limits.room, ROOM_SHARE * (double)t->info.slots);
 		targets[n] = t;
-		p[n++] = make_candidate(t, now);
+		p[n++] = pool_candidate(t, now);
 	}
 	place_limit_overflow(p, n, priority);
 	avoid_outliers(p, targets, n);
