A retry budget holds in every window, also after a burst

When a burst ends, requests of the burst that have left a window still paid for retries in it.

Change: each retry is checked against every window that contains it, by the slot in which it begins, with the requests that the operators' bound counts (that window, half a window before, the one before).

Test: /route/window/burst-ends fails on the earlier code (375 retries, 374.3 allowed) and passes now. /route/window/ratio expected 20 retries for 110 requests, the scaling that is gone; it now expects exactly 0.2 x 110.

--- a/route/retry-window.c
+++ b/route/retry-window.c
@@ -1,7 +1,9 @@
 /* Retry budget of a sliding window that advances in slots. */
+#include <glib.h>
+
 #include "route/route.h"
 
-#define SLOTS_PER_WINDOW (RETRY_WINDOW_SLOTS - 1)
+#define SLOTS_PER_WINDOW 10
 
 /* Advance to the slot of now_ms and clear the slots that are reused. */
 static void advance(struct retry_window *s, int64_t now_ms)
@@ -19,15 +21,35 @@
 	}
 }
 
-static unsigned sum(const unsigned *v)
+/* Sum the slots from first to last, as far as they are kept. */
+static unsigned sum(const struct retry_window *s, const unsigned *v,
+		    int64_t first, int64_t last)
 {
 	unsigned n = 0;
 
-	for (size_t i = 0; i < RETRY_WINDOW_SLOTS; i++)
-		n += v[i];
+	first = MAX(first, MAX(s->newest_slot - RETRY_WINDOW_SLOTS + 1, 0));
+	last = MIN(last, s->newest_slot);
+	for (int64_t i = first; i <= last; i++)
+		n += v[i % RETRY_WINDOW_SLOTS];
 	return n;
 }
 
+/*
+ * Return the requests that count for a window which begins within a slot: only
+ * slots that lie in it wherever in the slot it begins.
+ */
+static unsigned requests_for(const struct retry_window *s, int64_t begin)
+{
+	const int64_t half = SLOTS_PER_WINDOW / 2;
+	unsigned same = sum(s, s->requests, begin + 1, s->newest_slot);
+	unsigned half_before =
+		sum(s, s->requests, begin - half + 1, begin + half - 1);
+	unsigned before =
+		sum(s, s->requests, begin - SLOTS_PER_WINDOW + 1, begin - 1);
+
+	return MAX(same, MAX(half_before, before));
+}
+
 void retry_window_add_request(struct retry_window *s, int64_t now_ms)
 {
 	advance(s, now_ms);
@@ -36,17 +58,21 @@
 
 bool retry_window_take(struct retry_window *s, int64_t now_ms)
 {
-	double requests;
+	unsigned retries = 1;
 
 	advance(s, now_ms);
 	/*
-	 * The slots span up to one slot more than the window: scale the
-	 * requests down, so that no window allows too many retries.
+	 * Check each window that contains this moment by the slot in which it
+	 * begins. One sum over the longest would let requests of a burst that
+	 * has left the shorter windows pay for retries in them.
 	 */
-	requests = sum(s->requests) * (double)SLOTS_PER_WINDOW /
-		   RETRY_WINDOW_SLOTS;
-	if (sum(s->retries) + 1 > s->ratio * requests + s->allowance)
-		return false;
+	for (int64_t begin = s->newest_slot;
+	     begin >= 0 && begin >= s->newest_slot - SLOTS_PER_WINDOW;
+	     begin--) {
+		retries += s->retries[begin % RETRY_WINDOW_SLOTS];
+		if (retries > s->ratio * requests_for(s, begin) + s->allowance)
+			return false;
+	}
 	s->retries[s->newest_slot % RETRY_WINDOW_SLOTS]++;
 	return true;
 }
--- a/route/route.h
+++ b/route/route.h
@@ -635,10 +635,12 @@
 
 /*
  * retry-window.c: retry budget over a sliding window. In any window retries are
- * at most ratio x requests + allowance. To begin, set the first three fields
- * and zero the rest.
+ * at most ratio x requests + allowance, where the requests are those of that
+ * window, of the one half a window before it, or of the one before, whichever
+ * has most. To begin, set the first three fields and zero the rest.
  */
-#define RETRY_WINDOW_SLOTS 11 /* ten of a window and the one being filled */
+/* Twice a window, and two slots that windows cover in part. */
+#define RETRY_WINDOW_SLOTS 22
 
 struct retry_window {
 	double ratio;     /* retries per request */
--- a/route/test-retry-window.c
+++ b/route/test-retry-window.c
@@ -47,6 +47,57 @@
 	g_rand_free(r);
 }
 
+/* Return the number of events in the WINDOW_MS from a moment on. */
+static double in_window(const unsigned *v, int from)
+{
+	double n = 0;
+
+	for (int t = MAX(from, 0); t < MIN(from + WINDOW_MS, DURATION_MS); t++)
+		n += v[t];
+	return n;
+}
+
+/*
+ * After a burst of a window's length the retries of the windows that hold only
+ * a part of it exceed what their requests allow.
+ */
+static void test_burst_ends(void)
+{
+	static unsigned requests[DURATION_MS], retries[DURATION_MS];
+	GRand *r = g_rand_new_with_seed(9);
+
+	for (int round = 0; round < 4; round++) {
+		struct retry_window w = {
+			.ratio = 0.2, .allowance = 2.5, .window_ms = WINDOW_MS};
+		int start = 6000 + round * 230;
+
+		memset(requests, 0, sizeof(requests));
+		memset(retries, 0, sizeof(retries));
+		for (int t = 0; t < DURATION_MS; t++) {
+			bool burst = t >= start && t < start + WINDOW_MS;
+
+			if (g_rand_double(r) < (burst ? 0.2 : 0.02)) {
+				retry_window_add_request(&w, t);
+				requests[t]++;
+			}
+			/* Every retry is taken late in the burst and after. */
+			while (t >= 14000 && retry_window_take(&w, t))
+				retries[t]++;
+		}
+		for (int from = 0; from < DURATION_MS - WINDOW_MS; from += 10) {
+			double most = in_window(requests, from);
+
+			most = MAX(most,
+				   in_window(requests, from - WINDOW_MS / 2));
+			most = MAX(most, in_window(requests, from - WINDOW_MS));
+			g_assert_cmpfloat(in_window(retries, from), <=,
+					  0.2 * most + 2.5);
+		}
+		g_assert_cmpfloat(in_window(retries, 12000), >, 100);
+	}
+	g_rand_free(r);
+}
+
 /* Each request adds the ratio once, and is forgotten after the window. */
 static void test_ratio(void)
 {
@@ -57,7 +108,7 @@
 		retry_window_add_request(&w, 1000);
 	while (retry_window_take(&w, 1000))
 		taken++;
-	g_assert_cmpint(taken, ==, 20);
+	g_assert_cmpint(taken, ==, 22);
 	g_assert_false(retry_window_take(&w, 1000 + 2 * WINDOW_MS));
 }
 
@@ -65,6 +116,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/route/window/any", test_any_window);
+	g_test_add_func("/route/window/burst-ends", test_burst_ends);
 	g_test_add_func("/route/window/ratio", test_ratio);
 	return g_test_run();
 }
