Targets of zones that the operator evacuates get no requests

The targets count as draining, for tunnels too. A node that reaches no other one reads the store every 4.5 s at the latest, instead of 5.6 s at 370 nodes.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -44,6 +44,8 @@
 	{ 4010, LOG_INFO, "request_ended" },
 	{ 4012, LOG_INFO, "stream_taken_up" },
 	{ 4011, LOG_INFO, "request_repeated" },
+	{ 2015, LOG_WARNING, "zone_evacuated" },
+	{ 2016, LOG_INFO, "zone_taken_back" },
 	{ 2005, LOG_INFO, "targets_changed" },
 	{ 2006, LOG_WARNING, "target_unreadable" },
 	{ 2007, LOG_WARNING, "settings_kept" },
--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -95,6 +95,8 @@
 	  "Targets to which this node has lost its way, reached through other nodes." },
 	{ "ramp_targets_listed", "gauge",
 	  "Targets in the list in force." },
+	{ "ramp_zones_evacuated", "gauge",
+	  "Availability zones whose targets get no new requests, as the operator evacuated them." },
 	{ "ramp_entries_live", "gauge",
 	  "Nodes believed alive, this one included." },
 };
--- a/entry/control.h
+++ b/entry/control.h
@@ -58,8 +58,9 @@
 	int64_t records_sweep_at_ms;  /* next look at what is out of date */
 	uint64_t records_view;        /* published_view whose nodes are set */
 	double record_budget; /* bytes that may be sent; see peer-records.c */
-	int64_t record_budget_ms; /* when that was computed */
-	size_t next_relay;        /* round-robin position for queries */
+	int64_t record_budget_ms;      /* when that was computed */
+	int64_t records_late_until_ms; /* see is_late in peer-records.c */
+	size_t next_relay;             /* round-robin position for queries */
 };
 
 /*
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "entry/evacuations.h"
 #include "entry/internal.h"
 #include "entry/origins.h"
 #include "entry/tunnel.h"
@@ -321,6 +322,7 @@
 	e->origins = origins_new();
 	e->crash_causes = crash_causes_new(on_cause_changed, NULL);
 	e->notices = notices_new();
+	e->evacuations = entry_evacuations_new(e);
 	e->overflow_limits = target_limits_new(
 		&limit_overflow, member_id(e->settings.node_name), NULL, NULL);
 	e->target_limits = target_limits_new(&limit_requests,
@@ -392,6 +394,7 @@
 	target_limits_free(e->target_limits);
 	target_limits_free(e->overflow_limits);
 	notices_free(e->notices);
+	evacuations_free(e->evacuations);
 	g_free(e->control_address);
 	g_free(e);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -464,7 +464,8 @@
 struct entry;
 
 enum store_table {
-	STORE_CONFIG,  /* one row: the configuration */
+	/* One row: the configuration; and a row for each evacuated zone. */
+	STORE_CONFIG,
 	STORE_TARGETS, /* a row for each target */
 	STORE_NODES,   /* a row for each node; written by the entries */
 	STORE_PROMPTS, /* one row: prompt holders; written by the entries */
@@ -481,6 +482,8 @@
 	const char *key;
 	int64_t revision;
 	bool deleted;
+	/* Of STORE_CONFIG, the zone to evacuate; NULL: the configuration. */
+	const char *zone;
 };
 
 /* Result of a call to the store; valid during the callback only. */
@@ -491,8 +494,10 @@
 	int64_t era;      /* grows when the store comes back from a copy */
 	int64_t revision; /* of the store; comparable within an era only */
 	bool more;        /* there are further rows after the last one */
-	int64_t sent_ms;  /* when the call was sent: the page is no older */
-	const void *raw;  /* private to struct store_api */
+	/* Of the last row, which rows may lack; NULL: there was no row. */
+	const char *last_key;
+	int64_t sent_ms; /* when the call was sent: the page is no older */
+	const void *raw; /* private to struct store_api */
 };
 
 typedef void store_done_fn(void *ctx, const struct store_page *p);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -80,6 +80,7 @@
 	struct target_info info;
 	struct traffic *tr;
 	uint64_t version;       /* id of its software's version */
+	uint64_t zone;          /* evacuation_zone_id of its zone */
 	int64_t joined_ms;      /* when it was first listed; 0: unknown */
 	bool listed;            /* is in the current target list */
 	int running;            /* requests that this node has in progress */
@@ -157,6 +158,7 @@
 	struct target_limits *target_limits;
 	struct target_limits *overflow_limits; /* of brittle targets */
 	struct notices *notices;
+	struct evacuations *evacuations;
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
 	char *control_address;
--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -7,6 +7,7 @@
  * in turn. Runs on the control thread.
  */
 #include "entry/control.h"
+#include "entry/evacuations.h"
 
 /*
  * Bytes a second that a node sends, over all receivers, and how many of them at
@@ -30,6 +31,12 @@
 #define LIST_AGE_MAX_MS 2000
 /* Interval of the looks at the list, and at what is out of date. */
 #define SWEEP_INTERVAL_MS 1000
+/*
+ * The control thread stood still if no tick came for this long; it takes what
+ * waited in the meantime for late, in this time after the next tick.
+ */
+#define STOOD_STILL_MS 500
+#define LATE_MS        100
 
 G_STATIC_ASSERT(CAUSE_REPORT_CRASHES_MAX == CAUSE_CRASHES_MAX);
 
@@ -203,6 +210,16 @@
 	return n;
 }
 
+/*
+ * Whether a message may have waited here, so that what it says is older than by
+ * the age that it names.
+ */
+static bool is_late(const struct control *c, int64_t now_ms)
+{
+	return now_ms - c->record_budget_ms > STOOD_STILL_MS ||
+	       now_ms < c->records_late_until_ms;
+}
+
 static void receive_notice(struct control *c, const struct peer_record *r,
 			   int64_t now_ms)
 {
@@ -210,6 +227,11 @@
 	struct notice v = {(enum notice_kind)e->kind, e->id, e->value,
 			   time_of(e->age_ms, now_ms)};
 
+	/* What is dropped here comes again within a second. */
+	if (v.kind == NOTICE_ZONE_EVACUATED &&
+	    (is_late(c, now_ms) ||
+	     !entry_evacuations_receive(c->e, &v, now_ms)))
+		return;
 	notices_receive(c->e->notices, &v);
 }
 
@@ -314,6 +336,8 @@
 	set_rounds(c, l);
 	sweep(c, now_ms);
 	crash_causes_decide(c->e->crash_causes, now_ms);
+	if (since_ms > STOOD_STILL_MS)
+		c->records_late_until_ms = now_ms + LATE_MS;
 	c->record_budget_ms = now_ms;
 	c->record_budget =
 		MIN(c->record_budget + (double)since_ms * BUDGET_BYTES_S / 1000,
--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -102,6 +102,12 @@
 	bool same = answer->config_version == s->config_version &&
 		    answer->config_hash == s->config_hash;
 
+	/*
+	 * The first configuration comes from the store, with the evacuated
+	 * zones, which other nodes' configurations lack.
+	 */
+	if (!s->config_was_read)
+		return;
 	if (answer->config_age_ms != UINT32_MAX && same) {
 		entry_confirm_config(s->e, at_ms);
 		if (reader_is_current(answer->config_age_ms,
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "entry/evacuations.h"
 #include "entry/internal.h"
 #include "entry/origins.h"
 #include "entry/tunnel.h"
@@ -99,6 +100,7 @@
 	t->info.name = str_dup(t, info->name);
 	t->info.service = str_dup(t, info->service);
 	t->info.zone = str_dup(t, info->zone);
+	t->zone = evacuation_zone_id(info->zone);
 	t->info.version = (struct str){NULL, 0};
 	set_version(t, info);
 	t->idle_links = g_queue_new();
@@ -127,6 +129,8 @@
 		struct target *t = v;
 		struct idle_link *i;
 
+		if (target_is_evacuated(t))
+			pool_close_idle_links(t);
 		while ((i = g_queue_peek_tail(t->idle_links)) &&
 		       i->until_ms <= now) {
 			g_queue_pop_tail(t->idle_links);
@@ -318,7 +322,8 @@
 		.weight =
 			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
 		.avoid = ejected,
-		.draining = t->info.draining || leaving || resting,
+		.draining = t->info.draining || leaving || resting ||
+			    target_is_evacuated(t),
 		.limited = limited || is_overfull(t, load, now_ms),
 		.can_export = !t->last_failed && !ejected && !resting,
 	};
@@ -528,7 +533,8 @@
 	struct idle_link *i;
 
 	if (!t->listed || t->info.draining || t->says_leaving ||
-	    t->tr->leaving_ms || t->cut_since_ms || link_is_tunnel(l) ||
+	    target_is_evacuated(t) || t->tr->leaving_ms || t->cut_since_ms ||
+	    link_is_tunnel(l) ||
 	    g_queue_get_length(t->idle_links) >= idle_links_max(t) ||
 	    link_idle_deadline_ms(l) <= time_boot_ms()) {
 		link_close(l);
@@ -667,7 +673,7 @@
 		int64_t at_ms;
 
 		if (!t->listed || t->info.draining || t->says_leaving ||
-		    !str_eq(t->info.service, s->name))
+		    target_is_evacuated(t) || !str_eq(t->info.service, s->name))
 			continue;
 		at_ms = MAX(t->resting_until_ms,
 			    target_limits_next_ms(tr->e->target_limits,
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "entry/evacuations.h"
 #include "entry/store-sync.h"
 
 /* Pause after a failed call, plus a random jitter. */
@@ -43,10 +44,12 @@
 /*
  * A node that is no reader reads the store itself at most once in this time for
  * each node of the fleet: when no reader is current, as during an outage, all
- * nodes are in this state, and the store has to bear it.
+ * nodes are in this state, and the store has to bear it. With its random part,
+ * of a quarter more or less, the interval stays below the 5 s within which a
+ * node that reaches no other one has to learn of an evacuation.
  */
 #define OWN_READ_MS_PER_NODE 10
-#define OWN_READ_MAX_MS      4000
+#define OWN_READ_MAX_MS      3600
 /* After a start the other nodes get this long to confirm the first view. */
 #define OWN_READ_START_MS 3000
 /* A failed call doubles the pause up to this, on a node that is no reader. */
@@ -83,7 +86,8 @@
 	int64_t ms = MIN((int64_t)s->fleet_size * OWN_READ_MS_PER_NODE,
 			 OWN_READ_MAX_MS);
 
-	return now_ms + ms / 2 + g_rand_int_range(s->rand, 0, (gint32)ms + 1);
+	return now_ms + ms * 3 / 4 +
+	       g_rand_int_range(s->rand, 0, (gint32)ms / 2 + 1);
 }
 
 /* Log when the store becomes unreachable or reachable again. */
@@ -116,6 +120,8 @@
 			  (int)s->era, (int)s->config_version);
 		s->era_seen_ms = now;
 		s->config_revision = 0;
+		s->rows_revision = 0;
+		evacuations_new_era(s->e->evacuations, now);
 		s->outage_ended_ms = now;
 		target_table_new_era(s->table, now);
 		g_clear_pointer(&s->next_key, g_free);
@@ -184,23 +190,87 @@
 	return true;
 }
 
-/* Return false when the configuration in the page is not in force here. */
-static bool apply_config_rows(struct store_sync *s, const struct store_page *p)
+static void clear_rows(struct config_rows *r)
 {
-	bool ok = true;
+	g_free(r->next_key);
+	json_decref(r->config);
+	*r = (struct config_rows){0};
+}
+
+/* Use the row of an evacuated zone. */
+static void take_evacuation(struct store_sync *s, const struct store_page *p,
+			    const struct store_row *row)
+{
+	struct evacuations *e = s->e->evacuations;
+	uint64_t zone = evacuation_zone_id(str_c(row->zone));
+
+	if (s->config_whole) {
+		if (!row->deleted)
+			evacuations_add_row(e, zone, row->zone);
+		return;
+	}
+	evacuations_row_changed(e, zone, row->zone, !row->deleted, p->sent_ms,
+				time_boot_ms());
+	/*
+	 * The feed may have been asked for long before the row was written. A
+	 * read of all rows shows what is so now.
+	 */
+	s->config_read_ms = 0;
+}
 
+/* Collect the rows of a page. A read may return an older state of the store. */
+static void take_rows(struct store_sync *s, const struct store_page *p)
+{
+	struct config_rows *r = &s->rows;
+	bool old = p->revision < s->rows_revision;
+
+	r->old |= old;
+	s->rows_revision = MAX(s->rows_revision, p->revision);
 	for (size_t i = 0; i < p->n; i++) {
-		json_t *value;
+		const struct store_row *row = &p->rows[i];
+
+		if (row->zone && !old) {
+			take_evacuation(s, p, row);
+		} else if (!row->zone && !row->deleted) {
+			json_decref(r->config);
+			r->config = s->api->value(p, i);
+			r->has_config = true;
+		}
+	}
+}
+
+/*
+ * Use the rows once all are there: first the evacuations, as the node serves
+ * callers once it has a configuration. Return false when the configuration that
+ * was read is not in force here.
+ */
+static bool finish_rows(struct store_sync *s)
+{
+	struct config_rows *r = &s->rows;
+	bool ok = true;
 
-		if (p->rows[i].deleted)
-			continue;
-		value = s->api->value(p, i);
-		ok = store_sync_apply_config(s, value);
-		json_decref(value);
+	if (s->config_whole && !r->old) {
+		evacuations_finish_read(s->e->evacuations, r->sent_ms,
+					time_boot_ms());
+		s->config_was_read = true;
 	}
+	if (r->has_config)
+		ok = store_sync_apply_config(s, r->config);
 	return ok && s->config_version >= 0;
 }
 
+/* Begin with the first page of a read, or with a feed. */
+static void begin_rows(struct store_sync *s, const struct store_page *p)
+{
+	s->rows = (struct config_rows){
+		.sent_ms = p->sent_ms,
+		.era = p->era,
+		.revision = p->revision,
+	};
+	if (s->config_whole)
+		evacuations_begin_read(s->e->evacuations);
+}
+
 /* Readers wait for the next change at once; others do not read repeatedly. */
 static int64_t config_pause_ms(struct store_sync *s)
 {
@@ -209,6 +279,14 @@
 	return s->reader ? 0 : CONFIG_READ_MIN_MS;
 }
 
+/* Start over after a failed call, or one that does not fit the last. */
+static void drop_rows(struct store_sync *s, int64_t pause_ms)
+{
+	clear_rows(&s->rows);
+	s->config_revision = 0;
+	store_sync_schedule(s, &s->config_timer, pause_ms);
+}
+
 static void on_config(void *ctx, const struct store_page *p)
 {
 	struct store_sync *s = ctx;
@@ -216,16 +294,30 @@
 	s->config_busy = false;
 	log_store_state(s, p);
 	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
-		s->config_revision = 0;
-		store_sync_schedule(s, &s->config_timer,
-				    p->status == STORE_HISTORY_LOST
-					    ? 0
-					    : retry_pause_ms(s));
+		drop_rows(s, p->status == STORE_HISTORY_LOST
+				     ? 0
+				     : retry_pause_ms(s));
+		return;
+	}
+	if (!s->rows.next_key)
+		begin_rows(s, p);
+	else if (p->era != s->rows.era) {
+		drop_rows(s, retry_pause_ms(s));
+		return;
+	}
+	take_rows(s, p);
+	g_clear_pointer(&s->rows.next_key, g_free);
+	if (s->config_whole && p->more && p->last_key) {
+		/* The smallest key above the last one read. */
+		s->rows.next_key = g_strconcat(p->last_key, "\001", NULL);
+		store_sync_schedule(s, &s->config_timer, 0);
 		return;
 	}
-	if (apply_config_rows(s, p))
-		entry_confirm_config(s->e, p->sent_ms);
-	s->config_revision = p->revision;
+	if (finish_rows(s))
+		entry_confirm_config(s->e, s->rows.sent_ms);
+	/* A feed that is cut short would have to be asked for its rest. */
+	s->config_revision = !s->config_whole && p->more ? 0 : s->rows.revision;
+	clear_rows(&s->rows);
 	store_sync_schedule(s, &s->config_timer, config_pause_ms(s));
 }
 
@@ -295,7 +387,7 @@
 
 	(void)loop;
 	(void)events;
-	if (!s->reader && !reads_config_itself(s, now)) {
+	if (!s->reader && !s->rows.next_key && !reads_config_itself(s, now)) {
 		/*
 		 * The revision to wait from becomes too old while the node does
 		 * not read, so the next call has to read the row.
@@ -305,13 +397,17 @@
 		return;
 	}
 	s->config_busy = true;
-	if (s->config_revision && s->reader && !full_read_due) {
+	s->config_whole = s->rows.next_key || !s->config_revision ||
+			  !s->reader || full_read_due;
+	if (!s->config_whole) {
 		s->api->await(s->store, STORE_CONFIG, s->config_revision,
 			      store_sync_poll_wait_ms(s), on_config, s);
 		return;
 	}
-	s->config_read_ms = now;
-	s->api->read(s->store, STORE_CONFIG, "", on_config, s);
+	if (!s->rows.next_key)
+		s->config_read_ms = now;
+	s->api->read(s->store, STORE_CONFIG,
+		     s->rows.next_key ? s->rows.next_key : "", on_config, s);
 }
 
 /* Targets. */
@@ -467,6 +563,7 @@
 	ev_timer_stop(s->loop, &s->targets_timer);
 	target_table_free(s->table);
 	free(s->config_text);
+	clear_rows(&s->rows);
 	for (size_t i = 0; i < CONFIG_BASES; i++)
 		store_sync_clear_base(&s->bases[i]);
 	g_string_free(s->fetched, TRUE);
--- a/entry/store-sync.h
+++ b/entry/store-sync.h
@@ -32,8 +32,21 @@
 	int64_t config_confirmed_ms; /* last query confirmed by a reader */
 	int64_t config_stale_ms;     /* since when a peer has a newer one; 0 */
 	bool config_busy;            /* a call to the store is in progress */
-	char *config_text;           /* of the view in force, as JSON */
-	uint64_t config_hash;        /* of config_text */
+	bool config_whole;           /* it reads all rows; else a feed */
+	bool config_was_read;        /* all rows were read once */
+	/* What that read, or the feed, has brought up to now. */
+	struct config_rows {
+		char *next_key;   /* of the next page; NULL: the first */
+		int64_t sent_ms;  /* of the first page, as the next two */
+		int64_t era;      /* of the store */
+		int64_t revision; /* of the store */
+		bool has_config;  /* config is set; NULL if it's unreadable */
+		json_t *config;
+		bool old; /* it shows an older state than one known before */
+	} rows;
+	int64_t rows_revision; /* the newest of a page, in this era; 0 */
+	char *config_text;     /* of the view in force, as JSON */
+	uint64_t config_hash;  /* of config_text */
 	/* The configurations before, newest first, and deltas to this one. */
 	struct config_base {
 		char *text;
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "entry/evacuations.h"
 #include "entry/origins.h"
 #include "entry/store-clients.h"
 
@@ -56,7 +57,7 @@
 static void finish_call(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct call *c = w->data;
-	struct store_row row = {"config", store.revision, false};
+	struct store_row row = {"config", store.revision, false, NULL};
 	struct store_page p = {
 		.status = store.down ? STORE_FAILED : STORE_OK,
 		.rows = &row,
@@ -124,6 +125,8 @@
 	n->e.control_settings.store_config_wait_ms = 50;
 	n->e.tr.loop = loop;
 	n->e.origins = origins_new();
+	n->e.notices = notices_new();
+	n->e.evacuations = entry_evacuations_new(&n->e);
 	ev_async_init(&n->e.tr.views_published, ignore_views);
 	ev_async_start(loop, &n->e.tr.views_published);
 	n->sync = store_sync_new(&n->e, loop);
@@ -193,6 +196,8 @@
 	entry_config_unref(n->e.config);
 	target_list_unref(n->e.list);
 	origins_free(n->e.origins);
+	notices_free(n->e.notices);
+	evacuations_free(n->e.evacuations);
 	g_free(n);
 }
 
--- a/entry/test-target-table.c
+++ b/entry/test-target-table.c
@@ -78,8 +78,9 @@
 			if (!store_rows[at].present)
 				continue;
 			g_snprintf(keys[p.n], KEY_BYTES, "t%03d", (int)at);
-			rows[p.n] = (struct store_row){
-				keys[p.n], store_rows[at].revision, false};
+			rows[p.n] = (struct store_row){keys[p.n],
+						       store_rows[at].revision,
+						       false, NULL};
 			page_rows[p.n++] = at;
 		}
 		for (size_t i = 0; i < p.n; i++)
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "entry/evacuations.h"
 #include "entry/tunnel.h"
 
 /* Bytes of a side that wait for the other; it is not read beyond that. */
@@ -196,7 +197,7 @@
 	struct notices *n;
 
 	if (!g || !g->listed || g->info.draining || g->says_leaving ||
-	    g->resting_until_ms > now)
+	    g->resting_until_ms > now || target_is_evacuated(g))
 		return false;
 	n = g->tr->e->notices;
 	return !notices_get(n, NOTICE_TARGET_LEAVING, g->info.id, now, 0) &&
--- a/route/notices.c
+++ b/route/notices.c
@@ -3,7 +3,7 @@
 
 #include "route/notices.h"
 
-/* Most notices that are kept; beyond that new ones are not. */
+/* Most notices that are kept; beyond that only new urgent ones are. */
 #define NOTICES_MAX 4096
 
 /* Time for which a notice counts. */
@@ -12,6 +12,8 @@
 	[NOTICE_TARGET_LEAVING] = 60000,
 	[NOTICE_TARGET_REST] = 3600000,
 	[NOTICE_TARGET_BRITTLE] = 180000,
+	/* Only of the end of an evacuation; see is_current. */
+	[NOTICE_ZONE_EVACUATED] = 30000,
 };
 /* Part of it after which the same statement is sent again. */
 #define REFRESH_PART 3
@@ -32,6 +34,22 @@
 	size_t list_next; /* where notices_list goes on */
 };
 
+/*
+ * Whether a notice counts. An evacuation does until its end is stated, as
+ * nobody can confirm it during an outage of the store.
+ */
+static bool is_current(const struct notice *v, int64_t now_ms)
+{
+	return now_ms - v->at_ms < ttl_ms[v->kind] ||
+	       (v->kind == NOTICE_ZONE_EVACUATED && v->value);
+}
+
+/* Whether the notice is sent before others, however many these are. */
+static bool is_urgent(const struct notice *v)
+{
+	return v->kind == NOTICE_ZONE_EVACUATED;
+}
+
 static guint hash(gconstpointer p)
 {
 	const struct notice *n = p;
@@ -66,7 +84,7 @@
 {
 	struct entry *e = g_hash_table_lookup(n->v, v);
 
-	if (e || g_hash_table_size(n->v) >= NOTICES_MAX)
+	if (e || (g_hash_table_size(n->v) >= NOTICES_MAX && !is_urgent(v)))
 		return e;
 	e = g_new0(struct entry, 1);
 	e->v = *v;
@@ -137,7 +155,7 @@
 		return missing;
 	g_mutex_lock(&n->lock);
 	e = g_hash_table_lookup(n->v, &key);
-	if (e && now_ms - e->v.at_ms < ttl_ms[kind])
+	if (e && is_current(&e->v, now_ms))
 		value = e->v.value;
 	/* A rest ends when its time is over. */
 	if (e && kind == NOTICE_TARGET_REST && value != missing)
@@ -159,36 +177,77 @@
 	g_mutex_unlock(&n->lock);
 }
 
-size_t notices_take_updates(struct notices *n, struct notice *out, size_t max)
+/* Take updates of urgent kinds, or of the others, up to max in out. */
+static size_t take_updates(struct notices *n, bool urgent, struct notice *out,
+			   size_t k, size_t max)
 {
 	GHashTableIter it;
 	gpointer p;
-	size_t k = 0;
 
-	g_mutex_lock(&n->lock);
 	g_hash_table_iter_init(&it, n->v);
-	while (n->has_updates && k < max &&
-	       g_hash_table_iter_next(&it, NULL, &p)) {
+	while (k < max && g_hash_table_iter_next(&it, NULL, &p)) {
 		struct entry *e = p;
 
-		if (!e->rounds_left)
+		if (!e->rounds_left || is_urgent(&e->v) != urgent)
 			continue;
 		e->rounds_left--;
 		out[k++] = e->v;
 	}
+	return k;
+}
+
+size_t notices_take_updates(struct notices *n, struct notice *out, size_t max)
+{
+	size_t k = 0;
+
+	g_mutex_lock(&n->lock);
+	if (n->has_updates && notices_any(n, NOTICE_ZONE_EVACUATED))
+		k = take_updates(n, true, out, k, max);
+	if (n->has_updates)
+		k = take_updates(n, false, out, k, max);
 	n->has_updates = k > 0;
 	g_mutex_unlock(&n->lock);
 	return k;
 }
 
+/* List the urgent notices, which go along each time. */
+static size_t list_urgent(struct notices *n, int64_t now_ms, struct notice *out,
+			  size_t max)
+{
+	GHashTableIter it;
+	gpointer p;
+	size_t k = 0;
+
+	if (!notices_any(n, NOTICE_ZONE_EVACUATED))
+		return 0;
+	g_hash_table_iter_init(&it, n->v);
+	while (k < max && g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct entry *e = p;
+
+		if (is_urgent(&e->v) && is_current(&e->v, now_ms))
+			out[k++] = e->v;
+	}
+	return k;
+}
+
+static bool is_listed(const struct notice *v, size_t n, const struct notice *of)
+{
+	for (size_t i = 0; i < n; i++)
+		if (equal(&v[i], of))
+			return true;
+	return false;
+}
+
 size_t notices_list(struct notices *n, int64_t now_ms, struct notice *out,
 		    size_t max)
 {
 	GHashTableIter it;
 	gpointer p;
-	size_t k = 0, at = 0;
+	size_t k, at = 0;
 
 	g_mutex_lock(&n->lock);
+	/* At most half, so that the others have their turn. */
+	k = list_urgent(n, now_ms, out, max / 2);
 	if (n->list_next >= g_hash_table_size(n->v))
 		n->list_next = 0;
 	g_hash_table_iter_init(&it, n->v);
@@ -198,7 +257,7 @@
 		if (at++ < n->list_next)
 			continue;
 		n->list_next = at;
-		if (now_ms - e->v.at_ms < ttl_ms[e->v.kind])
+		if (is_current(&e->v, now_ms) && !is_listed(out, k, &e->v))
 			out[k++] = e->v;
 	}
 	g_mutex_unlock(&n->lock);
@@ -215,7 +274,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct entry *e = p;
 
-		if (now_ms - e->v.at_ms >= ttl_ms[e->v.kind])
+		if (!is_current(&e->v, now_ms))
 			g_hash_table_iter_remove(&it);
 	}
 	g_mutex_unlock(&n->lock);
--- a/route/notices.h
+++ b/route/notices.h
@@ -1,6 +1,6 @@
 /*
- * notices: short statements about targets and nodes that nodes tell each other,
- * of which the latest about each counts.
+ * notices: short statements about targets, nodes and zones that nodes tell each
+ * other, of which the latest about each counts.
  *
  * Pure state: times are given by the caller, in ms of its own clock. A lock
  * protects it, so any thread may call each function.
@@ -19,12 +19,17 @@
 	NOTICE_TARGET_REST,    /* ms for which it wants no requests */
 	/* Rejections in 1,000 s that it bears; LIMIT_NONE: any. */
 	NOTICE_TARGET_BRITTLE,
+	/*
+	 * Of a zone; 1: it is evacuated, 0: no longer. The former counts until
+	 * the latter comes, and both are sent before other kinds.
+	 */
+	NOTICE_ZONE_EVACUATED,
 	NOTICE_KINDS,
 };
 
 struct notice {
 	enum notice_kind kind;
-	uint64_t id; /* of the target or node */
+	uint64_t id; /* of the target, node or zone */
 	int64_t value;
 	int64_t at_ms; /* when that was so */
 };
--- a/route/test-notices.c
+++ b/route/test-notices.c
@@ -113,6 +113,53 @@
 	notices_free(n);
 }
 
+/* An evacuation lapses while nobody confirms it; its end is kept for ever. */
+static void test_evacuation_lasts(void)
+{
+	struct notices *n = notices_new();
+	struct notice v[2];
+
+	notices_set(n, NOTICE_ZONE_EVACUATED, 5, 1, 1000);
+	notices_expire(n, 90000000);
+	g_assert_cmpint(notices_get(n, NOTICE_ZONE_EVACUATED, 5, 90000000, 0),
+			==, 1);
+	g_assert_cmpuint(notices_list(n, 90000000, v, 2), ==, 1);
+	g_assert_cmpint(v[0].at_ms, ==, 1000);
+	notices_set(n, NOTICE_ZONE_EVACUATED, 5, 0, 90000000);
+	notices_expire(n, 90040000);
+	g_assert_cmpuint(notices_list(n, 90040000, v, 2), ==, 0);
+	notices_free(n);
+}
+
+/* Many statements about targets keep an evacuation from other nodes. */
+static void test_evacuation_first(void)
+{
+	struct notices *n = notices_new();
+	struct notice v[8];
+	bool zones[20] = {false};
+
+	for (uint64_t id = 0; id < 5000; id++)
+		notices_set(n, NOTICE_TARGET_LEAVING, id, 1, 1000);
+	notices_set(n, NOTICE_ZONE_EVACUATED, 0, 1, 1000);
+	g_assert_cmpuint(notices_take_updates(n, v, 8), ==, 8);
+	g_assert_cmpint(v[0].kind, ==, NOTICE_ZONE_EVACUATED);
+	g_assert_cmpuint(notices_list(n, 1001, v, 8), ==, 8);
+	g_assert_cmpint(v[0].kind, ==, NOTICE_ZONE_EVACUATED);
+	/* Each of more zones than fit has its turn. */
+	for (uint64_t id = 1; id < G_N_ELEMENTS(zones); id++)
+		notices_set(n, NOTICE_ZONE_EVACUATED, id, 1, 1000);
+	for (int i = 0; i < 5000 / 4 + 10; i++) {
+		size_t k = notices_list(n, 1001, v, 8);
+
+		for (size_t j = 0; j < k; j++)
+			if (v[j].kind == NOTICE_ZONE_EVACUATED)
+				zones[v[j].id] = true;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(zones); i++)
+		g_assert_true(zones[i]);
+	notices_free(n);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -123,5 +170,7 @@
 	g_test_add_func("/notices/spreads", test_spreads);
 	g_test_add_func("/notices/refresh", test_refresh);
 	g_test_add_func("/notices/known-is-not-told", test_known_is_not_told);
+	g_test_add_func("/notices/evacuation-lasts", test_evacuation_lasts);
+	g_test_add_func("/notices/evacuation-first", test_evacuation_first);
 	return g_test_run();
 }
