Old reads, the first configuration and a lonely node: evacuations tested

Cause: the state of the store after it came back without telling its era was ignored for good, and the log line of an evacuation named 0 targets before the first list had come.

Tests with the store's callbacks: the first configuration comes from the store, a node alone learns, an old read is ignored.

--- a/entry/evacuations.c
+++ b/entry/evacuations.c
@@ -6,16 +6,21 @@
 	return str_hash(name, 0);
 }
 
-/* Count the targets of a zone, and find its name if it is not known. */
-static size_t count_targets(struct entry *e, uint64_t zone, char **name)
+/*
+ * Count the targets of a zone, and find its name if it is not known; -1: no
+ * list of targets has come yet.
+ */
+static int count_targets(struct entry *e, uint64_t zone, char **name)
 {
 	struct target_list *l;
-	size_t n = 0;
+	int n = 0;
 
 	g_mutex_lock(&e->lock);
 	l = e->list ? target_list_ref(e->list) : NULL;
 	g_mutex_unlock(&e->lock);
-	for (size_t i = 0; l && i < l->n; i++) {
+	if (!l)
+		return -1;
+	for (size_t i = 0; i < l->n; i++) {
 		struct str z = l->v[i].zone;
 
 		if (!z.len || evacuation_zone_id(z) != zone)
@@ -36,7 +41,7 @@
 	};
 	struct entry *e = ctx;
 	char *zone = g_strdup(name);
-	size_t targets = count_targets(e, v->zone, &zone);
+	int targets = count_targets(e, v->zone, &zone);
 
 	metric_set(M_ZONES_EVACUATED,
 		   (int64_t)evacuations_count(e->evacuations));
@@ -44,7 +49,7 @@
 		  "zone=%s zone_id=%" G_GINT64_MODIFIER
 		  "x source=%s age_ms=%d targets=%d",
 		  zone ? zone : "-", v->zone, sources[v->source],
-		  (int)(time_boot_ms() - v->at_ms), (int)targets);
+		  (int)(time_boot_ms() - v->at_ms), targets);
 	g_free(zone);
 }
 
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -218,14 +218,30 @@
 	s->config_read_ms = 0;
 }
 
-/* Collect the rows of a page. A read may return an older state of the store. */
+/*
+ * Whether a page shows an older state of the store than one before, as a read
+ * may. One that nothing contradicts any more is not older: a store that does
+ * not tell its eras has come back from a copy.
+ */
+static bool is_old_page(struct store_sync *s, const struct store_page *p)
+{
+	int64_t now = time_boot_ms();
+
+	if (p->revision < s->rows_revision &&
+	    now - s->rows_revision_ms < OLD_CONFIG_MS)
+		return true;
+	s->rows_revision = p->revision;
+	s->rows_revision_ms = now;
+	return false;
+}
+
+/* Collect the rows of a page. */
 static void take_rows(struct store_sync *s, const struct store_page *p)
 {
 	struct config_rows *r = &s->rows;
-	bool old = p->revision < s->rows_revision;
+	bool old = is_old_page(s, p);
 
 	r->old |= old;
-	s->rows_revision = MAX(s->rows_revision, p->revision);
 	for (size_t i = 0; i < p->n; i++) {
 		const struct store_row *row = &p->rows[i];
 
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -11,11 +11,12 @@
 
 #define WAIT_MS 10000
 
-/* The store: a configuration and no targets. */
+/* The store: a configuration, zones that are evacuated, and no targets. */
 static struct {
 	int64_t version; /* of the configuration */
 	const char *content;
 	int64_t revision, era;
+	const char *zone; /* evacuated; NULL: none */
 	bool down;
 } store;
 
@@ -25,6 +26,7 @@
 	struct entry_options options;
 	struct store_sync *sync;
 	int config_reads;
+	bool cut; /* it doesn't reach the store */
 };
 
 /* A call in progress; its callback runs from the loop. */
@@ -57,11 +59,15 @@
 static void finish_call(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct call *c = w->data;
-	struct store_row row = {"config", store.revision, false, NULL};
+	struct store_row rows[] = {
+		{"config", store.revision, false, NULL},
+		{"evacuated", store.revision, false, store.zone},
+	};
+	bool down = store.down || c->node->cut;
 	struct store_page p = {
-		.status = store.down ? STORE_FAILED : STORE_OK,
-		.rows = &row,
-		.n = c->table == STORE_CONFIG && !store.down,
+		.status = down ? STORE_FAILED : STORE_OK,
+		.rows = rows,
+		.n = c->table == STORE_CONFIG && !down ? 1 + !!store.zone : 0,
 		.era = store.era,
 		.revision = store.revision,
 		.sent_ms = time_boot_ms(),
@@ -201,6 +207,24 @@
 	g_free(n);
 }
 
+static bool is_evacuated(const struct node *n, const char *zone)
+{
+	return evacuations_has(n->e.evacuations,
+			       evacuation_zone_id(str_c(zone)));
+}
+
+/* Run the loop until a zone is evacuated at a node, or no longer. */
+static void run_until_evacuated(struct ev_loop *loop, const struct node *n,
+				const char *zone, bool evacuated)
+{
+	int64_t until = time_mono_ms() + WAIT_MS;
+
+	while (is_evacuated(n, zone) != evacuated) {
+		g_assert_cmpint(time_mono_ms(), <, until);
+		ev_run(loop, EVRUN_ONCE);
+	}
+}
+
 static void set_store(int64_t version, const char *content, int64_t era)
 {
 	store.version = version;
@@ -208,6 +232,7 @@
 	store.era = era;
 	store.revision++;
 	store.down = false;
+	store.zone = NULL;
 }
 
 /* A new configuration reaches a node in pieces, and without a read of its own.
@@ -302,6 +327,95 @@
 	ev_loop_destroy(loop);
 }
 
+/*
+ * A node gets its first configuration from another one, which does not send the
+ * evacuated zones, and serves callers by it.
+ */
+static void test_first_from_store(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct node *reader, *node;
+	int64_t until;
+
+	set_store(1, "first", 1);
+	store.zone = "b";
+	reader = node_new(loop, true);
+	run_until(loop, reader, 1);
+	g_assert_true(is_evacuated(reader, "b"));
+	node = node_new(loop, false);
+	node->cut = true;
+	until = time_mono_ms() + 300;
+	while (time_mono_ms() < until) {
+		exchange(reader, node, -1);
+		g_assert_cmpint(version_of(node), ==, -1);
+		ev_run(loop, EVRUN_ONCE);
+	}
+	node->cut = false;
+	while (version_of(node) < 0) {
+		g_assert_false(is_evacuated(node, "b"));
+		ev_run(loop, EVRUN_ONCE);
+	}
+	g_assert_true(is_evacuated(node, "b"));
+	node_free(reader, loop);
+	node_free(node, loop);
+	ev_loop_destroy(loop);
+}
+
+/* A node that reaches no other one does not learn of an evacuation. */
+static void test_evacuation_alone(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct node *node;
+	int64_t began_ms;
+
+	set_store(1, "first", 1);
+	node = node_new(loop, false);
+	store_sync_set_reader(node->sync, false, 370);
+	run_until(loop, node, 1);
+	store.zone = "b";
+	store.revision++;
+	began_ms = time_mono_ms();
+	run_until_evacuated(loop, node, "b", true);
+	store.zone = NULL;
+	store.revision++;
+	g_test_message("learned after %d ms", (int)(time_mono_ms() - began_ms));
+	run_until_evacuated(loop, node, "b", false);
+	node_free(node, loop);
+	ev_loop_destroy(loop);
+}
+
+/* A read that shows an older state of the store takes an evacuation back. */
+static void test_old_read(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct node *node;
+	int64_t until;
+	int reads;
+
+	set_store(1, "first", 1);
+	store.zone = "b";
+	store.revision = 10;
+	node = node_new(loop, true);
+	run_until_evacuated(loop, node, "b", true);
+	/* Past the hold after the start, which would keep it as well. */
+	until = time_mono_ms() + EVACUATION_HOLD_MS + 100;
+	while (time_mono_ms() < until)
+		ev_run(loop, EVRUN_ONCE);
+	store.zone = NULL;
+	store.revision = 9;
+	reads = node->config_reads;
+	/* Full reads come every 2.1 s. */
+	until = time_mono_ms() + 2500;
+	while (time_mono_ms() < until)
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpint(node->config_reads, >, reads);
+	g_assert_true(is_evacuated(node, "b"));
+	/* A store that goes on from there has lost its later writes. */
+	run_until_evacuated(loop, node, "b", false);
+	node_free(node, loop);
+	ev_loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -310,5 +424,10 @@
 			test_config_from_peer);
 	g_test_add_func("/entry/store-sync/restored-store",
 			test_restored_store);
+	g_test_add_func("/entry/store-sync/first-from-store",
+			test_first_from_store);
+	g_test_add_func("/entry/store-sync/evacuation-alone",
+			test_evacuation_alone);
+	g_test_add_func("/entry/store-sync/old-read", test_old_read);
 	return g_test_run();
 }
