--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -121,6 +121,7 @@
 		s->era_seen_ms = now;
 		s->config_revision = 0;
 		s->rows_revision = 0;
+		s->zone_row_revision = 0;
 		evacuations_new_era(s->e->evacuations, now);
 		s->outage_ended_ms = now;
 		target_table_new_era(s->table, now);
@@ -213,8 +214,12 @@
 				time_boot_ms());
 	/*
 	 * The feed may have been asked for long before the row was written. A
-	 * read of all rows shows what is so now.
+	 * read of all rows shows what is so now; one for each change, as a feed
+	 * may show a row again.
 	 */
+	if (row->revision <= s->zone_row_revision)
+		return;
+	s->zone_row_revision = row->revision;
 	s->config_read_ms = 0;
 }
 
@@ -230,6 +235,8 @@
 	if (p->revision < s->rows_revision &&
 	    now - s->rows_revision_ms < OLD_CONFIG_MS)
 		return true;
+	if (p->revision < s->rows_revision)
+		s->zone_row_revision = 0;
 	s->rows_revision = p->revision;
 	s->rows_revision_ms = now;
 	return false;
--- a/entry/store-sync.h
+++ b/entry/store-sync.h
@@ -44,10 +44,11 @@
 		json_t *config;
 		bool old; /* it shows an older state than one known before */
 	} rows;
-	int64_t rows_revision;    /* the newest of a page, in this era; 0 */
-	int64_t rows_revision_ms; /* when a page last showed it */
-	char *config_text;        /* of the view in force, as JSON */
-	uint64_t config_hash;     /* of config_text */
+	int64_t rows_revision;     /* the newest of a page, in this era; 0 */
+	int64_t zone_row_revision; /* newest row of a zone in a feed; 0 */
+	int64_t rows_revision_ms;  /* when a page last showed it */
+	char *config_text;         /* of the view in force, as JSON */
+	uint64_t config_hash;      /* of config_text */
 	/* The configurations before, newest first, and deltas to this one. */
 	struct config_base {
 		char *text;
