Warm-up: the nodes together keep to the rate that a cold target bears

Cause: a target that has just started, or that says in its row that it is cold, got its full part of the requests at once and crashed (FAILBACK).

Without bounds.warmup_overshoot nothing changes.

The rig has fields for the warm-up of a service and a row; no existing check was changed.

Measured: TEST_JOBS=2 mk/test.sh 'platform/test-(warmup|target-limits|entry)$| route/test-(place|warmup|notices)': 99 passed, 0 failed. Also green, one by one: route/test-target-limits, entry/test-target-table, platform/test-decode.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -56,6 +56,8 @@
 	{ 4014, LOG_INFO, "prompt_freed" },
 	{ 4015, LOG_WARNING, "request_blocked" },
 	{ 4016, LOG_INFO, "request_freed" },
+	{ 3010, LOG_INFO, "target_cold" },
+	{ 3011, LOG_INFO, "target_warm" },
 	{ 3006, LOG_WARNING, "way_lost" },
 	{ 3007, LOG_INFO, "way_back" },
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
--- a/entry/control.c
+++ b/entry/control.c
@@ -122,12 +122,16 @@
 {
 	size_t n = member_count(c->member), live;
 	struct peer_list *l = peer_list_new(n), *old;
+	size_t ids = 0;
 
 	member_count_live(c->member, &live, &l->known);
+	l->known_ids = talloc_zero_array(l->arena, uint64_t, n + 1);
 	for (size_t i = 0; i < n; i++) {
 		const struct member_peer *p = member_at(c->member, i);
 		struct entry_peer *peer = &l->v[l->n];
 
+		if (p->state != MEMBER_LEFT)
+			l->known_ids[ids++] = p->id;
 		if (p->state != MEMBER_LIVE && p->state != MEMBER_SUSPECT)
 			continue;
 		if (!loads_address(p->info.control, &peer->report_address))
@@ -186,6 +190,22 @@
 			member_join(c->member, address);
 }
 
+/*
+ * Tell the warm-ups which nodes are known, live or not. A node that knows only
+ * some of the others would take more than its share, so they have to be read
+ * from the store, or else to have had time to introduce themselves.
+ */
+static void set_warmup_nodes(struct control *c, const struct peer_list *l,
+			     int64_t now_ms)
+{
+	if (c->warmup_view == c->published_view ||
+	    (now_ms < c->peers_known_at_ms &&
+	     !discovery_has_read(c->discovery)))
+		return;
+	c->warmup_view = c->published_view;
+	warmup_set_nodes(c->e->warmup, l->known_ids, l->known, now_ms);
+}
+
 /* Send the messages to other nodes that are due. */
 static void exchange_with_peers(struct control *c, int64_t now_ms)
 {
@@ -193,6 +213,7 @@
 
 	if (!l)
 		return;
+	set_warmup_nodes(c, l, now_ms);
 	peers_send_loads(c, l, now_ms);
 	peers_query_relays(c, l, now_ms);
 	peers_relay_loads(c, l, now_ms);
--- a/entry/control.h
+++ b/entry/control.h
@@ -57,6 +57,7 @@
 	int64_t records_resend_at_ms; /* what others may lack is sent then */
 	int64_t records_sweep_at_ms;  /* next look at what is out of date */
 	uint64_t records_view;        /* published_view whose nodes are set */
+	uint64_t warmup_view; /* published_view of the nodes of the warm-ups */
 	double record_budget; /* bytes that may be sent; see peer-records.c */
 	int64_t record_budget_ms; /* when that was computed */
 	size_t next_relay;        /* round-robin position for queries */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -129,6 +129,7 @@
 	tr->list = list;
 	peer_list_unref(tr->peers);
 	tr->peers = peers;
+	warmups_update(tr);
 	if (leaving && !tr->leaving_ms)
 		begin_leave(tr);
 	if (atomic_load(&e->stop_now))
@@ -184,6 +185,7 @@
 	(void)loop;
 	(void)events;
 	pool_sweep(tr);
+	warmups_tick(tr, now);
 	ways_probe(tr, now);
 	update_serving(tr, now);
 	stop_if_done(tr, now);
@@ -321,6 +323,8 @@
 	e->origins = origins_new();
 	e->crash_causes = crash_causes_new(on_cause_changed, NULL);
 	e->notices = notices_new();
+	e->warmup =
+		warmup_new(member_id(e->settings.node_name), warmups_log, NULL);
 	e->overflow_limits = target_limits_new(
 		&limit_overflow, member_id(e->settings.node_name), NULL, NULL);
 	e->target_limits = target_limits_new(&limit_requests,
@@ -392,6 +396,7 @@
 	target_limits_free(e->target_limits);
 	target_limits_free(e->overflow_limits);
 	notices_free(e->notices);
+	warmup_free(e->warmup);
 	g_free(e->control_address);
 	g_free(e);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -62,6 +62,8 @@
 	int64_t connections_max; /* per target, over all callers */
 	bool model;              /* its targets process and cache prompts */
 	bool kv_transfer; /* its targets fetch cached prompts from each other */
+	int64_t warmup_ms; /* for which a started target is cold; 0: it isn't */
+	double warmup_per_s; /* requests that a cold target bears; 0: any */
 };
 
 struct entry_organisation {
@@ -104,6 +106,8 @@
 	int64_t slots;   /* requests that it runs at the same time */
 	int64_t born_ms; /* wall-clock time of its start; 0: not known */
 	bool draining;   /* gets no new requests */
+	/* How much longer it was cold when its row was written; not hashed. */
+	int64_t warmup_left_ms;
 };
 
 /* The registered targets. Immutable once published; reference-counted. */
@@ -128,7 +132,8 @@
 	void *arena;
 	struct entry_peer *v; /* live nodes, including this one */
 	size_t n;
-	size_t known; /* number of nodes, live or not */
+	size_t known;        /* number of nodes, live or not */
+	uint64_t *known_ids; /* of these; room for all that were counted */
 };
 
 struct entry_config *entry_config_new(void);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -16,6 +16,7 @@
 #include "route/crash-causes.h"
 #include "route/notices.h"
 #include "route/target-limits.h"
+#include "route/warmup.h"
 
 #define MB_BYTES 1048576
 
@@ -136,6 +137,7 @@
 	int64_t buffered_response_bytes; /* the same of responses */
 	bool serving; /* last advertised state: callers may be sent here */
 	int64_t started_ms;
+	int64_t awake_ms;     /* last sign that this thread runs */
 	int64_t leaving_ms;   /* when SIGTERM arrived; 0: not leaving */
 	int64_t refuse_at_ms; /* new requests are refused from then on */
 	int64_t stop_at_ms;   /* the process ends by then */
@@ -157,6 +159,7 @@
 	struct target_limits *target_limits;
 	struct target_limits *overflow_limits; /* of brittle targets */
 	struct notices *notices;
+	struct warmup *warmup; /* of cold targets */
 	struct control *control;
 	void *store; /* handle of struct store_api; control thread only */
 	char *control_address;
@@ -371,6 +374,41 @@
 /* Return the service's retry budget, updated from the settings. */
 struct retry_window *pool_retry_window(struct traffic *tr, struct str service);
 
+/*
+ * warmups.c: cold targets, see docs/design/warm-up.md. Nothing is limited if
+ * the settings have no bounds.warmup_overshoot.
+ */
+
+/*
+ * Return when this node may next send the target a request, as far as its
+ * warm-up goes: now_ms if it may at once.
+ */
+int64_t warmups_next_ms(struct target *t, int64_t now_ms);
+/* Count a request that is sent to the target. */
+void warmups_take(struct target *t, int64_t now_ms);
+/*
+ * Count whether the request would have gone to a cold target instead of the
+ * chosen one (SIZE_MAX: none).
+ */
+void warmups_record_choice(const struct place_limits *l, uint64_t key,
+			   const struct place_target *p, size_t n,
+			   size_t chosen);
+/* Find the targets that have just started, in a new list or configuration. */
+void warmups_update(struct traffic *tr);
+/*
+ * The evacuation of a zone ended at returned_ms: its targets are cold from then
+ * on for the warm-up of their service. May be repeated.
+ */
+void warmups_zone_returned(struct traffic *tr, struct str zone,
+			   int64_t returned_ms);
+/* Forget the targets that are warm again; every 100 ms. */
+void warmups_tick(struct traffic *tr, int64_t now_ms);
+/* A target's row was read. Control thread only. */
+void warmups_read_row(void *entry, const struct target_info *t, int64_t now_ms);
+/* Log a change of struct warmup. Any thread. */
+void warmups_log(void *ctx, uint64_t target, int64_t until_ms,
+		 enum warmup_source s);
+
 /* ways.c: the ways to targets that this node has lost. */
 
 /*
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -320,6 +320,7 @@
 		.avoid = ejected,
 		.draining = t->info.draining || leaving || resting,
 		.limited = limited || is_overfull(t, load, now_ms),
+		.warming = warmups_next_ms(t, now_ms) > now_ms,
 		.can_export = !t->last_failed && !ejected && !resting,
 	};
 }
@@ -388,7 +389,7 @@
 
 static bool may_send(struct place_target p)
 {
-	return !p.draining && !p.limited;
+	return !p.draining && !p.limited && !p.warming;
 }
 
 struct service_room pool_service_room(struct traffic *tr,
@@ -464,8 +465,10 @@
 	avoid_tried(p, n, tried, tried_count);
 	chosen = place_choose(&limits, prompt->parts[0], p, n,
 			      (struct route_random){random_double, tr->rand});
+	warmups_record_choice(&limits, prompt->parts[0], p, n, chosen);
 	if (chosen == SIZE_MAX)
 		return NULL;
+	warmups_take(targets[chosen], now);
 	target_limits_take(tr->e->target_limits, targets[chosen]->info.id, now);
 	if (may_reject(targets[chosen], p[chosen].load, now))
 		target_limits_take(tr->e->overflow_limits,
@@ -663,7 +666,7 @@
 
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct target *t = v;
+		struct target *t = v;
 		int64_t at_ms;
 
 		if (!t->listed || t->info.draining || t->says_leaving ||
@@ -672,6 +675,7 @@
 		at_ms = MAX(t->resting_until_ms,
 			    target_limits_next_ms(tr->e->target_limits,
 						  t->info.id, now_ms));
+		at_ms = MAX(at_ms, warmups_next_ms(t, now_ms));
 		if (at_ms > now_ms && at_ms < INT64_MAX &&
 		    (!soonest || at_ms < soonest))
 			soonest = at_ms;
--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -30,6 +30,8 @@
 	double bounds_retry_window_s;
 	double bounds_retry_allowance;
 	double bounds_load_factor;
+	double bounds_warmup_overshoot;
+	double bounds_warmup_allowance;
 	double bounds_entries_ttl_s;
 	char *log_level;
 	int64_t log_lines;
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -19,6 +19,10 @@
 /* target-table.c: the rows of the table of targets; see there. */
 struct target_table *target_table_new(void);
 void target_table_free(struct target_table *t);
+/* Called for each row that says that its target is cold, when it is read. */
+typedef void cold_row_fn(void *ctx, const struct target_info *t,
+			 int64_t now_ms);
+void target_table_on_cold(struct target_table *t, cold_row_fn *fn, void *ctx);
 /* Hash of the usable targets; see target_info_hash. */
 uint64_t target_table_hash(const struct target_table *t);
 /* Revision of the store up to which the list is complete; 0: no list. */
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -456,6 +456,7 @@
 	s->store_up = true;
 	s->outage_ended_ms = INT64_MIN / 2;
 	s->table = target_table_new();
+	target_table_on_cold(s->table, warmups_read_row, e);
 	start_timer(s, &s->config_timer, read_config);
 	start_timer(s, &s->targets_timer, read_targets);
 	return s;
--- a/entry/target-table.c
+++ b/entry/target-table.c
@@ -46,6 +46,8 @@
 	uint64_t hash;         /* of the usable targets */
 	size_t removed;        /* rows that are not usable */
 	bool changed;          /* since target_table_list */
+	cold_row_fn *on_cold;  /* may be NULL */
+	void *on_cold_ctx;
 };
 
 static void row_free(void *p)
@@ -65,6 +67,12 @@
 	return t;
 }
 
+void target_table_on_cold(struct target_table *t, cold_row_fn *fn, void *ctx)
+{
+	t->on_cold = fn;
+	t->on_cold_ctx = ctx;
+}
+
 void target_table_free(struct target_table *t)
 {
 	g_hash_table_unref(t->rows);
@@ -179,6 +187,8 @@
 	}
 	if (usable)
 		keep_draining(row, &info);
+	if (usable && info.warmup_left_ms > 0 && t->on_cold)
+		t->on_cold(t->on_cold_ctx, &info, now_ms);
 	row->revision = r->revision;
 	row->read_number = t->read_number;
 	/* Heartbeats change the row's revision, but not the target. */
--- a/entry/test-target-table.c
+++ b/entry/test-target-table.c
@@ -16,6 +16,7 @@
 	bool present, draining;
 	int64_t revision;
 	int64_t born_ms;
+	int64_t warmup_left_ms;
 };
 
 static struct fake_row store_rows[TARGETS_MAX];
@@ -39,6 +40,7 @@
 	out->service = str_dup(arena, STR_LIT("pool"));
 	out->zone = str_dup(arena, STR_LIT("a"));
 	out->draining = r->draining;
+	out->warmup_left_ms = r->warmup_left_ms;
 	out->id = str_hash(out->name, (uint64_t)r->born_ms);
 	return true;
 }
@@ -301,6 +303,43 @@
 	target_table_free(t);
 }
 
+/* Sums the times that cold rows give. */
+static void add_left(void *ctx, const struct target_info *t, int64_t now_ms)
+{
+	(void)now_ms;
+	*(int64_t *)ctx += t->warmup_left_ms;
+}
+
+/*
+ * A row that says that its target has become cold is not noticed, as it is the
+ * same target; or it counts again with each read.
+ */
+static void test_cold_rows(void)
+{
+	struct target_table *t = target_table_new();
+	int64_t sum_ms = 0;
+	struct target_list *l;
+
+	reset_store(6);
+	target_table_on_cold(t, add_left, &sum_ms);
+	read_store(t, 500, true, 1000);
+	g_assert_cmpint(sum_ms, ==, 0);
+	l = target_table_list(t);
+	target_list_unref(l);
+	store_rows[2].warmup_left_ms = 300;
+	write_row(2, true, false);
+	read_store(t, 500, true, 2000);
+	g_assert_cmpint(sum_ms, ==, 300);
+	g_assert_false(target_table_changed(t));
+	read_store(t, 500, true, 3000);
+	g_assert_cmpint(sum_ms, ==, 300);
+	store_rows[2].warmup_left_ms = 200;
+	write_row(2, true, false);
+	read_store(t, 500, true, 4000);
+	g_assert_cmpint(sum_ms, ==, 500);
+	target_table_free(t);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -312,5 +351,6 @@
 	g_test_add_func("/entry/target-table/ready-again", test_ready_again);
 	g_test_add_func("/entry/target-table/restored-store",
 			test_restored_store);
+	g_test_add_func("/entry/target-table/cold-rows", test_cold_rows);
 	return g_test_run();
 }
--- a/route/notices.c
+++ b/route/notices.c
@@ -12,6 +12,8 @@
 	[NOTICE_TARGET_LEAVING] = 60000,
 	[NOTICE_TARGET_REST] = 3600000,
 	[NOTICE_TARGET_BRITTLE] = 180000,
+	/* Readers of the store say it again every 30 s while it holds. */
+	[NOTICE_TARGET_COLD] = 120000,
 };
 /* Part of it after which the same statement is sent again. */
 #define REFRESH_PART 3
@@ -117,7 +119,7 @@
 {
 	struct entry *e;
 
-	if (v->kind >= NOTICE_KINDS)
+	if (v->kind >= NOTICE_KINDS || !ttl_ms[v->kind])
 		return;
 	g_mutex_lock(&n->lock);
 	e = merge(n, v);
@@ -139,9 +141,10 @@
 	e = g_hash_table_lookup(n->v, &key);
 	if (e && now_ms - e->v.at_ms < ttl_ms[kind])
 		value = e->v.value;
-	/* A rest ends when its time is over. */
-	if (e && kind == NOTICE_TARGET_REST && value != missing)
-		value = MAX(e->v.at_ms + e->v.value - now_ms, 0);
+	/* A rest and a warm-up end when their time is over. */
+	if (e && (kind == NOTICE_TARGET_REST || kind == NOTICE_TARGET_COLD) &&
+	    value != missing)
+		value = MAX(e->v.value - (now_ms - e->v.at_ms), 0);
 	g_mutex_unlock(&n->lock);
 	return value;
 }
--- a/route/notices.h
+++ b/route/notices.h
@@ -19,6 +19,8 @@
 	NOTICE_TARGET_REST,    /* ms for which it wants no requests */
 	/* Rejections in 1,000 s that it bears; LIMIT_NONE: any. */
 	NOTICE_TARGET_BRITTLE,
+	/* Numbers 4 and 5 are of other kinds, which this build drops. */
+	NOTICE_TARGET_COLD = 6, /* ms for which it bears few requests */
 	NOTICE_KINDS,
 };
 
--- a/route/place.c
+++ b/route/place.c
@@ -73,7 +73,8 @@
  */
 static bool may_take(const struct place_target *t, bool allow_avoided)
 {
-	return !t->draining && !t->limited && (!t->avoid || allow_avoided);
+	return !t->draining && !t->limited && !t->warming &&
+	       (!t->avoid || allow_avoided);
 }
 
 /*
@@ -90,7 +91,7 @@
 	for (size_t i = 0; i < n; i++) {
 		if (t[i].draining || (t[i].avoid && !allow_avoided))
 			continue;
-		any |= !t[i].limited;
+		any |= !t[i].limited && !t[i].warming;
 		sum += t[i].load;
 		k++;
 	}
@@ -223,6 +224,34 @@
 	return i != SIZE_MAX ? i : least_loaded(t, n, allow_avoided, random);
 }
 
+/* Whether the request prefers a warming target to the chosen one. */
+static bool is_preferred(uint64_t key, const struct place_target *warming,
+			 const struct place_target *chosen, double bound)
+{
+	if (!key)
+		return warming->load < chosen->load;
+	return warming->load + 1 <= bound &&
+	       weighted_score(key, warming->id, warming->weight) >
+		       weighted_score(key, chosen->id, chosen->weight);
+}
+
+bool place_avoided_warming(const struct place_limits *l, uint64_t key,
+			   const struct place_target *t, size_t n,
+			   size_t chosen)
+{
+	double bound = mean_load(t, n, false) * l->factor + l->slack;
+
+	for (size_t i = 0; i < n; i++) {
+		if (!t[i].warming || t[i].draining || t[i].limited ||
+		    t[i].avoid)
+			continue;
+		if (chosen == SIZE_MAX ||
+		    is_preferred(key, &t[i], &t[chosen], bound))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Return the target where the key's requests usually go, if others can fetch
  * from it, or SIZE_MAX when it is the chosen one.
--- a/route/route.h
+++ b/route/route.h
@@ -560,6 +560,12 @@
 	 * the mean load.
 	 */
 	bool limited;
+	/*
+	 * Cold, and this node may not send it a request now. It counts for the
+	 * mean load, as others send it some, but unlike a limited target it
+	 * gives the others no more load than the mean allows.
+	 */
+	bool warming;
 	bool can_export; /* other targets can fetch cached prefixes from it */
 };
 
@@ -604,6 +610,13 @@
 size_t place_choose(const struct place_limits *l, uint64_t key,
 		    const struct place_target *t, size_t n,
 		    struct route_random random);
+/*
+ * Return whether the request would have gone to a warming target instead of the
+ * chosen one (SIZE_MAX: none) if that had taken it.
+ */
+bool place_avoided_warming(const struct place_limits *l, uint64_t key,
+			   const struct place_target *t, size_t n,
+			   size_t chosen);
 /*
  * Choose the target from which the chosen one fetches the part of the prompt
  * that it has not cached. parts are the hashes of the prompt's shared prefixes,
--- a/route/test-notices.c
+++ b/route/test-notices.c
@@ -113,6 +113,28 @@
 	notices_free(n);
 }
 
+/*
+ * A warm-up that is told of goes on after its end, or a kind that this build
+ * has no use for fills the memory and is sent on.
+ */
+static void test_cold(void)
+{
+	struct notices *n = notices_new();
+	struct notice unknown = {(enum notice_kind)5, 7, 1, 1000}, v;
+
+	notices_set_rounds(n, 1, true);
+	notices_receive(n, &unknown);
+	g_assert_cmpuint(notices_list(n, 1000, &v, 1), ==, 0);
+	g_assert_cmpuint(notices_take_updates(n, &v, 1), ==, 0);
+	/* The number is part of the protocol between builds. */
+	g_assert_cmpint(NOTICE_TARGET_COLD, ==, 6);
+	notices_set(n, NOTICE_TARGET_COLD, 7, 5000, 1000);
+	g_assert_cmpint(notices_get(n, NOTICE_TARGET_COLD, 7, 3000, 0), ==,
+			3000);
+	g_assert_cmpint(notices_get(n, NOTICE_TARGET_COLD, 7, 7000, 0), ==, 0);
+	notices_free(n);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -122,6 +144,7 @@
 	g_test_add_func("/notices/rest-ends", test_rest_ends);
 	g_test_add_func("/notices/spreads", test_spreads);
 	g_test_add_func("/notices/refresh", test_refresh);
+	g_test_add_func("/notices/cold", test_cold);
 	g_test_add_func("/notices/known-is-not-told", test_known_is_not_told);
 	return g_test_run();
 }
--- a/route/test-place.c
+++ b/route/test-place.c
@@ -385,6 +385,77 @@
 	g_rand_free(r);
 }
 
+/*
+ * A cold target gets a request that its share doesn't allow, or those that it
+ * doesn't get go to targets beyond their limit, as beside limited ones.
+ */
+static void test_warming(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_limits l = place_limits_for(10000, 2);
+	struct place_target t[TARGETS];
+
+	fill(t, 4);
+	l.room = 1000;
+	for (size_t i = 0; i < TARGETS; i++) {
+		t[i].slots = 2;
+		t[i].warming = i < 3;
+	}
+	t[3].load = 20;
+	for (uint64_t key = 1; key < 200; key++) {
+		size_t i = place_choose(&l, key, t, TARGETS, random_of(r));
+
+		/* Beside limited targets the room would be 1000. */
+		g_assert_cmpuint(i, >, 3);
+		g_assert_cmpuint(i, <, TARGETS);
+	}
+	place_limit_overflow(t, TARGETS, 5);
+	for (size_t i = 0; i < TARGETS; i++)
+		g_assert_false(t[i].limited);
+	/* Their loads count for the mean: 4 x 1.75 + 2.2 is above 8. */
+	for (size_t i = 3; i < TARGETS; i++)
+		t[i].load = i == 8 ? 0 : 8;
+	l.room = 0;
+	t[0].load = t[1].load = t[2].load = 0;
+	for (uint64_t key = 1; key < 50; key++)
+		g_assert_cmpuint(
+			place_choose(&l, key, t, TARGETS, random_of(r)), >, 2);
+	for (size_t i = 0; i < TARGETS; i++)
+		t[i].warming = true;
+	g_assert_cmpuint(place_choose(&l, 1, t, TARGETS, random_of(r)), ==,
+			 SIZE_MAX);
+	g_assert_cmpuint(place_choose(&l, 0, t, TARGETS, random_of(r)), ==,
+			 SIZE_MAX);
+	g_rand_free(r);
+}
+
+/* The counter counts requests that would not have gone to a cold target. */
+static void test_avoided_warming(void)
+{
+	GRand *r = g_rand_new_with_seed(1);
+	struct place_limits l = place_limits_for(10000, 2);
+	struct place_target t[TARGETS];
+
+	for (uint64_t key = 0; key < 200; key++) {
+		size_t preferred, chosen;
+
+		fill(t, 4);
+		t[5].load = 3; /* least loaded, for requests without a key */
+		preferred = place_choose(&l, key, t, TARGETS, random_of(r));
+		t[5].warming = true;
+		chosen = place_choose(&l, key, t, TARGETS, random_of(r));
+		g_assert_cmpint(
+			place_avoided_warming(&l, key, t, TARGETS, chosen), ==,
+			preferred == 5);
+	}
+	for (size_t i = 0; i < TARGETS; i++)
+		t[i].draining = i != 5;
+	g_assert_true(place_avoided_warming(&l, 1, t, TARGETS, SIZE_MAX));
+	t[5].warming = false;
+	g_assert_false(place_avoided_warming(&l, 1, t, TARGETS, SIZE_MAX));
+	g_rand_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -404,5 +475,7 @@
 	g_test_add_func("/route/place/overflow", test_overflow);
 	g_test_add_func("/route/place/room-beside-limited",
 			test_room_beside_limited);
+	g_test_add_func("/route/place/warming", test_warming);
+	g_test_add_func("/route/place/avoided-warming", test_avoided_warming);
 	return g_test_run();
 }
