--- a/entry/internal.h
+++ b/entry/internal.h
@@ -384,6 +384,11 @@
  * warm-up goes: now_ms if it may at once.
  */
 int64_t warmups_next_ms(struct target *t, int64_t now_ms);
+/*
+ * Return when a caller that was refused may come back for the target: another
+ * node may have a slot sooner than this one.
+ */
+int64_t warmups_retry_ms(struct target *t, int64_t now_ms);
 /* Count a request that is sent to the target. */
 void warmups_take(struct target *t, int64_t now_ms);
 /*
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -675,7 +675,7 @@
 		at_ms = MAX(t->resting_until_ms,
 			    target_limits_next_ms(tr->e->target_limits,
 						  t->info.id, now_ms));
-		at_ms = MAX(at_ms, warmups_next_ms(t, now_ms));
+		at_ms = MAX(at_ms, warmups_retry_ms(t, now_ms));
 		if (at_ms > now_ms && at_ms < INT64_MAX &&
 		    (!soonest || at_ms < soonest))
 			soonest = at_ms;
--- a/route/test-warmup.c
+++ b/route/test-warmup.c
@@ -293,6 +293,27 @@
 	}
 }
 
+/*
+ * New nodes begin before the others have learned of them and taken their own
+ * shares back.
+ */
+static void test_joins_at_once(void)
+{
+	static const size_t sizes[] = {1, 2, 3, 6};
+
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		struct fleet *f = fleet_new(sizes[seed % G_N_ELEMENTS(sizes)],
+					    18.2, seed);
+
+		play(f, 8000);
+		for (int i = 0; i < 8; i++)
+			join(f, 0);
+		play(f, 10000);
+		assert_seconds(f, 0);
+		fleet_free(f);
+	}
+}
+
 /* Many nodes leave at once, and their successors take over early. */
 static void test_successors_wait(void)
 {
@@ -479,12 +500,12 @@
 }
 
 /* A service of which a zone comes back cold while demand is high. */
-#define ZONE_NODES   24
-#define ZONE_TARGETS 30
-#define ZONE_COLD    10
-#define ZONE_RUN_MS  500
-#define ZONE_SLOTS   32
-#define ZONE_SECONDS 15
+#define ZONE_NODES     24
+#define ZONE_TARGETS   30
+#define ZONE_COLD      10
+#define ZONE_RUN_TICKS (500 / TICK_MS)
+#define ZONE_SLOTS     32
+#define ZONE_SECONDS   15
 
 struct zone_run {
 	struct warmup *nodes[ZONE_NODES];
@@ -557,10 +578,9 @@
 	for (z->tick = 0; z->tick < ZONE_SECONDS * second; z->tick++) {
 		z->now_ms += TICK_MS;
 		for (size_t i = 0; i < ZONE_TARGETS; i++)
-			if (z->tick >= ZONE_RUN_MS / TICK_MS)
+			if (z->tick >= ZONE_RUN_TICKS)
 				z->targets[i].load -=
-					z->sent[i][z->tick -
-						   ZONE_RUN_MS / TICK_MS];
+					z->sent[i][z->tick - ZONE_RUN_TICKS];
 		/* 800 a second: 20 in progress at each warm target. */
 		for (int k = 0; k < 8; k++)
 			zone_request(z, bound);
@@ -593,6 +613,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/warmup/sum-over-nodes", test_sum_over_nodes);
 	g_test_add_func("/warmup/nodes-come-and-go", test_nodes_come_and_go);
+	g_test_add_func("/warmup/joins-at-once", test_joins_at_once);
 	g_test_add_func("/warmup/successors-wait", test_successors_wait);
 	g_test_add_func("/warmup/partition", test_partition);
 	g_test_add_func("/warmup/late-knowledge", test_late_knowledge);
