--- a/route/notices.h
+++ b/route/notices.h
@@ -13,6 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* The numbers are part of the protocol between builds. */
 enum notice_kind {
 	NOTICE_NODE_CUT, /* of a node; 1: it has lost its way to most targets */
 	NOTICE_TARGET_LEAVING, /* 1: it said so */
@@ -24,6 +25,7 @@
 	 * the latter comes, and both are sent before other kinds.
 	 */
 	NOTICE_ZONE_EVACUATED,
+	NOTICE_TARGET_COLD, /* ms for which it bears few requests */
 	NOTICE_KINDS,
 };
 
