Notices of evacuated zones do not wait for the budget of records

Cause: causes and limits go before notices and share 4 KB a second with them, so that many of them kept an evacuation from other nodes.

Change: urgent notices are a list of their own that is sent first, also when the budget is spent; they are charged to it.

--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -1,7 +1,8 @@
 /*
  * The exchange of records between nodes: what crashes targets, the limits that
  * they name, and notices of targets and nodes. All kinds travel in the same
- * datagrams and share one budget of bytes; what exceeds it waits. A small fleet
+ * datagrams and share one budget of bytes; what exceeds it waits, except for
+ * urgent notices. A small fleet
  * sends updates to all nodes; in a large one each node that learns of an update
  * sends it on to some. What others may have missed is sent again, to some nodes
  * in turn. Runs on the control thread.
@@ -194,22 +195,39 @@
 	target_limits_receive(c->e->target_limits, &l);
 }
 
-static size_t fill_notices(struct packet *p, int64_t now_ms)
+static void add_notices(struct packet *p, const struct notice *v, size_t n,
+			int64_t now_ms)
 {
-	struct notices *all = p->c->e->notices;
-	struct notice v[TAKEN_MAX];
-	size_t n = p->resend ? notices_list(all, now_ms, v, TAKEN_MAX)
-			     : notices_take_updates(all, v, TAKEN_MAX);
-
 	for (size_t i = 0; i < n; i++) {
 		next_record(p, RECORD_NOTICE)->peer_record_u.notice =
 			(struct notice_report){v[i].kind, v[i].id, v[i].value,
 					       age_of(v[i].at_ms, now_ms)};
 		add_record(p);
 	}
+}
+
+static size_t fill_notices(struct packet *p, int64_t now_ms)
+{
+	struct notices *all = p->c->e->notices;
+	struct notice v[TAKEN_MAX];
+	size_t n = p->resend ? notices_list(all, now_ms, v, TAKEN_MAX)
+			     : notices_take_updates(all, v, TAKEN_MAX);
+
+	add_notices(p, v, n, now_ms);
 	return n;
 }
 
+/* These are sent at once, also when the budget is spent. */
+static void fill_urgent_notices(struct packet *p, int64_t now_ms)
+{
+	struct notices *all = p->c->e->notices;
+	struct notice v[TAKEN_MAX];
+	size_t n = p->resend ? notices_list_urgent(all, now_ms, v, TAKEN_MAX)
+			     : notices_take_urgent(all, v, TAKEN_MAX);
+
+	add_notices(p, v, n, now_ms);
+}
+
 /*
  * Whether a message may have waited here, so that what it says is older than by
  * the age that it names.
@@ -309,6 +327,7 @@
 	struct packet *p = g_new(struct packet, 1);
 
 	packet_init(p, c, l, resend);
+	fill_urgent_notices(p, now_ms);
 	for (size_t i = 0; i < G_N_ELEMENTS(sources); i++)
 		while (c->record_budget > 0 && sources[i].fill(p, now_ms) &&
 		       !resend)
--- a/route/notices.c
+++ b/route/notices.c
@@ -177,42 +177,29 @@
 	g_mutex_unlock(&n->lock);
 }
 
-/* Take updates of urgent kinds, or of the others, up to max in out. */
-static size_t take_updates(struct notices *n, bool urgent, struct notice *out,
-			   size_t k, size_t max)
+size_t notices_take_updates(struct notices *n, struct notice *out, size_t max)
 {
 	GHashTableIter it;
 	gpointer p;
+	size_t k = 0;
 
+	g_mutex_lock(&n->lock);
 	g_hash_table_iter_init(&it, n->v);
-	while (k < max && g_hash_table_iter_next(&it, NULL, &p)) {
+	while (n->has_updates && k < max &&
+	       g_hash_table_iter_next(&it, NULL, &p)) {
 		struct entry *e = p;
 
-		if (!e->rounds_left || is_urgent(&e->v) != urgent)
+		if (!e->rounds_left)
 			continue;
 		e->rounds_left--;
 		out[k++] = e->v;
 	}
-	return k;
-}
-
-size_t notices_take_updates(struct notices *n, struct notice *out, size_t max)
-{
-	size_t k = 0;
-
-	g_mutex_lock(&n->lock);
-	if (n->has_updates && notices_any(n, NOTICE_ZONE_EVACUATED))
-		k = take_updates(n, true, out, k, max);
-	if (n->has_updates)
-		k = take_updates(n, false, out, k, max);
 	n->has_updates = k > 0;
 	g_mutex_unlock(&n->lock);
 	return k;
 }
 
-/* List the urgent notices, which go along each time. */
-static size_t list_urgent(struct notices *n, int64_t now_ms, struct notice *out,
-			  size_t max)
+size_t notices_take_urgent(struct notices *n, struct notice *out, size_t max)
 {
 	GHashTableIter it;
 	gpointer p;
@@ -220,34 +207,29 @@
 
 	if (!notices_any(n, NOTICE_ZONE_EVACUATED))
 		return 0;
+	g_mutex_lock(&n->lock);
 	g_hash_table_iter_init(&it, n->v);
-	while (k < max && g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct entry *e = p;
+	while (n->has_updates && k < max &&
+	       g_hash_table_iter_next(&it, NULL, &p)) {
+		struct entry *e = p;
 
-		if (is_urgent(&e->v) && is_current(&e->v, now_ms))
-			out[k++] = e->v;
+		if (!e->rounds_left || !is_urgent(&e->v))
+			continue;
+		e->rounds_left--;
+		out[k++] = e->v;
 	}
+	g_mutex_unlock(&n->lock);
 	return k;
 }
 
-static bool is_listed(const struct notice *v, size_t n, const struct notice *of)
-{
-	for (size_t i = 0; i < n; i++)
-		if (equal(&v[i], of))
-			return true;
-	return false;
-}
-
 size_t notices_list(struct notices *n, int64_t now_ms, struct notice *out,
 		    size_t max)
 {
 	GHashTableIter it;
 	gpointer p;
-	size_t k, at = 0;
+	size_t k = 0, at = 0;
 
 	g_mutex_lock(&n->lock);
-	/* At most half, so that the others have their turn. */
-	k = list_urgent(n, now_ms, out, max / 2);
 	if (n->list_next >= g_hash_table_size(n->v))
 		n->list_next = 0;
 	g_hash_table_iter_init(&it, n->v);
@@ -257,7 +239,28 @@
 		if (at++ < n->list_next)
 			continue;
 		n->list_next = at;
-		if (is_current(&e->v, now_ms) && !is_listed(out, k, &e->v))
+		if (is_current(&e->v, now_ms))
+			out[k++] = e->v;
+	}
+	g_mutex_unlock(&n->lock);
+	return k;
+}
+
+size_t notices_list_urgent(struct notices *n, int64_t now_ms,
+			   struct notice *out, size_t max)
+{
+	GHashTableIter it;
+	gpointer p;
+	size_t k = 0;
+
+	if (!notices_any(n, NOTICE_ZONE_EVACUATED))
+		return 0;
+	g_mutex_lock(&n->lock);
+	g_hash_table_iter_init(&it, n->v);
+	while (k < max && g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct entry *e = p;
+
+		if (is_urgent(&e->v) && is_current(&e->v, now_ms))
 			out[k++] = e->v;
 	}
 	g_mutex_unlock(&n->lock);
--- a/route/notices.h
+++ b/route/notices.h
@@ -21,7 +21,7 @@
 	NOTICE_TARGET_BRITTLE,
 	/*
 	 * Of a zone; 1: it is evacuated, 0: no longer. The former counts until
-	 * the latter comes, and both are sent before other kinds.
+	 * the latter comes; urgent, see notices_take_urgent.
 	 */
 	NOTICE_ZONE_EVACUATED,
 	NOTICE_KINDS,
@@ -57,6 +57,14 @@
 /* List notices that are not out of date, in turn over the calls. */
 size_t notices_list(struct notices *n, int64_t now_ms, struct notice *out,
 		    size_t max);
+/*
+ * The same for notices of urgent kinds (NOTICE_ZONE_EVACUATED), to be sent
+ * before all others. Of more than max the list always has the same, and
+ * notices_list the others in turn.
+ */
+size_t notices_take_urgent(struct notices *n, struct notice *out, size_t max);
+size_t notices_list_urgent(struct notices *n, int64_t now_ms,
+			   struct notice *out, size_t max);
 void notices_receive(struct notices *n, const struct notice *v);
 /* Forget what is out of date. */
 void notices_expire(struct notices *n, int64_t now_ms);
--- a/route/test-notices.c
+++ b/route/test-notices.c
@@ -140,15 +140,22 @@
 
 	for (uint64_t id = 0; id < 5000; id++)
 		notices_set(n, NOTICE_TARGET_LEAVING, id, 1, 1000);
+	g_assert_cmpuint(notices_take_urgent(n, v, 8), ==, 0);
+	g_assert_cmpuint(notices_list_urgent(n, 1001, v, 8), ==, 0);
+	notices_set_rounds(n, 2, false);
 	notices_set(n, NOTICE_ZONE_EVACUATED, 0, 1, 1000);
+	for (int round = 0; round < 2; round++) {
+		g_assert_cmpuint(notices_take_urgent(n, v, 8), ==, 1);
+		g_assert_cmpint(v[0].kind, ==, NOTICE_ZONE_EVACUATED);
+	}
+	g_assert_cmpuint(notices_take_urgent(n, v, 8), ==, 0);
 	g_assert_cmpuint(notices_take_updates(n, v, 8), ==, 8);
-	g_assert_cmpint(v[0].kind, ==, NOTICE_ZONE_EVACUATED);
-	g_assert_cmpuint(notices_list(n, 1001, v, 8), ==, 8);
+	g_assert_cmpuint(notices_list_urgent(n, 1001, v, 8), ==, 1);
 	g_assert_cmpint(v[0].kind, ==, NOTICE_ZONE_EVACUATED);
 	/* Each of more zones than fit has its turn. */
 	for (uint64_t id = 1; id < G_N_ELEMENTS(zones); id++)
 		notices_set(n, NOTICE_ZONE_EVACUATED, id, 1, 1000);
-	for (int i = 0; i < 5000 / 4 + 10; i++) {
+	for (int i = 0; i < 5000 / 8; i++) {
 		size_t k = notices_list(n, 1001, v, 8);
 
 		for (size_t j = 0; j < k; j++)
