--- a/route/test-notices.c
+++ b/route/test-notices.c
@@ -120,7 +120,7 @@
 static void test_cold(void)
 {
 	struct notices *n = notices_new();
-	struct notice unknown = {(enum notice_kind)5, 7, 1, 1000}, v;
+	struct notice unknown = {(enum notice_kind)4, 7, 1, 1000}, v;
 
 	notices_set_rounds(n, 1, true);
 	notices_receive(n, &unknown);
--- a/route/test-warmup.c
+++ b/route/test-warmup.c
@@ -503,7 +503,7 @@
 #define ZONE_NODES     24
 #define ZONE_TARGETS   30
 #define ZONE_COLD      10
-#define ZONE_RUN_TICKS (500 / TICK_MS)
+#define ZONE_RUN_TICKS 50 /* for which a request runs: 500 ms */
 #define ZONE_SLOTS     32
 #define ZONE_SECONDS   15
 
