rampctl explain: where a request would go now, and why

Cause: from a caller's complaint an operator could only search the log for what had already happened; nothing said where the next request would go and what held each target back.

Change: with [explain] port and key_hash set, an entry answers POST /v1/explain at a port of its own (loopback by default), for the operator's key only. The request asked about passes through exchange_resolve, the crash causes and placement in the order of a caller's request, and counts nothing.

--- a/base/base.h
+++ b/base/base.h
@@ -44,6 +44,12 @@
 unsigned str_key_hash(const void *key);
 int str_key_equal(const void *a, const void *b);
 
+/*
+ * key.c: return the hash of a key in hex, as resources and settings store it;
+ * free by g_free.
+ */
+char *key_hash(struct str key);
+
 /* Return the wall-clock time in ms since 1970, the clock of deadlines. */
 int64_t time_now_ms(void);
 /* Return the monotonic time in ms, for intervals inside one process. */
--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -61,4 +61,6 @@
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
 	{ 2011, LOG_WARNING, "metrics_unavailable" },
 	{ 7008, LOG_INFO, "serving_changed" },
+	{ 7101, LOG_INFO, "explained" },
+	{ 7102, LOG_WARNING, "explain_denied" },
 };
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -37,9 +37,13 @@
 	int64_t after;      /* revision to list or watch from; -1: not given */
 	int64_t count;      /* changes to print before watch ends; 0: endless */
 	int64_t timeout_ms; /* of --wait */
-	bool json;          /* print replies as JSON */
-	bool wait;          /* wait until a change is in force on every node */
-	bool force;         /* send no precondition on the version */
+	/* The request that explain asks about; NULL: not given. */
+	const char *method, *organisation, *request_id, *prompt, *resumes;
+	char *caller_key;
+	int64_t deadline_ms; /* of it; -1: not given */
+	bool json;           /* print replies as JSON */
+	bool wait;           /* wait until a change is in force on every node */
+	bool force;          /* send no precondition on the version */
 };
 
 /* A request header; a NULL name ends the list. */
@@ -109,5 +113,6 @@
 enum ctl_exit ctl_cmd_status(const struct ctl_options *opts);
 enum ctl_exit ctl_cmd_changes(const struct ctl_options *opts);
 enum ctl_exit ctl_cmd_drain(const struct ctl_options *opts);
+enum ctl_exit ctl_cmd_explain(const struct ctl_options *opts);
 
 #endif
--- a/ctl/rampctl.c
+++ b/ctl/rampctl.c
@@ -80,6 +80,8 @@
 	 "[KIND NAME]: show nodes, or where a resource is in force"},
 	{"changes", ctl_cmd_changes, true, "[ID]: show the audit trail"},
 	{"drain", ctl_cmd_drain, true, "NODE: stop a node gracefully"},
+	{"explain", ctl_cmd_explain, true,
+	 "HOST PATH | -f FILE: where a request would go, and why"},
 	{"check-settings", check_settings, false, "FILE: check only"},
 	{"hash-key", hash_key, false, "[FILE]: hash of a key, for resources"},
 };
@@ -137,9 +139,29 @@
 	struct arg_int *timeout, *version, *after, *count;
 	struct arg_file *key, *file;
 	struct arg_str *node, *change, *command, *args;
+	struct arg_str *method, *organisation, *id, *prompt, *resumes;
+	struct arg_file *caller_key;
+	struct arg_int *deadline;
 	struct arg_end *end;
 };
 
+/* The options of explain that describe the request. */
+static void cli_define_explain(struct cli *o)
+{
+	o->method = arg_str0(NULL, "method", "METHOD", "explain: POST if not");
+	o->organisation = arg_str0(NULL, "organisation", "NAME",
+				   "explain: whose request it is");
+	o->caller_key = arg_file0(NULL, "caller-key-file", "FILE",
+				  "explain: the caller's key instead");
+	o->id = arg_str0(NULL, "id", "ID", "explain: the request's id");
+	o->prompt = arg_str0(NULL, "prompt", "PARTS",
+			     "explain: the prompt's parts, ID:TOKENS,...");
+	o->resumes = arg_str0(NULL, "resumes", "ID",
+			      "explain: whose stream the request continues");
+	o->deadline = arg_int0(NULL, "deadline", "MS",
+			       "explain: how long its caller will wait");
+}
+
 static void cli_define(struct cli *o)
 {
 	o->help = arg_lit0("h", "help", "show this help");
@@ -157,11 +179,31 @@
 			     "identity of a change sent again");
 	o->after = arg_int0("a", "after", "N", "changes after this revision");
 	o->count = arg_int0("c", "count", "N", "end after so many changes");
+	cli_define_explain(o);
 	o->command = arg_str1(NULL, NULL, "COMMAND", NULL);
 	o->args = arg_strn(NULL, NULL, "ARG", 0, ARGS_MAX, NULL);
 	o->end = arg_end(8);
 }
 
+static const char *text_or_null(const struct arg_str *a)
+{
+	return a->count ? a->sval[0] : NULL;
+}
+
+/* The same for the options of explain. */
+static bool cli_apply_explain(const struct cli *o, struct ctl_options *opts)
+{
+	opts->method = text_or_null(o->method);
+	opts->organisation = text_or_null(o->organisation);
+	opts->request_id = text_or_null(o->id);
+	opts->prompt = text_or_null(o->prompt);
+	opts->resumes = text_or_null(o->resumes);
+	opts->deadline_ms = value_or(o->deadline, -1);
+	if (o->caller_key->count)
+		opts->caller_key = read_key(o->caller_key->filename[0]);
+	return opts->caller_key || !o->caller_key->count;
+}
+
 /* Copy the parsed arguments to opts; return false if the key can't be read. */
 static bool cli_apply(const struct cli *o, struct ctl_options *opts)
 {
@@ -179,7 +221,7 @@
 	opts->force = o->force->count;
 	opts->key = o->key->count ? read_key(o->key->filename[0])
 				  : g_strdup(g_getenv("RAMP_KEY"));
-	return opts->key || !o->key->count;
+	return (opts->key || !o->key->count) && cli_apply_explain(o, opts);
 }
 
 int main(int argc, char **argv)
@@ -188,9 +230,12 @@
 	struct ctl_options opts = {0};
 
 	cli_define(&o);
-	void *table[] = {o.help,    o.node,  o.key,     o.json,  o.wait,
-			 o.timeout, o.file,  o.version, o.force, o.change,
-			 o.after,   o.count, o.command, o.args,  o.end};
+	void *table[] = {o.help,   o.node,         o.key,        o.json,
+			 o.wait,   o.timeout,      o.file,       o.version,
+			 o.force,  o.change,       o.after,      o.count,
+			 o.method, o.organisation, o.caller_key, o.id,
+			 o.prompt, o.resumes,      o.deadline,   o.command,
+			 o.args,   o.end};
 	int errors = arg_parse(argc, argv, table);
 
 	if (o.help->count) {
--- a/ctl/test-rampctl.sh
+++ b/ctl/test-rampctl.sh
@@ -233,6 +233,39 @@
 }
 check settings check_settings
 
+# A question that can't be asked, and settings that leave its port unguarded.
+check_explain() {
+	exits 2 explain && exits 2 explain host && exits 2 explain -f /nowhere &&
+		echo '[]' >"$run/question" &&
+		exits 2 explain -f "$run/question" && says 'not a JSON object' &&
+		exits 2 explain host /path --caller-key-file /nowhere &&
+		{ RAMP_KEY=k "$top/bin/rampctl" --node 127.0.0.1:1 \
+			explain host /path; [ $? = 6 ]; } &&
+		cat >"$run/entry.conf" <<-EOF &&
+			[node]
+			name = e
+			ip = 127.0.0.1
+			zone = a
+			[listen]
+			callers = 127.0.0.1:1
+			ready = 127.0.0.1:2
+			entries = 127.0.0.1:3
+			[peers]
+			port = 4
+			[store]
+			address = 127.0.0.1:5
+			[explain]
+			port = 6
+		EOF
+		{ "$top/bin/rampentry" --check --settings "$run/entry.conf" \
+			2>"$run/err"; [ $? = 2 ]; } &&
+		grep -q 'entry.conf: explain.key_hash: required' "$run/err" &&
+		echo "key_hash = $("$top/bin/rampctl" hash-key <<<k)" \
+			>>"$run/entry.conf" &&
+		"$top/bin/rampentry" --check --settings "$run/entry.conf"
+}
+check explain check_explain
+
 # The manual names every command and option of the help.
 check_manual() {
 	local word
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -236,7 +236,9 @@
 {
 	struct buf out = {0};
 
-	local_reply_serve(&out, c->tr, c->kind, m, c->keep_alive);
+	local_reply_serve(&out, c->tr, c->kind, m,
+			  (struct str){buf_data(&c->body), buf_len(&c->body)},
+			  c->keep_alive);
 	talloc_free(m);
 	caller_write(c, buf_data(&out), buf_len(&out));
 	buf_clear(&out);
--- a/entry/crash-record.c
+++ b/entry/crash-record.c
@@ -28,6 +28,14 @@
 	return crash_causes_block(x->tr->e->crash_causes, &k, time_boot_ms());
 }
 
+enum cause_block exchange_crash_block_now(const struct exchange *x)
+{
+	struct cause_keys k = keys_of(x);
+
+	return crash_causes_block_now(x->tr->e->crash_causes, &k,
+				      time_boot_ms());
+}
+
 bool exchange_is_suspect(const struct exchange *x)
 {
 	struct cause_keys k = keys_of(x);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -238,15 +238,20 @@
 static bool open_ports(struct traffic *tr, GError **err)
 {
 	const struct entry_settings *s = tr->settings;
-	char tunnels[64];
+	char tunnels[64], explain[64] = "";
 
 	/* The port of the messages between nodes, here of TCP. */
 	snprintf(tunnels, sizeof(tunnels), "%s:%d", s->node_ip,
 		 (int)s->peers_port + 1);
 
+	if (s->explain_port)
+		snprintf(explain, sizeof(explain), "%s:%d", s->explain_ip,
+			 (int)s->explain_port);
+
 	return open_port(tr, PORT_CALLERS, s->listen_callers, err) &&
 	       open_port(tr, PORT_READY, s->listen_ready, err) &&
 	       open_port(tr, PORT_ENTRIES, s->listen_entries, err) &&
+	       open_port(tr, PORT_EXPLAIN, explain, err) &&
 	       open_port(tr, PORT_TUNNELS, tunnels, err);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -23,6 +23,13 @@
 
 extern const struct setting_table entry_settings_table;
 
+/*
+ * explain.c: check the section "explain" of loaded settings. Append what is
+ * wrong to errors, as settings_load_table does; return whether it is right.
+ */
+bool explain_check_settings(const struct entry_settings *s, const char *path,
+			    GPtrArray *errors);
+
 /* view.c: the immutable views that the control thread publishes. */
 
 /* Retry policy of a route. */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -137,11 +137,8 @@
 	caller_exchange_done(c, keep);
 }
 
-/*
- * Return the time after which the caller may come back: when targets of the
- * service have asked for rest, once the first of them takes requests again.
- */
-static int64_t retry_after_ms(const struct exchange *x, enum ramp_error kind)
+int64_t exchange_retry_after_ms(const struct exchange *x, enum ramp_error kind,
+				GRand *rand)
 {
 	int64_t now = time_boot_ms();
 	int64_t rest_end_ms =
@@ -151,14 +148,16 @@
 	if (kind == RAMP_ERR_PROMPT_BLOCKED || kind == RAMP_ERR_REQUEST_BLOCKED)
 		return CAUSE_BLOCK_IDLE_MS;
 	return MAX(RETRY_AFTER_MIN_MS, x->all_resting ? rest_end_ms - now : 0) +
-	       g_rand_int_range(x->tr->rand, 0, RETRY_AFTER_SPREAD_MS);
+	       g_rand_int_range(rand, 0, RETRY_AFTER_SPREAD_MS);
 }
 
 void exchange_reply_error(struct exchange *x, enum ramp_error kind)
 {
 	struct buf out = {0};
 	int64_t wait_ms =
-		error_responses[kind].retry ? retry_after_ms(x, kind) : 0;
+		error_responses[kind].retry
+			? exchange_retry_after_ms(x, kind, x->tr->rand)
+			: 0;
 
 	log_end(x, error_responses[kind].http_status,
 		error_responses[kind].name);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -93,6 +93,13 @@
 void exchange_attempt(struct exchange *x);
 /* End the exchange with an error response that the entry generates. */
 void exchange_reply_error(struct exchange *x, enum ramp_error kind);
+/*
+ * Return the time after which the caller may come back, with a random part:
+ * when targets of the service have asked for rest, once the first of them takes
+ * requests again.
+ */
+int64_t exchange_retry_after_ms(const struct exchange *x, enum ramp_error kind,
+				GRand *rand);
 /* Arm the timer for the earliest of the exchange's deadlines. */
 void exchange_arm_timer(struct exchange *x);
 /* End the attempt. Closing its connection cancels the work at the target. */
@@ -136,6 +143,8 @@
 
 /* Which key of the request crashes targets, so that no attempt is made. */
 enum cause_block exchange_crash_block(const struct exchange *x);
+/* The same for a question: the request does not count as one that came. */
+enum cause_block exchange_crash_block_now(const struct exchange *x);
 /* Whether the request may be what crashes targets: see crash_causes_suspect. */
 bool exchange_is_suspect(const struct exchange *x);
 /* The attempt's response began then, and its target has not crashed since. */
@@ -154,6 +163,9 @@
 void exchange_take_up(struct exchange *x);
 /* Stop waiting. */
 void exchange_leave_take_up(struct exchange *x);
+/* Return the route's service of which targets have the version, or NULL. */
+const struct entry_service *exchange_version_service(const struct exchange *x,
+						     uint64_t version);
 
 /* resolve.c: looks up the configuration that applies to the request. */
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -28,6 +28,7 @@
 	PORT_READY,   /* readiness probe */
 	PORT_ENTRIES, /* addresses of the entries that accept requests */
 	PORT_METRICS,
+	PORT_EXPLAIN, /* an operator's questions: see explain.h */
 	PORT_TUNNELS, /* connections of other nodes to targets */
 	PORT_COUNT,
 };
@@ -253,9 +254,15 @@
  */
 void local_reply_error(struct buf *out, const struct traffic *tr, void *arena,
 		       enum ramp_error kind, int64_t retry_after_ms, bool keep);
-/* Append the response to a readiness, entries or metrics request to out. */
+/* Append a response to out. */
+void local_reply_write(struct buf *out, const struct local_reply *reply,
+		       bool keep);
+/*
+ * Append the response to a request at a port that is not for callers to out.
+ * body: of the request.
+ */
 void local_reply_serve(struct buf *out, struct traffic *tr, enum port_kind kind,
-		       const struct message *m, bool keep);
+		       const struct message *m, struct str body, bool keep);
 
 /* exchange.c: one request of a caller, up to the end of its response. */
 
@@ -301,6 +308,28 @@
 /* Describe the target to place_choose and place_source. */
 struct place_target pool_candidate(struct target *t, int64_t now_ms);
 
+/* The targets that a request may be sent to, for place_choose. */
+struct pool_candidates {
+	struct target **targets; /* room for all of the traffic thread's */
+	struct place_target *p;  /* the same; describes targets[i] */
+	/*
+	 * The same, if it is not NULL: as pool_candidate describes targets[i],
+	 * before the rules that compare targets with each other.
+	 */
+	struct place_target *alone;
+	size_t n;
+	struct place_limits limits;
+};
+
+/*
+ * List the targets that pool_choose_target chooses from, but for those that a
+ * request was sent to before. Counts nothing.
+ */
+void pool_list_candidates(struct traffic *tr, const struct entry_service *s,
+			  const struct prompt *prompt, uint64_t version,
+			  int priority, int64_t now_ms,
+			  struct pool_candidates *c);
+
 /* Load and slots of the targets of a service that take new requests. */
 struct service_room {
 	size_t targets;
--- a/entry/local-reply.c
+++ b/entry/local-reply.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "entry/internal.h"
+#include "entry/explain.h"
 
 /*
  * Time for which callers cache the list of entries, and so the time until they
@@ -17,8 +17,8 @@
 /* Most entries in one response; callers accept no more. */
 #define ENTRIES_MAX 64
 
-static void write_reply(struct buf *out, const struct local_reply *reply,
-			bool keep)
+void local_reply_write(struct buf *out, const struct local_reply *reply,
+		       bool keep)
 {
 	size_t n = reply->body ? strlen(reply->body) : 0;
 
@@ -46,7 +46,7 @@
 		.retry_after_ms = retry_after_ms,
 	};
 
-	write_reply(out, &reply, keep);
+	local_reply_write(out, &reply, keep);
 }
 
 /* Whether the node has a configuration and targets, and is not leaving. */
@@ -153,7 +153,7 @@
 		return;
 	}
 	reply.body = tr->dialect->entries_body(m->arena, v, n, ttl_s);
-	write_reply(out, &reply, keep);
+	local_reply_write(out, &reply, keep);
 }
 
 static void serve_metrics(struct buf *out, const struct message *m, bool keep)
@@ -163,21 +163,23 @@
 
 	reply.body = talloc_strdup(m->arena, text);
 	g_free(text);
-	write_reply(out, &reply, keep);
+	local_reply_write(out, &reply, keep);
 }
 
 void local_reply_serve(struct buf *out, struct traffic *tr, enum port_kind kind,
-		       const struct message *m, bool keep)
+		       const struct message *m, struct str body, bool keep)
 {
 	struct str path = url_path(m->url);
 	struct local_reply ok = {.status = 200};
 
 	if (kind == PORT_METRICS) {
 		serve_metrics(out, m, keep);
+	} else if (kind == PORT_EXPLAIN) {
+		explain_serve(out, tr, m, body, keep);
 	} else if (kind == PORT_READY &&
 		   str_eq(path, tr->dialect->ready_path)) {
 		if (is_ready(tr))
-			write_reply(out, &ok, keep);
+			local_reply_write(out, &ok, keep);
 		else
 			local_reply_error(out, tr, m->arena, RAMP_ERR_NOT_READY,
 					  0, keep);
--- a/entry/origins.c
+++ b/entry/origins.c
@@ -534,6 +534,30 @@
 	return *version ? ORIGIN_FOUND : ORIGIN_UNKNOWN;
 }
 
+enum origin_status origins_find_known(struct origins *o, struct str request_id,
+				      struct str service, int64_t now_ms,
+				      uint64_t *version)
+{
+	struct origin_question q = {str_hash(request_id, 0),
+				    str_hash(service, 0)};
+	enum origin_status status = ORIGIN_ASKED;
+	const struct record *r;
+	struct lookup *l;
+
+	g_mutex_lock(&o->lock);
+	r = g_hash_table_lookup(o->records, &q.request);
+	l = g_hash_table_lookup(o->lookups, &q);
+	if (l && is_forgotten(NULL, l, &now_ms))
+		l = NULL;
+	*version = r ? r->version : l && l->settled ? l->version : 0;
+	if (*version)
+		status = ORIGIN_FOUND;
+	else if (l && l->settled)
+		status = ORIGIN_UNKNOWN;
+	g_mutex_unlock(&o->lock);
+	return status;
+}
+
 size_t origin_holders(uint64_t request, const uint64_t *nodes, size_t n,
 		      unsigned rounds, uint64_t *out)
 {
--- a/entry/origins.h
+++ b/entry/origins.h
@@ -41,6 +41,11 @@
 				struct str service, int64_t now_ms,
 				uint64_t *version);
 
+/* The same by what this node knows now; nobody is asked. */
+enum origin_status origins_find_known(struct origins *o, struct str request_id,
+				      struct str service, int64_t now_ms,
+				      uint64_t *version);
+
 /* Update the versions that serve from the list of targets. */
 void origins_set_targets(struct origins *o, const struct target_list *l,
 			 int64_t now_ms);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -367,14 +367,13 @@
 
 /*
  * Estimate the requests for a key that other nodes have sent and that this node
- * doesn't know of yet, and count the request at hand.
+ * doesn't know of yet.
  */
 static double expect_unseen(struct traffic *tr, uint64_t key, int64_t now_ms)
 {
 	double others = tr->peers ? (double)tr->peers->n - 1 : 0;
 	double per_ms = key_rates_per_ms(tr->key_rates, key, now_ms);
 
-	key_rates_record(tr->key_rates, key, now_ms);
 	return per_ms * others * (double)loads_lag_ms(tr->e->loads, now_ms);
 }
 
@@ -430,39 +429,55 @@
 	return false;
 }
 
-struct target *pool_choose_target(struct traffic *tr,
-				  const struct entry_service *s,
-				  const struct prompt *prompt, uint64_t version,
-				  const uint64_t *tried, size_t tried_count,
-				  int priority, struct target **source)
+void pool_list_candidates(struct traffic *tr, const struct entry_service *s,
+			  const struct prompt *prompt, uint64_t version,
+			  int priority, int64_t now_ms,
+			  struct pool_candidates *c)
 {
-	size_t max = g_hash_table_size(tr->targets), n = 0, chosen, donor;
-	struct place_target *p = g_newa(struct place_target, max + 1);
-	struct target **targets = g_newa(struct target *, max + 1);
-	struct place_limits limits = place_limits_for(
-		prompt->shared_tokens, tr->settings->bounds_load_factor);
-	int64_t now = time_boot_ms();
 	GHashTableIter it;
 	gpointer v;
 
+	c->n = 0;
+	c->limits = place_limits_for(prompt->shared_tokens,
+				     tr->settings->bounds_load_factor);
 	if (prompt->parts[0])
-		limits.unseen = expect_unseen(tr, prompt->parts[0], now);
-	*source = NULL;
+		c->limits.unseen = expect_unseen(tr, prompt->parts[0], now_ms);
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct target *t = v;
 
 		if (!is_candidate(t, s, version))
 			continue;
-		limits.room =
-			MAX(limits.room, ROOM_SHARE * (double)t->info.slots);
-		targets[n] = t;
-		p[n++] = pool_candidate(t, now);
+		c->limits.room =
+			MAX(c->limits.room, ROOM_SHARE * (double)t->info.slots);
+		c->targets[c->n] = t;
+		c->p[c->n++] = pool_candidate(t, now_ms);
 	}
-	place_limit_overflow(p, n, priority);
-	avoid_outliers(p, targets, n);
+	if (c->alone)
+		memcpy(c->alone, c->p, c->n * sizeof(*c->p));
+	place_limit_overflow(c->p, c->n, priority);
+	avoid_outliers(c->p, c->targets, c->n);
+}
+
+struct target *pool_choose_target(struct traffic *tr,
+				  const struct entry_service *s,
+				  const struct prompt *prompt, uint64_t version,
+				  const uint64_t *tried, size_t tried_count,
+				  int priority, struct target **source)
+{
+	size_t max = g_hash_table_size(tr->targets), n, chosen, donor;
+	struct place_target *p = g_newa(struct place_target, max + 1);
+	struct target **targets = g_newa(struct target *, max + 1);
+	struct pool_candidates c = {.targets = targets, .p = p};
+	int64_t now = time_boot_ms();
+
+	*source = NULL;
+	pool_list_candidates(tr, s, prompt, version, priority, now, &c);
+	n = c.n;
+	if (prompt->parts[0])
+		key_rates_record(tr->key_rates, prompt->parts[0], now);
 	avoid_tried(p, n, tried, tried_count);
-	chosen = place_choose(&limits, prompt->parts[0], p, n,
+	chosen = place_choose(&c.limits, prompt->parts[0], p, n,
 			      (struct route_random){random_double, tr->rand});
 	if (chosen == SIZE_MAX)
 		return NULL;
--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -31,6 +31,9 @@
 	double bounds_retry_allowance;
 	double bounds_load_factor;
 	double bounds_entries_ttl_s;
+	int64_t explain_port;
+	char *explain_ip;
+	char *explain_key_hash;
 	char *log_level;
 	int64_t log_lines;
 };
--- a/entry/take-up.c
+++ b/entry/take-up.c
@@ -19,9 +19,8 @@
 	x->taking_up = false;
 }
 
-/* Return the route's service of which targets have the version, or NULL. */
-static const struct entry_service *find_service(const struct exchange *x,
-						uint64_t version)
+const struct entry_service *exchange_version_service(const struct exchange *x,
+						     uint64_t version)
 {
 	for (size_t i = 0; i < x->route->destination_count; i++) {
 		const struct entry_service *s =
@@ -86,7 +85,7 @@
 		return;
 	}
 	exchange_leave_take_up(x);
-	s = find_service(x, version);
+	s = exchange_version_service(x, version);
 	if (!s) {
 		refuse(x, version, "version_gone");
 		return;
--- a/entry/test-origins.c
+++ b/entry/test-origins.c
@@ -305,6 +305,36 @@
 		}
 }
 
+/* A question about a stream makes the node ask the others. */
+static void test_known(void)
+{
+	struct origins *a = node_new("v1", "v2"), *b = node_new("v1", "v2");
+	struct str id = STR_LIT("s");
+	struct origin_question q;
+	uint64_t version;
+	unsigned rounds;
+
+	g_assert_cmpint(origins_find_known(a, id, service, START_MS, &version),
+			==, ORIGIN_ASKED);
+	g_assert_false(origins_next_question(a, START_MS, &q, &rounds));
+	/* A look-up that has found nothing is known until it is forgotten. */
+	find(a, "s", START_MS, &version);
+	ask(a, b, 7, START_MS);
+	ask(a, b, 7, START_MS + 100);
+	g_assert_cmpint(find(a, "s", START_MS + 100, &version), ==,
+			ORIGIN_UNKNOWN);
+	g_assert_cmpint(
+		origins_find_known(a, id, service, START_MS + 100, &version),
+		==, ORIGIN_UNKNOWN);
+	origins_record(a, id, service, version_id("v2"), START_MS + 200);
+	g_assert_cmpint(
+		origins_find_known(a, id, service, START_MS + 200, &version),
+		==, ORIGIN_FOUND);
+	g_assert_cmpuint(version, ==, version_id("v2"));
+	origins_free(a);
+	origins_free(b);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -319,6 +349,7 @@
 		{"history-unknown", test_history_unknown},
 		{"first-record-stays", test_first_record_stays},
 		{"nodes-lost", test_nodes_lost},
+		{"known", test_known},
 	};
 
 	g_test_init(&argc, &argv, NULL);
--- a/rampentry/rampentry.c
+++ b/rampentry/rampentry.c
@@ -34,6 +34,7 @@
 	bool ok = settings_load_table(&entry_settings_table, path, s, errors);
 	struct sockaddr_in store_address;
 
+	ok = ok && explain_check_settings(s, path, errors);
 	for (guint i = 0; i < errors->len; i++)
 		fprintf(stderr, PROGRAM ": %s\n",
 			(char *)g_ptr_array_index(errors, i));
--- a/route/crash-causes.c
+++ b/route/crash-causes.c
@@ -615,8 +615,8 @@
  * Whether to let a blocked request through, as it may be sound by now. One node
  * does so for all.
  */
-static bool take_trial(const struct crash_causes *f, struct cause *p,
-		       int64_t now_ms)
+static bool is_trial_due(const struct crash_causes *f, const struct cause *p,
+			 int64_t now_ms)
 {
 	const struct cause_record *r = &p->r;
 	int64_t wait_ms = rule_of(r)->trial_ms;
@@ -630,12 +630,23 @@
 	if (now_ms - r->crashes[r->crash_count - 1].at_ms < wait_ms ||
 	    (p->trial_at_ms && now_ms - p->trial_at_ms < TRIAL_RESULT_MS))
 		return false;
-	p->trial_at_ms = now_ms;
 	return true;
 }
 
-enum cause_block crash_causes_block(struct crash_causes *f,
-				    const struct cause_keys *k, int64_t now_ms)
+/* Count a request that came with a blocked key, unless it is a question. */
+static void count_blocked(struct cause *p, bool count, bool trial,
+			  int64_t now_ms)
+{
+	if (!count)
+		return;
+	p->r.asked_ms = now_ms;
+	if (trial)
+		p->trial_at_ms = now_ms;
+}
+
+static enum cause_block find_block(struct crash_causes *f,
+				   const struct cause_keys *k, bool count,
+				   int64_t now_ms)
 {
 	enum cause_block block = CAUSE_NONE;
 	struct cause *p;
@@ -645,21 +656,36 @@
 	g_mutex_lock(&f->lock);
 	p = find_cause(f, k->whole);
 	if (p && p->r.blocked) {
-		p->r.asked_ms = now_ms;
-		if (!take_trial(f, p, now_ms))
+		bool trial = is_trial_due(f, p, now_ms);
+
+		count_blocked(p, count, trial, now_ms);
+		if (!trial)
 			block = CAUSE_REQUEST;
 	}
 	for (size_t i = 0; i < k->n; i++) {
 		p = find_cause(f, k->parts[i]);
 		if (!p || !p->r.blocked)
 			continue;
-		p->r.asked_ms = now_ms;
+		count_blocked(p, count, false, now_ms);
 		block = CAUSE_PART;
 	}
 	g_mutex_unlock(&f->lock);
 	return block;
 }
 
+enum cause_block crash_causes_block(struct crash_causes *f,
+				    const struct cause_keys *k, int64_t now_ms)
+{
+	return find_block(f, k, true, now_ms);
+}
+
+enum cause_block crash_causes_block_now(struct crash_causes *f,
+					const struct cause_keys *k,
+					int64_t now_ms)
+{
+	return find_block(f, k, false, now_ms);
+}
+
 bool crash_causes_suspect(struct crash_causes *f, const struct cause_keys *k)
 {
 	const struct cause *p;
--- a/route/crash-causes.h
+++ b/route/crash-causes.h
@@ -97,6 +97,10 @@
  */
 enum cause_block crash_causes_block(struct crash_causes *f,
 				    const struct cause_keys *k, int64_t now_ms);
+/* The same for a question: the request does not count as one that came. */
+enum cause_block crash_causes_block_now(struct crash_causes *f,
+					const struct cause_keys *k,
+					int64_t now_ms);
 /*
  * Whether targets have crashed under the request, so that it should not be sent
  * to another one unless its caller asks again.
--- a/route/place.c
+++ b/route/place.c
@@ -22,9 +22,6 @@
 #define SHORT_FRACTION 0.3
 #define SHORT_SLACK    1.5
 
-/* Fewer unseen requests than this fit into the slack of the bound. */
-#define UNSEEN_MIN 2
-
 struct place_limits place_limits_for(int64_t shared_tokens, double factor)
 {
 	double excess = factor > 1 ? factor - 1 : 0;
--- a/route/route.h
+++ b/route/route.h
@@ -563,6 +563,9 @@
 	bool can_export; /* other targets can fetch cached prefixes from it */
 };
 
+/* Fewer unseen requests than this fit into the slack of the bound. */
+#define UNSEEN_MIN 2
+
 /* A target may have factor x mean load + slack requests. */
 struct place_limits {
 	double factor;
--- a/route/test-crash-causes.c
+++ b/route/test-crash-causes.c
@@ -591,6 +591,48 @@
 	fleet_free(f);
 }
 
+/*
+ * A question about a blocked request counts as the request: it prolongs the
+ * block, or takes the trial that finds out whether the request is sound by now.
+ */
+static void test_block_now(void)
+{
+	struct fleet *f = fleet_new(1);
+	struct cause_keys k = {.whole = AGAIN, .attempt = 1};
+	uint64_t id = 11;
+	int s;
+
+	crash_causes_set_nodes(f->nodes[0], id, &id, 1);
+	for (int i = 0; i < 4; i++) {
+		call_again(f, AGAIN, 0);
+		run_for(f, 1000);
+	}
+	g_assert_cmpint(crash_causes_block_now(f->nodes[0], &k, f->now_ms), ==,
+			CAUSE_REQUEST);
+	/* Requests that keep the block up, until a trial is due. */
+	for (s = 0;
+	     s < 400 && crash_causes_block_now(f->nodes[0], &k, f->now_ms);
+	     s++) {
+		g_assert_true(refuses_again(f, 0, AGAIN));
+		run_for(f, 1000);
+	}
+	g_assert_cmpint(s, <, 400);
+	for (int i = 0; i < 100; i++)
+		g_assert_cmpint(
+			crash_causes_block_now(f->nodes[0], &k, f->now_ms), ==,
+			CAUSE_NONE);
+	g_assert_false(refuses_again(f, 0, AGAIN));
+	g_assert_cmpint(crash_causes_block_now(f->nodes[0], &k, f->now_ms), ==,
+			CAUSE_REQUEST);
+	/* From now on there are questions only. */
+	for (s = 0; s < CAUSE_BLOCK_IDLE_MS / 1000 + 5; s++) {
+		crash_causes_block_now(f->nodes[0], &k, f->now_ms);
+		run_for(f, 1000);
+	}
+	g_assert_false(refuses_again(f, 0, AGAIN));
+	fleet_free(f);
+}
+
 /* Listing what is suspected takes from what is sent to the other nodes. */
 static void test_list_takes_no_updates(void)
 {
@@ -634,6 +676,7 @@
 	g_test_add_func("/crash-causes/parts-of-request",
 			test_parts_of_request);
 	g_test_add_func("/crash-causes/trial", test_trial);
+	g_test_add_func("/crash-causes/block-now", test_block_now);
 	g_test_add_func("/crash-causes/target-lives", test_target_lives);
 	g_test_add_func("/crash-causes/list-takes-no-updates",
 			test_list_takes_no_updates);
--- a/state/config.c
+++ b/state/config.c
@@ -268,16 +268,6 @@
 	return best;
 }
 
-char *key_hash(struct str key)
-{
-	unsigned char h[crypto_generichash_BYTES];
-	char hex[crypto_generichash_BYTES * 2 + 1];
-
-	crypto_generichash(h, sizeof(h), (const unsigned char *)key.data,
-			   key.len, NULL, 0);
-	return g_strdup(sodium_bin2hex(hex, sizeof(hex), h, sizeof(h)));
-}
-
 const struct key_owner *config_key_owner(const struct config *c, struct str key)
 {
 	char *hash = key_hash(key);
--- a/state/state.h
+++ b/state/state.h
@@ -149,9 +149,6 @@
 const struct key_owner *config_key_owner(const struct config *c,
 					 struct str key);
 
-/* Return the hash of a key in hex, as resources store it; free by g_free. */
-char *key_hash(struct str key);
-
 /* Outcome of a call to the platform. */
 enum plat_status {
 	PLAT_OK,
