explain writes the rows of targets directly

Cause: in a trial with 600 targets, the text of an answer took the traffic thread 3.6 to 4.7 ms, as each row was built as a JSON value and the rows were sorted; the decision took 0.16 to 0.40 ms.

Change: the rows are written as text, in no order; rampctl sorts them by name.

--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -91,19 +91,33 @@
 	return joined;
 }
 
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	const json_t *const *x = a, *const *y = b;
+
+	return g_strcmp0(json_string_value(json_object_get(*x, "name")),
+			 json_string_value(json_object_get(*y, "name")));
+}
+
+/* Print the targets by their names; nodes list them in no order. */
 static void print_targets(const json_t *targets)
 {
 	static const char *const columns[] = {"name",    "zone",  "version",
 					      "load",    "slots", "weight",
 					      "held_by", NULL};
+	GPtrArray *sorted = g_ptr_array_new();
 	size_t i;
 	json_t *target;
 
 	json_array_foreach (targets, i, target) {
 		json_object_set_new(target, "held_by",
 				    join(json_object_get(target, "held_by")));
-		print_line("target", target, columns);
+		g_ptr_array_add(sorted, target);
 	}
+	g_ptr_array_sort(sorted, by_name);
+	for (guint k = 0; k < sorted->len; k++)
+		print_line("target", g_ptr_array_index(sorted, k), columns);
+	g_ptr_array_unref(sorted);
 }
 
 static void print_answer(const json_t *answer)
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -13,8 +13,6 @@
 #define EXPLAIN_PATH "/v1/explain"
 /* Stands for a request's id in questions that give none. */
 #define UNNAMED_REQUEST "explain"
-/* Loads and weights are given with three decimals. */
-#define DECIMALS 1000.0
 
 bool explain_check_settings(const struct entry_settings *s, const char *path,
 			    GPtrArray *errors)
@@ -431,11 +429,6 @@
 	return j ? j : json_null();
 }
 
-static json_t *json_number(double x)
-{
-	return json_real(round(x * DECIMALS) / DECIMALS);
-}
-
 static json_t *config_json(const struct question *q)
 {
 	int64_t fresh_ms = atomic_load(&q->x.tr->e->config_fresh_ms);
@@ -555,42 +548,77 @@
 			 count_ties(q));
 }
 
-static json_t *target_json(const struct view *v)
+/*
+ * The rows of targets are written as text: 600 of them as JSON values took the
+ * traffic thread 3.8 ms.
+ */
+
+/* Whether a text is the same within the quotes of JSON. */
+static bool is_plain(struct str s)
 {
-	const struct target_info *info = &v->t->info;
-	json_t *held = json_array(), *load = json_null();
-	json_t *weight = json_null();
-
-	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++)
-		if (reasons[i].applies(v))
-			json_array_append_new(held,
-					      json_string(reasons[i].name));
-	if (v->p) {
-		load = json_number(v->p->load);
-		weight = json_number(v->p->weight);
+	for (size_t i = 0; i < s.len; i++)
+		if (!g_ascii_isprint(s.data[i]) || s.data[i] == '"' ||
+		    s.data[i] == '\\')
+			return false;
+	return s.len > 0;
+}
+
+/* Append a member whose value is a string. */
+static void add_string(struct buf *b, const char *name, struct str value)
+{
+	json_t *j;
+	char *text;
+
+	buf_fmt(b, "\"%s\":", name);
+	if (is_plain(value)) {
+		buf_add(b, "\"", 1);
+		buf_add(b, value.data, value.len);
+		buf_add(b, "\",", 2);
+		return;
 	}
-	return json_pack("{s:o,s:o,s:o,s:o,s:I,s:o,s:o}", "name",
-			 json_str(info->name), "zone", json_str(info->zone),
-			 "version", json_str(info->version), "load", load,
-			 "slots", (json_int_t)info->slots, "weight", weight,
-			 "held_by", held);
+	j = json_str(value);
+	text = json_dumps(j, JSON_ENCODE_ANY);
+	buf_fmt(b, "%s,", text);
+	free(text);
+	json_decref(j);
 }
 
-static gint by_name(gconstpointer a, gconstpointer b)
+static void add_reasons(struct buf *b, const struct view *v)
 {
-	const struct view *x = a, *y = b;
-	size_t n = MIN(x->t->info.name.len, y->t->info.name.len);
-	int order = memcmp(x->t->info.name.data, y->t->info.name.data, n);
+	bool any = false;
 
-	return order ? order
-		     : (x->t->info.name.len > n) - (y->t->info.name.len > n);
+	buf_fmt(b, "\"held_by\":[");
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+		if (!reasons[i].applies(v))
+			continue;
+		buf_fmt(b, "%s\"%s\"", any ? "," : "", reasons[i].name);
+		any = true;
+	}
+	buf_add(b, "]", 1);
 }
 
-/* Describe the targets of the service, by their names. */
-static json_t *targets_json(const struct question *q)
+static void add_target(struct buf *b, const struct view *v)
 {
-	GArray *views = g_array_new(FALSE, FALSE, sizeof(struct view));
-	json_t *list = json_array();
+	const struct target_info *info = &v->t->info;
+
+	buf_add(b, "{", 1);
+	add_string(b, "name", info->name);
+	add_string(b, "zone", info->zone);
+	add_string(b, "version", info->version);
+	buf_fmt(b, "\"slots\":%" G_GINT64_FORMAT ",", info->slots);
+	if (v->p)
+		buf_fmt(b, "\"load\":%.1f,\"weight\":%.3f,", v->p->load,
+			v->p->weight);
+	else
+		buf_fmt(b, "\"load\":null,\"weight\":null,");
+	add_reasons(b, v);
+	buf_add(b, "}", 1);
+}
+
+/* Append the targets of the service to a list, in no order. */
+static void add_targets(struct buf *b, const struct question *q)
+{
+	const char *comma = "";
 	GHashTableIter it;
 	gpointer v;
 
@@ -598,24 +626,23 @@
 		struct view candidate = {q, q->c.targets[i], &q->c.alone[i],
 					 &q->c.p[i]};
 
-		g_array_append_val(views, candidate);
+		buf_fmt(b, "%s", comma);
+		add_target(b, &candidate);
+		comma = ",";
 	}
 	g_hash_table_iter_init(&it, q->x.tr->targets);
 	while (q->x.service && g_hash_table_iter_next(&it, NULL, &v)) {
 		struct view other = {q, v, NULL, NULL};
 
 		/* The candidates are those of them with the right version. */
-		if (other.t->listed &&
-		    str_eq(other.t->info.service, q->x.service->name) &&
-		    (!q->c.n || is_other_version(&other)))
-			g_array_append_val(views, other);
+		if (!other.t->listed ||
+		    !str_eq(other.t->info.service, q->x.service->name) ||
+		    (q->c.n && !is_other_version(&other)))
+			continue;
+		buf_fmt(b, "%s", comma);
+		add_target(b, &other);
+		comma = ",";
 	}
-	g_array_sort(views, by_name);
-	for (guint i = 0; i < views->len; i++)
-		json_array_append_new(list, target_json(&g_array_index(
-						    views, struct view, i)));
-	g_array_unref(views);
-	return list;
 }
 
 static const char *result_name(const struct question *q)
@@ -658,7 +685,6 @@
 	json_object_set_new(j, "choice",
 			    q->chosen == SIZE_MAX ? json_null()
 						  : choice_json(q));
-	json_object_set_new(j, "targets", targets_json(q));
 	return j;
 }
 
@@ -681,6 +707,26 @@
 
 /* The port. */
 
+/* Write the answer: an object, with the targets as its last member. */
+static void write_answer(struct buf *out, const struct question *q, bool keep)
+{
+	json_t *j = answer_json(q);
+	char *text = json_dumps(j, JSON_COMPACT);
+	struct local_reply reply = {.status = 200};
+	struct buf b = {0};
+
+	/* All but the closing brace. */
+	buf_add(&b, text, strlen(text) - 1);
+	buf_fmt(&b, ",\"targets\":[");
+	add_targets(&b, q);
+	buf_add(&b, "]}", 3);
+	reply.body = b.data;
+	local_reply_write(out, &reply, keep);
+	buf_clear(&b);
+	free(text);
+	json_decref(j);
+}
+
 /* Write the text of a JSON value, which is freed. */
 static void write_json(struct buf *out, void *arena, int status, json_t *j,
 		       bool keep)
@@ -738,7 +784,7 @@
 		set_ids(q);
 		q->refusal = decide(q);
 		log_answer(q);
-		write_json(out, arena, 200, answer_json(q), keep);
+		write_answer(out, q, keep);
 	}
 	g_rand_free(q->rand);
 }
