--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -33,6 +33,9 @@
 	double bounds_warmup_overshoot;
 	double bounds_warmup_allowance;
 	double bounds_entries_ttl_s;
+	int64_t explain_port;
+	char *explain_ip;
+	char *explain_key_hash;
 	char *log_level;
 	int64_t log_lines;
 };
