Trailers, bodies where there are none, and bytes after a response

Cause: the message reader took trailers for headers. A chunked response with the trailer Auburnramp-Not-Executed counted as a refusal of a request that had run, which was sent again: up to four runs of a request that may run once. A 1xx, 204 or 304 response with a length was read with a body that never comes, or that is the start of the next response. A link whose response was followed by more bytes in the same read could be used by the next attempt of the same request, which took them for its own response. Comments of event streams counted as events, so that a target that sends nothing else seemed to work.

Change: trailers are checked and dropped; those responses have no body, and their connection is closed when the headers describe one; a link with unread bytes is not used again; comments are passed on with the next event.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -238,9 +238,14 @@
 	struct str url;    /* of a request */
 	struct header *headers;
 	size_t header_count;
-	/* False also where the end of the body is the end of the connection. */
+	/*
+	 * False also where the end of the body is the end of the connection, or
+	 * where it is uncertain whether a response that has none is followed by
+	 * the body that its headers describe.
+	 */
 	bool keep_alive;
-	bool has_body; /* of a request */
+	bool has_body; /* by the headers; a response may have none all the same
+			*/
 };
 
 /* Return the value of a header, or {NULL, 0}. */
@@ -301,6 +306,11 @@
  */
 size_t reader_feed(struct reader *r, const char *p, size_t n,
 		   enum read_error *err);
+/*
+ * Return how many bytes of the last reader_feed followed the end of a message;
+ * for its callback end.
+ */
+size_t reader_unread_bytes(const struct reader *r);
 /* Handle the peer's close: ends a body that is delimited by the close. */
 enum read_error reader_eof(struct reader *r);
 /* Whether the reader is within a message. */
@@ -371,20 +381,25 @@
 void link_close(struct link *l);
 /*
  * Return until when the connection may stay idle and be reused, by the timeout
- * in the peer's Keep-Alive header; 0: not at all.
+ * in the peer's Keep-Alive header; 0: not at all, also when bytes that belong
+ * to no request have followed the response.
  */
 int64_t link_idle_deadline_ms(const struct link *l);
 
 /* sse-split.c: splits a stream of server-sent events into whole events. */
 struct sse_splitter {
 	struct buf partial; /* the incomplete event at the end */
+	struct buf padding; /* comments and blank lines before the next event */
 	struct str last_id; /* of the last whole event; points to id_text */
 	char id_text[32];
 	int64_t last_number;  /* that id as a number; -1: none yet */
 	uint64_t event_count; /* events passed to the callback */
 };
 
-/* Called for each whole event, including its blank line. */
+/*
+ * Called for each whole event, including its blank line and the comments before
+ * it. Comments that no event follows are not passed on.
+ */
 typedef void sse_event_fn(void *ctx, const char *p, size_t n);
 
 /*
--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -23,12 +23,14 @@
 	struct buf head_text;
 	size_t value_offset; /* of the header's value in head_text */
 	bool in_value;
+	bool in_trailer; /* the header section is complete */
 	size_t header_max_bytes;
 	size_t header_slots; /* allocated size of message->headers */
 	enum read_error error;
 	bool is_request;
 	bool no_body;       /* the next response answers a HEAD request */
 	bool message_ended; /* finish_message is to be called */
+	size_t unread; /* bytes passed to reader_feed that follow the message */
 };
 
 bool str_eq_nocase(struct str a, struct str b)
@@ -175,6 +177,7 @@
 	r->message->arena = r->message;
 	r->header_slots = 0;
 	r->in_value = false;
+	r->in_trailer = false;
 	buf_consume(&r->head_text, buf_len(&r->head_text));
 	return 0;
 }
@@ -199,32 +202,54 @@
 	return true;
 }
 
-/* Add the header that is complete; false when it is invalid. */
-static bool finish_header(struct reader *r)
+/* Return the header that is complete; it points into head_text. */
+static struct header last_header(const struct reader *r)
+{
+	struct header h = {
+		{r->head_text.data, r->value_offset},
+		{r->head_text.data + r->value_offset,
+		 r->head_text.len - r->value_offset},
+	};
+
+	while (h.value.len && (h.value.data[h.value.len - 1] == ' ' ||
+			       h.value.data[h.value.len - 1] == '\t'))
+		h.value.len--;
+	return h;
+}
+
+static void add_header(struct reader *r, struct header h)
 {
 	struct message *m = r->message;
-	struct header *h;
-	struct str value;
 
-	if (!r->in_value)
-		return true;
 	if (m->header_count == r->header_slots) {
 		r->header_slots = r->header_slots ? r->header_slots * 2
 						  : INITIAL_HEADER_SLOTS;
 		m->headers = talloc_realloc(m, m->headers, struct header,
 					    r->header_slots);
 	}
-	h = &m->headers[m->header_count++];
-	value = (struct str){r->head_text.data + r->value_offset,
-			     r->head_text.len - r->value_offset};
-	while (value.len && (value.data[value.len - 1] == ' ' ||
-			     value.data[value.len - 1] == '\t'))
-		value.len--;
-	h->name = str_dup(m, (struct str){r->head_text.data, r->value_offset});
-	h->value = str_dup(m, value);
+	m->headers[m->header_count++] =
+		(struct header){str_dup(m, h.name), str_dup(m, h.value)};
+}
+
+/*
+ * Take the header that is complete; false when it is invalid. Trailers are
+ * dropped: the head has been acted on by then, and one that says for instance
+ * that the request has not run would contradict it.
+ */
+static bool finish_header(struct reader *r)
+{
+	struct header h;
+	bool valid;
+
+	if (!r->in_value)
+		return true;
+	h = last_header(r);
+	valid = is_valid_header(h);
+	if (!r->in_trailer)
+		add_header(r, h);
 	r->in_value = false;
 	buf_consume(&r->head_text, buf_len(&r->head_text));
-	return is_valid_header(*h);
+	return valid;
 }
 
 static int on_url(http_parser *p, const char *at, size_t n)
@@ -261,6 +286,18 @@
 	return 0;
 }
 
+/*
+ * Whether a response has no body whatever its headers say. http_parser reads
+ * one of a 1xx, 204 or 304 response that has a length.
+ */
+static bool is_bodiless(const struct reader *r, const struct message *m)
+{
+	if (r->is_request)
+		return false;
+	return r->no_body || m->status / 100 == 1 || m->status == 204 ||
+	       m->status == 304;
+}
+
 static int on_headers_complete(http_parser *p)
 {
 	struct reader *r = reader_of(p);
@@ -278,11 +315,15 @@
 	m->has_body =
 		(p->flags & F_CHUNKED) ||
 		(p->content_length > 0 && p->content_length != UINT64_MAX);
+	/* Its sender may send the body all the same, before the next one. */
+	if (is_bodiless(r, m) && m->has_body)
+		m->keep_alive = false;
+	r->in_trailer = true;
 	if (r->ops->head && !r->ops->head(r->ctx, m)) {
 		r->error = READ_STOPPED;
 		return -1;
 	}
-	return r->no_body ? 1 : 0;
+	return is_bodiless(r, m) ? 1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t n)
@@ -346,6 +387,11 @@
 	r->no_body = no_body;
 }
 
+size_t reader_unread_bytes(const struct reader *r)
+{
+	return r->unread;
+}
+
 bool reader_is_mid_message(const struct reader *r)
 {
 	return r->message && !r->message_ended;
@@ -375,6 +421,7 @@
 			*err = READ_MALFORMED;
 			return used;
 		}
+		r->unread = n - used;
 		if (!finish_message(r))
 			*err = READ_STOPPED;
 		return used;
--- a/entry/link.c
+++ b/entry/link.c
@@ -391,5 +391,11 @@
 
 int64_t link_idle_deadline_ms(const struct link *l)
 {
-	return l->idle_timeout_ms > 0 ? time_boot_ms() + l->idle_timeout_ms : 0;
+	/*
+	 * The next attempt of the same request may get this link before the
+	 * bytes are parsed, and would take them for its response.
+	 */
+	if (reader_unread_bytes(l->reader) || l->idle_timeout_ms <= 0)
+		return 0;
+	return time_boot_ms() + l->idle_timeout_ms;
 }
--- a/entry/test-http-message.c
+++ b/entry/test-http-message.c
@@ -7,6 +7,7 @@
 /* What the callbacks received. */
 struct received {
 	int heads, ends;
+	size_t headers_at_end; /* of all messages that have ended */
 	GString *body;
 	char *headers; /* as [NAME=VALUE]... */
 };
@@ -37,7 +38,10 @@
 
 static bool on_end(void *ctx, struct message *m)
 {
-	((struct received *)ctx)->ends++;
+	struct received *s = ctx;
+
+	s->ends++;
+	s->headers_at_end += m->header_count;
 	talloc_free(m);
 	return true;
 }
@@ -155,6 +159,59 @@
 	clear(&s);
 }
 
+/*
+ * A trailer is taken for a header, by which it could add a key to a request or
+ * a refusal to a response; an invalid one is malformed.
+ */
+static void test_trailer(void)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nA: 1\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n"
+				   "3\r\nabc\r\n0\r\n";
+	char *text =
+		g_strconcat(head, "B: 2\r\nC: 3\r\n\r\n", head, "\r\n", NULL);
+	struct received s;
+
+	for (size_t step = 1; step < strlen(text); step++) {
+		g_assert_cmpint(feed(&s, false, text, step, false), ==,
+				READ_OK);
+		g_assert_cmpint(s.ends, ==, 2);
+		g_assert_cmpint(s.headers_at_end, ==, 2 * 2);
+		g_assert_cmpstr(s.body->str, ==, "abcabc");
+		clear(&s);
+	}
+	g_free(text);
+	text = g_strconcat(head, "B: a\001z\r\nC: 3\r\n\r\n", NULL);
+	g_assert_cmpint(feed(&s, false, text, 7, false), ==, READ_MALFORMED);
+	clear(&s);
+	g_free(text);
+}
+
+/*
+ * A response that can't have a body is read with the one that its headers
+ * describe, which is a part of the next response or never comes.
+ */
+static void test_bodiless(void)
+{
+	static const char text[] = "HTTP/1.1 103 X\r\nContent-Length: 3\r\n\r\n"
+				   "HTTP/1.1 204 X\r\nContent-Length: 3\r\n\r\n"
+				   "HTTP/1.1 304 X\r\nContent-Length: 3\r\n\r\n"
+				   "HTTP/1.1 204 X\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n"
+				   "HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\n"
+				   "abc";
+
+	for (size_t step = 1; step < sizeof(text); step++) {
+		struct received s;
+
+		g_assert_cmpint(feed(&s, false, text, step, false), ==,
+				READ_OK);
+		g_assert_cmpint(s.ends, ==, 5);
+		g_assert_cmpstr(s.body->str, ==, "abc");
+		clear(&s);
+	}
+}
+
 /* A header that never ends is refused at the limit. */
 static void test_header_limit(void)
 {
@@ -207,6 +264,8 @@
 	g_test_add_func("/entry/message/values", test_values);
 	g_test_add_func("/entry/message/malformed", test_malformed);
 	g_test_add_func("/entry/message/until-close", test_until_close);
+	g_test_add_func("/entry/message/trailer", test_trailer);
+	g_test_add_func("/entry/message/bodiless", test_bodiless);
 	g_test_add_func("/entry/message/header-limit", test_header_limit);
 	g_test_add_func("/entry/http-message/retry-after", test_retry_after);
 	return g_test_run();
--- a/entry/test-sse-split.c
+++ b/entry/test-sse-split.c
@@ -48,6 +48,53 @@
 	g_string_free(out, TRUE);
 }
 
+static void count(void *ctx, const char *p, size_t n)
+{
+	(void)p;
+	(void)n;
+	++*(int *)ctx;
+}
+
+/*
+ * Comments and blank lines count as events, so that a target that sends nothing
+ * else seems to make progress, or are left over as an incomplete event, so that
+ * a whole stream which ends with them seems to have broken off.
+ */
+static void test_comments(void)
+{
+	static const char text[] = "\n: a\n\nid: 1\ndata: a\n\n\r\n"
+				   ": b\r\n\r\n: c\ndata: d\n\n: e\n\n\n";
+
+	for (size_t step = 1; step < sizeof(text); step++) {
+		struct sse_splitter c = {.last_number = -1};
+		int events = 0;
+
+		for (size_t at = 0; at < sizeof(text) - 1; at += step)
+			g_assert_true(sse_splitter_feed(
+				&c, text + at,
+				MIN(step, sizeof(text) - 1 - at), count,
+				&events));
+		g_assert_cmpint(events, ==, 2);
+		g_assert_cmpuint(c.event_count, ==, 2);
+		g_assert_cmpuint(buf_len(&c.partial), ==, 0);
+		sse_splitter_clear(&c);
+	}
+}
+
+/* Comments without end take all memory. */
+static void test_endless_comments(void)
+{
+	struct sse_splitter c = {.last_number = -1};
+	int events = 0;
+
+	for (int i = 0; i < 100000; i++)
+		g_assert_true(
+			sse_splitter_feed(&c, ": a\n\n", 5, count, &events));
+	g_assert_cmpuint(c.padding.cap + c.partial.cap, <, 16384);
+	g_assert_cmpint(events, ==, 0);
+	sse_splitter_clear(&c);
+}
+
 /* An event that never ends is refused before it takes all memory. */
 static void test_endless(void)
 {
@@ -70,6 +117,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/entry/cut/any-split", test_any_split);
 	g_test_add_func("/entry/cut/resume", test_resume);
+	g_test_add_func("/entry/cut/comments", test_comments);
 	g_test_add_func("/entry/cut/endless", test_endless);
+	g_test_add_func("/entry/cut/endless-comments", test_endless_comments);
 	return g_test_run();
 }
