A planned stop keeps connections on which a request is due

Cause: idle connections are closed in the housekeeping timer, which runs before the input that is due in the same round. A request that had arrived on a kept connection, or on one that had just been accepted, was reset unread.

Change: a connection with unread bytes, or younger than 500 ms, is not idle. callers_busy tells the same to the end of the stop, which doesn't ask it yet.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -27,6 +27,11 @@
 #define DEFAULT_IDLE_MS      15000
 /* Time for a body to arrive when its caller names no deadline. */
 #define BODY_MS 60000
+/*
+ * A planned stop waits this long for the request of a new connection. A lost
+ * segment is sent again after 200 ms.
+ */
+#define REQUEST_DUE_MS 500
 
 struct caller {
 	struct traffic *tr;
@@ -43,6 +48,7 @@
 	struct message *request;   /* complete, but not handled yet */
 	struct exchange *exchange; /* NULL: no request in progress */
 	int64_t request_began_ms;  /* its first byte; 0: none yet */
+	int64_t quiet_since_ms;    /* connected, or its response was written */
 	int queued_bytes;          /* at the last timeout; see has_read */
 	int64_t body_deadline_ms;  /* of its last byte; set by its head */
 	bool keep_alive;           /* another request may follow */
@@ -318,6 +324,7 @@
 {
 	c->exchange = NULL;
 	c->request_began_ms = 0;
+	c->quiet_since_ms = time_boot_ms();
 	discard_body(c);
 	if (c->closed)
 		return;
@@ -405,6 +412,7 @@
 	c->tr = &p->e->tr;
 	c->kind = p->kind;
 	c->fd = fd;
+	c->quiet_since_ms = time_boot_ms();
 	c->reader = reader_new(true, &reader_ops, c);
 	reader_set_header_max(c->reader, (size_t)limits_of(c).header_bytes);
 	ev_io_init(&c->io, on_io, fd, EV_READ);
@@ -454,17 +462,44 @@
 		close_caller(tr->callers->head->data);
 }
 
+/*
+ * Whether the connection carries a request, its response, or one that may be on
+ * its way: the caller has just connected, or its bytes have not been read.
+ */
+static bool is_busy(const struct caller *c, int64_t now_ms)
+{
+	char byte;
+
+	if (c->exchange || c->request_began_ms || buf_len(&c->output) ||
+	    buf_len(&c->input))
+		return true;
+	return now_ms - c->quiet_since_ms < REQUEST_DUE_MS ||
+	       recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void callers_close_idle(struct traffic *tr)
 {
+	int64_t now = time_boot_ms();
 	GList *l = tr->callers->head;
 
 	while (l) {
 		struct caller *c = l->data;
 
 		l = l->next;
-		if (c->kind == PORT_CALLERS && !c->exchange &&
-		    !c->request_began_ms && !buf_len(&c->output) &&
-		    !buf_len(&c->input))
+		if (c->kind == PORT_CALLERS && !is_busy(c, now))
 			close_caller(c);
 	}
 }
+
+bool callers_busy(const struct traffic *tr)
+{
+	int64_t now = time_boot_ms();
+
+	for (GList *l = tr->callers->head; l; l = l->next) {
+		const struct caller *c = l->data;
+
+		if (c->kind == PORT_CALLERS && is_busy(c, now))
+			return true;
+	}
+	return false;
+}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -241,8 +241,10 @@
 void caller_reset(struct caller *c);
 struct traffic *caller_traffic(struct caller *c);
 void callers_close_all(struct traffic *tr);
-/* Close connections that carry no request. */
+/* Close connections that carry no request and on which none is due. */
 void callers_close_idle(struct traffic *tr);
+/* Whether there are others, which a planned stop should wait for. */
+bool callers_busy(const struct traffic *tr);
 
 /* local-reply.c: responses that the entry generates itself. */
 
