Nodes: bytes that complete no event don't end a stream's silence

Cause: each wait for data had a stall time-out of its own, so a stream whose target sent a byte now and then, but no event, was kept until its deadline.

Change: the silence counts from the last event, or from the start of the connection or of the wait. The test proxy can send pieces of a comment on connections that forward nothing.

--- a/node/relay.c
+++ b/node/relay.c
@@ -40,6 +40,8 @@
 	unsigned run_count;
 	const struct target *began_at; /* gave the first event; NULL: none */
 	int64_t first_event_ms;        /* of the run; 0: none */
+	/* Start of the connection or of the wait, or the last event in it. */
+	int64_t silent_since_ms;
 	bool recorded;   /* that the run began, or that its target crashed */
 	bool resuming;   /* the connection asked for the rest of an answer */
 	bool responded;  /* valid headers have arrived on the connection */
@@ -124,6 +126,7 @@
 	rl->responded = false;
 	rl->progressed = false;
 	rl->consumed = 0;
+	rl->silent_since_ms = time_mono_ms();
 }
 
 /* Ask the target for the events from receive_pos on. */
@@ -144,16 +147,20 @@
 	rl->responded = false;
 	rl->progressed = false;
 	rl->consumed = 0;
+	rl->silent_since_ms = time_mono_ms();
 	g_free(url);
 }
 
-/* Return when silence counts as a stall (monotonic), at latest the deadline. */
+/*
+ * Return when silence counts as a stall (monotonic), at latest the deadline.
+ * Bytes that complete no event don't end the silence.
+ */
 static int64_t stall_deadline_ms(const struct relay *rl)
 {
 	int64_t timeout_ms = pace_timeout_ms(
 		&rl->pace, rl->rq->node->set.streams_silence_ms);
 
-	return MIN(time_mono_ms() + timeout_ms,
+	return MIN(rl->silent_since_ms + timeout_ms,
 		   request_deadline_mono_ms(rl->rq));
 }
 
@@ -347,6 +354,7 @@
 	rl->consumed = sse_next((char *)b->data, b->len, e);
 	if (!rl->consumed)
 		return RECEIVED_NONE;
+	rl->silent_since_ms = time_mono_ms();
 	if (str_eq(e->data, STR_LIT("[DONE]"))) {
 		rl->diverged = rl->receive_pos < rl->deliver_pos;
 		rl->ended = !rl->diverged;
@@ -507,6 +515,8 @@
 	enum ramp_error err = RAMP_OK;
 
 	*ended = false;
+	/* The caller may have read slowly since the last event. */
+	rl->silent_since_ms = time_mono_ms();
 	while (err == RAMP_OK) {
 		enum receive_result result = RECEIVED_NONE;
 
--- a/node/test-harness.h
+++ b/node/test-harness.h
@@ -155,6 +155,11 @@
 	TCP_PROXY_BLACKHOLE,
 	/* Requests pass; the first bytes of a response close the connection. */
 	TCP_PROXY_CUT_RESPONSES,
+	/*
+	 * Open connections forward nothing; the client gets a chunk with a byte
+	 * of a comment now and then.
+	 */
+	TCP_PROXY_TRICKLE,
 };
 
 /* Listen on a free port. */
--- a/node/test-streams.c
+++ b/node/test-streams.c
@@ -184,8 +184,8 @@
 	rig_free(g);
 }
 
-/* The connection to the engine is blackholed; a new one works. */
-static void test_blackhole(void)
+/* The connection to the engine gets into the mode; a new one works. */
+static void check_stalled(enum tcp_proxy_mode mode)
 {
 	struct rig *g = rig_new(1, 1, SETTINGS);
 	struct tcp_proxy *proxy = tcp_proxy_new(g->engines[0].port);
@@ -195,7 +195,7 @@
 	rig_start(g);
 	a = chat_stream_open(g->nodes[0].port, "report", "six", TOKENS);
 	chat_stream_read(a, FEW_TOKENS);
-	tcp_proxy_set_mode(proxy, TCP_PROXY_BLACKHOLE);
+	tcp_proxy_set_mode(proxy, mode);
 	chat_stream_read(a, TOKENS + 1);
 	assert_complete(a, TOKENS);
 	g_assert_cmpint(rig_engine_runs(g), ==, 1);
@@ -206,6 +206,17 @@
 	tcp_proxy_free(proxy);
 }
 
+static void test_blackhole(void)
+{
+	check_stalled(TCP_PROXY_BLACKHOLE);
+}
+
+/* Bytes that complete no event keep a stalled stream waiting. */
+static void test_trickle(void)
+{
+	check_stalled(TCP_PROXY_TRICKLE);
+}
+
 /* Return the engine that has begun to run a request. */
 static struct proc *find_busy_engine(struct rig *g)
 {
@@ -420,6 +431,7 @@
 	g_test_add_func("/streams/engine-vanishes", test_engine_vanishes);
 	g_test_add_func("/streams/all-down", test_all_down);
 	g_test_add_func("/streams/blackhole", test_blackhole);
+	g_test_add_func("/streams/trickle", test_trickle);
 	g_test_add_func("/streams/engine-killed", test_engine_killed);
 	g_test_add_func("/streams/engine-and-entry-killed",
 			test_engine_and_entry_killed);
--- a/node/test-tcp-proxy.c
+++ b/node/test-tcp-proxy.c
@@ -47,16 +47,25 @@
 	return n > 0 && send(to, buf, (size_t)n, MSG_NOSIGNAL) == n;
 }
 
+/* Forward nothing; send some bytes of no event where the mode says so. */
+static bool stall(struct connection *conn)
+{
+	static const char piece[] = "1\r\n:\r\n";
+
+	g_usleep(POLL_MS * 1000);
+	return atomic_load(&conn->proxy->mode) != TCP_PROXY_TRICKLE ||
+	       send(conn->client_fd, piece, sizeof(piece) - 1, MSG_NOSIGNAL) >=
+		       0;
+}
+
 static bool forward_once(struct connection *conn)
 {
 	struct pollfd fds[] = {{conn->client_fd, POLLIN, 0},
 			       {conn->target_fd, POLLIN, 0}};
 	struct tcp_proxy *proxy = conn->proxy;
 
-	if (conn->generation < atomic_load(&proxy->generation)) {
-		g_usleep(POLL_MS * 1000);
-		return true;
-	}
+	if (conn->generation < atomic_load(&proxy->generation))
+		return stall(conn);
 	if (poll(fds, 2, POLL_MS) < 0)
 		return errno == EINTR;
 	/* The mode may have changed during the poll. */
@@ -148,7 +157,7 @@
 void tcp_proxy_set_mode(struct tcp_proxy *proxy, enum tcp_proxy_mode m)
 {
 	atomic_store(&proxy->mode, m);
-	if (m == TCP_PROXY_BLACKHOLE)
+	if (m == TCP_PROXY_BLACKHOLE || m == TCP_PROXY_TRICKLE)
 		atomic_fetch_add(&proxy->generation, 1);
 }
 
