--- a/entry/entry.c
+++ b/entry/entry.c
@@ -148,6 +148,16 @@
 	p->fd = -1;
 }
 
+/* Accept what waits in the backlog, which the close would reset, and close. */
+static void close_callers_port(struct traffic *tr)
+{
+	struct port *p = &tr->ports[PORT_CALLERS];
+
+	if (p->fd > 0)
+		caller_accept(p);
+	close_port(tr, PORT_CALLERS);
+}
+
 /* Continue a graceful shutdown; leave the event loop at its end. */
 static void stop_if_done(struct traffic *tr, int64_t now_ms)
 {
@@ -156,9 +166,10 @@
 	if (now_ms - tr->leaving_ms >= LEAVE_CLOSE_IDLE_MS)
 		callers_close_idle(tr);
 	if (now_ms >= tr->refuse_at_ms)
-		close_port(tr, PORT_CALLERS);
-	if (now_ms >= tr->stop_at_ms || (now_ms >= tr->refuse_at_ms &&
-					 !tr->exchanges && !tr->tunnels->head))
+		close_callers_port(tr);
+	if (now_ms >= tr->stop_at_ms ||
+	    (now_ms >= tr->refuse_at_ms && !tr->exchanges &&
+	     !callers_busy(tr) && !tr->tunnels->head))
 		ev_break(tr->loop, EVBREAK_ALL);
 }
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -655,9 +655,19 @@
 	return true;
 }
 
+/* Whether an attempt of the request was sent to the target. */
+static bool was_tried(const struct exchange *x, uint64_t target)
+{
+	for (int i = 0; i < x->attempts; i++)
+		if (x->tried_targets[i] == target)
+			return true;
+	return false;
+}
+
 void exchange_attempt(struct exchange *x)
 {
 	struct target *source, *t;
+	bool again;
 
 	if (refuse_blocked(x))
 		return;
@@ -682,8 +692,9 @@
 	x->last_source_name = source ? str_dup(x->arena, source->info.name)
 				     : (struct str)STR_LIT("-");
 	pool_add_running(t, 1);
+	again = was_tried(x, t->info.id);
 	x->tried_targets[x->attempts++] = t->info.id;
-	x->link = pool_acquire_link(t, &x->link_reused, &x->helper);
+	x->link = pool_acquire_link(t, again, &x->link_reused, &x->helper);
 	if (!x->link) {
 		x->failure_cause = "no_descriptor";
 		if (!exchange_retry(x, false, false))
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -247,8 +247,10 @@
 void caller_reset(struct caller *c);
 struct traffic *caller_traffic(struct caller *c);
 void callers_close_all(struct traffic *tr);
-/* Close connections that carry no request. */
+/* Close connections that carry no request and on which none is due. */
 void callers_close_idle(struct traffic *tr);
+/* Whether there are others, which a planned stop should wait for. */
+bool callers_busy(const struct traffic *tr);
 
 /* local-reply.c: responses that the entry generates itself. */
 
@@ -351,9 +353,10 @@
 /*
  * Return an idle link to the target, or a new one that is still connecting, or
  * NULL when no socket can be opened. *reused tells which. *helper is the node
- * through which it goes; 0: none.
+ * through which it goes; 0: none. fresh: not an idle one, on which a late copy
+ * of the response to an earlier attempt of the same request may arrive.
  */
-struct link *pool_acquire_link(struct target *t, bool *reused,
+struct link *pool_acquire_link(struct target *t, bool fresh, bool *reused,
 			       uint64_t *helper);
 /* Close the idle links to the target. */
 void pool_close_idle_links(struct target *t);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -501,7 +501,8 @@
 	return targets[chosen];
 }
 
-struct link *pool_acquire_link(struct target *t, bool *reused, uint64_t *helper)
+struct link *pool_acquire_link(struct target *t, bool fresh, bool *reused,
+			       uint64_t *helper)
 {
 	int64_t now = time_boot_ms();
 	struct idle_link *i;
@@ -514,7 +515,7 @@
 		if (through)
 			return through;
 	}
-	while ((i = g_queue_pop_head(t->idle_links))) {
+	while (!fresh && (i = g_queue_pop_head(t->idle_links))) {
 		struct link *l = i->link;
 		bool usable = i->until_ms > now;
 
