Refuse requests at once when the targets of a service are short of room

Change: entry/shed.c gathers load, slots and age of the loads, and is called before the first attempt of a request; not for streams taken up nor retries. Settings [overload], event request_shed, metrics overload_*; Retry-After of such a refusal comes from the decision. Loads tell when a report last came, and a service's room how many targets name no slots.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -61,4 +61,5 @@
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
 	{ 2011, LOG_WARNING, "metrics_unavailable" },
 	{ 7008, LOG_INFO, "serving_changed" },
+	{ 4017, LOG_INFO, "request_shed" },
 };
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -9,6 +9,7 @@
 
 #include "entry/internal.h"
 #include "entry/origins.h"
+#include "entry/shed.h"
 #include "entry/tunnel.h"
 
 #define HOUSEKEEPING_MS 100
@@ -265,6 +266,7 @@
 	tr->callers = g_queue_new();
 	tr->taking_up = g_queue_new();
 	tr->rand = g_rand_new();
+	tr->shed = shed_new(tr);
 	tr->started_ms = time_boot_ms();
 	ev_async_init(&tr->views_published, on_views_published);
 	tr->views_published.data = tr;
@@ -370,6 +372,7 @@
 		close_port(tr, (enum port_kind)i);
 	tunnels_close_all(tr);
 	reach_checks_free(tr);
+	shed_free(tr->shed);
 	pool_free(tr);
 	if (e->control)
 		control_free(e->control);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -187,7 +187,9 @@
 	struct str priority;
 	struct str last_event;
 	struct str resumes; /* id of the attempt that brought the first event */
-	struct str fetch_from; /* IP:PORT of a target that holds the prompt */
+	struct str token_usage; /* prompt tokens, most output tokens */
+	struct str length_hint; /* output tokens that the caller expects */
+	struct str fetch_from;  /* IP:PORT of a target that holds the prompt */
 	/* Headers that only the entry may set; dropped from requests. */
 	const struct str *reserved;
 	size_t reserved_count;
@@ -422,6 +424,8 @@
 void loads_set_send_interval(struct loads *l, int64_t interval_ms);
 /* Return how old this node's knowledge of the others' requests may be. */
 int64_t loads_lag_ms(struct loads *l, int64_t now_ms);
+/* Return when another node's report or a total last arrived; 0: never. */
+int64_t loads_newest_ms(struct loads *l);
 /* Set whether this node accepts callers' requests, for the next report. */
 void loads_set_serving(struct loads *l, bool serving);
 /*
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -10,6 +10,7 @@
 
 #include "entry/exchange.h"
 #include "entry/origins.h"
+#include "entry/shed.h"
 #include "entry/tunnel.h"
 
 /* Largest response that is buffered until complete; a longer one fails. */
@@ -147,6 +148,8 @@
 	int64_t rest_end_ms =
 		x->service ? pool_rest_end_ms(x->tr, x->service, now) : 0;
 
+	if (x->shed_retry_after_ms)
+		return x->shed_retry_after_ms;
 	/* None is served earlier. */
 	if (kind == RAMP_ERR_PROMPT_BLOCKED || kind == RAMP_ERR_REQUEST_BLOCKED)
 		return CAUSE_BLOCK_IDLE_MS;
@@ -458,6 +461,7 @@
 	pool_record_begun(x->target, exchange_priority(x), x->sent_ms);
 	pool_record_load(x->target, message_header(m, x->tr->dialect->load));
 	record_wishes(x, m);
+	shed_record_begin(x);
 	x->streaming = is_event_stream(x) && m->status == 200 && echo.len &&
 		       is_deliverable(x);
 	if (x->streaming && x->service->model)
@@ -519,6 +523,7 @@
 	}
 	pool_record_response(x->target, true);
 	exchange_record_begin(x, x->first_event_ms);
+	shed_record_end(x);
 	log_end(x, 200, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
 	caller_write(x->caller, "0\r\n\r\n", 5);
@@ -571,8 +576,10 @@
 			return;
 		}
 	}
-	if (status / 100 == 2)
+	if (status / 100 == 2) {
 		exchange_record_begin(x, time_boot_ms());
+		shed_record_end(x);
+	}
 	deliver_response(x);
 }
 
@@ -745,6 +752,6 @@
 				 time_boot_ms());
 	if (exchange_is_take_up(x))
 		exchange_take_up(x);
-	else
+	else if (!shed_refuse(x))
 		exchange_attempt(x);
 }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -85,6 +85,12 @@
 	bool all_resting; /* no target takes requests, some for a time only */
 	ev_timer timer;   /* the next of the deadlines above */
 	const char *failure_cause; /* of the last failure, for the log */
+	/* Of shed.c: prediction when it was admitted, and what came of it. */
+	double shed_pressure; /* load by slots; 0: not known, or not admitted */
+	double shed_wait_ms;
+	int64_t shed_began_ms; /* response of the first attempt; 0: not yet */
+	bool shed_waited;      /* requests waited at the service then */
+	int64_t shed_retry_after_ms; /* of its refusal; 0: none */
 };
 
 /* Return the time to the deadline; negative after it. */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -21,6 +21,7 @@
 
 struct exchange;
 struct caller;
+struct shed;
 
 /* What a listening port serves. */
 enum port_kind {
@@ -123,6 +124,7 @@
 	GQueue *tunnels;             /* of other nodes, see tunnel.c */
 	GHashTable *retry_windows; /* service name -> struct service_retries */
 	struct key_rates *key_rates; /* of placement keys, at this node */
+	struct shed *shed;           /* NULL: admits all; see shed.h */
 	GRand *rand;
 	struct port ports[PORT_COUNT];
 	ev_async views_published; /* signalled by the control thread */
@@ -304,8 +306,9 @@
 /* Load and slots of the targets of a service that take new requests. */
 struct service_room {
 	size_t targets;
-	double load;  /* requests running and waiting there */
-	double slots; /* requests that they run at the same time */
+	double load;     /* requests running and waiting there */
+	double slots;    /* requests that they run at the same time */
+	size_t slotless; /* targets that name no slots */
 };
 
 struct service_room pool_service_room(struct traffic *tr,
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -36,6 +36,7 @@
 	GMutex lock;
 	GHashTable *relayed; /* see load_table: requests of all others */
 	int64_t relayed_ms;  /* when it last arrived; 0: never */
+	int64_t newest_ms;   /* when another report or total last arrived */
 	int64_t send_interval_ms;
 	uint64_t node;
 	uint64_t start;    /* wall-clock ms; orders reports across restarts */
@@ -181,6 +182,16 @@
 	return ms;
 }
 
+int64_t loads_newest_ms(struct loads *l)
+{
+	int64_t ms;
+
+	g_mutex_lock(&l->lock);
+	ms = l->newest_ms;
+	g_mutex_unlock(&l->lock);
+	return ms;
+}
+
 void loads_own_table(struct loads *l, struct load_table *t)
 {
 	GHashTable *counts = g_hash_table_new(NULL, NULL);
@@ -209,7 +220,7 @@
 	g_mutex_lock(&l->lock);
 	ok = load_table_decode(t, l->relayed);
 	if (ok)
-		l->relayed_ms = now_ms;
+		l->relayed_ms = l->newest_ms = now_ms;
 	g_mutex_unlock(&l->lock);
 	return ok;
 }
@@ -300,6 +311,7 @@
 	peer->start = report->start;
 	peer->seq = report->seq;
 	peer->received_ms = now_ms;
+	l->newest_ms = now_ms;
 	peer->serving = report->serving;
 	g_hash_table_remove_all(peer->running);
 	for (u_int i = 0; i < report->entries.entries_len; i++)
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -411,6 +411,7 @@
 		room.targets++;
 		room.load += p.load;
 		room.slots += p.slots;
+		room.slotless += p.slots <= 0;
 	}
 	return room;
 }
--- a/entry/settings-gen.c
+++ b/entry/settings-gen.c
@@ -89,6 +89,12 @@
 	{ "log", "lines", SETTING_INT, NULL, "200", 1, 100000,
 	  offsetof(struct entry_settings, log_lines),
 	  "Limit on log lines per second." },
+	{ "overload", "shed", SETTING_BOOL, NULL, "true", 4, 5,
+	  offsetof(struct entry_settings, overload_shed),
+	  "Whether requests are refused when the targets of a service are short of room." },
+	{ "overload", "interval", SETTING_MS, NULL, "1000", 100, 60000,
+	  offsetof(struct entry_settings, overload_interval_ms),
+	  "Time for which the predicted wait exceeds the lowest latency target before requests are refused by their rank, in milliseconds." },
 };
 const struct setting_table entry_settings_table = {
 	infos, sizeof(infos) / sizeof(infos[0]),
--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -33,5 +33,7 @@
 	double bounds_entries_ttl_s;
 	char *log_level;
 	int64_t log_lines;
+	bool overload_shed;
+	int64_t overload_interval_ms;
 };
 #endif
