--- a/route/overload.c
+++ b/route/overload.c
@@ -10,10 +10,20 @@
 #define PRIORITIES 10
 /* Fewer runs of a service than this predict nothing. */
 #define RUNS_MIN 8
-/* Runs that a mean goes back over. */
-#define RUNS_MEMORY 200
-/* Means of runs without a wait are used for this long. */
-#define CALM_VALID_MS 600000
+/*
+ * Runs that a mean goes back over. A node of 370 sees about two requests of a
+ * route in a second.
+ */
+#define RUNS_MEMORY 50
+/*
+ * The same for how long runs of all routes take by their means, which tells
+ * sooner that the targets have become slower, and bounds of that.
+ */
+#define SPEED_MEMORY 16
+#define SPEED_MIN    0.5
+#define SPEED_MAX    5.0
+/* Means of runs without a wait are used for this long after others began. */
+#define CALM_VALID_MS 10000
 /* Time constant of the counts of requests offered and admitted. */
 #define TALLY_MS 20000.0
 /* What has not been used for this long is dropped. */
@@ -80,7 +90,7 @@
 /* Part of the slots that more urgent requests leave at least. */
 #define SLOTS_LEFT_MIN 0.1
 
-/* Mean and variance over the last RUNS_MEMORY values. */
+/* Mean and variance over the last values. */
 struct moments {
 	double n, mean, variance;
 	int64_t at_ms; /* of the last value */
@@ -110,6 +120,7 @@
 struct service_state {
 	GHashTable *routes;        /* id -> struct route_state */
 	GHashTable *organisations; /* id -> struct org_state */
+	struct moments speed;      /* run times by the means of their routes */
 	struct tally all;
 	struct tally priorities[PRIORITIES]; /* in ms of run time */
 	int64_t observed_ms;                 /* 0: never */
@@ -204,11 +215,12 @@
 	return v;
 }
 
-static void moments_add(struct moments *m, double value, int64_t now_ms)
+static void moments_add(struct moments *m, double value, double memory,
+			int64_t now_ms)
 {
 	double weight, delta = value - m->mean;
 
-	m->n = MIN(m->n + 1, RUNS_MEMORY);
+	m->n = MIN(m->n + 1, memory);
 	weight = 1 / m->n;
 	m->mean += weight * delta;
 	m->variance = (1 - weight) * (m->variance + weight * delta * delta);
@@ -236,13 +248,17 @@
 	return t->offered > 0 ? t->admitted / t->offered : 1;
 }
 
-/* Return the run times of the route that predict best, or NULL. */
-static const struct moments *route_runs(const struct route_state *r,
-					int64_t now_ms)
+/*
+ * Return the run times of the route that predict best, or NULL. Those without a
+ * wait are exact, but during a long overload there are none.
+ */
+static const struct moments *route_runs(const struct route_state *r)
 {
-	if (r->calm.n >= RUNS_MIN && now_ms - r->calm.at_ms <= CALM_VALID_MS)
+	bool calm_ended = r->scaled.at_ms - r->calm.at_ms > CALM_VALID_MS;
+
+	if (r->calm.n >= RUNS_MIN && !calm_ended)
 		return &r->calm;
-	if (r->scaled.n > r->calm.n)
+	if (r->scaled.n >= RUNS_MIN || r->scaled.n > r->calm.n)
 		return &r->scaled;
 	return r->calm.n ? &r->calm : NULL;
 }
@@ -260,7 +276,7 @@
 	g_hash_table_iter_init(&it, s->routes);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct route_state *r = v;
-		const struct moments *m = route_runs(r, now_ms);
+		const struct moments *m = route_runs(r);
 
 		if (!m)
 			continue;
@@ -269,7 +285,9 @@
 		sum += r->all.admitted * cautious_mean(m);
 		weights += r->all.admitted;
 	}
-	return n >= RUNS_MIN && weights > 0 ? sum / weights : 0;
+	if (n < RUNS_MIN || weights <= 0)
+		return 0;
+	return sum / weights * (s->speed.n ? MAX(s->speed.mean, SPEED_MIN) : 1);
 }
 
 /* Return the wait of a request that comes after a load. */
@@ -353,9 +371,11 @@
 static double priority_limit_ms(const struct overload_service *s,
 				const struct overload_request *r)
 {
+	int64_t target_ms = s->latency_target_ms;
+
 	if (!more_urgent(s, r->priority))
-		return (double)MAX(r->latency_target_ms, s->latency_target_ms);
-	return priority_part(s, r->priority) * (double)s->latency_target_ms;
+		target_ms = MAX(target_ms, r->latency_target_ms);
+	return priority_part(s, r->priority) * (double)target_ms;
 }
 
 /* Return the part of the limit that is left to a request with more work. */
@@ -453,7 +473,7 @@
 {
 	double step;
 
-	moments_add(&r->work, tokens, now_ms);
+	moments_add(&r->work, tokens, RUNS_MEMORY, now_ms);
 	step = LARGE_STEP * r->work.mean;
 	if (r->work.n <= 1)
 		r->large_tokens = 2 * tokens;
@@ -494,7 +514,7 @@
 
 static void admit(const struct context *c, int priority, int64_t now_ms)
 {
-	const struct moments *m = route_runs(c->route, now_ms);
+	const struct moments *m = route_runs(c->route);
 	struct tally *t =
 		&c->service->priorities[CLAMP(priority, 0, PRIORITIES - 1)];
 
@@ -557,7 +577,7 @@
 			const struct overload_request *r, double wait_ms,
 			int64_t now_ms)
 {
-	const struct moments *m = route_runs(c->route, now_ms);
+	const struct moments *m = route_runs(c->route);
 
 	if (wait_ms <= 0)
 		return false;
@@ -621,25 +641,39 @@
 	return verdict;
 }
 
+/* Compare a run with the mean of its route. */
+static void note_speed(struct service_state *s, const struct route_state *r,
+		       double ms, int64_t now_ms)
+{
+	const struct moments *m = route_runs(r);
+
+	if (m && m->n >= RUNS_MIN && m->mean > 0)
+		moments_add(&s->speed, CLAMP(ms / m->mean, 0, SPEED_MAX),
+			    SPEED_MEMORY, now_ms);
+}
+
 void overload_record_run(struct overload *o, uint64_t service, uint64_t route,
 			 const struct overload_run *run, int64_t now_ms)
 {
 	struct service_state *s = find_service(o, service, now_ms);
 	struct route_state *r = find_route(s, route, now_ms);
+	double ms = (double)run->ended_after_ms;
 
 	if (run->pressure <= 0)
 		return;
 	if (run->pressure > 1) {
 		/* It waited behind what was over the slots, then ran. */
-		moments_add(&r->scaled,
-			    (double)run->ended_after_ms / run->pressure,
-			    now_ms);
+		ms /= run->pressure;
+		note_speed(s, r, ms, now_ms);
+		moments_add(&r->scaled, ms, RUNS_MEMORY, now_ms);
 		return;
 	}
 	if (run->waited)
 		return;
-	moments_add(&r->calm, (double)run->ended_after_ms, now_ms);
-	moments_add(&r->begin, (double)run->began_after_ms, now_ms);
+	note_speed(s, r, ms, now_ms);
+	moments_add(&r->calm, ms, RUNS_MEMORY, now_ms);
+	moments_add(&r->begin, (double)run->began_after_ms, RUNS_MEMORY,
+		    now_ms);
 }
 
 double overload_begin_ms(const struct overload *o, uint64_t service,
--- a/route/test-overload.c
+++ b/route/test-overload.c
@@ -62,6 +62,8 @@
 	int organisations;
 	double first_org_factor; /* load of the first one, by the others' */
 	bool mixed_work;
+	double urgent_part; /* the others are least urgent; 0: as classes */
+	int slow_from_s; /* from then on work takes twice as long; 0: never */
 	unsigned seed;
 };
 
@@ -125,11 +127,17 @@
 
 	while (j->class < CLASSES - 1 && pick >= classes[j->class].part)
 		pick -= classes[j->class ++].part;
+	if (u->urgent_part > 0)
+		j->class = g_rand_double(s->rand) < u->urgent_part
+				   ? 0
+				   : CLASSES - 1;
 	at -= u->first_org_factor;
 	j->organisation = at < 0 ? 1 : 2 + (uint64_t)at;
 	work = u->mixed_work ? exp(0.6 * normal(s->rand) - 0.18) : 1;
 	hint = exp(0.3 * normal(s->rand));
 	j->run_ms = RUN_MS * work;
+	if (u->slow_from_s && s->now_ms - 1000000 >= u->slow_from_s * 1000)
+		j->run_ms *= 2;
 	j->tokens = 1000 * work * hint;
 	j->large = work > 1.8; /* the largest tenth */
 	j->arrived_ms = s->now_ms;
@@ -586,6 +594,25 @@
 	check_shares(true);
 }
 
+/* Targets become slower during an overload, and the prediction doesn't. */
+static void test_slow_targets(void)
+{
+	struct setup u = standard_setup();
+	double served[POLICIES];
+
+	u.slow_from_s = 40;
+	for (int p = 0; p < POLICIES; p++) {
+		struct sim *s = sim_run(&u, p);
+
+		print_shares("slow targets", s, 60, 80);
+		served[p] = rate(count(s, 60, 80, select_all, 0));
+		sim_free(s);
+	}
+	g_assert_cmpfloat(served[POLICY_SHED], >, 1.5 * served[POLICY_NAIVE]);
+	g_assert_cmpfloat(served[POLICY_SHED], >=,
+			  0.9 * served[POLICY_KNOWN_TARGET]);
+}
+
 /* Assert the rules on starvation over the time of the overload. */
 static void assert_floors(const struct sim *s)
 {
@@ -618,6 +645,20 @@
 	}
 }
 
+/* Urgent requests alone take all the room, and the others get none. */
+static void test_urgent_crowd(void)
+{
+	struct setup u = standard_setup();
+	struct sim *s;
+
+	u.urgent_part = 0.9;
+	s = sim_run(&u, POLICY_SHED);
+	print_shares("urgent crowd", s, 20, 80);
+	g_assert_cmpfloat(rate(count(s, 20, 80, select_class, CLASSES - 1)), >=,
+			  rate(count(s, 20, 80, select_all, 0)) / 4);
+	sim_free(s);
+}
+
 /* An organisation with ten times its load takes the others' room. */
 static void test_large_organisation(void)
 {
@@ -771,6 +812,23 @@
 	fixture_free(&f);
 }
 
+/* The prediction follows only after many runs that targets are slower. */
+static void test_speed(void)
+{
+	struct fixture f = fixture_new(30);
+	struct overload_view view = {.load = 200, .slots = 100};
+	struct overload_run run = {.pressure = 0.5,
+				   .began_after_ms = 50,
+				   .ended_after_ms = 2 * RUN_MS};
+
+	for (size_t i = 0; i < 20; i++)
+		overload_record_run(f.o, SERVICE, 10 + i % CLASSES, &run,
+				    f.now_ms);
+	g_assert_cmpfloat(decide(&f, &view, 0, 60000, 1000).wait_ms, >,
+			  1.6 * RUN_MS);
+	fixture_free(&f);
+}
+
 /* With too few runs, or without slots or reports, a guess refuses requests. */
 static void test_unknown(void)
 {
@@ -818,6 +876,12 @@
 	for (int i = 0; i < 40; i++)
 		g_assert_cmpint(decide(&f, &calm, 2, 60000, 9000).reason, ==,
 				OVERLOAD_ADMITTED);
+	/* Later a short burst is served as if there had been no overload. */
+	observe_for(&f, &calm, 3500);
+	observe_for(&f, &full, 900);
+	for (int i = 0; i < 40; i++)
+		g_assert_cmpint(decide(&f, &full, 2, 60000, 1000).reason, ==,
+				OVERLOAD_ADMITTED);
 	fixture_free(&f);
 }
 
@@ -880,6 +944,35 @@
 	fixture_free(&f);
 }
 
+/*
+ * Urgent requests are refused for a queue that they overtake at the target, or
+ * for want of time to wait behind it.
+ */
+static void test_overtaking(void)
+{
+	struct fixture f = fixture_new(300);
+	struct overload_service ordered = service;
+	struct overload_view view = {.load = 260, .slots = 100};
+
+	/* A third of the requests is urgent: less than the slots. */
+	ordered.ordered = true;
+	for (int i = 0; i < 600; i++) {
+		struct job j = {.organisation = 1, .tokens = 1000};
+		struct overload_request r;
+		struct overload_verdict v;
+
+		f.now_ms += 10;
+		j.deadline_ms = f.now_ms + (i % 3 ? 60000 : 1200);
+		r = request_of(&j, (size_t)i % 3);
+		v = overload_decide(f.o, &ordered, &view, &r, f.now_ms);
+		if (!(i % 3))
+			g_assert_cmpint(v.reason, ==, OVERLOAD_ADMITTED);
+		if (i > 300 && i % 3 && v.reason == OVERLOAD_ADMITTED)
+			g_assert_true(v.by_floor);
+	}
+	fixture_free(&f);
+}
+
 /* Retry-After sends all callers back at once, or too late for them. */
 static void test_retry_after(void)
 {
@@ -949,10 +1042,12 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/overload/prediction", test_prediction);
 	g_test_add_func("/overload/deadline", test_deadline);
+	g_test_add_func("/overload/speed", test_speed);
 	g_test_add_func("/overload/unknown", test_unknown);
 	g_test_add_func("/overload/interval", test_interval);
 	g_test_add_func("/overload/pause", test_pause);
 	g_test_add_func("/overload/priority-order", test_priority_order);
+	g_test_add_func("/overload/overtaking", test_overtaking);
 	g_test_add_func("/overload/retry-after", test_retry_after);
 	g_test_add_func("/overload/start-in-overload", test_start_in_overload);
 	g_test_add_func("/overload/sweep", test_sweep);
@@ -960,8 +1055,10 @@
 	g_test_add_func("/overload/short-burst", test_short_burst);
 	g_test_add_func("/overload/recovery", test_recovery);
 	g_test_add_func("/overload/floors", test_floors);
+	g_test_add_func("/overload/urgent-crowd", test_urgent_crowd);
 	g_test_add_func("/overload/large-organisation",
 			test_large_organisation);
+	g_test_add_func("/overload/slow-targets", test_slow_targets);
 	g_test_add_func("/overload/shares", test_shares);
 	g_test_add_func("/overload/shares-ordered", test_shares_ordered);
 	return g_test_run();
