Refused requests pay for no retries; tests of floors and of few runs

Cause: a request refused by overload counted as one that pays for retries, so the retry budget grew with the requests refused. Mutations showed that no test noticed a missing floor of organisations, nor a mean over few runs taken as certain. Change: the request is counted after it was admitted. Tests /overload/few-runs and /overload/least-urgent-organisation, which fail under these mutations.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -748,10 +748,13 @@
 		exchange_reply_error(x, e);
 		return;
 	}
+	/* Requests that are refused here pay for no retries. */
+	if (!exchange_is_take_up(x) && shed_refuse(x))
+		return;
 	retry_window_add_request(pool_retry_window(x->tr, x->service->name),
 				 time_boot_ms());
 	if (exchange_is_take_up(x))
 		exchange_take_up(x);
-	else if (!shed_refuse(x))
+	else
 		exchange_attempt(x);
 }
--- a/route/test-overload.c
+++ b/route/test-overload.c
@@ -62,6 +62,7 @@
 	int organisations;
 	double first_org_factor; /* load of the first one, by the others' */
 	bool mixed_work;
+	bool first_is_last; /* the first organisation is always least urgent */
 	double urgent_part; /* the others are least urgent; 0: as classes */
 	int slow_from_s; /* from then on work takes twice as long; 0: never */
 	unsigned seed;
@@ -133,6 +134,8 @@
 				   : CLASSES - 1;
 	at -= u->first_org_factor;
 	j->organisation = at < 0 ? 1 : 2 + (uint64_t)at;
+	if (u->first_is_last && j->organisation == 1)
+		j->class = CLASSES - 1;
 	work = u->mixed_work ? exp(0.6 * normal(s->rand) - 0.18) : 1;
 	hint = exp(0.3 * normal(s->rand));
 	j->run_ms = RUN_MS * work;
@@ -659,6 +662,25 @@
 	sim_free(s);
 }
 
+/* An organisation whose requests are all least urgent gets nothing. */
+static void test_least_urgent_organisation(void)
+{
+	struct setup u = standard_setup();
+	double all, first;
+	struct sim *s;
+
+	u.first_is_last = true;
+	u.first_org_factor = 5;
+	u.nodes = 4;
+	s = sim_run(&u, POLICY_SHED);
+	all = rate(count(s, 20, 80, select_all, 0));
+	first = rate(count(s, 20, 80, select_org, 1));
+	g_test_message("least urgent organisation: %.3f of all %.3f", first,
+		       all);
+	g_assert_cmpfloat(first, >=, all / 4);
+	sim_free(s);
+}
+
 /* An organisation with ten times its load takes the others' room. */
 static void test_large_organisation(void)
 {
@@ -829,6 +851,37 @@
 	fixture_free(&f);
 }
 
+/* Return the wait that is predicted after runs of differing times. */
+static double wait_after_runs(int runs)
+{
+	struct fixture f = fixture_new(0);
+	struct overload_view calm = {.load = 10, .slots = 100};
+	struct overload_view full = {.load = 200, .slots = 100};
+	double wait;
+
+	for (int i = 0; i < runs; i++) {
+		size_t c = (size_t)i % CLASSES;
+		struct overload_run run = {
+			.pressure = 0.5,
+			.ended_after_ms = RUN_MS / 2 * (i % 2 ? 3 : 1),
+		};
+
+		decide(&f, &calm, c, 60000, 1000);
+		overload_record_run(f.o, SERVICE, 10 + c, &run, f.now_ms);
+	}
+	wait = decide(&f, &full, 0, 60000, 1000).wait_ms;
+	fixture_free(&f);
+	return wait;
+}
+
+/* A mean over few runs, which may be far too high, predicts as one of many. */
+static void test_few_runs(void)
+{
+	g_assert_cmpfloat(wait_after_runs(12), <, 0.85 * RUN_MS);
+	g_assert_cmpfloat(wait_after_runs(300), >, 0.85 * RUN_MS);
+	g_assert_cmpfloat(wait_after_runs(300), <, 1.1 * RUN_MS);
+}
+
 /* With too few runs, or without slots or reports, a guess refuses requests. */
 static void test_unknown(void)
 {
@@ -1043,6 +1096,7 @@
 	g_test_add_func("/overload/prediction", test_prediction);
 	g_test_add_func("/overload/deadline", test_deadline);
 	g_test_add_func("/overload/speed", test_speed);
+	g_test_add_func("/overload/few-runs", test_few_runs);
 	g_test_add_func("/overload/unknown", test_unknown);
 	g_test_add_func("/overload/interval", test_interval);
 	g_test_add_func("/overload/pause", test_pause);
@@ -1056,6 +1110,8 @@
 	g_test_add_func("/overload/recovery", test_recovery);
 	g_test_add_func("/overload/floors", test_floors);
 	g_test_add_func("/overload/urgent-crowd", test_urgent_crowd);
+	g_test_add_func("/overload/least-urgent-organisation",
+			test_least_urgent_organisation);
 	g_test_add_func("/overload/large-organisation",
 			test_large_organisation);
 	g_test_add_func("/overload/slow-targets", test_slow_targets);
