--- a/base/events-gen.h
+++ b/base/events-gen.h
@@ -68,6 +68,7 @@
 	EV_SERVING_CHANGED,
 	EV_EXPLAINED,
 	EV_EXPLAIN_DENIED,
+	EV_REQUEST_SHED,
 	EV_COUNT
 };
 #endif
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,6 +10,7 @@
 #include "entry/evacuations.h"
 #include "entry/internal.h"
 #include "entry/origins.h"
+#include "entry/shed.h"
 #include "entry/tunnel.h"
 
 #define HOUSEKEEPING_MS 100
@@ -284,6 +285,7 @@
 	tr->callers = g_queue_new();
 	tr->taking_up = g_queue_new();
 	tr->rand = g_rand_new();
+	tr->shed = shed_new(tr);
 	tr->started_ms = time_boot_ms();
 	ev_async_init(&tr->views_published, on_views_published);
 	tr->views_published.data = tr;
@@ -392,6 +394,7 @@
 		close_port(tr, (enum port_kind)i);
 	tunnels_close_all(tr);
 	reach_checks_free(tr);
+	shed_free(tr->shed);
 	pool_free(tr);
 	if (e->control)
 		control_free(e->control);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -10,6 +10,7 @@
 
 #include "entry/exchange.h"
 #include "entry/origins.h"
+#include "entry/shed.h"
 #include "entry/tunnel.h"
 
 /* Largest response that is buffered until complete; a longer one fails. */
@@ -144,6 +145,8 @@
 	int64_t rest_end_ms =
 		x->service ? pool_rest_end_ms(x->tr, x->service, now) : 0;
 
+	if (x->shed_retry_after_ms)
+		return x->shed_retry_after_ms;
 	/* None is served earlier. */
 	if (kind == RAMP_ERR_PROMPT_BLOCKED || kind == RAMP_ERR_REQUEST_BLOCKED)
 		return CAUSE_BLOCK_IDLE_MS;
@@ -457,6 +460,7 @@
 	pool_record_begun(x->target, exchange_priority(x), x->sent_ms);
 	pool_record_load(x->target, message_header(m, x->tr->dialect->load));
 	record_wishes(x, m);
+	shed_record_begin(x);
 	x->streaming = is_event_stream(x) && m->status == 200 && echo.len &&
 		       is_deliverable(x);
 	if (x->streaming && x->service->model)
@@ -518,6 +522,7 @@
 	}
 	pool_record_response(x->target, true);
 	exchange_record_begin(x, x->first_event_ms);
+	shed_record_end(x);
 	log_end(x, 200, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
 	caller_write(x->caller, "0\r\n\r\n", 5);
@@ -570,8 +575,10 @@
 			return;
 		}
 	}
-	if (status / 100 == 2)
+	if (status / 100 == 2) {
 		exchange_record_begin(x, time_boot_ms());
+		shed_record_end(x);
+	}
 	deliver_response(x);
 }
 
@@ -751,6 +758,9 @@
 		exchange_reply_error(x, e);
 		return;
 	}
+	/* Requests that are refused here pay for no retries. */
+	if (!exchange_is_take_up(x) && shed_refuse(x))
+		return;
 	retry_window_add_request(pool_retry_window(x->tr, x->service->name),
 				 time_boot_ms());
 	if (exchange_is_take_up(x))
--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -38,5 +38,7 @@
 	char *explain_key_hash;
 	char *log_level;
 	int64_t log_lines;
+	bool overload_shed;
+	int64_t overload_interval_ms;
 };
 #endif
