--- a/entry/evacuations.c
+++ b/entry/evacuations.c
@@ -53,7 +53,7 @@
 	g_free(zone);
 }
 
-static void tell(void *ctx, const struct evacuation *v)
+static void publish(void *ctx, const struct evacuation *v)
 {
 	struct entry *e = ctx;
 
@@ -63,7 +63,7 @@
 
 struct evacuations *entry_evacuations_new(struct entry *e)
 {
-	static const struct evacuation_ops ops = {on_changed, tell};
+	static const struct evacuation_ops ops = {on_changed, publish};
 
 	return evacuations_new(&ops, e);
 }
--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -33,11 +33,11 @@
 /* Interval of the looks at the list, and at what is out of date. */
 #define SWEEP_INTERVAL_MS 1000
 /*
- * The control thread stood still if no tick came for this long; it takes what
- * waited in the meantime for late, in this time after the next tick.
+ * The control thread was paused or delayed if no tick came for this long. What
+ * arrives within LATE_MS after the next tick may have waited in the meantime.
  */
-#define STOOD_STILL_MS 500
-#define LATE_MS        100
+#define TICK_STALL_MS 500
+#define LATE_MS       100
 
 G_STATIC_ASSERT(CAUSE_REPORT_CRASHES_MAX == CAUSE_CRASHES_MAX);
 
@@ -234,7 +234,7 @@
  */
 static bool is_late(const struct control *c, int64_t now_ms)
 {
-	return now_ms - c->record_budget_ms > STOOD_STILL_MS ||
+	return now_ms - c->record_budget_ms > TICK_STALL_MS ||
 	       now_ms < c->records_late_until_ms;
 }
 
@@ -355,7 +355,7 @@
 	set_rounds(c, l);
 	sweep(c, now_ms);
 	crash_causes_decide(c->e->crash_causes, now_ms);
-	if (since_ms > STOOD_STILL_MS)
+	if (since_ms > TICK_STALL_MS)
 		c->records_late_until_ms = now_ms + LATE_MS;
 	c->record_budget_ms = now_ms;
 	c->record_budget =
--- a/entry/warmups.c
+++ b/entry/warmups.c
@@ -60,7 +60,7 @@
 }
 
 /* The process was paused: treat all targets that may be cold as such. */
-static void distrust_view(struct traffic *tr, int64_t paused_ms, int64_t now_ms)
+static void mark_all_cold(struct traffic *tr, int64_t paused_ms, int64_t now_ms)
 {
 	GHashTableIter it;
 	gpointer v;
@@ -93,7 +93,7 @@
 
 	tr->awake_ms = now_ms;
 	if (paused_ms > PAUSE_MS && is_enabled(tr))
-		distrust_view(tr, paused_ms, now_ms);
+		mark_all_cold(tr, paused_ms, now_ms);
 }
 
 /* The target of a service with a warm-up is cold from from_ms on. */
--- a/route/evacuations.c
+++ b/route/evacuations.c
@@ -147,7 +147,7 @@
 		  const char *name, int64_t now_ms)
 {
 	struct zone *z;
-	bool changed, heard_late;
+	bool changed, ended_unseen;
 
 	g_mutex_lock(&e->lock);
 	z = use_zone(e, v->zone, name);
@@ -157,10 +157,10 @@
 	 * evacuated: it started since. The zone's targets are cold all the
 	 * same.
 	 */
-	heard_late = !changed && !v->evacuated && !z->ended_ms;
+	ended_unseen = !changed && !v->evacuated && !z->ended_ms;
 	z->evacuated = v->evacuated;
 	z->said_ms = v->at_ms;
-	if ((changed && !v->evacuated) || heard_late)
+	if ((changed && !v->evacuated) || ended_unseen)
 		z->ended_ms = now_ms;
 	g_mutex_unlock(&e->lock);
 	if (changed)
@@ -177,7 +177,7 @@
 	if (!is_later(e, &v) || (!evacuated && !find_zone(e, zone)))
 		return;
 	apply(e, &v, name, now_ms);
-	e->ops.tell(e->ctx, &v);
+	e->ops.publish(e->ctx, &v);
 }
 
 bool evacuations_receive(struct evacuations *e, const struct evacuation *v,
@@ -195,7 +195,7 @@
 		return true;
 	/* The other node missed the later statement. */
 	if (own.at_ms != INT64_MIN)
-		e->ops.tell(e->ctx, &own);
+		e->ops.publish(e->ctx, &own);
 	return false;
 }
 
@@ -226,7 +226,7 @@
 			continue;
 		apply(e, &v, NULL, now_ms);
 		if (now_ms - z->ended_ms < EVACUATION_RETELL_MS)
-			e->ops.tell(e->ctx, &v);
+			e->ops.publish(e->ctx, &v);
 	}
 }
 
--- a/route/evacuations.h
+++ b/route/evacuations.h
@@ -46,7 +46,7 @@
 	void (*changed)(void *ctx, const struct evacuation *v,
 			const char *name);
 	/* Other nodes should get this statement. */
-	void (*tell)(void *ctx, const struct evacuation *v);
+	void (*publish)(void *ctx, const struct evacuation *v);
 };
 
 struct evacuations;
--- a/route/test-evacuations.c
+++ b/route/test-evacuations.c
@@ -17,7 +17,7 @@
 	((struct node *)ctx)->changes++;
 }
 
-static void tell(void *ctx, const struct evacuation *v)
+static void publish(void *ctx, const struct evacuation *v)
 {
 	struct node *n = ctx;
 
@@ -27,7 +27,7 @@
 
 static void node_init(struct node *n)
 {
-	static const struct evacuation_ops ops = {on_changed, tell};
+	static const struct evacuation_ops ops = {on_changed, publish};
 
 	*n = (struct node){.e = evacuations_new(&ops, n)};
 }
