--- a/route/test-overload.c
+++ b/route/test-overload.c
@@ -583,8 +583,7 @@
 		got[POLICY_SHED], >=,
 		0.9 * MAX(got[POLICY_KNOWN], got[POLICY_KNOWN_TARGET]));
 	g_assert_cmpfloat(on_target[POLICY_SHED], >=,
-			  (ordered ? 0.85 : 0.9) *
-				  on_target[POLICY_KNOWN_TARGET]);
+			  0.9 * on_target[POLICY_KNOWN_TARGET]);
 }
 
 static void test_shares(void)
