The place of a node in a target's rendezvous order is computed in one function

Cause: route/warmup.c wrote again what route/target-limits.c had (count_before), line for line.

Change: rendezvous_count_before in route/rendezvous.c serves both. Behaviour stays: the same comparison, ties by the lower id.

--- a/route/rendezvous.c
+++ b/route/rendezvous.c
@@ -60,3 +60,18 @@
 	}
 	return best.index;
 }
+
+size_t rendezvous_count_before(uint64_t key, uint64_t self, const uint64_t *ids,
+			       size_t n)
+{
+	uint64_t own = rendezvous_score(key, self);
+	size_t before = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		uint64_t score = rendezvous_score(key, ids[i]);
+
+		before += ids[i] != self &&
+			  (score > own || (score == own && ids[i] < self));
+	}
+	return before;
+}
--- a/route/route.h
+++ b/route/route.h
@@ -56,6 +56,13 @@
  */
 size_t rendezvous_owner(uint64_t target, const uint64_t *nodes, size_t n);
 
+/*
+ * Return how many of the ids, self not counted, come before self in the key's
+ * rendezvous order; of equal scores the lower id comes first.
+ */
+size_t rendezvous_count_before(uint64_t key, uint64_t self, const uint64_t *ids,
+			       size_t n);
+
 /* fair.c: weighted max-min fairness. */
 
 /* One claimant to a divided amount; all in the unit of that amount. */
--- a/route/target-limits.c
+++ b/route/target-limits.c
@@ -83,21 +83,6 @@
 	g_mutex_unlock(&t->lock);
 }
 
-/* Count the nodes before this one in the target's rendezvous order. */
-static size_t count_before(const struct target_limits *t, uint64_t target)
-{
-	uint64_t own = rendezvous_score(target, t->self);
-	size_t n = 0;
-
-	for (size_t i = 0; i < t->node_count; i++) {
-		uint64_t score = rendezvous_score(target, t->nodes[i]);
-
-		n += t->nodes[i] != t->self &&
-		     (score > own || (score == own && t->nodes[i] < t->self));
-	}
-	return n;
-}
-
 /* Compute this node's share for the nodes and the limit in force. */
 static void compute_share(const struct target_limits *t, struct limited *x,
 			  int64_t now_ms)
@@ -110,7 +95,9 @@
 
 	x->version = t->version;
 	x->per_ms = 0;
-	if (!t->version || count_before(t, x->l.target) >= n) {
+	if (!t->version ||
+	    rendezvous_count_before(x->l.target, t->self, t->nodes,
+				    t->node_count) >= n) {
 		x->tokens = 0;
 		return;
 	}
--- a/route/warmup.c
+++ b/route/warmup.c
@@ -128,28 +128,14 @@
 	return most > 0 ? (size_t)MIN(n, most) : 0;
 }
 
-/* Count the nodes before this one in the target's rendezvous order. */
-static size_t count_before(const struct warmup *w, uint64_t target)
-{
-	uint64_t own = rendezvous_score(target, w->self);
-	size_t n = 0;
-
-	for (size_t i = 0; i < w->node_count; i++) {
-		uint64_t score = rendezvous_score(target, w->nodes[i]);
-
-		n += w->nodes[i] != w->self &&
-		     (score > own || (score == own && w->nodes[i] < w->self));
-	}
-	return n;
-}
-
 /* Return this node's part of the slots by its view of the nodes. */
 static size_t own_slots(const struct warmup *w, uint64_t target, size_t slots)
 {
 	size_t n = MAX(w->node_count, 1), share = slots / n;
 
 	if (slots % n)
-		share += count_before(w, target) < slots % n;
+		share += rendezvous_count_before(target, w->self, w->nodes,
+						 w->node_count) < slots % n;
 	return MIN(share, SHARE_MAX);
 }
 
