Requests of callers that have left are not sent to targets

One check before each attempt and when a connection has opened, for first sends, repeats, resumptions, fetches and tunnels.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -359,6 +359,12 @@
 	 * response_started: some bytes of the response have arrived.
 	 */
 	void (*fault)(void *ctx, enum link_fault f, bool response_started);
+	/*
+	 * May be NULL. The connection has been established and what was queued
+	 * for it is about to be sent. After false, nothing is sent, and the
+	 * callback has closed the link.
+	 */
+	bool (*may_send)(void *ctx);
 };
 
 /*
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -323,11 +323,7 @@
 	return x->deadline_ms - time_boot_ms();
 }
 
-/*
- * End the exchange when no retry is possible. The error tells the caller
- * whether the request may have run.
- */
-static void fail(struct exchange *x)
+void exchange_fail(struct exchange *x)
 {
 	if (x->possible_runs)
 		exchange_reply_error(x,
@@ -374,7 +370,7 @@
 		reach_check_start(x->target, NULL);
 	record_link_fault(x, f);
 	if (!exchange_retry(x, may_have_run, may_have_run))
-		fail(x);
+		exchange_fail(x);
 }
 
 /* Whether the target reports that it has not run the request. */
@@ -517,7 +513,7 @@
 		exchange_record_break(x);
 		pool_record_response(x->target, false);
 		if (!exchange_retry(x, true, true))
-			fail(x);
+			exchange_fail(x);
 		return;
 	}
 	pool_record_response(x->target, true);
@@ -549,7 +545,7 @@
 			pool_record_rejection(x->target);
 		x->failure_cause = "target_not_run";
 		if (!exchange_retry(x, false, true))
-			fail(x);
+			exchange_fail(x);
 		return;
 	}
 	pool_record_response(x->target, status < 500);
@@ -571,7 +567,7 @@
 		}
 		if (!deliverable) {
 			x->possible_runs++;
-			fail(x);
+			exchange_fail(x);
 			return;
 		}
 	}
@@ -600,7 +596,7 @@
 }
 
 static const struct link_ops link_ops = {on_head, on_body, on_end,
-					 on_link_fault};
+					 on_link_fault, exchange_may_send};
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -656,7 +652,7 @@
 	metric_add(refusals[block].metric, 1);
 	x->failure_cause = refusals[block].cause;
 	if (x->possible_runs)
-		fail(x);
+		exchange_fail(x);
 	else
 		exchange_reply_error(x, refusals[block].error);
 	return true;
@@ -676,7 +672,7 @@
 	struct target *source, *t;
 	bool again;
 
-	if (refuse_blocked(x))
+	if (!exchange_is_wanted(x) || refuse_blocked(x))
 		return;
 	t = pool_choose_target(x->tr, x->service, &x->prompt, x->version,
 			       x->tried_targets, (size_t)x->attempts,
@@ -687,7 +683,7 @@
 		x->failure_cause = "no_target";
 		x->all_resting = true;
 		if (x->possible_runs)
-			fail(x);
+			exchange_fail(x);
 		else
 			exchange_reply_error(x, RAMP_ERR_NO_TARGET);
 		return;
@@ -705,7 +701,7 @@
 	if (!x->link) {
 		x->failure_cause = "no_descriptor";
 		if (!exchange_retry(x, false, false))
-			fail(x);
+			exchange_fail(x);
 		return;
 	}
 	link_expect_response(x->link, &link_ops, x);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -106,6 +106,11 @@
  */
 int64_t exchange_retry_after_ms(const struct exchange *x, enum ramp_error kind,
 				GRand *rand);
+/*
+ * End the exchange when no retry is possible. The error tells the caller
+ * whether the request may have run.
+ */
+void exchange_fail(struct exchange *x);
 /* Arm the timer for the earliest of the exchange's deadlines. */
 void exchange_arm_timer(struct exchange *x);
 /* End the attempt. Closing its connection cancels the work at the target. */
@@ -173,6 +178,21 @@
 const struct entry_service *exchange_version_service(const struct exchange *x,
 						     uint64_t version);
 
+/* send-check.c: whether a request is still to be sent at the last moment. */
+
+/*
+ * Check that the caller still waits: it may have closed its connection, or its
+ * deadline may have passed, while this node was busy. If it doesn't, ends and
+ * frees the exchange and returns false.
+ */
+bool exchange_is_wanted(struct exchange *x);
+/*
+ * The same when a new connection has been established, for may_send of struct
+ * link_ops; besides, the target may have begun to leave meanwhile, and another
+ * attempt is made instead.
+ */
+bool exchange_may_send(void *exchange);
+
 /* resolve.c: looks up the configuration that applies to the request. */
 
 /*
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -247,6 +247,11 @@
  * free the caller.
  */
 void caller_reset(struct caller *c);
+/*
+ * Whether the caller has closed its connection, which may not have been read
+ * yet. If so, closes this end as well, which cancels and frees the exchange.
+ */
+bool caller_close_if_left(struct caller *c);
 struct traffic *caller_traffic(struct caller *c);
 void callers_close_all(struct traffic *tr);
 /* Close connections that carry no request and on which none is due. */
@@ -314,6 +319,11 @@
 				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
 				  int priority, struct target **source);
+/*
+ * Whether requests may be sent to the target at all: it is listed, is neither
+ * leaving nor evacuated, and has not asked for rest.
+ */
+bool pool_takes_requests(const struct target *t, int64_t now_ms);
 /* Describe the target to place_choose and place_source. */
 struct place_target pool_candidate(struct target *t, int64_t now_ms);
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -224,6 +224,17 @@
 		report_fault(l, LINK_BROKEN);
 }
 
+/* The target can be written to: send what waits, if it is still wanted. */
+static void on_open(struct link *l)
+{
+	ev_timer_stop(l->loop, &l->connect_timer);
+	l->connected = true;
+	if (l->ops && l->ops->may_send && !l->ops->may_send(l->ctx))
+		return;
+	buf_add(&l->output, buf_data(&l->request), buf_len(&l->request));
+	buf_clear(&l->request);
+}
+
 static void on_connected(struct link *l)
 {
 	int error = 0;
@@ -239,8 +250,7 @@
 		flush_output(l);
 		return;
 	}
-	ev_timer_stop(l->loop, &l->connect_timer);
-	l->connected = true;
+	on_open(l);
 }
 
 /* Read whether the other node has connected to the target. */
@@ -251,11 +261,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n == 1 && l->tunnel_reply == TUNNEL_OPEN) {
-		ev_timer_stop(l->loop, &l->connect_timer);
-		l->connected = true;
-		buf_add(&l->output, buf_data(&l->request),
-			buf_len(&l->request));
-		buf_clear(&l->request);
+		on_open(l);
 		return;
 	}
 	report_fault(l, l->tunnel_reply == TUNNEL_TARGET_DOWN
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -302,14 +302,18 @@
 				     now_ms) > now_ms;
 }
 
+bool pool_takes_requests(const struct target *t, int64_t now_ms)
+{
+	return t->listed && !t->info.draining && !t->says_leaving &&
+	       t->resting_until_ms <= now_ms && !target_is_evacuated(t) &&
+	       !notices_get(t->tr->e->notices, NOTICE_TARGET_LEAVING,
+			    t->info.id, now_ms, 0);
+}
+
 struct place_target pool_candidate(struct target *t, int64_t now_ms)
 {
-	struct notices *notices = t->tr->e->notices;
 	bool ejected = t->ejected_until_ms > now_ms;
 	bool resting = t->resting_until_ms > now_ms;
-	bool leaving =
-		t->says_leaving || notices_get(notices, NOTICE_TARGET_LEAVING,
-					       t->info.id, now_ms, 0);
 	bool limited = target_limits_next_ms(t->tr->e->target_limits,
 					     t->info.id, now_ms) > now_ms;
 
@@ -322,8 +326,7 @@
 		.weight =
 			t->joined_ms ? place_weight(now_ms - t->joined_ms) : 1,
 		.avoid = ejected,
-		.draining = t->info.draining || leaving || resting ||
-			    target_is_evacuated(t),
+		.draining = !pool_takes_requests(t, now_ms),
 		.limited = limited || is_overfull(t, load, now_ms),
 		.warming = warmups_next_ms(t, now_ms) > now_ms,
 		.can_export = !t->last_failed && !ejected && !resting,
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -5,7 +5,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "entry/evacuations.h"
 #include "entry/tunnel.h"
 
 /* Bytes of a side that wait for the other; it is not read beyond that. */
@@ -162,6 +161,14 @@
 		close_tunnel(t, true);
 }
 
+/* Whether the node has closed, after the bytes that were read. */
+static bool node_has_left(const struct tunnel *t)
+{
+	char byte;
+
+	return recv(t->sides[NODE].fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 /* Copy what a side has sent to the other one. */
 static void copy(struct tunnel *t, int from)
 {
@@ -169,7 +176,10 @@
 	char p[BUFFER_MAX_BYTES];
 	ssize_t n = recv(s->fd, p, sizeof(p), 0);
 
-	if (n > 0) {
+	/* A node closes when it wants no response; see send-check.c. */
+	if (from == NODE && n >= 0 && (n == 0 || node_has_left(t))) {
+		close_tunnel(t, true);
+	} else if (n > 0) {
 		buf_add(&t->sides[!from].output, p, (size_t)n);
 		flush(t, &t->sides[!from]);
 	} else if (n == 0) {
@@ -194,14 +204,10 @@
 static bool is_usable(const struct target *g)
 {
 	int64_t now = time_boot_ms();
-	struct notices *n;
-
-	if (!g || !g->listed || g->info.draining || g->says_leaving ||
-	    g->resting_until_ms > now || target_is_evacuated(g))
-		return false;
-	n = g->tr->e->notices;
-	return !notices_get(n, NOTICE_TARGET_LEAVING, g->info.id, now, 0) &&
-	       !notices_get(n, NOTICE_TARGET_REST, g->info.id, now, 0);
+
+	return g && pool_takes_requests(g, now) &&
+	       !notices_get(g->tr->e->notices, NOTICE_TARGET_REST, g->info.id,
+			    now, 0);
 }
 
 static void start_connecting(struct tunnel *t)
