Targets that left before an outage of the store are removed sooner after it

Cause: the end of an outage was the end of the first complete read; a read that hangs ends by its timeout of 1.5 s, rows then got 2.5 s, and the next read came up to 0.7 s later. Now any answer counts, of this node's calls or of a node's that answers it; readers ask every 0.4 s while calls hang; the read comes when rows have settled. Ruled out: requests that wait for a connection (0.4 s at most).

--- /dev/null
+++ b/entry/outage.c
@@ -0,0 +1,30 @@
+/* Since when the platform's store answers again. See outage.h. */
+#include "base/base.h"
+#include "entry/outage.h"
+
+/* The store counts as down after this time without an answer. */
+#define OUTAGE_MS 2500
+/*
+ * Targets whose rows expired during an outage write them again within about 2 s
+ * of its end.
+ */
+#define RECOVERY_MS 2300
+
+void outage_note_answer(struct outage *o, int64_t sent_ms, int64_t now_ms)
+{
+	/* A call may have been sent during the outage and answered after it. */
+	if (o->current_ms && sent_ms - o->current_ms > OUTAGE_MS)
+		o->ended_ms = now_ms;
+	o->current_ms = MAX(o->current_ms, sent_ms);
+}
+
+void outage_restart(struct outage *o, int64_t now_ms)
+{
+	o->ended_ms = now_ms;
+	o->current_ms = MAX(o->current_ms, now_ms);
+}
+
+int64_t outage_settled_ms(const struct outage *o)
+{
+	return o->ended_ms ? o->ended_ms + RECOVERY_MS : 0;
+}
--- /dev/null
+++ b/entry/outage.h
@@ -0,0 +1,29 @@
+/*
+ * outage: since when the platform's store answers again, by all calls to it and
+ * by what other nodes tell of theirs. Pure state; control thread only.
+ */
+#ifndef OUTAGE_H
+#define OUTAGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct outage {
+	int64_t current_ms; /* the store answered then or later; 0: never */
+	int64_t ended_ms;   /* first sign after an outage; 0: there was none */
+};
+
+/*
+ * The store has answered a call of this node or of another one, sent at sent_ms
+ * at the latest, of which this node learns now.
+ */
+void outage_note_answer(struct outage *o, int64_t sent_ms, int64_t now_ms);
+/* Count as ended now: all rows may have to be written again. */
+void outage_restart(struct outage *o, int64_t now_ms);
+/*
+ * Return from when on rows that are missing in the store are those of targets
+ * that have gone: targets whose rows expired during an outage write them again.
+ */
+int64_t outage_settled_ms(const struct outage *o);
+
+#endif
--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -113,6 +113,7 @@
 		if (reader_is_current(answer->config_age_ms,
 				      store_sync_poll_wait_ms(s)))
 			s->config_confirmed_ms = answer->query_sent_ms;
+		outage_note_answer(&s->outage, at_ms, time_boot_ms());
 	}
 	/*
 	 * After the store was restored a version may have other content, and
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -18,15 +18,10 @@
 /* A reader waits for changes, and reads the whole row at this interval too. */
 #define CONFIG_FULL_READ_MS 2100
 /*
- * Targets whose rows expired during an outage of the store register again
- * within 2 s of its end. Missing rows are not removed for this long.
+ * While the store does not answer, a call that hangs would show its return only
+ * after its timeout; a reader sends further calls at this interval.
  */
-#define RECOVERY_MS 2500
-/*
- * The store counts as down after this time without a complete read and without
- * a reader's confirmation.
- */
-#define OUTAGE_MS 2500
+#define PROBE_MS 400
 /*
  * A node that is no reader reads the store itself once its view has not been
  * confirmed for this long, or for this part of the drain time of a target if
@@ -95,10 +90,14 @@
 {
 	bool up = p->status != STORE_FAILED;
 
+	if (up)
+		outage_note_answer(&s->outage, p->sent_ms, time_boot_ms());
 	s->failures = up ? 0 : s->failures + 1;
 	if (up == s->store_up)
 		return;
 	s->store_up = up;
+	if (!up && s->reader)
+		store_sync_schedule(s, &s->probe_timer, PROBE_MS);
 	log_event(up ? EV_STORE_REACHABLE : EV_STORE_UNREACHABLE,
 		  "config=%d config_age_ms=%d", (int)s->config_version,
 		  (int)(time_boot_ms() - atomic_load(&s->e->config_fresh_ms)));
@@ -123,7 +122,7 @@
 		s->rows_revision = 0;
 		s->zone_row_revision = 0;
 		evacuations_new_era(s->e->evacuations, now);
-		s->outage_ended_ms = now;
+		outage_restart(&s->outage, now);
 		target_table_new_era(s->table, now);
 		g_clear_pointer(&s->next_key, g_free);
 	}
@@ -455,23 +454,24 @@
 static void finish_read(struct store_sync *s)
 {
 	int64_t now = time_boot_ms();
-	int64_t last_current_ms =
-		MAX(s->read_ended_ms, s->targets_confirmed_ms);
 
-	if (last_current_ms && now - last_current_ms > OUTAGE_MS)
-		s->outage_ended_ms = now;
 	s->read_ended_ms = now;
 	s->targets_confirmed_ms = s->read_started_ms;
 	s->targets_stale = false;
-	target_table_finish_read(s->table,
-				 now - s->outage_ended_ms > RECOVERY_MS, now);
+	target_table_finish_read(s->table, now >= outage_settled_ms(&s->outage),
+				 now);
 	store_sync_publish_targets(s);
 }
 
 static int64_t targets_pause_ms(const struct store_sync *s)
 {
-	return MIN(s->e->control_settings.store_targets_poll_ms,
-		   s->e->control_settings.bounds_drain_ms / READS_PER_DRAIN);
+	int64_t ms =
+		MIN(s->e->control_settings.store_targets_poll_ms,
+		    s->e->control_settings.bounds_drain_ms / READS_PER_DRAIN);
+	int64_t settled_in_ms = outage_settled_ms(&s->outage) - time_boot_ms();
+
+	/* Missing rows may be removed from then on. */
+	return settled_in_ms > 0 ? MIN(ms, settled_in_ms) : ms;
 }
 
 static void on_targets(void *ctx, const struct store_page *p)
@@ -539,8 +539,33 @@
 		     on_targets, s);
 }
 
+/* The answer to a probe, of which only the time counts. */
+static void on_probe_answer(void *ctx, const struct store_page *p)
+{
+	struct store_sync *s = ctx;
+
+	if (p->status != STORE_FAILED)
+		outage_note_answer(&s->outage, p->sent_ms, time_boot_ms());
+}
+
+/* Ask the store, while a call to it hangs, whether it is back. */
+static void probe_store(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct store_sync *s = w->data;
+
+	(void)loop;
+	(void)events;
+	if (s->store_up || !s->reader)
+		return;
+	if (s->config_busy)
+		s->api->read(s->store, STORE_CONFIG, "", on_probe_answer, s);
+	store_sync_schedule(s, w, PROBE_MS);
+}
+
 void store_sync_set_reader(struct store_sync *s, bool reader, size_t fleet_size)
 {
+	if (reader && !s->reader && !s->store_up)
+		store_sync_schedule(s, &s->probe_timer, PROBE_MS);
 	s->reader = reader;
 	s->fleet_size = fleet_size;
 }
@@ -573,7 +598,8 @@
 	s->config_own_at_ms = time_boot_ms() + OWN_READ_START_MS;
 	s->targets_own_at_ms = s->config_own_at_ms;
 	s->store_up = true;
-	s->outage_ended_ms = INT64_MIN / 2;
+	ev_init(&s->probe_timer, probe_store);
+	s->probe_timer.data = s;
 	s->table = target_table_new();
 	target_table_on_cold(s->table, warmups_read_row, e);
 	start_timer(s, &s->config_timer, read_config);
@@ -585,6 +611,7 @@
 {
 	ev_timer_stop(s->loop, &s->config_timer);
 	ev_timer_stop(s->loop, &s->targets_timer);
+	ev_timer_stop(s->loop, &s->probe_timer);
 	target_table_free(s->table);
 	free(s->config_text);
 	clear_rows(&s->rows);
--- a/entry/store-sync.h
+++ b/entry/store-sync.h
@@ -5,6 +5,7 @@
 #ifndef STORE_SYNC_H
 #define STORE_SYNC_H
 
+#include "entry/outage.h"
 #include "entry/store-clients.h"
 
 /* Earlier configurations to which deltas are made. */
@@ -16,6 +17,8 @@
 	void *store;
 	struct ev_loop *loop;
 	ev_timer config_timer, targets_timer;
+	ev_timer probe_timer; /* while the store is down; see probe_store */
+	struct outage outage;
 	GRand *rand;
 	bool reader;   /* see store_sync_set_reader */
 	bool store_up; /* by the last call */
@@ -66,7 +69,6 @@
 	int64_t read_ended_ms;   /* end of the last complete read; 0: none */
 	int64_t targets_confirmed_ms; /* last known to be current; 0: never */
 	int64_t targets_own_at_ms;    /* no own read before, if no reader */
-	int64_t outage_ended_ms;      /* end of the last outage */
 	bool targets_stale;           /* a peer has a newer list */
 	bool targets_busy;            /* a call to the store is in progress */
 	/* The last query to another node, and where its updates end. */
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -10,14 +10,23 @@
 #include "entry/store-clients.h"
 
 #define WAIT_MS 10000
+/* Of calls that get no answer; the default of store.timeout. */
+#define CALL_TIMEOUT_S 1.5
+/*
+ * After an outage of the store a node has to know this soon what was removed
+ * before it: the shortest time in which operators count it as in touch again.
+ */
+#define IN_TOUCH_MS 3000
 
-/* The store: a configuration, zones that are evacuated, and no targets. */
+/* The store: a configuration, zones that are evacuated, at most one target. */
 static struct {
 	int64_t version; /* of the configuration */
 	const char *content;
 	int64_t revision, era;
-	const char *zone; /* evacuated; NULL: none */
+	const char *zone;   /* evacuated; NULL: none */
+	const char *target; /* NULL: none */
 	bool down;
+	bool silent; /* calls get no answer and end by their timeout */
 } store;
 
 /* A node without its threads. */
@@ -25,7 +34,7 @@
 	struct entry e;
 	struct entry_options options;
 	struct store_sync *sync;
-	int config_reads;
+	int config_reads, target_reads;
 	bool cut; /* it doesn't reach the store */
 };
 
@@ -36,6 +45,8 @@
 	store_done_fn *done;
 	void *ctx;
 	ev_timer timer;
+	int64_t sent_ms;
+	bool silent; /* the store was when it was sent */
 };
 
 static json_t *fake_value(const struct store_page *p, size_t i)
@@ -56,6 +67,15 @@
 	return c;
 }
 
+static bool fake_target(void *arena, const char *key, const json_t *value,
+			struct target_info *out)
+{
+	(void)arena;
+	(void)value;
+	*out = (struct target_info){.id = 1, .name = str_c(key)};
+	return true;
+}
+
 static void finish_call(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct call *c = w->data;
@@ -63,14 +83,17 @@
 		{"config", store.revision, false, NULL},
 		{"evacuated", store.revision, false, store.zone},
 	};
-	bool down = store.down || c->node->cut;
+	struct store_row target = {store.target, store.revision, false, NULL};
+	bool down = store.down || c->node->cut || c->silent;
 	struct store_page p = {
 		.status = down ? STORE_FAILED : STORE_OK,
-		.rows = rows,
-		.n = c->table == STORE_CONFIG && !down ? 1 + !!store.zone : 0,
+		.rows = c->table == STORE_CONFIG ? rows : &target,
+		.n = down                       ? 0
+		     : c->table == STORE_CONFIG ? 1 + !!store.zone
+						: store.target != NULL,
 		.era = store.era,
 		.revision = store.revision,
-		.sent_ms = time_boot_ms(),
+		.sent_ms = c->sent_ms,
 	};
 
 	(void)loop;
@@ -84,9 +107,16 @@
 {
 	struct call *c = g_new0(struct call, 1);
 
-	*c = (struct call){.node = n, .table = t, .done = done, .ctx = ctx};
+	*c = (struct call){.node = n,
+			   .table = t,
+			   .done = done,
+			   .ctx = ctx,
+			   .sent_ms = time_boot_ms(),
+			   .silent = store.silent};
 	n->config_reads += t == STORE_CONFIG;
-	ev_timer_init(&c->timer, finish_call, 0.002, 0);
+	n->target_reads += t == STORE_TARGETS;
+	ev_timer_init(&c->timer, finish_call,
+		      store.silent ? CALL_TIMEOUT_S : 0.002, 0);
 	c->timer.data = c;
 	ev_timer_start(n->e.tr.loop, &c->timer);
 }
@@ -109,6 +139,7 @@
 static const struct store_api fake_api = {.read = fake_read,
 					  .await = fake_await,
 					  .value = fake_value,
+					  .target = fake_target,
 					  .config = fake_config};
 
 static void ignore_views(struct ev_loop *loop, ev_async *w, int events)
@@ -416,6 +447,50 @@
 	ev_loop_destroy(loop);
 }
 
+static void run_for(struct ev_loop *loop, int64_t ms)
+{
+	int64_t until = time_mono_ms() + ms;
+
+	while (time_mono_ms() < until)
+		ev_run(loop, EVRUN_ONCE);
+}
+
+/*
+ * A target that left just before an outage is still used long after it, as the
+ * store's return shows only once the calls that hang have timed out.
+ */
+static void test_removed_before_outage(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct node *node;
+	int64_t back_ms;
+	int reads;
+
+	set_store(1, "first", 1);
+	store.target = "t";
+	node = node_new(loop, true);
+	run_until(loop, node, 1);
+	run_for(loop, 200);
+	g_assert_cmpint(node->e.list->n, ==, 1);
+	store.silent = true;
+	store.target = NULL;
+	run_for(loop, 3200);
+	/* The next call begins just before the store is back. */
+	reads = node->target_reads;
+	while (node->target_reads == reads)
+		ev_run(loop, EVRUN_ONCE);
+	store.silent = false;
+	back_ms = time_mono_ms();
+	while (node->e.list->n) {
+		g_assert_cmpint(time_mono_ms() - back_ms, <, IN_TOUCH_MS);
+		ev_run(loop, EVRUN_ONCE);
+	}
+	/* Targets whose rows have expired are given the time to come back. */
+	g_assert_cmpint(time_mono_ms() - back_ms, >, 2000);
+	node_free(node, loop);
+	ev_loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -429,5 +504,7 @@
 	g_test_add_func("/entry/store-sync/evacuation-alone",
 			test_evacuation_alone);
 	g_test_add_func("/entry/store-sync/old-read", test_old_read);
+	g_test_add_func("/entry/store-sync/removed-before-outage",
+			test_removed_before_outage);
 	return g_test_run();
 }
