Nodes rely on readers for less than the time to apply a configuration

Trace: the readers lose the store at 2.5 s; the node's last change is from 2.652 s, it reads the store itself at 4.761 s. Cause: it may rely on readers for 0.4 x RevokeMs = 2.0 s, which is ConfigApplyMs; a reader whose calls fail went on confirming for 1.7 s.

--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -75,8 +75,12 @@
 		.era = s->era,
 		.config_version = s->config_version,
 		.config_hash = s->config_hash,
+		/* A reader without a store confirms nothing. */
 		.config_age_ms =
-			age_ms_at(atomic_load(&s->e->config_fresh_ms), now),
+			s->store_up
+				? age_ms_at(atomic_load(&s->e->config_fresh_ms),
+					    now)
+				: UINT32_MAX,
 		.targets_hash = target_table_hash(s->table),
 		.targets_revision = target_table_revision(s->table),
 		.targets_age_ms = age_ms_at(s->targets_confirmed_ms, now),
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -30,10 +30,16 @@
 #define UNCONFIRMED_MAX_MS   2000
 #define UNCONFIRMED_MAX_PART 0.65
 /*
- * Part of the time limit for revoking a key for which a node relies on readers
- * before it reads the configuration itself.
+ * Parts of the time limits for revoking a key and for a new configuration for
+ * which a node relies on readers before it reads the configuration itself.
  */
-#define RELIANCE_MAX_PART 0.4
+#define RELIANCE_MAX_REVOKE_PART 0.4
+#define RELIANCE_MAX_APPLY_PART  0.7
+/*
+ * Long polls of a reader within the time limit for a new configuration: what a
+ * reader reports is up to two of them old.
+ */
+#define POLLS_PER_APPLY 4
 /* Interval at which a node that is no reader checks whether it has to read. */
 #define RECHECK_MS 100
 /*
@@ -357,6 +363,15 @@
 	return !confirmed_ms || now_ms - confirmed_ms > unconfirmed_max_ms(s);
 }
 
+static int64_t reliance_max_ms(const struct store_sync *s)
+{
+	const struct entry_settings *e = &s->e->control_settings;
+
+	return (int64_t)MIN(
+		RELIANCE_MAX_REVOKE_PART * (double)e->bounds_revoke_ms,
+		RELIANCE_MAX_APPLY_PART * (double)e->bounds_config_apply_ms);
+}
+
 /* Whether the readers confirm that the configuration is current. */
 static bool is_config_confirmed(const struct store_sync *s, int64_t now_ms)
 {
@@ -364,9 +379,7 @@
 		.confirmed_ms = s->config_confirmed_ms,
 		.known_ms = atomic_load(&s->e->config_fresh_ms),
 		.unconfirmed_max_ms = unconfirmed_max_ms(s),
-		.reliance_max_ms = (int64_t)(RELIANCE_MAX_PART *
-					     (double)s->e->control_settings
-						     .bounds_revoke_ms),
+		.reliance_max_ms = reliance_max_ms(s),
 	};
 
 	return !s->config_stale_ms && peer_reliance_is_valid(&r, now_ms);
@@ -374,8 +387,12 @@
 
 int64_t store_sync_poll_wait_ms(const struct store_sync *s)
 {
-	return reader_poll_wait_ms(s->e->control_settings.store_config_wait_ms,
-				   s->e->control_settings.bounds_revoke_ms);
+	const struct entry_settings *e = &s->e->control_settings;
+
+	return reader_poll_wait_ms(
+		MIN(e->store_config_wait_ms,
+		    e->bounds_config_apply_ms / POLLS_PER_APPLY),
+		e->bounds_revoke_ms);
 }
 
 /* Whether a newer configuration is expected from another node. */
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -17,6 +17,8 @@
  * before it: the shortest time in which operators count it as in touch again.
  */
 #define IN_TOUCH_MS 3000
+/* Time in which a new configuration has to be in force; in the settings. */
+#define CONFIG_APPLY_MS 2000
 
 /* The store: a configuration, zones that are evacuated, at most one target. */
 static struct {
@@ -35,7 +37,8 @@
 	struct entry_options options;
 	struct store_sync *sync;
 	int config_reads, target_reads;
-	bool cut; /* it doesn't reach the store */
+	bool cut;    /* its calls to the store fail at once */
+	bool silent; /* they get no answer, and fail by their timeout */
 };
 
 /* A call in progress; its callback runs from the loop. */
@@ -112,11 +115,11 @@
 			   .done = done,
 			   .ctx = ctx,
 			   .sent_ms = time_boot_ms(),
-			   .silent = store.silent};
+			   .silent = store.silent || n->silent};
 	n->config_reads += t == STORE_CONFIG;
 	n->target_reads += t == STORE_TARGETS;
 	ev_timer_init(&c->timer, finish_call,
-		      store.silent ? CALL_TIMEOUT_S : 0.002, 0);
+		      c->silent ? CALL_TIMEOUT_S : 0.002, 0);
 	c->timer.data = c;
 	ev_timer_start(n->e.tr.loop, &c->timer);
 }
@@ -158,6 +161,7 @@
 	n->e.store = n;
 	n->e.control_settings.bounds_drain_ms = 4000;
 	n->e.control_settings.bounds_revoke_ms = 60000;
+	n->e.control_settings.bounds_config_apply_ms = CONFIG_APPLY_MS;
 	n->e.control_settings.store_targets_poll_ms = 50;
 	n->e.control_settings.store_config_wait_ms = 50;
 	n->e.tr.loop = loop;
@@ -491,6 +495,58 @@
 	ev_loop_destroy(loop);
 }
 
+/*
+ * A node relies on a reader that has lost its way to the store, and handles
+ * requests by an old configuration beyond the time in which a new one has to be
+ * in force.
+ */
+static void check_reader_lost(bool silent)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct node *reader, *node;
+	int64_t next_ms = 0, changed_ms;
+
+	set_store(1, "first", 1);
+	store.target = NULL;
+	reader = node_new(loop, true);
+	node = node_new(loop, false);
+	store_sync_set_reader(node->sync, false, 8);
+	run_until(loop, reader, 1);
+	run_until(loop, node, 1);
+	/* Past the time after its start in which a node reads nothing. */
+	for (int i = 0; i < 9; i++) {
+		exchange(reader, node, -1);
+		run_for(loop, 400);
+	}
+	exchange(reader, node, -1);
+	reader->silent = silent;
+	reader->cut = !silent;
+	set_store(2, "second", 1);
+	changed_ms = time_mono_ms();
+	while (version_of(node) != 2) {
+		g_assert_cmpint(time_mono_ms() - changed_ms, <,
+				CONFIG_APPLY_MS);
+		if (time_mono_ms() >= next_ms) {
+			exchange(reader, node, -1);
+			next_ms = time_mono_ms() + 400;
+		}
+		ev_run(loop, EVRUN_ONCE);
+	}
+	node_free(reader, loop);
+	node_free(node, loop);
+	ev_loop_destroy(loop);
+}
+
+static void test_reader_cut(void)
+{
+	check_reader_lost(false);
+}
+
+static void test_reader_silent(void)
+{
+	check_reader_lost(true);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -506,5 +562,7 @@
 	g_test_add_func("/entry/store-sync/old-read", test_old_read);
 	g_test_add_func("/entry/store-sync/removed-before-outage",
 			test_removed_before_outage);
+	g_test_add_func("/entry/store-sync/reader-cut", test_reader_cut);
+	g_test_add_func("/entry/store-sync/reader-silent", test_reader_silent);
 	return g_test_run();
 }
