The end of a request names the first event and the longest pause of its stream

A late stream could not be explained afterwards: the log had its whole time only. No change of behaviour.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -107,6 +107,7 @@
 		  " whole=%x prompt=%x parts=%s shared=%d target=" STR_FMT
 		  " source=" STR_FMT
 		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
+		  "first_ms=%d gap_ms=%d "
 		  "cause=%s config=%d config_age_ms=%d version=" STR_FMT
 		  " resumes=" STR_FMT,
 		  STR_ARG(x->request_id),
@@ -117,6 +118,9 @@
 		  STR_ARG(x->last_source_name), status, how,
 		  (int)(now - x->arrived_ms), x->attempts, x->possible_runs,
 		  (int)x->splitter.event_count,
+		  x->first_given_ms ? (int)(x->first_given_ms - x->arrived_ms)
+				    : -1,
+		  (int)x->longest_gap_ms,
 		  x->failure_cause ? x->failure_cause : "-",
 		  x->config ? (int)x->config->version : 0,
 		  fresh ? (int)(now - fresh) : -1,
@@ -272,15 +276,26 @@
 			       x->service->name, x->version, time_boot_ms());
 }
 
+/* Keep the times at which the caller gets events, for the log. */
+static void note_given(struct exchange *x, int64_t now_ms)
+{
+	if (!x->first_given_ms)
+		x->first_given_ms = now_ms;
+	else
+		x->longest_gap_ms =
+			MAX(x->longest_gap_ms, now_ms - x->last_given_ms);
+	x->last_given_ms = now_ms;
+}
+
 /* Send one complete event of a stream to the caller, as one chunk. */
 static void deliver_event(void *ctx, const char *p, size_t n)
 {
 	struct exchange *x = ctx;
 	struct buf out = {0};
+	int64_t now = time_boot_ms();
 
+	note_given(x, now);
 	if (!x->begin_recorded) {
-		int64_t now = time_boot_ms();
-
 		if (!x->first_event_ms)
 			x->first_event_ms = now;
 		if (now - x->first_event_ms >= BEGUN_AFTER_MS)
@@ -291,8 +306,7 @@
 		buf_fmt(&out, "Transfer-Encoding: chunked\r\n\r\n");
 		x->head_sent = true;
 		note_version(x);
-		metric_observe(M_FIRST_EVENT_MS,
-			       time_boot_ms() - x->arrived_ms);
+		metric_observe(M_FIRST_EVENT_MS, now - x->arrived_ms);
 	}
 	/*
 	 * The timer is not re-armed for every event: when it fires early,
@@ -301,7 +315,7 @@
 	if (x->route->retry == RETRY_RESUME) {
 		bool first = !x->stall_deadline_ms;
 
-		x->stall_deadline_ms = time_boot_ms() + stall_timeout_ms(x);
+		x->stall_deadline_ms = now + stall_timeout_ms(x);
 		if (first)
 			exchange_arm_timer(x);
 	}
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -79,6 +79,10 @@
 	int64_t take_up_deadline_ms; /* of that wait; 0: has not waited */
 	struct sse_splitter splitter;
 	bool head_sent; /* the caller has got the head of a stream */
+	/* What the caller has seen of the stream, over all attempts. */
+	int64_t first_given_ms; /* first event; 0: none yet */
+	int64_t last_given_ms;  /* latest event */
+	int64_t longest_gap_ms; /* between two events */
 	/* When the stream counts as stalled; 0: no event yet or no resume. */
 	int64_t stall_deadline_ms;
 	bool taking_up;   /* waits for that version; in the queue */
