Relays that are no readers confirm the configuration after a failed read

A relay that is no reader makes no further call once readers confirm its view, so after an outage it would never confirm again, and the nodes that rely on it (fleets of more than 72 nodes have such relays) would read the store themselves. Ruled out: that the age is wrong without it; a relay's age is the reader's, passed on.

/entry/store-sync/relay-confirms fails before (no age at all) and passes in 3 of 3 runs after; reader-cut and reader-silent still pass in 3 of 3.

--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -77,7 +77,7 @@
 		.config_hash = s->config_hash,
 		/* A reader without a store confirms nothing. */
 		.config_age_ms =
-			s->store_up
+			s->store_up || !s->reader
 				? age_ms_at(atomic_load(&s->e->config_fresh_ms),
 					    now)
 				: UINT32_MAX,
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -547,6 +547,39 @@
 	check_reader_lost(true);
 }
 
+/*
+ * A relay that is no reader has failed to reach the store once, is confirmed by
+ * a reader since, and confirms nothing to the nodes that rely on it.
+ */
+static void test_relay_confirms(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct target_update updates[TARGET_UPDATES_MAX];
+	struct store_query_answer answer;
+	struct store_query query = {.after_key = (char *)""};
+	struct node *reader, *relay;
+	int reads;
+
+	set_store(1, "first", 1);
+	store.target = NULL;
+	reader = node_new(loop, true);
+	relay = node_new(loop, false);
+	store_sync_set_reader(relay->sync, false, 8);
+	run_until(loop, reader, 1);
+	run_until(loop, relay, 1);
+	/* Nobody confirms its view, so it reads the store itself, in vain. */
+	relay->cut = true;
+	reads = relay->config_reads;
+	while (relay->config_reads < reads + 2)
+		ev_run(loop, EVRUN_ONCE);
+	exchange(reader, relay, -1);
+	store_sync_answer(relay->sync, &query, &answer, updates);
+	g_assert_cmpuint(answer.config_age_ms, <, CONFIG_APPLY_MS);
+	node_free(reader, loop);
+	node_free(relay, loop);
+	ev_loop_destroy(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -564,5 +597,7 @@
 			test_removed_before_outage);
 	g_test_add_func("/entry/store-sync/reader-cut", test_reader_cut);
 	g_test_add_func("/entry/store-sync/reader-silent", test_reader_silent);
+	g_test_add_func("/entry/store-sync/relay-confirms",
+			test_relay_confirms);
 	return g_test_run();
 }
