One piece each for closed peers, failed exchanges and polls of readers

No change of behaviour is meant but one, named below. Found on reading the change: - The look at a socket for the peer's close stood in caller.c and tunnel.c: sock_peer_has_closed. A tunnel now counts a reset behind the last bytes as a close, as callers do; before, those bytes were sent on first. - The end at the deadline stood in on_timer and send-check.c: both call exchange_fail, which gives the same errors; destroy ends the attempt. - The limit of readers' polls by the time for a configuration was applied outside reader_poll_wait_ms, where the limit by the time for revoking keys is. - Tunnels: only a target can still end a side; the loop over both went. - log_store_state also records: record_store_state. The time that answers of the directory are kept is worked out in one function.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -460,10 +460,7 @@
 
 bool caller_close_if_left(struct caller *c)
 {
-	char byte;
-	ssize_t n = recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-
-	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR)))
+	if (!sock_peer_has_closed(c->fd))
 		return false;
 	close_caller(c);
 	return true;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -337,6 +337,11 @@
 int sock_connect(const struct sockaddr_in *to);
 /* Accept a connection. Return a descriptor, or -1 when there is none. */
 int sock_accept(int fd);
+/*
+ * Whether the peer has closed or reset the connection and all that it sent
+ * before has been received.
+ */
+bool sock_peer_has_closed(int fd);
 
 /* link.c: a client connection to a target or to the store. */
 enum link_fault {
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -623,9 +623,7 @@
 		x->failure_cause = "deadline";
 		if (x->link && link_connected(x->link))
 			x->possible_runs++;
-		exchange_abandon_attempt(x);
-		exchange_reply_error(x, x->possible_runs ? RAMP_ERR_TIMED_OUT
-							 : RAMP_ERR_OVERLOADED);
+		exchange_fail(x);
 		return;
 	}
 	if (x->stall_deadline_ms && now >= x->stall_deadline_ms) {
--- a/entry/local-reply.c
+++ b/entry/local-reply.c
@@ -139,17 +139,26 @@
 	return ENTRIES_MAX;
 }
 
+/* Return how long callers may keep an answer that names so many nodes. */
+static double entries_ttl_s(const struct traffic *tr, size_t listed,
+			    size_t known)
+{
+	struct directory_view view = {
+		.listed = listed,
+		.known = MIN(known, ENTRIES_MAX),
+		.age_ms = time_boot_ms() - tr->started_ms,
+	};
+
+	return directory_ttl_s(
+		&view, MIN(ENTRIES_TTL_S, tr->settings->bounds_entries_ttl_s));
+}
+
 static void serve_entries(struct buf *out, struct traffic *tr,
 			  const struct message *m, bool keep)
 {
 	size_t max = tr->peers ? tr->peers->n : 0, n;
 	struct str *v = talloc_array(m->arena, struct str, max + 1);
 	struct local_reply reply = {.status = 200};
-	double ttl_s = MIN(ENTRIES_TTL_S, tr->settings->bounds_entries_ttl_s);
-	struct directory_view view = {
-		.known = MIN(max, ENTRIES_MAX),
-		.age_ms = time_boot_ms() - tr->started_ms,
-	};
 
 	n = pick_entries(tr, query_value(m->url, tr->dialect->query_zone), v);
 	if (!n) {
@@ -157,9 +166,8 @@
 				  keep);
 		return;
 	}
-	view.listed = n;
-	ttl_s = directory_ttl_s(&view, ttl_s);
-	reply.body = tr->dialect->entries_body(m->arena, v, n, ttl_s);
+	reply.body = tr->dialect->entries_body(m->arena, v, n,
+					       entries_ttl_s(tr, n, max));
 	local_reply_write(out, &reply, keep);
 }
 
--- a/entry/send-check.c
+++ b/entry/send-check.c
@@ -17,9 +17,7 @@
 		return true;
 	metric_add(M_SENDS_STOPPED_DEADLINE_TOTAL, 1);
 	x->failure_cause = "deadline";
-	exchange_abandon_attempt(x);
-	exchange_reply_error(x, x->possible_runs ? RAMP_ERR_TIMED_OUT
-						 : RAMP_ERR_OVERLOADED);
+	exchange_fail(x);
 	return false;
 }
 
--- a/entry/sock.c
+++ b/entry/sock.c
@@ -100,3 +100,11 @@
 		set_connection_options(conn);
 	return conn;
 }
+
+bool sock_peer_has_closed(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -166,9 +166,11 @@
 
 /*
  * Return how long a reader's long poll of the configuration may wait. It is so
- * short that the age which the reader reports still allows accepting keys.
+ * short that the age which the reader reports still allows accepting keys, and
+ * that a new configuration is in force within apply_ms.
  */
-int64_t reader_poll_wait_ms(int64_t setting_ms, int64_t revoke_ms);
+int64_t reader_poll_wait_ms(int64_t setting_ms, int64_t revoke_ms,
+			    int64_t apply_ms);
 /*
  * Whether a reader is in contact with the store, by the age of the
  * configuration that it reports. Normally the age is up to twice the wait: a
--- a/entry/store-readers.c
+++ b/entry/store-readers.c
@@ -45,12 +45,18 @@
 
 /* Long polls within the time in which a revoked key may still be used. */
 #define POLLS_PER_REVOKE 7
+/* The same within the time for a new configuration. */
+#define POLLS_PER_APPLY 4
 /* Allowance for the latency of a call to a slow store. */
 #define SLOW_CALL_MS 300
 
-int64_t reader_poll_wait_ms(int64_t setting_ms, int64_t revoke_ms)
+int64_t reader_poll_wait_ms(int64_t setting_ms, int64_t revoke_ms,
+			    int64_t apply_ms)
 {
-	return MAX(MIN(setting_ms, revoke_ms / POLLS_PER_REVOKE), 1);
+	int64_t max_ms =
+		MIN(revoke_ms / POLLS_PER_REVOKE, apply_ms / POLLS_PER_APPLY);
+
+	return MAX(MIN(setting_ms, max_ms), 1);
 }
 
 bool reader_is_current(int64_t age_ms, int64_t wait_ms)
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -35,11 +35,6 @@
  */
 #define RELIANCE_MAX_REVOKE_PART 0.4
 #define RELIANCE_MAX_APPLY_PART  0.7
-/*
- * Long polls of a reader within the time limit for a new configuration: what a
- * reader reports is up to two of them old.
- */
-#define POLLS_PER_APPLY 4
 /* Interval at which a node that is no reader checks whether it has to read. */
 #define RECHECK_MS 100
 /*
@@ -91,8 +86,8 @@
 	       g_rand_int_range(s->rand, 0, (gint32)ms / 2 + 1);
 }
 
-/* Log when the store becomes unreachable or reachable again. */
-static void log_store_state(struct store_sync *s, const struct store_page *p)
+/* Record whether the store answers; log when that changes. */
+static void record_store_state(struct store_sync *s, const struct store_page *p)
 {
 	bool up = p->status != STORE_FAILED;
 
@@ -320,7 +315,7 @@
 	struct store_sync *s = ctx;
 
 	s->config_busy = false;
-	log_store_state(s, p);
+	record_store_state(s, p);
 	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
 		drop_rows(s, p->status == STORE_HISTORY_LOST
 				     ? 0
@@ -389,10 +384,8 @@
 {
 	const struct entry_settings *e = &s->e->control_settings;
 
-	return reader_poll_wait_ms(
-		MIN(e->store_config_wait_ms,
-		    e->bounds_config_apply_ms / POLLS_PER_APPLY),
-		e->bounds_revoke_ms);
+	return reader_poll_wait_ms(e->store_config_wait_ms, e->bounds_revoke_ms,
+				   e->bounds_config_apply_ms);
 }
 
 /* Whether a newer configuration is expected from another node. */
@@ -496,7 +489,7 @@
 	struct store_sync *s = ctx;
 
 	s->targets_busy = false;
-	log_store_state(s, p);
+	record_store_state(s, p);
 	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
 		/* Keep the pages read so far, unless they are too old. */
 		if (time_boot_ms() - s->read_started_ms > PAGED_READ_MAX_MS)
--- a/entry/test-loads.c
+++ b/entry/test-loads.c
@@ -141,7 +141,8 @@
 	static const int64_t revoke_bounds_ms[] = {1000, 2000, 5000, 60000};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(revoke_bounds_ms); i++) {
-		int64_t wait = reader_poll_wait_ms(700, revoke_bounds_ms[i]);
+		int64_t wait =
+			reader_poll_wait_ms(700, revoke_bounds_ms[i], 60000);
 		int64_t sent = 0, fresh = 0, current_age = 0;
 
 		for (int64_t now = 0; now < 60000; now++) {
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -180,6 +180,14 @@
 	return n->e.config ? n->e.config->version : -1;
 }
 
+static void run_for(struct ev_loop *loop, int64_t ms)
+{
+	int64_t until = time_mono_ms() + ms;
+
+	while (time_mono_ms() < until)
+		ev_run(loop, EVRUN_ONCE);
+}
+
 /* Run the loop until a node has a version. */
 static void run_until(struct ev_loop *loop, const struct node *n,
 		      int64_t version)
@@ -424,7 +432,6 @@
 {
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
 	struct node *node;
-	int64_t until;
 	int reads;
 
 	set_store(1, "first", 1);
@@ -433,16 +440,12 @@
 	node = node_new(loop, true);
 	run_until_evacuated(loop, node, "b", true);
 	/* Past the hold after the start, which would keep it as well. */
-	until = time_mono_ms() + EVACUATION_HOLD_MS + 100;
-	while (time_mono_ms() < until)
-		ev_run(loop, EVRUN_ONCE);
+	run_for(loop, EVACUATION_HOLD_MS + 100);
 	store.zone = NULL;
 	store.revision = 9;
 	reads = node->config_reads;
 	/* Full reads come every 2.1 s. */
-	until = time_mono_ms() + 2500;
-	while (time_mono_ms() < until)
-		ev_run(loop, EVRUN_ONCE);
+	run_for(loop, 2500);
 	g_assert_cmpint(node->config_reads, >, reads);
 	g_assert_true(is_evacuated(node, "b"));
 	/* A store that goes on from there has lost its later writes. */
@@ -451,14 +454,6 @@
 	ev_loop_destroy(loop);
 }
 
-static void run_for(struct ev_loop *loop, int64_t ms)
-{
-	int64_t until = time_mono_ms() + ms;
-
-	while (time_mono_ms() < until)
-		ev_run(loop, EVRUN_ONCE);
-}
-
 /*
  * A target that left just before an outage is still used long after it, as the
  * store's return shows only once the calls that hang have timed out.
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -161,14 +161,6 @@
 		close_tunnel(t, true);
 }
 
-/* Whether the node has closed, after the bytes that were read. */
-static bool node_has_left(const struct tunnel *t)
-{
-	char byte;
-
-	return recv(t->sides[NODE].fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* Copy what a side has sent to the other one. */
 static void copy(struct tunnel *t, int from)
 {
@@ -177,7 +169,7 @@
 	ssize_t n = recv(s->fd, p, sizeof(p), 0);
 
 	/* A node closes when it wants no response; see send-check.c. */
-	if (from == NODE && n >= 0 && (n == 0 || node_has_left(t))) {
+	if (from == NODE && n >= 0 && (n == 0 || sock_peer_has_closed(s->fd))) {
 		close_tunnel(t, true);
 	} else if (n > 0) {
 		buf_add(&t->sides[!from].output, p, (size_t)n);
@@ -281,10 +273,10 @@
 		copy(t, i);
 	if (!t->closed && t->open && (events & EV_WRITE))
 		flush(t, &t->sides[i]);
-	/* A side that has ended ends the other one once that has it all. */
-	for (int k = 0; k < SIDES && !t->closed; k++)
-		if (t->sides[k].ended && !buf_len(&t->sides[!k].output))
-			close_tunnel(t, false);
+	/* A target that has ended ends the tunnel once the node has it all. */
+	if (!t->closed && t->sides[TARGET].ended &&
+	    !buf_len(&t->sides[NODE].output))
+		close_tunnel(t, false);
 	update_events(t);
 }
 
--- a/entry/tunnel.h
+++ b/entry/tunnel.h
@@ -5,8 +5,9 @@
  * The node that has the caller makes all decisions. It opens a connection to
  * the helper, sends a hello that names the target, and gets one byte: whether
  * the helper has connected to that target. From then on the helper copies bytes
- * both ways, and ends one side as the other side ended. A helper connects to
- * targets only, never to a further node. Traffic thread only.
+ * both ways, and ends the node's side as the target ended; when the node
+ * closes, which wants no response then, it resets the target's. A helper
+ * connects to targets only, never to a further node. Traffic thread only.
  */
 #ifndef TUNNEL_H
 #define TUNNEL_H
--- a/route/directory.c
+++ b/route/directory.c
@@ -13,11 +13,9 @@
 
 double directory_ttl_s(const struct directory_view *v, double max_s)
 {
-	double listed_share =
-		v->known ? (double)v->listed / (double)v->known : 1;
-
-	if (v->age_ms < SETTLED_MS)
-		return MIN(TTL_MIN_S, max_s);
+	double share = v->known ? (double)v->listed / (double)v->known : 1;
 	/* The fewer nodes take the callers of all, the sooner they return. */
-	return MIN(MAX(TTL_MIN_S, MIN(listed_share, 1) * max_s), max_s);
+	double ttl_s = v->age_ms < SETTLED_MS ? 0 : share * max_s;
+
+	return MIN(MAX(ttl_s, TTL_MIN_S), max_s);
 }
