Tests: lists as old as the drain time, and a pause taken for an outage

In virtual time: the test replaces clock_gettime for itself, the modules and libev. No verdict depends on the machine.

The three about the deadline ask usable_until_ms in the test, which is to return the entry's deadline once there is one.

--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -3,11 +3,14 @@
  * the first. The store is a set of callbacks that answer at once.
  */
 #include <string.h>
+#include <sys/syscall.h>
 #include <talloc.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "entry/evacuations.h"
 #include "entry/origins.h"
-#include "entry/store-clients.h"
+#include "entry/store-sync.h"
 
 #define WAIT_MS 10000
 /* Of calls that get no answer; the default of store.timeout. */
@@ -29,8 +32,22 @@
 	const char *target; /* NULL: none */
 	bool down;
 	bool silent; /* calls get no answer and end by their timeout */
+	int call_ms; /* until an answer; 0: 2 ms */
 } store;
 
+/* Time of the cases that don't wait for it; 0: the real time counts. */
+static int64_t virtual_ms;
+
+/* Replaces the C library's, for this program, libev and the modules. */
+int clock_gettime(clockid_t id, struct timespec *t)
+{
+	if (!virtual_ms)
+		return (int)syscall(SYS_clock_gettime, id, t);
+	t->tv_sec = virtual_ms / 1000;
+	t->tv_nsec = virtual_ms % 1000 * 1000000L;
+	return 0;
+}
+
 /* A node without its threads. */
 struct node {
 	struct entry e;
@@ -119,7 +136,10 @@
 	n->config_reads += t == STORE_CONFIG;
 	n->target_reads += t == STORE_TARGETS;
 	ev_timer_init(&c->timer, finish_call,
-		      c->silent ? CALL_TIMEOUT_S : 0.002, 0);
+		      c->silent       ? CALL_TIMEOUT_S
+		      : store.call_ms ? store.call_ms / 1000.0
+				      : 0.002,
+		      0);
 	c->timer.data = c;
 	ev_timer_start(n->e.tr.loop, &c->timer);
 }
@@ -575,6 +595,286 @@
 	ev_loop_destroy(loop);
 }
 
+/*
+ * Cases in virtual time, whose verdict no slow machine can turn. What one step
+ * of the clock makes due runs at once.
+ */
+#define VIRTUAL_START_MS 1000000
+/* The fleet of the incident. */
+#define LARGE_FLEET     295
+#define LARGE_FLEET_RUN 48
+/* An answer of a slow store that is not down; see store-readers.c. */
+#define SLOW_CALL_MS 300
+/* In which a process has read its first list. */
+#define FIRST_READ_MS 1000
+/* In which a node that goes on running reads the store, with room to spare. */
+#define AT_ONCE_MS 300
+
+/* Advance the virtual time by a millisecond. */
+static void step(struct ev_loop *loop)
+{
+	virtual_ms++;
+	ev_run(loop, EVRUN_NOWAIT);
+}
+
+static void step_for(struct ev_loop *loop, int ms)
+{
+	while (ms-- > 0)
+		step(loop);
+}
+
+/* Start a loop in virtual time, with a store that is up. */
+static struct ev_loop *virtual_loop(const char *target)
+{
+	virtual_ms = VIRTUAL_START_MS;
+	set_store(1, "first", 1);
+	store.target = target;
+	store.silent = false;
+	store.call_ms = 0;
+	return ev_loop_new(EVFLAG_AUTO);
+}
+
+static void virtual_end(struct ev_loop *loop)
+{
+	/* Calls that are in progress need their node. */
+	ev_loop_destroy(loop);
+	store.silent = false;
+	store.call_ms = 0;
+	virtual_ms = 0;
+}
+
+static int64_t list_age_ms(const struct node *n)
+{
+	return time_boot_ms() - store_sync_targets_confirmed_ms(n->sync);
+}
+
+/*
+ * Run the nodes of a large fleet, whose readers give no answer, beside a store
+ * that does. Check that between two times after the start no list is as old as
+ * the drain time of a target.
+ */
+static void check_list_age(int drain_ms, int call_ms, int from_ms, int to_ms)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *nodes[LARGE_FLEET];
+	int64_t oldest_ms = 0;
+
+	store.call_ms = call_ms;
+	for (guint32 i = 0; i < LARGE_FLEET; i++) {
+		struct node *n = nodes[i] = node_new(loop, false);
+
+		g_rand_set_seed(n->sync->rand, i);
+		n->e.control_settings.bounds_drain_ms = drain_ms;
+		store_sync_set_reader(n->sync, false, LARGE_FLEET);
+	}
+	step_for(loop, from_ms);
+	for (int ms = from_ms; ms < to_ms; ms++) {
+		step(loop);
+		for (int i = 0; i < LARGE_FLEET; i++)
+			oldest_ms = MAX(oldest_ms, list_age_ms(nodes[i]));
+	}
+	g_test_message("oldest list: %d ms", (int)oldest_ms);
+	g_assert_cmpint(oldest_ms, <, drain_ms);
+	for (int i = 0; i < LARGE_FLEET; i++)
+		node_free(nodes[i], loop);
+	virtual_end(loop);
+}
+
+/*
+ * A node whose readers give no answer sends requests by a list that is older
+ * than the drain time of a target, as its own reads are too far apart.
+ */
+static void test_list_age(void)
+{
+	check_list_age(4000, 0, FIRST_READ_MS, 30000);
+}
+
+/* The same with a store that is slow. */
+static void test_list_age_slow(void)
+{
+	check_list_age(4000, SLOW_CALL_MS, FIRST_READ_MS, 30000);
+}
+
+/* The same with a shorter drain time. */
+static void test_list_age_short(void)
+{
+	check_list_age(3000, 0, 10000, 30000);
+}
+
+/* The same with the first list of a process, until its second read is due. */
+static void test_list_age_start(void)
+{
+	check_list_age(3000, 0, FIRST_READ_MS, 3300);
+}
+
+/*
+ * Return until when the traffic thread may send by a node's list. The list has
+ * no such deadline yet: the thread uses it for ever.
+ */
+static int64_t usable_until_ms(const struct node *n)
+{
+	(void)n;
+	return G_MAXINT64;
+}
+
+/*
+ * A node whose control thread stands still goes on sending by its list, of
+ * which it can't know whether it still holds.
+ */
+static void check_thread_late(bool reader)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *node = node_new(loop, reader);
+	int64_t left_ms;
+
+	step_for(loop, 1000);
+	g_assert_cmpuint(node->e.list->n, ==, 1);
+	store.target = NULL;
+	store.revision++;
+	left_ms = time_boot_ms();
+	/* The thread is paused from here on: its loop doesn't run. */
+	g_assert_cmpint(usable_until_ms(node), >, left_ms);
+	g_assert_cmpint(usable_until_ms(node), <=,
+			left_ms + node->e.control_settings.bounds_drain_ms);
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
+static void test_reader_thread_late(void)
+{
+	check_thread_late(true);
+}
+
+static void test_node_thread_late(void)
+{
+	check_thread_late(false);
+}
+
+/*
+ * The answers of relays and of the store come so late that a removal is not
+ * known in the drain time. The list may not be used then.
+ */
+static void test_answers_late(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *node = node_new(loop, false);
+	int64_t left_ms;
+
+	store_sync_set_reader(node->sync, false, LARGE_FLEET);
+	step_for(loop, 1000);
+	g_assert_cmpuint(node->e.list->n, ==, 1);
+	store.target = NULL;
+	store.revision++;
+	store.call_ms = 1400;
+	left_ms = time_boot_ms();
+	for (int ms = 0; ms < 8000 && node->e.list->n; ms++) {
+		step(loop);
+		g_assert_true(!node->e.list->n ||
+			      usable_until_ms(node) <= left_ms + 4000);
+	}
+	g_assert_cmpuint(node->e.list->n, ==, 0);
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
+/*
+ * The store does not answer for long: nodes must go on serving by their lists,
+ * without a gap.
+ */
+static void check_outage_serves(bool reader, bool silent)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *node = node_new(loop, reader);
+
+	store_sync_set_reader(node->sync, reader, LARGE_FLEET);
+	step_for(loop, 1000);
+	store.silent = silent;
+	store.down = !silent;
+	for (int ms = 0; ms < 20000; ms++) {
+		step(loop);
+		g_assert_cmpuint(node->e.list->n, ==, 1);
+		g_assert_cmpint(usable_until_ms(node), >, time_boot_ms());
+	}
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
+static void test_outage_reader_serves(void)
+{
+	check_outage_serves(true, true);
+	check_outage_serves(true, false);
+}
+
+static void test_outage_node_serves(void)
+{
+	check_outage_serves(false, true);
+	check_outage_serves(false, false);
+}
+
+/*
+ * A reader that was paused takes the pause for an outage of the store, and
+ * keeps a target that was removed for some seconds more. So do the nodes that
+ * learn from it.
+ */
+static void test_pause_is_no_outage(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+	struct node *node = node_new(loop, false);
+
+	step_for(loop, 1000);
+	g_assert_cmpuint(reader->e.list->n, ==, 1);
+	while (reader->sync->targets_busy)
+		step(loop);
+	store.target = NULL;
+	store.revision++;
+	virtual_ms += 3000;
+	step_for(loop, AT_ONCE_MS);
+	exchange(reader, node, -1);
+	g_assert_cmpuint(reader->e.list->n, ==, 0);
+	g_assert_cmpuint(node->e.list->n, ==, 0);
+	node_free(reader, loop);
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
+/*
+ * After an outage that the node has seen, rows that are missing are kept while
+ * their targets write them again, also if the node was paused in it.
+ */
+static void check_outage_keeps(bool silent, bool paused)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+
+	step_for(loop, 1000);
+	store.silent = silent;
+	store.down = !silent;
+	step_for(loop, 2000);
+	if (paused)
+		virtual_ms += 3000;
+	else
+		step_for(loop, 3000);
+	store.target = NULL;
+	store.revision++;
+	store.silent = false;
+	store.down = false;
+	step_for(loop, 2000);
+	g_assert_cmpuint(reader->e.list->n, ==, 1);
+	step_for(loop, 2500);
+	g_assert_cmpuint(reader->e.list->n, ==, 0);
+	node_free(reader, loop);
+	virtual_end(loop);
+}
+
+static void test_outage_keeps_rows(void)
+{
+	check_outage_keeps(true, false);
+	check_outage_keeps(false, false);
+	check_outage_keeps(true, true);
+	check_outage_keeps(false, true);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -594,5 +894,24 @@
 	g_test_add_func("/entry/store-sync/reader-silent", test_reader_silent);
 	g_test_add_func("/entry/store-sync/relay-confirms",
 			test_relay_confirms);
+	g_test_add_func("/entry/store-sync/outage-keeps-rows",
+			test_outage_keeps_rows);
+	g_test_add_func("/entry/store-sync/outage-reader-serves",
+			test_outage_reader_serves);
+	g_test_add_func("/entry/store-sync/outage-node-serves",
+			test_outage_node_serves);
+	g_test_add_func("/entry/store-sync/list-age", test_list_age);
+	g_test_add_func("/entry/store-sync/list-age-slow", test_list_age_slow);
+	g_test_add_func("/entry/store-sync/list-age-short",
+			test_list_age_short);
+	g_test_add_func("/entry/store-sync/list-age-start",
+			test_list_age_start);
+	g_test_add_func("/entry/store-sync/reader-thread-late",
+			test_reader_thread_late);
+	g_test_add_func("/entry/store-sync/node-thread-late",
+			test_node_thread_late);
+	g_test_add_func("/entry/store-sync/answers-late", test_answers_late);
+	g_test_add_func("/entry/store-sync/pause-is-no-outage",
+			test_pause_is_no_outage);
 	return g_test_run();
 }
