The list of targets says from whom each state came; the log names each change

Change: struct target_info has the source of its state: revision of the row, time, and the node that told of it, or an own read. Heartbeats leave it as it is. The answering node is the one that was queried last, as only that answer changes the list; the wire format stays. entry_confirm_targets keeps when, and by whom, the whole list was last confirmed, for the traffic thread's log. New events: target_states names the targets that came to a state, with source, revisions and the age of the list before, also updates that are ignored as a later row is known; targets_taken says how long after its publication the traffic thread acts on a list. node_started has the node's id. New gauge list_age_ms. In finish_read the list is now published before it is confirmed, so that the log has the age of the list before; nothing on this thread reads the time in between. No decision changes.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -47,6 +47,8 @@
 	{ 2015, LOG_WARNING, "zone_evacuated" },
 	{ 2016, LOG_INFO, "zone_taken_back" },
 	{ 2005, LOG_INFO, "targets_changed" },
+	{ 2017, LOG_INFO, "target_states" },
+	{ 2018, LOG_INFO, "targets_taken" },
 	{ 2006, LOG_WARNING, "target_unreadable" },
 	{ 2007, LOG_WARNING, "settings_kept" },
 	{ 2008, LOG_INFO, "settings_reloaded" },
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -60,6 +60,12 @@
 		atomic_store(&e->config_fresh_ms, at_ms);
 }
 
+void entry_confirm_targets(struct entry *e, int64_t at_ms, uint64_t from)
+{
+	atomic_store(&e->targets_fresh_from, from);
+	atomic_store(&e->targets_fresh_ms, at_ms);
+}
+
 void entry_publish_config(struct entry *e, struct entry_config *c)
 {
 	struct entry_config *old;
@@ -82,6 +88,8 @@
 	g_mutex_lock(&e->lock);
 	old = e->list;
 	e->list = l;
+	if (!atomic_load(&e->list_waits_since_ms))
+		atomic_store(&e->list_waits_since_ms, time_boot_ms());
 	g_mutex_unlock(&e->lock);
 	target_list_unref(old);
 	metric_set(M_TARGETS_LISTED, (int64_t)l->n);
@@ -101,6 +109,15 @@
 	log_event(EV_NODE_STOPPING, "requests=%d", tr->exchanges);
 }
 
+/* Use a new list, of those published since published_ms. */
+static void take_targets(struct traffic *tr, struct target_list *l,
+			 int64_t published_ms)
+{
+	pool_update_targets(tr, l);
+	log_event(EV_TARGETS_TAKEN, "targets=%d wait_ms=%d", (int)l->n,
+		  (int)(time_boot_ms() - published_ms));
+}
+
 /* Take the views and settings that the control thread has published. */
 static void on_views_published(struct ev_loop *loop, ev_async *w, int events)
 {
@@ -109,6 +126,7 @@
 	struct entry_config *config;
 	struct target_list *list;
 	struct peer_list *peers;
+	int64_t published_ms;
 	bool leaving;
 
 	(void)loop;
@@ -116,6 +134,7 @@
 	g_mutex_lock(&e->lock);
 	config = e->config ? entry_config_ref(e->config) : NULL;
 	list = e->list ? target_list_ref(e->list) : NULL;
+	published_ms = atomic_exchange(&e->list_waits_since_ms, 0);
 	peers = e->peers ? peer_list_ref(e->peers) : NULL;
 	leaving = e->leaving;
 	if (e->has_reloaded)
@@ -126,7 +145,7 @@
 	entry_config_unref(tr->config);
 	tr->config = config;
 	if (list && list != tr->list)
-		pool_update_targets(tr, list);
+		take_targets(tr, list, published_ms);
 	target_list_unref(tr->list);
 	tr->list = list;
 	peer_list_unref(tr->peers);
@@ -201,6 +220,9 @@
 	warmups_tick(tr, now);
 	ways_probe(tr, now);
 	update_serving(tr, now);
+	if (atomic_load(&tr->e->targets_fresh_ms))
+		metric_set(M_LIST_AGE_MS,
+			   now - atomic_load(&tr->e->targets_fresh_ms));
 	stop_if_done(tr, now);
 }
 
@@ -365,9 +387,10 @@
 {
 	GThread *control = g_thread_new("control", control_run, e->control);
 
-	log_event(EV_NODE_STARTED, "name=%s zone=%s address=%s",
+	log_event(EV_NODE_STARTED, "name=%s zone=%s address=%s id=%s",
 		  e->settings.node_name, e->settings.node_zone,
-		  e->settings.listen_callers);
+		  e->settings.listen_callers,
+		  source_name(member_id(e->settings.node_name)).s);
 	ev_run(e->tr.loop, 0);
 	control_stop(e->control);
 	g_thread_join(control);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -102,6 +102,17 @@
 	struct caller_limits limits;
 };
 
+/*
+ * How this node learned of a target's state, that is, of the last change to
+ * what target_info_hash covers. Heartbeats, which only change the revision of a
+ * row, leave it as it is.
+ */
+struct target_source {
+	int64_t revision;   /* of the row that showed the state */
+	int64_t noticed_ms; /* when this node noticed it */
+	uint64_t node;      /* id of the node that told of it; 0: own read */
+};
+
 /* A target's registration in the store. */
 struct target_info {
 	uint64_t id; /* hash of its name and its start time */
@@ -115,6 +126,7 @@
 	bool draining;   /* gets no new requests */
 	/* How much longer it was cold when its row was written; not hashed. */
 	int64_t warmup_left_ms;
+	struct target_source source; /* for the log; not hashed, not sent */
 };
 
 /* The registered targets. Immutable once published; reference-counted. */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -180,6 +180,14 @@
 	bool has_secret;
 
 	atomic_int_least64_t config_fresh_ms; /* see entry_confirm_config */
+	/* For the log and the metrics only; see entry_confirm_targets. */
+	atomic_int_least64_t targets_fresh_ms;
+	atomic_uint_least64_t targets_fresh_from;
+	/*
+	 * When the oldest list was published that the traffic thread has not
+	 * taken; 0: it has the newest one. Set under the lock.
+	 */
+	atomic_int_least64_t list_waits_since_ms;
 	atomic_bool stop_now;
 };
 
@@ -191,6 +199,19 @@
 void entry_publish_targets(struct entry *e, struct target_list *l);
 /* Record that the configuration held was the store's newest at at_ms. */
 void entry_confirm_config(struct entry *e, int64_t at_ms);
+/*
+ * Record that the list of targets was the store's newest at at_ms. from: id of
+ * the node that said so; 0: an own read of the store.
+ */
+void entry_confirm_targets(struct entry *e, int64_t at_ms, uint64_t from);
+
+/* target-changes.c, called by any thread. */
+
+/* Name of a node from which a state came, for the log; 0: "store". */
+struct source_name {
+	char s[17];
+};
+struct source_name source_name(uint64_t node);
 
 /* entry.c, called by the traffic thread. */
 
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -503,6 +503,8 @@
 	if (r.reader)
 		return;
 	peer = find_peer(l, r.own[c->next_relay++ % r.own_count]);
-	if (peer)
-		send_query(c, &peer->report_address, false);
+	if (!peer)
+		return;
+	store_sync_set_queried(c->sync, peer->id);
+	send_query(c, &peer->report_address, false);
 }
--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -48,6 +48,11 @@
 	return at_ms ? (unsigned)MIN(now_ms - at_ms, UINT32_MAX) : UINT32_MAX;
 }
 
+void store_sync_set_queried(struct store_sync *s, uint64_t node)
+{
+	s->query_to = node;
+}
+
 void store_sync_query(struct store_sync *s, int64_t now_ms, bool continued,
 		      struct store_query *query)
 {
@@ -161,6 +166,7 @@
 	    s->targets_busy || at_ms <= s->targets_confirmed_ms)
 		return false;
 	metric_add(M_PEER_UPDATES_TOTAL, answer->updates.updates_len);
+	target_table_set_sender(s->table, s->query_to);
 	target_table_apply_updates(s->table, answer, time_boot_ms());
 	store_sync_publish_targets(s);
 	if (answer->more && answer->updates.updates_len) {
@@ -169,7 +175,7 @@
 	}
 	s->targets_stale = answer->targets_hash != target_table_hash(s->table);
 	if (!s->targets_stale)
-		s->targets_confirmed_ms = at_ms;
+		store_sync_confirm_targets(s, at_ms, s->query_to);
 	else if (time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
 		store_sync_schedule(s, &s->targets_timer, 0);
 	return false;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -178,6 +178,7 @@
 		t->info.slots = l->v[i].slots;
 		set_version(t, &l->v[i]);
 		t->info.draining = l->v[i].draining;
+		t->info.source = l->v[i].source;
 		if (t->info.draining)
 			pool_close_idle_links(t);
 	}
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -55,6 +55,10 @@
 void target_table_updates(const struct target_table *t,
 			  const struct store_query *q,
 			  struct store_query_answer *answer);
+/* Set the node whose answers are applied next, for target_source. */
+void target_table_set_sender(struct target_table *t, uint64_t node);
+/* Log the changes since the last call; see target_changes_log. */
+void target_table_log_changes(struct target_table *t, int64_t list_age_ms);
 /* Apply the updates of an answer. */
 void target_table_apply_updates(struct target_table *t,
 				const struct store_query_answer *answer,
@@ -70,6 +74,11 @@
 			   size_t fleet_size);
 /* Return when the list of targets was last known to be the newest; 0: never. */
 int64_t store_sync_targets_confirmed_ms(const struct store_sync *s);
+/*
+ * Set the node that the next queries go to. Only the answer to the last query
+ * changes the list of targets, so that is also the node that answers.
+ */
+void store_sync_set_queried(struct store_sync *s, uint64_t node);
 /*
  * Fill in a query to another node. continued: it asks for the updates that
  * follow those of the last answer. The strings are borrowed.
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -444,12 +444,21 @@
 
 /* Targets. */
 
-/* Publish the targets if they have changed. */
+void store_sync_confirm_targets(struct store_sync *s, int64_t at_ms,
+				uint64_t from)
+{
+	s->targets_confirmed_ms = at_ms;
+	entry_confirm_targets(s->e, at_ms, from);
+}
+
 void store_sync_publish_targets(struct store_sync *s)
 {
+	int64_t confirmed_ms = s->targets_confirmed_ms;
 	struct target_list *l;
 	int draining = 0;
 
+	target_table_log_changes(
+		s->table, confirmed_ms ? time_boot_ms() - confirmed_ms : -1);
 	if (!target_table_changed(s->table) && s->e->list)
 		return;
 	l = target_table_list(s->table);
@@ -466,11 +475,11 @@
 	int64_t now = time_boot_ms();
 
 	s->read_ended_ms = now;
-	s->targets_confirmed_ms = s->read_started_ms;
 	s->targets_stale = false;
 	target_table_finish_read(s->table, now >= outage_settled_ms(&s->outage),
 				 now);
 	store_sync_publish_targets(s);
+	store_sync_confirm_targets(s, s->read_started_ms, 0);
 }
 
 static int64_t targets_pause_ms(const struct store_sync *s)
--- a/entry/store-sync.h
+++ b/entry/store-sync.h
@@ -72,6 +72,7 @@
 	bool targets_stale;           /* a peer has a newer list */
 	bool targets_busy;            /* a call to the store is in progress */
 	/* The last query to another node, and where its updates end. */
+	uint64_t query_to; /* id of that node; see store_sync_set_queried */
 	int64_t query_sent_ms;
 	int64_t after_noticed; /* 0: no update of a series received yet */
 	char *after_key;
@@ -95,8 +96,14 @@
  * when it is malformed or the one in force may not be the newest.
  */
 bool store_sync_apply_config(struct store_sync *s, const json_t *value);
-/* Publish the targets if they have changed. */
+/*
+ * Publish the targets if they have changed, before store_sync_confirm_targets:
+ * the log names the age of the list that they replace.
+ */
 void store_sync_publish_targets(struct store_sync *s);
+/* The list was the newest at at_ms; see entry_confirm_targets. */
+void store_sync_confirm_targets(struct store_sync *s, int64_t at_ms,
+				uint64_t from);
 
 /* peer-sync.c */
 
--- a/entry/target-table.c
+++ b/entry/target-table.c
@@ -10,6 +10,7 @@
 #include <talloc.h>
 
 #include "entry/store-clients.h"
+#include "entry/target-changes.h"
 
 /* Limit of the updates in a message, which must not need IP fragmentation. */
 #define UPDATES_BYTES_MAX 1150
@@ -46,7 +47,9 @@
 	uint64_t hash;         /* of the usable targets */
 	size_t removed;        /* rows that are not usable */
 	bool changed;          /* since target_table_list */
-	cold_row_fn *on_cold;  /* may be NULL */
+	uint64_t sender;       /* see target_table_set_sender */
+	struct target_changes *changes; /* since target_table_log_changes */
+	cold_row_fn *on_cold;           /* may be NULL */
 	void *on_cold_ctx;
 };
 
@@ -64,6 +67,7 @@
 
 	t->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					row_free);
+	t->changes = target_changes_new();
 	return t;
 }
 
@@ -76,9 +80,20 @@
 void target_table_free(struct target_table *t)
 {
 	g_hash_table_unref(t->rows);
+	target_changes_free(t->changes);
 	g_free(t);
 }
 
+void target_table_set_sender(struct target_table *t, uint64_t node)
+{
+	t->sender = node;
+}
+
+void target_table_log_changes(struct target_table *t, int64_t list_age_ms)
+{
+	target_changes_log(t->changes, list_age_ms);
+}
+
 uint64_t target_table_hash(const struct target_table *t)
 {
 	return t->hash;
@@ -107,12 +122,24 @@
 }
 
 /*
- * Replace what a row says. Takes the arena, which owns the strings of info;
- * info NULL: the row is removed or unreadable.
+ * Replace what a row says, by what was noticed at row->noticed. Takes the
+ * arena, which owns the strings of info; info NULL: the row is removed or
+ * unreadable.
  */
-static void set_row(struct target_table *t, struct target_row *row, void *arena,
-		    const struct target_info *info)
+static void set_row(struct target_table *t, const char *key,
+		    struct target_row *row, void *arena,
+		    const struct target_info *info,
+		    const struct target_source *source)
 {
+	target_changes_add(
+		t->changes,
+		&(struct target_change){
+			.key = key,
+			.state = target_state_after(
+				row->usable ? &row->info : NULL, info),
+			.source = *source,
+			.noticed = row->noticed,
+		});
 	if (row->usable) {
 		t->hash ^= target_info_hash(&row->info);
 		row->removed_id = row->info.id;
@@ -124,6 +151,7 @@
 	row->usable = info != NULL;
 	if (info) {
 		row->info = *info;
+		row->info.source = *source;
 		t->hash ^= target_info_hash(info);
 	} else {
 		memset(&row->info, 0, sizeof(row->info));
@@ -162,6 +190,7 @@
 			    int64_t now_ms)
 {
 	const struct store_row *r = &p->rows[i];
+	struct target_source source = {r->revision, now_ms, 0};
 	struct target_row *row = g_hash_table_lookup(t->rows, r->key);
 	bool known = row != NULL, usable;
 	struct target_info info;
@@ -197,7 +226,7 @@
 	     target_info_hash(&info) != target_info_hash(&row->info))) {
 		row->noticed = p->revision;
 		row->noticed_ms = now_ms;
-		set_row(t, row, arena, usable ? &info : NULL);
+		set_row(t, r->key, row, arena, usable ? &info : NULL, &source);
 	} else {
 		talloc_free(arena);
 	}
@@ -235,17 +264,18 @@
 			      int64_t now_ms)
 {
 	GHashTableIter it;
-	gpointer v;
+	gpointer key, v;
 
 	g_hash_table_iter_init(&it, t->rows);
-	while (remove_missing && g_hash_table_iter_next(&it, NULL, &v)) {
+	while (remove_missing && g_hash_table_iter_next(&it, &key, &v)) {
 		struct target_row *row = v;
+		struct target_source source = {row->revision, now_ms, 0};
 
 		if (row->read_number == t->read_number || !row->usable)
 			continue;
 		row->noticed = t->page_revision;
 		row->noticed_ms = now_ms;
-		set_row(t, row, NULL, NULL);
+		set_row(t, key, row, NULL, NULL, &source);
 	}
 	if (!t->revision)
 		t->history_from = MAX(t->history_from, t->read_revision);
@@ -398,15 +428,38 @@
 	g_array_unref(wanted);
 }
 
+/* Keep an update for the log that is not used, as a later row is known. */
+static void note_ignored(struct target_table *t, const struct target_row *row,
+			 const struct target_update *update,
+			 const struct target_source *source)
+{
+	if (row->usable == !update->removed &&
+	    (!row->usable || row->info.draining == update->draining))
+		return;
+	target_changes_add(t->changes,
+			   &(struct target_change){
+				   .key = update->key,
+				   .state = update->removed    ? TARGET_REMOVED
+					    : update->draining ? TARGET_DRAINING
+							       : TARGET_READY,
+				   .source = *source,
+				   .noticed = update->noticed,
+				   .known_revision = row->revision,
+			   });
+}
+
 static void apply_update(struct target_table *t,
 			 const struct target_update *update, int64_t now_ms)
 {
+	struct target_source source = {update->revision, now_ms, t->sender};
 	struct target_row *row = g_hash_table_lookup(t->rows, update->key);
 	struct target_info info;
 	void *arena;
 
-	if (row && row->revision > update->revision)
+	if (row && row->revision > update->revision) {
+		note_ignored(t, row, update, &source);
 		return;
+	}
 	row = row_of(t, update->key);
 	row->noticed = MAX(row->noticed, update->noticed);
 	row->noticed_ms = now_ms;
@@ -414,7 +467,7 @@
 	if (update->removed) {
 		row->revision = update->revision;
 		if (row->usable)
-			set_row(t, row, NULL, NULL);
+			set_row(t, update->key, row, NULL, NULL, &source);
 		return;
 	}
 	arena = talloc_new(NULL);
@@ -438,7 +491,7 @@
 		talloc_free(arena);
 		return;
 	}
-	set_row(t, row, arena, &info);
+	set_row(t, update->key, row, arena, &info, &source);
 }
 
 void target_table_apply_updates(struct target_table *t,
