request_ended and request_repeated say what the last send acted on

Cause: from a request's id the log had the target's name, but not the version of its state that the node acted on, nor the age of the list.

Change: fields row, row_from, row_age_ms, list_age_ms, list_from and list_wait_ms (a newer list was published, and not taken yet), kept at the send: when the attempt begins, and again when a new connection was established, since nothing is sent on it before (send-check.c).

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -95,38 +95,6 @@
 	talloc_free(x->arena);
 }
 
-/* Log and measure the end of the request. */
-static void log_end(const struct exchange *x, int status, const char *how)
-{
-	int64_t now = time_boot_ms();
-	int64_t fresh = atomic_load(&x->tr->e->config_fresh_ms);
-
-	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
-	log_event(EV_REQUEST_ENDED,
-		  "request=" STR_FMT " route=" STR_FMT
-		  " whole=%x prompt=%x parts=%s shared=%d target=" STR_FMT
-		  " source=" STR_FMT
-		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
-		  "first_ms=%d gap_ms=%d "
-		  "cause=%s config=%d config_age_ms=%d version=" STR_FMT
-		  " resumes=" STR_FMT,
-		  STR_ARG(x->request_id),
-		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
-		  (unsigned)x->whole, (unsigned)x->prompt.parts[0],
-		  prompt_parts_text(x->arena, x->parts),
-		  (int)x->prompt.shared_tokens, STR_ARG(x->last_target_name),
-		  STR_ARG(x->last_source_name), status, how,
-		  (int)(now - x->arrived_ms), x->attempts, x->possible_runs,
-		  (int)x->splitter.event_count,
-		  x->first_given_ms ? (int)(x->first_given_ms - x->arrived_ms)
-				    : -1,
-		  (int)x->longest_gap_ms,
-		  x->failure_cause ? x->failure_cause : "-",
-		  x->config ? (int)x->config->version : 0,
-		  fresh ? (int)(now - fresh) : -1,
-		  STR_ARG(x->last_target_version), STR_ARG(x->resumes));
-}
-
 /* Whether the caller may send another request on its connection. */
 static bool keeps_alive(const struct exchange *x)
 {
@@ -166,8 +134,8 @@
 			? exchange_retry_after_ms(x, kind, x->tr->rand)
 			: 0;
 
-	log_end(x, error_responses[kind].http_status,
-		error_responses[kind].name);
+	exchange_log_end(x, error_responses[kind].http_status,
+			 error_responses[kind].name);
 	metric_add(error_responses[kind].outcome == OUTCOME_NOT_RUN
 			   ? M_ANSWERS_NOT_RUN_TOTAL
 			   : M_ANSWERS_UNKNOWN_TOTAL,
@@ -188,7 +156,7 @@
 
 void exchange_cancel(struct exchange *x)
 {
-	log_end(x, 0, "caller_left");
+	exchange_log_end(x, 0, "caller_left");
 	destroy(x);
 }
 
@@ -238,7 +206,7 @@
 	if (!is_head_request(x))
 		buf_add(&out, buf_data(&x->response_body),
 			buf_len(&x->response_body));
-	log_end(x, status, "answered");
+	exchange_log_end(x, status, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
 	caller_write(x->caller, buf_data(&out), buf_len(&out));
 	buf_clear(&out);
@@ -533,7 +501,7 @@
 	pool_record_response(x->target, true);
 	exchange_record_begin(x, x->first_event_ms);
 	shed_record_end(x);
-	log_end(x, 200, "answered");
+	exchange_log_end(x, 200, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
 	caller_write(x->caller, "0\r\n\r\n", 5);
 	finish(x, keeps_alive(x));
@@ -710,6 +678,7 @@
 	again = was_tried(x, t->info.id);
 	x->tried_targets[x->attempts++] = t->info.id;
 	x->link = pool_acquire_link(t, again, &x->link_reused, &x->helper);
+	exchange_note_send(x);
 	if (!x->link) {
 		x->failure_cause = "no_descriptor";
 		if (!exchange_retry(x, false, false))
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -6,7 +6,7 @@
  * Traffic thread only.
  *
  * exchange.c runs it, resolve.c looks up what applies to the request, forward.c
- * writes it to the target, retry.c decides on retries.
+ * writes it to the target, retry.c decides on retries, request-log.c logs it.
  */
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
@@ -24,6 +24,15 @@
  */
 #define UNSENT_MAX_BYTES (256 << 10)
 
+/* What this node knew of the target when it sent the request. */
+struct send_basis {
+	struct target_source row;
+	int64_t row_age_ms;   /* since that was noticed */
+	int64_t list_age_ms;  /* since the list was the newest; -1: not known */
+	int64_t list_wait_ms; /* for which a newer list was not taken; 0 */
+	uint64_t list_from;   /* who said that it was; see source_name */
+};
+
 struct exchange {
 	struct caller *caller;
 	struct traffic *tr;
@@ -55,7 +64,8 @@
 	uint64_t helper;  /* the node through which the link goes; 0: none */
 	bool link_reused; /* the link was idle, not opened for the attempt */
 	int64_t sent_ms;
-	int64_t first_event_ms; /* of the attempt; 0: none yet */
+	struct send_basis basis; /* of this attempt or the one before */
+	int64_t first_event_ms;  /* of the attempt; 0: none yet */
 	/* When to check why no response has begun; 0: one has. */
 	int64_t head_check_at_ms;
 	int64_t head_timeout_ms; /* time from sent_ms to the first check */
@@ -197,6 +207,18 @@
  */
 bool exchange_may_send(void *exchange);
 
+/* request-log.c: the lines of the log about a request. */
+
+/*
+ * Keep what the log says of the send. Called when the attempt begins, and when
+ * a new connection, on which nothing is sent before, has been established.
+ */
+void exchange_note_send(struct exchange *x);
+/* Return the fields that say what the last send was based on; in the arena. */
+const char *exchange_basis_text(const struct exchange *x);
+/* Log and measure the end of the request. */
+void exchange_log_end(const struct exchange *x, int status, const char *how);
+
 /* resolve.c: looks up the configuration that applies to the request. */
 
 /*
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -44,12 +44,13 @@
 	log_event(
 		EV_REQUEST_REPEATED,
 		"request=" STR_FMT " target=" STR_FMT " version=" STR_FMT
-		" cause=%s ran=%d sends=%d after=%d began=%d whole=%x parts=%s",
+		" cause=%s ran=%d sends=%d after=%d began=%d whole=%x parts=%s"
+		" %s",
 		STR_ARG(x->request_id), STR_ARG(x->last_target_name),
 		STR_ARG(x->last_target_version), x->failure_cause, ran,
 		x->attempts, (int)x->splitter.last_number,
 		x->first_event_ms != 0, (unsigned)x->whole,
-		prompt_parts_text(x->arena, x->parts));
+		prompt_parts_text(x->arena, x->parts), exchange_basis_text(x));
 	exchange_attempt(x);
 }
 
--- a/entry/send-check.c
+++ b/entry/send-check.c
@@ -27,8 +27,10 @@
 
 	if (!exchange_is_wanted(x))
 		return false;
-	if (pool_takes_requests(x->target, time_boot_ms()))
+	if (pool_takes_requests(x->target, time_boot_ms())) {
+		exchange_note_send(x);
 		return true;
+	}
 	metric_add(M_SENDS_STOPPED_TARGET_LEAVING_TOTAL, 1);
 	x->failure_cause = "target_leaving";
 	if (!exchange_retry(x, false, false))
