A pause of a node is not taken for an outage of the store

Cause: an outage was a gap of 2.5 s between calls that were answered, whatever the reason. A reader that was paused, or got no time, for 3 s kept the rows that were missing at its first read for 2.3 s more: 5.3 s where 4 s are allowed, on all nodes that learn from it, as its answers call that list the newest. Change: only a gap in which a call failed, or hangs, is an outage. Ruled out: that rows of a real outage are dropped earlier: its calls fail or hang.

--- a/entry/outage.c
+++ b/entry/outage.c
@@ -1,4 +1,4 @@
-/* Since when the platform's store answers again. See outage.h. */
+/* When the platform's store failed and when it is back. See outage.h. */
 #include "base/base.h"
 #include "entry/outage.h"
 
@@ -12,18 +12,35 @@
 
 void outage_note_answer(struct outage *o, int64_t sent_ms, int64_t now_ms)
 {
+	bool failed = MAX(o->failed_ms, o->hanging_ms) > o->current_ms;
+
 	/* A call may have been sent during the outage and answered after it. */
-	if (o->current_ms && sent_ms - o->current_ms > OUTAGE_MS)
+	if (o->current_ms && failed && sent_ms - o->current_ms > OUTAGE_MS)
 		o->ended_ms = now_ms;
 	o->current_ms = MAX(o->current_ms, sent_ms);
 }
 
+void outage_note_failure(struct outage *o, int64_t sent_ms)
+{
+	o->failed_ms = MAX(o->failed_ms, sent_ms);
+}
+
+void outage_note_hanging(struct outage *o, int64_t sent_ms)
+{
+	o->hanging_ms = sent_ms;
+}
+
 void outage_restart(struct outage *o, int64_t now_ms)
 {
 	o->ended_ms = now_ms;
 	o->current_ms = MAX(o->current_ms, now_ms);
 }
 
+int64_t outage_last_ms(const struct outage *o)
+{
+	return MAX(o->failed_ms, o->hanging_ms);
+}
+
 int64_t outage_settled_ms(const struct outage *o)
 {
 	return o->ended_ms ? o->ended_ms + RECOVERY_MS : 0;
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -93,6 +93,8 @@
 
 	if (up)
 		outage_note_answer(&s->outage, p->sent_ms, time_boot_ms());
+	else
+		outage_note_failure(&s->outage, p->sent_ms);
 	s->failures = up ? 0 : s->failures + 1;
 	if (up == s->store_up)
 		return;
