Log that another node's notice says that targets are leaving

Cause: target_leaving was logged for the target's own response to this node only, so the log did not show that a node had learned it from others.

The notice has no sender that could be named: it may have been forwarded.

Found by the test: a message may have the same notice twice (t0,t0), as send_records takes all rounds of an update at once, so the repeat that is meant for lost datagrams is in the same datagram. Not changed here; the line names a target once.

--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -370,13 +370,77 @@
 	send_records(c, l, true, now_ms);
 }
 
+static bool is_known_leaving(const struct control *c, uint64_t target,
+			     int64_t now_ms)
+{
+	return notices_get(c->e->notices, NOTICE_TARGET_LEAVING, target, now_ms,
+			   0);
+}
+
+/*
+ * List the targets that are leaving by a message of another node, and that this
+ * node does not know to be, once each. Return their number.
+ */
+static size_t list_leaving(const struct control *c,
+			   const struct peer_records *m, int64_t now_ms,
+			   uint64_t *ids)
+{
+	size_t n = 0;
+
+	for (u_int i = 0; i < m->entries.entries_len; i++) {
+		const struct peer_record *r = &m->entries.entries_val[i];
+		const struct notice_report *v = &r->peer_record_u.notice;
+
+		size_t k = 0;
+
+		if (r->kind != RECORD_NOTICE ||
+		    v->kind != NOTICE_TARGET_LEAVING || !v->value ||
+		    is_known_leaving(c, v->id, now_ms))
+			continue;
+		/* A message may have the same notice twice. */
+		while (k < n && ids[k] != v->id)
+			k++;
+		if (k == n)
+			ids[n++] = v->id;
+	}
+	return n;
+}
+
+/* Log the listed targets among those that have become known to be leaving. */
+static void log_leaving(struct control *c, const uint64_t *ids, size_t n,
+			int64_t now_ms)
+{
+	GString *names = g_string_new(NULL);
+	struct target_list *l;
+
+	g_mutex_lock(&c->e->lock);
+	l = c->e->list ? target_list_ref(c->e->list) : NULL;
+	g_mutex_unlock(&c->e->lock);
+	for (size_t i = 0; l && i < l->n; i++)
+		for (size_t k = 0; k < n; k++)
+			if (l->v[i].id == ids[k] &&
+			    is_known_leaving(c, ids[k], now_ms))
+				g_string_append_printf(names, "%s" STR_FMT,
+						       names->len ? "," : "",
+						       STR_ARG(l->v[i].name));
+	if (names->len)
+		log_event(EV_TARGET_LEAVING, "target=%s source=notice",
+			  names->str);
+	g_string_free(names, TRUE);
+	target_list_unref(l);
+}
+
 void peers_receive_records(struct control *c, const struct peer_records *m)
 {
+	uint64_t *leaving = g_newa(uint64_t, m->entries.entries_len + 1);
 	int64_t now = time_boot_ms();
+	size_t n = list_leaving(c, m, now, leaving);
 
 	for (u_int i = 0; i < m->entries.entries_len; i++) {
 		const struct peer_record *r = &m->entries.entries_val[i];
 
 		sources[r->kind].receive(c, r, now);
 	}
+	if (n)
+		log_leaving(c, leaving, n, now);
 }
