--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -379,7 +379,7 @@
 
 /*
  * List the targets that are leaving by a message of another node, and that this
- * node does not know to be. Return their number.
+ * node does not know to be, once each. Return their number.
  */
 static size_t list_leaving(const struct control *c,
 			   const struct peer_records *m, int64_t now_ms,
@@ -391,9 +391,16 @@
 		const struct peer_record *r = &m->entries.entries_val[i];
 		const struct notice_report *v = &r->peer_record_u.notice;
 
-		if (r->kind == RECORD_NOTICE &&
-		    v->kind == NOTICE_TARGET_LEAVING && v->value &&
-		    !is_known_leaving(c, v->id, now_ms))
+		size_t k = 0;
+
+		if (r->kind != RECORD_NOTICE ||
+		    v->kind != NOTICE_TARGET_LEAVING || !v->value ||
+		    is_known_leaving(c, v->id, now_ms))
+			continue;
+		/* A message may have the same notice twice. */
+		while (k < n && ids[k] != v->id)
+			k++;
+		if (k == n)
 			ids[n++] = v->id;
 	}
 	return n;
