A list of targets has a deadline that is checked at the send

Cause: nothing bounded the age of the list where a request is sent. The age was looked at only when a node scheduled its own reads: at 295 nodes the list of a node without a reader could be 3.7 s old and a call more (4,086 ms with calls of 300 ms; 3,692 ms where 3,000 are allowed), and without end when the control thread stood still or answers were late, while the traffic thread sent on. Change: each list has the time until which it may be used (entry/list-deadline.c): the drain time, less a tenth for the way, after the time at which it was known to be the newest, wherever that came from. pool_takes_requests, which all first sends, repeats, resumptions, tunnels and the check at a new connection use, looks at it. Beyond it: - the request waits up to 400 ms for a confirmation (entry/list-wait.c), then it is refused as not run, cause targets_unconfirmed; a node whose list is too old is not named to callers; - while a call to the store fails or hangs, targets can't report that they leave, and the last list is used on, for 600 ms at a time, up to bounds.contact (new setting, from ContactMs) less a tenth after the last such call; - own reads of the targets are at most half the drain time apart; - the traffic thread takes new lists before it reads requests; a call's response that is there counts before its timeout; a timer that fires late after a pause is no sign of a store in trouble. Also: an own read of several pages could set the time of the last confirmation back.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -50,7 +50,8 @@
 
 bool entry_is_serving(const struct entry *e, int64_t now_ms)
 {
-	return e->tr.config && e->tr.list && !e->tr.leaving_ms &&
+	return e->tr.config && !e->tr.leaving_ms &&
+	       pool_list_is_usable(&e->tr, now_ms) &&
 	       is_config_younger(e, now_ms, CONFIG_SERVE_PART);
 }
 
@@ -96,6 +97,18 @@
 	ev_async_send(e->tr.loop, &e->tr.views_published);
 }
 
+void entry_extend_list(struct entry *e, int64_t until_ms, int64_t now_ms)
+{
+	bool expired;
+
+	if (!e->list)
+		return;
+	expired = atomic_exchange(&e->list->until_ms, until_ms) <= now_ms;
+	/* Requests may wait for it; see list-wait.c. */
+	if (expired && now_ms < until_ms)
+		ev_async_send(e->tr.loop, &e->tr.views_published);
+}
+
 /* Begin the graceful shutdown of the traffic thread. */
 static void begin_leave(struct traffic *tr)
 {
@@ -151,6 +164,7 @@
 	peer_list_unref(tr->peers);
 	tr->peers = peers;
 	warmups_update(tr);
+	exchanges_on_list(tr);
 	if (leaving && !tr->leaving_ms)
 		begin_leave(tr);
 	if (atomic_load(&e->stop_now))
@@ -306,11 +320,14 @@
 	tr->tunnels = g_queue_new();
 	tr->callers = g_queue_new();
 	tr->taking_up = g_queue_new();
+	tr->awaiting_list = g_queue_new();
 	tr->rand = g_rand_new();
 	tr->shed = shed_new(tr);
 	tr->started_ms = time_boot_ms();
 	ev_async_init(&tr->views_published, on_views_published);
 	tr->views_published.data = tr;
+	/* A thread that was paused takes the views before it reads requests. */
+	ev_set_priority(&tr->views_published, EV_MAXPRI);
 	ev_async_start(tr->loop, &tr->views_published);
 	ev_async_init(&tr->origins_settled, exchanges_on_origins);
 	tr->origins_settled.data = tr;
@@ -423,6 +440,7 @@
 		control_free(e->control);
 	g_queue_free(tr->callers);
 	g_queue_free(tr->taking_up);
+	g_queue_free(tr->awaiting_list);
 	g_queue_free(tr->tunnels);
 	g_rand_free(tr->rand);
 	entry_config_unref(tr->config);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -129,9 +129,17 @@
 	struct target_source source; /* for the log; not hashed, not sent */
 };
 
-/* The registered targets. Immutable once published; reference-counted. */
+/*
+ * The registered targets. Immutable once published, apart from until_ms;
+ * reference-counted.
+ */
 struct target_list {
 	atomic_int refs;
+	/*
+	 * No request is sent by the list from then on, on time_boot_ms; see
+	 * list-deadline.h. The control thread moves it on.
+	 */
+	atomic_int_least64_t until_ms;
 	void *arena;
 	struct target_info *v;
 	size_t n;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -85,6 +85,7 @@
 {
 	exchange_abandon_attempt(x);
 	exchange_leave_take_up(x);
+	exchange_leave_list_wait(x);
 	ev_timer_stop(x->tr->loop, &x->timer);
 	sse_splitter_clear(&x->splitter);
 	buf_clear(&x->response_body);
@@ -230,6 +231,8 @@
 		at = MIN(at, x->head_check_at_ms);
 	if (x->taking_up)
 		at = MIN(at, x->take_up_deadline_ms);
+	if (x->awaiting_list)
+		at = MIN(at, x->list_wait_end_ms);
 	timer_start_once(x->tr->loop, &x->timer, at - time_boot_ms());
 }
 
@@ -606,6 +609,10 @@
 		exchange_take_up(x);
 		return;
 	}
+	if (x->awaiting_list && now >= x->list_wait_end_ms) {
+		exchange_end_list_wait(x);
+		return;
+	}
 	exchange_arm_timer(x);
 }
 
@@ -652,7 +659,8 @@
 	struct target *source, *t;
 	bool again;
 
-	if (!exchange_is_wanted(x) || refuse_blocked(x))
+	if (!exchange_is_wanted(x) || refuse_blocked(x) ||
+	    exchange_await_list(x))
 		return;
 	t = pool_choose_target(x->tr, x->service, &x->prompt, x->version,
 			       x->tried_targets, (size_t)x->attempts,
@@ -661,6 +669,10 @@
 			       &source);
 	if (!t) {
 		x->failure_cause = "no_target";
+		if (!pool_list_is_usable(x->tr, time_boot_ms())) {
+			x->failure_cause = "targets_unconfirmed";
+			metric_add(M_REFUSALS_TARGETS_UNCONFIRMED_TOTAL, 1);
+		}
 		x->all_resting = true;
 		if (x->possible_runs)
 			exchange_fail(x);
@@ -735,6 +747,13 @@
 		exchange_reply_error(x, e);
 		return;
 	}
+	if (!exchange_await_list(x))
+		exchange_begin(x);
+}
+
+void exchange_begin(struct exchange *x)
+{
+	x->begun = true;
 	/* Requests that are refused here pay for no retries. */
 	if (!exchange_is_take_up(x) && shed_refuse(x))
 		return;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -95,7 +95,10 @@
 	int64_t longest_gap_ms; /* between two events */
 	/* When the stream counts as stalled; 0: no event yet or no resume. */
 	int64_t stall_deadline_ms;
-	bool taking_up;   /* waits for that version; in the queue */
+	bool taking_up;           /* waits for that version; in the queue */
+	bool begun;               /* see exchange_begin */
+	bool awaiting_list;       /* see list-wait.c; in the queue */
+	int64_t list_wait_end_ms; /* end of that wait; 0: has not waited */
 	bool all_resting; /* no target takes requests, some for a time only */
 	ev_timer timer;   /* the next of the deadlines above */
 	const char *failure_cause; /* of the last failure, for the log */
@@ -109,6 +112,8 @@
 
 /* Return the time to the deadline; negative after it. */
 int64_t exchange_time_left_ms(const struct exchange *x);
+/* Admit or refuse the request, which was resolved, and make an attempt. */
+void exchange_begin(struct exchange *x);
 /* Choose a target and forward. May end and free the exchange. */
 void exchange_attempt(struct exchange *x);
 /* End the exchange with an error response that the entry generates. */
@@ -237,4 +242,13 @@
  */
 void exchange_forward(struct exchange *x, const struct target *source);
 
+/* list-wait.c: waits for a confirmation of the list of targets. */
+
+/* Wait if the list is too old, once a request; return whether it waits. */
+bool exchange_await_list(struct exchange *x);
+/* Go on after the wait. May end and free the exchange. */
+void exchange_end_list_wait(struct exchange *x);
+/* Take the exchange, which ends, out of the queue if it waits. */
+void exchange_leave_list_wait(struct exchange *x);
+
 #endif
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -133,6 +133,7 @@
 	ev_async views_published; /* signalled by the control thread */
 	ev_async origins_settled; /* the same; see take-up.c */
 	GQueue *taking_up;        /* exchanges that wait for a look-up */
+	GQueue *awaiting_list;    /* others, for a newer target_list */
 	ev_timer housekeeping;    /* periodic */
 	/* struct caller, by the time of connecting or of the last response */
 	GQueue *callers;
@@ -197,6 +198,8 @@
 void entry_publish_config(struct entry *e, struct entry_config *c);
 /* Hand a new target list to the traffic thread; takes the reference. */
 void entry_publish_targets(struct entry *e, struct target_list *l);
+/* Set until when the published target list may be used, if there is one. */
+void entry_extend_list(struct entry *e, int64_t until_ms, int64_t now_ms);
 /* Record that the configuration held was the store's newest at at_ms. */
 void entry_confirm_config(struct entry *e, int64_t at_ms);
 /*
@@ -316,6 +319,8 @@
 void exchange_cancel(struct exchange *x);
 /* The caller's socket took output: resume reading from the target. */
 void exchange_caller_drained(struct exchange *x);
+/* Go on with the exchanges that wait for a newer list; see list-wait.c. */
+void exchanges_on_list(struct traffic *tr);
 /* Go on with the exchanges that wait for a look-up of origins. */
 void exchanges_on_origins(struct ev_loop *loop, ev_async *w, int events);
 
@@ -340,9 +345,12 @@
 				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
 				  int priority, struct target **source);
+/* Whether the list of targets is new enough to send requests by it. */
+bool pool_list_is_usable(const struct traffic *tr, int64_t now_ms);
 /*
- * Whether requests may be sent to the target at all: it is listed, is neither
- * leaving nor evacuated, and has not asked for rest.
+ * Whether requests may be sent to the target at all: the list is new enough,
+ * the target is listed, is neither leaving nor evacuated, and has not asked for
+ * rest.
  */
 bool pool_takes_requests(const struct target *t, int64_t now_ms);
 /* Describe the target to place_choose and place_source. */
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -303,9 +303,15 @@
 				     now_ms) > now_ms;
 }
 
+bool pool_list_is_usable(const struct traffic *tr, int64_t now_ms)
+{
+	return tr->list && now_ms < atomic_load(&tr->list->until_ms);
+}
+
 bool pool_takes_requests(const struct target *t, int64_t now_ms)
 {
-	return t->listed && !t->info.draining && !t->says_leaving &&
+	return pool_list_is_usable(t->tr, now_ms) && t->listed &&
+	       !t->info.draining && !t->says_leaving &&
 	       t->resting_until_ms <= now_ms && !target_is_evacuated(t) &&
 	       !notices_get(t->tr->e->notices, NOTICE_TARGET_LEAVING,
 			    t->info.id, now_ms, 0);
--- a/entry/settings-gen.h
+++ b/entry/settings-gen.h
@@ -24,6 +24,7 @@
 	int64_t limits_memory_mb;
 	int64_t limits_files;
 	int64_t bounds_drain_ms;
+	int64_t bounds_contact_ms;
 	double bounds_grace_s;
 	int64_t bounds_config_apply_ms;
 	int64_t bounds_revoke_ms;
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "entry/evacuations.h"
+#include "entry/list-deadline.h"
 #include "entry/store-sync.h"
 
 /* Pause after a failed call, plus a random jitter. */
@@ -46,10 +47,22 @@
  */
 #define OWN_READ_MS_PER_NODE 10
 #define OWN_READ_MAX_MS      3600
-/* After a start the other nodes get this long to confirm the first view. */
+/*
+ * Part of the drain time within which a node without a current reader reads the
+ * targets again: the read has to end before the list is too old to be used.
+ */
+#define OWN_READ_DRAIN_PART 0.5
+/*
+ * After a start the other nodes get this long to confirm the first view, that
+ * of the targets at most UNCONFIRMED_MAX_PART of the drain time.
+ */
 #define OWN_READ_START_MS 3000
 /* A failed call doubles the pause up to this, on a node that is no reader. */
 #define RETRY_MAX_MS 2000
+/* A call that has no answer for so long shows that the store is in trouble. */
+#define HANGING_MS      300
+#define HANGING_LATE_MS 100
+#define HANGING_LOOK_MS 20
 /* A configuration that another node sends has to arrive within this time. */
 #define CONFIG_PEER_MAX_MS 1200
 /*
@@ -76,16 +89,54 @@
 	return ms + g_rand_int_range(s->rand, 0, RETRY_JITTER_MS);
 }
 
-/* Return when a node that is no reader may read the store itself again. */
-static int64_t next_own_read_ms(struct store_sync *s, int64_t now_ms)
+/*
+ * Return when a node that is no reader may read the store itself again; max_ms
+ * limits the mean interval.
+ */
+static int64_t next_own_read_ms(struct store_sync *s, int64_t now_ms,
+				int64_t max_ms)
 {
-	int64_t ms = MIN((int64_t)s->fleet_size * OWN_READ_MS_PER_NODE,
-			 OWN_READ_MAX_MS);
+	int64_t ms = MIN((int64_t)s->fleet_size * OWN_READ_MS_PER_NODE, max_ms);
 
 	return now_ms + ms * 3 / 4 +
 	       g_rand_int_range(s->rand, 0, (gint32)ms / 2 + 1);
 }
 
+/* Return until when the present list of targets may be used. */
+static int64_t list_until_ms(const struct store_sync *s, int64_t now_ms)
+{
+	const struct entry_settings *e = &s->e->control_settings;
+	struct list_evidence evidence = {s->targets_confirmed_ms,
+					 outage_last_ms(&s->outage)};
+	struct list_bounds bounds = {e->bounds_drain_ms, e->bounds_contact_ms};
+
+	return list_deadline_ms(&evidence, &bounds, now_ms);
+}
+
+/* Move on the time until which the list is used, again while disturbed. */
+static void extend_list(struct store_sync *s)
+{
+	int64_t now = time_boot_ms();
+
+	entry_extend_list(s->e, list_until_ms(s, now), now);
+	if (now - outage_last_ms(&s->outage) <
+	    s->e->control_settings.bounds_contact_ms)
+		store_sync_schedule(s, &s->extend_timer, LIST_EXTENSION_MS / 2);
+}
+
+static void on_extend(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	extend_list(w->data);
+}
+
+void store_sync_note_failure(struct store_sync *s, int64_t sent_ms)
+{
+	outage_note_failure(&s->outage, sent_ms);
+	extend_list(s);
+}
+
 /* Record whether the store answers; log when that changes. */
 static void record_store_state(struct store_sync *s, const struct store_page *p)
 {
@@ -94,7 +145,7 @@
 	if (up)
 		outage_note_answer(&s->outage, p->sent_ms, time_boot_ms());
 	else
-		outage_note_failure(&s->outage, p->sent_ms);
+		store_sync_note_failure(s, p->sent_ms);
 	s->failures = up ? 0 : s->failures + 1;
 	if (up == s->store_up)
 		return;
@@ -406,7 +457,7 @@
 		return true;
 	if (now_ms < s->config_own_at_ms)
 		return false;
-	s->config_own_at_ms = next_own_read_ms(s, now_ms);
+	s->config_own_at_ms = next_own_read_ms(s, now_ms, OWN_READ_MAX_MS);
 	log_event(EV_STORE_READ_OWN, "table=config reason=%s config=%d",
 		  s->config_stale_ms ? "peer_newer" : "unconfirmed",
 		  (int)s->config_version);
@@ -449,8 +500,12 @@
 void store_sync_confirm_targets(struct store_sync *s, int64_t at_ms,
 				uint64_t from)
 {
-	s->targets_confirmed_ms = at_ms;
-	entry_confirm_targets(s->e, at_ms, from);
+	/* An answer may have confirmed more between two pages of a read. */
+	if (at_ms > s->targets_confirmed_ms) {
+		s->targets_confirmed_ms = at_ms;
+		entry_confirm_targets(s->e, at_ms, from);
+	}
+	extend_list(s);
 }
 
 void store_sync_publish_targets(struct store_sync *s)
@@ -468,9 +523,41 @@
 		draining += l->v[i].draining;
 	log_event(EV_TARGETS_CHANGED, "targets=%d leaving=%d", (int)l->n,
 		  draining);
+	l->until_ms = list_until_ms(s, time_boot_ms());
 	entry_publish_targets(s->e, l);
 }
 
+/* The call for the targets has ended, with an answer or without. */
+static void end_targets_call(struct store_sync *s)
+{
+	s->targets_busy = false;
+	ev_timer_stop(s->loop, &s->hang_timer);
+	outage_note_hanging(&s->outage, 0);
+}
+
+/* Give the call for the targets some time to be answered. */
+static void await_targets(struct store_sync *s, int64_t now_ms, int64_t ms)
+{
+	s->hang_due_ms = now_ms + ms;
+	store_sync_schedule(s, &s->hang_timer, ms);
+}
+
+static void on_hanging(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct store_sync *s = w->data;
+	int64_t now = time_boot_ms();
+
+	(void)loop;
+	(void)events;
+	/* A thread that was paused has not looked for the answer. */
+	if (now - s->hang_due_ms > HANGING_LATE_MS) {
+		await_targets(s, now, HANGING_LOOK_MS);
+		return;
+	}
+	outage_note_hanging(&s->outage, s->call_started_ms);
+	extend_list(s);
+}
+
 /* Finish a full read, after its last page. */
 static void finish_read(struct store_sync *s)
 {
@@ -499,7 +586,7 @@
 {
 	struct store_sync *s = ctx;
 
-	s->targets_busy = false;
+	end_targets_call(s);
 	record_store_state(s, p);
 	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
 		/* Keep the pages read so far, unless they are too old. */
@@ -533,7 +620,11 @@
 		return false;
 	if (now_ms < s->targets_own_at_ms)
 		return false;
-	s->targets_own_at_ms = next_own_read_ms(s, now_ms);
+	s->targets_own_at_ms = next_own_read_ms(
+		s, now_ms,
+		MIN(OWN_READ_MAX_MS,
+		    (int64_t)(OWN_READ_DRAIN_PART *
+			      (double)s->e->control_settings.bounds_drain_ms)));
 	log_event(EV_STORE_READ_OWN, "table=targets reason=%s age_ms=%d",
 		  s->targets_stale ? "list_differs" : "unconfirmed",
 		  (int)(now_ms - s->targets_confirmed_ms));
@@ -556,6 +647,8 @@
 		s->read_started_ms = now;
 	}
 	s->targets_busy = true;
+	s->call_started_ms = now;
+	await_targets(s, now, HANGING_MS);
 	s->api->read(s->store, STORE_TARGETS, s->next_key ? s->next_key : "",
 		     on_targets, s);
 }
@@ -607,6 +700,7 @@
 struct store_sync *store_sync_new(struct entry *e, struct ev_loop *loop)
 {
 	struct store_sync *s = g_new0(struct store_sync, 1);
+	int64_t now = time_boot_ms();
 
 	s->e = e;
 	s->api = e->o->store;
@@ -616,11 +710,19 @@
 	s->config_version = -1;
 	s->fetch_version = -1;
 	s->fetched = g_string_new(NULL);
-	s->config_own_at_ms = time_boot_ms() + OWN_READ_START_MS;
-	s->targets_own_at_ms = s->config_own_at_ms;
+	s->config_own_at_ms = now + OWN_READ_START_MS;
+	s->targets_own_at_ms =
+		now +
+		MIN(OWN_READ_START_MS,
+		    (int64_t)(UNCONFIRMED_MAX_PART *
+			      (double)e->control_settings.bounds_drain_ms));
 	s->store_up = true;
 	ev_init(&s->probe_timer, probe_store);
 	s->probe_timer.data = s;
+	ev_init(&s->hang_timer, on_hanging);
+	s->hang_timer.data = s;
+	ev_init(&s->extend_timer, on_extend);
+	s->extend_timer.data = s;
 	s->table = target_table_new();
 	target_table_on_cold(s->table, warmups_read_row, e);
 	start_timer(s, &s->config_timer, read_config);
@@ -633,6 +735,8 @@
 	ev_timer_stop(s->loop, &s->config_timer);
 	ev_timer_stop(s->loop, &s->targets_timer);
 	ev_timer_stop(s->loop, &s->probe_timer);
+	ev_timer_stop(s->loop, &s->hang_timer);
+	ev_timer_stop(s->loop, &s->extend_timer);
 	target_table_free(s->table);
 	free(s->config_text);
 	clear_rows(&s->rows);
--- a/entry/store-sync.h
+++ b/entry/store-sync.h
@@ -66,11 +66,15 @@
 	struct target_table *table;
 	char *next_key; /* of the next page; NULL: before the first page */
 	int64_t read_started_ms; /* start of that read */
-	int64_t read_ended_ms;   /* end of the last complete read; 0: none */
+	ev_timer extend_timer;   /* while the store is in trouble */
+	ev_timer hang_timer;   /* while a call for the targets is in progress */
+	int64_t read_ended_ms; /* end of the last complete read; 0: none */
 	int64_t targets_confirmed_ms; /* last known to be current; 0: never */
 	int64_t targets_own_at_ms;    /* no own read before, if no reader */
 	bool targets_stale;           /* a peer has a newer list */
 	bool targets_busy;            /* a call to the store is in progress */
+	int64_t call_started_ms;      /* start of that call */
+	int64_t hang_due_ms;          /* when hang_timer is due */
 	/* The last query to another node, and where its updates end. */
 	uint64_t query_to; /* id of that node; see store_sync_set_queried */
 	int64_t query_sent_ms;
@@ -104,6 +108,8 @@
 /* The list was the newest at at_ms; see entry_confirm_targets. */
 void store_sync_confirm_targets(struct store_sync *s, int64_t at_ms,
 				uint64_t from);
+/* The store, or its way here, is disturbed: a call sent then has failed. */
+void store_sync_note_failure(struct store_sync *s, int64_t sent_ms);
 
 /* peer-sync.c */
 
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -180,6 +180,7 @@
 	n->e.o = &n->options;
 	n->e.store = n;
 	n->e.control_settings.bounds_drain_ms = 4000;
+	n->e.control_settings.bounds_contact_ms = 5000;
 	n->e.control_settings.bounds_revoke_ms = 60000;
 	n->e.control_settings.bounds_config_apply_ms = CONFIG_APPLY_MS;
 	n->e.control_settings.store_targets_poll_ms = 50;
@@ -713,8 +714,7 @@
  */
 static int64_t usable_until_ms(const struct node *n)
 {
-	(void)n;
-	return G_MAXINT64;
+	return n->e.list ? atomic_load(&n->e.list->until_ms) : 0;
 }
 
 /*
