--- a/soak/soak.c
+++ b/soak/soak.c
@@ -3,12 +3,10 @@
  * for each broken guarantee. The seed chooses the faults; the timing of
  * processes and callers varies from run to run.
  */
-#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -25,8 +23,6 @@
 #define TAKE_UPS_MAX 2
 /* Time for all entries to serve again after the last fault. */
 #define RECOVERY_MAX_MS 12000
-/* Part of an entry's log that is printed when it exits unexpectedly. */
-#define LOG_TAIL_BYTES 2000
 /* Consecutive responses that show that an entry has recovered. */
 #define RECOVERY_SUCCESSES 10
 /* bounds.revoke of the rig's settings */
@@ -54,13 +50,6 @@
 	REQUEST_KINDS,
 };
 
-struct entry_process {
-	GPid pid;        /* 0: does not run */
-	bool suspended;  /* by SIGSTOP */
-	bool seen_ready; /* a readiness check since its start succeeded */
-	char *settings_path;
-};
-
 struct soak {
 	struct rig *rig;
 	struct ledger *ledger;
@@ -322,64 +311,6 @@
 	return NULL;
 }
 
-/* Runs in the child: the kernel kills the entry when the soak process dies. */
-static void kill_with_parent(void *ctx)
-{
-	(void)ctx;
-	prctl(PR_SET_PDEATHSIG, SIGKILL);
-}
-
-static void start_entry(struct soak *s, size_t i)
-{
-	struct entry_process *process = &s->entries[i];
-	char *argv[] = {s->program_path, "--settings", process->settings_path,
-			NULL};
-	char *log_path = g_strconcat(process->settings_path, ".log", NULL);
-	int fd =
-		open(log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-	GError *err = NULL;
-
-	g_assert_cmpint(fd, >=, 0);
-	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-			       kill_with_parent, NULL, &process->pid, -1, fd,
-			       fd, &err);
-	g_assert_no_error(err);
-	close(fd);
-	g_free(log_path);
-	process->seen_ready = false;
-}
-
-/* Send a signal to an entry; after SIGKILL also wait for its exit. */
-static void stop_entry(struct soak *s, size_t i, int sig)
-{
-	struct entry_process *process = &s->entries[i];
-
-	if (!process->pid)
-		return;
-	if (process->suspended)
-		kill(process->pid, SIGCONT);
-	process->suspended = false;
-	kill(process->pid, sig);
-	if (sig != SIGKILL)
-		return;
-	waitpid(process->pid, NULL, 0);
-	process->pid = 0;
-}
-
-/* Print the end of an entry's log, as the run can not be reproduced. */
-static void print_log_tail(const struct entry_process *process)
-{
-	char *log_path = g_strconcat(process->settings_path, ".log", NULL),
-	     *text = NULL;
-	gsize n = 0;
-
-	if (g_file_get_contents(log_path, &text, &n, NULL))
-		printf("# %s ends with:\n%s\n", log_path,
-		       text + (n > LOG_TAIL_BYTES ? n - LOG_TAIL_BYTES : 0));
-	g_free(text);
-	g_free(log_path);
-}
-
 /*
  * Record an exit other than a planned stop as a fault. A SIGTERM or SIGHUP that
  * arrives before the program has installed its handlers also kills it, which is
@@ -393,7 +324,7 @@
 		return;
 	if (!s->entries[i].seen_ready && (sig == SIGTERM || sig == SIGHUP))
 		return;
-	print_log_tail(&s->entries[i]);
+	process_print_log_tail(&s->entries[i]);
 	ledger_record_broken(
 		s->ledger, "entry %d exited unexpectedly: status %d signal %d",
 		(int)i, WIFEXITED(status) ? WEXITSTATUS(status) : 0, sig);
@@ -412,7 +343,7 @@
 			process->pid = 0;
 		}
 		if (!process->pid)
-			start_entry(s, i);
+			process_start(&s->entries[i], s->program_path);
 		else if (!process->seen_ready && !process->suspended)
 			process->seen_ready =
 				is_ready(s->rig->entries[i].ready_port);
@@ -481,10 +412,10 @@
 		s->fault_end_ms[t] = end_ms;
 		return;
 	case 2:
-		stop_entry(s, e, SIGKILL);
+		process_stop(&s->entries[e], SIGKILL);
 		return;
 	case 3: /* planned stop */
-		stop_entry(s, e, SIGTERM);
+		process_stop(&s->entries[e], SIGTERM);
 		return;
 	case 4: /* reload the settings */
 		if (s->entries[e].pid)
@@ -646,7 +577,6 @@
 	atomic_store(&s->key, 1);
 	for (size_t i = 0; i < s->entry_count; i++) {
 		char *text;
-		int fd;
 
 		for (size_t t = 0; s->entry_count <= WAYS_MAX && t < TARGETS;
 		     t++) {
@@ -658,20 +588,16 @@
 		s->store_proxies[i] = proxy_new(s->rig->stores[i].port);
 		text = rig_entry_settings(s->rig, i,
 					  proxy_port(s->store_proxies[i]));
-		fd = g_file_open_tmp("soak-XXXXXX",
-				     &s->entries[i].settings_path, NULL);
-		close(fd);
-		g_assert_true(g_file_set_contents(s->entries[i].settings_path,
-						  text, -1, NULL));
+		process_set_settings(&s->entries[i], text);
 		g_free(text);
-		start_entry(s, i);
+		process_start(&s->entries[i], s->program_path);
 	}
 }
 
 static void tear_down(struct soak *s)
 {
 	for (size_t i = 0; i < s->entry_count; i++) {
-		stop_entry(s, i, SIGKILL);
+		process_stop(&s->entries[i], SIGKILL);
 		unlink(s->entries[i].settings_path);
 		g_free(s->entries[i].settings_path);
 		proxy_free(s->store_proxies[i]);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -13,6 +13,23 @@
 #include "platform/test-proxy.h"
 #include "platform/test-rig.h"
 
+/* process.c: an entry that runs as a process; for the main thread. */
+struct entry_process {
+	GPid pid;        /* 0: does not run */
+	bool suspended;  /* by SIGSTOP */
+	bool seen_ready; /* a readiness check since its start succeeded */
+	char *settings_path;
+};
+
+/* Write the text of its settings to a new file. */
+void process_set_settings(struct entry_process *p, const char *text);
+/* Start it; its log is beside the settings. */
+void process_start(struct entry_process *p, char *program_path);
+/* Send a signal; after SIGKILL also wait for its exit. */
+void process_stop(struct entry_process *p, int sig);
+/* Print the end of its log, as the run can not be reproduced. */
+void process_print_log_tail(const struct entry_process *p);
+
 /* ledger.c: each request's runs and outcome, and the guarantees broken. */
 struct ledger;
 
