Test: a row that an own read found missing is told again between its pages

The read then keeps a row that its page lacked and takes the list for complete. An answer is applied between two pages when the next call is not in progress, as after a failed one.

told-between-pages on: 'lookup(node, 3).present' should be FALSE

--- a/entry/test-target-table.c
+++ b/entry/test-target-table.c
@@ -15,10 +15,10 @@
 /* A store whose rows are plain structs; the value of a row is its index. */
 struct fake_row {
 	bool present, draining;
+	in_port_t port;
 	int64_t revision;
 	int64_t born_ms;
 	int64_t warmup_left_ms;
-	in_port_t port;
 };
 
 static struct fake_row store_rows[TARGETS_MAX];
@@ -535,6 +535,37 @@
 	target_table_free(node);
 }
 
+/*
+ * A relay that is behind tells of a row between two pages of a node's own read,
+ * of which the first has shown that the row is gone: the read takes it for one
+ * that it has seen, and the list for complete.
+ */
+static void test_told_between_pages(void)
+{
+	struct target_table *relay = target_table_new();
+	struct target_table *node = target_table_new();
+	size_t at = 0;
+	bool lost;
+
+	reset_store(20);
+	store_rows[3].present = false;
+	read_store(relay, 500, true, 1000);
+	read_store(node, 500, true, 1000);
+	write_row(3, true, false);
+	read_store(relay, 500, true, 1000);
+	write_row(3, false, false);
+	target_table_begin_read(node);
+	g_assert_true(read_page(node, &at, 7, 1000));
+	sync_tables(node, relay, &lost);
+	while (read_page(node, &at, 7, 1000))
+		continue;
+	target_table_finish_read(node, true, 1000);
+	g_assert_cmpint(target_table_revision(node), ==, store_revision);
+	g_assert_false(lookup(node, 3).present);
+	target_table_free(relay);
+	target_table_free(node);
+}
+
 /*
  * Random: some tables read a store at random times, in pages between which
  * others act, and learn from each other, with answers that are lost. Each time
@@ -731,6 +762,8 @@
 			test_draining_undone);
 	g_test_add_func("/entry/target-table/back-between-pages",
 			test_back_between_pages);
+	g_test_add_func("/entry/target-table/told-between-pages",
+			test_told_between_pages);
 	g_test_add_func("/entry/target-table/random-stays-left",
 			test_random_stays_left);
 	g_test_add_func("/entry/target-table/random-exchange",
