Judge targets' responses in a module of their own

Which request a response is of, whether it may be passed on and what it says of the target moves from exchange.c to response-check.c.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -410,6 +410,12 @@
  * to no request have followed the response.
  */
 int64_t link_idle_deadline_ms(const struct link *l);
+/*
+ * Whether the peer has neither sent anything nor closed an idle connection
+ * since it was last read: after a pause of this process the events of a request
+ * and of the connection are due at once.
+ */
+bool link_is_quiet(const struct link *l);
 
 /* sse-split.c: splits a stream of server-sent events into whole events. */
 struct sse_splitter {
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -387,92 +387,28 @@
 		exchange_fail(x);
 }
 
-/* Whether the target reports that it has not run the request. */
-static bool target_did_not_run(const struct exchange *x)
-{
-	return x->response->status == 421 ||
-	       message_header(x->response, x->tr->dialect->not_run).data;
-}
-
-/* Whether the target's response may be passed to the caller unchanged. */
-static bool is_deliverable(const struct exchange *x)
-{
-	const struct message *m = x->response;
-
-	if (message_header(m, STR_LIT("Content-Encoding")).len)
-		return false;
-	if (m->status / 100 == 2)
-		return message_header(m, x->tr->dialect->signature).len > 0;
-	/*
-	 * Callers take these statuses to mean that the request did not run,
-	 * which the target did not state.
-	 */
-	return m->status != 408 && m->status != 429 && m->status != 503 &&
-	       m->status >= 300;
-}
-
-/* Most requests in 1,000 seconds that a target's limit is taken for. */
-#define LIMIT_MAX_PER_1000_S 1000000000
-
-/*
- * Record that the target is leaving, how many requests it takes from all nodes
- * together, or for how long it wants none.
- */
-static void record_wishes(struct exchange *x, const struct message *m)
-{
-	struct str limit = message_header(m, x->tr->dialect->limit);
-	struct str brittle = message_header(m, x->tr->dialect->brittle);
-	struct str leaving = message_header(m, x->tr->dialect->leaving);
-	struct str wait = message_header(m, STR_LIT("Retry-After"));
-	int64_t ms;
-
-	if (str_eq(leaving, STR_LIT("1")))
-		pool_record_leaving(x->target);
-	pool_record_limit(x->target,
-			  str_parse_milli(limit, LIMIT_MAX_PER_1000_S));
-	pool_record_brittle(x->target,
-			    str_parse_milli(brittle, LIMIT_MAX_PER_1000_S));
-	if (m->status != 503 || !wait.len)
-		return;
-	ms = str_parse_retry_after(wait, time_now_ms());
-	if (ms > 0)
-		pool_record_rest(x->target, time_boot_ms() + ms, x->helper);
-}
-
 static bool on_head(void *ctx, struct message *m)
 {
 	struct exchange *x = ctx;
-	struct str echo = message_header(m, x->tr->dialect->request_id);
 
 	x->target->last_received_ms = time_boot_ms();
 	x->target->last_failed = false;
-	/* A response to another request is logged and skipped. */
-	x->foreign_response = echo.len && !str_eq(echo, x->request_id);
-	if (x->foreign_response) {
-		metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
-		log_event(EV_ANSWER_CROSSED,
-			  "request=" STR_FMT " target=" STR_FMT
-			  " answer_of=" STR_FMT,
-			  STR_ARG(x->request_id), STR_ARG(x->target->info.name),
-			  STR_ARG(echo));
+	switch (response_owner(x, m)) {
+	case OWNER_OTHER:
+		/* Skipped; the response to this request may follow. */
 		return true;
-	}
-	/*
-	 * On a kept connection a response without an id may be of no request,
-	 * and says nothing of this one, least of all that it has not run.
-	 */
-	if (!echo.len && x->link_reused) {
+	case OWNER_UNKNOWN:
 		on_link_fault(x, LINK_MALFORMED, true);
 		return false;
+	case OWNER_THIS:
+		break;
 	}
 	x->response = m;
 	x->head_check_at_ms = 0;
 	pool_record_begun(x->target, exchange_priority(x), x->sent_ms);
-	pool_record_load(x->target, message_header(m, x->tr->dialect->load));
-	record_wishes(x, m);
+	response_record_wishes(x);
 	shed_record_begin(x);
-	x->streaming = is_event_stream(x) && m->status == 200 && echo.len &&
-		       is_deliverable(x);
+	x->streaming = is_event_stream(x) && response_is_stream(x);
 	if (x->streaming && x->service->model)
 		holders_record(x->tr->e->holders, &x->prompt,
 			       x->target->info.id);
@@ -554,7 +490,7 @@
 {
 	int status = x->response->status;
 
-	if (target_did_not_run(x)) {
+	if (response_is_not_run(x)) {
 		if (x->response->status == 503)
 			pool_record_rejection(x->target);
 		x->failure_cause = "target_not_run";
@@ -563,12 +499,12 @@
 		return;
 	}
 	pool_record_response(x->target, status < 500);
-	if (status >= 500 || x->head_sent || !is_deliverable(x)) {
+	if (status >= 500 || x->head_sent || !response_is_deliverable(x)) {
 		/*
 		 * Once the caller has got the head of a stream, no other
 		 * response can be passed on.
 		 */
-		bool deliverable = is_deliverable(x) && !x->head_sent;
+		bool deliverable = response_is_deliverable(x) && !x->head_sent;
 		bool timed_out = status == 504;
 
 		x->failure_cause =
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -5,8 +5,9 @@
  * given a response to its caller; a caller that closes earlier cancels it.
  * Traffic thread only.
  *
- * exchange.c runs it, resolve.c looks up what applies to the request, forward.c
- * writes it to the target, retry.c decides on retries.
+ * exchange.c runs it, response-check.c judges responses, resolve.c looks up
+ * what applies to the request, forward.c writes it to the target, retry.c
+ * decides on retries.
  */
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
@@ -154,6 +155,32 @@
  */
 bool exchange_check_target(struct exchange *x, int64_t now);
 
+/* response-check.c: what a response says of the request. */
+
+/* Which request a response is the answer to. */
+enum response_owner {
+	OWNER_THIS,
+	OWNER_OTHER,   /* the response to this one may follow */
+	OWNER_UNKNOWN, /* it names none, and may be of another */
+};
+
+/*
+ * Find the owner of a response from its head, and log it if it is another
+ * request. Sets foreign_response.
+ */
+enum response_owner response_owner(struct exchange *x, const struct message *m);
+/* Whether the target reports that it has not run the request. */
+bool response_is_not_run(const struct exchange *x);
+/* Whether the response may be passed to the caller unchanged. */
+bool response_is_deliverable(const struct exchange *x);
+/* Whether the response to a request for a stream is one of events. */
+bool response_is_stream(const struct exchange *x);
+/*
+ * Record the load that the target reports, that it is leaving, how many
+ * requests it takes from all nodes together, or for how long it wants none.
+ */
+void response_record_wishes(struct exchange *x);
+
 /* crash-record.c: what becomes of attempts, by the keys of their requests. */
 
 /* Which key of the request crashes targets, so that no attempt is made. */
--- a/entry/link.c
+++ b/entry/link.c
@@ -395,6 +395,14 @@
 	return l->connected;
 }
 
+bool link_is_quiet(const struct link *l)
+{
+	char byte;
+
+	return recv(l->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       (errno == EAGAIN || errno == EINTR);
+}
+
 int64_t link_idle_deadline_ms(const struct link *l)
 {
 	/*
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -521,7 +521,7 @@
 	}
 	while (!fresh && (i = g_queue_pop_head(t->idle_links))) {
 		struct link *l = i->link;
-		bool usable = i->until_ms > now;
+		bool usable = i->until_ms > now && link_is_quiet(l);
 
 		g_free(i);
 		if (usable) {
