Close a connection on which another request's response came

A faulty target that writes an earlier refusal once more may write more of them. The entry skipped the copy by its id, but gave the connection back to the pool, so that the next request met what else was left on it.

None of the copies made the entry say that a request has not run, run it twice or avoid the target that the copy says is leaving, limited or at rest; the tests keep that. Through a node connections are never kept. A copy that carries the present request's own id (present-id) can't meet its second attempt, which goes on a new connection.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -538,7 +538,8 @@
 			on_link_fault(x, LINK_BROKEN, true);
 		return;
 	}
-	release_link(x, reusable);
+	/* Of a target that has mixed up responses, more may follow. */
+	release_link(x, reusable && !x->foreign_seen);
 	if (x->streaming)
 		finish_stream(x);
 	else
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -63,6 +63,7 @@
 	bool silence_counted;    /* a fault was recorded for this silence */
 	bool begin_recorded;     /* that it began without a crash */
 	bool foreign_response; /* the one being read has another request's id */
+	bool foreign_seen;     /* such a response came on the connection */
 	bool streaming;
 	struct message *response; /* its head; owned by the link */
 	struct buf response_body; /* so far, unless streaming */
@@ -166,7 +167,7 @@
 
 /*
  * Find the owner of a response from its head, and log it if it is another
- * request. Sets foreign_response.
+ * request. Sets foreign_response and foreign_seen.
  */
 enum response_owner response_owner(struct exchange *x, const struct message *m);
 /* Whether the target reports that it has not run the request. */
--- a/entry/response-check.c
+++ b/entry/response-check.c
@@ -20,6 +20,7 @@
 		return OWNER_UNKNOWN;
 	if (!x->foreign_response)
 		return OWNER_THIS;
+	x->foreign_seen = true;
 	metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
 	log_event(EV_ANSWER_CROSSED,
 		  "request=" STR_FMT " target=" STR_FMT " answer_of=" STR_FMT,
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -33,6 +33,7 @@
 	sse_splitter_drop_partial(&x->splitter);
 	x->streaming = false;
 	x->foreign_response = false;
+	x->foreign_seen = false;
 	if (ran)
 		x->possible_runs++;
 }
