Blame the target, not the helping node, for a response that ends a connection

A response to another request whose end is the end of its connection can't be followed by the one that is waited for. The entry read on, to the deadline if the target kept the connection open (504 after 2.5 s in the test), and then took the close for a broken connection.

Such a response is now a malformed one as soon as its head is read. Evidence: /refusal-again/through-node/earlier-id/before failed with 503 for the call that follows a copy without a length.

--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -162,7 +162,7 @@
 enum response_owner {
 	OWNER_THIS,
 	OWNER_OTHER,   /* the response to this one may follow */
-	OWNER_UNKNOWN, /* it names none, and may be of another */
+	OWNER_UNKNOWN, /* may be another one, and none follows that is known */
 };
 
 /*
--- a/entry/response-check.c
+++ b/entry/response-check.c
@@ -26,7 +26,8 @@
 		  "request=" STR_FMT " target=" STR_FMT " answer_of=" STR_FMT,
 		  STR_ARG(x->request_id), STR_ARG(x->target->info.name),
 		  STR_ARG(echo));
-	return OWNER_OTHER;
+	/* Nothing follows on a connection that ends with the response. */
+	return m->keep_alive ? OWNER_OTHER : OWNER_UNKNOWN;
 }
 
 bool response_is_not_run(const struct exchange *x)
