Don't take a response without an id behind a foreign one for the request's own

Callers were told that a request has not run, or it ran at a second target, when a faulty target wrote two refusals on a new connection: one with an earlier request's id, which is skipped, and one without an id. The second was believed, as on a new connection a response can be of no other request. The first shows that this one's can.

Evidence: /refusal-again/direct/earlier-id-then-none/before ran requests twice, the same through a node answered 503 for requests that ran.

--- a/entry/response-check.c
+++ b/entry/response-check.c
@@ -13,10 +13,11 @@
 
 	x->foreign_response = echo.len && !str_eq(echo, x->request_id);
 	/*
-	 * On a kept connection a response without an id may be of no request,
-	 * and says nothing of this one, least of all that it has not run.
+	 * On a kept connection, or behind a response to another request, one
+	 * without an id may be of no request, and says nothing of this one,
+	 * least of all that it has not run.
 	 */
-	if (!echo.len && x->link_reused)
+	if (!echo.len && (x->link_reused || x->foreign_seen))
 		return OWNER_UNKNOWN;
 	if (!x->foreign_response)
 		return OWNER_THIS;
