Take no response for a stream that is none

Callers found the text of an error in the middle of their stream, or the stream ended as if it were complete. A stream broke off, and the next target answered 200 with a signature and a JSON body; the entry split any signed 200 of a streaming route into events, whatever its Content-Type. So was a success that says that the request has not run: it contradicts itself and now counts as unsound, of unknown outcome.

A response with another Content-Type than text/event-stream is buffered: as the first answer it is passed on whole, in a resumed stream it is none. One without the header is still taken for a stream.

Routes without StreamResume were sound.

--- a/entry/response-check.c
+++ b/entry/response-check.c
@@ -33,8 +33,12 @@
 
 bool response_is_not_run(const struct exchange *x)
 {
-	return x->response->status == 421 ||
-	       message_header(x->response, x->tr->dialect->not_run).data;
+	int status = x->response->status;
+
+	/* A success that says so contradicts itself. */
+	return status == 421 ||
+	       (status / 100 != 2 &&
+		message_header(x->response, x->tr->dialect->not_run).data);
 }
 
 bool response_is_deliverable(const struct exchange *x)
@@ -44,7 +48,8 @@
 	if (message_header(m, STR_LIT("Content-Encoding")).len)
 		return false;
 	if (m->status / 100 == 2)
-		return message_header(m, x->tr->dialect->signature).len > 0;
+		return message_header(m, x->tr->dialect->signature).len &&
+		       !message_header(m, x->tr->dialect->not_run).data;
 	/*
 	 * Callers take these statuses to mean that the request did not run,
 	 * which the target did not state.
@@ -55,7 +60,12 @@
 
 bool response_is_stream(const struct exchange *x)
 {
+	static const struct str stream = STR_LIT("text/event-stream");
+	struct str type = message_header(x->response, STR_LIT("Content-Type"));
+
+	type.len = MIN(type.len, stream.len);
 	return x->response->status == 200 &&
+	       (!type.len || str_eq_nocase(type, stream)) &&
 	       message_header(x->response, x->tr->dialect->request_id).len &&
 	       response_is_deliverable(x);
 }
