Check that the events of a resumed stream follow those before

A resumed run that left events out, had no numbers, ended before an event that the caller had, or was closed without any was passed on, and the stream ended as if it were complete. The head of an error that a target writes into a stream without framing reached the caller as an event ("HTTP/1.1 503 Full" in the middle of the stream); so did what a wrongly counted chunk makes of the next chunk's size.

The splitter now refuses a block without a field, with a line that has no colon or begins a status line, or with header-like lines that end with CR LF among others that end with LF; in a resumed run also an event without a number, or one that leaves numbers out where the numbers so far went up by one. A run that ends before the last event, or whose connection is closed without a length before any event, has broken off. An event without a number can't be resumed from. A stream that a caller takes up with Last-Event-Id drops what repeats.

Not detected: a run that skips where only one event, not numbered 1, was seen before, and lines of another head in a stream that ends its lines with CR LF.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -260,6 +260,7 @@
 	bool keep_alive;
 	bool has_body; /* by the headers; a response may have none all the same
 			*/
+	bool until_close; /* a response's body ends with the connection */
 };
 
 /* Return the value of a header, or {NULL, 0}. */
@@ -423,8 +424,13 @@
 	struct buf padding; /* comments and blank lines before the next event */
 	struct str last_id; /* of the last whole event; points to id_text */
 	char id_text[32];
-	int64_t last_number;  /* that id as a number; -1: none yet */
+	int64_t last_number;  /* that id as a number; -1: none */
 	uint64_t event_count; /* events passed to the callback */
+	bool resumed;         /* events follow those of another run */
+	/* Of this run, also if it was not passed on; -1: none. */
+	int64_t run_number;
+	bool regular;   /* each number was one above the one before */
+	bool irregular; /* some were not */
 };
 
 /*
@@ -437,12 +443,25 @@
  * Process bytes of a stream. Events whose number is not above that of the last
  * one are dropped, as a resumed stream may repeat them.
  *
- * Return: false when an event exceeds the size limit.
+ * Return: false when an event exceeds the size limit, when it has no field or
+ * holds the head of a response, or when one of a resumed run doesn't follow: it
+ * has no number, or leaves numbers out though the events before didn't.
  */
 bool sse_splitter_feed(struct sse_splitter *c, const char *p, size_t n,
 		       sse_event_fn *fn, void *ctx);
-/* Discard the incomplete event that a broken connection left. */
-void sse_splitter_drop_partial(struct sse_splitter *c);
+/*
+ * Begin another run of the stream: discard the incomplete event that a broken
+ * connection left.
+ */
+void sse_splitter_restart(struct sse_splitter *c);
+/* The stream follows an event that the caller got from another node. */
+void sse_splitter_follow(struct sse_splitter *c, struct str last_id);
+/*
+ * Whether a run that has ended can't have been whole: it ended in an event,
+ * without any, or before an event that was passed on. until_close: its end was
+ * that of the connection, which says nothing of a run without events.
+ */
+bool sse_splitter_is_cut(const struct sse_splitter *c, bool until_close);
 void sse_splitter_clear(struct sse_splitter *c);
 
 /*
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -457,8 +457,7 @@
 
 static void finish_stream(struct exchange *x)
 {
-	/* A stream that ends within an event, or without any, was truncated. */
-	if (buf_len(&x->splitter.partial) || !x->splitter.event_count) {
+	if (sse_splitter_is_cut(&x->splitter, x->response->until_close)) {
 		x->failure_cause = "stream_cut";
 		exchange_record_break(x);
 		pool_record_response(x->target, false);
@@ -708,8 +707,13 @@
 		return;
 	retry_window_add_request(pool_retry_window(x->tr, x->service->name),
 				 time_boot_ms());
-	if (exchange_is_take_up(x))
-		exchange_take_up(x);
-	else
+	if (!exchange_is_take_up(x)) {
 		exchange_attempt(x);
+		return;
+	}
+	if (x->route->retry == RETRY_RESUME)
+		sse_splitter_follow(
+			&x->splitter,
+			message_header(x->request, x->tr->dialect->last_event));
+	exchange_take_up(x);
 }
--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -315,6 +315,9 @@
 	m->has_body =
 		(p->flags & F_CHUNKED) ||
 		(p->content_length > 0 && p->content_length != UINT64_MAX);
+	m->until_close = !r->is_request && !is_bodiless(r, m) &&
+			 !(p->flags & F_CHUNKED) &&
+			 p->content_length == UINT64_MAX;
 	/* Its sender may send the body all the same, before the next one. */
 	if (is_bodiless(r, m) && m->has_body)
 		m->keep_alive = false;
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -30,7 +30,7 @@
 static void end_attempt(struct exchange *x, bool ran)
 {
 	exchange_abandon_attempt(x);
-	sse_splitter_drop_partial(&x->splitter);
+	sse_splitter_restart(&x->splitter);
 	x->streaming = false;
 	x->foreign_response = false;
 	x->foreign_seen = false;
--- a/entry/sse-split.c
+++ b/entry/sse-split.c
@@ -70,27 +70,93 @@
 		buf_add(&c->padding, p, n);
 }
 
-static void pass_event(struct sse_splitter *c, const char *p, size_t n,
+/* Whether a line is a field of an event. */
+static bool is_field(const char *p, size_t n)
+{
+	static const char *const names[] = {"id", "data", "event", "retry"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		size_t len = strlen(names[i]);
+
+		if (n > len && !memcmp(p, names[i], len) && p[len] == ':')
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether the block is an event and nothing else. A faulty target writes the
+ * head of another response into a stream, or counts a chunk wrong: then a line
+ * begins as a status line or has no colon, no line is a field, or some lines
+ * end with LF and others, which are no fields of an event, with CR LF.
+ */
+static bool is_sound(const char *p, size_t n)
+{
+	bool has_field = false, has_lf = false, has_other_crlf = false;
+
+	for (size_t at = 0; at < n;) {
+		const char *nl = memchr(p + at, '\n', n - at);
+		size_t end = nl ? (size_t)(nl - p) : n;
+		bool crlf = end > at && p[end - 1] == '\r';
+		bool field = is_field(p + at, end - at);
+
+		if ((end - at >= 5 && !memcmp(p + at, "HTTP/", 5)) ||
+		    (end - at > crlf && !memchr(p + at, ':', end - at)))
+			return false;
+		has_field |= field;
+		has_lf |= !crlf;
+		has_other_crlf |= crlf && !field && p[at] != ':';
+		at = end + 1;
+	}
+	return has_field && !(has_lf && has_other_crlf);
+}
+
+static void set_last_id(struct sse_splitter *c, struct str id)
+{
+	if (id.len >= sizeof(c->id_text))
+		id.len = 0;
+	memcpy(c->id_text, id.len ? id.data : "", id.len);
+	c->last_id = (struct str){c->id_text, id.len};
+	c->last_number = str_parse_number(c->last_id);
+}
+
+/* Whether the event with this number may be the next one; if so, count it. */
+static bool may_follow(struct sse_splitter *c, int64_t number)
+{
+	/* A first event numbered 1 shows as well that numbers go up by one. */
+	bool step = number == MAX(c->last_number, 0) + 1;
+
+	if (c->resumed && (number < 0 || (!step && c->regular)))
+		return false;
+	if (!step && c->event_count)
+		c->irregular = true;
+	c->regular = step && !c->irregular;
+	return true;
+}
+
+static bool pass_event(struct sse_splitter *c, const char *p, size_t n,
 		       sse_event_fn *fn, void *ctx)
 {
 	struct str id = event_id(p, n);
 	int64_t number = str_parse_number(id);
 
+	if (!is_sound(p, n))
+		return false;
+	c->run_number = number;
 	/* A resumed stream may repeat events. */
-	if (c->event_count && number >= 0 && number <= c->last_number)
-		return;
-	if (id.len && id.len < sizeof(c->id_text)) {
-		memcpy(c->id_text, id.data, id.len);
-		c->last_id = (struct str){c->id_text, id.len};
-		c->last_number = number;
-	}
+	if (number >= 0 && number <= c->last_number)
+		return true;
+	if (!may_follow(c, number))
+		return false;
+	set_last_id(c, id);
 	c->event_count++;
 	if (!buf_len(&c->padding)) {
 		fn(ctx, p, n);
-		return;
+		return true;
 	}
 	buf_add(&c->padding, p, n);
 	fn(ctx, buf_data(&c->padding), buf_len(&c->padding));
+	return true;
 }
 
 bool sse_splitter_feed(struct sse_splitter *c, const char *p, size_t n,
@@ -103,7 +169,8 @@
 	while ((len = block_length(buf_data(&c->partial), buf_len(&c->partial),
 				   &is_event))) {
 		if (is_event) {
-			pass_event(c, buf_data(&c->partial), len, fn, ctx);
+			if (!pass_event(c, buf_data(&c->partial), len, fn, ctx))
+				return false;
 			buf_clear(&c->padding);
 		} else {
 			keep_padding(c, buf_data(&c->partial), len);
@@ -113,10 +180,32 @@
 	return buf_len(&c->partial) <= EVENT_MAX_BYTES;
 }
 
-void sse_splitter_drop_partial(struct sse_splitter *c)
+void sse_splitter_restart(struct sse_splitter *c)
 {
 	buf_consume(&c->partial, buf_len(&c->partial));
 	buf_clear(&c->padding);
+	c->resumed |= c->event_count > 0;
+	c->run_number = -1;
+}
+
+void sse_splitter_follow(struct sse_splitter *c, struct str last_id)
+{
+	if (str_parse_number(last_id) < 0)
+		return;
+	set_last_id(c, last_id);
+	c->resumed = true;
+	c->run_number = -1;
+}
+
+bool sse_splitter_is_cut(const struct sse_splitter *c, bool until_close)
+{
+	if (buf_len(&c->partial) || !c->event_count)
+		return true;
+	if (!c->resumed)
+		return false;
+	if (c->run_number < 0)
+		return until_close;
+	return c->run_number < c->last_number;
 }
 
 void sse_splitter_clear(struct sse_splitter *c)
--- a/entry/test-sse-split.c
+++ b/entry/test-sse-split.c
@@ -40,7 +40,7 @@
 	GString *out = g_string_new(NULL);
 
 	sse_splitter_feed(&c, stream, 20, collect, out);
-	sse_splitter_drop_partial(&c);
+	sse_splitter_restart(&c);
 	g_assert_cmpstr(out->str, ==, "id: 1\ndata: a\n\n");
 	sse_splitter_feed(&c, stream, sizeof(stream) - 1, collect, out);
 	g_assert_cmpstr(out->str, ==, stream);
