--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -298,6 +298,15 @@
 	       m->status == 304;
 }
 
+/* Whether a response is coded in another way than in chunks. */
+static bool has_other_coding(const struct reader *r, const struct message *m)
+{
+	struct str coding = message_header(m, STR_LIT("Transfer-Encoding"));
+
+	return !r->is_request && coding.data &&
+	       !str_eq_nocase(coding, STR_LIT("chunked"));
+}
+
 static int on_headers_complete(http_parser *p)
 {
 	struct reader *r = reader_of(p);
@@ -322,6 +331,9 @@
 	if (is_bodiless(r, m) && m->has_body)
 		m->keep_alive = false;
 	r->in_trailer = true;
+	/* Its body would be taken to end with the connection, as it is. */
+	if (has_other_coding(r, m))
+		return -1;
 	if (r->ops->head && !r->ops->head(r->ctx, m)) {
 		r->error = READ_STOPPED;
 		return -1;
--- a/entry/test-http-message.c
+++ b/entry/test-http-message.c
@@ -157,6 +157,14 @@
 			==, READ_MALFORMED);
 	g_assert_cmpint(s.ends, ==, 0);
 	clear(&s);
+	/* Chunks of an unknown coding aren't the body. */
+	g_assert_cmpint(feed(&s, false,
+			     "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked"
+			     "\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+			     4, true),
+			==, READ_MALFORMED);
+	g_assert_cmpint(s.ends, ==, 0);
+	clear(&s);
 }
 
 /*
