Don't say "not run" when an earlier attempt may have run

Callers of idempotent services got 503 with the outcome not-run for requests that a target had run: the first target's answer was lost, the next one refused, and the error of the last attempt was the one that was told. dispatch and call_targets now tell that the outcome is unknown if any attempt may have run.

--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -329,18 +329,24 @@
 	struct dispatch_state c = {.rq = rq};
 	enum ramp_error e = RAMP_ERR_NO_TARGET;
 
+	bool may_have_run = false;
+
 	health_count_request(rq->node->health);
 	choose_order(&c);
 	for (size_t i = 0; i < MIN(c.count, ADMISSION_TARGETS_MAX); i++) {
 		int attempts_before = c.attempts;
 
 		e = try_target(&c, c.targets[i], cache_wait_ms(&c, i), out);
+		may_have_run |= error_responses[e].outcome != OUTCOME_NOT_RUN;
 		if (e == RAMP_OK || !may_try_next(&c, e, attempts_before))
 			return e;
 	}
 	if (c.refused_count)
 		e = retry_refused(&c, out);
-	return e != RAMP_OK && c.last_target_unowned && !c.attempts
-		       ? try_unadmitted(&c, out)
+	if (e != RAMP_OK && c.last_target_unowned && !c.attempts)
+		e = try_unadmitted(&c, out);
+	/* That the last one has refused says nothing of those before. */
+	return may_have_run && error_responses[e].outcome == OUTCOME_NOT_RUN
+		       ? RAMP_ERR_OUTCOME_UNKNOWN
 		       : e;
 }
--- a/node/plain-service.c
+++ b/node/plain-service.c
@@ -123,6 +123,7 @@
 				    struct _u_response *r)
 {
 	enum ramp_error e = RAMP_ERR_NO_TARGET;
+	bool may_have_run = false;
 	size_t n;
 	const struct target **targets = dispatch_rank_targets(rq, &n);
 
@@ -130,12 +131,14 @@
 		if (i)
 			metric_add(M_RETRIES_TOTAL, 1);
 		e = call_target(rq, q, idempotent, targets[i], r);
+		may_have_run |= error_responses[e].outcome != OUTCOME_NOT_RUN;
 		if (e == RAMP_OK || e == RAMP_ERR_TIMED_OUT ||
 		    (!idempotent &&
 		     error_responses[e].outcome != OUTCOME_NOT_RUN))
 			return e;
 	}
-	return e;
+	/* That the last one has refused says nothing of those before. */
+	return may_have_run ? RAMP_ERR_OUTCOME_UNKNOWN : e;
 }
 
 /* Run a call that must not be repeated, which needs a claim. */
