Own interface: an answer to another request says nothing of this one

A target that wrote an earlier request's refusal again, with its Request-Id, or without one on a pooled connection, was taken to have refused this request. Callers got 503 or 400 with the outcome not-run, and calls went to a second target, while the first one ran them: with a service that is not idempotent too. Plain services' whole answers were not compared with the request at all, so that an answer of another request was given as a success.

Relays, nodes that forward, and calls of plain services now compare the id of any answer. One without an id is no refusal on a connection that was used before; on a new one it can be of no other request, and services need not name it. A relay asks the target for the answer by the request's id, as after a lost answer.

The rows of plain services were written with the mend.

Not detected: a success without an id on a pooled connection of a plain service.

--- a/http/call.c
+++ b/http/call.c
@@ -257,6 +257,18 @@
 	return pretransfer_us > 0 || request_bytes > 0;
 }
 
+bool http_call_is_foreign(const struct http_call *c, const char *header,
+			  struct str id)
+{
+	const char *named = http_call_header(c, header);
+	long connects = 0;
+
+	if (named)
+		return !str_eq(str_c(named), id);
+	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return !connects;
+}
+
 void http_call_close(struct http_call *c)
 {
 	/* Closes the connection unless the response was complete. */
--- a/http/http.h
+++ b/http/http.h
@@ -192,6 +192,13 @@
 GByteArray *http_call_unread(struct http_call *c);
 /* Return whether the server may have begun to work on the request. */
 bool http_call_maybe_sent(const struct http_call *c);
+/*
+ * Return whether the response can't be taken for that to the request: the
+ * header names another id, or none on a connection that was used before, as
+ * what an earlier request left may come there.
+ */
+bool http_call_is_foreign(const struct http_call *c, const char *header,
+			  struct str id);
 /*
  * End the call and free it. Its connection goes back to the pool only if the
  * response was complete.
--- a/node/forward.c
+++ b/node/forward.c
@@ -36,6 +36,7 @@
 	struct fleet *fleet;
 	const struct target *target;
 	struct admission_grant grant;
+	const char *request_id;
 	int64_t reused; /* tokens; -1: not reported */
 	struct http_call *http_call;
 	void *arena;
@@ -286,15 +287,21 @@
 {
 	int status;
 
+	fr->request_id = talloc_strdup(fr->arena, header(q, "Request-Id"));
 	send_to_target(fr, q);
 	status = http_call_status(fr->http_call);
 	if ((!status && !http_call_maybe_sent(fr->http_call)) ||
-	    (status && status != 200))
+	    (status && status != 200 &&
+	     !http_call_is_foreign(fr->http_call, "Request-Id",
+				   str_c(fr->request_id))))
 		return answer_not_run(fr, r);
-	/* The entry's relay checks that the answer belongs to the request. */
+	/*
+	 * The entry's relay checks that the answer belongs to the request, and
+	 * asks the target for it if this one breaks off.
+	 */
 	u_map_put(r->map_header, "Request-Id",
 		  status ? http_call_header(fr->http_call, "Request-Id")
-			 : header(q, "Request-Id"));
+			 : fr->request_id);
 	u_map_put(r->map_header, "Content-Type", "text/event-stream");
 	ulfius_set_stream_response(r, 200, read_forwarded, close_forwarded,
 				   U_STREAM_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
--- a/node/plain-service.c
+++ b/node/plain-service.c
@@ -28,6 +28,23 @@
 	return p ? p : "/";
 }
 
+/*
+ * What a whole answer says. Services need not name the request, but one that
+ * names another, or a refusal that may be of another, says nothing of this one.
+ */
+static enum ramp_error judge_answer(const struct request *rq,
+				    const struct http_call *p)
+{
+	bool refuses = http_call_status(p) == 503;
+
+	if ((refuses || http_call_header(p, "Request-Id")) &&
+	    http_call_is_foreign(p, "Request-Id", rq->id)) {
+		metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
+		return RAMP_ERR_OUTCOME_UNKNOWN;
+	}
+	return refuses ? RAMP_ERR_OVERLOADED : RAMP_OK;
+}
+
 /* Wait until the whole answer has arrived. */
 static enum ramp_error read_answer(struct request *rq, struct http_call *p)
 {
@@ -37,8 +54,7 @@
 	       HTTP_CALL_DATA)
 		;
 	if (ev == HTTP_CALL_END)
-		return http_call_status(p) == 503 ? RAMP_ERR_OVERLOADED
-						  : RAMP_OK;
+		return judge_answer(rq, p);
 	if (!http_call_maybe_sent(p))
 		return RAMP_ERR_NO_TARGET;
 	return ev == HTTP_CALL_TIMEOUT ? RAMP_ERR_TIMED_OUT
--- a/node/relay.c
+++ b/node/relay.c
@@ -270,13 +270,20 @@
 {
 	int status = http_call_status(rl->http_call);
 
-	observe_status(rl, status);
 	if (status == 200 && answers_this_request(rl)) {
+		observe_status(rl, status);
 		rl->responded = true;
 		return RAMP_OK;
 	}
 	if (status == 200 || (rl->resuming && status == 503))
 		return reconnect(rl);
+	/* It says nothing of this request; the target may be running it. */
+	if (!rl->resuming && !rl->hop &&
+	    http_call_is_foreign(rl->http_call, "Request-Id", rl->rq->id)) {
+		report_foreign_answer(rl);
+		return reconnect(rl);
+	}
+	observe_status(rl, status);
 	/* The work has begun; a refusal to resume doesn't change that. */
 	return rl->resuming ? RAMP_ERR_OUTCOME_UNKNOWN
 			    : error_from_status(status);
--- a/node/test-foreign-answers.c
+++ b/node/test-foreign-answers.c
@@ -29,11 +29,23 @@
 	bool refuses; /* the request itself, which has not run */
 };
 
+#define REFUSAL "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n"
 #define DONE    "data: [DONE]\n\n"
 
 static const struct answer_case cases[] = {
 	{"other-id", "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n\r\n" DONE,
 	 false, false, 0, false},
+	{"earlier-id", REFUSAL "Request-Id: earlier\r\n\r\n", false, true, 0,
+	 false},
+	{"earlier-id-alone", REFUSAL "Request-Id: earlier\r\n\r\n", false,
+	 false, 0, false},
+	{"earlier-400",
+	 "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n"
+	 "Request-Id: earlier\r\n\r\n",
+	 false, true, 0, false},
+	{"no-id-on-kept", REFUSAL "\r\n", true, true, 0, false},
+	{"earlier-id-on-kept", REFUSAL "Request-Id: earlier\r\n\r\n", true,
+	 true, 0, false},
 };
 
 struct test_target {
@@ -89,6 +101,17 @@
 	g_string_free(text, TRUE);
 }
 
+/* Send the whole answer of a call to a plain service. */
+static void send_plain_answer(int fd, const char *id)
+{
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+				     "Content-Length: 3\r\n\r\nran",
+				     id);
+
+	send_text(fd, text);
+	g_free(text);
+}
+
 /* Run a request; the case decides what the target writes. */
 static void run(int fd, const char *id, int on_connection,
 		void (*answer)(int fd, const char *id))
@@ -119,6 +142,8 @@
 
 	if (g_str_has_prefix(request, "POST /v1/chat/"))
 		run(fd, id, on_connection, send_answer);
+	else if (strstr(request, " /app/"))
+		run(fd, id, on_connection, send_plain_answer);
 	else if (g_str_has_prefix(request, "GET /load"))
 		send_text(fd,
 			  "HTTP/1.1 200 OK\r\nContent-Length: 42\r\n\r\n"
@@ -305,6 +330,48 @@
 	stop_targets();
 }
 
+/* The same of a service whose calls may (GET) or may not (POST) be repeated. */
+static void test_plain(gconstpointer data)
+{
+	static const char *const methods[] = {"GET", "POST"};
+	struct rig *g = start_rig();
+
+	for (int i = 0; i < 8; i++) {
+		const char *method = methods[i & 1];
+		char *path = g_strdup_printf("/v1/services/forum/app/%d", i);
+		char *key = g_strdup_printf("Idempotency-Key: k%d", i);
+		const char *h[] = {"Authorization: Bearer key-recif", key,
+				   NULL};
+		struct reply r;
+		int before;
+
+		current = NULL;
+		for (int k = 0; k < 3; k++) {
+			r = call_local(g->nodes[0].port, "GET",
+				       "/v1/services/forum/app/", h, NULL);
+			g_assert_cmpint(r.status, ==, 200);
+			reply_clear(&r);
+		}
+		current = data;
+		before = atomic_load(&runs);
+		r = call_local(g->nodes[0].port, method, path, h, NULL);
+		g_test_message("%s: status %d outcome %s body %s", method,
+			       r.status, r.outcome ? r.outcome : "-",
+			       r.body ? r.body : "-");
+		g_assert_cmpstr(r.outcome, !=, "not-run");
+		if (r.status == 200)
+			g_assert_cmpstr(r.body, ==, "ran");
+		if (i & 1)
+			g_assert_cmpint(atomic_load(&runs) - before, ==, 1);
+		reply_clear(&r);
+		g_free(key);
+		g_free(path);
+	}
+	current = NULL;
+	rig_free(g);
+	stop_targets();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -316,6 +383,12 @@
 
 		g_test_add_data_func(path, &cases[i], test_case);
 		g_free(path);
+		if (cases[i].late_ms)
+			continue;
+		path = g_strconcat("/foreign-answers/plain/", cases[i].name,
+				   NULL);
+		g_test_add_data_func(path, &cases[i], test_plain);
+		g_free(path);
 	}
 	return g_test_run();
 }
