A node that forwards doesn't pass the body of a late error on as the answer

When a target has sent no headers for 500 ms, the node that admits to it begins its answer to the entry without them. What came later was passed on whatever its status: the body of an error or of another request's answer, and where it was "data: [DONE]" the entry took it for the end of the stream, complete and empty.

The headers are checked when they arrive; an answer that is none ends the connection, and the entry asks the target by the request's id.

--- a/node/forward.c
+++ b/node/forward.c
@@ -37,6 +37,7 @@
 	const struct target *target;
 	struct admission_grant grant;
 	const char *request_id;
+	bool is_sound;  /* the target's headers are those of the answer */
 	int64_t reused; /* tokens; -1: not reported */
 	struct http_call *http_call;
 	void *arena;
@@ -220,6 +221,19 @@
 			       time_mono_ms() + HEADERS_TIMEOUT_MS);
 }
 
+/*
+ * Whether the target's headers are those of the answer. They may come late,
+ * when the answer to the entry has begun without them: the body of an error
+ * must not follow in it.
+ */
+static bool is_answer(const struct forwarded_request *fr)
+{
+	const char *id = http_call_header(fr->http_call, "Request-Id");
+
+	return http_call_status(fr->http_call) == 200 &&
+	       !g_strcmp0(id, fr->request_id);
+}
+
 static ssize_t read_forwarded(void *ctx, uint64_t off, char *buf, size_t max)
 {
 	struct forwarded_request *fr = ctx;
@@ -232,6 +246,9 @@
 	size_t n;
 
 	(void)off;
+	fr->is_sound = fr->is_sound || is_answer(fr);
+	if (!fr->is_sound)
+		return U_STREAM_ERROR;
 	if (ev == HTTP_CALL_END)
 		return U_STREAM_END;
 	if (ev != HTTP_CALL_DATA)
--- a/node/test-foreign-answers.c
+++ b/node/test-foreign-answers.c
@@ -17,6 +17,8 @@
 
 #define TARGETS 2
 #define WORDS   3
+/* Longer than a node waits for the headers of a request it has forwarded. */
+#define LATE_MS  700
 #define SETTINGS "[streams]\nsilence = 3000\n"
 
 /* What a target writes before, or instead of, the answer of a request. */
@@ -46,6 +48,15 @@
 	{"no-id-on-kept", REFUSAL "\r\n", true, true, 0, false},
 	{"earlier-id-on-kept", REFUSAL "Request-Id: earlier\r\n\r\n", true,
 	 true, 0, false},
+	{"late-503",
+	 "HTTP/1.1 503 Full\r\nContent-Length: 14\r\n"
+	 "Content-Type: text/event-stream\r\n"
+	 "Request-Id: %s\r\n\r\n" DONE,
+	 false, false, LATE_MS, true},
+	{"late-500", "HTTP/1.1 500 Bad\r\nRequest-Id: %s\r\n\r\n" DONE, false,
+	 false, LATE_MS, false},
+	{"late-other-id", "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n\r\n" DONE,
+	 false, false, LATE_MS, false},
 };
 
 struct test_target {
