--- a/node/test-foreign-answers.c
+++ b/node/test-foreign-answers.c
@@ -25,38 +25,38 @@
 struct answer_case {
 	const char *name;
 	const char *first; /* %s: the request's own id */
-	bool on_kept;      /* only on a connection that has been used */
-	bool then_answer;  /* the true answer follows */
 	int late_ms;
-	bool refuses; /* the request itself, which has not run */
+	bool on_kept;     /* only on a connection that has been used */
+	bool then_answer; /* the true answer follows */
+	bool refuses;     /* the request itself, which has not run */
 };
 
 #define REFUSAL "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n"
 #define DONE    "data: [DONE]\n\n"
 
 static const struct answer_case cases[] = {
-	{"other-id", "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n\r\n" DONE,
-	 false, false, 0, false},
-	{"earlier-id", REFUSAL "Request-Id: earlier\r\n\r\n", false, true, 0,
+	{"other-id", "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n\r\n" DONE, 0,
+	 false, false, false},
+	{"earlier-id", REFUSAL "Request-Id: earlier\r\n\r\n", 0, false, true,
 	 false},
-	{"earlier-id-alone", REFUSAL "Request-Id: earlier\r\n\r\n", false,
-	 false, 0, false},
+	{"earlier-id-alone", REFUSAL "Request-Id: earlier\r\n\r\n", 0, false,
+	 false, false},
 	{"earlier-400",
 	 "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n"
 	 "Request-Id: earlier\r\n\r\n",
-	 false, true, 0, false},
-	{"no-id-on-kept", REFUSAL "\r\n", true, true, 0, false},
-	{"earlier-id-on-kept", REFUSAL "Request-Id: earlier\r\n\r\n", true,
-	 true, 0, false},
+	 0, false, true, false},
+	{"no-id-on-kept", REFUSAL "\r\n", 0, true, true, false},
+	{"earlier-id-on-kept", REFUSAL "Request-Id: earlier\r\n\r\n", 0, true,
+	 true, false},
 	{"late-503",
 	 "HTTP/1.1 503 Full\r\nContent-Length: 14\r\n"
 	 "Content-Type: text/event-stream\r\n"
 	 "Request-Id: %s\r\n\r\n" DONE,
-	 false, false, LATE_MS, true},
-	{"late-500", "HTTP/1.1 500 Bad\r\nRequest-Id: %s\r\n\r\n" DONE, false,
-	 false, LATE_MS, false},
+	 LATE_MS, false, false, true},
+	{"late-500", "HTTP/1.1 500 Bad\r\nRequest-Id: %s\r\n\r\n" DONE, LATE_MS,
+	 false, false, false},
 	{"late-other-id", "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n\r\n" DONE,
-	 false, false, LATE_MS, false},
+	 LATE_MS, false, false, false},
 };
 
 struct test_target {
