--- a/node/forward.c
+++ b/node/forward.c
@@ -36,6 +36,8 @@
 	struct fleet *fleet;
 	const struct target *target;
 	struct admission_grant grant;
+	const char *request_id;
+	bool is_sound;  /* the target's headers are those of the answer */
 	int64_t reused; /* tokens; -1: not reported */
 	struct http_call *http_call;
 	void *arena;
@@ -219,6 +221,19 @@
 			       time_mono_ms() + HEADERS_TIMEOUT_MS);
 }
 
+/*
+ * Whether the target's headers are those of the answer. They may come late,
+ * when the answer to the entry has begun without them: the body of an error
+ * must not follow in it.
+ */
+static bool is_answer(const struct forwarded_request *fr)
+{
+	const char *id = http_call_header(fr->http_call, "Request-Id");
+
+	return http_call_status(fr->http_call) == 200 &&
+	       !g_strcmp0(id, fr->request_id);
+}
+
 static ssize_t read_forwarded(void *ctx, uint64_t off, char *buf, size_t max)
 {
 	struct forwarded_request *fr = ctx;
@@ -231,6 +246,9 @@
 	size_t n;
 
 	(void)off;
+	fr->is_sound = fr->is_sound || is_answer(fr);
+	if (!fr->is_sound)
+		return U_STREAM_ERROR;
 	if (ev == HTTP_CALL_END)
 		return U_STREAM_END;
 	if (ev != HTTP_CALL_DATA)
@@ -286,15 +304,21 @@
 {
 	int status;
 
+	fr->request_id = talloc_strdup(fr->arena, header(q, "Request-Id"));
 	send_to_target(fr, q);
 	status = http_call_status(fr->http_call);
 	if ((!status && !http_call_maybe_sent(fr->http_call)) ||
-	    (status && status != 200))
+	    (status && status != 200 &&
+	     !http_call_is_foreign(fr->http_call, "Request-Id",
+				   str_c(fr->request_id))))
 		return answer_not_run(fr, r);
-	/* The entry's relay checks that the answer belongs to the request. */
+	/*
+	 * The entry's relay checks that the answer belongs to the request, and
+	 * asks the target for it if this one breaks off.
+	 */
 	u_map_put(r->map_header, "Request-Id",
 		  status ? http_call_header(fr->http_call, "Request-Id")
-			 : header(q, "Request-Id"));
+			 : fr->request_id);
 	u_map_put(r->map_header, "Content-Type", "text/event-stream");
 	ulfius_set_stream_response(r, 200, read_forwarded, close_forwarded,
 				   U_STREAM_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
