Weigh sound runs before a request or part is blocked for crashes

The request was in progress at targets that crashed for another reason.

Cause: three crashes in two attempts at two moments block a request unless a response began in between. What other nodes knew of its sound runs did not count, as whole requests are recorded only once they crash. A blocked request was tried a minute after its last crash at one node, at which it need not come.

- route/crash-evidence.c: a key that was sound within 5 s before its first crash needs more: it is blocked 1 s after the crashes that block others if responses with other keys have begun since and none with it, by a crash later than that, or after six moments.
Each node remembers the last sound runs of requests that come often.
A node that knows of sound runs does not follow the block of one that doesn't, and frees it there.
- route/crash-trials.c: such a key is tried 1 s after its last crash, then after 4 s, then as others.
Nodes take turns by rendezvous order, and tell the others by a notice, which earlier builds ignore.
Crashes of three targets at one moment don't count against a trial.
Parts are tried as well, those never seen sound as requests are, after 60 s, 120 s and so on.
- A full record drops the crash that comes soonest after another, so that crashes of trials stay in it; before, the last place was overwritten.
- The log names ages of the crashes, sound runs and trials; new events prompt_tried and request_tried.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -58,6 +58,8 @@
 	{ 4014, LOG_INFO, "prompt_freed" },
 	{ 4015, LOG_WARNING, "request_blocked" },
 	{ 4016, LOG_INFO, "request_freed" },
+	{ 4018, LOG_INFO, "prompt_tried" },
+	{ 4019, LOG_INFO, "request_tried" },
 	{ 3010, LOG_INFO, "target_cold" },
 	{ 3011, LOG_INFO, "target_warm" },
 	{ 3006, LOG_WARNING, "way_lost" },
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "entry/evacuations.h"
+#include "entry/exchange.h"
 #include "entry/internal.h"
 #include "entry/origins.h"
 #include "entry/shed.h"
@@ -308,25 +309,6 @@
 		  l->target, (double)l->per_1000_s / 1000);
 }
 
-/* A part of prompts or a request is blocked or freed. */
-static void on_cause_changed(void *ctx, const struct cause_record *r,
-			     const char *why)
-{
-	(void)ctx;
-	if (r->whole) {
-		metric_add(M_REQUESTS_BLOCKED, r->blocked ? 1 : -1);
-		log_event(r->blocked ? EV_REQUEST_BLOCKED : EV_REQUEST_FREED,
-			  "whole=%x crashes=%d why=%s", (unsigned)r->key,
-			  (int)r->crash_count, why);
-		return;
-	}
-	metric_add(M_PROMPT_PARTS_BLOCKED, r->blocked ? 1 : -1);
-	log_event(r->blocked ? EV_PROMPT_BLOCKED : EV_PROMPT_FREED,
-		  "part=%x depth=%d crashes=%d began_before=%d why=%s",
-		  (unsigned)r->key, (int)r->depth, (int)r->crash_count,
-		  r->began_ms != 0, why);
-}
-
 struct entry *entry_new(const struct entry_options *o, GError **err)
 {
 	struct entry *e = g_new0(struct entry, 1);
@@ -340,7 +322,7 @@
 	e->loads = loads_new(member_id(e->settings.node_name));
 	e->holders = holders_new();
 	e->origins = origins_new();
-	e->crash_causes = crash_causes_new(on_cause_changed, NULL);
+	e->crash_causes = crash_record_new(e);
 	e->notices = notices_new();
 	e->evacuations = entry_evacuations_new(e);
 	e->warmup =
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -155,6 +155,7 @@
 bool exchange_check_target(struct exchange *x, int64_t now);
 
 /* crash-record.c: what becomes of attempts, by the keys of their requests. */
+struct crash_causes *crash_record_new(struct entry *e);
 
 /* Which key of the request crashes targets, so that no attempt is made. */
 enum cause_block exchange_crash_block(const struct exchange *x);
--- a/node/chat-faults.c
+++ b/node/chat-faults.c
@@ -104,21 +104,25 @@
 			     t->id + (uint64_t)(now / CRASH_ID_MS), now);
 }
 
-static void on_cause_changed(void *ctx, const struct cause_record *r,
-			     const char *why)
+/* No trial is due, as the node is told of no others. */
+static void on_cause_changed(void *ctx, const struct cause_news *news)
 {
+	const struct cause_record *r = news->r;
+
 	(void)ctx;
 	if (r->whole) {
 		metric_add(M_REQUESTS_BLOCKED, r->blocked ? 1 : -1);
 		log_event(r->blocked ? EV_REQUEST_BLOCKED : EV_REQUEST_FREED,
-			  "whole=%x crashes=%d why=%s", (unsigned)r->key,
-			  (int)r->crash_count, why);
+			  "whole=%x crashes=%d sound_runs=%u why=%s",
+			  (unsigned)r->key, (int)r->crash_count,
+			  news->sound_count, news->why);
 		return;
 	}
 	metric_add(M_PROMPT_PARTS_BLOCKED, r->blocked ? 1 : -1);
 	log_event(r->blocked ? EV_PROMPT_BLOCKED : EV_PROMPT_FREED,
-		  "part=%x depth=%d crashes=%d why=%s", (unsigned)r->key,
-		  (int)r->depth, (int)r->crash_count, why);
+		  "part=%x depth=%d crashes=%d sound_runs=%u why=%s",
+		  (unsigned)r->key, (int)r->depth, (int)r->crash_count,
+		  news->sound_count, news->why);
 }
 
 struct crash_causes *chat_faults_new(void)
--- a/route/crash-causes.c
+++ b/route/crash-causes.c
@@ -13,27 +13,31 @@
  *
  * A request that comes again explains the crashes of the parts of its prompt as
  * long as no other request has crashed a target with them.
+ *
+ * A key that was sound shortly before needs more (crash-evidence.c). A request
+ * with a blocked key is let through at times, to see whether it is sound
+ * (crash-trials.c).
  */
 #include <stdatomic.h>
 
 #include "route/crash-causes.h"
+#include "route/crash-evidence.h"
+#include "route/crash-trials.h"
+#include "route/recent-crashes.h"
 #include "route/route.h"
 
 /* What blocks a key. */
 struct block_rule {
 	size_t crashes;
 	size_t attempts; /* that differ: see cause_crash */
-	size_t moments;  /* see CRASH_GAP_MS */
+	size_t moments;  /* see crash_evidence_moments */
 	/*
 	 * Crashes that suffice while other targets crash that the key doesn't
 	 * account for, and its own are less than one in CRASH_SHARE.
 	 */
 	size_t crashes_among_many;
-	/*
-	 * Time after the last crash in which one request is let through to see
-	 * whether it is sound; doubles with each crash. 0: none is.
-	 */
-	int64_t trial_ms;
+	/* Crashes after which the rules bound the requests that follow. */
+	size_t allowed;
 };
 
 static const struct block_rule part_rule = {
@@ -41,6 +45,7 @@
 	.attempts = 2,
 	.moments = 3,
 	.crashes_among_many = 7,
+	.allowed = 5,
 };
 /* All attempts of a request come one after the other, so few say much. */
 static const struct block_rule whole_rule = {
@@ -48,19 +53,15 @@
 	.attempts = 2,
 	.moments = 2,
 	.crashes_among_many = 3,
-	.trial_ms = 60000,
+	.allowed = 3,
 };
 
 /* Crashes of one request after which it gets no second target by itself. */
 #define SUSPECT_CRASHES 2
-/* Time for the result of a trial to arrive. */
-#define TRIAL_RESULT_MS 10000
 /* See block_rule. */
 #define CRASH_SHARE 2
-/* Crashes of all keys that are remembered for this. */
-#define RECENT_MAX 128
-/* Crashes closer together than this may have a cause outside the requests. */
-#define CRASH_GAP_MS 150
+/* Targets that crash at one moment for a cause other than a trial. */
+#define COMMON_CRASHES 3
 /* Time for records of other nodes to arrive before a key is blocked. */
 #define SETTLE_MS 150
 /* Crashes are forgotten after this time. */
@@ -74,16 +75,11 @@
 	struct cause_record r;
 	int64_t qualified_ms; /* since when it is to be blocked; 0: it isn't */
 	int64_t freed_ms;     /* blocked again only after a later crash */
-	int64_t trial_at_ms;  /* last request let through; 0: none */
-	unsigned rounds_left; /* how often it is still to be sent */
-	GList link;           /* in the order of use */
-};
-
-/* A target that has crashed, or seemed to. */
-struct recent_crash {
-	uint32_t target;
-	int64_t at_ms;
-	int64_t alive_ms; /* it had not crashed before; 0: it had */
+	struct crash_trials trials;
+	uint32_t sound_count;   /* sound runs that this node has seen */
+	uint64_t runs_at_crash; /* crash_causes.sound_runs at the last crash */
+	unsigned rounds_left;   /* how often it is still to be sent */
+	GList link;             /* in the order of use */
 };
 
 struct crash_causes {
@@ -93,8 +89,10 @@
 	size_t suspected;   /* causes with crashes */
 	struct cause *blocked[BLOCKED_MAX];
 	size_t blocked_count;
-	struct recent_crash recent[RECENT_MAX]; /* the last of all keys */
-	size_t next_recent;
+	struct recent_crashes recent; /* of all keys */
+	struct sound_runs *sound;     /* of requests, by their whole key */
+	uint64_t sound_runs;          /* seen by this node, of all keys */
+	int64_t now_ms;               /* the latest time that was given */
 	atomic_size_t blocks; /* blocked_count, to be read without the lock */
 	unsigned rounds;
 	bool forward;
@@ -105,6 +103,8 @@
 	size_t node_count;
 	cause_changed_fn *changed;
 	void *ctx;
+	const struct trial_claims *claims; /* NULL: no other nodes */
+	void *claims_ctx;
 };
 
 struct crash_causes *crash_causes_new(cause_changed_fn *changed, void *ctx)
@@ -114,6 +114,7 @@
 	f->causes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  g_free);
 	g_queue_init(&f->used);
+	f->sound = sound_runs_new();
 	f->rounds = 1;
 	f->changed = changed;
 	f->ctx = ctx;
@@ -123,6 +124,7 @@
 void crash_causes_free(struct crash_causes *f)
 {
 	g_hash_table_unref(f->causes);
+	sound_runs_free(f->sound);
 	g_free(f->nodes);
 	g_free(f);
 }
@@ -138,6 +140,15 @@
 	g_mutex_unlock(&f->lock);
 }
 
+void crash_causes_set_claims(struct crash_causes *f,
+			     const struct trial_claims *claims, void *ctx)
+{
+	g_mutex_lock(&f->lock);
+	f->claims = claims;
+	f->claims_ctx = ctx;
+	g_mutex_unlock(&f->lock);
+}
+
 static const struct block_rule *rule_of(const struct cause_record *r)
 {
 	return r->whole ? &whole_rule : &part_rule;
@@ -169,11 +180,19 @@
 }
 
 static void report(struct crash_causes *f, const struct cause *p,
-		   const char *why)
+		   enum cause_change change, const char *why)
 {
-	f->changes++;
+	struct cause_news news = {
+		.r = &p->r,
+		.change = change,
+		.why = why,
+		.sound_count = p->sound_count,
+		.trials = p->trials.count,
+	};
+
+	f->changes += change != CAUSE_TRIED;
 	if (f->changed)
-		f->changed(f->ctx, &p->r, why);
+		f->changed(f->ctx, &news);
 }
 
 /* Stop refusing requests with the key. */
@@ -188,7 +207,8 @@
 	f->blocked[i] = f->blocked[--f->blocked_count];
 	atomic_store(&f->blocks, f->blocked_count);
 	p->r.blocked = false;
-	report(f, p, why);
+	report(f, p, CAUSE_FREED, why);
+	p->trials = (struct crash_trials){0};
 }
 
 static void free_longest_idle(struct crash_causes *f)
@@ -212,7 +232,7 @@
 	atomic_store(&f->blocks, f->blocked_count);
 	p->r.blocked = true;
 	p->qualified_ms = 0;
-	report(f, p, why);
+	report(f, p, CAUSE_BLOCKED, why);
 }
 
 /* Forget the key that was not used for the longest time. */
@@ -240,15 +260,19 @@
 static struct cause *use_cause(struct crash_causes *f, uint64_t id, bool whole)
 {
 	struct cause *p = find_cause(f, id);
+	struct sound_run sound;
 
 	if (p) {
 		g_queue_unlink(&f->used, &p->link);
 	} else {
 		if (g_hash_table_size(f->causes) >= CAUSES_MAX)
 			evict(f);
+		sound = sound_runs_get(f->sound, id);
 		p = g_new0(struct cause, 1);
 		p->r.key = id;
 		p->r.whole = whole;
+		p->r.began_ms = sound.last_ms;
+		p->sound_count = sound.count;
 		p->link.data = p;
 		g_hash_table_insert(f->causes, &p->r.key, p);
 	}
@@ -256,14 +280,6 @@
 	return p;
 }
 
-static bool has_target(const struct cause_record *r, uint32_t target)
-{
-	for (uint32_t i = 0; i < r->crash_count; i++)
-		if (r->crashes[i].target == target)
-			return true;
-	return false;
-}
-
 /* Remove the crashes for which drop returns true; return whether any was. */
 static bool drop_crashes(struct crash_causes *f, struct cause *p,
 			 bool (*drop)(const struct cause_crash *c,
@@ -288,7 +304,7 @@
 
 static bool is_of_cause(const struct cause_crash *c, const void *cause)
 {
-	return has_target(&((const struct cause *)cause)->r, c->target);
+	return crash_evidence_has(&((const struct cause *)cause)->r, c->target);
 }
 
 /*
@@ -301,7 +317,7 @@
 {
 	for (size_t i = 0; i < f->blocked_count; i++)
 		if (f->blocked[i] != p && !f->blocked[i]->r.whole &&
-		    has_target(&f->blocked[i]->r, target))
+		    crash_evidence_has(&f->blocked[i]->r, target))
 			return true;
 	return false;
 }
@@ -311,7 +327,7 @@
 {
 	for (size_t i = 0; i < f->blocked_count; i++)
 		if (f->blocked[i]->r.whole &&
-		    has_target(&f->blocked[i]->r, target))
+		    crash_evidence_has(&f->blocked[i]->r, target))
 			return f->blocked[i]->r.key;
 	return 0;
 }
@@ -322,46 +338,20 @@
 	return p->r.blocked || p->r.crash_count > 1;
 }
 
-/*
- * Remember that the target crashed, whichever key it is put on. Return whether
- * it has, and not gone on afterwards.
- */
-static bool note_target(struct crash_causes *f, struct cause_crash c)
-{
-	struct recent_crash *r;
-
-	for (size_t i = 0; i < RECENT_MAX; i++) {
-		r = &f->recent[i];
-		if (!r->at_ms || r->target != c.target)
-			continue;
-		r->at_ms = MAX(r->at_ms, c.at_ms);
-		return c.at_ms > r->alive_ms;
-	}
-	r = &f->recent[f->next_recent++ % RECENT_MAX];
-	*r = (struct recent_crash){c.target, c.at_ms, 0};
-	return true;
-}
-
 /* Add a crash in its order of time; return whether it was new. */
 static bool add_crash(struct crash_causes *f, struct cause *p,
 		      struct cause_crash c)
 {
 	struct cause_record *r = &p->r;
-	uint32_t i;
+	bool first = !r->crash_count;
 
-	if (!note_target(f, c) || c.at_ms <= r->began_ms ||
-	    has_target(r, c.target) || is_explained(f, p, c.target))
+	if (!recent_crashes_add(&f->recent, &c) || c.at_ms <= r->began_ms ||
+	    crash_evidence_has(r, c.target) || is_explained(f, p, c.target))
 		return false;
-	if (r->crash_count == CAUSE_CRASHES_MAX) {
-		if (c.at_ms <= r->crashes[CAUSE_CRASHES_MAX - 1].at_ms)
-			return false;
-		r->crash_count--;
-	}
-	f->suspected += !r->crash_count;
-	for (i = r->crash_count++; i > 0 && r->crashes[i - 1].at_ms > c.at_ms;
-	     i--)
-		r->crashes[i] = r->crashes[i - 1];
-	r->crashes[i] = c;
+	if (!crash_evidence_add(r, &c))
+		return false;
+	f->suspected += first;
+	p->runs_at_crash = f->sound_runs;
 	f->changes += is_suspect(p);
 	return true;
 }
@@ -389,27 +379,14 @@
 	return n;
 }
 
-/* Count the moments of the key's crashes; see CRASH_GAP_MS. */
-static size_t count_moments(const struct cause_record *r)
-{
-	int64_t last_ms = 0;
-	size_t n = 0;
-
-	for (uint32_t i = 0; i < r->crash_count; i++) {
-		if (i && r->crashes[i].at_ms - last_ms < CRASH_GAP_MS)
-			continue;
-		last_ms = r->crashes[i].at_ms;
-		n++;
-	}
-	return n;
-}
-
 /* Whether enough targets have crashed for the key to be blocked by a node. */
-static bool has_crashes(const struct cause *p)
+static bool has_crashes(const struct crash_causes *f, const struct cause *p)
 {
 	const struct cause_record *r = &p->r;
 
-	return r->crash_count >= rule_of(r)->crashes &&
+	return crash_evidence_suffices(r, rule_of(r)->crashes,
+				       f->sound_runs - p->runs_at_crash,
+				       f->now_ms) &&
 	       r->crashes[r->crash_count - 1].at_ms > p->freed_ms;
 }
 
@@ -417,8 +394,9 @@
 {
 	const struct block_rule *rule = rule_of(&p->r);
 
-	return has_crashes(p) && count_attempts(f, &p->r) >= rule->attempts &&
-	       count_moments(&p->r) >= rule->moments;
+	return has_crashes(f, p) &&
+	       count_attempts(f, &p->r) >= rule->attempts &&
+	       crash_evidence_moments(&p->r) >= rule->moments;
 }
 
 /*
@@ -431,13 +409,14 @@
 	int64_t last_ms = p->r.crashes[p->r.crash_count - 1].at_ms;
 	size_t n = 0;
 
-	for (size_t i = 0; i < RECENT_MAX; i++)
-		n += f->recent[i].at_ms > f->recent[i].alive_ms &&
-		     f->recent[i].at_ms >= first_ms &&
-		     f->recent[i].at_ms <= last_ms &&
-		     !is_explained(f, p, f->recent[i].target) &&
-		     (has_target(&p->r, f->recent[i].target) ||
-		      !blocked_request(f, f->recent[i].target));
+	for (size_t i = 0; i < RECENT_CRASHES_MAX; i++) {
+		const struct recent_crash *c = &f->recent.v[i];
+
+		n += recent_crash_counts(c) && c->at_ms >= first_ms &&
+		     c->at_ms <= last_ms && !is_explained(f, p, c->target) &&
+		     (crash_evidence_has(&p->r, c->target) ||
+		      !blocked_request(f, c->target));
+	}
 	return n;
 }
 
@@ -448,36 +427,6 @@
 	       (size_t)p->r.crash_count * CRASH_SHARE >= count_targets(f, p);
 }
 
-/* Whether all crashes of a are crashes of b. */
-static bool is_within(const struct cause_record *a,
-		      const struct cause_record *b)
-{
-	for (uint32_t i = 0; i < a->crash_count; i++)
-		if (!has_target(b, a->crashes[i].target))
-			return false;
-	return true;
-}
-
-/*
- * Whether a accounts for the crashes rather than b does. Parts that always come
- * together can't be told apart; the one that stands later in the prompt is in
- * fewer sound requests. A request that has all crashes of a part is likelier
- * than the part.
- */
-static bool is_likelier(const struct cause_record *a,
-			const struct cause_record *b)
-{
-	if (!a->began_ms != !b->began_ms)
-		return !a->began_ms;
-	if (a->whole != b->whole)
-		return a->whole ? is_within(b, a) : !is_within(a, b);
-	if (a->whole)
-		return a->crash_count > b->crash_count;
-	if (is_within(a, b) || is_within(b, a))
-		return a->depth > b->depth;
-	return a->crash_count > b->crash_count;
-}
-
 /* Take the crashes that the blocked key explains off all less likely ones. */
 static void explain(struct crash_causes *f, struct cause *p)
 {
@@ -490,7 +439,7 @@
 
 		if (other == p || !other->r.crash_count ||
 		    (p->r.whole && !other->r.whole) ||
-		    !is_likelier(&p->r, &other->r) ||
+		    !crash_evidence_is_likelier(&p->r, &other->r) ||
 		    !drop_crashes(f, other, is_of_cause, p))
 			continue;
 		if (!qualifies(f, other))
@@ -510,6 +459,16 @@
 	return false;
 }
 
+static void record_crash(struct crash_causes *f, struct cause *p,
+			 struct cause_crash c)
+{
+	if (!add_crash(f, p, c))
+		return;
+	queue_update(f, p);
+	if (p->r.blocked && p->trials.count && c.at_ms > p->trials.at_ms)
+		report(f, p, CAUSE_TRIED, "crashed");
+}
+
 void crash_causes_crashed(struct crash_causes *f, const struct cause_keys *k,
 			  uint64_t target, int64_t now_ms)
 {
@@ -525,31 +484,31 @@
 		if (blocked && !p->r.blocked)
 			continue;
 		p->r.depth = (uint32_t)i;
-		if (add_crash(f, p, c))
-			queue_update(f, p);
+		record_crash(f, p, c);
 	}
 	c.attempt = (uint32_t)k->attempt;
-	if (k->whole && !blocked) {
-		p = use_cause(f, k->whole, true);
-		if (add_crash(f, p, c))
-			queue_update(f, p);
-	}
+	if (k->whole && !blocked)
+		record_crash(f, use_cause(f, k->whole, true), c);
 	g_mutex_unlock(&f->lock);
 }
 
-/* A response with the key began then, which clears it of earlier crashes. */
+/*
+ * A response with the key began then, which clears it of earlier crashes. One
+ * before its crashes may say that they don't suffice.
+ */
 static bool clear_cause(struct crash_causes *f, struct cause *p,
 			int64_t began_ms)
 {
+	bool dropped;
+
 	if (began_ms <= p->r.began_ms)
 		return false;
 	p->r.began_ms = began_ms;
-	if (!drop_crashes(f, p, is_not_later, &began_ms))
-		return false;
-	f->changes++;
-	if (!qualifies(f, p))
-		free_cause(f, p, "began");
-	return true;
+	dropped = drop_crashes(f, p, is_not_later, &began_ms);
+	f->changes += dropped;
+	if (dropped ? !qualifies(f, p) : !has_crashes(f, p))
+		free_cause(f, p, dropped ? "began" : "was_sound");
+	return dropped;
 }
 
 void crash_causes_began(struct crash_causes *f, const struct cause_keys *k,
@@ -558,15 +517,22 @@
 	struct cause *p;
 
 	g_mutex_lock(&f->lock);
+	f->sound_runs++;
 	for (size_t i = 0; i < k->n; i++) {
 		p = use_cause(f, k->parts[i], false);
+		p->sound_count++;
 		if (clear_cause(f, p, began_ms))
 			queue_update(f, p);
 	}
 	/* Most requests never come again: they are recorded once they crash. */
 	p = find_cause(f, k->whole);
-	if (p && clear_cause(f, p, began_ms))
-		queue_update(f, p);
+	if (p) {
+		p->sound_count++;
+		if (clear_cause(f, p, began_ms))
+			queue_update(f, p);
+	}
+	if (k->whole)
+		sound_runs_add(f->sound, k->whole, began_ms);
 	g_mutex_unlock(&f->lock);
 }
 
@@ -598,79 +564,96 @@
 void crash_causes_alive(struct crash_causes *f, uint64_t target,
 			int64_t alive_ms)
 {
-	g_mutex_lock(&f->lock);
-	for (size_t i = 0; i < RECENT_MAX; i++) {
-		struct recent_crash *r = &f->recent[i];
+	const struct recent_crash *r;
 
-		if (!r->at_ms || r->target != (uint32_t)target ||
-		    r->at_ms > alive_ms || r->at_ms <= r->alive_ms)
-			continue;
-		r->alive_ms = alive_ms;
+	g_mutex_lock(&f->lock);
+	r = recent_crashes_alive(&f->recent, (uint32_t)target, alive_ms);
+	if (r)
 		retract(f, r);
-	}
 	g_mutex_unlock(&f->lock);
 }
 
-/*
- * Whether to let a blocked request through, as it may be sound by now. One node
- * does so for all.
- */
+/* Whether this node is to let a request with the blocked key through. */
 static bool is_trial_due(const struct crash_causes *f, const struct cause *p,
 			 int64_t now_ms)
 {
-	const struct cause_record *r = &p->r;
-	int64_t wait_ms = rule_of(r)->trial_ms;
+	struct crash_trial_view v = {.allow = rule_of(&p->r)->allowed};
 
-	if (!wait_ms || !r->crash_count || !f->node_count ||
-	    f->nodes[rendezvous_owner(r->key, f->nodes, f->node_count)] !=
-		    f->self)
+	if (!f->node_count)
 		return false;
-	for (size_t i = rule_of(r)->crashes; i < r->crash_count; i++)
-		wait_ms *= 2;
-	if (now_ms - r->crashes[r->crash_count - 1].at_ms < wait_ms ||
-	    (p->trial_at_ms && now_ms - p->trial_at_ms < TRIAL_RESULT_MS))
-		return false;
-	return true;
+	v.rank = rendezvous_count_before(p->r.key, f->self, f->nodes,
+					 f->node_count);
+	v.last_crash_ms = recent_crashes_last_ms(&f->recent);
+	for (uint32_t i = 0; i < p->r.crash_count; i++)
+		v.common[i] =
+			recent_crashes_at(&f->recent, p->r.crashes[i].at_ms) >=
+			COMMON_CRASHES;
+	return crash_trials_due(&p->trials, &p->r, &v, now_ms) &&
+	       !(f->claims &&
+		 f->claims->is_held(f->claims_ctx, p->r.key, now_ms));
 }
 
-/* Count a request that came with a blocked key, unless it is a question. */
-static void count_blocked(struct cause *p, bool count, bool trial,
+static void begin_trial(struct crash_causes *f, struct cause *p, int64_t now_ms)
+{
+	int64_t hold_ms = crash_trials_begin(&p->trials, &p->r, now_ms);
+
+	if (f->claims)
+		f->claims->hold(f->claims_ctx, p->r.key, hold_ms, now_ms);
+	report(f, p, CAUSE_TRIED, "sent");
+}
+
+static struct cause *find_blocked(struct crash_causes *f, uint64_t key)
+{
+	struct cause *p = find_cause(f, key);
+
+	return p && p->r.blocked ? p : NULL;
+}
+
+/* Count a request that came with a blocked key, and may be a trial of it. */
+static void count_blocked(struct crash_causes *f, uint64_t key, bool trial,
 			  int64_t now_ms)
 {
-	if (!count)
+	struct cause *p = find_blocked(f, key);
+
+	if (!p)
 		return;
 	p->r.asked_ms = now_ms;
 	if (trial)
-		p->trial_at_ms = now_ms;
+		begin_trial(f, p, now_ms);
 }
 
+/* count: the request counts as one that came; else it is a question. */
 static enum cause_block find_block(struct crash_causes *f,
 				   const struct cause_keys *k, bool count,
 				   int64_t now_ms)
 {
 	enum cause_block block = CAUSE_NONE;
+	bool trial = true;
 	struct cause *p;
 
 	if (!atomic_load(&f->blocks))
 		return CAUSE_NONE;
 	g_mutex_lock(&f->lock);
-	p = find_cause(f, k->whole);
-	if (p && p->r.blocked) {
-		bool trial = is_trial_due(f, p, now_ms);
-
-		count_blocked(p, count, trial, now_ms);
-		if (!trial)
-			block = CAUSE_REQUEST;
+	p = find_blocked(f, k->whole);
+	if (p) {
+		block = CAUSE_REQUEST;
+		trial = is_trial_due(f, p, now_ms);
 	}
 	for (size_t i = 0; i < k->n; i++) {
-		p = find_cause(f, k->parts[i]);
-		if (!p || !p->r.blocked)
+		p = find_blocked(f, k->parts[i]);
+		if (!p)
 			continue;
-		count_blocked(p, count, false, now_ms);
 		block = CAUSE_PART;
+		trial = trial && is_trial_due(f, p, now_ms);
+	}
+	trial = trial && block != CAUSE_NONE;
+	if (count && block != CAUSE_NONE) {
+		count_blocked(f, k->whole, trial, now_ms);
+		for (size_t i = 0; i < k->n; i++)
+			count_blocked(f, k->parts[i], trial, now_ms);
 	}
 	g_mutex_unlock(&f->lock);
-	return block;
+	return trial ? CAUSE_NONE : block;
 }
 
 enum cause_block crash_causes_block(struct crash_causes *f,
@@ -718,7 +701,7 @@
 		if (!p->qualified_ms)
 			p->qualified_ms = now_ms;
 		if (now_ms - p->qualified_ms >= SETTLE_MS &&
-		    (!best || is_likelier(&p->r, &best->r)))
+		    (!best || crash_evidence_is_likelier(&p->r, &best->r)))
 			best = p;
 	}
 	return best;
@@ -753,6 +736,7 @@
 	struct cause *p;
 
 	g_mutex_lock(&f->lock);
+	f->now_ms = MAX(f->now_ms, now_ms);
 	if (f->suspected) {
 		expire(f, now_ms);
 		while ((p = next_to_block(f, now_ms))) {
@@ -855,7 +839,7 @@
 	for (uint32_t i = 0; i < r->crash_count; i++)
 		changed |= add_crash(f, p, r->crashes[i]);
 	/* Which of a target's requests it recorded differs between nodes. */
-	if (!blocks || p->r.blocked || !has_crashes(p))
+	if (!blocks || p->r.blocked || !has_crashes(f, p))
 		return changed;
 	block_cause(f, p, "other_node");
 	explain(f, p);
--- a/route/crash-causes.h
+++ b/route/crash-causes.h
@@ -64,12 +64,36 @@
 	CAUSE_REQUEST,
 };
 
+enum cause_change {
+	CAUSE_BLOCKED,
+	CAUSE_FREED,
+	CAUSE_TRIED, /* one request is let through to see whether it is sound */
+};
+
+struct cause_news {
+	const struct cause_record *r;
+	enum cause_change change;
+	const char *why;      /* a word for the log */
+	uint32_t sound_count; /* sound runs with the key seen by this node */
+	unsigned trials;      /* of this node since the key's last crash */
+};
+
 /*
- * Called when a key is blocked or freed, by whichever function finds it; must
- * not call back. why: a word for the log.
+ * Called when a key is blocked, freed or tried, by whichever function finds it;
+ * must not call back.
  */
-typedef void cause_changed_fn(void *ctx, const struct cause_record *r,
-			      const char *why);
+typedef void cause_changed_fn(void *ctx, const struct cause_news *news);
+
+/*
+ * How nodes tell each other that one of them lets a request with a blocked key
+ * through, so that the others wait for the result. Must not call back.
+ */
+struct trial_claims {
+	/* Tell the others not to, for a time. */
+	void (*hold)(void *ctx, uint64_t key, int64_t hold_ms, int64_t now_ms);
+	/* Whether another node's claim, or an own one, still counts. */
+	bool (*is_held)(void *ctx, uint64_t key, int64_t now_ms);
+};
 
 /* changed may be NULL. */
 struct crash_causes *crash_causes_new(cause_changed_fn *changed, void *ctx);
@@ -79,6 +103,10 @@
 void crash_causes_set_nodes(struct crash_causes *f, uint64_t self,
 			    const uint64_t *nodes, size_t n);
 
+/* Set how trials are told; without it this node knows its own only. */
+void crash_causes_set_claims(struct crash_causes *f,
+			     const struct trial_claims *claims, void *ctx);
+
 /* An attempt broke before its response began, as its target crashed. */
 void crash_causes_crashed(struct crash_causes *f, const struct cause_keys *k,
 			  uint64_t target, int64_t now_ms);
--- a/route/notices.c
+++ b/route/notices.c
@@ -16,6 +16,14 @@
 	[NOTICE_ZONE_EVACUATED] = 30000,
 	/* Readers of the store say it again every 30 s while it holds. */
 	[NOTICE_TARGET_COLD] = 120000,
+	[NOTICE_CAUSE_TRIED] = 30000,
+};
+/* Whether the value of a kind is a time, in ms, that runs from the notice on.
+ */
+static const bool ends_by_itself[NOTICE_KINDS] = {
+	[NOTICE_TARGET_REST] = true,
+	[NOTICE_TARGET_COLD] = true,
+	[NOTICE_CAUSE_TRIED] = true,
 };
 /* Part of it after which the same statement is sent again. */
 #define REFRESH_PART 3
@@ -159,9 +167,8 @@
 	e = g_hash_table_lookup(n->v, &key);
 	if (e && is_current(&e->v, now_ms))
 		value = e->v.value;
-	/* A rest and a warm-up end when their time is over. */
-	if (e && (kind == NOTICE_TARGET_REST || kind == NOTICE_TARGET_COLD) &&
-	    value != missing)
+	/* A rest, a warm-up and a trial end when their time is over. */
+	if (e && ends_by_itself[kind] && value != missing)
 		value = MAX(e->v.value - (now_ms - e->v.at_ms), 0);
 	g_mutex_unlock(&n->lock);
 	return value;
--- a/route/notices.h
+++ b/route/notices.h
@@ -26,6 +26,11 @@
 	 */
 	NOTICE_ZONE_EVACUATED,
 	NOTICE_TARGET_COLD, /* ms for which it bears few requests */
+	/*
+	 * Of a key that is blocked as it crashes targets; ms in which no other
+	 * node is to try it.
+	 */
+	NOTICE_CAUSE_TRIED,
 	NOTICE_KINDS,
 };
 
--- a/route/test-notices.c
+++ b/route/test-notices.c
@@ -183,6 +183,7 @@
 	/* The number is part of the protocol between builds. */
 	g_assert_cmpint(NOTICE_ZONE_EVACUATED, ==, 4);
 	g_assert_cmpint(NOTICE_TARGET_COLD, ==, 5);
+	g_assert_cmpint(NOTICE_CAUSE_TRIED, ==, 6);
 	notices_set(n, NOTICE_TARGET_COLD, 7, 5000, 1000);
 	g_assert_cmpint(notices_get(n, NOTICE_TARGET_COLD, 7, 3000, 0), ==,
 			3000);
