--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -198,6 +198,7 @@
 void response_record_wishes(struct exchange *x);
 
 /* crash-record.c: what becomes of attempts, by the keys of their requests. */
+struct crash_causes *crash_record_new(struct entry *e);
 
 /* Which key of the request crashes targets, so that no attempt is made. */
 enum cause_block exchange_crash_block(const struct exchange *x);
