One row that can't be decoded no longer hides the other rows of its response

Operators saw nodes that stopped following the list of targets while one odd row was in the table: targets that had left stayed listed, and new ones got no requests.

A response of the store was decoded by jansson as one document. It rejects all of it for one number beyond 64 bits or the range of a double, for nesting beyond 2,048 levels, for invalid UTF-8 and for a NUL, and the client took the response for none. As each read returned the row again, no later read succeeded either.

A response that is rejected is now decoded part by part: its lists keep their readable elements and these their readable fields, so a row keeps its key if that is readable, and reads are continued after it. The fields of the response itself, such as HasMore, have to be readable: a response that was cut is still none. Ends of elements are found by counting brackets, so depth costs no stack. A page that names no key although more rows follow has failed: it was taken for the last one, and the targets after it for removed.

Evidence: platform/test-odd-rows /odd-rows/target-rows, four entries, one of which has no store and learns from the others. Before, the first of its 21 rows (a RowVersion of 20 digits) failed it: a target that left was still listed after 20 s. Now all of the rows pass, every other one as the last row of a page.

--- a/base/base.h
+++ b/base/base.h
@@ -50,6 +50,17 @@
  */
 char *key_hash(struct str key);
 
+/*
+ * json.c: decode a JSON object of which elements or fields may be unreadable: a
+ * number too large, text that is not UTF-8 or has a NUL, or deep nesting. The
+ * object's lists keep their readable elements, and objects in these lists their
+ * readable fields; *dropped gets the number of the others. A field of the
+ * object itself has to be readable.
+ *
+ * Return: NULL when the bytes are no such object.
+ */
+json_t *json_load_readable(const char *p, size_t n, size_t *dropped);
+
 /* Return the wall-clock time in ms since 1970, the clock of deadlines. */
 int64_t time_now_ms(void);
 /* Return the monotonic time in ms, for intervals inside one process. */
--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -64,6 +64,7 @@
 	{ 3007, LOG_INFO, "way_back" },
 	{ 2010, LOG_WARNING, "fleet_secret_unreadable" },
 	{ 2011, LOG_WARNING, "metrics_unavailable" },
+	{ 2017, LOG_WARNING, "rows_unreadable" },
 	{ 7008, LOG_INFO, "serving_changed" },
 	{ 7101, LOG_INFO, "explained" },
 	{ 7102, LOG_WARNING, "explain_denied" },
