Pass no rows of nodes on that the membership protocol can't carry

A row of the table of nodes may have texts beyond the 64 bytes of the membership protocol, or addresses that are none. No failure was seen: the protocol tells others of a node from the store only once the node itself has sent its texts. But the texts of the row stay if what comes first is a record without texts, and no message with them can be encoded; this rests on reading the code.

--- a/entry/discovery.c
+++ b/entry/discovery.c
@@ -87,6 +87,25 @@
 	return s ? s : "";
 }
 
+/*
+ * Whether other nodes can be told of a node: its texts fit into messages, and
+ * its addresses are ones. A message with a text that does not fit isn't sent,
+ * nor is what else it has.
+ */
+static bool is_sound_node(const struct member_info *n)
+{
+	const char *const texts[] = {n->name, n->address, n->control, n->zone,
+				     n->region};
+	struct sockaddr_in callers, control;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		if (strlen(texts[i]) > MEMBER_TEXT_MAX_BYTES)
+			return false;
+	return *n->name && parse_address(n->address, &callers) &&
+	       parse_address(n->control, &control) && callers.sin_port &&
+	       control.sin_port;
+}
+
 /*
  * Decode a row: apply it if it is the secret's, else set out, which borrows
  * from the result. out->name is NULL when the row describes no node. The caller
@@ -98,15 +117,17 @@
 	json_t *row = d->api->value(p, i);
 
 	*out = (struct member_info){0};
-	if (!apply_secret(d, p->rows[i].key, row) &&
-	    *str_or_empty(row, "control"))
-		*out = (struct member_info){
-			.name = (char *)p->rows[i].key,
-			.address = (char *)str_or_empty(row, "address"),
-			.control = (char *)str_or_empty(row, "control"),
-			.zone = (char *)str_or_empty(row, "zone"),
-			.region = (char *)str_or_empty(row, "region"),
-		};
+	if (apply_secret(d, p->rows[i].key, row))
+		return row;
+	*out = (struct member_info){
+		.name = (char *)p->rows[i].key,
+		.address = (char *)str_or_empty(row, "address"),
+		.control = (char *)str_or_empty(row, "control"),
+		.zone = (char *)str_or_empty(row, "zone"),
+		.region = (char *)str_or_empty(row, "region"),
+	};
+	if (!is_sound_node(out))
+		out->name = NULL;
 	return row;
 }
 
