Don't overflow when a stored crash has a time at the end of the range

The time of a crash that is read from the store was converted by a subtraction that overflows for the least number, so a crash of long ago counted as one of just now. It is bounded before the subtraction. /odd-rows/nodes has such a row; only a build with -fsanitize=undefined shows the overflow.

--- a/entry/stored-causes.c
+++ b/entry/stored-causes.c
@@ -76,9 +76,11 @@
 		    json_unpack(c, "[I,I,I]", &target, &attempt, &at_ms) < 0)
 			return false;
 		/* This machine may have started after the crash. */
+		at_ms = CLAMP(at_ms, wall_offset_ms + 1,
+			      wall_offset_ms + time_boot_ms());
 		r->crashes[r->crash_count++] = (struct cause_crash){
 			(uint32_t)target, (uint32_t)attempt,
-			CLAMP(at_ms - wall_offset_ms, 1, time_boot_ms())};
+			at_ms - wall_offset_ms};
 	}
 	return true;
 }
