Reject membership records whose incarnation can't be refuted

A record that says that a node is suspect, with the largest incarnation, made that node take the next one, 0, which no other node takes for newer: it stayed dead to all of them. A faulty build can send such a record, as it has the key.

Nodes begin with their start time and count up, so they are below 0xf0000000 until the end of 2040; a message with a larger incarnation is malformed.

Evidence: /member/codec/invalid accepted the message before. That the node stays dead rests on reading refute() in member/peers.c.

--- a/member/codec.c
+++ b/member/codec.c
@@ -15,6 +15,12 @@
 #define TARGET_BYTES         24
 #define SHARE_BYTES          20
 #define RPC_XID              1
+/*
+ * A node that refutes a record takes the next incarnation, which must not wrap
+ * to 0: no other node would believe it live again. Nodes begin with their start
+ * time, which stays below this until the end of 2040.
+ */
+#define INCARNATION_MAX 0xf0000000U
 
 G_STATIC_ASSERT(crypto_auth_BYTES == MEMBER_MAC_BYTES);
 G_STATIC_ASSERT(crypto_auth_KEYBYTES == MEMBER_KEY_BYTES);
@@ -104,7 +110,8 @@
 	for (u_int i = 0; i < m->records.records_len; i++) {
 		const struct member_record *r = &m->records.records_val[i];
 
-		if (!r->id || (unsigned)r->state >= MEMBER_DEAD)
+		if (!r->id || (unsigned)r->state >= MEMBER_DEAD ||
+		    r->incarnation > INCARNATION_MAX)
 			return false;
 		if (r->info && member_id(r->info->name) != r->id)
 			return false;
--- a/member/test-codec.c
+++ b/member/test-codec.c
@@ -91,7 +91,7 @@
 	struct member_message m = sample(), got;
 	uint8_t buf[BUF_BYTES];
 
-	for (int i = 0; i < 5; i++) {
+	for (int i = 0; i < 6; i++) {
 		m = sample();
 		targets[0].status = TARGET_STATUS_UNREACHABLE;
 		shares[0].work = 1.5F;
@@ -103,6 +103,9 @@
 			records[1].state = MEMBER_DEAD;
 		else if (i == 3)
 			records[0].id++;
+		/* To refute it, the node's next incarnation would be 0. */
+		else if (i == 4)
+			records[1].incarnation = UINT32_MAX;
 		else
 			shares[0].work = -1;
 		g_assert_cmpint(
