Bound the values of notices from other nodes

The time for which a target rests is computed from a notice's value; the least number made it wrap to 292 million years, in which the target got no requests as long as the notice counted. Received values are cut to 10^12.

Evidence: /notices/odd-values returned for a rest that was over.

--- a/route/notices.c
+++ b/route/notices.c
@@ -6,6 +6,9 @@
 /* Most notices that are kept; beyond that only new urgent ones are. */
 #define NOTICES_MAX 4096
 
+/* More than any time in ms or rate; sums with times don't overflow. */
+#define VALUE_MAX ((int64_t)1000000000000)
+
 /* Time for which a notice counts. */
 static const int64_t ttl_ms[NOTICE_KINDS] = {
 	[NOTICE_NODE_CUT] = 6000,
@@ -133,10 +136,12 @@
 	g_mutex_unlock(&n->lock);
 }
 
-void notices_receive(struct notices *n, const struct notice *v)
+void notices_receive(struct notices *n, const struct notice *received)
 {
+	struct notice bounded = *received, *v = &bounded;
 	struct entry *e;
 
+	v->value = CLAMP(v->value, -VALUE_MAX, VALUE_MAX);
 	if (v->kind >= NOTICE_KINDS || !ttl_ms[v->kind])
 		return;
 	g_mutex_lock(&n->lock);
--- a/route/test-notices.c
+++ b/route/test-notices.c
@@ -20,6 +20,27 @@
 	notices_free(n);
 }
 
+/*
+ * A faulty node names a time that no sum can hold: the target rests for ever,
+ * or the sum wraps around.
+ */
+static void test_odd_values(void)
+{
+	struct notices *n = notices_new();
+	struct notice rest = {NOTICE_TARGET_REST, 7, INT64_MIN, 1000};
+	struct notice other = {(enum notice_kind)0xffffffff, 7, 1, 1000};
+
+	notices_receive(n, &other);
+	notices_receive(n, &rest);
+	g_assert_cmpint(notices_get(n, NOTICE_TARGET_REST, 7, 2000, -1), ==, 0);
+	rest.value = INT64_MAX;
+	rest.at_ms = 1500;
+	notices_receive(n, &rest);
+	g_assert_cmpint(notices_get(n, NOTICE_TARGET_REST, 7, 2500, -1), ==,
+			1000000000000 - 1000);
+	notices_free(n);
+}
+
 /* What nobody confirms counts for ever, and fills the memory. */
 static void test_expires(void)
 {
@@ -195,6 +216,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_random_set_seed(1);
 	g_test_add_func("/notices/latest-counts", test_latest_counts);
+	g_test_add_func("/notices/odd-values", test_odd_values);
 	g_test_add_func("/notices/expires", test_expires);
 	g_test_add_func("/notices/rest-ends", test_rest_ends);
 	g_test_add_func("/notices/spreads", test_spreads);
