Bound the requests that another node reports for a target

Numbers from several faulty nodes added up beyond an int, so that their target could seem idle or full to all. A node's number for a target counts as at most 100,000.

--- a/entry/loads.c
+++ b/entry/loads.c
@@ -55,6 +55,9 @@
 /* An unchanged report is repeated after this time, as datagrams get lost. */
 #define RESEND_MS 500
 
+/* Far above what a node has in progress; sums over all nodes fit an int. */
+#define PEER_REQUESTS_MAX 100000
+
 static void peer_load_free(void *p)
 {
 	struct peer_load *peer = p;
@@ -316,7 +319,8 @@
 	g_hash_table_remove_all(peer->running);
 	for (u_int i = 0; i < report->entries.entries_len; i++)
 		counts_set(peer->running, report->entries.entries_val[i].target,
-			   (int)report->entries.entries_val[i].running);
+			   (int)MIN(report->entries.entries_val[i].running,
+				    PEER_REQUESTS_MAX));
 	l->sums_expire_ms = 0;
 }
 
--- a/entry/test-loads.c
+++ b/entry/test-loads.c
@@ -36,6 +36,24 @@
 	loads_free(c);
 }
 
+/*
+ * Numbers in the reports of faulty nodes add up to a negative one, so that the
+ * target seems idle.
+ */
+static void test_odd_counts(void)
+{
+	struct load_entry e = {7, 0x7fffffff};
+	struct loads_report m = {.seq = 1, .start = 10, .entries = {1, &e}};
+	struct loads *l = loads_new(1);
+
+	for (m.node = 2; m.node < 5; m.node++)
+		loads_receive(l, 100, &m);
+	e.running = UINT32_MAX;
+	loads_receive(l, 100, &m);
+	g_assert_cmpfloat(loads_remote(l, 7, 100), ==, 400000);
+	loads_free(l);
+}
+
 /*
  * A report with an older sequence number arrived out of order and is ignored,
  * unless its node has restarted.
@@ -197,6 +215,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/entry/loads/sums", test_sums);
+	g_test_add_func("/entry/loads/odd-counts", test_odd_counts);
 	g_test_add_func("/entry/loads/order", test_order);
 	g_test_add_func("/entry/loads/serving", test_serving);
 	g_test_add_func("/entry/readers/agree", test_readers);
