Reject settings that are not a number

A value now has to be within the limits instead of not being outside.

Evidence: /base/settings/odd-numbers accepted "nan"; of ten such values it now rejects all, with one error each.

--- a/base/settings.c
+++ b/base/settings.c
@@ -138,8 +138,9 @@
 		*(int64_t *)field_at(s, d) = n;
 		return true;
 	case SETTING_REAL:
-		if (!parse_real(value, &x) || x < (double)d->min ||
-		    x > (double)d->max)
+		/* Not a number is in no range. */
+		if (!parse_real(value, &x) ||
+		    !(x >= (double)d->min && x <= (double)d->max))
 			return false;
 		*(double *)field_at(s, d) = x;
 		return true;
--- a/base/test-settings.c
+++ b/base/test-settings.c
@@ -72,6 +72,36 @@
 	}
 }
 
+/* Numbers that are none, or out of range, are taken for valid ones. */
+static void test_odd_numbers(void)
+{
+	static const struct setting_info info = {
+		"a", "x", SETTING_REAL, NULL, NULL, 1, 100, 0, ""};
+	static const struct setting_table table = {&info, 1, sizeof(double)};
+	static const char *const values[] = {
+		"nan", "-nan", "inf", "-inf", "1e400",
+		"0.5", "101",  "1x",  "1,5",  "99999999999999999999999",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+		char *text = g_strdup_printf("[a]\nx = %s\n", values[i]);
+		char *path = NULL;
+		int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+		double x;
+
+		g_close(fd, NULL);
+		g_assert_true(g_file_set_contents(path, text, -1, NULL));
+		g_test_message("%s", values[i]);
+		g_assert_false(settings_load_table(&table, path, &x, errors));
+		g_assert_cmpuint(errors->len, ==, 1);
+		g_unlink(path);
+		g_free(path);
+		g_free(text);
+		g_ptr_array_unref(errors);
+	}
+}
+
 /* Only the numbers of the given section are copied. */
 static void test_take_numbers(void)
 {
@@ -101,6 +131,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/settings/defaults", test_defaults);
 	g_test_add_func("/base/settings/errors", test_errors);
+	g_test_add_func("/base/settings/odd-numbers", test_odd_numbers);
 	g_test_add_func("/base/settings/take-numbers", test_take_numbers);
 	return g_test_run();
 }
