Name the line of settings that can't be read, and end at files that aren't any

inih reads lines of up to 199 bytes. It took the rest of a longer line, a comment included, for a line of its own, so errors named settings that nobody had written and all later line numbers were wrong. What followed a NUL byte was ignored. A file of megabytes gave an error for each line. A text that is not UTF-8 can't be encoded as JSON: with such a name of a node, zone or region, its row would have been NULL, on which strlen() is undefined.

Lines are now read whole: one that is too long or has a NUL is an error with its number, and a long comment is none. Reading ends at 1 MB, or after 100 errors.

Evidence: /base/settings/odd-files and .../many-errors failed before.

--- a/base/settings.c
+++ b/base/settings.c
@@ -3,11 +3,16 @@
 #include <ini.h>
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/base.h"
 
 #define HASH_DIGITS 64
+/* More than any settings file needs; a larger file is another one. */
+#define FILE_BYTES_MAX (1 << 20)
+/* Reading ends after this many errors. */
+#define ERRORS_MAX 100
 
 /* State of one load; inih calls back once for each "key = value" line. */
 struct load {
@@ -15,8 +20,12 @@
 	const char *path;
 	FILE *file;
 	int line; /* number of the line being read */
+	size_t bytes_read;
+	char *text; /* of that line, in a buffer of getline */
+	size_t text_size;
 	void *out;
 	GPtrArray *errors;
+	guint errors_before;
 	bool *given; /* for each key of the table */
 };
 
@@ -29,7 +38,7 @@
 static void describe_allowed(const struct setting_info *d, char *buf, size_t n)
 {
 	static const char *const type_names[] = {
-		[SETTING_STRING] = "a string with a length",
+		[SETTING_STRING] = "a string in UTF-8 with a length",
 		[SETTING_INT] = "a whole number",
 		[SETTING_MS] = "a whole number of milliseconds",
 		[SETTING_REAL] = "a number",
@@ -120,6 +129,7 @@
 	case SETTING_ENUM:
 	case SETTING_HASH:
 		if (len < d->min || len > d->max ||
+		    !g_utf8_validate(value, (gssize)len, NULL) ||
 		    (d->type == SETTING_ENUM &&
 		     !is_one_of(d->allowed, value)) ||
 		    (d->type == SETTING_HASH && !is_hash(value)))
@@ -192,23 +202,53 @@
 	return 1;
 }
 
-/* Reader for inih that counts the lines, for error messages. */
+static void add_line_error(struct load *l, const char *what)
+{
+	g_ptr_array_add(l->errors,
+			g_strdup_printf("%s:%d: %s", l->path, l->line, what));
+}
+
+/*
+ * Reader for inih that counts the lines, for error messages. inih would take
+ * the rest of a long line for another line, and ignore what follows a NUL.
+ */
 static char *read_line(char *buf, int n, void *user)
 {
 	struct load *l = user;
-	char *s = fgets(buf, n, l->file);
-
-	if (s)
-		l->line++;
-	return s;
+	ssize_t len = getline(&l->text, &l->text_size, l->file);
+	const char *first, *line = "\n";
+
+	if (len < 0)
+		return NULL;
+	l->line++;
+	l->bytes_read += (size_t)len;
+	if (l->bytes_read > FILE_BYTES_MAX) {
+		add_line_error(l, "the file is larger than 1 MB");
+		return NULL;
+	}
+	if (l->errors->len - l->errors_before > ERRORS_MAX) {
+		add_line_error(l, "too many errors; the rest is not read");
+		return NULL;
+	}
+	first = l->text + strspn(l->text, " \t");
+	if (memchr(l->text, '\0', (size_t)len))
+		add_line_error(l, "a NUL byte is not allowed");
+	else if (len < n)
+		line = l->text;
+	else if (*first != '#' && *first != ';')
+		add_line_error(l, "the line is too long");
+	g_strlcpy(buf, line, (gsize)n);
+	return buf;
 }
 
 bool settings_load_table(const struct setting_table *t, const char *path,
 			 void *out, GPtrArray *errors)
 {
-	struct load l = {
-		.table = t, .path = path, .out = out, .errors = errors};
-	guint before = errors->len;
+	struct load l = {.table = t,
+			 .path = path,
+			 .out = out,
+			 .errors = errors,
+			 .errors_before = errors->len};
 	int bad_line;
 
 	memset(out, 0, t->size);
@@ -221,6 +261,7 @@
 	l.given = g_new0(bool, t->count);
 	bad_line = ini_parse_stream(read_line, &l, on_value, &l);
 	fclose(l.file);
+	free(l.text);
 	if (bad_line > 0)
 		g_ptr_array_add(errors,
 				g_strdup_printf("%s:%d: not \"key = value\", "
@@ -238,7 +279,7 @@
 				  "required but missing");
 	}
 	g_free(l.given);
-	return errors->len == before;
+	return errors->len == l.errors_before;
 }
 
 static bool is_string(enum setting_type t)
--- a/base/test-settings.c
+++ b/base/test-settings.c
@@ -72,6 +72,90 @@
 	}
 }
 
+/* Load bytes that are no settings file; return the errors, a line each. */
+static char *errors_of(const char *p, size_t n)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	char *path = NULL, *all;
+	int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+	struct settings s;
+
+	g_close(fd, NULL);
+	g_assert_true(g_file_set_contents(path, p, (gssize)n, NULL));
+	settings_load(path, &s, errors);
+	settings_clear(&s);
+	g_unlink(path);
+	g_free(path);
+	g_ptr_array_add(errors, NULL);
+	all = g_strjoinv("\n", (char **)errors->pdata);
+	g_ptr_array_unref(errors);
+	return all;
+}
+
+/* The same with a filler between two texts. */
+static char *errors_of_filled(const char *before, char filler, size_t n,
+			      const char *after)
+{
+	GString *s = g_string_new(before);
+	char *all;
+
+	g_string_set_size(s, s->len + n);
+	memset(s->str + s->len - n, filler, n);
+	g_string_append(s, after);
+	all = errors_of(s->str, s->len);
+	g_string_free(s, TRUE);
+	return all;
+}
+
+/*
+ * The file of another program, or a damaged one, is taken for settings, or its
+ * errors name a line that isn't there.
+ */
+static void test_odd_files(void)
+{
+	static const char with_nul[] = VALID_SETTINGS "[limits]\n"
+						      "body = 2000\0x\n";
+	char *all = errors_of(with_nul, sizeof(with_nul) - 1);
+
+	g_assert_nonnull(strstr(all, ":8: a NUL byte is not allowed"));
+	g_free(all);
+	all = errors_of_filled(VALID_SETTINGS "[node]\nregion = ", 'x', 5000,
+			       "\nbogus = 1\n");
+	g_assert_nonnull(strstr(all, ":8: the line is too long"));
+	g_assert_nonnull(strstr(all, ":9: node.bogus: unknown key"));
+	g_free(all);
+	/* inih would take the end of a long comment for a line of its own. */
+	all = errors_of_filled(VALID_SETTINGS "# ", 'x', 5000, " y = 1\n");
+	g_assert_cmpstr(all, ==, "");
+	g_free(all);
+	all = errors_of_filled(VALID_SETTINGS, '\n', 3 << 20, "");
+	g_assert_nonnull(strstr(all, "the file is larger than 1 MB"));
+	g_free(all);
+	all = errors_of_filled(VALID_SETTINGS, '\0', 3 << 20, "");
+	g_assert_nonnull(strstr(all, "the file is larger than 1 MB"));
+	g_free(all);
+	/* JSON can't have such a text. */
+	all = errors_of_filled(VALID_SETTINGS "[node]\nregion = ", '\xff', 1,
+			       "\n");
+	g_assert_nonnull(strstr(all, ": a string in UTF-8 with a length"));
+	g_free(all);
+}
+
+/* A large file of other contents gives an error for each of its lines. */
+static void test_many_errors(void)
+{
+	GString *s = g_string_new(VALID_SETTINGS);
+	char *all;
+
+	for (int i = 0; i < 10000; i++)
+		g_string_append(s, "x = 1\n");
+	all = errors_of(s->str, s->len);
+	g_assert_nonnull(strstr(all, "too many errors"));
+	g_assert_cmpuint(strlen(all), <, 20000);
+	g_free(all);
+	g_string_free(s, TRUE);
+}
+
 /* Numbers that are none, or out of range, are taken for valid ones. */
 static void test_odd_numbers(void)
 {
@@ -131,6 +215,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/settings/defaults", test_defaults);
 	g_test_add_func("/base/settings/errors", test_errors);
+	g_test_add_func("/base/settings/odd-files", test_odd_files);
+	g_test_add_func("/base/settings/many-errors", test_many_errors);
 	g_test_add_func("/base/settings/odd-numbers", test_odd_numbers);
 	g_test_add_func("/base/settings/take-numbers", test_take_numbers);
 	return g_test_run();
