Ignore updates of targets that the store can't have led to

A faulty node could tell of a row at the largest revision. The store's later rows were then taken for older ones: a target that drained went on to be used, and the nodes passed the revision on. The same revision of a whole list kept a node from asking for any later change. A port above 65,535 was cut to 16 bits.

Revisions more than 2^32 ahead of what this node knows, negative ones, and targets without a port or service are ignored. The hashes of the lists then differ, so the node reads the store itself.

Evidence: /entry/target-table/odd-updates failed at the first of its six updates. The fixture's targets had the port 0, which no row has any more; they now have one, the other checks are as before.

--- a/entry/target-table.c
+++ b/entry/target-table.c
@@ -22,6 +22,11 @@
  * three heartbeats.
  */
 #define OLD_ROW_MS 5000
+/*
+ * Another node's revisions are not further ahead of this node's than the store
+ * gets between two reads of it. No row of the store would replace one that is.
+ */
+#define REVISION_AHEAD_MAX ((int64_t)1 << 32)
 
 /* The newest known state of a target's row. */
 struct target_row {
@@ -398,6 +403,25 @@
 	g_array_unref(wanted);
 }
 
+/* Whether a revision from another node can be one of the store's. */
+static bool is_sound_revision(const struct target_table *t, int64_t revision)
+{
+	int64_t known = MAX(t->page_revision, t->revision);
+
+	return revision >= 0 && revision - known <= REVISION_AHEAD_MAX;
+}
+
+/* Whether an update can be of a row that the store's decoder accepts. */
+static bool is_sound_update(const struct target_table *t,
+			    const struct target_update *update)
+{
+	return *update->key && is_sound_revision(t, update->revision) &&
+	       is_sound_revision(t, update->noticed) &&
+	       (update->removed ||
+		(update->port && update->port <= UINT16_MAX &&
+		 *update->service));
+}
+
 static void apply_update(struct target_table *t,
 			 const struct target_update *update, int64_t now_ms)
 {
@@ -446,8 +470,11 @@
 				int64_t now_ms)
 {
 	for (u_int i = 0; i < answer->updates.updates_len; i++)
-		apply_update(t, &answer->updates.updates_val[i], now_ms);
-	if (answer->more || answer->targets_hash != t->hash)
+		if (is_sound_update(t, &answer->updates.updates_val[i]))
+			apply_update(t, &answer->updates.updates_val[i],
+				     now_ms);
+	if (answer->more || answer->targets_hash != t->hash ||
+	    !is_sound_revision(t, answer->targets_revision))
 		return;
 	t->revision = MAX(t->revision, answer->targets_revision);
 	drop_old_removals(t, now_ms);
--- a/entry/test-target-table.c
+++ b/entry/test-target-table.c
@@ -3,6 +3,7 @@
  * must be the same list, whatever was lost in between, also across a store that
  * came back from an older copy.
  */
+#include <arpa/inet.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -39,6 +40,7 @@
 	out->name = str_dup(arena, str_c(key));
 	out->service = str_dup(arena, STR_LIT("pool"));
 	out->zone = str_dup(arena, STR_LIT("a"));
+	out->address.sin_port = htons(80);
 	out->draining = r->draining;
 	out->warmup_left_ms = r->warmup_left_ms;
 	out->id = str_hash(out->name, (uint64_t)r->born_ms);
@@ -341,6 +343,57 @@
 	target_table_free(t);
 }
 
+/*
+ * A faulty node tells of a row or of its list at a revision that the store
+ * never gets to: the target goes on to be used after it has drained, and no
+ * other node's updates are asked for.
+ */
+static void test_odd_updates(void)
+{
+	static const struct {
+		int64_t revision, noticed;
+		u_int port;
+	} cases[] = {
+		{INT64_MAX, 101, 80}, {101, INT64_MAX, 80},
+		{-1, 101, 80},        {101, -1, 80},
+		{101, 101, 0},        {101, 101, 65536 + 80},
+	};
+	struct target_table *t = target_table_new();
+	struct target_list *l;
+
+	reset_store(1);
+	read_store(t, 500, true, 1000);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct target_update u = {
+			.key = (char *)"t000",
+			.revision = cases[i].revision,
+			.noticed = cases[i].noticed,
+			.id = 7,
+			.service = (char *)"odd",
+			.zone = (char *)"a",
+			.software_version = (char *)"v",
+			.ip = 1,
+			.port = cases[i].port,
+		};
+		struct store_query_answer answer = {
+			.targets_revision = INT64_MAX,
+			.targets_hash = target_table_hash(t),
+			.updates = {1, &u},
+		};
+
+		target_table_apply_updates(t, &answer, 1000);
+		g_assert_cmpint(target_table_revision(t), ==, store_revision);
+		write_row(0, true, i % 2 == 0);
+		read_store(t, 500, true, 1000);
+		l = target_table_list(t);
+		g_assert_cmpuint(l->n, ==, 1);
+		g_assert_true(str_eq(l->v[0].service, STR_LIT("pool")));
+		g_assert_cmpint(l->v[0].draining, ==, i % 2 == 0);
+		target_list_unref(l);
+	}
+	target_table_free(t);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -352,6 +405,7 @@
 	g_test_add_func("/entry/target-table/ready-again", test_ready_again);
 	g_test_add_func("/entry/target-table/restored-store",
 			test_restored_store);
+	g_test_add_func("/entry/target-table/odd-updates", test_odd_updates);
 	g_test_add_func("/entry/target-table/cold-rows", test_cold_rows);
 	return g_test_run();
 }
