Ignore answers of other nodes with an era far ahead of the known one

A node takes the highest era that another node names, and takes responses of the store with a lower one for out of date. After one answer of a faulty node with the largest era it would follow neither the store nor other nodes. This rests on reading store_sync_accept_era(); there is no test yet. A node that is more than 2^32 eras behind learns the era from the store.

--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -15,6 +15,11 @@
 #define CONFIG_PEER_MAX_BYTES (48 << 10)
 /* Limit of a configuration that a delta makes. */
 #define CONFIG_MAX_BYTES (16 << 20)
+/*
+ * Eras by which another node may be ahead. No era of the store would follow one
+ * at the end of the range; a node with the real one learns it from the store.
+ */
+#define ERA_AHEAD_MAX ((int64_t)1 << 32)
 /* Shortest interval between reads that are caused by a reader's answer. */
 #define TARGETS_READ_MIN_MS 300
 
@@ -178,7 +183,9 @@
 bool store_sync_apply_answer(struct store_sync *s,
 			     const struct store_query_answer *answer)
 {
-	if (answer->query_sent_ms > time_boot_ms() ||
+	if (answer->query_sent_ms < 0 ||
+	    answer->query_sent_ms > time_boot_ms() || answer->era < 0 ||
+	    answer->era - s->era > ERA_AHEAD_MAX ||
 	    !store_sync_accept_era(s, answer->era))
 		return false;
 	apply_config_answer(s, answer);
