An outage ends for all nodes when a reader knows; kept rows are not confirmed

Targets whose rows are gone leave the lists of 34 nodes by 29.9 s, of the other 12 between 30.5 and 32.7 s, when all have been in touch for 1.7 s. edge-hall-d-35 read the store itself at 29.7 s and kept the rows: by its own count the outage had ended at 29.07 s, its first own call, as readers tell the end only to nodes with the same configuration, and that had changed. Its read still counted as a confirmation of the list, which then was 0 to 3.0 s old by its own account. Cause: what a node knows of an outage came from its own calls and from answers about an equal configuration; and a list that keeps rows which the store lacks was called the newest, also to other nodes. Change: any answer that says when the store answered ends the outage; a read that keeps missing rows confirms nothing; nodes that are no readers don't read while rows are kept, and 0.5 s longer, as readers read at that moment. An outage is a span of failing calls (2 s) in a gap without answers (2.5 s). Readers ask every 0.4 s, so the first answer after one dates its end. Also: timers of requests and of new connections run after the bytes that are there when a process wakes; a signal to waiting requests could be missed.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -98,15 +98,16 @@
 	ev_async_send(e->tr.loop, &e->tr.views_published);
 }
 
-void entry_extend_list(struct entry *e, int64_t until_ms, int64_t now_ms)
+void entry_extend_list(struct entry *e, int64_t until_ms)
 {
-	bool expired;
+	int64_t before, now;
 
 	if (!e->list)
 		return;
-	expired = atomic_exchange(&e->list->until_ms, until_ms) <= now_ms;
+	before = atomic_exchange(&e->list->until_ms, until_ms);
+	now = time_boot_ms();
 	/* Requests may wait for it; see list-wait.c. */
-	if (expired && now_ms < until_ms)
+	if (before <= now && now < until_ms)
 		ev_async_send(e->tr.loop, &e->tr.views_published);
 }
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -74,6 +74,7 @@
 		link_close(x->link);
 	x->link = NULL;
 	x->response = NULL;
+	x->head_check_at_ms = 0;
 	if (x->target)
 		pool_add_running(x->target, -1);
 	x->target = NULL;
@@ -533,7 +534,7 @@
 		exchange_fail(x);
 		return;
 	}
-	if (x->stall_deadline_ms && now >= x->stall_deadline_ms) {
+	if (x->target && x->stall_deadline_ms && now >= x->stall_deadline_ms) {
 		x->stall_deadline_ms = now + stall_timeout_ms(x);
 		if (exchange_retry_if_stalled(x))
 			return;
@@ -637,6 +638,7 @@
 	link_expect_no_body(x->link, is_head_request(x));
 	/* On a new connection the bytes are sent once it is established. */
 	exchange_forward(x, source);
+	x->list_wait_end_ms = 0;
 	x->sent_ms = time_boot_ms();
 	x->first_event_ms = 0;
 	x->begin_recorded = false;
@@ -668,6 +670,8 @@
 	x->last_source_name = x->last_target_name;
 	x->splitter.last_number = -1;
 	ev_init(&x->timer, on_timer);
+	/* After a pause of this process a response may be there already. */
+	ev_set_priority(&x->timer, EV_MINPRI);
 	x->timer.data = x;
 	tr->exchanges++;
 	metric_add(M_REQUESTS_TOTAL, 1);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -97,10 +97,10 @@
 	int64_t longest_gap_ms; /* between two events */
 	/* When the stream counts as stalled; 0: no event yet or no resume. */
 	int64_t stall_deadline_ms;
-	bool taking_up;           /* waits for that version; in the queue */
-	bool begun;               /* see exchange_begin */
-	bool awaiting_list;       /* see list-wait.c; in the queue */
 	int64_t list_wait_end_ms; /* end of that wait; 0: has not waited */
+	bool awaiting_list;       /* see list-wait.c; in the queue */
+	bool begun;               /* see exchange_begin */
+	bool taking_up;           /* waits for that version; in the queue */
 	bool all_resting; /* no target takes requests, some for a time only */
 	ev_timer timer;   /* the next of the deadlines above */
 	const char *failure_cause; /* of the last failure, for the log */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -199,7 +199,7 @@
 /* Hand a new target list to the traffic thread; takes the reference. */
 void entry_publish_targets(struct entry *e, struct target_list *l);
 /* Set until when the published target list may be used, if there is one. */
-void entry_extend_list(struct entry *e, int64_t until_ms, int64_t now_ms);
+void entry_extend_list(struct entry *e, int64_t until_ms);
 /* Record that the configuration held was the store's newest at at_ms. */
 void entry_confirm_config(struct entry *e, int64_t at_ms);
 /*
--- a/entry/link.c
+++ b/entry/link.c
@@ -314,6 +314,8 @@
 	ev_timer_init(&l->connect_timer, on_connect_timeout, (double)ms / 1000,
 		      0);
 	l->connect_timer.data = l;
+	/* After a pause of this process it may be established already. */
+	ev_set_priority(&l->connect_timer, EV_MINPRI);
 	ev_timer_start(loop, &l->connect_timer);
 	return l;
 }
--- a/entry/list-deadline.h
+++ b/entry/list-deadline.h
@@ -10,7 +10,10 @@
 
 #include <stdint.h>
 
+/* See disturbed_ms. */
 #define LIST_EXTENSION_MS 600
+/* Kept of the contact time for the way from the check to the target. */
+#define LIST_WAY_MS 100
 
 struct list_evidence {
 	int64_t confirmed_ms; /* the list was the newest then; 0: never */
--- a/entry/outage.h
+++ b/entry/outage.h
@@ -9,8 +9,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Interval at which readers ask a store that does not answer. */
+#define OUTAGE_PROBE_MS 400
+
 struct outage {
 	int64_t current_ms; /* the store answered then or later; 0: never */
+	int64_t since_ms;   /* first call that failed since; 0: none */
 	int64_t failed_ms;  /* start of the last call that failed; 0: none */
 	int64_t hanging_ms; /* start of one that gets no answer; 0: none */
 	int64_t ended_ms;   /* first sign after an outage; 0: there was none */
@@ -22,6 +26,12 @@
  * outage only if a call failed in it: a node that was paused had none either.
  */
 void outage_note_answer(struct outage *o, int64_t sent_ms, int64_t now_ms);
+/*
+ * The same of a reader's call, or of what another node tells of one: in an
+ * outage the reader has asked in vain OUTAGE_PROBE_MS before.
+ */
+void outage_note_probed_answer(struct outage *o, int64_t sent_ms,
+			       int64_t now_ms);
 /* A call of this node that was sent at sent_ms has failed. */
 void outage_note_failure(struct outage *o, int64_t sent_ms);
 /* One has no answer for longer than is usual; 0: it has ended. */
--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -120,6 +120,9 @@
 	 * The first configuration comes from the store, with the evacuated
 	 * zones, which other nodes' configurations lack.
 	 */
+	/* The store has answered, whichever configuration the node has. */
+	if (answer->config_age_ms != UINT32_MAX)
+		outage_note_probed_answer(&s->outage, at_ms, time_boot_ms());
 	if (!s->config_was_read)
 		return;
 	if (answer->config_age_ms != UINT32_MAX && same) {
@@ -127,7 +130,6 @@
 		if (reader_is_current(answer->config_age_ms,
 				      store_sync_poll_wait_ms(s)))
 			s->config_confirmed_ms = answer->query_sent_ms;
-		outage_note_answer(&s->outage, at_ms, time_boot_ms());
 	}
 	/*
 	 * After the store was restored a version may have other content, and
--- a/entry/send-check.c
+++ b/entry/send-check.c
@@ -31,8 +31,11 @@
 		exchange_note_send(x);
 		return true;
 	}
-	metric_add(M_SENDS_STOPPED_TARGET_LEAVING_TOTAL, 1);
-	x->failure_cause = "target_leaving";
+	x->failure_cause = "targets_unconfirmed";
+	if (pool_list_is_usable(x->tr, time_boot_ms())) {
+		metric_add(M_SENDS_STOPPED_TARGET_LEAVING_TOTAL, 1);
+		x->failure_cause = "target_leaving";
+	}
 	if (!exchange_retry(x, false, false))
 		exchange_fail(x);
 	return false;
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -37,8 +37,11 @@
 			    int64_t now_ms);
 /* All rows of the page are applied. */
 void target_table_end_page(struct target_table *t, const struct store_page *p);
-/* Finish the read after its last page, and remove rows that it lacked. */
-void target_table_finish_read(struct target_table *t, bool remove_missing,
+/*
+ * Finish the read after its last page, and remove rows that it lacked. Return
+ * whether the list is that of the store: false when such rows are kept.
+ */
+bool target_table_finish_read(struct target_table *t, bool remove_missing,
 			      int64_t now_ms);
 /* Return the usable targets as a new list. */
 struct target_list *target_table_list(struct target_table *t);
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -18,11 +18,6 @@
 #define CONFIG_READ_MIN_MS 200
 /* A reader waits for changes, and reads the whole row at this interval too. */
 #define CONFIG_FULL_READ_MS 2100
-/*
- * While the store does not answer, a call that hangs would show its return only
- * after its timeout; a reader sends further calls at this interval.
- */
-#define PROBE_MS 400
 /*
  * A node that is no reader reads the store itself once its view has not been
  * confirmed for this long, or for this part of the drain time of a target if
@@ -59,6 +54,11 @@
 #define OWN_READ_START_MS 3000
 /* A failed call doubles the pause up to this, on a node that is no reader. */
 #define RETRY_MAX_MS 2000
+/*
+ * After an outage a node that is no reader reads the targets itself only so
+ * long after missing rows may be removed: other nodes have told of it by then.
+ */
+#define SETTLED_READ_MS 500
 /* A call that has no answer for so long shows that the store is in trouble. */
 #define HANGING_MS      300
 #define HANGING_LATE_MS 100
@@ -80,12 +80,27 @@
 	timer_start_once(s->loop, w, ms);
 }
 
+/*
+ * A call that fails lets the node use its list of targets for a while; the next
+ * one has to show within it that the store is still in trouble.
+ */
+static int64_t retry_pause_max_ms(const struct store_sync *s)
+{
+	const struct entry_settings *e = &s->e->control_settings;
+	int64_t max_ms = e->bounds_contact_ms - LIST_WAY_MS -
+			 e->store_timeout_ms - HANGING_MS - RETRY_JITTER_MS -
+			 RECHECK_MS;
+
+	return CLAMP(max_ms, RETRY_MS, RETRY_MAX_MS);
+}
+
 static int64_t retry_pause_ms(struct store_sync *s)
 {
-	int64_t ms = RETRY_MS;
+	int64_t max_ms = retry_pause_max_ms(s), ms = RETRY_MS;
 
-	for (int i = 1; !s->reader && i < s->failures && ms < RETRY_MAX_MS; i++)
+	for (int i = 1; !s->reader && i < s->failures && ms < max_ms; i++)
 		ms *= 2;
+	ms = MIN(ms, max_ms);
 	return ms + g_rand_int_range(s->rand, 0, RETRY_JITTER_MS);
 }
 
@@ -118,7 +133,7 @@
 {
 	int64_t now = time_boot_ms();
 
-	entry_extend_list(s->e, list_until_ms(s, now), now);
+	entry_extend_list(s->e, list_until_ms(s, now));
 	if (now - outage_last_ms(&s->outage) <
 	    s->e->control_settings.bounds_contact_ms)
 		store_sync_schedule(s, &s->extend_timer, LIST_EXTENSION_MS / 2);
@@ -142,7 +157,10 @@
 {
 	bool up = p->status != STORE_FAILED;
 
-	if (up)
+	if (up && s->reader)
+		outage_note_probed_answer(&s->outage, p->sent_ms,
+					  time_boot_ms());
+	else if (up)
 		outage_note_answer(&s->outage, p->sent_ms, time_boot_ms());
 	else
 		store_sync_note_failure(s, p->sent_ms);
@@ -151,7 +169,7 @@
 		return;
 	s->store_up = up;
 	if (!up && s->reader)
-		store_sync_schedule(s, &s->probe_timer, PROBE_MS);
+		store_sync_schedule(s, &s->probe_timer, OUTAGE_PROBE_MS);
 	log_event(up ? EV_STORE_REACHABLE : EV_STORE_UNREACHABLE,
 		  "config=%d config_age_ms=%d", (int)s->config_version,
 		  (int)(time_boot_ms() - atomic_load(&s->e->config_fresh_ms)));
@@ -562,13 +580,15 @@
 static void finish_read(struct store_sync *s)
 {
 	int64_t now = time_boot_ms();
+	bool settled = now >= outage_settled_ms(&s->outage), whole;
 
 	s->read_ended_ms = now;
 	s->targets_stale = false;
-	target_table_finish_read(s->table, now >= outage_settled_ms(&s->outage),
-				 now);
+	whole = target_table_finish_read(s->table, settled, now);
 	store_sync_publish_targets(s);
-	store_sync_confirm_targets(s, s->read_started_ms, 0);
+	/* Whether targets whose rows are missing have left is not known yet. */
+	if (whole)
+		store_sync_confirm_targets(s, s->read_started_ms, 0);
 }
 
 static int64_t targets_pause_ms(const struct store_sync *s)
@@ -585,6 +605,7 @@
 static void on_targets(void *ctx, const struct store_page *p)
 {
 	struct store_sync *s = ctx;
+	int64_t pause_ms;
 
 	end_targets_call(s);
 	record_store_state(s, p);
@@ -592,7 +613,12 @@
 		/* Keep the pages read so far, unless they are too old. */
 		if (time_boot_ms() - s->read_started_ms > PAGED_READ_MAX_MS)
 			g_clear_pointer(&s->next_key, g_free);
-		store_sync_schedule(s, &s->targets_timer, retry_pause_ms(s));
+		pause_ms = retry_pause_ms(s);
+		/* One failure may be of this call alone. */
+		if (s->failures == 1)
+			s->targets_own_at_ms = MIN(s->targets_own_at_ms,
+						   time_boot_ms() + pause_ms);
+		store_sync_schedule(s, &s->targets_timer, pause_ms);
 		return;
 	}
 	g_clear_pointer(&s->next_key, g_free);
@@ -615,6 +641,9 @@
 {
 	if (s->next_key || !s->read_ended_ms)
 		return true;
+	/* The readers read at that moment, and tell the others. */
+	if (now_ms < outage_settled_ms(&s->outage) + SETTLED_READ_MS)
+		return false;
 	if (!s->targets_stale &&
 	    !is_unconfirmed(s, s->targets_confirmed_ms, now_ms))
 		return false;
@@ -659,7 +688,8 @@
 	struct store_sync *s = ctx;
 
 	if (p->status != STORE_FAILED)
-		outage_note_answer(&s->outage, p->sent_ms, time_boot_ms());
+		outage_note_probed_answer(&s->outage, p->sent_ms,
+					  time_boot_ms());
 }
 
 /* Ask the store, while a call to it hangs, whether it is back. */
@@ -673,13 +703,13 @@
 		return;
 	if (s->config_busy)
 		s->api->read(s->store, STORE_CONFIG, "", on_probe_answer, s);
-	store_sync_schedule(s, w, PROBE_MS);
+	store_sync_schedule(s, w, OUTAGE_PROBE_MS);
 }
 
 void store_sync_set_reader(struct store_sync *s, bool reader, size_t fleet_size)
 {
 	if (reader && !s->reader && !s->store_up)
-		store_sync_schedule(s, &s->probe_timer, PROBE_MS);
+		store_sync_schedule(s, &s->probe_timer, OUTAGE_PROBE_MS);
 	s->reader = reader;
 	s->fleet_size = fleet_size;
 }
--- a/entry/target-table.c
+++ b/entry/target-table.c
@@ -294,14 +294,15 @@
 	}
 }
 
-void target_table_finish_read(struct target_table *t, bool remove_missing,
+bool target_table_finish_read(struct target_table *t, bool remove_missing,
 			      int64_t now_ms)
 {
+	bool whole = true;
 	GHashTableIter it;
 	gpointer key, v;
 
 	g_hash_table_iter_init(&it, t->rows);
-	while (remove_missing && g_hash_table_iter_next(&it, &key, &v)) {
+	while (g_hash_table_iter_next(&it, &key, &v)) {
 		struct target_row *row = v;
 		int64_t absent = MAX(row->absent, t->read_revision);
 		struct target_source source = {absent, now_ms, 0};
@@ -310,6 +311,10 @@
 		if (row->read_number == t->read_number || !row->usable ||
 		    row->revision > absent)
 			continue;
+		if (!remove_missing) {
+			whole = false;
+			continue;
+		}
 		/*
 		 * The row had gone by then. Its last revision would lose
 		 * against a later heartbeat that another node has read.
@@ -323,6 +328,7 @@
 		t->history_from = MAX(t->history_from, t->read_revision);
 	t->revision = MAX(t->revision, t->read_revision);
 	drop_old_removals(t, now_ms);
+	return whole;
 }
 
 struct target_list *target_table_list(struct target_table *t)
--- a/entry/test-provenance.c
+++ b/entry/test-provenance.c
@@ -4,6 +4,7 @@
  * of targets and in the log. Without it the log can't say why a request went to
  * a target that was leaving.
  */
+#include <arpa/inet.h>
 #include <string.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -39,6 +40,7 @@
 		.service = str_dup(arena, STR_LIT("pool")),
 		.zone = str_dup(arena, STR_LIT("a")),
 		.version = str_dup(arena, STR_LIT("v1")),
+		.address = {.sin_port = htons(80)},
 		.draining = row.draining,
 	};
 	return true;
@@ -275,6 +277,7 @@
 		.service = (char *)"pool",
 		.zone = (char *)"a",
 		.software_version = (char *)"v1",
+		.port = 80,
 	};
 	struct store_query_answer a = {.updates = {1, &update}};
 	struct target_table *t = target_table_new();
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -54,8 +54,9 @@
 	struct entry_options options;
 	struct store_sync *sync;
 	int config_reads, target_reads;
-	bool cut;    /* its calls to the store fail at once */
-	bool silent; /* they get no answer, and fail by their timeout */
+	bool cut;         /* its calls to the store fail at once */
+	bool silent;      /* they get no answer, and fail by their timeout */
+	int fail_targets; /* so many of its calls for the targets fail */
 };
 
 /* A call in progress; its callback runs from the loop. */
@@ -104,7 +105,9 @@
 		{"evacuated", store.revision, false, store.zone},
 	};
 	struct store_row target = {store.target, store.revision, false, NULL};
-	bool down = store.down || c->node->cut || c->silent;
+	bool down = store.down || c->node->cut || c->silent ||
+		    (c->table == STORE_TARGETS && c->node->fail_targets > 0 &&
+		     c->node->fail_targets-- > 0);
 	struct store_page p = {
 		.status = down ? STORE_FAILED : STORE_OK,
 		.rows = c->table == STORE_CONFIG ? rows : &target,
@@ -185,6 +188,7 @@
 	n->e.control_settings.bounds_config_apply_ms = CONFIG_APPLY_MS;
 	n->e.control_settings.store_targets_poll_ms = 50;
 	n->e.control_settings.store_config_wait_ms = 50;
+	n->e.control_settings.store_timeout_ms = CALL_TIMEOUT_S * 1000;
 	n->e.tr.loop = loop;
 	n->e.origins = origins_new();
 	n->e.notices = notices_new();
@@ -875,6 +879,158 @@
 	check_outage_keeps(false, true);
 }
 
+/*
+ * Nodes that are no readers have gaps in an outage in which calls hang: the
+ * evidence of a call has ended before the next one shows that it hangs too.
+ */
+static void check_outage_gaps(int fleet, int drain_ms, int contact_ms)
+{
+	int64_t gap_ms = 0, longest_ms = 0, total_ms = 0;
+
+	for (guint32 seed = 0; seed < 20; seed++) {
+		struct ev_loop *loop = virtual_loop("t");
+		struct node *node = node_new(loop, false);
+
+		g_rand_set_seed(node->sync->rand, seed);
+		node->e.control_settings.bounds_drain_ms = drain_ms;
+		node->e.control_settings.bounds_contact_ms = contact_ms;
+		store_sync_set_reader(node->sync, false, (size_t)fleet);
+		step_for(loop, 10000 + (int)seed * 100);
+		store.silent = true;
+		for (int ms = 0; ms < 30000; ms++) {
+			step(loop);
+			gap_ms = usable_until_ms(node) <= time_boot_ms()
+					 ? gap_ms + 1
+					 : 0;
+			total_ms += gap_ms > 0;
+			longest_ms = MAX(longest_ms, gap_ms);
+		}
+		node_free(node, loop);
+		virtual_end(loop);
+	}
+	g_test_message("fleet %d: longest gap %d ms, in all %d of 600000 ms",
+		       fleet, (int)longest_ms, (int)total_ms);
+	g_assert_cmpint(longest_ms, ==, 0);
+}
+
+static void test_outage_gaps_small(void)
+{
+	check_outage_gaps(6, 2000, 3000);
+}
+
+static void test_outage_gaps_middle(void)
+{
+	check_outage_gaps(75, 3000, 4000);
+}
+
+static void test_outage_gaps_large(void)
+{
+	check_outage_gaps(295, 4000, 5000);
+}
+
+/*
+ * One read of a node that no relay answers fails, as by a limit on its own
+ * rate, beside a store that is sound: the list may not be used beyond the drain
+ * time for that.
+ */
+static void test_own_failure(void)
+{
+	int64_t late_ms = 0;
+
+	for (guint32 seed = 0; seed < 20; seed++) {
+		struct ev_loop *loop = virtual_loop("t");
+		struct node *node = node_new(loop, false);
+		int64_t left_ms;
+		int reads;
+
+		g_rand_set_seed(node->sync->rand, seed);
+		store_sync_set_reader(node->sync, false, LARGE_FLEET);
+		step_for(loop, 10000);
+		reads = node->target_reads;
+		while (node->target_reads == reads || node->sync->targets_busy)
+			step(loop);
+		g_assert_cmpuint(node->e.list->n, ==, 1);
+		store.target = NULL;
+		store.revision++;
+		left_ms = time_boot_ms();
+		node->fail_targets = 1;
+		for (int ms = 0; ms < 12000 && node->e.list->n; ms++) {
+			step(loop);
+			if (node->e.list->n &&
+			    usable_until_ms(node) > time_boot_ms())
+				late_ms = MAX(late_ms,
+					      time_boot_ms() - left_ms - 4000);
+		}
+		node_free(node, loop);
+		virtual_end(loop);
+	}
+	g_test_message("used up to %d ms past the drain time", (int)late_ms);
+	g_assert_cmpint(late_ms, <=, 0);
+}
+
+/*
+ * Nodes learn of the end of an outage, and of the targets that were removed in
+ * it, seconds after the readers, as these tell of another configuration than
+ * theirs: a list that keeps rows which the store lacks is taken for the newest.
+ */
+static void test_outage_end_is_told(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+	struct node *node = node_new(loop, false);
+
+	store_sync_set_reader(node->sync, false, LARGE_FLEET);
+	step_for(loop, 1000);
+	store.down = true;
+	step_for(loop, 8000);
+	store.down = false;
+	store.target = NULL;
+	set_store(store.version + 1, "changed", store.era);
+	for (int ms = 0; ms < 3600; ms++) {
+		struct target_update updates[TARGET_UPDATES_MAX];
+		struct store_query_answer answer;
+		struct store_query query;
+
+		step(loop);
+		if (ms % 400)
+			continue;
+		store_sync_query(node->sync, time_boot_ms(), false, &query);
+		store_sync_answer(reader->sync, &query, &answer, updates);
+		/* The node never gets the reader's configuration. */
+		answer.config_hash++;
+		store_sync_apply_answer(node->sync, &answer);
+	}
+	g_assert_cmpuint(reader->e.list->n, ==, 0);
+	g_assert_cmpuint(node->e.list->n, ==, 0);
+	node_free(reader, loop);
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
+/* A list with rows that the store lacks is told to others as the newest. */
+static void test_kept_rows_unconfirmed(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+	int64_t up_ms;
+
+	step_for(loop, 1000);
+	store.down = true;
+	step_for(loop, 8000);
+	store.down = false;
+	store.target = NULL;
+	store.revision++;
+	up_ms = time_boot_ms();
+	while (reader->e.list->n) {
+		g_assert_cmpint(store_sync_targets_confirmed_ms(reader->sync),
+				<, up_ms);
+		step(loop);
+	}
+	g_assert_cmpint(time_boot_ms() - up_ms, <, 3000);
+	node_free(reader, loop);
+	virtual_end(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -913,5 +1069,16 @@
 	g_test_add_func("/entry/store-sync/answers-late", test_answers_late);
 	g_test_add_func("/entry/store-sync/pause-is-no-outage",
 			test_pause_is_no_outage);
+	g_test_add_func("/entry/store-sync/outage-gaps-small",
+			test_outage_gaps_small);
+	g_test_add_func("/entry/store-sync/outage-gaps-middle",
+			test_outage_gaps_middle);
+	g_test_add_func("/entry/store-sync/outage-gaps-large",
+			test_outage_gaps_large);
+	g_test_add_func("/entry/store-sync/own-failure", test_own_failure);
+	g_test_add_func("/entry/store-sync/outage-end-is-told",
+			test_outage_end_is_told);
+	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
+			test_kept_rows_unconfirmed);
 	return g_test_run();
 }
--- a/route/test-crash-causes.c
+++ b/route/test-crash-causes.c
@@ -709,20 +709,20 @@
 struct storm {
 	const char *name;
 	size_t targets;
+	size_t deadly;       /* number of different ones; see deadly_per_s */
+	size_t killed;       /* at once; see kill_every_ms */
+	double common_per_s; /* requests that are the same each time */
+	double other_per_s;  /* that never come again */
+	double deadly_per_s; /* the same each time; crash their target */
 	int down_ms;
 	int run_min_ms, run_max_ms; /* until a response begins */
-	double common_per_s;        /* requests that are the same each time */
-	double other_per_s;         /* that never come again */
-	double deadly_per_s;        /* the same each time; crash their target */
-	size_t deadly;              /* number of different ones */
 	int kill_every_ms;          /* targets are killed from outside; 0: no */
-	size_t killed;              /* at once */
 	int kill_again_ms;          /* and as many once more so much later */
 	int cut_every_ms; /* all connections of a node break at once; 0: no */
 	int cut_again_ms; /* and those of a node once more so much later */
 	int storm_ms;     /* crashes end then */
-	bool part;        /* the common ones share a part, and are not alike */
 	int turns_deadly_ms; /* the common ones crash targets; 0: never */
+	bool part; /* the common ones share a part, and are not alike */
 };
 
 #define STORM_RUNS_MAX 4096
@@ -1224,9 +1224,7 @@
 		id = 11 * (i + 1);
 		crash_causes_set_nodes(f->nodes[i], id, &id, 1);
 	}
-	for (int t = 0; t < 600; t++) {
-		size_t i = (size_t)t % f->n;
-
+	for (size_t t = 0, i = 0; t < 600; t++, i = i + 1 < f->n ? i + 1 : 0) {
 		k.attempt++;
 		if (!crash_causes_block(f->nodes[i], &k, f->now_ms)) {
 			sent++;
