A slow answer of the store is not the beginning of an outage

Cause, found by reading the change: a call that hung and was then answered stayed the first failed call of an outage until a later one was answered, so two slow reads of a node without relays, 2.5 s apart, counted as one: its list would keep removed rows for 2.3 s. Also parts of the drain time are computed in one place.

--- a/entry/list-deadline.c
+++ b/entry/list-deadline.c
@@ -3,11 +3,10 @@
 #include "entry/list-deadline.h"
 
 /*
- * What is kept for the way from the check to the target: a thread that loses
- * the processor in between, and the network.
+ * Part of the drain time that is kept for the way from the check to the target:
+ * a thread that loses the processor in between, and the network.
  */
-#define WAY_PART 0.1 /* of the drain time */
-#define WAY_MS   100 /* of the contact time */
+#define WAY_PART 0.1
 
 int64_t list_deadline_ms(const struct list_evidence *e,
 			 const struct list_bounds *b, int64_t now_ms)
--- a/entry/outage.c
+++ b/entry/outage.c
@@ -22,7 +22,7 @@
 	/* A call may have been sent during the outage and answered after it. */
 	if (o->current_ms && failed && sent_ms - o->current_ms > OUTAGE_MS)
 		o->ended_ms = now_ms;
-	if (sent_ms > o->since_ms)
+	if (sent_ms >= o->since_ms)
 		o->since_ms = 0;
 	o->current_ms = MAX(o->current_ms, sent_ms);
 }
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -59,7 +59,10 @@
  * long after missing rows may be removed: other nodes have told of it by then.
  */
 #define SETTLED_READ_MS 500
-/* A call that has no answer for so long shows that the store is in trouble. */
+/*
+ * A call that has no answer for so long shows that the store is in trouble,
+ * unless the timer itself is late: then the answer is looked for once more.
+ */
 #define HANGING_MS      300
 #define HANGING_LATE_MS 100
 #define HANGING_LOOK_MS 20
@@ -117,6 +120,12 @@
 	       g_rand_int_range(s->rand, 0, (gint32)ms / 2 + 1);
 }
 
+/* Return a part of the drain time of a target. */
+static int64_t drain_part_ms(const struct store_sync *s, double part)
+{
+	return (int64_t)(part * (double)s->e->control_settings.bounds_drain_ms);
+}
+
 /* Return until when the present list of targets may be used. */
 static int64_t list_until_ms(const struct store_sync *s, int64_t now_ms)
 {
@@ -418,9 +427,7 @@
 /* Time without confirmation after which a node reads the store itself. */
 static int64_t unconfirmed_max_ms(const struct store_sync *s)
 {
-	return MIN(UNCONFIRMED_MAX_MS,
-		   (int64_t)(UNCONFIRMED_MAX_PART *
-			     (double)s->e->control_settings.bounds_drain_ms));
+	return MIN(UNCONFIRMED_MAX_MS, drain_part_ms(s, UNCONFIRMED_MAX_PART));
 }
 
 static bool is_unconfirmed(const struct store_sync *s, int64_t confirmed_ms,
@@ -651,9 +658,7 @@
 		return false;
 	s->targets_own_at_ms = next_own_read_ms(
 		s, now_ms,
-		MIN(OWN_READ_MAX_MS,
-		    (int64_t)(OWN_READ_DRAIN_PART *
-			      (double)s->e->control_settings.bounds_drain_ms)));
+		MIN(OWN_READ_MAX_MS, drain_part_ms(s, OWN_READ_DRAIN_PART)));
 	log_event(EV_STORE_READ_OWN, "table=targets reason=%s age_ms=%d",
 		  s->targets_stale ? "list_differs" : "unconfirmed",
 		  (int)(now_ms - s->targets_confirmed_ms));
@@ -743,9 +748,7 @@
 	s->config_own_at_ms = now + OWN_READ_START_MS;
 	s->targets_own_at_ms =
 		now +
-		MIN(OWN_READ_START_MS,
-		    (int64_t)(UNCONFIRMED_MAX_PART *
-			      (double)e->control_settings.bounds_drain_ms));
+		MIN(OWN_READ_START_MS, drain_part_ms(s, UNCONFIRMED_MAX_PART));
 	s->store_up = true;
 	ev_init(&s->probe_timer, probe_store);
 	s->probe_timer.data = s;
