A call that may be repeated is not failed by what an earlier answer left

What callers saw: 502 for a GET of a plain service of the product's own interface, by a target that answers soundly, right after it had written an answer of another request: its real answer to that one came behind it, on a connection that had gone back to the pool, and was read as the answer to the next call. Cause: only a target's next one in the order was tried, on a pooled connection as well. Change: a call that may be repeated, whose pooled connection gave no answer of its own, is repeated once at the same target on a new connection.

--- a/node/plain-service.c
+++ b/node/plain-service.c
@@ -127,6 +127,13 @@
 	struct http_call *p = send_call(rq, &pq);
 	enum ramp_error e = read_answer(rq, p);
 
+	/* A pooled connection may hold the rest of an earlier answer. */
+	if (e == RAMP_ERR_OUTCOME_UNKNOWN && !pq.fresh) {
+		http_call_close(p);
+		pq.fresh = true;
+		p = http_call_open(&pq);
+		e = read_answer(rq, p);
+	}
 	if (e == RAMP_OK)
 		put_answer(rq, p, r);
 	http_call_close(p);
