explain: name an old list of targets as the reason of a refusal

While the list of targets is too old to be used, explain said that targets have no reason not to get requests, and refused with rule no_target, which OPERATIONS.md reads as each target being held back by something of its own. The decision at the send is pool_list_is_usable; explain now asks it too: rule targets_unconfirmed, as in request_ended, and unconfirmed for each target.

No decision about requests changes.

--- a/entry/explain.c
+++ b/entry/explain.c
@@ -129,6 +129,12 @@
 	return v->q->x.version && v->t->version != v->q->x.version;
 }
 
+/* The list of targets is too old to be used for any of them. */
+static bool is_unconfirmed(const struct view *v)
+{
+	return !pool_list_is_usable(v->t->tr, v->q->now_ms);
+}
+
 /*
  * In the order of the answer; docs/OPERATIONS.md explains each name. A target
  * that is ejected or failing gets requests when no other one can, one that is
@@ -138,12 +144,19 @@
 	const char *name;
 	bool (*applies)(const struct view *v);
 } reasons[] = {
-	{"draining", is_draining}, {"leaving", is_leaving},
-	{"resting", is_resting},   {"evacuated", is_evacuated},
-	{"cold", is_cold},         {"limited", is_limited},
-	{"brittle", is_brittle},   {"crowded", is_crowded},
-	{"ejected", is_ejected},   {"failing", is_failing},
-	{"cut_off", is_cut_off},   {"other_version", is_other_version},
+	{"draining", is_draining},
+	{"leaving", is_leaving},
+	{"resting", is_resting},
+	{"evacuated", is_evacuated},
+	{"cold", is_cold},
+	{"limited", is_limited},
+	{"brittle", is_brittle},
+	{"crowded", is_crowded},
+	{"ejected", is_ejected},
+	{"failing", is_failing},
+	{"cut_off", is_cut_off},
+	{"other_version", is_other_version},
+	{"unconfirmed", is_unconfirmed},
 };
 
 /* Rules by which requests are refused. */
@@ -169,6 +182,12 @@
 	return !q->x.service;
 }
 
+/* Without a list at all no target is known. */
+static bool has_old_list(const struct question *q)
+{
+	return q->x.tr->list && !pool_list_is_usable(q->x.tr, q->now_ms);
+}
+
 static bool has_no_version(const struct question *q)
 {
 	return exchange_is_take_up(&q->x) && !q->x.version;
@@ -197,6 +216,7 @@
 	{RAMP_ERR_REQUEST_BLOCKED, is_always, "request_blocked"},
 	{RAMP_ERR_NO_TARGET, has_no_service, "no_service"},
 	{RAMP_ERR_NO_TARGET, has_no_version, "version_unknown"},
+	{RAMP_ERR_NO_TARGET, has_old_list, "targets_unconfirmed"},
 	{RAMP_ERR_NO_TARGET, has_version_gone, "version_gone"},
 	{RAMP_ERR_NO_TARGET, is_always, "no_target"},
 };
