Two refused reads let a list be used beyond the drain time

Requests reach a target that has left, up to 7.6 s after a sound store has acknowledged that, from a node whose reads were refused twice, as with 429 because all nodes together read too often.

Cause: one refusal gives the node bounds.contact for its list, as if the store were in trouble (entry/list-deadline.c, disturbed_ms), whatever it answers since, and only the first refusal brings the next own read forward (failures == 1 in on_targets); after the second one the node waits for its turn, of up to 2.5 s. A read that succeeds then, over 2 s after the first refusal, counts as the end of an outage (FAILING_MS, OUTAGE_MS) and keeps the row for 2.3 s more, though no call was without an answer.

Evidence: /entry/list-bound/refused-node fails in every run: two refused reads, 3,613 ms past the drain time. refused-once passes, and refused-reader with two to eight refusals. own-failure of test-store-sync covers one refusal only. Not mended here: these files have another owner.

--- a/entry/test-list-bound.c
+++ b/entry/test-list-bound.c
@@ -266,6 +266,63 @@
 	check_key(true);
 }
 
+/*
+ * A sound store refuses some reads of a node, as all nodes together read too
+ * often, and its list is used beyond the drain time.
+ */
+static void check_refused(int reads, bool reader, int drain_ms)
+{
+	int64_t past_ms = 0;
+
+	for (guint32 seed = 0; seed < 20; seed++) {
+		struct ev_loop *loop = virtual_loop();
+		struct node *n = node_new(loop, reader, drain_ms, seed);
+		int64_t left_ms;
+
+		step_for(loop, 5000);
+		while (!n->sync->targets_busy)
+			step(loop);
+		while (n->sync->targets_busy)
+			step(loop);
+		store.target = NULL;
+		store.revision++;
+		left_ms = time_boot_ms();
+		store.refused = reads;
+		while (n->e.list->n) {
+			step(loop);
+			if (n->e.list->n &&
+			    atomic_load(&n->e.list->until_ms) > time_boot_ms())
+				past_ms =
+					MAX(past_ms, time_boot_ms() - left_ms -
+							     drain_ms);
+		}
+		node_end(n, loop);
+	}
+	g_test_message("%d reads of a %s refused: used %d ms too long", reads,
+		       reader ? "reader" : "node", (int)past_ms);
+	g_assert_cmpint(past_ms, ==, 0);
+}
+
+static void test_refused_once(void)
+{
+	check_refused(1, true, 4000);
+	check_refused(1, false, 4000);
+	check_refused(1, true, 2000);
+	check_refused(1, false, 2000);
+}
+
+static void test_refused_node(void)
+{
+	for (int reads = 2; reads <= 4; reads++)
+		check_refused(reads, false, 4000);
+}
+
+static void test_refused_reader(void)
+{
+	for (int reads = 2; reads <= 8; reads++)
+		check_refused(reads, true, 4000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -273,5 +330,9 @@
 			test_key_same_config);
 	g_test_add_func("/entry/list-bound/key-older-config",
 			test_key_older_config);
+	g_test_add_func("/entry/list-bound/refused-once", test_refused_once);
+	g_test_add_func("/entry/list-bound/refused-node", test_refused_node);
+	g_test_add_func("/entry/list-bound/refused-reader",
+			test_refused_reader);
 	return g_test_run();
 }
