A late answer extends a list beyond a short drain time

With bounds.drain of 0.5 s requests reach a target up to 167 ms too late when one answer of a sound store takes 350 to 500 ms, as on a busy machine.

Cause: a call without an answer for HANGING_MS (300 ms) counts as a store in trouble, which extends the list by LIST_EXTENSION_MS (600 ms). Neither is a part of bounds.drain, and the second is longer than all of it.

--- a/entry/test-list-bound.c
+++ b/entry/test-list-bound.c
@@ -266,6 +266,68 @@
 	check_key(true);
 }
 
+/*
+ * One read of the targets is answered late, by a machine that is busy, and the
+ * list of a target that has left meanwhile is used beyond the drain time.
+ */
+static void check_late_answer(bool reader, int drain_ms)
+{
+	int64_t worst_ms = 0;
+
+	for (int late_ms = 100; late_ms <= 500; late_ms += 50) {
+		int64_t past_ms = 0;
+
+		for (guint32 seed = 0; seed < 10; seed++) {
+			struct ev_loop *loop = virtual_loop();
+			struct node *n = node_new(loop, reader, drain_ms, seed);
+			int64_t left_ms;
+
+			step_for(loop, 5000);
+			while (!n->sync->targets_busy)
+				step(loop);
+			while (n->sync->targets_busy)
+				step(loop);
+			g_assert_cmpuint(n->e.list->n, ==, 1);
+			store.target = NULL;
+			store.revision++;
+			left_ms = time_boot_ms();
+			store.targets_ms = late_ms;
+			while (n->e.list->n) {
+				step(loop);
+				if (n->e.list->n &&
+				    atomic_load(&n->e.list->until_ms) >
+					    time_boot_ms())
+					past_ms = MAX(past_ms,
+						      time_boot_ms() - left_ms -
+							      drain_ms);
+			}
+			node_end(n, loop);
+		}
+		g_test_message("answers late by %d ms: used %d ms too long",
+			       late_ms, (int)past_ms);
+		worst_ms = MAX(worst_ms, past_ms);
+	}
+	g_assert_cmpint(worst_ms, ==, 0);
+}
+
+static void test_late_answer_500(void)
+{
+	check_late_answer(true, 500);
+	check_late_answer(false, 500);
+}
+
+static void test_late_answer_2000(void)
+{
+	check_late_answer(true, 2000);
+	check_late_answer(false, 2000);
+}
+
+static void test_late_answer_4000(void)
+{
+	check_late_answer(true, 4000);
+	check_late_answer(false, 4000);
+}
+
 /*
  * A sound store refuses some reads of a node, as all nodes together read too
  * often, and its list is used beyond the drain time.
@@ -330,6 +392,12 @@
 			test_key_same_config);
 	g_test_add_func("/entry/list-bound/key-older-config",
 			test_key_older_config);
+	g_test_add_func("/entry/list-bound/late-answer-500",
+			test_late_answer_500);
+	g_test_add_func("/entry/list-bound/late-answer-2000",
+			test_late_answer_2000);
+	g_test_add_func("/entry/list-bound/late-answer-4000",
+			test_late_answer_4000);
 	g_test_add_func("/entry/list-bound/refused-once", test_refused_once);
 	g_test_add_func("/entry/list-bound/refused-node", test_refused_node);
 	g_test_add_func("/entry/list-bound/refused-reader",
