Keys are checked by the age of the configuration that the request is resolved by

What callers saw: a request with a revoked key could run at a node that had been without the store for longer than bounds.revoke and reached it again.

Cause: the age that entry_config_is_valid compares was that of the control thread's configuration. Between its confirmation and the moment at which the traffic thread takes it, requests were resolved by the configuration before, with the age of the newer one; as long as the traffic thread had no processor.

Change: each configuration has its own time of confirmation, as each list of targets has its deadline; a new one begins with that of the one before, which it can lack no more of. Log lines and explain show the age of the one that was used.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -33,15 +33,17 @@
 #define LEAVE_ACCEPT_MAX_PART 0.33 /* of the grace period */
 #define LEAVE_MARGIN_MS       300
 
-/* Whether the configuration was confirmed within part x the revoke limit. */
+/*
+ * Whether the configuration that the traffic thread has was confirmed within
+ * part x the revoke limit.
+ */
 static bool is_config_younger(const struct entry *e, int64_t now_ms,
 			      double part)
 {
-	int64_t config_fresh_ms = atomic_load(&e->config_fresh_ms);
+	int64_t fresh_ms = entry_config_fresh_ms(e->tr.config);
 
-	return config_fresh_ms &&
-	       (double)(now_ms - config_fresh_ms) <
-		       part * (double)e->settings.bounds_revoke_ms;
+	return fresh_ms && (double)(now_ms - fresh_ms) <
+				   part * (double)e->settings.bounds_revoke_ms;
 }
 
 bool entry_config_is_valid(const struct entry *e, int64_t now_ms)
@@ -51,15 +53,18 @@
 
 bool entry_is_serving(const struct entry *e, int64_t now_ms)
 {
-	return e->tr.config && !e->tr.leaving_ms &&
-	       pool_list_is_usable(&e->tr, now_ms) &&
+	return !e->tr.leaving_ms && pool_list_is_usable(&e->tr, now_ms) &&
 	       is_config_younger(e, now_ms, CONFIG_SERVE_PART);
 }
 
 void entry_confirm_config(struct entry *e, int64_t at_ms)
 {
-	if (at_ms > atomic_load(&e->config_fresh_ms))
-		atomic_store(&e->config_fresh_ms, at_ms);
+	if (at_ms <= atomic_load(&e->config_fresh_ms))
+		return;
+	atomic_store(&e->config_fresh_ms, at_ms);
+	/* The traffic thread may still have the one before, which ages. */
+	if (e->config)
+		atomic_store(&e->config->fresh_ms, at_ms);
 }
 
 void entry_confirm_targets(struct entry *e, int64_t at_ms, uint64_t from)
@@ -72,6 +77,8 @@
 {
 	struct entry_config *old;
 
+	/* What the one before lacked then, a newer one lacks no more of. */
+	atomic_store(&c->fresh_ms, atomic_load(&e->config_fresh_ms));
 	g_mutex_lock(&e->lock);
 	old = e->config;
 	e->config = c;
@@ -221,7 +228,7 @@
 	log_event(EV_SERVING_CHANGED,
 		  "serving=%d config=%d config_age_ms=%d leaving=%d", serving,
 		  tr->config ? (int)tr->config->version : 0,
-		  (int)(now_ms - atomic_load(&tr->e->config_fresh_ms)),
+		  (int)(now_ms - entry_config_fresh_ms(tr->config)),
 		  tr->leaving_ms != 0);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -91,6 +91,8 @@
 	atomic_int refs;
 	void *arena;
 	int64_t version;
+	/* No newer one was in the store then; 0: not known. */
+	atomic_int_least64_t fresh_ms;
 	struct route_rule *routes;
 	size_t route_count;
 	/* host (struct str) -> GPtrArray of struct route_rule, longest first */
@@ -166,6 +168,8 @@
 struct entry_config *entry_config_new(void);
 struct entry_config *entry_config_ref(struct entry_config *c);
 void entry_config_unref(struct entry_config *c);
+/* Return when a configuration was last confirmed; NULL or never: 0. */
+int64_t entry_config_fresh_ms(const struct entry_config *c);
 /* Build the lookup tables once all fields are set. */
 void entry_config_index(struct entry_config *c);
 /*
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -464,7 +464,7 @@
 
 static json_t *config_json(const struct question *q)
 {
-	int64_t fresh_ms = atomic_load(&q->x.tr->e->config_fresh_ms);
+	int64_t fresh_ms = entry_config_fresh_ms(q->x.config);
 
 	if (!q->x.config)
 		return json_null();
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -180,7 +180,8 @@
 	uint8_t secret[MEMBER_KEY_BYTES]; /* that nodes share */
 	bool has_secret;
 
-	atomic_int_least64_t config_fresh_ms; /* see entry_confirm_config */
+	/* Of the published configuration; see entry_confirm_config. */
+	atomic_int_least64_t config_fresh_ms;
 	/* For the log and the metrics only; see entry_confirm_targets. */
 	atomic_int_least64_t targets_fresh_ms;
 	atomic_uint_least64_t targets_fresh_from;
--- a/entry/request-log.c
+++ b/entry/request-log.c
@@ -42,7 +42,7 @@
 void exchange_log_end(const struct exchange *x, int status, const char *how)
 {
 	int64_t now = time_boot_ms();
-	int64_t fresh = atomic_load(&x->tr->e->config_fresh_ms);
+	int64_t fresh = entry_config_fresh_ms(x->config);
 
 	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
 	log_event(EV_REQUEST_ENDED,
--- a/entry/view.c
+++ b/entry/view.c
@@ -52,6 +52,11 @@
 	return c;
 }
 
+int64_t entry_config_fresh_ms(const struct entry_config *c)
+{
+	return c ? atomic_load(&c->fresh_ms) : 0;
+}
+
 void entry_config_unref(struct entry_config *c)
 {
 	if (!c || atomic_fetch_sub(&c->refs, 1) != 1)
