A chunk's size that is left out of a stream is not a part of its events

Cause: the fuzz's targets write wrong chunk sizes.

An entry can know: the run's other events end with LF. An event of one line that ends with CR LF among such is refused now, and the connection counts as malformed. Where it is the run's first event and has no data, it is held back until the next block shows how the run's lines end. A blank line with CR LF among events that end with LF is dropped, as it carries nothing.

Ruled out: bytes of the head.

Not detected: a first event that begins with its data (it is passed on at once, and the stream then breaks off visibly), streams that end all lines with CR LF, and a chunk's size that is a lone LF in a stream without ids. A stream that ends its events with LF and one of a single line with CR LF now breaks off; the one whose events have two lines or more does not.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -439,6 +439,13 @@
 bool link_is_quiet(const struct link *l);
 
 /* sse-split.c: splits a stream of server-sent events into whole events. */
+enum line_ends {
+	LINE_ENDS_UNKNOWN,
+	LINE_ENDS_LF,
+	LINE_ENDS_CRLF_ONE, /* CR LF, at events of one line only */
+	LINE_ENDS_CRLF,
+};
+
 struct sse_splitter {
 	struct buf partial; /* the incomplete event at the end */
 	struct buf padding; /* comments and blank lines before the next event */
@@ -449,8 +456,9 @@
 	bool resumed;         /* events follow those of another run */
 	/* Of this run, also if it was not passed on; -1: none. */
 	int64_t run_number;
-	bool regular;   /* each number was one above the one before */
-	bool irregular; /* some were not */
+	enum line_ends line_ends; /* of this run's events so far */
+	bool regular;             /* each number was one above the one before */
+	bool irregular;           /* some were not */
 };
 
 /*
@@ -464,11 +472,14 @@
  * one are dropped, as a resumed stream may repeat them.
  *
  * Return: false when an event exceeds the size limit, when it has no field or
- * holds the head of a response, or when one of a resumed run doesn't follow: it
- * has no number, or leaves numbers out though the events before didn't.
+ * holds the head of a response or a chunk's framing, or when one of a resumed
+ * run doesn't follow: it has no number, or leaves numbers out though the events
+ * before didn't.
  */
 bool sse_splitter_feed(struct sse_splitter *c, const char *p, size_t n,
 		       sse_event_fn *fn, void *ctx);
+/* The run has ended: pass on an event that sse_splitter_feed held back. */
+void sse_splitter_end(struct sse_splitter *c, sse_event_fn *fn, void *ctx);
 /*
  * Begin another run of the stream: discard the incomplete event that a broken
  * connection left.
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -429,6 +429,7 @@
 
 static void finish_stream(struct exchange *x)
 {
+	sse_splitter_end(&x->splitter, deliver_event, x);
 	if (sse_splitter_is_cut(&x->splitter, x->response->until_close)) {
 		x->failure_cause = "stream_cut";
 		exchange_record_break(x);
--- a/entry/sse-split.c
+++ b/entry/sse-split.c
@@ -63,9 +63,20 @@
 	return id;
 }
 
-/* Keep a block that is no event for the next one, if it is short enough. */
+/* Whether the blank line that ends a block ends with CR LF. */
+static bool ends_with_crlf(const char *p, size_t n)
+{
+	return n > 1 && p[n - 2] == '\r';
+}
+
+/*
+ * Keep a block that is no event for the next one, if it is short enough. A
+ * blank line with the other line end may be left of a chunk's framing.
+ */
 static void keep_padding(struct sse_splitter *c, const char *p, size_t n)
 {
+	if (c->line_ends == LINE_ENDS_LF && n == 2)
+		return;
 	if (buf_len(&c->padding) + n <= PADDING_MAX_BYTES)
 		buf_add(&c->padding, p, n);
 }
@@ -111,6 +122,46 @@
 	return has_field && !(has_lf && has_other_crlf);
 }
 
+/* Whether an event of one line ends with CR LF. */
+static bool is_one_crlf_line(const char *p, size_t n)
+{
+	const char *nl = memchr(p, '\n', n);
+
+	return ends_with_crlf(p, n) && nl + 3 == p + n;
+}
+
+/*
+ * Whether the event is more than what is left of a line of a stream behind
+ * which two line ends of a chunk's framing were taken for text: such an event
+ * has one line and ends with CR LF, though the run's others end with LF.
+ */
+static bool has_line_ends_of_run(struct sse_splitter *c, const char *p,
+				 size_t n)
+{
+	if (!ends_with_crlf(p, n)) {
+		if (c->line_ends == LINE_ENDS_CRLF_ONE)
+			return false;
+		c->line_ends = LINE_ENDS_LF;
+	} else if (!is_one_crlf_line(p, n)) {
+		c->line_ends = LINE_ENDS_CRLF;
+	} else if (c->line_ends == LINE_ENDS_LF) {
+		return false;
+	} else if (!c->line_ends) {
+		c->line_ends = LINE_ENDS_CRLF_ONE;
+	}
+	return true;
+}
+
+/*
+ * Whether only the next block shows that an event is whole. One with data is
+ * not held back: it may be all that comes for some time.
+ */
+static bool is_held(const struct sse_splitter *c, const char *p, size_t n)
+{
+	return !c->line_ends && is_one_crlf_line(p, n) &&
+	       !(n > 5 && !memcmp(p, "data:", 5));
+}
+
 static void set_last_id(struct sse_splitter *c, struct str id)
 {
 	if (id.len >= sizeof(c->id_text))
@@ -140,7 +191,7 @@
 	struct str id = event_id(p, n);
 	int64_t number = str_parse_number(id);
 
-	if (!is_sound(p, n))
+	if (!is_sound(p, n) || !has_line_ends_of_run(c, p, n))
 		return false;
 	c->run_number = number;
 	/* A resumed stream may repeat events. */
@@ -159,25 +210,47 @@
 	return true;
 }
 
+/* Return the length of the block that begins at an offset, or 0. */
+static size_t block_length_at(const struct buf *b, size_t at, bool *is_event)
+{
+	return block_length(buf_data(b) + at, buf_len(b) - at, is_event);
+}
+
 bool sse_splitter_feed(struct sse_splitter *c, const char *p, size_t n,
 		       sse_event_fn *fn, void *ctx)
 {
-	bool is_event;
-	size_t len;
+	struct buf *b = &c->partial;
+	bool is_event, is_next_event;
+	size_t len, next;
 
-	buf_add(&c->partial, p, n);
-	while ((len = block_length(buf_data(&c->partial), buf_len(&c->partial),
-				   &is_event))) {
+	buf_add(b, p, n);
+	while ((len = block_length_at(b, 0, &is_event))) {
+		if (is_event && is_held(c, buf_data(b), len)) {
+			next = block_length_at(b, len, &is_next_event);
+			if (!next)
+				break;
+			if (!ends_with_crlf(buf_data(b) + len, next))
+				return false;
+		}
 		if (is_event) {
-			if (!pass_event(c, buf_data(&c->partial), len, fn, ctx))
+			if (!pass_event(c, buf_data(b), len, fn, ctx))
 				return false;
 			buf_clear(&c->padding);
 		} else {
-			keep_padding(c, buf_data(&c->partial), len);
+			keep_padding(c, buf_data(b), len);
 		}
-		buf_consume(&c->partial, len);
+		buf_consume(b, len);
 	}
-	return buf_len(&c->partial) <= EVENT_MAX_BYTES;
+	return buf_len(b) <= EVENT_MAX_BYTES;
+}
+
+void sse_splitter_end(struct sse_splitter *c, sse_event_fn *fn, void *ctx)
+{
+	bool is_event;
+	size_t len = block_length_at(&c->partial, 0, &is_event);
+
+	if (len && pass_event(c, buf_data(&c->partial), len, fn, ctx))
+		buf_consume(&c->partial, len);
 }
 
 void sse_splitter_restart(struct sse_splitter *c)
@@ -186,6 +259,7 @@
 	buf_clear(&c->padding);
 	c->resumed |= c->event_count > 0;
 	c->run_number = -1;
+	c->line_ends = LINE_ENDS_UNKNOWN;
 }
 
 void sse_splitter_follow(struct sse_splitter *c, struct str last_id)
--- a/entry/test-sse-split.c
+++ b/entry/test-sse-split.c
@@ -94,6 +94,98 @@
 	sse_splitter_clear(&c);
 }
 
+/* Whether a text is the first events of a stream, each of them whole. */
+static bool is_whole_events(const char *text, const char *all)
+{
+	size_t n = strlen(text);
+
+	return !strncmp(text, all, n) &&
+	       (!n || (n > 1 && !strcmp(text + n - 2, "\n\n")));
+}
+
+/* Feed a text in steps; false when the splitter refuses it. */
+static bool feed(const char *text, size_t step, GString *out)
+{
+	struct sse_splitter c = {.last_number = -1};
+	size_t n = strlen(text);
+	bool sound = true;
+
+	for (size_t at = 0; at < n && sound; at += step)
+		sound = sse_splitter_feed(&c, text + at, MIN(step, n - at),
+					  collect, out);
+	if (sound)
+		sse_splitter_end(&c, collect, out);
+	sound &= !sse_splitter_is_cut(&c, false);
+	sse_splitter_clear(&c);
+	return sound;
+}
+
+/*
+ * A chunk's size that a target counted wrong makes the framing of the chunk
+ * behind it a part of an event that is passed on.
+ */
+static void test_framing(void)
+{
+	static const char *const texts[] = {
+		"id: 1\ndata: a b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n",
+		"event: x\nid: 1\ndata: a\n\nid: 2\ndata: c\ndata: d\n\n",
+		"retry: 9\n\nid: 1\ndata: a\n\nid: 2\ndata: c\n\n",
+		/* The first event is known to be whole when it is read. */
+		"data: a\n\ndata: b c\n\ndata: d\n\n",
+		"data: a\nid: 1\n\ndata: b c\nid: 2\n\n",
+	};
+	static const char *const sizes[] = {"",  "1",  "1f", "g",
+					    " ", "-1", "\r", "1;a:b"};
+
+	for (size_t t = 0; t < G_N_ELEMENTS(texts) * G_N_ELEMENTS(sizes); t++) {
+		const char *text = texts[t / G_N_ELEMENTS(sizes)];
+		size_t n = strlen(text);
+		size_t from =
+			text[0] == 'd' ? strstr(text, "\n\n") - text + 2 : 1;
+
+		for (size_t place = from; place < n; place++) {
+			char *bad = g_strdup_printf(
+				"%.*s\r\n%s\r\n%s", (int)place, text,
+				sizes[t % G_N_ELEMENTS(sizes)], text + place);
+
+			for (size_t step = 1; step <= strlen(bad); step++) {
+				GString *out = g_string_new(NULL);
+				bool whole = feed(bad, step, out);
+
+				if (!is_whole_events(out->str, text) ||
+				    (whole && strcmp(out->str, text) != 0))
+					g_error("%s: passed on: %s", bad,
+						out->str);
+				g_string_free(out, TRUE);
+			}
+			g_free(bad);
+		}
+	}
+}
+
+/* A sound stream whose lines end with CR LF is taken for a damaged one. */
+static void test_crlf(void)
+{
+	static const char *const texts[] = {
+		"id: 1\r\n\r\n",
+		"id: 1\r\n\r\nid: 2\r\n\r\n",
+		"id: 1\r\n\r\n\r\ndata: a\r\n\r\n",
+		"retry: 5\r\n\r\nid: 1\r\ndata: a\r\n\r\n",
+		"data: a\r\n\r\ndata: b\r\n\r\n",
+		"data: a\r\n\r\n: c\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+	};
+
+	for (size_t t = 0; t < G_N_ELEMENTS(texts); t++) {
+		for (size_t step = 1; step <= strlen(texts[t]); step++) {
+			GString *out = g_string_new(NULL);
+
+			g_assert_true(feed(texts[t], step, out));
+			g_assert_cmpstr(out->str, ==, texts[t]);
+			g_string_free(out, TRUE);
+		}
+	}
+}
+
 /* An event that never ends is refused before it takes all memory. */
 static void test_endless(void)
 {
@@ -117,6 +209,8 @@
 	g_test_add_func("/entry/cut/any-split", test_any_split);
 	g_test_add_func("/entry/cut/resume", test_resume);
 	g_test_add_func("/entry/cut/comments", test_comments);
+	g_test_add_func("/entry/cut/framing", test_framing);
+	g_test_add_func("/entry/cut/crlf", test_crlf);
 	g_test_add_func("/entry/cut/endless", test_endless);
 	g_test_add_func("/entry/cut/endless-comments", test_endless_comments);
 	return g_test_run();
