Tests: targets that are sockets of the test, as a module

The next tests of the own interface need targets that write any bytes, as test-foreign-answers.c has them. Moved to node/test-raw-targets.c; its serve function may now also close the connection.

--- a/node/test-foreign-answers.c
+++ b/node/test-foreign-answers.c
@@ -4,16 +4,12 @@
  * it runs at a second target, or an error's text passes for a whole stream.
  * The nodes are real processes, the targets sockets of this test.
  */
-#include <arpa/inet.h>
 #include <curl/curl.h>
-#include <netinet/tcp.h>
-#include <poll.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
-#include "node/test-harness.h"
+#include "node/test-raw-targets.h"
 
 #define TARGETS 2
 #define WORDS   3
@@ -59,35 +55,9 @@
 	 LATE_MS, false, false, false},
 };
 
-struct test_target {
-	int listener, port;
-	GThread *thread;
-};
-
-static struct test_target targets[TARGETS];
 static const struct answer_case *current; /* of requests of a test */
-static atomic_bool stop;
-static atomic_int threads; /* of connections */
-static atomic_int runs;    /* requests that have run */
-static atomic_int odd;     /* answers that were not plain */
-
-static void send_text(int fd, const char *text)
-{
-	(void)!send(fd, text, strlen(text), MSG_NOSIGNAL);
-}
-
-/* Copy a header's value; "" when there is none. */
-static char *copy_header(const char *request, const char *name)
-{
-	char *line = g_strdup_printf("\r\n%s: ", name);
-	const char *p = strcasestr(request, line);
-	char *value =
-		p ? g_strndup(p + strlen(line), strcspn(p + strlen(line), "\r"))
-		  : g_strdup("");
-
-	g_free(line);
-	return value;
-}
+static atomic_int runs;                   /* requests that have run */
+static atomic_int odd;                    /* answers that were not plain */
 
 /* Send the whole answer of a request from event 0 on. */
 static void send_answer(int fd, const char *id)
@@ -107,7 +77,7 @@
 			"Content-Type: text/event-stream\r\n"
 			"Content-Length: %zu\r\n\r\n%s",
 			id, body->len, body->str);
-	send_text(fd, text->str);
+	raw_send(fd, text->str);
 	g_string_free(body, TRUE);
 	g_string_free(text, TRUE);
 }
@@ -119,7 +89,7 @@
 				     "Content-Length: 3\r\n\r\nran",
 				     id);
 
-	send_text(fd, text);
+	raw_send(fd, text);
 	g_free(text);
 }
 
@@ -138,7 +108,7 @@
 	atomic_fetch_add(&odd, 1);
 	g_usleep((gulong)current->late_ms * 1000);
 	first = g_strdup_printf(current->first, id);
-	send_text(fd, first);
+	raw_send(fd, first);
 	g_free(first);
 	if (current->then_answer)
 		answer(fd, id);
@@ -147,113 +117,22 @@
 }
 
 /* Serve one request; chats and calls of a service run, no other does. */
-static void serve(int fd, const char *request, int on_connection)
+static bool serve(int fd, const char *request, int on_connection)
 {
-	char *id = copy_header(request, "Request-Id");
+	char *id = raw_header(request, "Request-Id");
 
 	if (g_str_has_prefix(request, "POST /v1/chat/"))
 		run(fd, id, on_connection, send_answer);
 	else if (strstr(request, " /app/"))
 		run(fd, id, on_connection, send_plain_answer);
 	else if (g_str_has_prefix(request, "GET /load"))
-		send_text(fd,
-			  "HTTP/1.1 200 OK\r\nContent-Length: 42\r\n\r\n"
-			  "{\"running\":0,\"queued\":0,\"work_tokens\":0}  ");
+		raw_send(fd,
+			 "HTTP/1.1 200 OK\r\nContent-Length: 42\r\n\r\n"
+			 "{\"running\":0,\"queued\":0,\"work_tokens\":0}  ");
 	else
-		send_text(fd, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
+		raw_send(fd, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
 	g_free(id);
-}
-
-/* Read a whole request; NULL at the end of the connection or of the test. */
-static char *read_request(int fd)
-{
-	GString *s = g_string_new(NULL);
-	struct pollfd p = {fd, POLLIN, 0};
-
-	while (!atomic_load(&stop)) {
-		char buf[4096];
-		char *end = strstr(s->str, "\r\n\r\n");
-		char *length = copy_header(s->str, "Content-Length");
-		gsize want =
-			end ? (gsize)(end + 4 - s->str) + (gsize)atoi(length)
-			    : G_MAXSIZE;
-		ssize_t n;
-
-		g_free(length);
-		if (s->len >= want)
-			return g_string_free(s, FALSE);
-		if (poll(&p, 1, 20) != 1)
-			continue;
-		n = recv(fd, buf, sizeof(buf), 0);
-		if (n <= 0)
-			break;
-		g_string_append_len(s, buf, n);
-	}
-	g_string_free(s, TRUE);
-	return NULL;
-}
-
-static void *connection_thread(void *arg)
-{
-	int fd = GPOINTER_TO_INT(arg), on = 1, n = 0;
-	char *request;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	while ((request = read_request(fd))) {
-		serve(fd, request, ++n);
-		g_free(request);
-	}
-	close(fd);
-	atomic_fetch_sub(&threads, 1);
-	return NULL;
-}
-
-static void *accept_thread(void *arg)
-{
-	struct test_target *t = arg;
-	struct pollfd p = {t->listener, POLLIN, 0};
-
-	while (!atomic_load(&stop)) {
-		int fd = poll(&p, 1, 20) == 1 ? accept(t->listener, NULL, NULL)
-					      : -1;
-
-		if (fd < 0)
-			continue;
-		atomic_fetch_add(&threads, 1);
-		g_thread_unref(g_thread_new("connection", connection_thread,
-					    GINT_TO_POINTER(fd)));
-	}
-	close(t->listener);
-	return NULL;
-}
-
-static void start_targets(void)
-{
-	atomic_store(&stop, false);
-	for (int i = 0; i < TARGETS; i++) {
-		struct sockaddr_in at = {.sin_family = AF_INET};
-		socklen_t len = sizeof(at);
-
-		at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		targets[i].listener =
-			socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		g_assert_cmpint(bind(targets[i].listener,
-				     (struct sockaddr *)&at, sizeof(at)),
-				==, 0);
-		g_assert_cmpint(listen(targets[i].listener, 64), ==, 0);
-		getsockname(targets[i].listener, (struct sockaddr *)&at, &len);
-		targets[i].port = ntohs(at.sin_port);
-		targets[i].thread =
-			g_thread_new("target", accept_thread, &targets[i]);
-	}
-}
-
-static void stop_targets(void)
-{
-	atomic_store(&stop, true);
-	for (int i = 0; i < TARGETS; i++)
-		g_thread_join(targets[i].thread);
-	WAIT_UNTIL(!atomic_load(&threads));
+	return true;
 }
 
 /* Start two nodes, so that one forwards to the other, and two targets. */
@@ -261,11 +140,7 @@
 {
 	struct rig *g = rig_new(TARGETS, 2, SETTINGS);
 
-	start_targets();
-	for (unsigned i = 0; i < TARGETS; i++) {
-		g->engines[i].advertised_port = targets[i].port;
-		g->services[i].advertised_port = targets[i].port;
-	}
+	raw_targets_start(g, serve);
 	rig_start(g);
 	return g;
 }
@@ -338,7 +213,7 @@
 	g_test_message("odd answers: %d", atomic_load(&odd));
 	current = NULL;
 	rig_free(g);
-	stop_targets();
+	raw_targets_stop();
 }
 
 /* The same of a service whose calls may (GET) or may not (POST) be repeated. */
@@ -380,7 +255,7 @@
 	}
 	current = NULL;
 	rig_free(g);
-	stop_targets();
+	raw_targets_stop();
 }
 
 int main(int argc, char **argv)
