A stream of the own interface does not take an error for its rest

After a stream broke off, callers got the text of an error as an event of the answer, or an end that looked complete after two of four events.

Cause: the rest of an answer was taken from any response with status 200 and the request's id. A JSON body, one with a Content-Encoding, or an event whose data is an error, a response's head or nothing at all passed as an answer, and a [DONE] behind it as its end. The node that forwards did the same.

A response must now be a stream by its headers (no type counts as one), and an event a JSON object with choices, as docs/CONTRACTS.md says of every event. Anything else is handled as a lost answer: the rest is asked for again, then the request runs elsewhere if its service allows it.

Ruled out, as no row failed before: an error status (204 to 504) with or without a body, a reset, a cut chunk or length, events out of order, an error event without an id, and the body of an error behind an open stream.

--- a/http/call.c
+++ b/http/call.c
@@ -269,6 +269,17 @@
 	return !connects;
 }
 
+bool http_call_is_event_stream(const struct http_call *c)
+{
+	static const char name[] = "text/event-stream";
+	const char *type = http_call_header(c, "Content-Type");
+
+	if (http_call_header(c, "Content-Encoding"))
+		return false;
+	return !type || (!g_ascii_strncasecmp(type, name, strlen(name)) &&
+			 strchr("; \t", type[strlen(name)]));
+}
+
 void http_call_close(struct http_call *c)
 {
 	/* Closes the connection unless the response was complete. */
--- a/http/http.h
+++ b/http/http.h
@@ -199,6 +199,11 @@
  */
 bool http_call_is_foreign(const struct http_call *c, const char *header,
 			  struct str id);
+/*
+ * Return whether the body can be read as server-sent events: the headers name
+ * no other type and no encoding.
+ */
+bool http_call_is_event_stream(const struct http_call *c);
 /*
  * End the call and free it. Its connection goes back to the pool only if the
  * response was complete.
--- a/node/forward.c
+++ b/node/forward.c
@@ -231,7 +231,8 @@
 	const char *id = http_call_header(fr->http_call, "Request-Id");
 
 	return http_call_status(fr->http_call) == 200 &&
-	       !g_strcmp0(id, fr->request_id);
+	       !g_strcmp0(id, fr->request_id) &&
+	       http_call_is_event_stream(fr->http_call);
 }
 
 static ssize_t read_forwarded(void *ctx, uint64_t off, char *buf, size_t max)
--- a/node/relay.c
+++ b/node/relay.c
@@ -270,7 +270,8 @@
 {
 	int status = http_call_status(rl->http_call);
 
-	if (status == 200 && answers_this_request(rl)) {
+	if (status == 200 && answers_this_request(rl) &&
+	    http_call_is_event_stream(rl->http_call)) {
 		observe_status(rl, status);
 		rl->responded = true;
 		return RAMP_OK;
@@ -302,12 +303,31 @@
 	return end == id.data + id.len;
 }
 
-/* Hash an event from "choices" on; the fields before differ between targets. */
+/* Return where the choices of a chunk begin, or NULL if it has none. */
+static const char *find_choices(struct str data)
+{
+	static const char name[] = "\"choices\"";
+
+	return data.len ? memmem(data.data, data.len, name, sizeof(name) - 1)
+			: NULL;
+}
+
+/*
+ * Whether an event holds a chunk. An engine that fails may write its error as
+ * an event, and a server in front of it a response into the open event.
+ */
+static bool is_chunk(struct str data)
+{
+	return find_choices(data) && data.data[0] == '{' &&
+	       data.data[data.len - 1] == '}';
+}
+
+/*
+ * Hash a chunk from its choices on; the fields before differ between targets.
+ */
 static uint64_t hash_event(struct str data, uint64_t seed)
 {
-	static const char start[] = "\"choices\"";
-	const char *s = memmem(data.data, data.len, start, sizeof(start) - 1);
-	size_t skip = s ? (size_t)(s - data.data) : 0;
+	size_t skip = (size_t)(find_choices(data) - data.data);
 
 	return str_hash((struct str){data.data + skip, data.len - skip}, seed);
 }
@@ -316,7 +336,8 @@
 	RECEIVED_NONE,      /* no complete event yet */
 	RECEIVED_EVENT,     /* an event to deliver, or the end */
 	RECEIVED_DUPLICATE, /* an event that was already delivered */
-	RECEIVED_INVALID,   /* of another request, or after a gap */
+	/* Of another request, after a gap, or no chunk of an answer. */
+	RECEIVED_INVALID,
 };
 
 /*
@@ -369,7 +390,8 @@
 			record_begin(rl);
 		return rl->ended ? RECEIVED_EVENT : RECEIVED_DUPLICATE;
 	}
-	if (!parse_event_id(rl, e->id, &number) || number > rl->receive_pos)
+	if (!parse_event_id(rl, e->id, &number) || number > rl->receive_pos ||
+	    !is_chunk(e->data))
 		return RECEIVED_INVALID;
 	return number < rl->receive_pos ? RECEIVED_DUPLICATE
 					: accept_event(rl, e);
