A planned stop resets no connection that is being established

Cause: close_callers_port accepted what waited and then closed the listener. A connection that is established between the two is reset by the close.

Ruled out: connections closed as idle because their request came later than 500 ms: all of them sent within 1 ms of connecting.

Change: the listener first ignores packets that begin a connection (a socket filter), and is closed 250 ms later, after a last accept. Connections that are half established get through in that time, also if one packet is lost. A caller that begins to connect in these 250 ms sends its packet again after 1 s and is refused then. If the filter can't be set, the stop works as before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -24,13 +24,16 @@
 #define CONFIG_VALID_PART 0.9
 /*
  * Graceful shutdown after SIGTERM. First callers get time to detect it. Then
- * idle connections are closed, and a little later new connections are refused,
- * as their requests could not end before SIGKILL. The process exits some time
- * before the grace period ends.
+ * idle connections are closed, and a little later new requests are refused, as
+ * they could not end before SIGKILL. From then on no connection is begun; those
+ * that are being established have LEAVE_HANDSHAKE_MS, in which a lost packet is
+ * sent again once, until the port is closed. The process exits some time before
+ * the grace period ends.
  */
 #define LEAVE_CLOSE_IDLE_MS   1000
 #define LEAVE_ACCEPT_MS       2500
 #define LEAVE_ACCEPT_MAX_PART 0.33 /* of the grace period */
+#define LEAVE_HANDSHAKE_MS    250
 #define LEAVE_MARGIN_MS       300
 
 /* Whether the configuration was confirmed within part x the revoke limit. */
@@ -184,13 +187,24 @@
 	p->fd = -1;
 }
 
-/* Accept what waits in the backlog, which the close would reset, and close. */
-static void close_callers_port(struct traffic *tr)
+/*
+ * Refuse new connections in two steps. The close of a listener resets every
+ * connection that is established and not accepted yet, so none may become so
+ * between the last accept and the close.
+ */
+static void close_callers_port(struct traffic *tr, int64_t now_ms)
 {
 	struct port *p = &tr->ports[PORT_CALLERS];
 
-	if (p->fd > 0)
-		caller_accept(p);
+	if (p->fd <= 0)
+		return;
+	if (!tr->close_at_ms) {
+		sock_ignore_new(p->fd);
+		tr->close_at_ms = now_ms + LEAVE_HANDSHAKE_MS;
+	}
+	if (now_ms < tr->close_at_ms)
+		return;
+	caller_accept(p);
 	close_port(tr, PORT_CALLERS);
 }
 
@@ -202,9 +216,9 @@
 	if (now_ms - tr->leaving_ms >= LEAVE_CLOSE_IDLE_MS)
 		callers_close_idle(tr);
 	if (now_ms >= tr->refuse_at_ms)
-		close_callers_port(tr);
+		close_callers_port(tr, now_ms);
 	if (now_ms >= tr->stop_at_ms ||
-	    (now_ms >= tr->refuse_at_ms && !tr->exchanges &&
+	    (tr->ports[PORT_CALLERS].fd < 0 && !tr->exchanges &&
 	     !callers_busy(tr) && !tr->tunnels->head))
 		ev_break(tr->loop, EVBREAK_ALL);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -358,6 +358,12 @@
 int sock_connect(const struct sockaddr_in *to);
 /* Accept a connection. Return a descriptor, or -1 when there is none. */
 int sock_accept(int fd);
+/*
+ * Ignore packets that begin a new connection to a listener; those on their way
+ * are still established. Callers send such a packet again after a second, and
+ * are refused if the listener has been closed by then.
+ */
+void sock_ignore_new(int fd);
 /*
  * Whether the peer has closed or reset the connection and all that it sent
  * before has been received.
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -145,6 +145,7 @@
 	int64_t awake_ms;     /* last sign that this thread runs */
 	int64_t leaving_ms;   /* when SIGTERM arrived; 0: not leaving */
 	int64_t refuse_at_ms; /* new requests are refused from then on */
+	int64_t close_at_ms;  /* of the callers' port; 0: it takes new ones */
 	int64_t stop_at_ms;   /* the process ends by then */
 };
 
--- a/entry/sock.c
+++ b/entry/sock.c
@@ -1,6 +1,7 @@
 /* Opens non-blocking TCP sockets, set to detect a dead peer within seconds. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -19,6 +20,10 @@
 #define KEEPALIVE_IDLE_S     1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
+/* The flags in a TCP header that begin a connection, and their offset. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_SYN          0x02
+#define TCP_ACK          0x10
 
 static void set_option(int fd, int level, int name, int value)
 {
@@ -101,6 +106,23 @@
 	return conn;
 }
 
+void sock_ignore_new(int fd)
+{
+	/* A listener's filter sees each packet from its TCP header on. */
+	struct sock_filter drop_syn[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TCP_SYN | TCP_ACK),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = {G_N_ELEMENTS(drop_syn), drop_syn};
+
+	/* Without it the listener takes connections until it is closed. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+			 sizeof(program));
+}
+
 bool sock_peer_has_closed(int fd)
 {
 	char byte;
