Timers act after what came in while the process was stopped

A node that goes on after a stop answers requests with 504 whose responses are there, counts connections that are established as refused, and lets requests act on the view before the one that waits to be taken.

Priorities of watchers order one turn only.

A loop that has not turned for 200 ms polls once more before it invokes its callbacks, so that all of them are ordered by their priorities. The traffic loop turns every 100 ms and the control loop every 50 ms at least, so this costs a system call only after a pause.

--- a/entry/loop.c
+++ b/entry/loop.c
@@ -1,11 +1,19 @@
 /* Helpers for a libev loop: deferred frees and one-shot timers. */
 #include "entry/internal.h"
 
-/* The objects to free before the loop next blocks; the loop's user data. */
+/* A loop that has not turned for so long was paused, or had nothing to do. */
+#define PAUSED_MS 200
+
+/*
+ * The objects to free before the loop next blocks, and what it takes to notice
+ * a pause; the loop's user data.
+ */
 struct deferred_frees {
 	struct ev_loop *loop;
 	ev_prepare prepare;
-	GQueue *items; /* struct deferred_free */
+	GQueue *items;     /* struct deferred_free */
+	int64_t turned_ms; /* when it last invoked its callbacks */
+	bool polling;      /* once more; see invoke_pending */
 };
 
 struct deferred_free {
@@ -30,6 +38,26 @@
 	free_all(w->data);
 }
 
+/*
+ * Linux interrupts the loop's wait when a stopped process goes on: it sees that
+ * time has passed, but no input. Such a loop polls once more, so that timers
+ * act after what came in meanwhile, by their priorities.
+ */
+static void invoke_pending(struct ev_loop *loop)
+{
+	struct deferred_frees *d = ev_userdata(loop);
+
+	if (d->polling)
+		return;
+	if (time_boot_ms() - d->turned_ms > PAUSED_MS) {
+		d->polling = true;
+		ev_run(loop, EVRUN_NOWAIT);
+		d->polling = false;
+	}
+	d->turned_ms = time_boot_ms();
+	ev_invoke_pending(loop);
+}
+
 void defer_init(struct ev_loop *loop)
 {
 	struct deferred_frees *d = g_new0(struct deferred_frees, 1);
@@ -42,12 +70,15 @@
 	/* This watcher must not keep the loop running. */
 	ev_unref(loop);
 	ev_set_userdata(loop, d);
+	d->turned_ms = time_boot_ms();
+	ev_set_invoke_pending_cb(loop, invoke_pending);
 }
 
 void defer_fini(struct ev_loop *loop)
 {
 	struct deferred_frees *d = ev_userdata(loop);
 
+	ev_set_invoke_pending_cb(loop, ev_invoke_pending);
 	free_all(d);
 	ev_ref(loop);
 	ev_prepare_stop(loop, &d->prepare);
