--- a/entry/entry.c
+++ b/entry/entry.c
@@ -26,14 +26,13 @@
  * Graceful shutdown after SIGTERM. First callers get time to detect it. Then
  * idle connections are closed, and a little later new requests are refused, as
  * they could not end before SIGKILL. From then on no connection is begun; those
- * that are being established have LEAVE_HANDSHAKE_MS, in which a lost packet is
- * sent again once, until the port is closed. The process exits some time before
- * the grace period ends.
+ * that are being established have LEAVE_HANDSHAKE_MS until the port is closed.
+ * The process exits some time before the grace period ends.
  */
 #define LEAVE_CLOSE_IDLE_MS   1000
 #define LEAVE_ACCEPT_MS       2500
 #define LEAVE_ACCEPT_MAX_PART 0.33 /* of the grace period */
-#define LEAVE_HANDSHAKE_MS    250
+#define LEAVE_HANDSHAKE_MS    50
 #define LEAVE_MARGIN_MS       300
 
 /*
