The log of a send has the age of the list that it used, and until when it held

From a request's id the log was to say how old the list was by which it was sent. list_age_ms and list_from were those of the newest list of the control thread: in a soak run a line said list_age_ms=562 list_wait_ms=1 for a send by a list of some 8,135 ms, which the traffic thread had not replaced yet (found by the review). And nothing said that the use of a list had been extended while the store gave no answer.

No decision changes.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -71,8 +71,10 @@
 
 void entry_confirm_targets(struct entry *e, int64_t at_ms, uint64_t from)
 {
-	atomic_store(&e->targets_fresh_from, from);
-	atomic_store(&e->targets_fresh_ms, at_ms);
+	if (!e->list)
+		return;
+	atomic_store(&e->list->fresh_from, from);
+	atomic_store(&e->list->fresh_ms, at_ms);
 }
 
 void entry_publish_config(struct entry *e, struct entry_config *c)
@@ -96,6 +98,11 @@
 
 	/* First, so that no stream begins at a version that is not known. */
 	origins_set_targets(e->origins, l, time_boot_ms());
+	/* It has all that the one before had then. */
+	if (e->list) {
+		atomic_store(&l->fresh_from, atomic_load(&e->list->fresh_from));
+		atomic_store(&l->fresh_ms, atomic_load(&e->list->fresh_ms));
+	}
 	g_mutex_lock(&e->lock);
 	old = e->list;
 	e->list = l;
@@ -256,9 +263,9 @@
 	warmups_tick(tr, now);
 	ways_probe(tr, now);
 	update_serving(tr, now);
-	if (atomic_load(&tr->e->targets_fresh_ms))
+	if (tr->list && atomic_load(&tr->list->fresh_ms))
 		metric_set(M_LIST_AGE_MS,
-			   now - atomic_load(&tr->e->targets_fresh_ms));
+			   now - atomic_load(&tr->list->fresh_ms));
 	stop_if_done(tr, now);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -142,6 +142,9 @@
 	 * list-deadline.h. The control thread moves it on.
 	 */
 	atomic_int_least64_t until_ms;
+	/* It was the store's newest then, and who said so; for the log. */
+	atomic_int_least64_t fresh_ms;
+	atomic_uint_least64_t fresh_from;
 	void *arena;
 	struct target_info *v;
 	size_t n;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -30,6 +30,7 @@
 	struct target_source row;
 	int64_t row_age_ms;   /* since that was noticed */
 	int64_t list_age_ms;  /* since the list was the newest; -1: not known */
+	int64_t list_left_ms; /* until it must not be used; -1: no list */
 	int64_t list_wait_ms; /* for which a newer list was not taken; 0 */
 	uint64_t list_from;   /* who said that it was; see source_name */
 };
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -183,9 +183,6 @@
 
 	/* Of the published configuration; see entry_confirm_config. */
 	atomic_int_least64_t config_fresh_ms;
-	/* For the log and the metrics only; see entry_confirm_targets. */
-	atomic_int_least64_t targets_fresh_ms;
-	atomic_uint_least64_t targets_fresh_from;
 	/*
 	 * When the oldest list was published that the traffic thread has not
 	 * taken; 0: it has the newest one. Set under the lock.
--- a/entry/request-log.c
+++ b/entry/request-log.c
@@ -8,15 +8,17 @@
 	struct entry *e = x->tr->e;
 	struct target_source row = x->target->info.source;
 	int64_t now = time_boot_ms();
-	int64_t fresh_ms = atomic_load(&e->targets_fresh_ms);
+	struct target_list *l = x->tr->list;
+	int64_t fresh_ms = l ? atomic_load(&l->fresh_ms) : 0;
 	int64_t waits_since_ms = atomic_load(&e->list_waits_since_ms);
 
 	x->basis = (struct send_basis){
 		.row = row,
 		.row_age_ms = now - row.noticed_ms,
 		.list_age_ms = fresh_ms ? now - fresh_ms : -1,
+		.list_left_ms = l ? atomic_load(&l->until_ms) - now : -1,
 		.list_wait_ms = waits_since_ms ? now - waits_since_ms : 0,
-		.list_from = atomic_load(&e->targets_fresh_from),
+		.list_from = l ? atomic_load(&l->fresh_from) : 0,
 	};
 	/* On a new connection this is not the send yet. */
 	if (x->link && link_connected(x->link))
@@ -29,14 +31,14 @@
 
 	if (!x->attempts)
 		return "row=0 row_from=- row_age_ms=-1 list_age_ms=-1 "
-		       "list_from=- list_wait_ms=-1";
+		       "list_left_ms=-1 list_from=- list_wait_ms=-1";
 	return talloc_asprintf(
 		x->arena,
 		"row=%" G_GINT64_FORMAT " row_from=%s row_age_ms=%d "
-		"list_age_ms=%d list_from=%s list_wait_ms=%d",
+		"list_age_ms=%d list_left_ms=%d list_from=%s list_wait_ms=%d",
 		b->row.revision, source_name(b->row.node).s, (int)b->row_age_ms,
-		(int)b->list_age_ms, source_name(b->list_from).s,
-		(int)b->list_wait_ms);
+		(int)b->list_age_ms, (int)b->list_left_ms,
+		source_name(b->list_from).s, (int)b->list_wait_ms);
 }
 
 void exchange_log_end(const struct exchange *x, int status, const char *how)
--- a/entry/test-list-bound.c
+++ b/entry/test-list-bound.c
@@ -275,6 +275,28 @@
 	check_key(true);
 }
 
+/* The age in the log of a send is that of another list than the one in use. */
+static void test_log_older_list(void)
+{
+	struct ev_loop *loop = virtual_loop();
+	struct node *n = node_new(loop, true, 4000, 1);
+	struct target_list *taken;
+	int64_t fresh_ms;
+
+	step_for(loop, 1000);
+	taken = target_list_ref(n->e.list);
+	fresh_ms = atomic_load(&taken->fresh_ms);
+	g_assert_cmpint(fresh_ms, >, VIRTUAL_START_MS);
+	store.target = NULL;
+	store.revision++;
+	step_for(loop, 2000);
+	g_assert_true(n->e.list != taken);
+	g_assert_cmpint(atomic_load(&taken->fresh_ms), <, fresh_ms + 1000);
+	g_assert_cmpint(atomic_load(&n->e.list->fresh_ms), >, fresh_ms + 1000);
+	target_list_unref(taken);
+	node_end(n, loop);
+}
+
 /*
  * One read of the targets is answered late, by a machine that is busy, and the
  * list of a target that has left meanwhile is used beyond the drain time.
@@ -504,6 +526,8 @@
 			test_key_same_config);
 	g_test_add_func("/entry/list-bound/key-older-config",
 			test_key_older_config);
+	g_test_add_func("/entry/list-bound/log-older-list",
+			test_log_older_list);
 	g_test_add_func("/entry/list-bound/late-answer-500",
 			test_late_answer_500);
 	g_test_add_func("/entry/list-bound/late-answer-2000",
