Instances that can't be reached or named are not taken from the list

An instance whose address has no port, port 0, -1 or 65536, or a sign, space or path in it became a target that gets attempts of callers. A node with a text of more than 64 bytes can't be encoded in a message between nodes, so any message that should name it was lost.

Such an instance is skipped now; those before and behind it are used.

--- a/node/config-sync.c
+++ b/node/config-sync.c
@@ -162,9 +162,10 @@
 static void on_peer_answer(const struct fetch_result *r, void *arg)
 {
 	struct peer_call *a = arg;
-	json_t *j = r->status == 200
-			    ? json_loadb(r->body.data, r->body.len, 0, NULL)
-			    : NULL;
+	size_t dropped;
+	json_t *j = r->status == 200 ? json_load_readable(r->body.data,
+							  r->body.len, &dropped)
+				     : NULL;
 
 	a->done(j, a->arg);
 	json_decref(j);
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -34,6 +34,48 @@
 	return s ? s : "";
 }
 
+/* Return whether an address has a host and a port to connect to. */
+static bool is_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	uint64_t port;
+
+	if (!colon || colon == text || strpbrk(text, "/?#@ \t\r\n"))
+		return false;
+	return g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16, &port,
+					  NULL);
+}
+
+/* Return whether the texts of a node fit into the messages between nodes. */
+static bool fits_messages(const json_t *j)
+{
+	static const char *const names[] = {"name", "address", "control",
+					    "zone", "region"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (strlen(string_or_empty(j, names[i])) >
+		    MEMBER_TEXT_MAX_BYTES)
+			return false;
+	}
+	return true;
+}
+
+static bool is_node(const json_t *j)
+{
+	return !strcmp(string_or_empty(j, "role"), "node");
+}
+
+/* Return whether an instance can be used; one that can't is skipped. */
+static bool is_usable(const json_t *j)
+{
+	const char *control = string_or_empty(j, "control");
+
+	return *string_or_empty(j, "name") &&
+	       is_address(string_or_empty(j, "address")) &&
+	       (!*control || is_address(control)) &&
+	       (!is_node(j) || fits_messages(j));
+}
+
 static void add_target(struct fleet *f, const json_t *j)
 {
 	struct target *t = g_new0(struct target, 1);
@@ -122,10 +164,9 @@
 	json_t *j;
 
 	json_array_foreach (instances, i, j) {
-		if (!*string_or_empty(j, "name") ||
-		    !*string_or_empty(j, "address"))
+		if (!is_usable(j))
 			continue;
-		if (!strcmp(string_or_empty(j, "role"), "node"))
+		if (is_node(j))
 			add_peer(f, j);
 		else
 			add_target(f, j);
--- a/node/platform-http.c
+++ b/node/platform-http.c
@@ -34,8 +34,10 @@
 	struct call *c = arg;
 	struct plat_result p = {.status = status_from_result(r),
 				.bytes = r->body};
-	json_t *j = json_loadb(r->body.data ? r->body.data : "", r->body.len, 0,
-			       NULL);
+	size_t dropped;
+	/* A row that can't be decoded must not hide the others. */
+	json_t *j = json_load_readable(r->body.data ? r->body.data : "",
+				       r->body.len, &dropped);
 
 	p.json = j;
 	if (p.status != PLAT_OK && p.status != PLAT_CONFLICT &&
--- a/node/test-raw-targets.c
+++ b/node/test-raw-targets.c
@@ -13,12 +13,17 @@
 
 struct raw_target {
 	int listener;
+	raw_serve_fn *serve;
 	GThread *thread;
 };
 
-static struct raw_target targets[RIG_PROCS_MAX];
+struct connection {
+	int fd;
+	raw_serve_fn *serve;
+};
+
+static struct raw_target targets[RIG_PROCS_MAX + 1];
 static unsigned target_count;
-static raw_serve_fn *serve;
 static atomic_bool stop;
 static atomic_int threads; /* of connections */
 
@@ -83,16 +88,18 @@
 
 static void *connection_thread(void *arg)
 {
-	int fd = GPOINTER_TO_INT(arg), on = 1, n = 0;
+	struct connection *c = arg;
+	int fd = c->fd, on = 1, n = 0;
 	bool open = true;
 	char *request;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	while (open && (request = read_request(fd))) {
-		open = serve(fd, request, ++n);
+		open = c->serve(fd, request, ++n);
 		g_free(request);
 	}
 	close(fd);
+	g_free(c);
 	atomic_fetch_sub(&threads, 1);
 	return NULL;
 }
@@ -106,23 +113,30 @@
 		int fd = poll(&p, 1, POLL_MS) == 1
 				 ? accept(t->listener, NULL, NULL)
 				 : -1;
+		struct connection *c;
 
 		if (fd < 0)
 			continue;
+		c = g_new(struct connection, 1);
+		*c = (struct connection){fd, t->serve};
 		atomic_fetch_add(&threads, 1);
-		g_thread_unref(g_thread_new("connection", connection_thread,
-					    GINT_TO_POINTER(fd)));
+		g_thread_unref(
+			g_thread_new("connection", connection_thread, c));
 	}
 	close(t->listener);
 	return NULL;
 }
 
-/* Listen on a free port and return it. */
-static int start_target(struct raw_target *t)
+int raw_server_start(raw_serve_fn *serve)
 {
 	struct sockaddr_in at = {.sin_family = AF_INET};
 	socklen_t len = sizeof(at);
+	struct raw_target *t = &targets[target_count];
 
+	g_assert_cmpuint(target_count, <, G_N_ELEMENTS(targets));
+	if (!target_count++)
+		atomic_store(&stop, false);
+	t->serve = serve;
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	t->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	g_assert_cmpint(bind(t->listener, (struct sockaddr *)&at, sizeof(at)),
@@ -133,13 +147,10 @@
 	return ntohs(at.sin_port);
 }
 
-void raw_targets_start(struct rig *g, raw_serve_fn *fn)
+void raw_targets_start(struct rig *g, raw_serve_fn *serve)
 {
-	atomic_store(&stop, false);
-	serve = fn;
-	target_count = g->engine_count;
-	for (unsigned i = 0; i < target_count; i++) {
-		int port = start_target(&targets[i]);
+	for (unsigned i = 0; i < g->engine_count; i++) {
+		int port = raw_server_start(serve);
 
 		g->engines[i].advertised_port = port;
 		if (i < g->service_count)
@@ -152,5 +163,6 @@
 	atomic_store(&stop, true);
 	for (unsigned i = 0; i < target_count; i++)
 		g_thread_join(targets[i].thread);
+	target_count = 0;
 	WAIT_UNTIL(!atomic_load(&threads));
 }
--- a/node/test-raw-targets.h
+++ b/node/test-raw-targets.h
@@ -16,6 +16,8 @@
  */
 typedef bool raw_serve_fn(int fd, const char *request, int on_connection);
 
+/* Start one server on a free port, and return the port. */
+int raw_server_start(raw_serve_fn *serve);
 /* Start the targets of a rig and put them in the place of its stand-ins. */
 void raw_targets_start(struct rig *g, raw_serve_fn *serve);
 /* Close all connections and join the threads; call after rig_free. */
--- a/state/learn.c
+++ b/state/learn.c
@@ -13,6 +13,12 @@
 
 static void start_read(struct learner *l);
 
+/* Return the key of a change's row; free with g_free. */
+static char *change_key(int64_t revision)
+{
+	return g_strdup_printf(CHANGE_PREFIX "%020" G_GINT64_FORMAT, revision);
+}
+
 /* Return whether all peers asked at the start have answered or failed. */
 static bool have_start_peers_answered(const struct learner *l)
 {
@@ -49,6 +55,7 @@
 }
 
 static void read_changes(struct learner *l);
+static void scan_changes(struct learner *l, const char *after);
 static void read_head(struct learner *l);
 
 static bool check_answer(struct learner *l, const struct plat_result *r)
@@ -64,39 +71,91 @@
 	return false;
 }
 
+/* Return the revision that the key of a change's row names, or 0. */
+static int64_t change_key_revision(const char *key)
+{
+	char *canonical;
+	int64_t n;
+	bool ok;
+
+	if (!key || !g_str_has_prefix(key, CHANGE_PREFIX))
+		return 0;
+	n = g_ascii_strtoll(key + strlen(CHANGE_PREFIX), NULL, 10);
+	canonical = change_key(n);
+	ok = !strcmp(key, canonical);
+	g_free(canonical);
+	return ok && n > 0 ? n : 0;
+}
+
+/*
+ * Apply the change of a row of the table. Rows that are no changes are skipped.
+ * Return false if there is a gap before it or it can't be read.
+ */
+static bool apply_change_row(struct learner *l, const json_t *row)
+{
+	const char *key = json_string_value(json_object_get(row, "key"));
+	json_t *change = json_object_get(row, "value");
+	int64_t n = change_key_revision(key);
+
+	if (!n || n <= l->current.revision)
+		return true;
+	if (learn_get_int(change, "revision") == n)
+		return learn_apply_change(l, change);
+	l->ops.report_invalid_row(l->ops.ctx, "change can not be read");
+	return false;
+}
+
+/*
+ * The table has no more changes at that revision of it than were applied. A
+ * stale list may lack changes that the rows of a full read have.
+ */
+static void end_changes(struct learner *l, int64_t table_revision)
+{
+	if (table_revision >= l->consistent_from)
+		l->consistent = true;
+	l->confirmed = true;
+	end_read(l, true);
+	publish(l);
+}
+
 static void on_changes(const struct plat_result *r, void *arg)
 {
 	struct learner *l = arg;
+	const char *last_key = NULL;
 	size_t i;
 	json_t *row;
 
 	if (!check_answer(l, r))
 		return;
 	json_array_foreach (json_object_get(r->json, "rows"), i, row) {
-		if (!learn_apply_change(l, json_object_get(row, "value"))) {
+		const char *key =
+			json_string_value(json_object_get(row, "key"));
+
+		if (!apply_change_row(l, row)) {
 			read_head(l);
 			return;
 		}
+		last_key = key ? key : last_key;
 	}
-	if (json_is_true(json_object_get(r->json, "more"))) {
-		read_changes(l);
-		return;
-	}
-	/* A stale list may lack changes that the rows of a full read have. */
-	if (learn_get_int(r->json, "revision") >= l->consistent_from)
-		l->consistent = true;
-	l->confirmed = true;
-	end_read(l, true);
-	publish(l);
+	if (!json_is_true(json_object_get(r->json, "more")))
+		end_changes(l, learn_get_int(r->json, "revision"));
+	else if (last_key)
+		scan_changes(l, last_key);
+	else
+		end_read(l, false);
 }
 
-static void read_changes(struct learner *l)
+static void scan_changes(struct learner *l, const char *after)
 {
-	char *after = g_strdup_printf(CHANGE_PREFIX "%020" G_GINT64_FORMAT,
-				      l->current.revision);
-
 	l->ops.plat->scan(l->ops.plat->ctx, CHANGE_PREFIX, after, on_changes,
 			  l);
+}
+
+static void read_changes(struct learner *l)
+{
+	char *after = change_key(l->current.revision);
+
+	scan_changes(l, after);
 	g_free(after);
 }
 
@@ -121,7 +180,8 @@
 	struct learner *l = arg;
 	json_t *rows = json_object_get(r->json, "rows");
 	int64_t page_revision = learn_get_int(r->json, "revision");
-	const char *key = NULL;
+	const char *last_key = NULL;
+	bool more = json_is_true(json_object_get(r->json, "more"));
 	size_t i;
 	json_t *row;
 
@@ -134,34 +194,67 @@
 	}
 	l->full_read_newest = MAX(l->full_read_newest, page_revision);
 	json_array_foreach (rows, i, row) {
-		key = json_string_value(json_object_get(row, "key"));
-		json_object_set(l->full_read.rows, key,
-				json_object_get(row, "value"));
+		const char *key =
+			json_string_value(json_object_get(row, "key"));
+		json_t *value = json_object_get(row, "value");
+
+		if (!key)
+			continue;
+		last_key = key;
+		/* The last valid value of an unreadable row stays in force. */
+		json_object_set_new(l->full_read.rows, key,
+				    value ? json_incref(value) : json_null());
 	}
-	if (json_is_true(json_object_get(r->json, "more")) && key)
-		l->ops.plat->scan(l->ops.plat->ctx, "res/", key, on_rows, l);
+	if (more && last_key)
+		l->ops.plat->scan(l->ops.plat->ctx, "res/", last_key, on_rows,
+				  l);
+	else if (more)
+		end_read(l, false);
 	else
 		end_full_read(l);
 }
 
+/*
+ * Return the configuration's revision in the head's row: 0 if there is none, -1
+ * if it can't be read. Each change is a transaction, so it can't be newer than
+ * the table's revision.
+ */
+static int64_t head_revision(const json_t *head)
+{
+	const json_t *revision =
+		json_object_get(json_object_get(head, "value"), "revision");
+	int64_t n = json_integer_value(revision);
+
+	if (!head)
+		return 0;
+	return json_is_integer(revision) && n >= 0 &&
+			       n <= learn_get_int(head, "version")
+		       ? n
+		       : -1;
+}
+
 static void on_head(const struct plat_result *r, void *arg)
 {
 	struct learner *l = arg;
 	json_t *head = json_array_get(json_object_get(r->json, "rows"), 0);
+	int64_t revision;
 
 	if (!check_answer(l, r))
 		return;
+	revision = head_revision(head);
 	snapshot_clear(&l->full_read);
-	l->full_read.revision =
-		learn_get_int(json_object_get(head, "value"), "revision");
+	l->full_read.revision = MAX(revision, 0);
 	l->full_read.rows = json_object();
 	l->full_read.last_valid = json_object();
 	l->full_read_head = learn_get_int(head, "version");
 	l->full_read_newest = 0;
-	if (l->full_read.revision <= l->current.revision)
-		end_read(l, true);
-	else
+	if (l->full_read.revision > l->current.revision)
 		l->ops.plat->scan(l->ops.plat->ctx, "res/", NULL, on_rows, l);
+	else if (revision >= 0)
+		/* What follows in the list is no change of the rows. */
+		end_changes(l, learn_get_int(r->json, "revision"));
+	else
+		end_read(l, true);
 }
 
 /*
