--- a/node/test-odd-rows.c
+++ b/node/test-odd-rows.c
@@ -12,6 +12,8 @@
 
 /* In a stored row this text stands for the odd one. */
 #define ODD       "\"@odd@\""
+#define FUZZ_SEED 20261205
+#define FUZZ_ROWS 60
 #define LONG_TEXT 300000
 
 static struct rig *rig;
@@ -330,6 +332,135 @@
 	stop_rig();
 }
 
+/* The list: an engine, the odd instance, the nodes and another engine. */
+static void publish_around(const char *instance, const char *pool)
+{
+	char *list = g_strdup_printf(
+		"[{\"name\":\"e1\",\"role\":\"engine\",\"pool\":\"llm\","
+		"\"address\":\"127.0.0.1:%d\"},%s,"
+		"{\"name\":\"n1\",\"role\":\"node\",\"zone\":\"a\","
+		"\"address\":\"127.0.0.1:%d\"},"
+		"{\"name\":\"n2\",\"role\":\"node\",\"zone\":\"a\","
+		"\"address\":\"127.0.0.1:%d\"},"
+		"{\"name\":\"e2\",\"role\":\"engine\",\"pool\":\"%s\","
+		"\"address\":\"127.0.0.1:%d\"}]",
+		rig->engines[0].port, instance, rig->nodes[0].port,
+		rig->nodes[1].port, pool, rig->engines[1].port);
+
+	call_platform("PUT", "/standin/instances", list);
+	g_free(list);
+}
+
+/* Instances of which the odd text is a part. */
+static const char *const odd_instances[] = {
+	ODD,
+	"{\"name\":" ODD ",\"role\":\"engine\",\"pool\":\"llm\","
+	"\"address\":\"127.0.0.1:1\"}",
+	"{\"name\":\"x\",\"role\":" ODD ",\"pool\":\"other\","
+	"\"address\":\"127.0.0.1:1\"}",
+	"{\"name\":\"x\",\"role\":\"engine\",\"pool\":" ODD ","
+	"\"address\":\"127.0.0.1:1\"}",
+	"{\"name\":\"x\",\"role\":\"engine\",\"pool\":\"llm\","
+	"\"address\":" ODD "}",
+	"{\"name\":\"x\",\"role\":\"node\",\"address\":" ODD "}",
+	"{\"name\":" ODD ",\"role\":\"node\",\"zone\":" ODD ","
+	"\"region\":" ODD ",\"address\":\"127.0.0.1:1\"}",
+	"{\"name\":\"x\",\"role\":\"node\",\"address\":\"127.0.0.1:1\","
+	"\"control\":" ODD "}",
+};
+
+/* What is listed before and behind an odd instance comes into force. */
+static void test_instances(void)
+{
+	start_rig();
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_instances); i++) {
+		for (size_t k = 0; k < G_N_ELEMENTS(odd_texts); k++) {
+			char *name = g_strdup_printf("late-%zu-%zu", i, k);
+
+			g_test_message("%s: %s", odd_instances[i],
+				       odd_texts[k]);
+			set_odd(odd_texts[k]);
+			commit_sound(name, name);
+			publish_around(odd_instances[i], name);
+			wait_served("assistant", name);
+			g_free(name);
+		}
+	}
+	stop_rig();
+}
+
+/* Append a random value whose fields are those that readers look for. */
+static void append_random(GString *s, GRand *rand, int levels)
+{
+	static const char *const fields[] = {
+		"spec",    "revision", "generation", "kind",   "name",
+		"is",      "pool",     "keys",       "weight", "targets",
+		"service", "address",  "control",    "role",   "state",
+		"zone",    "region",   "version",    "id",     "idempotent"};
+	static const char *const leaves[] = {
+		"\"llm\"", "\"model\"", "\"node\"", "\"service\"", "1", "7"};
+	int n = g_rand_int_range(rand, 0, 6);
+	bool list = g_rand_int_range(rand, 0, 4) == 0;
+	char *text;
+
+	if (!levels || !n) {
+		if (g_rand_boolean(rand)) {
+			g_string_append(
+				s, leaves[g_rand_int_range(
+					   rand, 0, G_N_ELEMENTS(leaves))]);
+			return;
+		}
+		text = odd_text(odd_texts[g_rand_int_range(
+			rand, 0, G_N_ELEMENTS(odd_texts))]);
+		g_string_append(s, text);
+		g_free(text);
+		return;
+	}
+	g_string_append_c(s, list ? '[' : '{');
+	for (int i = 0; i < n; i++) {
+		if (i)
+			g_string_append_c(s, ',');
+		if (!list)
+			g_string_append_printf(
+				s, "\"%s\":",
+				fields[g_rand_int_range(rand, 0,
+							G_N_ELEMENTS(fields))]);
+		append_random(s, rand, levels - 1);
+	}
+	g_string_append_c(s, list ? ']' : '}');
+}
+
+/* Random values in every place: sound rows around them come into force. */
+static void test_fuzz(void)
+{
+	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
+
+	start_rig();
+	for (int i = 0; i < FUZZ_ROWS; i++) {
+		GString *value = g_string_new(NULL);
+		char *before = g_strdup_printf("a-before-%d", i);
+		char *name = g_strdup_printf("m-odd-%d", i);
+		char *after = g_strdup_printf("z-after-%d", i);
+
+		append_random(value, rand, 3);
+		g_test_message("row %d: %.200s", i, value->str);
+		set_odd(value->str);
+		commit_sound(before, "llm");
+		commit_odd(name, (enum place)g_rand_int_range(rand, 0, PLACES));
+		commit_sound(after, after);
+		publish_around(odd_instances[g_rand_int_range(
+				       rand, 0, G_N_ELEMENTS(odd_instances))],
+			       after);
+		wait_served(before, after);
+		g_string_free(value, TRUE);
+		g_free(after);
+		g_free(name);
+		g_free(before);
+	}
+	stop_rig();
+	g_rand_free(rand);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -342,5 +473,7 @@
 		g_test_add_data_func(path, GINT_TO_POINTER(p), test_table);
 		g_free(path);
 	}
+	g_test_add_func("/odd-rows/instances", test_instances);
+	g_test_add_func("/odd-rows/fuzz", test_fuzz);
 	return g_test_run();
 }
