A call to the store that hangs keeps no relay's answer from being used

What callers saw: requests at targets that had left, from a node whose own read of the store had no answer for up to its timeout (1.5 s), though a relay had told of the removal meanwhile. Cause: answers about the targets were dropped while a call for them was in progress. Ruled out as a reason to drop them: older rows in the page that arrives later. Rows and removals have revisions, and a row that another node told of since is kept; the tests removal-between-pages, told-between-pages, back-between-pages and random-* of test-target-table cover that, and pass. Change: only a second call at the same time is avoided. Evidence: /entry/store-sync/told-while-call-hangs fails before and passes after; 27 of 27 in test-store-sync, 15 of 15 in test-target-table.

--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -169,8 +169,10 @@
 {
 	int64_t at_ms = answer->query_sent_ms - answer->targets_age_ms;
 
+	/* A call that is in progress may bring older rows; see target-table.c.
+	 */
 	if (answer->targets_age_ms == UINT32_MAX || !s->read_ended_ms ||
-	    s->targets_busy || at_ms <= s->targets_confirmed_ms)
+	    at_ms <= s->targets_confirmed_ms)
 		return false;
 	metric_add(M_PEER_UPDATES_TOTAL, answer->updates.updates_len);
 	target_table_set_sender(s->table, s->query_to);
@@ -183,7 +185,8 @@
 	s->targets_stale = answer->targets_hash != target_table_hash(s->table);
 	if (!s->targets_stale)
 		store_sync_confirm_targets(s, at_ms, s->query_to);
-	else if (time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
+	else if (!s->targets_busy &&
+		 time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
 		store_sync_schedule(s, &s->targets_timer, 0);
 	return false;
 }
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -968,6 +968,33 @@
 	g_assert_cmpint(late_ms, <=, 0);
 }
 
+/*
+ * A call to the store hangs. Until it ends, the node doesn't use what a relay
+ * tells meanwhile, here that a target was removed.
+ */
+static void test_told_while_call_hangs(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+	struct node *node = node_new(loop, false);
+
+	store_sync_set_reader(node->sync, false, LARGE_FLEET);
+	step_for(loop, 10000);
+	node->silent = true;
+	while (!node->sync->targets_busy)
+		step(loop);
+	store.target = NULL;
+	store.revision++;
+	step_for(loop, AT_ONCE_MS);
+	g_assert_cmpuint(reader->e.list->n, ==, 0);
+	exchange(reader, node, -1);
+	g_assert_cmpuint(node->e.list->n, ==, 0);
+	g_assert_cmpint(list_age_ms(node), <=, 2 * AT_ONCE_MS);
+	node_free(reader, loop);
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
 /*
  * Nodes learn of the end of an outage, and of the targets that were removed in
  * it, seconds after the readers, as these tell of another configuration than
@@ -1076,6 +1103,8 @@
 	g_test_add_func("/entry/store-sync/outage-gaps-large",
 			test_outage_gaps_large);
 	g_test_add_func("/entry/store-sync/own-failure", test_own_failure);
+	g_test_add_func("/entry/store-sync/told-while-call-hangs",
+			test_told_while_call_hangs);
 	g_test_add_func("/entry/store-sync/outage-end-is-told",
 			test_outage_end_is_told);
 	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
