A store that is slow to answer, but does, extends no list beyond the drain time

Cause: a call without an answer for 0.3 s counted as a store in trouble, which lets the list be used on, whatever the store had taken for its last answers, whatever it had confirmed since, and though a relay might have had a newer list. Change: - a call hangs after 0.3 s or twice the slowest answer of the last 20 s; after a call that failed, 0.3 s again. In a module of its own, entry/call-watch.c, without a network; - a failed or hanging call extends no list that was confirmed after it, nor one of which a relay has had a newer one since (entry/list-deadline.c, with the times at which the extension is renewed, which were in store-sync.c); - a read begins earlier by the time that the store takes. Weighed: a second call that has to hang as well (more calls to a store that is slow); the time that is left until the list's deadline (that is what 0.3 s came to already, as the extension acts only beyond it); waiting for a call to fail (1.5 s; refuses callers for over 1 s at the start of each outage with a drain time of 2 s). What remains: the first slow answer after fast ones still counts as trouble.

--- a/entry/list-deadline.h
+++ b/entry/list-deadline.h
@@ -10,8 +10,6 @@
 
 #include <stdint.h>
 
-/* See disturbed_ms. */
-#define LIST_EXTENSION_MS 600
 /* Kept of the contact time for the way from the check to the target. */
 #define LIST_WAY_MS 100
 
@@ -20,11 +18,13 @@
 	/*
 	 * The store did not answer then; 0: never. Targets can't report to it
 	 * while it is down, and callers are better served by the last known
-	 * list than not at all. This extends the use of the list by
-	 * LIST_EXTENSION_MS at a time only, so that it ends soon when the
-	 * control thread stands still.
+	 * list than not at all. So the list is used on, for a short time at
+	 * once, so that its use ends soon when the control thread stands still.
+	 * What the store has confirmed later counts instead.
 	 */
 	int64_t disturbed_ms;
+	/* Another node had a newer list, confirmed then; 0: none known. */
+	int64_t newer_ms;
 };
 
 /* Bounds that the operator sets, in milliseconds. */
@@ -37,5 +37,15 @@
  */
 int64_t list_deadline_ms(const struct list_evidence *e,
 			 const struct list_bounds *b, int64_t now_ms);
+/* Return when the deadline moves on by itself; 0: it does not. */
+int64_t list_next_deadline_ms(const struct list_evidence *e,
+			      const struct list_bounds *b, int64_t now_ms);
+
+/*
+ * Return when a read must begin to confirm the list before it must no longer be
+ * used; answer_ms: the time that the store takes.
+ */
+int64_t list_read_by_ms(const struct list_evidence *e,
+			const struct list_bounds *b, int64_t answer_ms);
 
 #endif
--- a/entry/list-wait.c
+++ b/entry/list-wait.c
@@ -6,8 +6,8 @@
 #include "entry/exchange.h"
 
 /*
- * Longest wait. A store that does not answer shows in less; see HANGING_MS in
- * store-sync.c.
+ * Longest wait. A store that does not answer, and was not slow before, shows in
+ * less; see HANGING_MS in call-watch.c.
  */
 #define LIST_WAIT_MS 400
 
--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -20,8 +20,6 @@
  * at the end of the range; a node with the real one learns it from the store.
  */
 #define ERA_AHEAD_MAX ((int64_t)1 << 32)
-/* Shortest interval between reads that are caused by a reader's answer. */
-#define TARGETS_READ_MIN_MS 300
 
 void store_sync_clear_base(struct config_base *b)
 {
@@ -185,9 +183,8 @@
 	s->targets_stale = answer->targets_hash != target_table_hash(s->table);
 	if (!s->targets_stale)
 		store_sync_confirm_targets(s, at_ms, s->query_to);
-	else if (!s->targets_busy &&
-		 time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
-		store_sync_schedule(s, &s->targets_timer, 0);
+	else
+		store_sync_note_newer_targets(s, at_ms);
 	return false;
 }
 
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -59,13 +59,6 @@
  * long after missing rows may be removed: other nodes have told of it by then.
  */
 #define SETTLED_READ_MS 500
-/*
- * A call that has no answer for so long shows that the store is in trouble,
- * unless the timer itself is late: then the answer is looked for once more.
- */
-#define HANGING_MS      300
-#define HANGING_LATE_MS 100
-#define HANGING_LOOK_MS 20
 /* A configuration that another node sends has to arrive within this time. */
 #define CONFIG_PEER_MAX_MS 1200
 /*
@@ -75,6 +68,8 @@
 #define OLD_CONFIG_MS 5000
 /* After a failed call, a paged read that began longer ago starts over. */
 #define PAGED_READ_MAX_MS 2000
+/* Shortest interval between reads that are caused by a reader's answer. */
+#define TARGETS_READ_MIN_MS 300
 /* Reads of the targets within the drain time of a target. */
 #define READS_PER_DRAIN 3
 
@@ -83,24 +78,15 @@
 	timer_start_once(s->loop, w, ms);
 }
 
-/*
- * A call that fails lets the node use its list of targets for a while; the next
- * one has to show within it that the store is still in trouble.
- */
-static int64_t retry_pause_max_ms(const struct store_sync *s)
-{
-	const struct entry_settings *e = &s->e->control_settings;
-	int64_t max_ms = e->bounds_contact_ms - LIST_WAY_MS -
-			 e->store_timeout_ms - HANGING_MS - RETRY_JITTER_MS -
-			 RECHECK_MS;
-
-	return CLAMP(max_ms, RETRY_MS, RETRY_MAX_MS);
-}
-
 static int64_t retry_pause_ms(struct store_sync *s)
 {
-	int64_t max_ms = retry_pause_max_ms(s), ms = RETRY_MS;
+	const struct entry_settings *e = &s->e->control_settings;
+	int64_t max_ms = call_watch_pause_max_ms(e->bounds_contact_ms,
+						 e->store_timeout_ms,
+						 RETRY_JITTER_MS + RECHECK_MS);
+	int64_t ms = RETRY_MS;
 
+	max_ms = CLAMP(max_ms, RETRY_MS, RETRY_MAX_MS);
 	for (int i = 1; !s->reader && i < s->failures && ms < max_ms; i++)
 		ms *= 2;
 	ms = MIN(ms, max_ms);
@@ -126,26 +112,40 @@
 	return (int64_t)(part * (double)s->e->control_settings.bounds_drain_ms);
 }
 
+static struct list_evidence list_evidence(const struct store_sync *s)
+{
+	return (struct list_evidence){s->targets_confirmed_ms,
+				      outage_last_ms(&s->outage),
+				      s->targets_newer_ms};
+}
+
+static struct list_bounds list_bounds(const struct store_sync *s)
+{
+	const struct entry_settings *e = &s->e->control_settings;
+
+	return (struct list_bounds){e->bounds_drain_ms, e->bounds_contact_ms};
+}
+
 /* Return until when the present list of targets may be used. */
 static int64_t list_until_ms(const struct store_sync *s, int64_t now_ms)
 {
-	const struct entry_settings *e = &s->e->control_settings;
-	struct list_evidence evidence = {s->targets_confirmed_ms,
-					 outage_last_ms(&s->outage)};
-	struct list_bounds bounds = {e->bounds_drain_ms, e->bounds_contact_ms};
+	struct list_evidence e = list_evidence(s);
+	struct list_bounds b = list_bounds(s);
 
-	return list_deadline_ms(&evidence, &bounds, now_ms);
+	return list_deadline_ms(&e, &b, now_ms);
 }
 
 /* Move on the time until which the list is used, again while disturbed. */
 static void extend_list(struct store_sync *s)
 {
+	struct list_evidence e = list_evidence(s);
+	struct list_bounds b = list_bounds(s);
 	int64_t now = time_boot_ms();
+	int64_t next = list_next_deadline_ms(&e, &b, now);
 
-	entry_extend_list(s->e, list_until_ms(s, now));
-	if (now - outage_last_ms(&s->outage) <
-	    s->e->control_settings.bounds_contact_ms)
-		store_sync_schedule(s, &s->extend_timer, LIST_EXTENSION_MS / 2);
+	entry_extend_list(s->e, list_deadline_ms(&e, &b, now));
+	if (next)
+		store_sync_schedule(s, &s->extend_timer, next - now);
 }
 
 static void on_extend(struct ev_loop *loop, ev_timer *w, int events)
@@ -533,6 +533,15 @@
 	extend_list(s);
 }
 
+void store_sync_note_newer_targets(struct store_sync *s, int64_t at_ms)
+{
+	s->targets_newer_ms = MAX(s->targets_newer_ms, at_ms);
+	extend_list(s);
+	if (!s->targets_busy &&
+	    time_boot_ms() - s->read_ended_ms >= TARGETS_READ_MIN_MS)
+		store_sync_schedule(s, &s->targets_timer, 0);
+}
+
 void store_sync_publish_targets(struct store_sync *s)
 {
 	int64_t confirmed_ms = s->targets_confirmed_ms;
@@ -552,34 +561,36 @@
 	entry_publish_targets(s->e, l);
 }
 
-/* The call for the targets has ended, with an answer or without. */
-static void end_targets_call(struct store_sync *s)
+/* A call for the targets begins. */
+static void begin_targets_call(struct store_sync *s, int64_t now_ms)
 {
-	s->targets_busy = false;
-	ev_timer_stop(s->loop, &s->hang_timer);
-	outage_note_hanging(&s->outage, 0);
+	int64_t due_ms = call_watch_begin(&s->watch, now_ms, s->failures > 0);
+
+	s->targets_busy = true;
+	store_sync_schedule(s, &s->watch_timer, due_ms - now_ms);
 }
 
-/* Give the call for the targets some time to be answered. */
-static void await_targets(struct store_sync *s, int64_t now_ms, int64_t ms)
+/* It has ended, with an answer or without. */
+static void end_targets_call(struct store_sync *s, bool answered)
 {
-	s->hang_due_ms = now_ms + ms;
-	store_sync_schedule(s, &s->hang_timer, ms);
+	s->targets_busy = false;
+	ev_timer_stop(s->loop, &s->watch_timer);
+	call_watch_end(&s->watch, time_boot_ms(), answered);
+	outage_note_hanging(&s->outage, 0);
 }
 
-static void on_hanging(struct ev_loop *loop, ev_timer *w, int events)
+static void on_watch(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct store_sync *s = w->data;
 	int64_t now = time_boot_ms();
 
 	(void)loop;
 	(void)events;
-	/* A thread that was paused has not looked for the answer. */
-	if (now - s->hang_due_ms > HANGING_LATE_MS) {
-		await_targets(s, now, HANGING_LOOK_MS);
+	if (!call_watch_is_hanging(&s->watch, now)) {
+		store_sync_schedule(s, w, MAX(s->watch.due_ms - now, 1));
 		return;
 	}
-	outage_note_hanging(&s->outage, s->call_started_ms);
+	outage_note_hanging(&s->outage, s->watch.started_ms);
 	extend_list(s);
 }
 
@@ -598,15 +609,28 @@
 		store_sync_confirm_targets(s, s->read_started_ms, 0);
 }
 
+/* Return when a read must begin to end before the list is too old. */
+static int64_t read_by_ms(const struct store_sync *s, int64_t now_ms)
+{
+	struct list_evidence e = list_evidence(s);
+	struct list_bounds b = list_bounds(s);
+
+	return list_read_by_ms(&e, &b,
+			       call_watch_slowest_ms(&s->watch, now_ms));
+}
+
 static int64_t targets_pause_ms(const struct store_sync *s)
 {
+	int64_t now = time_boot_ms();
 	int64_t ms =
 		MIN(s->e->control_settings.store_targets_poll_ms,
 		    s->e->control_settings.bounds_drain_ms / READS_PER_DRAIN);
-	int64_t settled_in_ms = outage_settled_ms(&s->outage) - time_boot_ms();
+	int64_t settled_in_ms = outage_settled_ms(&s->outage) - now;
 
 	/* Missing rows may be removed from then on. */
-	return settled_in_ms > 0 ? MIN(ms, settled_in_ms) : ms;
+	if (settled_in_ms > 0)
+		return MIN(ms, settled_in_ms);
+	return CLAMP(read_by_ms(s, now) - now, MIN(ms, RECHECK_MS), ms);
 }
 
 static void on_targets(void *ctx, const struct store_page *p)
@@ -614,7 +638,7 @@
 	struct store_sync *s = ctx;
 	int64_t pause_ms;
 
-	end_targets_call(s);
+	end_targets_call(s, p->status != STORE_FAILED);
 	record_store_state(s, p);
 	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
 		/* Keep the pages read so far, unless they are too old. */
@@ -652,7 +676,8 @@
 	if (now_ms < outage_settled_ms(&s->outage) + SETTLED_READ_MS)
 		return false;
 	if (!s->targets_stale &&
-	    !is_unconfirmed(s, s->targets_confirmed_ms, now_ms))
+	    !is_unconfirmed(s, s->targets_confirmed_ms, now_ms) &&
+	    now_ms < read_by_ms(s, now_ms))
 		return false;
 	if (now_ms < s->targets_own_at_ms)
 		return false;
@@ -680,9 +705,7 @@
 		target_table_begin_read(s->table);
 		s->read_started_ms = now;
 	}
-	s->targets_busy = true;
-	s->call_started_ms = now;
-	await_targets(s, now, HANGING_MS);
+	begin_targets_call(s, now);
 	s->api->read(s->store, STORE_TARGETS, s->next_key ? s->next_key : "",
 		     on_targets, s);
 }
@@ -752,8 +775,8 @@
 	s->store_up = true;
 	ev_init(&s->probe_timer, probe_store);
 	s->probe_timer.data = s;
-	ev_init(&s->hang_timer, on_hanging);
-	s->hang_timer.data = s;
+	ev_init(&s->watch_timer, on_watch);
+	s->watch_timer.data = s;
 	ev_init(&s->extend_timer, on_extend);
 	s->extend_timer.data = s;
 	s->table = target_table_new();
@@ -768,7 +791,7 @@
 	ev_timer_stop(s->loop, &s->config_timer);
 	ev_timer_stop(s->loop, &s->targets_timer);
 	ev_timer_stop(s->loop, &s->probe_timer);
-	ev_timer_stop(s->loop, &s->hang_timer);
+	ev_timer_stop(s->loop, &s->watch_timer);
 	ev_timer_stop(s->loop, &s->extend_timer);
 	target_table_free(s->table);
 	free(s->config_text);
--- a/entry/store-sync.h
+++ b/entry/store-sync.h
@@ -5,6 +5,7 @@
 #ifndef STORE_SYNC_H
 #define STORE_SYNC_H
 
+#include "entry/call-watch.h"
 #include "entry/outage.h"
 #include "entry/store-clients.h"
 
@@ -67,14 +68,14 @@
 	char *next_key; /* of the next page; NULL: before the first page */
 	int64_t read_started_ms; /* start of that read */
 	ev_timer extend_timer;   /* while the store is in trouble */
-	ev_timer hang_timer;   /* while a call for the targets is in progress */
+	ev_timer watch_timer; /* while a call for the targets is in progress */
+	struct call_watch watch;
 	int64_t read_ended_ms; /* end of the last complete read; 0: none */
 	int64_t targets_confirmed_ms; /* last known to be current; 0: never */
 	int64_t targets_own_at_ms;    /* no own read before, if no reader */
 	bool targets_stale;           /* a peer has a newer list */
+	int64_t targets_newer_ms;     /* when that list was confirmed; 0 */
 	bool targets_busy;            /* a call to the store is in progress */
-	int64_t call_started_ms;      /* start of that call */
-	int64_t hang_due_ms;          /* when hang_timer is due */
 	/* The last query to another node, and where its updates end. */
 	uint64_t query_to; /* id of that node; see store_sync_set_queried */
 	int64_t query_sent_ms;
@@ -108,6 +109,8 @@
 /* The list was the newest at at_ms; see entry_confirm_targets. */
 void store_sync_confirm_targets(struct store_sync *s, int64_t at_ms,
 				uint64_t from);
+/* Another node has a newer list, confirmed at at_ms: read the store. */
+void store_sync_note_newer_targets(struct store_sync *s, int64_t at_ms);
 /* The store, or its way here, is disturbed: a call sent then has failed. */
 void store_sync_note_failure(struct store_sync *s, int64_t sent_ms);
 
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -31,10 +31,13 @@
 	const char *zone;   /* evacuated; NULL: none */
 	const char *target; /* NULL: none */
 	bool down;
-	bool silent; /* calls get no answer and end by their timeout */
-	int call_ms; /* until an answer; 0: 2 ms */
+	bool silent;     /* calls get no answer and end by their timeout */
+	int call_ms;     /* until an answer; 0: 2 ms */
+	int call_max_ms; /* if set, a random time from call_ms up to it */
 } store;
 
+static GRand *call_rand; /* see call_max_ms */
+
 /* Time of the cases that don't wait for it; 0: the real time counts. */
 static int64_t virtual_ms;
 
@@ -125,6 +128,15 @@
 	g_free(c);
 }
 
+/* Return the time that a call to the store takes. */
+static int answer_time_ms(void)
+{
+	if (store.call_max_ms)
+		return g_rand_int_range(call_rand, store.call_ms,
+					store.call_max_ms + 1);
+	return store.call_ms ? store.call_ms : 2;
+}
+
 static void start_call(struct node *n, enum store_table t, store_done_fn *done,
 		       void *ctx)
 {
@@ -139,9 +151,7 @@
 	n->config_reads += t == STORE_CONFIG;
 	n->target_reads += t == STORE_TARGETS;
 	ev_timer_init(&c->timer, finish_call,
-		      c->silent       ? CALL_TIMEOUT_S
-		      : store.call_ms ? store.call_ms / 1000.0
-				      : 0.002,
+		      c->silent ? CALL_TIMEOUT_S : answer_time_ms() / 1000.0,
 		      0);
 	c->timer.data = c;
 	ev_timer_start(n->e.tr.loop, &c->timer);
@@ -645,6 +655,7 @@
 	ev_loop_destroy(loop);
 	store.silent = false;
 	store.call_ms = 0;
+	store.call_max_ms = 0;
 	virtual_ms = 0;
 }
 
@@ -968,6 +979,69 @@
 	g_assert_cmpint(late_ms, <=, 0);
 }
 
+/*
+ * The store answers all calls, but slowly, as on a busy machine. A node that no
+ * other one answers takes that for an outage, and uses its list beyond the
+ * drain time.
+ */
+static void check_slow_store(int drain_ms, int contact_ms, int from_ms,
+			     int to_ms)
+{
+	int64_t late_ms = 0, unusable_ms = 0;
+
+	call_rand = g_rand_new_with_seed(1);
+	for (guint32 seed = 0; seed < 40; seed++) {
+		struct ev_loop *loop = virtual_loop("t");
+		struct node *node = node_new(loop, false);
+		int64_t left_ms;
+
+		store.call_ms = from_ms;
+		store.call_max_ms = to_ms;
+		g_rand_set_seed(node->sync->rand, seed);
+		node->e.control_settings.bounds_drain_ms = drain_ms;
+		node->e.control_settings.bounds_contact_ms = contact_ms;
+		store_sync_set_reader(node->sync, false, 24);
+		for (int ms = 0; ms < 20000 + (int)seed * 50; ms++) {
+			step(loop);
+			unusable_ms += usable_until_ms(node) <= time_boot_ms();
+		}
+		store.target = NULL;
+		store.revision++;
+		left_ms = time_boot_ms();
+		for (int ms = 0; ms < 12000 && node->e.list->n; ms++) {
+			step(loop);
+			if (node->e.list->n &&
+			    usable_until_ms(node) > time_boot_ms())
+				late_ms =
+					MAX(late_ms, time_boot_ms() - left_ms -
+							     drain_ms);
+		}
+		node_free(node, loop);
+		virtual_end(loop);
+	}
+	g_rand_free(call_rand);
+	g_test_message("drain %d, calls of %d to %d ms: used up to %d ms past "
+		       "the drain time, not usable %d of 839000 ms",
+		       drain_ms, from_ms, to_ms, (int)late_ms,
+		       (int)unusable_ms);
+	g_assert_cmpint(late_ms, <=, 0);
+}
+
+static void test_slow_store(void)
+{
+	check_slow_store(4000, 5000, 200, 1450);
+}
+
+static void test_slow_store_middle(void)
+{
+	check_slow_store(2000, 3000, 200, 1450);
+}
+
+static void test_slow_store_short(void)
+{
+	check_slow_store(500, 3000, 100, 900);
+}
+
 /*
  * A call to the store hangs. Until it ends, the node doesn't use what a relay
  * tells meanwhile, here that a target was removed.
@@ -1103,6 +1177,11 @@
 	g_test_add_func("/entry/store-sync/outage-gaps-large",
 			test_outage_gaps_large);
 	g_test_add_func("/entry/store-sync/own-failure", test_own_failure);
+	g_test_add_func("/entry/store-sync/slow-store", test_slow_store);
+	g_test_add_func("/entry/store-sync/slow-store-middle",
+			test_slow_store_middle);
+	g_test_add_func("/entry/store-sync/slow-store-short",
+			test_slow_store_short);
 	g_test_add_func("/entry/store-sync/told-while-call-hangs",
 			test_told_while_call_hangs);
 	g_test_add_func("/entry/store-sync/outage-end-is-told",
