Soak of leaving targets: ways between entries are harmed, and the store is slow

The soak disturbed nodes and their ways to the store only, so no run had a node that reads the store and hears no other node, as one with a bad link does. - soak/peer-harm.c is loaded into the entries and loses their datagrams from or to others, or both, or delays them by 0.7 s and more. Not covered: connections between nodes (tunnels); more than 32 nodes (the rig's limit).

--- a/soak/leaving.c
+++ b/soak/leaving.c
@@ -1,11 +1,14 @@
 /*
- * leaving SEED SECONDS [ENTRIES [DRAIN_MS]]: one run in which targets leave all
- * the time, with their row as draining first or without, several at once, and
- * are replaced by others or come back under their name. Meanwhile entries are
- * paused, and their ways to the store are delayed, silent or cut. Prints a TAP
- * line, and a comment line for each request that reached a target later than
- * bounds.drain after the store had acknowledged that it leaves, from an entry
- * that was in touch.
+ * leaving SEED SECONDS [ENTRIES [DRAIN_MS [slow|slow-judged]]]: one run in
+ * which targets leave all the time, with their row as draining first or
+ * without, several at once, and are replaced by others or come back under their
+ * name. Meanwhile entries are paused, their ways to the store are delayed,
+ * silent or cut, and their datagrams to other entries are lost or late, which
+ * excuses none that reaches the store. slow: the store is slow for all at
+ * times, which counts as a disturbance of the store; slow-judged: it does not
+ * count. Prints a TAP line, and a comment line for each request that reached a
+ * target later than bounds.drain after the store had acknowledged that it
+ * leaves, from an entry that was in touch.
  *
  * Each attempt id names the entry that took the request from its caller, and
  * Auburnramp-Expected-Instance the target to which it was sent.
@@ -16,6 +19,7 @@
 #include <string.h>
 #include <sys/wait.h>
 
+#include "soak/peer-harm.h"
 #include "soak/soak.h"
 
 #define ENTRIES     8 /* unless the command line says otherwise */
@@ -43,6 +47,8 @@
 /* Half of the entries have trouble; these change at this interval. */
 #define DISTURBED_MS 9000
 #define TROUBLE_ON   INT64_MAX
+/* Slow answers of the store end before the entries' timeout. */
+#define SLOW_MAX_MS 1200
 
 /* A target that is or was listed; its name is never given to another one. */
 struct instance {
@@ -63,9 +69,10 @@
 struct soak_entry {
 	struct entry_process process;
 	struct proxy *store;
-	int64_t clear_ms;   /* end of its fault; 0: none */
-	int64_t trouble_ms; /* end of the last one, or TROUBLE_ON */
-	const char *fault;  /* the last one; for messages */
+	int64_t clear_ms;    /* end of its fault; 0: none */
+	int64_t harm_end_ms; /* of its ways to other entries; 0: none */
+	int64_t trouble_ms;  /* end of the last one, or TROUBLE_ON */
+	const char *fault;   /* the last one; for messages */
 };
 
 struct leaving_soak {
@@ -79,6 +86,8 @@
 	unsigned last_number;
 	int64_t store_trouble_ms; /* end of the last one, or TROUBLE_ON */
 	int64_t outage_end_ms;    /* of the store; 0: none */
+	int64_t slow_end_ms;      /* while the store is slow; 0: it isn't */
+	bool slow, slow_judged;   /* see above */
 	int64_t beat_ms, lost_ms; /* last beat; sum of the times without one */
 	int drain_ms;
 	char *bounds;
@@ -88,6 +97,8 @@
 	int leavings, judged, in_drain, late, excused, refused;
 	atomic_bool stop;
 	char *program_path;
+	char *harm_library;
+	GPtrArray *late_ids; /* attempts that were late */
 };
 
 static struct leaving_soak *running; /* a script has no context argument */
@@ -157,6 +168,8 @@
 	s->in_drain += i.left_ms && !late;
 	s->late += judged;
 	s->excused += late && !judged;
+	if (judged)
+		g_ptr_array_add(s->late_ids, g_strdup(req->attempt_id));
 	g_mutex_unlock(&s->lock);
 	if (judged)
 		ledger_record_broken(
@@ -373,9 +386,37 @@
 	e->process.suspended = true;
 }
 
+/* Harm the ways of one entry to the others, in either or both directions. */
+static void harm_peers(struct leaving_soak *s, int64_t now_ms)
+{
+	struct soak_entry *e = &s->entries[g_rand_int_range(
+		s->rand, 0, (gint32)s->entry_count)];
+
+	if (e->harm_end_ms)
+		return;
+	process_harm_peers(&e->process,
+			   (char)g_rand_int_range(s->rand, PEER_HARM_NONE + 1,
+						  PEER_HARM_END));
+	e->harm_end_ms = now_ms + g_rand_int_range(s->rand, 500, 6000);
+}
+
+/* The store takes long for all entries; the soak's own writes are at once. */
+static void begin_slow(struct leaving_soak *s, int64_t now_ms)
+{
+	if (s->slow_end_ms || s->outage_end_ms)
+		return;
+	if (!s->slow_judged) {
+		g_mutex_lock(&s->lock);
+		s->store_trouble_ms = TROUBLE_ON;
+		g_mutex_unlock(&s->lock);
+	}
+	rig_set_store_slow(s->rig, SLOW_MAX_MS);
+	s->slow_end_ms = now_ms + g_rand_int_range(s->rand, 2000, 6000);
+}
+
 static void begin_outage(struct leaving_soak *s, int64_t now_ms)
 {
-	if (s->outage_end_ms)
+	if (s->outage_end_ms || s->slow_end_ms)
 		return;
 	g_mutex_lock(&s->lock);
 	s->store_trouble_ms = TROUBLE_ON;
@@ -386,12 +427,24 @@
 	s->outage_end_ms = now_ms + g_rand_int_range(s->rand, 500, 5000);
 }
 
+static void end_store_trouble(struct leaving_soak *s)
+{
+	g_mutex_lock(&s->lock);
+	if (s->store_trouble_ms == TROUBLE_ON)
+		s->store_trouble_ms = time_mono_ms();
+	g_mutex_unlock(&s->lock);
+}
+
 /* End the faults that are due. */
 static void clear_faults(struct leaving_soak *s, int64_t now_ms)
 {
 	for (size_t k = 0; k < s->entry_count; k++) {
 		struct soak_entry *e = &s->entries[k];
 
+		if (e->harm_end_ms && now_ms >= e->harm_end_ms) {
+			process_harm_peers(&e->process, PEER_HARM_NONE);
+			e->harm_end_ms = 0;
+		}
 		if (!e->clear_ms || now_ms < e->clear_ms)
 			continue;
 		proxy_set_fault(e->store, PROXY_FAULT_NONE);
@@ -403,13 +456,16 @@
 		e->trouble_ms = time_mono_ms();
 		g_mutex_unlock(&s->lock);
 	}
+	if (s->slow_end_ms && now_ms >= s->slow_end_ms) {
+		rig_set_store_slow(s->rig, 0);
+		s->slow_end_ms = 0;
+		end_store_trouble(s);
+	}
 	if (!s->outage_end_ms || now_ms < s->outage_end_ms)
 		return;
 	rig_set_store_fault(s->rig, STORE_FAULT_NONE);
 	s->outage_end_ms = 0;
-	g_mutex_lock(&s->lock);
-	s->store_trouble_ms = time_mono_ms();
-	g_mutex_unlock(&s->lock);
+	end_store_trouble(s);
 }
 
 /* An entry that ends by itself breaks a guarantee; it isn't started again. */
@@ -458,6 +514,7 @@
 
 		s->entries[k].store = proxy_new(s->rig->stores[k].port);
 		s->entries[k].fault = "start";
+		s->entries[k].process.harm_library = s->harm_library;
 		text = settings_text(s, k);
 		process_set_settings(&s->entries[k].process, text);
 		g_free(text);
@@ -470,14 +527,32 @@
 	s->store_trouble_ms = time_mono_ms();
 }
 
+/* Print what entry k has logged of a request that it took. */
+static void print_request(const struct entry_process *p, const char *id,
+			  size_t k)
+{
+	char *text;
+
+	if ((size_t)atoi(id + 1) != k)
+		return;
+	text = g_strdup_printf("request=%s ", id);
+	process_print_log_lines(p, text);
+	g_free(text);
+}
+
 static void tear_down(struct leaving_soak *s)
 {
 	for (size_t k = 0; k < s->entry_count; k++) {
 		struct entry_process *p = &s->entries[k].process;
 		char *log = g_strconcat(p->settings_path, ".log", NULL);
+		char *harm = g_strconcat(p->settings_path, ".harm", NULL);
 
 		process_stop(p, SIGKILL);
+		for (size_t i = 0; i < s->late_ids->len; i++)
+			print_request(p, s->late_ids->pdata[i], k);
 		remove(p->settings_path);
+		remove(harm);
+		g_free(harm);
 		if (!getenv("KEEP_LOGS"))
 			remove(log);
 		g_free(log);
@@ -508,12 +583,16 @@
 			change_ms = now_ms + DISTURBED_MS;
 		}
 		if (now_ms >= next_ms) {
-			int what = g_rand_int_range(s->rand, 0, 120);
+			int what = g_rand_int_range(s->rand, 0, 150);
 
 			if (what < 48)
 				replace(s);
 			else if (what < 119)
 				disturb_entry(s, now_ms);
+			else if (what < 148)
+				harm_peers(s, now_ms);
+			else if (s->slow)
+				begin_slow(s, now_ms);
 			else
 				begin_outage(s, now_ms);
 			next_ms = now_ms + g_rand_int_range(s->rand, 50, 500);
@@ -538,6 +617,13 @@
 	s.drain_ms = argc > 4 ? MAX(atoi(argv[4]), 100) : DRAIN_MS;
 	s.program_path =
 		getenv("RAMPENTRY") ? getenv("RAMPENTRY") : "bin/rampentry";
+	s.slow_judged = argc > 5 && !strcmp(argv[5], "slow-judged");
+	s.slow = s.slow_judged || (argc > 5 && !strcmp(argv[5], "slow"));
+	s.harm_library = g_canonicalize_filename(
+		getenv("PEER_HARM_LIBRARY") ? getenv("PEER_HARM_LIBRARY")
+					    : "build/soak/peer-harm.so",
+		NULL);
+	s.late_ids = g_ptr_array_new_with_free_func(g_free);
 	s.rand = g_rand_new_with_seed(seed);
 	s.ledger = ledger_new();
 	set_up(&s);
@@ -558,6 +644,8 @@
 	       s.refused, s.leavings, s.in_drain, s.judged, s.late, s.excused,
 	       (int)s.lost_ms);
 	ledger_free(s.ledger);
+	g_ptr_array_unref(s.late_ids);
+	g_free(s.harm_library);
 	g_rand_free(s.rand);
 	return broken != 0;
 }
--- a/soak/process.c
+++ b/soak/process.c
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "soak/peer-harm.h"
 #include "soak/soak.h"
 
 /* Part of an entry's log that is printed when it exits unexpectedly. */
@@ -19,8 +20,35 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
+/* Return the environment in which peer-harm.c finds its file. */
+static char **environment(const struct entry_process *p)
+{
+	char *path = g_strconcat(p->settings_path, ".harm", NULL);
+	char **env = g_get_environ();
+
+	if (p->harm_library) {
+		process_harm_peers(p, PEER_HARM_NONE);
+		env = g_environ_setenv(env, "LD_PRELOAD", p->harm_library,
+				       true);
+		env = g_environ_setenv(env, PEER_HARM_FILE, path, true);
+	}
+	g_free(path);
+	return env;
+}
+
+void process_harm_peers(const struct entry_process *p, char harm)
+{
+	char *path = g_strconcat(p->settings_path, ".harm", NULL);
+	int fd = open(path, O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+
+	g_assert_cmpint(pwrite(fd, &harm, 1, 0), ==, 1);
+	close(fd);
+	g_free(path);
+}
+
 void process_start(struct entry_process *p, char *program_path)
 {
+	char **env = environment(p);
 	char *argv[] = {program_path, "--settings", p->settings_path, NULL};
 	char *log_path = g_strconcat(p->settings_path, ".log", NULL);
 	int fd =
@@ -28,11 +56,12 @@
 	GError *err = NULL;
 
 	g_assert_cmpint(fd, >=, 0);
-	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+	g_spawn_async_with_fds(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD,
 			       kill_with_parent, NULL, &p->pid, -1, fd, fd,
 			       &err);
 	g_assert_no_error(err);
 	close(fd);
+	g_strfreev(env);
 	g_free(log_path);
 	p->seen_ready = false;
 }
@@ -64,6 +93,22 @@
 	g_free(log_path);
 }
 
+void process_print_log_lines(const struct entry_process *p, const char *text)
+{
+	char *log_path = g_strconcat(p->settings_path, ".log", NULL),
+	     *log = NULL, **lines;
+
+	if (g_file_get_contents(log_path, &log, NULL, NULL)) {
+		lines = g_strsplit(log, "\n", -1);
+		for (size_t i = 0; lines[i]; i++)
+			if (strstr(lines[i], text))
+				printf("# %s\n", lines[i]);
+		g_strfreev(lines);
+	}
+	g_free(log);
+	g_free(log_path);
+}
+
 void process_set_settings(struct entry_process *p, const char *text)
 {
 	int fd = g_file_open_tmp("soak-XXXXXX", &p->settings_path, NULL);
