--- a/soak/peer-harm.c
+++ b/soak/peer-harm.c
@@ -25,11 +25,11 @@
 
 /* Received datagrams that are delayed, in their order. */
 static struct held {
-	int fd;
 	int64_t due_ms;
+	ssize_t n;
 	struct sockaddr_storage from;
+	int fd;
 	socklen_t from_len;
-	ssize_t n;
 	char bytes[BYTES];
 } held[HELD_MAX];
 static size_t first, count;
--- a/soak/peer-harm.h
+++ b/soak/peer-harm.h
@@ -5,8 +5,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define PEER_HARM_FILE "PEER_HARM" /* environment variable: path of the file   \
-				    */
+#define PEER_HARM_FILE                                                         \
+	"PEER_HARM" /* environment variable: path of the file                  \
+		     */
 /* At least; until the next datagram comes. */
 #define PEER_HARM_DELAY_MS 700
 
