A read that began before an outage had settled removes no rows

What callers saw: fewer targets than there are after an outage of a store that is slow to answer at first: a target that had written its row again in time was taken for gone until the next read. Cause: what a read lacks was judged by when its answer came, 2.3 s after the outage's end or later. The answer shows the store as it was up to a whole call before. Change: the time at which the read began counts. The settled time, and from when on nodes that are no readers read, are functions of outage.c now.

--- a/entry/outage.c
+++ b/entry/outage.c
@@ -14,6 +14,8 @@
  * of its end.
  */
 #define RECOVERY_MS 2300
+/* In which other nodes have told of the rows that were removed then. */
+#define TOLD_MS 500
 
 void outage_note_answer(struct outage *o, int64_t sent_ms, int64_t now_ms)
 {
@@ -66,3 +68,13 @@
 {
 	return o->ended_ms ? o->ended_ms + RECOVERY_MS : 0;
 }
+
+bool outage_is_settled(const struct outage *o, int64_t read_started_ms)
+{
+	return read_started_ms >= outage_settled_ms(o);
+}
+
+int64_t outage_own_reads_ms(const struct outage *o)
+{
+	return o->ended_ms ? outage_settled_ms(o) + TOLD_MS : 0;
+}
--- a/entry/outage.h
+++ b/entry/outage.h
@@ -45,5 +45,15 @@
  * that have gone: targets whose rows expired during an outage write them again.
  */
 int64_t outage_settled_ms(const struct outage *o);
+/*
+ * Whether what a read lacks has gone that began at a time: a call that is
+ * answered later shows the store as it was when it was sent, at the earliest.
+ */
+bool outage_is_settled(const struct outage *o, int64_t read_started_ms);
+/*
+ * Return from when on a node that is no reader reads the targets itself: the
+ * readers read when missing rows may be removed, and tell the others.
+ */
+int64_t outage_own_reads_ms(const struct outage *o);
 
 #endif
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -54,11 +54,6 @@
 #define OWN_READ_START_MS 3000
 /* A failed call doubles the pause up to this, on a node that is no reader. */
 #define RETRY_MAX_MS 2000
-/*
- * After an outage a node that is no reader reads the targets itself only so
- * long after missing rows may be removed: other nodes have told of it by then.
- */
-#define SETTLED_READ_MS 500
 /* A configuration that another node sends has to arrive within this time. */
 #define CONFIG_PEER_MAX_MS 1200
 /*
@@ -598,11 +593,13 @@
 static void finish_read(struct store_sync *s)
 {
 	int64_t now = time_boot_ms();
-	bool settled = now >= outage_settled_ms(&s->outage), whole;
+	bool whole;
 
 	s->read_ended_ms = now;
 	s->targets_stale = false;
-	whole = target_table_finish_read(s->table, settled, now);
+	whole = target_table_finish_read(
+		s->table, outage_is_settled(&s->outage, s->read_started_ms),
+		now);
 	store_sync_publish_targets(s);
 	/* Whether targets whose rows are missing have left is not known yet. */
 	if (whole)
@@ -672,8 +669,7 @@
 {
 	if (s->next_key || !s->read_ended_ms)
 		return true;
-	/* The readers read at that moment, and tell the others. */
-	if (now_ms < outage_settled_ms(&s->outage) + SETTLED_READ_MS)
+	if (now_ms < outage_own_reads_ms(&s->outage))
 		return false;
 	if (!s->targets_stale &&
 	    !is_unconfirmed(s, s->targets_confirmed_ms, now_ms) &&
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -34,6 +34,7 @@
 	bool silent;     /* calls get no answer and end by their timeout */
 	int call_ms;     /* until an answer; 0: 2 ms */
 	int call_max_ms; /* if set, a random time from call_ms up to it */
+	bool early; /* answers show what was there when the call was sent */
 } store;
 
 static GRand *call_rand; /* see call_max_ms */
@@ -70,7 +71,9 @@
 	void *ctx;
 	ev_timer timer;
 	int64_t sent_ms;
-	bool silent; /* the store was when it was sent */
+	bool silent;        /* the store was when it was sent */
+	const char *target; /* in the store then */
+	int64_t revision;   /* of the store then */
 };
 
 static json_t *fake_value(const struct store_page *p, size_t i)
@@ -107,7 +110,10 @@
 		{"config", store.revision, false, NULL},
 		{"evacuated", store.revision, false, store.zone},
 	};
-	struct store_row target = {store.target, store.revision, false, NULL};
+	bool early = store.early && c->table == STORE_TARGETS;
+	const char *key = early ? c->target : store.target;
+	int64_t revision = early ? c->revision : store.revision;
+	struct store_row target = {key, revision, false, NULL};
 	bool down = store.down || c->node->cut || c->silent ||
 		    (c->table == STORE_TARGETS && c->node->fail_targets > 0 &&
 		     c->node->fail_targets-- > 0);
@@ -116,9 +122,9 @@
 		.rows = c->table == STORE_CONFIG ? rows : &target,
 		.n = down                       ? 0
 		     : c->table == STORE_CONFIG ? 1 + !!store.zone
-						: store.target != NULL,
+						: key != NULL,
 		.era = store.era,
-		.revision = store.revision,
+		.revision = revision,
 		.sent_ms = c->sent_ms,
 	};
 
@@ -147,7 +153,9 @@
 			   .done = done,
 			   .ctx = ctx,
 			   .sent_ms = time_boot_ms(),
-			   .silent = store.silent || n->silent};
+			   .silent = store.silent || n->silent,
+			   .target = store.target,
+			   .revision = store.revision};
 	n->config_reads += t == STORE_CONFIG;
 	n->target_reads += t == STORE_TARGETS;
 	ev_timer_init(&c->timer, finish_call,
@@ -656,6 +664,7 @@
 	store.silent = false;
 	store.call_ms = 0;
 	store.call_max_ms = 0;
+	store.early = false;
 	virtual_ms = 0;
 }
 
@@ -1108,6 +1117,41 @@
 	virtual_end(loop);
 }
 
+/*
+ * After an outage a target writes its row again in time. A read that was sent
+ * before, and is answered late, lacks the row: the target is taken for gone.
+ */
+static void check_back_in_time(int slow_from_ms)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+
+	store.early = true;
+	step_for(loop, 1000);
+	store.down = true;
+	step_for(loop, 6000);
+	store.down = false;
+	store.target = NULL;
+	store.revision++;
+	for (int ms = 0; ms < 8000; ms++) {
+		store.call_ms = ms < slow_from_ms ? 2 : 1400;
+		if (ms == 2000) {
+			store.target = "t";
+			store.revision++;
+		}
+		step(loop);
+		g_assert_cmpuint(reader->e.list->n, ==, 1);
+	}
+	node_free(reader, loop);
+	virtual_end(loop);
+}
+
+static void test_back_in_time(void)
+{
+	for (int ms = 800; ms < 2000; ms += 50)
+		check_back_in_time(ms);
+}
+
 /* A list with rows that the store lacks is told to others as the newest. */
 static void test_kept_rows_unconfirmed(void)
 {
@@ -1186,6 +1230,7 @@
 			test_told_while_call_hangs);
 	g_test_add_func("/entry/store-sync/outage-end-is-told",
 			test_outage_end_is_told);
+	g_test_add_func("/entry/store-sync/back-in-time", test_back_in_time);
 	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
 			test_kept_rows_unconfirmed);
 	return g_test_run();
