429 is no outage: refused calls don't extend the list of targets

What callers saw: requests at a target that had left, for as long as the store answered all calls of a node with 429 and no other node told it of the removal. Cause: every call that failed counted as a store in trouble, which lets the list be used up to bounds.contact after it; refusals were renewed before that ended. The store may also turn single nodes away with it, which excuses them; the answer doesn't tell the two apart. Then a node that relays answer goes on, one that none answers refuses callers until a read succeeds (it reads at most half a drain time apart).

--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -166,7 +166,7 @@
 					  time_boot_ms());
 	else if (up)
 		outage_note_answer(&s->outage, p->sent_ms, time_boot_ms());
-	else
+	else if (!p->refused)
 		store_sync_note_failure(s, p->sent_ms);
 	s->failures = up ? 0 : s->failures + 1;
 	if (up == s->store_up)
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -61,6 +61,7 @@
 	bool cut;         /* its calls to the store fail at once */
 	bool silent;      /* they get no answer, and fail by their timeout */
 	int fail_targets; /* so many of its calls for the targets fail */
+	bool refused;     /* all its calls are, as there are too many */
 };
 
 /* A call in progress; its callback runs from the loop. */
@@ -115,6 +116,7 @@
 	int64_t revision = early ? c->revision : store.revision;
 	struct store_row target = {key, revision, false, NULL};
 	bool down = store.down || c->node->cut || c->silent ||
+		    c->node->refused ||
 		    (c->table == STORE_TARGETS && c->node->fail_targets > 0 &&
 		     c->node->fail_targets-- > 0);
 	struct store_page p = {
@@ -126,6 +128,7 @@
 		.era = store.era,
 		.revision = revision,
 		.sent_ms = c->sent_ms,
+		.refused = c->node->refused,
 	};
 
 	(void)loop;
@@ -1117,6 +1120,38 @@
 	virtual_end(loop);
 }
 
+/*
+ * The store refuses all calls of a node, as there are too many, and is sound:
+ * a node that no other one answers goes on by its list beyond the drain time.
+ */
+static void test_refused(void)
+{
+	for (int reader = 0; reader < 2; reader++) {
+		struct ev_loop *loop = virtual_loop("t");
+		struct node *node = node_new(loop, reader);
+		int64_t left_ms;
+
+		store_sync_set_reader(node->sync, reader, LARGE_FLEET);
+		step_for(loop, 10000);
+		g_assert_cmpuint(node->e.list->n, ==, 1);
+		node->refused = true;
+		store.target = NULL;
+		store.revision++;
+		left_ms = time_boot_ms();
+		for (int ms = 0; ms < 12000; ms++) {
+			step(loop);
+			g_assert_true(time_boot_ms() - left_ms <= 4000 ||
+				      usable_until_ms(node) <= time_boot_ms());
+		}
+		/* It is up to date soon after the refusals. */
+		node->refused = false;
+		step_for(loop, 2600);
+		g_assert_cmpuint(node->e.list->n, ==, 0);
+		node_free(node, loop);
+		virtual_end(loop);
+	}
+}
+
 /*
  * After an outage a target writes its row again in time. A read that was sent
  * before, and is answered late, lacks the row: the target is taken for gone.
@@ -1230,6 +1265,7 @@
 			test_told_while_call_hangs);
 	g_test_add_func("/entry/store-sync/outage-end-is-told",
 			test_outage_end_is_told);
+	g_test_add_func("/entry/store-sync/refused", test_refused);
 	g_test_add_func("/entry/store-sync/back-in-time", test_back_in_time);
 	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
 			test_kept_rows_unconfirmed);
