--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -31,10 +31,14 @@
 	const char *zone;   /* evacuated; NULL: none */
 	const char *target; /* NULL: none */
 	bool down;
-	bool silent; /* calls get no answer and end by their timeout */
-	int call_ms; /* until an answer; 0: 2 ms */
+	bool silent;     /* calls get no answer and end by their timeout */
+	int call_ms;     /* until an answer; 0: 2 ms */
+	int call_max_ms; /* if set, a random time from call_ms up to it */
+	bool early; /* answers show what was there when the call was sent */
 } store;
 
+static GRand *call_rand; /* see call_max_ms */
+
 /* Time of the cases that don't wait for it; 0: the real time counts. */
 static int64_t virtual_ms;
 
@@ -57,6 +61,7 @@
 	bool cut;         /* its calls to the store fail at once */
 	bool silent;      /* they get no answer, and fail by their timeout */
 	int fail_targets; /* so many of its calls for the targets fail */
+	bool refused;     /* all its calls are, as there are too many */
 };
 
 /* A call in progress; its callback runs from the loop. */
@@ -67,7 +72,9 @@
 	void *ctx;
 	ev_timer timer;
 	int64_t sent_ms;
-	bool silent; /* the store was when it was sent */
+	bool silent;        /* the store was when it was sent */
+	const char *target; /* in the store then */
+	int64_t revision;   /* of the store then */
 };
 
 static json_t *fake_value(const struct store_page *p, size_t i)
@@ -104,8 +111,12 @@
 		{"config", store.revision, false, NULL},
 		{"evacuated", store.revision, false, store.zone},
 	};
-	struct store_row target = {store.target, store.revision, false, NULL};
+	bool early = store.early && c->table == STORE_TARGETS;
+	const char *key = early ? c->target : store.target;
+	int64_t revision = early ? c->revision : store.revision;
+	struct store_row target = {key, revision, false, NULL};
 	bool down = store.down || c->node->cut || c->silent ||
+		    c->node->refused ||
 		    (c->table == STORE_TARGETS && c->node->fail_targets > 0 &&
 		     c->node->fail_targets-- > 0);
 	struct store_page p = {
@@ -113,10 +124,11 @@
 		.rows = c->table == STORE_CONFIG ? rows : &target,
 		.n = down                       ? 0
 		     : c->table == STORE_CONFIG ? 1 + !!store.zone
-						: store.target != NULL,
+						: key != NULL,
 		.era = store.era,
-		.revision = store.revision,
+		.revision = revision,
 		.sent_ms = c->sent_ms,
+		.refused = c->node->refused,
 	};
 
 	(void)loop;
@@ -125,6 +137,15 @@
 	g_free(c);
 }
 
+/* Return the time that a call to the store takes. */
+static int answer_time_ms(void)
+{
+	if (store.call_max_ms)
+		return g_rand_int_range(call_rand, store.call_ms,
+					store.call_max_ms + 1);
+	return store.call_ms ? store.call_ms : 2;
+}
+
 static void start_call(struct node *n, enum store_table t, store_done_fn *done,
 		       void *ctx)
 {
@@ -135,13 +156,13 @@
 			   .done = done,
 			   .ctx = ctx,
 			   .sent_ms = time_boot_ms(),
-			   .silent = store.silent || n->silent};
+			   .silent = store.silent || n->silent,
+			   .target = store.target,
+			   .revision = store.revision};
 	n->config_reads += t == STORE_CONFIG;
 	n->target_reads += t == STORE_TARGETS;
 	ev_timer_init(&c->timer, finish_call,
-		      c->silent       ? CALL_TIMEOUT_S
-		      : store.call_ms ? store.call_ms / 1000.0
-				      : 0.002,
+		      c->silent ? CALL_TIMEOUT_S : answer_time_ms() / 1000.0,
 		      0);
 	c->timer.data = c;
 	ev_timer_start(n->e.tr.loop, &c->timer);
@@ -645,6 +666,8 @@
 	ev_loop_destroy(loop);
 	store.silent = false;
 	store.call_ms = 0;
+	store.call_max_ms = 0;
+	store.early = false;
 	virtual_ms = 0;
 }
 
@@ -968,6 +991,96 @@
 	g_assert_cmpint(late_ms, <=, 0);
 }
 
+/*
+ * The store answers all calls, but slowly, as on a busy machine. A node that no
+ * other one answers takes that for an outage, and uses its list beyond the
+ * drain time.
+ */
+static void check_slow_store(int drain_ms, int contact_ms, int from_ms,
+			     int to_ms)
+{
+	int64_t late_ms = 0, unusable_ms = 0;
+
+	call_rand = g_rand_new_with_seed(1);
+	for (guint32 seed = 0; seed < 40; seed++) {
+		struct ev_loop *loop = virtual_loop("t");
+		struct node *node = node_new(loop, false);
+		int64_t left_ms;
+
+		store.call_ms = from_ms;
+		store.call_max_ms = to_ms;
+		g_rand_set_seed(node->sync->rand, seed);
+		node->e.control_settings.bounds_drain_ms = drain_ms;
+		node->e.control_settings.bounds_contact_ms = contact_ms;
+		store_sync_set_reader(node->sync, false, 24);
+		for (int ms = 0; ms < 20000 + (int)seed * 50; ms++) {
+			step(loop);
+			unusable_ms += usable_until_ms(node) <= time_boot_ms();
+		}
+		store.target = NULL;
+		store.revision++;
+		left_ms = time_boot_ms();
+		for (int ms = 0; ms < 12000 && node->e.list->n; ms++) {
+			step(loop);
+			if (node->e.list->n &&
+			    usable_until_ms(node) > time_boot_ms())
+				late_ms =
+					MAX(late_ms, time_boot_ms() - left_ms -
+							     drain_ms);
+		}
+		node_free(node, loop);
+		virtual_end(loop);
+	}
+	g_rand_free(call_rand);
+	g_test_message("drain %d, calls of %d to %d ms: used up to %d ms past "
+		       "the drain time, not usable %d of 839000 ms",
+		       drain_ms, from_ms, to_ms, (int)late_ms,
+		       (int)unusable_ms);
+	g_assert_cmpint(late_ms, <=, 0);
+}
+
+static void test_slow_store(void)
+{
+	check_slow_store(4000, 5000, 200, 1450);
+}
+
+static void test_slow_store_middle(void)
+{
+	check_slow_store(2000, 3000, 200, 1450);
+}
+
+static void test_slow_store_short(void)
+{
+	check_slow_store(500, 3000, 100, 900);
+}
+
+/*
+ * A call to the store hangs. Until it ends, the node doesn't use what a relay
+ * tells meanwhile, here that a target was removed.
+ */
+static void test_told_while_call_hangs(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+	struct node *node = node_new(loop, false);
+
+	store_sync_set_reader(node->sync, false, LARGE_FLEET);
+	step_for(loop, 10000);
+	node->silent = true;
+	while (!node->sync->targets_busy)
+		step(loop);
+	store.target = NULL;
+	store.revision++;
+	step_for(loop, AT_ONCE_MS);
+	g_assert_cmpuint(reader->e.list->n, ==, 0);
+	exchange(reader, node, -1);
+	g_assert_cmpuint(node->e.list->n, ==, 0);
+	g_assert_cmpint(list_age_ms(node), <=, 2 * AT_ONCE_MS);
+	node_free(reader, loop);
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
 /*
  * Nodes learn of the end of an outage, and of the targets that were removed in
  * it, seconds after the readers, as these tell of another configuration than
@@ -1007,6 +1120,73 @@
 	virtual_end(loop);
 }
 
+/*
+ * The store refuses all calls of a node, as there are too many, and is sound:
+ * a node that no other one answers goes on by its list beyond the drain time.
+ */
+static void test_refused(void)
+{
+	for (int reader = 0; reader < 2; reader++) {
+		struct ev_loop *loop = virtual_loop("t");
+		struct node *node = node_new(loop, reader);
+		int64_t left_ms;
+
+		store_sync_set_reader(node->sync, reader, LARGE_FLEET);
+		step_for(loop, 10000);
+		g_assert_cmpuint(node->e.list->n, ==, 1);
+		node->refused = true;
+		store.target = NULL;
+		store.revision++;
+		left_ms = time_boot_ms();
+		for (int ms = 0; ms < 12000; ms++) {
+			step(loop);
+			g_assert_true(time_boot_ms() - left_ms <= 4000 ||
+				      usable_until_ms(node) <= time_boot_ms());
+		}
+		/* It is up to date soon after the refusals. */
+		node->refused = false;
+		step_for(loop, 2600);
+		g_assert_cmpuint(node->e.list->n, ==, 0);
+		node_free(node, loop);
+		virtual_end(loop);
+	}
+}
+
+/*
+ * After an outage a target writes its row again in time. A read that was sent
+ * before, and is answered late, lacks the row: the target is taken for gone.
+ */
+static void check_back_in_time(int slow_from_ms)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+
+	store.early = true;
+	step_for(loop, 1000);
+	store.down = true;
+	step_for(loop, 6000);
+	store.down = false;
+	store.target = NULL;
+	store.revision++;
+	for (int ms = 0; ms < 8000; ms++) {
+		store.call_ms = ms < slow_from_ms ? 2 : 1400;
+		if (ms == 2000) {
+			store.target = "t";
+			store.revision++;
+		}
+		step(loop);
+		g_assert_cmpuint(reader->e.list->n, ==, 1);
+	}
+	node_free(reader, loop);
+	virtual_end(loop);
+}
+
+static void test_back_in_time(void)
+{
+	for (int ms = 800; ms < 2000; ms += 50)
+		check_back_in_time(ms);
+}
+
 /* A list with rows that the store lacks is told to others as the newest. */
 static void test_kept_rows_unconfirmed(void)
 {
@@ -1076,8 +1256,17 @@
 	g_test_add_func("/entry/store-sync/outage-gaps-large",
 			test_outage_gaps_large);
 	g_test_add_func("/entry/store-sync/own-failure", test_own_failure);
+	g_test_add_func("/entry/store-sync/slow-store", test_slow_store);
+	g_test_add_func("/entry/store-sync/slow-store-middle",
+			test_slow_store_middle);
+	g_test_add_func("/entry/store-sync/slow-store-short",
+			test_slow_store_short);
+	g_test_add_func("/entry/store-sync/told-while-call-hangs",
+			test_told_while_call_hangs);
 	g_test_add_func("/entry/store-sync/outage-end-is-told",
 			test_outage_end_is_told);
+	g_test_add_func("/entry/store-sync/refused", test_refused);
+	g_test_add_func("/entry/store-sync/back-in-time", test_back_in_time);
 	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
 			test_kept_rows_unconfirmed);
 	return g_test_run();
