/entry/list-bound/refused-*: the store's refusals are marked as such

The case plays a sound store that refuses reads of a node with 429, as its comment says. Its store said only that the call had failed, as there was nothing else to say; since a page says that it was refused.

--- a/entry/test-list-bound.c
+++ b/entry/test-list-bound.c
@@ -59,7 +59,7 @@
 	ev_timer timer;
 	int64_t sent_ms, version, revision;
 	const char *target;
-	bool down;
+	bool down, refused;
 };
 
 static json_t *fake_value(const struct store_page *p, size_t i)
@@ -92,6 +92,7 @@
 	struct store_row row = {"config", c->version, false, NULL};
 	struct store_page p = {
 		.status = c->down ? STORE_FAILED : STORE_OK,
+		.refused = c->refused,
 		.rows = &row,
 		.n = !c->down,
 		.era = 1,
@@ -124,7 +125,8 @@
 			   .version = store.version,
 			   .revision = store.revision,
 			   .target = store.target,
-			   .down = store.down || refused};
+			   .down = store.down || refused,
+			   .refused = refused && !store.down};
 	store.refused -= refused;
 	n->target_reads += t == STORE_TARGETS;
 	ev_timer_init(&c->timer, finish_call, ms / 1000.0, 0);
