Test: removed-before-outage begins its outage when no call is in progress

Cause, by reading: the outage and the removal begin at once, and a call that was sent before is answered after, shows the removal, and the list is empty before the outage. Changed: the test waits for that call first. What is checked is the same: the target stays for 2 s after the store's return, and is gone within 3 s.

--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -517,6 +517,9 @@
 	run_until(loop, node, 1);
 	run_for(loop, 200);
 	g_assert_cmpint(node->e.list->n, ==, 1);
+	/* A call sent before would be answered, and show the removal. */
+	while (node->sync->targets_busy)
+		ev_run(loop, EVRUN_ONCE);
 	store.silent = true;
 	store.target = NULL;
 	run_for(loop, 3200);
