A read that shows an older state of the targets than is known confirms no list

What callers saw: nothing yet. Cause: a read of the targets whose revision is lower than one up to which the list was known to be complete still counted as a confirmation, at the time at which it was sent: a number that goes back, as for the configuration before is_old_page. Change: such a read confirms nothing. After 5 s of them the store counts as restored from a copy without a new era: the rows' revisions are forgotten, as with a new era, and the next read counts, so that the list follows the store again (before, rows with a later revision than the store's stayed listed until its counter had passed them). Evidence: /entry/store-sync/old-targets-read fails before (confirmed 2,985 ms later than the newest state) and passes; 33 of 33 in test-store-sync, 15 of 15 in test-target-table.

--- a/entry/target-table.c
+++ b/entry/target-table.c
@@ -54,6 +54,7 @@
 	int64_t page_revision; /* of the last page applied */
 	char *page_end;        /* last key of that page; NULL: of no page */
 	int64_t revision;      /* the list is complete up to it; 0: no list */
+	int64_t revision_ms;   /* when a read or another node last showed it */
 	int64_t history_from;  /* changes noticed after it are all known */
 	uint64_t hash;         /* of the usable targets */
 	size_t removed;        /* rows that are not usable */
@@ -294,6 +295,30 @@
 	}
 }
 
+/* The list is complete up to a revision, and may be up to a later one. */
+static void note_revision(struct target_table *t, int64_t revision,
+			  int64_t now_ms)
+{
+	if (revision < t->revision)
+		return;
+	t->revision = revision;
+	t->revision_ms = now_ms;
+}
+
+/*
+ * Whether a read shows an older state of the store than is known. If all have
+ * done so for some time the store has come back from a copy without telling an
+ * era, and the next read counts.
+ */
+static bool is_old_read(struct target_table *t, int64_t now_ms)
+{
+	if (t->read_revision >= t->revision)
+		return false;
+	if (now_ms - t->revision_ms >= OLD_ROW_MS)
+		target_table_new_era(t, now_ms);
+	return true;
+}
+
 bool target_table_finish_read(struct target_table *t, bool remove_missing,
 			      int64_t now_ms)
 {
@@ -324,10 +349,12 @@
 		row->noticed_ms = now_ms;
 		set_row(t, key, row, NULL, NULL, &source);
 	}
+	drop_old_removals(t, now_ms);
+	if (is_old_read(t, now_ms))
+		return false;
 	if (!t->revision)
 		t->history_from = MAX(t->history_from, t->read_revision);
-	t->revision = MAX(t->revision, t->read_revision);
-	drop_old_removals(t, now_ms);
+	note_revision(t, t->read_revision, now_ms);
 	return whole;
 }
 
@@ -572,6 +599,6 @@
 	if (answer->more || answer->targets_hash != t->hash ||
 	    !is_sound_revision(t, answer->targets_revision))
 		return;
-	t->revision = MAX(t->revision, answer->targets_revision);
+	note_revision(t, answer->targets_revision, now_ms);
 	drop_old_removals(t, now_ms);
 }
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -1190,6 +1190,36 @@
 		check_back_in_time(ms);
 }
 
+/*
+ * A read shows an older state of the store than one before, and the list counts
+ * as the newest at the time of that read. A store that has come back from a
+ * copy, and does not tell eras, must not leave the list unconfirmed for good.
+ */
+static void test_old_targets_read(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+	int64_t newest_ms;
+
+	store.revision += 5;
+	step_for(loop, 2000);
+	while (reader->sync->targets_busy)
+		step(loop);
+	store.revision -= 2;
+	newest_ms = time_boot_ms();
+	step_for(loop, 3000);
+	g_assert_cmpint(store_sync_targets_confirmed_ms(reader->sync), <=,
+			newest_ms);
+	step_for(loop, 3000);
+	g_assert_cmpint(list_age_ms(reader), <, AT_ONCE_MS);
+	/* The list follows the store again. */
+	store.target = NULL;
+	step_for(loop, AT_ONCE_MS);
+	g_assert_cmpuint(reader->e.list->n, ==, 0);
+	node_free(reader, loop);
+	virtual_end(loop);
+}
+
 /* A list with rows that the store lacks is told to others as the newest. */
 static void test_kept_rows_unconfirmed(void)
 {
@@ -1270,6 +1300,8 @@
 			test_outage_end_is_told);
 	g_test_add_func("/entry/store-sync/refused", test_refused);
 	g_test_add_func("/entry/store-sync/back-in-time", test_back_in_time);
+	g_test_add_func("/entry/store-sync/old-targets-read",
+			test_old_targets_read);
 	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
 			test_kept_rows_unconfirmed);
 	return g_test_run();
