--- a/soak/leaving.c
+++ b/soak/leaving.c
@@ -19,8 +19,8 @@
 #include <string.h>
 #include <sys/wait.h>
 
-#include "soak/peer-harm.h"
 #include "soak/soak.h"
+#include "soak/test-harm.h"
 
 #define ENTRIES     8 /* unless the command line says otherwise */
 #define CALLERS     8
@@ -394,9 +394,9 @@
 
 	if (e->harm_end_ms)
 		return;
-	process_harm_peers(&e->process,
-			   (char)g_rand_int_range(s->rand, PEER_HARM_NONE + 1,
-						  PEER_HARM_END));
+	harm_peers_of(&e->process,
+		      (char)g_rand_int_range(s->rand, PEER_HARM_NONE + 1,
+					     PEER_HARM_END));
 	e->harm_end_ms = now_ms + g_rand_int_range(s->rand, 500, 6000);
 }
 
@@ -442,7 +442,7 @@
 		struct soak_entry *e = &s->entries[k];
 
 		if (e->harm_end_ms && now_ms >= e->harm_end_ms) {
-			process_harm_peers(&e->process, PEER_HARM_NONE);
+			harm_peers_of(&e->process, PEER_HARM_NONE);
 			e->harm_end_ms = 0;
 		}
 		if (!e->clear_ms || now_ms < e->clear_ms)
--- a/soak/process.c
+++ b/soak/process.c
@@ -7,8 +7,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "soak/peer-harm.h"
 #include "soak/soak.h"
+#include "soak/test-harm.h"
 
 /* Part of an entry's log that is printed when it exits unexpectedly. */
 #define LOG_TAIL_BYTES 2000
@@ -20,35 +20,9 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
-/* Return the environment in which peer-harm.c finds its file. */
-static char **environment(const struct entry_process *p)
-{
-	char *path = g_strconcat(p->settings_path, ".harm", NULL);
-	char **env = g_get_environ();
-
-	if (p->harm_library) {
-		process_harm_peers(p, PEER_HARM_NONE);
-		env = g_environ_setenv(env, "LD_PRELOAD", p->harm_library,
-				       true);
-		env = g_environ_setenv(env, PEER_HARM_FILE, path, true);
-	}
-	g_free(path);
-	return env;
-}
-
-void process_harm_peers(const struct entry_process *p, char harm)
-{
-	char *path = g_strconcat(p->settings_path, ".harm", NULL);
-	int fd = open(path, O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
-
-	g_assert_cmpint(pwrite(fd, &harm, 1, 0), ==, 1);
-	close(fd);
-	g_free(path);
-}
-
 void process_start(struct entry_process *p, char *program_path)
 {
-	char **env = environment(p);
+	char **env = harm_environment(p);
 	char *argv[] = {program_path, "--settings", p->settings_path, NULL};
 	char *log_path = g_strconcat(p->settings_path, ".log", NULL);
 	int fd =
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,15 +19,13 @@
 	bool suspended;  /* by SIGSTOP */
 	bool seen_ready; /* a readiness check since its start succeeded */
 	char *settings_path;
-	const char *harm_library; /* see peer-harm.c; NULL: not loaded */
+	const char *harm_library; /* see test-harm.h; NULL: not loaded */
 };
 
 /* Write the text of its settings to a new file. */
 void process_set_settings(struct entry_process *p, const char *text);
 /* Start it; its log is beside the settings. */
 void process_start(struct entry_process *p, char *program_path);
-/* Harm its datagrams to other entries, by one of enum peer_harm. */
-void process_harm_peers(const struct entry_process *p, char harm);
 /* Send a signal; after SIGKILL also wait for its exit. */
 void process_stop(struct entry_process *p, int sig);
 /* Print the end of its log, as the run can not be reproduced. */
--- a/soak/peer-harm.c
+++ b/soak/test-peer-harm.c
@@ -1,8 +1,8 @@
 /*
- * peer-harm: loaded into an entry process before the C library, loses or delays
- * its datagrams from and to other entries. The file that PEER_HARM names says
- * what to do, as one of enum peer_harm; the soak writes it at any time. Control
- * thread only: all datagrams are its own.
+ * peer-harm.so: loaded into an entry process before the C library, it loses or
+ * delays its datagrams from and to other entries. The file that PEER_HARM names
+ * says what to do, as one of enum peer_harm; the soak writes it at any time.
+ * Control thread only: all datagrams are its own.
  */
 #include <dlfcn.h>
 #include <errno.h>
@@ -13,7 +13,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "soak/peer-harm.h"
+#include "soak/test-harm.h"
 
 #define HELD_MAX 512
 #define BYTES    2048
@@ -37,10 +37,11 @@
 static enum peer_harm harm_now(void)
 {
 	static int fd = -1;
+	const char *path = getenv(PEER_HARM_FILE);
 	char c = PEER_HARM_NONE;
 
-	if (fd < 0 && getenv(PEER_HARM_FILE))
-		fd = open(getenv(PEER_HARM_FILE), O_RDONLY | O_CLOEXEC);
+	if (fd < 0 && path)
+		fd = open(path, O_RDONLY | O_CLOEXEC);
 	if (fd < 0 || pread(fd, &c, 1, 0) != 1)
 		return PEER_HARM_NONE;
 	return (enum peer_harm)c;
