An answer about the same list confirms it also after the next query was sent

What callers saw: refusals for a list that is too old, or none, and the store more reads, by a node whose ways to its relays are slow. Cause: only the answer to the last query was used; queries are 0.4 s apart, so answers that take longer confirmed nothing, ever. Change: an answer that is overtaken confirms the list if it is about the same one. Its updates are not used: a series of them continues the last query's.

--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -188,6 +188,22 @@
 	return false;
 }
 
+/*
+ * An answer that comes after the next query was sent can't continue a series of
+ * updates, but one about the same list confirms it. Relays whose answers take
+ * longer than the interval between queries would confirm nothing.
+ */
+static void apply_late_answer(struct store_sync *s,
+			      const struct store_query_answer *answer)
+{
+	int64_t at_ms = answer->query_sent_ms - answer->targets_age_ms;
+
+	if (answer->targets_age_ms != UINT32_MAX && s->read_ended_ms &&
+	    at_ms > s->targets_confirmed_ms &&
+	    answer->targets_hash == target_table_hash(s->table))
+		store_sync_confirm_targets(s, at_ms, s->query_to);
+}
+
 bool store_sync_apply_answer(struct store_sync *s,
 			     const struct store_query_answer *answer)
 {
@@ -198,8 +214,10 @@
 		return false;
 	apply_config_answer(s, answer);
 	/* Only the last query's answer continues this node's list. */
-	return answer->query_sent_ms == s->query_sent_ms &&
-	       apply_targets_answer(s, answer);
+	if (answer->query_sent_ms == s->query_sent_ms)
+		return apply_targets_answer(s, answer);
+	apply_late_answer(s, answer);
+	return false;
 }
 
 bool store_sync_config_query(const struct store_sync *s,
--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -1220,6 +1220,50 @@
 	virtual_end(loop);
 }
 
+/*
+ * The answers of a relay take longer than the interval between queries, and the
+ * node uses none of them: it reads the store itself, or its list runs out.
+ */
+static void test_relay_slow(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *reader = node_new(loop, true);
+	struct node *node = node_new(loop, false);
+	struct target_update updates[2][TARGET_UPDATES_MAX];
+	struct store_query_answer answers[2];
+	struct store_query query;
+	int64_t oldest_ms = 0;
+	int reads;
+
+	store_sync_set_reader(node->sync, false, LARGE_FLEET);
+	step_for(loop, 5000);
+	reads = node->target_reads;
+	for (int ms = 0; ms < 10000; ms++) {
+		int n = ms / 400;
+
+		step(loop);
+		if (ms % 400 == 0) {
+			store_sync_query(node->sync, time_boot_ms(), false,
+					 &query);
+			store_sync_answer(reader->sync, &query, &answers[n % 2],
+					  updates[n % 2]);
+		}
+		/* The answer comes 450 ms after its query. */
+		if (n && ms % 400 == 50)
+			store_sync_apply_answer(node->sync,
+						&answers[(n + 1) % 2]);
+		if (ms > 1000)
+			oldest_ms = MAX(oldest_ms, list_age_ms(node));
+	}
+	g_test_message("oldest list: %d ms, %d reads", (int)oldest_ms,
+		       node->target_reads - reads);
+	g_assert_cmpint(oldest_ms, <, 1000);
+	g_assert_cmpint(node->target_reads - reads, <=, 1);
+	node_free(reader, loop);
+	node_free(node, loop);
+	virtual_end(loop);
+}
+
 /* A list with rows that the store lacks is told to others as the newest. */
 static void test_kept_rows_unconfirmed(void)
 {
@@ -1302,6 +1346,7 @@
 	g_test_add_func("/entry/store-sync/back-in-time", test_back_in_time);
 	g_test_add_func("/entry/store-sync/old-targets-read",
 			test_old_targets_read);
+	g_test_add_func("/entry/store-sync/relay-slow", test_relay_slow);
 	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
 			test_kept_rows_unconfirmed);
 	return g_test_run();
