An older answer of the instance list does not replace a newer one

A call for the list that took longer than the poll interval was overtaken by the next ones, and its older answer replaced theirs: targets that had left got work again until the next read, and for as long as the list could not be read after that. A list from another node, asked for at the start, could replace the platform's in the same way. And a node that could not read the list used its own for good, though other nodes had a newer one.

The answer has no revision, so a list now carries the time at which the platform was asked for it, and is replaced only by one that was asked for later. A node whose list was asked for more than two polls ago asks another node, and gets its list if that one was asked for later.

While no node can read the list the last one stays in use without a bound: targets that fail are set aside, so callers are better served than without targets, and what a target says of leaving comes before the list.

Not mended: a target's word that it leaves expires after 60 s (LEAVING_TTL_MS, member/targets.c); when the list can't be read for longer, the old list counts again, and only failed connections set the target aside.

--- a/node/config-sync.c
+++ b/node/config-sync.c
@@ -7,7 +7,9 @@
 
 #include "node/peer-api.h"
 
-#define CALL_TIMEOUT_MS  500
+#define CALL_TIMEOUT_MS 500
+/* Polls of the instance list after which a peer is asked for a newer one. */
+#define LIST_OLD_POLLS   2
 #define READER_RANK_SEED 0x72656164ULL
 
 /* State of the module; control thread only. */
@@ -19,6 +21,7 @@
 	GPtrArray *peer_addresses; /* NULL: not known yet */
 	size_t reader_rank;        /* of this node, by rendezvous hashing */
 	int64_t next_list_ms;
+	int64_t list_sent_ms; /* of the call for a list to a peer */
 	bool list_pending;
 };
 
@@ -202,29 +205,50 @@
 	call_peer(ctx, i, "/internal/config", 0, done, arg);
 }
 
+/*
+ * Return when the platform was asked for the list in a peer's answer; INT64_MIN
+ * if it doesn't say, so that such a list is used only while there is none.
+ */
+static int64_t list_asked_ms(const struct config_sync *cs, const json_t *answer)
+{
+	const json_t *age = json_object_get(answer, "age_ms");
+	int64_t ms = json_integer_value(age);
+
+	return json_is_integer(age) && ms >= 0 && ms <= cs->list_sent_ms
+		       ? cs->list_sent_ms - ms
+		       : INT64_MIN;
+}
+
 static void on_list(const json_t *answer, void *arg)
 {
 	struct config_sync *cs = arg;
 	const json_t *list = json_object_get(answer, "instances");
-	struct fleet *f = node_fleet(cs->env->node);
 
 	cs->list_pending = false;
-	if (!f && json_is_array(list))
-		node_set_listed_fleet(cs->env->node,
-				      fleet_from_instances(list));
-	fleet_unref(f);
+	if (json_is_array(list))
+		node_set_listed_fleet(cs->env->node, fleet_from_instances(list),
+				      list_asked_ms(cs, answer));
 }
 
-/* Fetch the instance list from a configured peer while this node has none. */
+/*
+ * Fetch the instance list from a peer while this node has none, or an old one:
+ * the peer may still reach the platform, or have read the list later.
+ */
 static void fetch_list(struct config_sync *cs, int64_t now_ms)
 {
-	if (cs->fleet || cs->list_pending || !cs->peer_addresses ||
-	    !cs->peer_addresses->len || now_ms < cs->next_list_ms)
+	const struct fleet *listed = cs->env->node->listed_fleet;
+	int64_t poll_ms = cs->env->node->set.platform_poll_ms;
+	int64_t age_ms = listed ? now_ms - listed->asked_ms : 0;
+
+	if ((listed && age_ms < poll_ms * LIST_OLD_POLLS) || cs->list_pending ||
+	    !cs->peer_addresses || !cs->peer_addresses->len ||
+	    now_ms < cs->next_list_ms)
 		return;
-	cs->next_list_ms = now_ms + cs->env->node->set.platform_poll_ms;
+	cs->next_list_ms = now_ms + poll_ms;
+	cs->list_sent_ms = now_ms;
 	cs->list_pending = true;
-	call_peer(cs, randombytes_random(), "/internal/instances", 0, on_list,
-		  cs);
+	call_peer(cs, randombytes_random(), "/internal/instances", age_ms,
+		  on_list, cs);
 }
 
 static void *start(struct control_env *env)
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -145,6 +145,7 @@
 {
 	struct fleet *copy = fleet_new();
 
+	copy->asked_ms = f->asked_ms;
 	for (guint i = 0; i < f->targets->len; i++)
 		copy_target(copy, g_ptr_array_index(f->targets, i));
 	for (guint i = 0; i < f->peers->len; i++) {
--- a/node/node.c
+++ b/node/node.c
@@ -125,8 +125,13 @@
 	fleet_unref(old);
 }
 
-void node_set_listed_fleet(struct node *n, struct fleet *f)
+void node_set_listed_fleet(struct node *n, struct fleet *f, int64_t asked_ms)
 {
+	if (n->listed_fleet && asked_ms <= n->listed_fleet->asked_ms) {
+		fleet_unref(f);
+		return;
+	}
+	f->asked_ms = asked_ms;
 	fleet_unref(n->listed_fleet);
 	n->listed_fleet = f;
 	n->listed_version++;
--- a/node/node.h
+++ b/node/node.h
@@ -56,6 +56,8 @@
 	/* Nodes believed alive, and nodes expected; see member_count_live. */
 	size_t nodes_live, nodes_known;
 	bool lists_self; /* the platform's instance list names this node */
+	/* Monotonic time at which the platform was asked for the list. */
+	int64_t asked_ms;
 };
 
 /*
@@ -150,10 +152,10 @@
 void node_set_config(struct node *n, struct config *c);
 void node_set_fleet(struct node *n, struct fleet *f);
 /*
- * Store an instance list that was just read, from the control thread. Takes
- * the reference.
+ * Store an instance list, from the control thread, unless the platform was
+ * asked for the present one later. Takes the reference.
  */
-void node_set_listed_fleet(struct node *n, struct fleet *f);
+void node_set_listed_fleet(struct node *n, struct fleet *f, int64_t asked_ms);
 
 /* What a thread observed of a target, queued for the control thread. */
 struct target_event {
--- a/node/peer-api.c
+++ b/node/peer-api.c
@@ -259,14 +259,22 @@
 		      void *node)
 {
 	struct fleet *f;
+	int64_t age_ms, callers_ms;
 
 	if (!peer_api_is_signed(q))
 		return refuse(r, RAMP_ERR_UNAUTHORIZED);
 	f = node_fleet(node);
 	if (!f)
 		return refuse(r, RAMP_ERR_NOT_READY);
-	answer_json(r, 200,
-		    json_pack("{s:o}", "instances", fleet_to_instances(f)));
+	/* The caller gives the age of its own list; 0 if it has none. */
+	callers_ms = g_ascii_strtoll(param(q, "after"), NULL, 10);
+	age_ms = MAX(time_mono_ms() - f->asked_ms, 0);
+	if (callers_ms > 0 && age_ms >= callers_ms)
+		answer_json(r, 200, json_pack("{s:I}", "age_ms", age_ms));
+	else
+		answer_json(r, 200,
+			    json_pack("{s:o,s:I}", "instances",
+				      fleet_to_instances(f), "age_ms", age_ms));
 	fleet_unref(f);
 	return U_CALLBACK_COMPLETE;
 }
