A refusal written once more is not the answer of the next plain call

A plain service, or a server in front of it, that wrote a 408, 421 or 429 without a Request-Id on a kept connection had it taken for the answer of the next call: its caller got an empty answer as complete. Servers write a 408 that no call has asked for when a connection was idle for long.

For 503, and for responses that name another request, this was mended before; the other statuses by which a server refuses without having run a call are now treated alike: on a connection that was used before, the call is made again on a new one. Only calls that may be repeated use such a connection, and one on a new connection passes the status on as before.

/foreign-answers/again: ten responses, written with the answer before, 20 ms behind it, or before the answer of the next call, with and without the Request-Id, for GET, PUT, DELETE and POST.

Not detectable: another status without a Request-Id that comes after the next call was sent.

--- a/node/plain-service.c
+++ b/node/plain-service.c
@@ -28,6 +28,15 @@
 	return p ? p : "/";
 }
 
+/*
+ * Return whether a server may write the status without reading a request, as
+ * on a connection that was idle for long, or write it for a request once more.
+ */
+static bool is_refusal(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /*
  * What a whole answer says. Services need not name the request, but one that
  * names another, or a refusal that may be of another, says nothing of this one.
@@ -35,14 +44,16 @@
 static enum ramp_error judge_answer(const struct request *rq,
 				    const struct http_call *p)
 {
-	bool refuses = http_call_status(p) == 503;
+	int status = http_call_status(p);
 
-	if ((refuses || http_call_header(p, "Request-Id")) &&
+	if ((is_refusal(status) || http_call_header(p, "Request-Id")) &&
 	    http_call_is_foreign(p, "Request-Id", rq->id)) {
 		metric_add(M_ANSWERS_CROSSED_TOTAL, 1);
 		return RAMP_ERR_OUTCOME_UNKNOWN;
 	}
-	return refuses ? RAMP_ERR_OVERLOADED : RAMP_OK;
+	/* By contract 503 says that nothing ran; what others say is passed on.
+	 */
+	return status == 503 ? RAMP_ERR_OVERLOADED : RAMP_OK;
 }
 
 /* Wait until the whole answer has arrived. */
--- a/node/test-foreign-answers.c
+++ b/node/test-foreign-answers.c
@@ -13,6 +13,8 @@
 
 #define TARGETS 2
 #define WORDS   3
+/* After an answer, before the response that comes once more. */
+#define AGAIN_MS 20
 /* Longer than a node waits for the headers of a request it has forwarded. */
 #define LATE_MS  700
 #define SETTINGS "[streams]\nsilence = 3000\n"
@@ -118,6 +120,54 @@
 		shutdown(fd, SHUT_WR);
 }
 
+/* When a response is written that no request has asked for. */
+enum when { AT_ONCE, LATER, BEFORE_NEXT, WHENS };
+
+static const char *const when_names[WHENS] = {"at-once", "later",
+					      "before-next"};
+
+#define AGAIN(status) "HTTP/1.1 " status " X\r\nContent-Length: 0\r\n"
+
+/* Responses of a plain service that come once more on a kept connection. */
+static const struct again_case {
+	const char *name;
+	const char *text;
+} again_cases[] = {
+	{"503", AGAIN("503") "\r\n"},
+	{"503-closes", AGAIN("503") "Connection: close\r\n\r\n"},
+	{"503-named", AGAIN("503") "Request-Id: earlier\r\n\r\n"},
+	{"408", AGAIN("408") "\r\n"},
+	{"408-closes", AGAIN("408") "Connection: close\r\n\r\n"},
+	{"421", AGAIN("421") "\r\n"},
+	{"429", AGAIN("429") "Retry-After: 1\r\n\r\n"},
+	{"429-named", AGAIN("429") "Request-Id: earlier\r\n\r\n"},
+	{"500-named", AGAIN("500") "Request-Id: earlier\r\n\r\n"},
+	{"200-named", AGAIN("200") "Request-Id: earlier\r\n\r\n"},
+};
+
+static const struct again_case *_Atomic again;
+static atomic_int again_when;
+
+/* Answer a call of a service, and write a response once more. */
+static void run_again(int fd, const char *id, int on_connection)
+{
+	const struct again_case *c = again;
+	int when = atomic_load(&again_when);
+
+	atomic_fetch_add(&runs, 1);
+	if (when == BEFORE_NEXT && on_connection > 1) {
+		atomic_fetch_add(&odd, 1);
+		raw_send(fd, c->text);
+	}
+	send_plain_answer(fd, id);
+	if (when == LATER)
+		g_usleep(AGAIN_MS * 1000);
+	if (when != BEFORE_NEXT) {
+		atomic_fetch_add(&odd, 1);
+		raw_send(fd, c->text);
+	}
+}
+
 /* Serve one request; chats and calls of a service run, no other does. */
 static bool serve(int fd, const char *request, int on_connection)
 {
@@ -125,6 +175,8 @@
 
 	if (g_str_has_prefix(request, "POST /v1/chat/"))
 		run(fd, id, on_connection, send_answer);
+	else if (strstr(request, " /app/") && again)
+		run_again(fd, id, on_connection);
 	else if (strstr(request, " /app/"))
 		run(fd, id, on_connection, send_plain_answer);
 	else if (g_str_has_prefix(request, "GET /load"))
@@ -260,6 +312,47 @@
 	raw_targets_stop();
 }
 
+/* Each caller gets the answer of its own call. */
+static void test_again(gconstpointer data)
+{
+	static const char *const methods[] = {"GET", "PUT", "DELETE", "POST"};
+	struct rig *g = start_rig();
+	int wrong = 0;
+
+	again = data;
+	for (int i = 0; i < 24 * WHENS; i++) {
+		const char *method = methods[i % 4];
+		char *path = g_strdup_printf("/v1/services/forum/app/%d", i);
+		char *key = g_strdup_printf("Idempotency-Key: a%d", i);
+		const char *h[] = {"Authorization: Bearer key-recif", key,
+				   NULL};
+		int before = atomic_load(&runs);
+		struct reply r;
+
+		atomic_store(&again_when, i / 24);
+		r = call_local(g->nodes[0].port, method, path, h, NULL);
+		if (r.status != 200 || g_strcmp0(r.body, "ran") ||
+		    g_strcmp0(r.outcome, "complete") ||
+		    (i % 4 == 3 && atomic_load(&runs) - before != 1)) {
+			wrong++;
+			g_test_message("%s, %s: status %d outcome %s body %s",
+				       method, when_names[i / 24], r.status,
+				       r.outcome ? r.outcome : "-",
+				       r.body ? r.body : "-");
+		}
+		/* Every other call begins when the connection is idle. */
+		if (i / 4 % 2)
+			g_usleep(2 * AGAIN_MS * 1000);
+		reply_clear(&r);
+		g_free(key);
+		g_free(path);
+	}
+	rig_free(g);
+	raw_targets_stop();
+	again = NULL;
+	g_assert_cmpint(wrong, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -278,5 +371,12 @@
 		g_test_add_data_func(path, &cases[i], test_plain);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(again_cases); i++) {
+		char *path = g_strconcat("/foreign-answers/again/",
+					 again_cases[i].name, NULL);
+
+		g_test_add_data_func(path, &again_cases[i], test_again);
+		g_free(path);
+	}
 	return g_test_run();
 }
