A way that only accepts connections is not back for requests that run once

Cause: twice a second the entry opens a connection to a target that it reaches through others, and takes the way for open if the connection is established and still there 10 ms later. Something on the way that accepts and then resets, as the test's proxy does, may take longer on a busy machine. The next request went there and was lost.

A way that was cut now is unproven for two seconds, or until the target has sent something on it. Until then a request that could not be repeated goes through another node still, also one on its last attempt. A connection that breaks, or a probe that fails, cuts the way again at once; probes go on meanwhile. If no other node can help, all requests go the own way.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -325,6 +325,7 @@
 {
 	if (f == LINK_NO_TUNNEL || (f == LINK_BROKEN && x->helper)) {
 		reach_avoid_helper(x->tr, x->helper);
+		ways_record_no_help(x->target);
 		return;
 	}
 	/*
@@ -350,7 +351,7 @@
 
 	(void)response_started;
 	x->failure_cause = causes[f];
-	if (f == LINK_BROKEN)
+	if (f == LINK_BROKEN && (x->helper || !ways_record_break(x->target)))
 		exchange_record_break(x);
 	if (f == LINK_NOT_CONNECTED && !x->helper)
 		reach_check_start(x->target, NULL);
@@ -365,6 +366,8 @@
 
 	x->target->last_received_ms = time_boot_ms();
 	x->target->last_failed = false;
+	if (!x->helper)
+		ways_record_received(x->target);
 	switch (response_owner(x, m)) {
 	case OWNER_OTHER:
 		/* Skipped; the response to this request may follow. */
@@ -627,7 +630,9 @@
 	pool_add_running(t, 1);
 	again = was_tried(x, t->info.id);
 	x->tried_targets[x->attempts++] = t->info.id;
-	x->link = pool_acquire_link(t, again, &x->link_reused, &x->helper);
+	x->link = pool_acquire_link(
+		t, !exchange_may_retry(x, x->possible_runs + 1), again,
+		&x->link_reused, &x->helper);
 	exchange_note_send(x);
 	if (!x->link) {
 		x->failure_cause = "no_descriptor";
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -99,6 +99,7 @@
 	int64_t cut_since_ms; /* it is reached through others; 0: it isn't */
 	bool cut_checked;     /* that was found of it, not of others */
 	int64_t probe_at_ms;  /* when to see whether the way is back */
+	int64_t unproven_until_ms; /* see UNPROVEN_MS in ways.c; 0: proven */
 	/*
 	 * Per priority, the send time of the most recently sent request that
 	 * the target has begun to answer; 0: none.
@@ -396,10 +397,11 @@
  * Return an idle link to the target, or a new one that is still connecting, or
  * NULL when no socket can be opened. *reused tells which. *helper is the node
  * through which it goes; 0: none. fresh: not an idle one, on which a late copy
- * of the response to an earlier attempt of the same request may arrive.
+ * of the response to an earlier attempt of the same request may arrive. last:
+ * see ways_is_open.
  */
-struct link *pool_acquire_link(struct target *t, bool fresh, bool *reused,
-			       uint64_t *helper);
+struct link *pool_acquire_link(struct target *t, bool last, bool fresh,
+			       bool *reused, uint64_t *helper);
 /* Close the idle links to the target. */
 void pool_close_idle_links(struct target *t);
 /* Keep a reusable link as idle, or close it. */
@@ -491,6 +493,23 @@
  * is reached through other nodes, and no fault is recorded of it.
  */
 void ways_record(struct target *t, enum target_way way);
+/*
+ * Whether a request may be sent to the target directly; last: it is failed, not
+ * repeated, when the connection breaks.
+ */
+bool ways_is_open(const struct target *t, bool last);
+/* The target has sent something on this node's way to it. */
+void ways_record_received(struct target *t);
+/*
+ * Another node could not reach the target: if this node's way is not cut, all
+ * requests go there.
+ */
+void ways_record_no_help(struct target *t);
+/*
+ * A connection to the target broke on this node's way to it. Return whether
+ * that was the way, which was cut before and counts as cut again.
+ */
+bool ways_record_break(struct target *t);
 /* Look at times whether ways that were cut are open again. */
 void ways_probe(struct traffic *tr, int64_t now_ms);
 
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -512,8 +512,8 @@
 	return targets[chosen];
 }
 
-struct link *pool_acquire_link(struct target *t, bool fresh, bool *reused,
-			       uint64_t *helper)
+struct link *pool_acquire_link(struct target *t, bool last, bool fresh,
+			       bool *reused, uint64_t *helper)
 {
 	int64_t now = time_boot_ms();
 	struct idle_link *i;
@@ -521,7 +521,7 @@
 
 	*reused = false;
 	*helper = 0;
-	if (t->cut_since_ms) {
+	if (!ways_is_open(t, last)) {
 		through = reach_through_peer(t, helper);
 		if (through)
 			return through;
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -211,7 +211,7 @@
 		refuse(t, TUNNEL_REFUSED);
 		return;
 	}
-	if (g->cut_since_ms) {
+	if (!ways_is_open(g, true)) {
 		refuse(t, TUNNEL_CUT);
 		return;
 	}
--- a/entry/ways.c
+++ b/entry/ways.c
@@ -14,6 +14,12 @@
 #define CHECK_SERVICES_INTERVAL_MS 500
 /* Interval of the looks at whether the way to a target is back. */
 #define PROBE_INTERVAL_MS 500
+/*
+ * Time in which a way that was cut carries only requests that may be repeated,
+ * unless the target sends something before: one on which connections are
+ * established may still lose what is sent on them.
+ */
+#define UNPROVEN_MS 2000
 /* Share of the targets to which a node has lost its way when it says so. */
 #define CUT_SHARE 0.3
 /* Most probes of ways at a time, as a part of the targets, and at least. */
@@ -27,6 +33,7 @@
 	if (t->cut_since_ms)
 		return;
 	t->cut_since_ms = time_boot_ms();
+	t->unproven_until_ms = 0;
 	t->probe_at_ms = t->cut_since_ms + PROBE_INTERVAL_MS;
 	/* It was not to blame for what failed. */
 	t->consecutive_faults = 0;
@@ -113,6 +120,34 @@
 	g_hash_table_unref(checked);
 }
 
+static bool is_unproven(const struct target *t, int64_t now_ms)
+{
+	return t->unproven_until_ms > now_ms;
+}
+
+bool ways_is_open(const struct target *t, bool last)
+{
+	return !t->cut_since_ms && !(last && is_unproven(t, time_boot_ms()));
+}
+
+void ways_record_received(struct target *t)
+{
+	t->unproven_until_ms = 0;
+}
+
+void ways_record_no_help(struct target *t)
+{
+	t->unproven_until_ms = 0;
+}
+
+bool ways_record_break(struct target *t)
+{
+	if (!is_unproven(t, time_boot_ms()))
+		return false;
+	set_cut(t, true);
+	return true;
+}
+
 void ways_record(struct target *t, enum target_way way)
 {
 	if (way == WAY_CUT) {
@@ -125,6 +160,10 @@
 			  (int)(time_boot_ms() - t->cut_since_ms));
 		t->cut_since_ms = 0;
 		t->cut_checked = false;
+		t->unproven_until_ms = time_boot_ms() + UNPROVEN_MS;
+	} else if (way == WAY_UNKNOWN) {
+		/* A probe has failed, as long as the way is looked at. */
+		ways_record_break(t);
 	}
 }
 
@@ -154,9 +193,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct target *t = v;
 
-		if (!t->cut_since_ms || !t->listed)
+		if (!t->listed || (!t->cut_since_ms && !is_unproven(t, now_ms)))
 			continue;
-		cut++;
+		cut += t->cut_since_ms != 0;
 		if (now_ms < t->probe_at_ms || n >= MAX(most, PROBES_MIN))
 			continue;
 		n++;
