A target that has not read a request yet has not lost its answer

Cause: an entry that gets no byte for the bound closes its connection and asks the target for the answer with GET /v1/streams/ID. A target that was held up may answer this one before it reads the request itself, which can still wait in another connection: 404. The relay took that for a lost answer and ran the request on another target; with none left, or only one that leaves, the stream was lost although the target ran it.

Change: a 404 before the first event of a run counts as a connection without progress, of which there are four in a row, with pauses of 90 to 260 ms together. Not for a stream that a caller takes up elsewhere, whose request the target is known to have had. An answer that is really lost before its first event is run again that much later.

--- a/node/relay.c
+++ b/node/relay.c
@@ -265,6 +265,17 @@
 				    TARGET_ANSWERED);
 }
 
+/*
+ * Whether a target that doesn't know the request may still get it: the one that
+ * was sent first, perhaps through the admitting node, can wait to be read while
+ * the later one for the rest is answered.
+ */
+static bool may_be_unread(const struct relay *rl, int status)
+{
+	return rl->resuming && status == 404 && !rl->rq->is_resume &&
+	       !rl->first_event_ms;
+}
+
 /* Handle the status of the answer, whose headers have all arrived. */
 static enum ramp_error check_status(struct relay *rl)
 {
@@ -275,7 +286,8 @@
 		rl->responded = true;
 		return RAMP_OK;
 	}
-	if (status == 200 || (rl->resuming && status == 503))
+	if (status == 200 || (rl->resuming && status == 503) ||
+	    may_be_unread(rl, status))
 		return reconnect(rl);
 	/* It says nothing of this request; the target may be running it. */
 	if (!rl->resuming && !rl->hop &&
--- a/node/test-gossip.c
+++ b/node/test-gossip.c
@@ -140,6 +140,25 @@
 	rig_free(g);
 }
 
+/*
+ * The only target left reads a request after the entry has asked it for the
+ * rest of the answer, which it doesn't know then: the answer is taken for lost.
+ */
+static void test_last_target_late(void)
+{
+	struct rig *g = start_converged_rig(2, 3);
+
+	proc_set_faults(&g->engines[0], "{\"leaving\":true}");
+	for (unsigned i = 0; i < 3; i++)
+		WAIT_UNTIL(rig_count_logged(g, &g->nodes[i],
+					    "target_leaving") == 1);
+	for (unsigned i = 0; i < 3; i++) {
+		proc_set_faults(&g->engines[1], "{\"late\":1}");
+		get_answer(g, i);
+	}
+	rig_free(g);
+}
+
 /*
  * A target tells only those whose requests it refuses that it leaves. A node
  * that reaches it through its admitting node learns it as well, or its retry
@@ -201,6 +220,7 @@
 	g_test_add_func("/gossip/killed", test_killed);
 	g_test_add_func("/gossip/leaving", test_leaving);
 	g_test_add_func("/gossip/target-leaving", test_target_leaving);
+	g_test_add_func("/gossip/last-target-late", test_last_target_late);
 	g_test_add_func("/gossip/target-leaving-unreported",
 			test_target_leaving_unreported);
 	g_test_add_func("/gossip/garbage", test_garbage);
--- a/standin/engine-control.c
+++ b/standin/engine-control.c
@@ -175,14 +175,15 @@
 	int invalid = json_unpack(
 		body,
 		"{s?I,s?I,s?b,s?I,s?I,s?I,s?I,s?I,s?I,s?b,s?b,s?I,s?b,s?b,"
-		"s?s !}",
+		"s?s,s?I !}",
 		"lag_ms", &f.report_lag_ms, "gap", &f.drop_event_every,
 		"ignore_fence", &ignore_fence, "cross", &f.crossed_answers,
 		"lose", &f.lost_answers, "silent", &f.silent_streams,
 		"silent_at", &f.silent_at_token, "slow", &f.step_time_factor,
 		"fail", &f.refused_requests, "down", &down, "differ",
 		&different_words, "vanish", &f.lost_then_down, "leaving",
-		&leaving, "no_load", &no_load, "crash_word", &crash_word);
+		&leaving, "no_load", &no_load, "crash_word", &crash_word,
+		"late", &f.late_requests);
 
 	if (!invalid)
 		g_strlcpy(f.crash_word, crash_word, sizeof(f.crash_word));
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -201,6 +201,9 @@
 		return refuse_request(r, 400, "bad_request");
 	}
 	g_mutex_lock(&e->lock);
+	if (take_fault(&e->faults.late_requests))
+		while (!g_hash_table_contains(e->unknown, id) && !e->stop)
+			g_cond_wait(&e->step_done, &e->lock);
 	if (e->faults.leaving) {
 		g_mutex_unlock(&e->lock);
 		json_decref(body);
@@ -240,6 +243,11 @@
 	if (e->faults.down || !j || j->cancelled) {
 		bool down = e->faults.down;
 
+		if (!j) {
+			g_hash_table_add(e->unknown,
+					 g_strdup(u_map_get(q->map_url, "id")));
+			g_cond_broadcast(&e->step_done);
+		}
 		g_mutex_unlock(&e->lock);
 		return refuse_request(r, down ? 503 : 404,
 				      down ? "down" : "unknown");
@@ -301,6 +309,8 @@
 					job_unref_value);
 	e->run_counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	e->unknown =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->queue = g_ptr_array_new();
 	e->cache = prefix_cache_new(cache_tokens);
 	e->orders = json_array();
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -22,6 +22,7 @@
 	int64_t silent_at_token;  /* ... at this token */
 	int64_t step_time_factor; /* of the duration of a step; 0 is 1 */
 	int64_t refused_requests; /* next requests are refused, not run */
+	int64_t late_requests;    /* next ones wait for a try to resume them */
 	bool different_words;     /* generate other words than other engines */
 	char crash_word[32];      /* prompts with it end the process, when */
 				  /* the answer begins; "": none */
@@ -63,6 +64,7 @@
 	GHashTable *jobs;       /* request id -> struct job */
 	GPtrArray *queue;       /* unfinished jobs by priority and arrival */
 	GHashTable *run_counts; /* request id -> number of times it ran */
+	GHashTable *unknown;    /* request ids that were asked for in vain */
 	struct prefix_cache *cache;
 	struct load_report reports[LOAD_REPORTS_KEPT]; /* ring */
 	uint64_t report_count;                         /* since the start */
