Tests of bounds that are kept by a schedule: configuration, evacuations, records

Ten cases in virtual time, one node of a fleet of 295 and a store that is sound.

A node counts as in touch when it has a way to the platform, so one that no other node reaches is bound as well. Not covered: requests that real processes send.

--- /dev/null
+++ b/entry/test-bounds-at-send.c
@@ -0,0 +1,560 @@
+/*
+ * Bounds on the age of the configuration and of the evacuated zones, and
+ * numbers that go back, in virtual time: one node and a store with a
+ * configuration and a zone.
+ */
+#include <string.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "entry/control.h"
+#include "entry/evacuations.h"
+#include "entry/origins.h"
+#include "entry/store-sync.h"
+
+#define VIRTUAL_START_MS 1000000
+#define CALL_MS          2
+#define APPLY_MS         2000
+#define EVACUATION_MS    5000
+#define CONTACT_MS       3000
+#define FLEET            295
+#define ZONE             "a"
+
+/* What the store shows. */
+struct state {
+	int64_t era;
+	int64_t revision;
+	int64_t version; /* of the configuration */
+	bool evacuated;
+};
+
+static struct {
+	struct state now;
+	const struct state *next; /* shown by the next read only */
+	int refused;              /* so many reads of its are refused */
+} store;
+
+static int64_t virtual_ms;
+
+/* Replaces the C library's, for this program, libev and the modules. */
+int clock_gettime(clockid_t id, struct timespec *t)
+{
+	if (!virtual_ms)
+		return (int)syscall(SYS_clock_gettime, id, t);
+	t->tv_sec = virtual_ms / 1000;
+	t->tv_nsec = virtual_ms % 1000 * 1000000L;
+	return 0;
+}
+
+/* A node without its threads. */
+struct node {
+	struct entry e;
+	struct entry_options options;
+	struct store_sync *sync;
+	bool asked_config; /* a call for the configuration is in progress */
+};
+
+/* A call in progress, which shows the store as it was when it was sent. */
+struct call {
+	struct node *node;
+	enum store_table table;
+	store_done_fn *done;
+	void *ctx;
+	ev_timer timer;
+	int64_t sent_ms;
+	struct state state;
+	bool refused;
+};
+
+static json_t *fake_value(const struct store_page *p, size_t i)
+{
+	return json_pack("{s:I}", "version", (json_int_t)p->rows[i].revision);
+}
+
+static struct entry_config *fake_config(const json_t *value, GError **err)
+{
+	struct entry_config *c = entry_config_new();
+
+	(void)err;
+	c->version = json_integer_value(json_object_get(value, "version"));
+	entry_config_index(c);
+	return c;
+}
+
+static bool fake_target(void *arena, const char *key, const json_t *value,
+			struct target_info *out)
+{
+	(void)arena;
+	(void)value;
+	*out = (struct target_info){.id = 1, .name = str_c(key)};
+	return true;
+}
+
+static void finish_call(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct call *c = w->data;
+	struct store_row rows[] = {
+		{"config", c->state.version, false, NULL},
+		{"evacuate/" ZONE, c->state.revision, false, ZONE}};
+	struct store_page p = {
+		.status = c->refused ? STORE_FAILED : STORE_OK,
+		.rows = rows,
+		.n = c->refused ? 0 : 1 + c->state.evacuated,
+		.era = c->state.era,
+		.revision = c->state.revision,
+		.sent_ms = c->sent_ms,
+	};
+
+	(void)loop;
+	(void)events;
+	if (c->table == STORE_TARGETS)
+		p.n = 0;
+	else
+		c->node->asked_config = false;
+	c->done(c->ctx, &p);
+	g_free(c);
+}
+
+static void start_call(struct node *n, enum store_table t, store_done_fn *done,
+		       void *ctx)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	*c = (struct call){.node = n,
+			   .table = t,
+			   .done = done,
+			   .ctx = ctx,
+			   .sent_ms = time_boot_ms(),
+			   .state = store.now};
+	if (t == STORE_CONFIG) {
+		n->asked_config = true;
+		c->refused = store.refused > 0;
+		store.refused -= c->refused;
+		if (store.next)
+			c->state = *store.next;
+		store.next = NULL;
+	}
+	ev_timer_init(&c->timer, finish_call, CALL_MS / 1000.0, 0);
+	c->timer.data = c;
+	ev_timer_start(n->e.tr.loop, &c->timer);
+}
+
+static void fake_read(void *node, enum store_table t, const char *from,
+		      store_done_fn *done, void *ctx)
+{
+	(void)from;
+	start_call(node, t, done, ctx);
+}
+
+static void fake_await(void *node, enum store_table t, int64_t revision,
+		       int64_t wait_ms, store_done_fn *done, void *ctx)
+{
+	(void)revision;
+	(void)wait_ms;
+	start_call(node, t, done, ctx);
+}
+
+static const struct store_api fake_api = {.read = fake_read,
+					  .await = fake_await,
+					  .value = fake_value,
+					  .target = fake_target,
+					  .config = fake_config};
+
+static void ignore_views(struct ev_loop *loop, ev_async *w, int events)
+{
+	(void)loop;
+	(void)w;
+	(void)events;
+}
+
+static void step_for(struct ev_loop *loop, int ms)
+{
+	while (ms-- > 0) {
+		virtual_ms++;
+		ev_run(loop, EVRUN_NOWAIT);
+	}
+}
+
+/* Start a loop in virtual time, with a store that is up. */
+static struct ev_loop *virtual_loop(void)
+{
+	virtual_ms = VIRTUAL_START_MS;
+	store.now = (struct state){.era = 1, .revision = 10, .version = 5};
+	store.next = NULL;
+	store.refused = 0;
+	return ev_loop_new(EVFLAG_AUTO);
+}
+
+static struct node *node_new(struct ev_loop *loop, bool reader, guint32 seed)
+{
+	struct node *n = g_new0(struct node, 1);
+	struct entry_settings *s = &n->e.control_settings;
+
+	n->options.store = &fake_api;
+	n->e.o = &n->options;
+	n->e.store = n;
+	s->bounds_drain_ms = 4000;
+	s->bounds_contact_ms = CONTACT_MS;
+	s->bounds_revoke_ms = 5000;
+	s->bounds_config_apply_ms = APPLY_MS;
+	s->store_targets_poll_ms = 700;
+	s->store_config_wait_ms = 50;
+	s->store_timeout_ms = 1500;
+	n->e.settings = *s;
+	n->e.tr.e = &n->e;
+	n->e.tr.settings = &n->e.settings;
+	n->e.tr.loop = loop;
+	n->e.origins = origins_new();
+	n->e.notices = notices_new();
+	n->e.evacuations = entry_evacuations_new(&n->e);
+	n->e.target_limits = target_limits_new(&limit_requests, 1, NULL, NULL);
+	ev_async_init(&n->e.tr.views_published, ignore_views);
+	ev_async_start(loop, &n->e.tr.views_published);
+	n->sync = store_sync_new(&n->e, loop);
+	g_rand_set_seed(n->sync->rand, seed);
+	store_sync_set_reader(n->sync, reader, FLEET);
+	return n;
+}
+
+/* End a case; calls in progress are not waited for. */
+static void node_end(struct node *n, struct ev_loop *loop)
+{
+	store_sync_free(n->sync);
+	ev_async_stop(loop, &n->e.tr.views_published);
+	entry_config_unref(n->e.config);
+	target_list_unref(n->e.list);
+	origins_free(n->e.origins);
+	notices_free(n->e.notices);
+	evacuations_free(n->e.evacuations);
+	target_limits_free(n->e.target_limits);
+	g_free(n);
+	ev_loop_destroy(loop);
+	virtual_ms = 0;
+}
+
+static bool list_is_usable(const struct node *n)
+{
+	return n->e.list && atomic_load(&n->e.list->until_ms) > time_boot_ms();
+}
+
+/* Change the store once the node has just asked for its rows. */
+static int64_t change_after_read(struct node *n, struct ev_loop *loop)
+{
+	while (!n->asked_config)
+		step_for(loop, 1);
+	while (n->asked_config)
+		step_for(loop, 1);
+	store.now.revision++;
+	return time_boot_ms();
+}
+
+/*
+ * A node that no other node reaches handles requests by an old configuration,
+ * as it reads the store itself more seldom than the bound allows.
+ */
+static void check_alone(int refused)
+{
+	int64_t worst_ms = 0;
+
+	for (guint32 seed = 0; seed < 20; seed++) {
+		struct ev_loop *loop = virtual_loop();
+		struct node *n = node_new(loop, false, seed);
+		int64_t acked_ms, old_ms = 0;
+
+		step_for(loop, 10000);
+		acked_ms = change_after_read(n, loop);
+		store.now.version++;
+		store.refused = refused;
+		while (n->e.config->version != store.now.version) {
+			step_for(loop, 1);
+			if (list_is_usable(n))
+				old_ms = time_boot_ms() - acked_ms;
+		}
+		worst_ms = MAX(worst_ms, old_ms);
+		node_end(n, loop);
+	}
+	g_test_message("%d reads refused: old configuration for up to %d ms",
+		       refused, (int)worst_ms);
+	g_assert_cmpint(worst_ms, <=, APPLY_MS);
+}
+
+static void test_config_alone(void)
+{
+	check_alone(0);
+}
+
+static void test_config_refused(void)
+{
+	check_alone(1);
+}
+
+/*
+ * While the control thread stands still, requests are handled by an old
+ * configuration as long as the list may be used.
+ */
+static void test_config_paused(void)
+{
+	struct ev_loop *loop = virtual_loop();
+	struct node *n = node_new(loop, true, 1);
+	int64_t acked_ms;
+
+	step_for(loop, 5000);
+	acked_ms = change_after_read(n, loop);
+	store.now.version++;
+	while (list_is_usable(n))
+		virtual_ms++;
+	g_test_message("old configuration for %d ms",
+		       (int)(time_boot_ms() - acked_ms));
+	g_assert_cmpint(time_boot_ms() - acked_ms, <=, APPLY_MS);
+	node_end(n, loop);
+}
+
+/* A read that shows an older state, long after a new era, is taken as new. */
+static void test_config_old_read(void)
+{
+	struct ev_loop *loop = virtual_loop();
+	struct node *n = node_new(loop, true, 1);
+	struct state old;
+	int64_t lowest;
+
+	step_for(loop, 2000);
+	store.now.era = 2;
+	store.now.revision = 100;
+	step_for(loop, 10000);
+	old = store.now;
+	store.now.version = 6;
+	store.now.revision++;
+	step_for(loop, 1000);
+	g_assert_cmpint(n->e.config->version, ==, 6);
+	lowest = n->e.config->version;
+	store.next = &old;
+	for (int i = 0; i < 3000; i++) {
+		step_for(loop, 1);
+		lowest = MIN(lowest, n->e.config->version);
+	}
+	g_assert_cmpint(lowest, ==, 6);
+	node_end(n, loop);
+}
+
+/* The same without a new era, where versions only grow. */
+static void test_config_old_read_first_era(void)
+{
+	struct ev_loop *loop = virtual_loop();
+	struct node *n = node_new(loop, true, 1);
+	struct state old = store.now;
+
+	step_for(loop, 2000);
+	store.now.version = 6;
+	store.now.revision++;
+	step_for(loop, 1000);
+	store.next = &old;
+	for (int i = 0; i < 3000; i++) {
+		step_for(loop, 1);
+		g_assert_cmpint(n->e.config->version, ==, 6);
+	}
+	node_end(n, loop);
+}
+
+/*
+ * A node that has the configuration of a restored store asks another node,
+ * which still has the one from before, for that one.
+ */
+static void test_config_before_restore(void)
+{
+	struct ev_loop *loop = virtual_loop();
+	struct node *n = node_new(loop, true, 1);
+	struct store_query query;
+	struct config_query wanted;
+	struct store_query_answer answer = {.config_version = 7,
+					    .config_hash = 77,
+					    .config_age_ms = 100,
+					    .targets_age_ms = UINT32_MAX};
+
+	store.now.version = 7;
+	step_for(loop, 2000);
+	store.now.era = 2;
+	store.now.version = 6;
+	step_for(loop, 10000);
+	g_assert_cmpint(n->e.config->version, ==, 6);
+	store_sync_query(n->sync, time_boot_ms(), false, &query);
+	answer.query_sent_ms = query.sent_ms;
+	answer.era = 2;
+	store_sync_apply_answer(n->sync, &answer);
+	g_assert_false(store_sync_config_query(n->sync, &wanted));
+	node_end(n, loop);
+}
+
+/* A node that no other node reaches learns of an evacuation too late. */
+static void check_evacuation(bool reader, int refused)
+{
+	int64_t worst_ms = 0;
+
+	for (guint32 seed = 0; seed < 20; seed++) {
+		struct ev_loop *loop = virtual_loop();
+		struct node *n = node_new(loop, reader, seed);
+		uint64_t zone = evacuation_zone_id(str_c(ZONE));
+		int64_t acked_ms, last_ms = 0;
+
+		step_for(loop, 10000);
+		acked_ms = change_after_read(n, loop);
+		store.now.evacuated = true;
+		store.refused = refused;
+		while (!evacuations_has(n->e.evacuations, zone)) {
+			step_for(loop, 1);
+			if (list_is_usable(n))
+				last_ms = time_boot_ms() - acked_ms;
+		}
+		worst_ms = MAX(worst_ms, last_ms);
+		node_end(n, loop);
+	}
+	g_test_message("%s, %d reads refused: sends for up to %d ms",
+		       reader ? "reader" : "node", refused, (int)worst_ms);
+	g_assert_cmpint(worst_ms, <=, EVACUATION_MS);
+}
+
+static void test_evacuation_alone(void)
+{
+	check_evacuation(false, 0);
+	check_evacuation(true, 0);
+	check_evacuation(true, 2);
+}
+
+static void test_evacuation_refused(void)
+{
+	check_evacuation(false, 1);
+}
+
+/* Other nodes confirm the configuration of a node that gets no notices. */
+static void test_evacuation_no_notice(void)
+{
+	struct ev_loop *loop = virtual_loop();
+	struct node *n = node_new(loop, false, 1);
+	uint64_t zone = evacuation_zone_id(str_c(ZONE));
+	int64_t acked_ms;
+
+	step_for(loop, 10000);
+	acked_ms = change_after_read(n, loop);
+	store.now.evacuated = true;
+	while (!evacuations_has(n->e.evacuations, zone) &&
+	       time_boot_ms() - acked_ms < 2 * EVACUATION_MS) {
+		struct store_query query;
+		struct store_query_answer answer = {
+			.era = 1,
+			.config_version = n->sync->config_version,
+			.config_hash = n->sync->config_hash,
+			.targets_revision = store.now.revision};
+
+		step_for(loop, 400);
+		store_sync_query(n->sync, time_boot_ms(), false, &query);
+		answer.query_sent_ms = query.sent_ms;
+		answer.targets_hash = query.targets_hash;
+		store_sync_apply_answer(n->sync, &answer);
+	}
+	g_test_message("learns of it after %d ms",
+		       (int)(time_boot_ms() - acked_ms));
+	g_assert_cmpint(time_boot_ms() - acked_ms, <=, EVACUATION_MS);
+	node_end(n, loop);
+}
+
+/* What another node has said before the control thread was paused. */
+static struct peer_record record_of_limit(int per_1000_s)
+{
+	struct peer_record r = {.kind = RECORD_LIMIT};
+
+	r.peer_record_u.limit = (struct limit_report){1, per_1000_s, 10};
+	return r;
+}
+
+static struct peer_record record_of_notice(enum notice_kind kind, int64_t value)
+{
+	struct peer_record r = {.kind = RECORD_NOTICE};
+
+	r.peer_record_u.notice = (struct notice_report){kind, 1, value, 10};
+	return r;
+}
+
+static void receive(struct control *c, struct peer_record *r)
+{
+	struct peer_records m = {{1, r}};
+
+	peers_receive_records(c, &m);
+}
+
+/*
+ * A record that has waited for the control thread replaces what the traffic
+ * thread has learned since, and goes from here to the other nodes as the latest
+ * one.
+ */
+static void test_record_after_pause(void)
+{
+	struct ev_loop *loop = virtual_loop();
+	struct node *n = node_new(loop, true, 1);
+	struct control c = {.e = &n->e, .record_budget_ms = time_boot_ms()};
+	struct peer_record limit = record_of_limit(LIMIT_NONE);
+	struct peer_record brittle =
+		record_of_notice(NOTICE_TARGET_BRITTLE, LIMIT_NONE);
+	struct peer_record cut = record_of_notice(NOTICE_NODE_CUT, 0);
+	struct target_limit known;
+
+	virtual_ms += 1000;
+	target_limits_name(n->e.target_limits, 1, 2000, time_boot_ms());
+	notices_set(n->e.notices, NOTICE_TARGET_BRITTLE, 1, 3000,
+		    time_boot_ms());
+	notices_set(n->e.notices, NOTICE_NODE_CUT, 1, 1, time_boot_ms());
+	virtual_ms += 1000;
+	receive(&c, &limit);
+	receive(&c, &brittle);
+	receive(&c, &cut);
+	g_assert_cmpuint(target_limits_list(n->e.target_limits, &known, 1), ==,
+			 1);
+	g_assert_cmpint(known.per_1000_s, ==, 2000);
+	g_assert_cmpint(notices_get(n->e.notices, NOTICE_TARGET_BRITTLE, 1,
+				    time_boot_ms(), 0),
+			==, 3000);
+	g_assert_cmpint(notices_get(n->e.notices, NOTICE_NODE_CUT, 1,
+				    time_boot_ms(), 0),
+			==, 1);
+	/* Once the thread runs again, records count. */
+	virtual_ms += 1000;
+	c.record_budget_ms = time_boot_ms();
+	receive(&c, &limit);
+	receive(&c, &brittle);
+	receive(&c, &cut);
+	g_assert_cmpuint(target_limits_list(n->e.target_limits, &known, 1), ==,
+			 1);
+	g_assert_cmpint(known.per_1000_s, ==, LIMIT_NONE);
+	g_assert_cmpint(notices_get(n->e.notices, NOTICE_TARGET_BRITTLE, 1,
+				    time_boot_ms(), 0),
+			==, LIMIT_NONE);
+	g_assert_cmpint(notices_get(n->e.notices, NOTICE_NODE_CUT, 1,
+				    time_boot_ms(), 1),
+			==, 0);
+	node_end(n, loop);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry/bounds-at-send/config-alone",
+			test_config_alone);
+	g_test_add_func("/entry/bounds-at-send/config-refused",
+			test_config_refused);
+	g_test_add_func("/entry/bounds-at-send/config-paused",
+			test_config_paused);
+	g_test_add_func("/entry/bounds-at-send/config-old-read",
+			test_config_old_read);
+	g_test_add_func("/entry/bounds-at-send/config-old-read-first-era",
+			test_config_old_read_first_era);
+	g_test_add_func("/entry/bounds-at-send/config-before-restore",
+			test_config_before_restore);
+	g_test_add_func("/entry/bounds-at-send/evacuation-alone",
+			test_evacuation_alone);
+	g_test_add_func("/entry/bounds-at-send/evacuation-refused",
+			test_evacuation_refused);
+	g_test_add_func("/entry/bounds-at-send/evacuation-no-notice",
+			test_evacuation_no_notice);
+	g_test_add_func("/entry/bounds-at-send/record-after-pause",
+			test_record_after_pause);
+	return g_test_run();
+}
