A record that waited in a paused node's socket replaces nothing newer

Found by review; no caller reported it. A datagram names the age of what it says at its sending, and the receiver counts back from the time at which it reads it. A control thread that has stood still reads records that are older by up to the whole pause. A limit, the end of a limit, a node's cut way or a target's brittleness from before the pause then replaced what the traffic thread had learned since, and as the latest statement it went on to the other nodes. There an ended limit lifts the one that holds until a target's response names it again. Evacuations are guarded against this (is_late), records of these kinds were not.

Such a record now counts from the last tick before the pause, the earliest time at which it can have been sent. It is still used where nothing contradicts it. It was considered to drop late records, as for evacuations: a node that wakes would then know less of limits for up to a second. Leaving, rests, warm-ups and trials are unchanged: counted late they keep requests away for longer.

--- a/entry/control.h
+++ b/entry/control.h
@@ -61,6 +61,7 @@
 	double record_budget; /* bytes that may be sent; see peer-records.c */
 	int64_t record_budget_ms;      /* when that was computed */
 	int64_t records_late_until_ms; /* see is_late in peer-records.c */
+	int64_t records_late_from_ms;  /* start of that stall */
 	size_t next_relay;             /* round-robin position for queries */
 };
 
--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -185,12 +185,39 @@
 	return n;
 }
 
+/*
+ * Whether a message may have waited here, so that what it says is older than by
+ * the age that it names.
+ */
+static bool is_late(const struct control *c, int64_t now_ms)
+{
+	return now_ms - c->record_budget_ms > TICK_STALL_MS ||
+	       now_ms < c->records_late_until_ms;
+}
+
+/*
+ * Return the earliest time at which a message that arrives now may have been
+ * sent. A statement that takes an earlier one back counts from then: with a
+ * later time it would replace a newer one here and, sent on, at other nodes.
+ */
+static int64_t sent_from_ms(const struct control *c, int64_t now_ms)
+{
+	int64_t from_ms = now_ms;
+
+	if (now_ms - c->record_budget_ms > TICK_STALL_MS)
+		from_ms = c->record_budget_ms;
+	else if (now_ms < c->records_late_until_ms)
+		from_ms = c->records_late_from_ms;
+	/* 0: before the first tick of this process */
+	return from_ms ? from_ms : now_ms;
+}
+
 static void receive_limit(struct control *c, const struct peer_record *r,
 			  int64_t now_ms)
 {
 	const struct limit_report *e = &r->peer_record_u.limit;
 	struct target_limit l = {e->target, e->per_1000_s,
-				 time_of(e->age_ms, now_ms)};
+				 time_of(e->age_ms, sent_from_ms(c, now_ms))};
 
 	target_limits_receive(c->e->target_limits, &l);
 }
@@ -228,16 +255,6 @@
 	add_notices(p, v, n, now_ms);
 }
 
-/*
- * Whether a message may have waited here, so that what it says is older than by
- * the age that it names.
- */
-static bool is_late(const struct control *c, int64_t now_ms)
-{
-	return now_ms - c->record_budget_ms > TICK_STALL_MS ||
-	       now_ms < c->records_late_until_ms;
-}
-
 static void receive_notice(struct control *c, const struct peer_record *r,
 			   int64_t now_ms)
 {
@@ -250,6 +267,8 @@
 	    (is_late(c, now_ms) ||
 	     !entry_evacuations_receive(c->e, &v, now_ms)))
 		return;
+	if (v.kind == NOTICE_NODE_CUT || v.kind == NOTICE_TARGET_BRITTLE)
+		v.at_ms = time_of(e->age_ms, sent_from_ms(c, now_ms));
 	notices_receive(c->e->notices, &v);
 }
 
@@ -355,8 +374,10 @@
 	set_rounds(c, l);
 	sweep(c, now_ms);
 	crash_causes_decide(c->e->crash_causes, now_ms);
-	if (since_ms > TICK_STALL_MS)
+	if (since_ms > TICK_STALL_MS) {
+		c->records_late_from_ms = c->record_budget_ms;
 		c->records_late_until_ms = now_ms + LATE_MS;
+	}
 	c->record_budget_ms = now_ms;
 	c->record_budget =
 		MIN(c->record_budget + (double)since_ms * BUDGET_BYTES_S / 1000,
--- a/entry/test-bounds-at-send.c
+++ b/entry/test-bounds-at-send.c
@@ -492,6 +492,7 @@
 	struct node *n = node_new(loop, true, 1);
 	struct control c = {.e = &n->e, .record_budget_ms = time_boot_ms()};
 	struct peer_record limit = record_of_limit(LIMIT_NONE);
+	struct peer_record unknown = record_of_limit(3000);
 	struct peer_record brittle =
 		record_of_notice(NOTICE_TARGET_BRITTLE, LIMIT_NONE);
 	struct peer_record cut = record_of_notice(NOTICE_NODE_CUT, 0);
@@ -515,15 +516,24 @@
 	g_assert_cmpint(notices_get(n->e.notices, NOTICE_NODE_CUT, 1,
 				    time_boot_ms(), 0),
 			==, 1);
+	/*
+	 * What nothing contradicts is used, whenever it was said. No nodes are
+	 * set, so that any limit allows nothing.
+	 */
+	unknown.peer_record_u.limit.target = 2;
+	receive(&c, &unknown);
+	g_assert_cmpint(
+		target_limits_next_ms(n->e.target_limits, 2, time_boot_ms()),
+		==, INT64_MAX);
 	/* Once the thread runs again, records count. */
 	virtual_ms += 1000;
 	c.record_budget_ms = time_boot_ms();
 	receive(&c, &limit);
 	receive(&c, &brittle);
 	receive(&c, &cut);
-	g_assert_cmpuint(target_limits_list(n->e.target_limits, &known, 1), ==,
-			 1);
-	g_assert_cmpint(known.per_1000_s, ==, LIMIT_NONE);
+	g_assert_cmpint(
+		target_limits_next_ms(n->e.target_limits, 1, time_boot_ms()),
+		==, time_boot_ms());
 	g_assert_cmpint(notices_get(n->e.notices, NOTICE_TARGET_BRITTLE, 1,
 				    time_boot_ms(), 0),
 			==, LIMIT_NONE);
