Fencing tokens stay above those of a table that was restored

Found by review; no caller reported it. A holder's fencing token was one more than that of the lease's row. After the table service has come back from an older copy, tokens begin again below those that targets have seen, so targets that check tokens refuse every order until as many leases have been acquired as the copy lacks. Holders without a check give the same token out twice.

A token is now at least the wall clock in ms at its acquisition, and still above the row's. The row alone can't tell what it has forgotten, and a refusal doesn't name the target's token.

--- a/state/lease.c
+++ b/state/lease.c
@@ -69,6 +69,16 @@
 	return json_integer_value(json_object_get(j, field));
 }
 
+/*
+ * Return the fencing token after the row's. It is at least the time in ms, as a
+ * table that was restored from an older copy has forgotten tokens that targets
+ * have seen.
+ */
+static int64_t next_fence(const json_t *v, int64_t now_ms)
+{
+	return MAX(get_int(v, "fence") + 1, now_ms);
+}
+
 /*
  * A row that names this holder, from a transaction with a lost answer or from
  * an earlier acquisition, is acquired again with a new fencing token: a token
@@ -94,7 +104,7 @@
 		return;
 	}
 	a->next = (struct lease){.holder = a->lease->holder,
-				 .fence = get_int(v, "fence") + 1,
+				 .fence = next_fence(v, now_ms),
 				 .deadline_ms = now_ms + LEASE_DURATION_MS};
 	txn = row_txn(a->key, get_int(row, "version"), &a->next);
 	a->plat->txn(a->plat->ctx, txn, on_written, a);
--- a/state/test-order.c
+++ b/state/test-order.c
@@ -104,6 +104,43 @@
 	g_assert_cmpint(taken, >, 0);
 }
 
+/*
+ * After the table was restored from an old copy, holders get fencing tokens
+ * that are below those of earlier ones, and all targets refuse their orders.
+ */
+static void test_restored(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct fake *f = fake_new(seed);
+		struct orders *o = orders_new(f, 4, true);
+		json_t *copy =
+			json_pack("{s:{s:s,s:i,s:i}}", "lease/pool/", "holder",
+				  "n0", "fence", 1, "deadline_ms", 0);
+		json_t *later =
+			json_pack("{s:{s:s,s:i,s:i}}", "lease/pool/", "holder",
+				  "n0", "fence", 1000, "deadline_ms", 0);
+		int64_t ms;
+
+		fake_commit_rows(f, later);
+		set_desired(o, "v1");
+		orders_start(o, 0);
+		orders_start(o, 1);
+		g_assert_cmpint(orders_converge(o, SETTLE_MS), <, 60000);
+		fake_run(f, f->now_ms + 60000);
+		fake_commit_rows(f, copy);
+		set_desired(o, "v2");
+		ms = orders_converge(o, SETTLE_MS);
+		g_test_message("seed %u: %d ms, %d orders refused", seed,
+			       (int)ms, (int)o->stale_refused);
+		g_assert_cmpint(ms, <, 60000);
+		g_assert_cmpint(o->stale_accepted, ==, 0);
+		json_decref(copy);
+		json_decref(later);
+		orders_free(o);
+		fake_free(f);
+	}
+}
+
 static void test_schedules(void)
 {
 	struct orders sum = {0};
@@ -213,6 +250,7 @@
 	g_test_add_func("/state/order/weights", test_weights);
 	g_test_add_func("/state/order/kill", test_kill);
 	g_test_add_func("/state/order/pause", test_pause);
+	g_test_add_func("/state/order/restored", test_restored);
 	g_test_add_func("/state/order/schedules", test_schedules);
 	return g_test_run();
 }
