Soak: entries with harmed datagrams are a program of their own

The object that loses and delays datagrams is linked into a build of rampentry instead, as test-shutdown and test-rig-ports replace calls of the C library. What it does, and what the soak checks, is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	$(foreach p,base http route member state,$(if $(wildcard $(p)/makefile),build-$(p)))
 build-entry: build-base build-route build-member
 build-platform: build-entry
-build-rampentry build-soak: build-platform
+build-rampentry: build-platform
+build-soak: build-rampentry
 # The tests of node start the stand-ins and link helpers of theirs.
 build-node: build-standin
 build-bench: $(foreach p,node standin,$(if $(wildcard $(p)/makefile),build-$(p)))
--- a/soak/leaving.c
+++ b/soak/leaving.c
@@ -97,7 +97,6 @@
 	int leavings, judged, in_drain, late, excused, refused;
 	atomic_bool stop;
 	char *program_path;
-	char *harm_library;
 	GPtrArray *late_ids; /* attempts that were late */
 };
 
@@ -514,7 +513,7 @@
 
 		s->entries[k].store = proxy_new(s->rig->stores[k].port);
 		s->entries[k].fault = "start";
-		s->entries[k].process.harm_library = s->harm_library;
+		s->entries[k].process.harmed = true;
 		text = settings_text(s, k);
 		process_set_settings(&s->entries[k].process, text);
 		g_free(text);
@@ -615,14 +614,10 @@
 		argc > 3 ? (size_t)CLAMP(atoi(argv[3]), 1, RIG_ENTRIES_MAX)
 			 : ENTRIES;
 	s.drain_ms = argc > 4 ? MAX(atoi(argv[4]), 100) : DRAIN_MS;
-	s.program_path =
-		getenv("RAMPENTRY") ? getenv("RAMPENTRY") : "bin/rampentry";
+	s.program_path = getenv("RAMPENTRY") ? getenv("RAMPENTRY")
+					     : "build/soak/harmed-entry";
 	s.slow_judged = argc > 5 && !strcmp(argv[5], "slow-judged");
 	s.slow = s.slow_judged || (argc > 5 && !strcmp(argv[5], "slow"));
-	s.harm_library = g_canonicalize_filename(
-		getenv("PEER_HARM_LIBRARY") ? getenv("PEER_HARM_LIBRARY")
-					    : "build/soak/peer-harm.so",
-		NULL);
 	s.late_ids = g_ptr_array_new_with_free_func(g_free);
 	s.rand = g_rand_new_with_seed(seed);
 	s.ledger = ledger_new();
@@ -645,7 +640,6 @@
 	       (int)s.lost_ms);
 	ledger_free(s.ledger);
 	g_ptr_array_unref(s.late_ids);
-	g_free(s.harm_library);
 	g_rand_free(s.rand);
 	return broken != 0;
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -18,8 +18,8 @@
 	GPid pid;        /* 0: does not run */
 	bool suspended;  /* by SIGSTOP */
 	bool seen_ready; /* a readiness check since its start succeeded */
+	bool harmed;     /* it runs harmed-entry; see test-harm.h */
 	char *settings_path;
-	const char *harm_library; /* see test-harm.h; NULL: not loaded */
 };
 
 /* Write the text of its settings to a new file. */
--- a/soak/test-harm.c
+++ b/soak/test-harm.c
@@ -10,10 +10,8 @@
 	char *path = g_strconcat(p->settings_path, ".harm", NULL);
 	char **env = g_get_environ();
 
-	if (p->harm_library) {
+	if (p->harmed) {
 		harm_peers_of(p, PEER_HARM_NONE);
-		env = g_environ_setenv(env, "LD_PRELOAD", p->harm_library,
-				       true);
 		env = g_environ_setenv(env, PEER_HARM_FILE, path, true);
 	}
 	g_free(path);
--- a/soak/test-harm.h
+++ b/soak/test-harm.h
@@ -1,6 +1,7 @@
 /*
- * test-harm: harms datagrams between the entry processes of a soak. The library
- * peer-harm.so (test-peer-harm.c) does it in each entry. Main thread only.
+ * test-harm: harms datagrams between the entry processes of a soak, which run
+ * build/soak/harmed-entry: rampentry with test-peer-harm.c, which does it. Main
+ * thread only.
  */
 #ifndef TEST_HARM_H
 #define TEST_HARM_H
@@ -25,10 +26,7 @@
 
 struct entry_process;
 
-/*
- * Return the environment of an entry, to be freed with g_strfreev; if it has a
- * harm_library, with that loaded.
- */
+/* Return the environment of an entry, to be freed with g_strfreev. */
 char **harm_environment(const struct entry_process *p);
 /* Harm its datagrams to other entries, by one of enum peer_harm. */
 void harm_peers_of(const struct entry_process *p, char harm);
--- a/soak/test-peer-harm.c
+++ b/soak/test-peer-harm.c
@@ -1,6 +1,6 @@
 /*
- * peer-harm.so: loaded into an entry process before the C library, it loses or
- * delays its datagrams from and to other entries. The file that PEER_HARM names
+ * Replaces calls of the C library in an entry process: it loses or delays its
+ * datagrams from and to other entries. The file that PEER_HARM names
  * says what to do, as one of enum peer_harm; the soak writes it at any time.
  * Control thread only: all datagrams are its own.
  */
