A read of an older state puts no older configuration in force

After the store's era had changed, a read that showed an older state of it (as is_old_page finds) put configuration 5 back in force after 6: its zones were ignored, its configuration was not.

--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -347,7 +347,10 @@
 	struct config_rows *r = &s->rows;
 	bool ok = true;
 
-	if (s->config_whole && !r->old) {
+	/* It shows less than is known, as a read may. */
+	if (r->old)
+		return false;
+	if (s->config_whole) {
 		evacuations_finish_read(s->e->evacuations, r->sent_ms,
 					time_boot_ms());
 		s->config_was_read = true;
