After a restore no configuration from before it is fetched from other nodes

A node that had the configuration of a restored store asked another node, which still had the higher version from before, for that version, and would have put it back in force. Versions up to the one that was in force when the era changed can be from before it at any node: which of two is newer only the store can tell, so the node reads it, at its own interval. Later versions are fetched from nodes as before. /entry/bounds-at-send/config-before-restore: asked for version 7 with 6 in force, 10 s after the restore, every run; now it does not.

--- a/entry/peer-sync.c
+++ b/entry/peer-sync.c
@@ -139,7 +139,8 @@
 	if (!s->config_stale_ms)
 		s->config_stale_ms = time_boot_ms();
 	if (answer->config_version != s->fetch_version) {
-		bool fetch = answer->config_version > s->config_version;
+		bool fetch = answer->config_version >
+			     MAX(s->config_version, s->era_config_version);
 
 		s->fetch_version = fetch ? answer->config_version : -1;
 		s->fetch_hash = answer->config_hash;
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -194,6 +194,8 @@
 		log_event(EV_STORE_ERA, "era=%d before=%d config=%d", (int)era,
 			  (int)s->era, (int)s->config_version);
 		s->era_seen_ms = now;
+		s->era_config_version =
+			MAX(s->era_config_version, s->config_version);
 		s->config_revision = 0;
 		s->rows_revision = 0;
 		s->zone_row_revision = 0;
@@ -765,6 +767,7 @@
 	s->store = e->store;
 	s->rand = g_rand_new();
 	s->config_version = -1;
+	s->era_config_version = -1;
 	s->fetch_version = -1;
 	s->fetched = g_string_new(NULL);
 	s->config_own_at_ms = now + OWN_READ_START_MS;
--- a/entry/store-sync.h
+++ b/entry/store-sync.h
@@ -26,8 +26,10 @@
 
 	int64_t era;         /* of the store; see store_page.era */
 	int64_t era_seen_ms; /* when this node saw that it had changed; 0 */
-	size_t fleet_size;   /* see store_sync_set_reader */
-	int failures;        /* calls in a row */
+	/* Versions up to it may be from before, at other nodes as well; -1. */
+	int64_t era_config_version;
+	size_t fleet_size; /* see store_sync_set_reader */
+	int failures;      /* calls in a row */
 
 	int64_t config_version;      /* of the view in force; -1: none yet */
 	int64_t config_revision;     /* of the store, to wait from; 0: read */
