A node that no other one reaches reads the configuration in time

With 295 nodes and bounds.config_apply of 2 s a node without relays handled requests by the configuration before for up to 3,638 ms, and 7,071 ms when one read was refused with 429; as long it did not know of an evacuated zone (5,000 ms allowed). Its own reads were as far apart as the fleet is large (2.7 to 4.5 s), and a refused one waited for its turn.

While the store answers, own reads are at most half the time to apply a configuration apart, and a refused one is repeated after the usual pause.

--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -47,6 +47,8 @@
  * targets again: the read has to end before the list is too old to be used.
  */
 #define OWN_READ_DRAIN_PART 0.5
+/* The same of the time to apply a configuration, while the store answers. */
+#define OWN_READ_APPLY_PART 0.5
 /*
  * After a start the other nodes get this long to confirm the first view, that
  * of the targets at most UNCONFIRMED_MAX_PART of the drain time.
@@ -397,9 +399,14 @@
 	s->config_busy = false;
 	record_store_state(s, p);
 	if (p->status != STORE_OK || !store_sync_accept_era(s, p->era)) {
-		drop_rows(s, p->status == STORE_HISTORY_LOST
-				     ? 0
-				     : retry_pause_ms(s));
+		int64_t pause_ms =
+			p->status == STORE_HISTORY_LOST ? 0 : retry_pause_ms(s);
+
+		/* A sound store has refused it: the time until then counts. */
+		if (p->refused)
+			s->config_own_at_ms = MIN(s->config_own_at_ms,
+						  time_boot_ms() + pause_ms);
+		drop_rows(s, pause_ms);
 		return;
 	}
 	if (!s->rows.next_key)
@@ -473,6 +480,18 @@
 	       now_ms - s->config_stale_ms < CONFIG_PEER_MAX_MS;
 }
 
+/* Mean interval at most between a node's own reads of the configuration. */
+static int64_t config_read_max_ms(const struct store_sync *s)
+{
+	const struct entry_settings *e = &s->e->control_settings;
+
+	if (!s->store_up)
+		return OWN_READ_MAX_MS;
+	return MIN(OWN_READ_MAX_MS,
+		   (int64_t)(OWN_READ_APPLY_PART *
+			     (double)e->bounds_config_apply_ms));
+}
+
 /* Whether a node that is no reader reads the configuration now. */
 static bool reads_config_itself(struct store_sync *s, int64_t now_ms)
 {
@@ -482,7 +501,8 @@
 		return true;
 	if (now_ms < s->config_own_at_ms)
 		return false;
-	s->config_own_at_ms = next_own_read_ms(s, now_ms, OWN_READ_MAX_MS);
+	s->config_own_at_ms =
+		next_own_read_ms(s, now_ms, config_read_max_ms(s));
 	log_event(EV_STORE_READ_OWN, "table=config reason=%s config=%d",
 		  s->config_stale_ms ? "peer_newer" : "unconfirmed",
 		  (int)s->config_version);
--- a/entry/test-bounds-at-send.c
+++ b/entry/test-bounds-at-send.c
@@ -99,6 +99,7 @@
 		{"evacuate/" ZONE, c->state.revision, false, ZONE}};
 	struct store_page p = {
 		.status = c->refused ? STORE_FAILED : STORE_OK,
+		.refused = c->refused,
 		.rows = rows,
 		.n = c->refused ? 0 : 1 + c->state.evacuated,
 		.era = c->state.era,
