--- a/entry/test-store-sync.c
+++ b/entry/test-store-sync.c
@@ -77,6 +77,9 @@
 	int64_t revision;   /* of the store then */
 };
 
+/* Whether a long poll takes its time, or is answered at once. */
+static bool polls_wait;
+
 static json_t *fake_value(const struct store_page *p, size_t i)
 {
 	(void)p;
@@ -146,8 +149,8 @@
 	return store.call_ms ? store.call_ms : 2;
 }
 
-static void start_call(struct node *n, enum store_table t, store_done_fn *done,
-		       void *ctx)
+static struct call *start_call(struct node *n, enum store_table t,
+			       store_done_fn *done, void *ctx)
 {
 	struct call *c = g_new0(struct call, 1);
 
@@ -166,6 +169,7 @@
 		      0);
 	c->timer.data = c;
 	ev_timer_start(n->e.tr.loop, &c->timer);
+	return c;
 }
 
 static void fake_read(void *node, enum store_table t, const char *from,
@@ -178,9 +182,15 @@
 static void fake_await(void *node, enum store_table t, int64_t revision,
 		       int64_t wait_ms, store_done_fn *done, void *ctx)
 {
+	struct node *n = node;
+	struct call *c = start_call(n, t, done, ctx);
+
 	(void)revision;
-	(void)wait_ms;
-	start_call(node, t, done, ctx);
+	if (!polls_wait || c->silent)
+		return;
+	ev_timer_stop(n->e.tr.loop, &c->timer);
+	ev_timer_set(&c->timer, (double)wait_ms / 1000.0, 0);
+	ev_timer_start(n->e.tr.loop, &c->timer);
 }
 
 static const struct store_api fake_api = {.read = fake_read,
@@ -1288,6 +1298,78 @@
 	virtual_end(loop);
 }
 
+/* Nodes of a large fleet that read the store for the others. */
+#define READERS 3
+/* Between the queries of a node to a relay. */
+#define QUERY_MS 400
+
+/*
+ * Print the calls of a fleet to the store since this was last asked. Return
+ * those for the targets by nodes that are no readers.
+ */
+static int count_calls(struct node **nodes, const char *when)
+{
+	int config = 0, targets = 0, own = 0;
+
+	for (int i = 0; i < LARGE_FLEET; i++) {
+		config += nodes[i]->config_reads;
+		targets += nodes[i]->target_reads;
+		own += i < READERS ? 0 : nodes[i]->target_reads;
+		nodes[i]->config_reads = nodes[i]->target_reads = 0;
+	}
+	g_test_message("%s: %d calls for the targets, %d of them by nodes that "
+		       "are no readers, %d for the configuration",
+		       when, targets, own, config);
+	return own;
+}
+
+/* Run a fleet, in which nodes query readers, or nodes that do. */
+static void run_fleet(struct ev_loop *loop, struct node **nodes, int ms)
+{
+	while (ms-- > 0) {
+		step(loop);
+		for (int i = READERS; i < LARGE_FLEET; i++) {
+			int relay = i < 3 * READERS
+					    ? i % READERS
+					    : READERS + i % (2 * READERS);
+
+			if ((virtual_ms + 7 * i) % QUERY_MS == 0)
+				exchange(nodes[relay], nodes[i], -1);
+		}
+	}
+}
+
+/* On a calm day nodes that readers confirm read the targets as well. */
+static void test_calls(void)
+{
+	struct ev_loop *loop = virtual_loop("t");
+	struct node *nodes[LARGE_FLEET];
+
+	polls_wait = true;
+	for (guint32 i = 0; i < LARGE_FLEET; i++) {
+		struct node *n = nodes[i] = node_new(loop, i < READERS);
+
+		g_rand_set_seed(n->sync->rand, i);
+		n->e.control_settings.bounds_config_apply_ms = 5000;
+		n->e.control_settings.store_targets_poll_ms = 700;
+		n->e.control_settings.store_config_wait_ms = 700;
+		store_sync_set_reader(n->sync, i < READERS, LARGE_FLEET);
+	}
+	run_fleet(loop, nodes, 10000);
+	count_calls(nodes, "10 s from the start");
+	run_fleet(loop, nodes, 30000);
+	g_assert_cmpint(count_calls(nodes, "30 s, calm"), ==, 0);
+	store.down = true;
+	run_fleet(loop, nodes, 15000);
+	store.down = false;
+	run_fleet(loop, nodes, 15000);
+	count_calls(nodes, "30 s with an outage of 15 s");
+	polls_wait = false;
+	for (int i = 0; i < LARGE_FLEET; i++)
+		node_free(nodes[i], loop);
+	virtual_end(loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1349,5 +1431,6 @@
 	g_test_add_func("/entry/store-sync/relay-slow", test_relay_slow);
 	g_test_add_func("/entry/store-sync/kept-rows-unconfirmed",
 			test_kept_rows_unconfirmed);
+	g_test_add_func("/entry/store-sync/calls", test_calls);
 	return g_test_run();
 }
