The end of a killed node is not the end of the answer that it passes on

A caller whose entry reaches a target through another node got part of an answer as the whole, if the answer had no length and that node was killed meanwhile.

Cause: the system closes the connections of a killed process in order. The entry read this as the end of the target's answer, since a tunnel copied bytes only and nothing told the two ends apart.

Without it the answer has broken off.

Not run: entries of two versions beside each other.

--- a/entry/link.c
+++ b/entry/link.c
@@ -43,6 +43,7 @@
 	bool tunnel;     /* through another node */
 	bool hello_sent; /* to it; its reply is due */
 	char tunnel_reply;
+	struct buf frames;     /* from the other node, the last incomplete */
 	unsigned interim;      /* responses (1xx) before the result */
 	bool response_started; /* bytes of the response have arrived */
 	bool keep_alive;       /* the response lets the connection be reused */
@@ -58,6 +59,7 @@
 	talloc_free(l->response);
 	buf_clear(&l->output);
 	buf_clear(&l->request);
+	buf_clear(&l->frames);
 	g_free(l);
 }
 
@@ -197,15 +199,39 @@
 		report_fault(l, LINK_BROKEN);
 }
 
+/* Take what the target has sent out of the frames of the other node. */
+static void read_frames(struct link *l, const char *p, size_t n)
+{
+	buf_add(&l->frames, p, n);
+	while (!l->closed && buf_len(&l->frames) >= TUNNEL_FRAME_HEAD_BYTES) {
+		const uint8_t *head = (const uint8_t *)buf_data(&l->frames);
+		size_t len = (size_t)head[0] << 8 | head[1];
+		size_t end = TUNNEL_FRAME_HEAD_BYTES + len;
+
+		if (buf_len(&l->frames) < end)
+			return;
+		if (!len) {
+			on_eof(l, true);
+			return;
+		}
+		parse_response(
+			l, buf_data(&l->frames) + TUNNEL_FRAME_HEAD_BYTES, len);
+		if (!l->closed)
+			buf_consume(&l->frames, end);
+	}
+}
+
 static void read_input(struct link *l)
 {
 	char p[READ_CHUNK_BYTES];
 	ssize_t n = recv(l->fd, p, sizeof(p), 0);
 
-	if (n > 0)
+	if (n > 0 && l->tunnel_reply == TUNNEL_OPEN)
+		read_frames(l, p, (size_t)n);
+	else if (n > 0)
 		parse_response(l, p, (size_t)n);
 	else if (n == 0)
-		on_eof(l, true);
+		on_eof(l, !l->tunnel);
 	else if (errno != EAGAIN && errno != EINTR)
 		on_eof(l, false);
 }
@@ -260,7 +286,8 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	if (n == 1 && l->tunnel_reply == TUNNEL_OPEN) {
+	if (n == 1 && (l->tunnel_reply == TUNNEL_OPEN ||
+		       l->tunnel_reply == TUNNEL_OPEN_UNFRAMED)) {
 		on_open(l);
 		return;
 	}
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -161,6 +161,15 @@
 		close_tunnel(t, true);
 }
 
+/* Pass on what the target has sent; n 0: its end. */
+static void add_frame(struct tunnel *t, const char *p, size_t n)
+{
+	uint8_t head[TUNNEL_FRAME_HEAD_BYTES] = {(uint8_t)(n >> 8), (uint8_t)n};
+
+	buf_add(&t->sides[NODE].output, head, sizeof(head));
+	buf_add(&t->sides[NODE].output, p, n);
+}
+
 /* Copy what a side has sent to the other one. */
 static void copy(struct tunnel *t, int from)
 {
@@ -171,11 +180,13 @@
 	/* A node closes when it wants no response; see send-check.c. */
 	if (from == NODE && n >= 0 && (n == 0 || sock_peer_has_closed(s->fd))) {
 		close_tunnel(t, true);
-	} else if (n > 0) {
-		buf_add(&t->sides[!from].output, p, (size_t)n);
-		flush(t, &t->sides[!from]);
-	} else if (n == 0) {
-		s->ended = true;
+	} else if (n > 0 && from == NODE) {
+		buf_add(&t->sides[TARGET].output, p, (size_t)n);
+		flush(t, &t->sides[TARGET]);
+	} else if (n >= 0) {
+		s->ended = n == 0;
+		add_frame(t, p, (size_t)n);
+		flush(t, &t->sides[NODE]);
 	} else if (errno != EAGAIN && errno != EINTR) {
 		close_tunnel(t, true);
 	}
--- a/entry/tunnel.h
+++ b/entry/tunnel.h
@@ -5,9 +5,12 @@
  * The node that has the caller makes all decisions. It opens a connection to
  * the helper, sends a hello that names the target, and gets one byte: whether
  * the helper has connected to that target. From then on the helper copies bytes
- * both ways, and ends the node's side as the target ended; when the node
- * closes, which wants no response then, it resets the target's. A helper
- * connects to targets only, never to a further node. Traffic thread only.
+ * both ways; when the node closes, which wants no response then, it resets the
+ * target's side. What the target sends goes to the node in frames: two bytes of
+ * length, the higher one first, and as many bytes. An empty frame says that the
+ * target has closed the connection in order, as the end of the connection to
+ * the helper may be that of the helper. A helper connects to targets only,
+ * never to a further node. Traffic thread only.
  */
 #ifndef TUNNEL_H
 #define TUNNEL_H
@@ -17,10 +20,14 @@
 /* Target, helper, a random number, and an authentication code of these. */
 #define TUNNEL_HELLO_BYTES (3 * 8 + 32)
 
+#define TUNNEL_FRAME_HEAD_BYTES 2
+
 /* The byte that a helper sends. */
 enum tunnel_reply {
 	TUNNEL_NO_ANSWER = 0, /* it sent none */
-	TUNNEL_OPEN = 'o',
+	TUNNEL_OPEN = 'f',
+	/* Of an older version, which sends no frames. */
+	TUNNEL_OPEN_UNFRAMED = 'o',
 	TUNNEL_TARGET_DOWN = 'd', /* the helper can't connect to the target */
 	TUNNEL_CUT = 'c',     /* the helper has lost its way to it as well */
 	TUNNEL_REFUSED = 'r', /* it has no room, or would not use the target */
