Tests: the case of a foreign answer outlives the test that set it

Alone it passed in 6 of 6 runs, eight side by side in 24 of 24.

Cause: the target's thread reads the case from a variable, waits 700 ms and reads it again. The test may have its answer by then and has cleared the variable. Shown with a wait of 9 s in place of 700 ms: a segmentation fault; with the mend and the same wait none.

Change: the thread reads the variable once. What is checked is the same.

--- a/node/test-foreign-answers.c
+++ b/node/test-foreign-answers.c
@@ -65,7 +65,7 @@
 };
 
 static struct test_target targets[TARGETS];
-static const struct answer_case *current; /* of requests of a test */
+static const struct answer_case *_Atomic current; /* of requests of a test */
 static atomic_bool stop;
 static atomic_int threads; /* of connections */
 static atomic_int runs;    /* requests that have run */
@@ -127,22 +127,24 @@
 static void run(int fd, const char *id, int on_connection,
 		void (*answer)(int fd, const char *id))
 {
+	/* The test may go on while this waits. */
+	const struct answer_case *c = atomic_load(&current);
 	char *first;
 
-	if (!current || !current->refuses)
+	if (!c || !c->refuses)
 		atomic_fetch_add(&runs, 1);
-	if (!current || (current->on_kept && on_connection == 1)) {
+	if (!c || (c->on_kept && on_connection == 1)) {
 		answer(fd, id);
 		return;
 	}
 	atomic_fetch_add(&odd, 1);
-	g_usleep((gulong)current->late_ms * 1000);
-	first = g_strdup_printf(current->first, id);
+	g_usleep((gulong)c->late_ms * 1000);
+	first = g_strdup_printf(c->first, id);
 	send_text(fd, first);
 	g_free(first);
-	if (current->then_answer)
+	if (c->then_answer)
 		answer(fd, id);
-	else if (!strstr(current->first, "Content-Length"))
+	else if (!strstr(c->first, "Content-Length"))
 		shutdown(fd, SHUT_WR);
 }
 
