The retry budget survives a change of its window by a reload

Found by review; no caller reported it. Slots are numbered by the time divided by their length, and bounds.retry_window_s is read again on SIGHUP. With a longer window the numbers go back: the newest slot lies in the future, the window never advances, and once the allowance is used up no retry is allowed until the process ends. With a shorter one the numbers jump ahead and the retries that were taken are forgotten, so that a window may hold twice what it should (this second part by reading the code before; the test ends at the first).

When the length of a slot changes, the retries that are known are now counted as taken at that moment, and requests are counted anew. That errs towards fewer retries for one window.

/route/window/window-changes fails before (no retry five windows later), passes after.

--- a/route/retry-window.c
+++ b/route/retry-window.c
@@ -1,16 +1,14 @@
 /* Retry budget of a sliding window that advances in slots. */
 #include <glib.h>
+#include <string.h>
 
 #include "route/route.h"
 
 #define SLOTS_PER_WINDOW 10
 
-/* Advance to the slot of now_ms and clear the slots that are reused. */
-static void advance(struct retry_window *s, int64_t now_ms)
+/* Advance to a slot and clear the slots that are reused. */
+static void advance_to(struct retry_window *s, int64_t number)
 {
-	int64_t slot_ms = s->window_ms / SLOTS_PER_WINDOW;
-	int64_t number = now_ms / (slot_ms > 0 ? slot_ms : 1);
-
 	if (number - s->newest_slot > RETRY_WINDOW_SLOTS)
 		s->newest_slot = number - RETRY_WINDOW_SLOTS;
 	while (s->newest_slot < number) {
@@ -34,6 +32,34 @@
 	return n;
 }
 
+/*
+ * Begin slots of another length, which have other numbers, as the setting has
+ * changed. All retries that are known count as taken now.
+ */
+static void change_slots(struct retry_window *s, int64_t slot_ms,
+			 int64_t now_ms)
+{
+	unsigned taken;
+
+	advance_to(s, now_ms / s->slot_ms);
+	taken = sum(s, s->retries, 0, s->newest_slot);
+	memset(s->requests, 0, sizeof(s->requests));
+	memset(s->retries, 0, sizeof(s->retries));
+	s->newest_slot = now_ms / slot_ms;
+	s->retries[s->newest_slot % RETRY_WINDOW_SLOTS] = taken;
+}
+
+/* Advance to the slot of now_ms. */
+static void advance(struct retry_window *s, int64_t now_ms)
+{
+	int64_t slot_ms = MAX(s->window_ms / SLOTS_PER_WINDOW, 1);
+
+	if (s->slot_ms && s->slot_ms != slot_ms)
+		change_slots(s, slot_ms, now_ms);
+	s->slot_ms = slot_ms;
+	advance_to(s, now_ms / slot_ms);
+}
+
 /*
  * Return the requests that count for a window which begins within a slot: only
  * slots that lie in it wherever in the slot it begins.
--- a/route/route.h
+++ b/route/route.h
@@ -669,7 +669,8 @@
 	double ratio;     /* retries per request */
 	double allowance; /* retries; this node's part of the fleet's number */
 	int64_t window_ms;
-	int64_t newest_slot; /* time / length of a slot */
+	int64_t slot_ms;     /* length of a slot */
+	int64_t newest_slot; /* time / slot_ms */
 	unsigned requests[RETRY_WINDOW_SLOTS];
 	unsigned retries[RETRY_WINDOW_SLOTS];
 };
--- a/route/test-retry-window.c
+++ b/route/test-retry-window.c
@@ -112,11 +112,38 @@
 	g_assert_false(retry_window_take(&w, 1000 + 2 * WINDOW_MS));
 }
 
+/*
+ * After a longer window was set no retry is ever allowed again, and after a
+ * shorter one those that were taken before are forgotten.
+ */
+static void test_window_changes(void)
+{
+	struct retry_window w = {
+		.ratio = 0.2, .allowance = 5, .window_ms = WINDOW_MS};
+	int64_t now = 10000000;
+	int taken = 0;
+
+	while (retry_window_take(&w, now))
+		taken++;
+	g_assert_cmpint(taken, ==, 5);
+	w.window_ms = 2 * WINDOW_MS;
+	g_assert_false(retry_window_take(&w, now + 1));
+	now += 5 * WINDOW_MS;
+	g_assert_true(retry_window_take(&w, now));
+	while (retry_window_take(&w, now))
+		;
+	w.window_ms = WINDOW_MS;
+	g_assert_false(retry_window_take(&w, now + 1));
+	now += 3 * WINDOW_MS;
+	g_assert_true(retry_window_take(&w, now));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/route/window/any", test_any_window);
 	g_test_add_func("/route/window/burst-ends", test_burst_ends);
 	g_test_add_func("/route/window/ratio", test_ratio);
+	g_test_add_func("/route/window/window-changes", test_window_changes);
 	return g_test_run();
 }
