--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -39,8 +39,8 @@
 void target_table_end_page(struct target_table *t, const struct store_page *p);
 /*
  * Finish the read after its last page, and remove rows that it lacked. Return
- * whether the list is that of the store: false when such rows are kept, and when
- * the read shows an older state than one that is known.
+ * whether the list is that of the store: false when such rows are kept, and
+ * when the read shows an older state than one that is known.
  */
 bool target_table_finish_read(struct target_table *t, bool remove_missing,
 			      int64_t now_ms);
