An answer of a plain service without a body keeps its status

A caller of a plain service got 200 and outcome complete for any answer whose body was empty: a 404, a 409 or a 500 looked like a success, and so did a stored one when the call was repeated with its key.

ulfius_set_binary_body_response refuses a body that is NULL and leaves the response as it was, with status 200. answer_bytes sets the status of an empty response.

/foreign-answers/empty: nine statuses for GET, for POST, and for the POST again with the same key.

--- a/http/http.h
+++ b/http/http.h
@@ -88,6 +88,8 @@
 bool server_write_port(const struct server *s, const char *path);
 /* Respond with a JSON body; takes the reference to j. */
 int answer_json(struct _u_response *r, int status, json_t *j);
+/* Respond with a copy of a body, which may be empty. */
+void answer_bytes(struct _u_response *r, int status, struct str body);
 /* Block SIGTERM and SIGINT, ignore SIGPIPE. Call before starting threads. */
 void block_stop_signals(void);
 /* Wait for SIGTERM or SIGINT, which block_stop_signals has blocked. */
--- a/http/server.c
+++ b/http/server.c
@@ -213,6 +213,16 @@
 	return ok;
 }
 
+void answer_bytes(struct _u_response *r, int status, struct str body)
+{
+	/* ulfius refuses a body that is NULL, and keeps status 200 then. */
+	if (body.len)
+		ulfius_set_binary_body_response(r, (unsigned)status, body.data,
+						body.len);
+	else
+		ulfius_set_empty_body_response(r, (unsigned)status);
+}
+
 int answer_json(struct _u_response *r, int status, json_t *j)
 {
 	ulfius_set_json_body_response(r, (unsigned)status, j);
--- a/node/claims.c
+++ b/node/claims.c
@@ -264,8 +264,7 @@
 	u_map_put(r->map_header, "Ramp-Answer",
 		  a->body_stored ? "stored" : "lost");
 	u_map_put(r->map_header, "Ramp-Request", rq->id.data);
-	ulfius_set_binary_body_response(r, (unsigned)a->status, a->body.data,
-					a->body.len);
+	answer_bytes(r, a->status, a->body);
 	return U_CALLBACK_COMPLETE;
 }
 
--- a/node/plain-service.c
+++ b/node/plain-service.c
@@ -118,8 +118,7 @@
 	claims_end(rq, RAMP_OK, &a);
 	if (type)
 		u_map_put(r->map_header, "Content-Type", type);
-	ulfius_set_binary_body_response(r, (unsigned)a.status, a.body.data,
-					a.body.len);
+	answer_bytes(r, a.status, a.body);
 }
 
 static enum ramp_error call_target(struct request *rq,
--- a/node/test-foreign-answers.c
+++ b/node/test-foreign-answers.c
@@ -146,6 +146,7 @@
 };
 
 static const struct again_case *_Atomic again;
+static const struct again_case *_Atomic empty;
 static atomic_int again_when;
 static atomic_int posts; /* calls that must not be repeated, and have run */
 
@@ -178,6 +179,8 @@
 		atomic_fetch_add(&posts, 1);
 	if (g_str_has_prefix(request, "POST /v1/chat/"))
 		run(fd, id, on_connection, send_answer);
+	else if (strstr(request, " /app/empty") && empty)
+		raw_send(fd, empty->text);
 	else if (strstr(request, " /app/") && again)
 		run_again(fd, id, on_connection);
 	else if (strstr(request, " /app/"))
@@ -356,6 +359,49 @@
 	g_assert_cmpint(wrong, ==, 0);
 }
 
+/* Answers without a body; the caller gets their status. */
+static const struct again_case empty_cases[] = {
+	{"201", AGAIN("201") "\r\n"},      {"204", "HTTP/1.1 204 X\r\n\r\n"},
+	{"304", "HTTP/1.1 304 X\r\n\r\n"}, {"400", AGAIN("400") "\r\n"},
+	{"404", AGAIN("404") "\r\n"},      {"409", AGAIN("409") "\r\n"},
+	{"429", AGAIN("429") "\r\n"},      {"500", AGAIN("500") "\r\n"},
+	{"502", AGAIN("502") "\r\n"},
+};
+
+/* A failed call without a body does not look like one that succeeded. */
+static void test_empty(void)
+{
+	static const char *const methods[] = {"GET", "POST", "POST"};
+	struct rig *g = start_rig();
+	int wrong = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(empty_cases) * 3; i++) {
+		const struct again_case *c = &empty_cases[i / 3];
+		const char *method = methods[i % 3];
+		char *key = g_strdup_printf("Idempotency-Key: e%zu", i / 3);
+		const char *h[] = {"Authorization: Bearer key-recif", key,
+				   NULL};
+		struct reply r;
+
+		/* The second POST is answered with what is stored. */
+		empty = c;
+		r = call_local(g->nodes[0].port, method,
+			       "/v1/services/forum/app/empty", h, NULL);
+		if (r.status != atoi(c->name) || (r.body && *r.body)) {
+			wrong++;
+			g_test_message("%s %s: status %d body %s", method,
+				       c->name, r.status,
+				       r.body ? r.body : "-");
+		}
+		reply_clear(&r);
+		g_free(key);
+	}
+	rig_free(g);
+	raw_targets_stop();
+	empty = NULL;
+	g_assert_cmpint(wrong, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -381,5 +427,6 @@
 		g_test_add_data_func(path, &again_cases[i], test_again);
 		g_free(path);
 	}
+	g_test_add_func("/foreign-answers/empty", test_empty);
 	return g_test_run();
 }
