Tests: one node in virtual time for the programs that check bounds

test-list-bound and test-bounds-at-send had the same clock, loop, node and decoders. They share entry/test-virtual.c now; each keeps its store.

--- a/entry/test-bounds-at-send.c
+++ b/entry/test-bounds-at-send.c
@@ -4,22 +4,15 @@
  * configuration and a zone.
  */
 #include <string.h>
-#include <sys/syscall.h>
-#include <time.h>
-#include <unistd.h>
 
 #include "entry/control.h"
 #include "entry/evacuations.h"
-#include "entry/origins.h"
-#include "entry/store-sync.h"
+#include "entry/test-virtual.h"
 
-#define VIRTUAL_START_MS 1000000
-#define CALL_MS          2
-#define APPLY_MS         2000
-#define EVACUATION_MS    5000
-#define CONTACT_MS       3000
-#define FLEET            295
-#define ZONE             "a"
+#define APPLY_MS      2000
+#define EVACUATION_MS 5000
+#define CONTACT_MS    3000
+#define ZONE          "a"
 
 /* What the store shows. */
 struct state {
@@ -35,18 +28,6 @@
 	int refused;              /* so many reads of its are refused */
 } store;
 
-static int64_t virtual_ms;
-
-/* Replaces the C library's, for this program, libev and the modules. */
-int clock_gettime(clockid_t id, struct timespec *t)
-{
-	if (!virtual_ms)
-		return (int)syscall(SYS_clock_gettime, id, t);
-	t->tv_sec = virtual_ms / 1000;
-	t->tv_nsec = virtual_ms % 1000 * 1000000L;
-	return 0;
-}
-
 /* A node without its threads. */
 struct node {
 	struct entry e;
@@ -67,30 +48,6 @@
 	bool refused;
 };
 
-static json_t *fake_value(const struct store_page *p, size_t i)
-{
-	return json_pack("{s:I}", "version", (json_int_t)p->rows[i].revision);
-}
-
-static struct entry_config *fake_config(const json_t *value, GError **err)
-{
-	struct entry_config *c = entry_config_new();
-
-	(void)err;
-	c->version = json_integer_value(json_object_get(value, "version"));
-	entry_config_index(c);
-	return c;
-}
-
-static bool fake_target(void *arena, const char *key, const json_t *value,
-			struct target_info *out)
-{
-	(void)arena;
-	(void)value;
-	*out = (struct target_info){.id = 1, .name = str_c(key)};
-	return true;
-}
-
 static void finish_call(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct call *c = w->data;
@@ -136,7 +93,7 @@
 			c->state = *store.next;
 		store.next = NULL;
 	}
-	ev_timer_init(&c->timer, finish_call, CALL_MS / 1000.0, 0);
+	ev_timer_init(&c->timer, finish_call, VIRTUAL_CALL_MS / 1000.0, 0);
 	c->timer.data = c;
 	ev_timer_start(n->e.tr.loop, &c->timer);
 }
@@ -158,33 +115,17 @@
 
 static const struct store_api fake_api = {.read = fake_read,
 					  .await = fake_await,
-					  .value = fake_value,
-					  .target = fake_target,
-					  .config = fake_config};
-
-static void ignore_views(struct ev_loop *loop, ev_async *w, int events)
-{
-	(void)loop;
-	(void)w;
-	(void)events;
-}
-
-static void step_for(struct ev_loop *loop, int ms)
-{
-	while (ms-- > 0) {
-		virtual_ms++;
-		ev_run(loop, EVRUN_NOWAIT);
-	}
-}
+					  .value = virtual_value,
+					  .target = virtual_target,
+					  .config = virtual_config};
 
 /* Start a loop in virtual time, with a store that is up. */
 static struct ev_loop *virtual_loop(void)
 {
-	virtual_ms = VIRTUAL_START_MS;
 	store.now = (struct state){.era = 1, .revision = 10, .version = 5};
 	store.next = NULL;
 	store.refused = 0;
-	return ev_loop_new(EVFLAG_AUTO);
+	return virtual_loop_new();
 }
 
 static struct node *node_new(struct ev_loop *loop, bool reader, guint32 seed)
@@ -192,46 +133,20 @@
 	struct node *n = g_new0(struct node, 1);
 	struct entry_settings *s = &n->e.control_settings;
 
-	n->options.store = &fake_api;
-	n->e.o = &n->options;
-	n->e.store = n;
 	s->bounds_drain_ms = 4000;
 	s->bounds_contact_ms = CONTACT_MS;
 	s->bounds_revoke_ms = 5000;
 	s->bounds_config_apply_ms = APPLY_MS;
-	s->store_targets_poll_ms = 700;
-	s->store_config_wait_ms = 50;
-	s->store_timeout_ms = 1500;
-	n->e.settings = *s;
-	n->e.tr.e = &n->e;
-	n->e.tr.settings = &n->e.settings;
-	n->e.tr.loop = loop;
-	n->e.origins = origins_new();
-	n->e.notices = notices_new();
-	n->e.evacuations = entry_evacuations_new(&n->e);
-	n->e.target_limits = target_limits_new(&limit_requests, 1, NULL, NULL);
-	ev_async_init(&n->e.tr.views_published, ignore_views);
-	ev_async_start(loop, &n->e.tr.views_published);
-	n->sync = store_sync_new(&n->e, loop);
-	g_rand_set_seed(n->sync->rand, seed);
-	store_sync_set_reader(n->sync, reader, FLEET);
+	n->sync = virtual_node_init(&n->e, &n->options, &fake_api, n, loop,
+				    reader, seed);
 	return n;
 }
 
-/* End a case; calls in progress are not waited for. */
 static void node_end(struct node *n, struct ev_loop *loop)
 {
-	store_sync_free(n->sync);
-	ev_async_stop(loop, &n->e.tr.views_published);
-	entry_config_unref(n->e.config);
-	target_list_unref(n->e.list);
-	origins_free(n->e.origins);
-	notices_free(n->e.notices);
-	evacuations_free(n->e.evacuations);
-	target_limits_free(n->e.target_limits);
+	virtual_node_clear(&n->e, n->sync);
 	g_free(n);
-	ev_loop_destroy(loop);
-	virtual_ms = 0;
+	virtual_loop_end(loop);
 }
 
 static bool list_is_usable(const struct node *n)
@@ -243,9 +158,9 @@
 static int64_t change_after_read(struct node *n, struct ev_loop *loop)
 {
 	while (!n->asked_config)
-		step_for(loop, 1);
+		virtual_step(loop, 1);
 	while (n->asked_config)
-		step_for(loop, 1);
+		virtual_step(loop, 1);
 	store.now.revision++;
 	return time_boot_ms();
 }
@@ -263,12 +178,12 @@
 		struct node *n = node_new(loop, false, seed);
 		int64_t acked_ms, old_ms = 0;
 
-		step_for(loop, 10000);
+		virtual_step(loop, 10000);
 		acked_ms = change_after_read(n, loop);
 		store.now.version++;
 		store.refused = refused;
 		while (n->e.config->version != store.now.version) {
-			step_for(loop, 1);
+			virtual_step(loop, 1);
 			if (list_is_usable(n))
 				old_ms = time_boot_ms() - acked_ms;
 		}
@@ -300,7 +215,7 @@
 	struct node *n = node_new(loop, true, 1);
 	int64_t acked_ms;
 
-	step_for(loop, 5000);
+	virtual_step(loop, 5000);
 	acked_ms = change_after_read(n, loop);
 	store.now.version++;
 	while (list_is_usable(n))
@@ -319,19 +234,19 @@
 	struct state old;
 	int64_t lowest;
 
-	step_for(loop, 2000);
+	virtual_step(loop, 2000);
 	store.now.era = 2;
 	store.now.revision = 100;
-	step_for(loop, 10000);
+	virtual_step(loop, 10000);
 	old = store.now;
 	store.now.version = 6;
 	store.now.revision++;
-	step_for(loop, 1000);
+	virtual_step(loop, 1000);
 	g_assert_cmpint(n->e.config->version, ==, 6);
 	lowest = n->e.config->version;
 	store.next = &old;
 	for (int i = 0; i < 3000; i++) {
-		step_for(loop, 1);
+		virtual_step(loop, 1);
 		lowest = MIN(lowest, n->e.config->version);
 	}
 	g_assert_cmpint(lowest, ==, 6);
@@ -345,13 +260,13 @@
 	struct node *n = node_new(loop, true, 1);
 	struct state old = store.now;
 
-	step_for(loop, 2000);
+	virtual_step(loop, 2000);
 	store.now.version = 6;
 	store.now.revision++;
-	step_for(loop, 1000);
+	virtual_step(loop, 1000);
 	store.next = &old;
 	for (int i = 0; i < 3000; i++) {
-		step_for(loop, 1);
+		virtual_step(loop, 1);
 		g_assert_cmpint(n->e.config->version, ==, 6);
 	}
 	node_end(n, loop);
@@ -373,10 +288,10 @@
 					    .targets_age_ms = UINT32_MAX};
 
 	store.now.version = 7;
-	step_for(loop, 2000);
+	virtual_step(loop, 2000);
 	store.now.era = 2;
 	store.now.version = 6;
-	step_for(loop, 10000);
+	virtual_step(loop, 10000);
 	g_assert_cmpint(n->e.config->version, ==, 6);
 	store_sync_query(n->sync, time_boot_ms(), false, &query);
 	answer.query_sent_ms = query.sent_ms;
@@ -397,12 +312,12 @@
 		uint64_t zone = evacuation_zone_id(str_c(ZONE));
 		int64_t acked_ms, last_ms = 0;
 
-		step_for(loop, 10000);
+		virtual_step(loop, 10000);
 		acked_ms = change_after_read(n, loop);
 		store.now.evacuated = true;
 		store.refused = refused;
 		while (!evacuations_has(n->e.evacuations, zone)) {
-			step_for(loop, 1);
+			virtual_step(loop, 1);
 			if (list_is_usable(n))
 				last_ms = time_boot_ms() - acked_ms;
 		}
@@ -434,7 +349,7 @@
 	uint64_t zone = evacuation_zone_id(str_c(ZONE));
 	int64_t acked_ms;
 
-	step_for(loop, 10000);
+	virtual_step(loop, 10000);
 	acked_ms = change_after_read(n, loop);
 	store.now.evacuated = true;
 	while (!evacuations_has(n->e.evacuations, zone) &&
@@ -446,7 +361,7 @@
 			.config_hash = n->sync->config_hash,
 			.targets_revision = store.now.revision};
 
-		step_for(loop, 400);
+		virtual_step(loop, 400);
 		store_sync_query(n->sync, time_boot_ms(), false, &query);
 		answer.query_sent_ms = query.sent_ms;
 		answer.targets_hash = query.targets_hash;
--- a/entry/test-list-bound.c
+++ b/entry/test-list-bound.c
@@ -4,19 +4,10 @@
  * whose two tables answer at their own pace.
  */
 #include <string.h>
-#include <sys/syscall.h>
-#include <time.h>
-#include <unistd.h>
-
-#include "entry/evacuations.h"
-#include "entry/origins.h"
-#include "entry/store-sync.h"
-
-#define VIRTUAL_START_MS 1000000
-#define CALL_MS          2
-#define CALL_TIMEOUT_MS  1500
-#define REVOKE_MS        2000
-#define FLEET            295
+
+#include "entry/test-virtual.h"
+
+#define REVOKE_MS 2000
 /* See peer-messages.c. */
 #define QUERY_INTERVAL_MS 400
 
@@ -30,18 +21,6 @@
 	int refused;    /* so many reads of the targets are refused */
 } store;
 
-static int64_t virtual_ms;
-
-/* Replaces the C library's, for this program, libev and the modules. */
-int clock_gettime(clockid_t id, struct timespec *t)
-{
-	if (!virtual_ms)
-		return (int)syscall(SYS_clock_gettime, id, t);
-	t->tv_sec = virtual_ms / 1000;
-	t->tv_nsec = virtual_ms % 1000 * 1000000L;
-	return 0;
-}
-
 /* A node without its threads. */
 struct node {
 	struct entry e;
@@ -62,30 +41,6 @@
 	bool down, refused;
 };
 
-static json_t *fake_value(const struct store_page *p, size_t i)
-{
-	return json_pack("{s:I}", "version", (json_int_t)p->rows[i].revision);
-}
-
-static struct entry_config *fake_config(const json_t *value, GError **err)
-{
-	struct entry_config *c = entry_config_new();
-
-	(void)err;
-	c->version = json_integer_value(json_object_get(value, "version"));
-	entry_config_index(c);
-	return c;
-}
-
-static bool fake_target(void *arena, const char *key, const json_t *value,
-			struct target_info *out)
-{
-	(void)arena;
-	(void)value;
-	*out = (struct target_info){.id = 1, .name = str_c(key)};
-	return true;
-}
-
 static void finish_call(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct call *c = w->data;
@@ -114,7 +69,8 @@
 		       void *ctx)
 {
 	struct call *c = g_new0(struct call, 1);
-	int ms = t == STORE_TARGETS && !store.down ? store.targets_ms : CALL_MS;
+	int ms = t == STORE_TARGETS && !store.down ? store.targets_ms
+						   : VIRTUAL_CALL_MS;
 	bool refused = t == STORE_TARGETS && store.refused > 0;
 
 	*c = (struct call){.node = n,
@@ -151,40 +107,20 @@
 
 static const struct store_api fake_api = {.read = fake_read,
 					  .await = fake_await,
-					  .value = fake_value,
-					  .target = fake_target,
-					  .config = fake_config};
-
-static void ignore_views(struct ev_loop *loop, ev_async *w, int events)
-{
-	(void)loop;
-	(void)w;
-	(void)events;
-}
-
-static void step(struct ev_loop *loop)
-{
-	virtual_ms++;
-	ev_run(loop, EVRUN_NOWAIT);
-}
-
-static void step_for(struct ev_loop *loop, int ms)
-{
-	while (ms-- > 0)
-		step(loop);
-}
+					  .value = virtual_value,
+					  .target = virtual_target,
+					  .config = virtual_config};
 
 /* Start a loop in virtual time, with a store that is up and a target in it. */
 static struct ev_loop *virtual_loop(void)
 {
-	virtual_ms = VIRTUAL_START_MS;
 	store.version = 1;
 	store.revision = 1;
 	store.target = "t";
 	store.down = false;
-	store.targets_ms = CALL_MS;
+	store.targets_ms = VIRTUAL_CALL_MS;
 	store.refused = 0;
-	return ev_loop_new(EVFLAG_AUTO);
+	return virtual_loop_new();
 }
 
 static struct node *node_new(struct ev_loop *loop, bool reader, int drain_ms,
@@ -193,49 +129,26 @@
 	struct node *n = g_new0(struct node, 1);
 	struct entry_settings *s = &n->e.control_settings;
 
-	n->options.store = &fake_api;
-	n->e.o = &n->options;
-	n->e.store = n;
 	s->bounds_drain_ms = drain_ms;
 	s->bounds_contact_ms = 5000;
 	s->bounds_revoke_ms = REVOKE_MS;
 	s->bounds_config_apply_ms = 2000;
-	s->store_targets_poll_ms = 700;
-	s->store_config_wait_ms = 50;
-	s->store_timeout_ms = CALL_TIMEOUT_MS;
-	n->e.settings = *s;
-	n->e.tr.e = &n->e;
-	n->e.tr.settings = &n->e.settings;
-	n->e.tr.loop = loop;
-	n->e.origins = origins_new();
-	n->e.notices = notices_new();
-	n->e.evacuations = entry_evacuations_new(&n->e);
-	ev_async_init(&n->e.tr.views_published, ignore_views);
-	ev_async_start(loop, &n->e.tr.views_published);
-	n->sync = store_sync_new(&n->e, loop);
-	g_rand_set_seed(n->sync->rand, seed);
-	store_sync_set_reader(n->sync, reader, FLEET);
+	n->sync = virtual_node_init(&n->e, &n->options, &fake_api, n, loop,
+				    reader, seed);
 	return n;
 }
 
-static void node_free(struct node *n, struct ev_loop *loop)
+static void node_free(struct node *n)
 {
-	store_sync_free(n->sync);
-	ev_async_stop(loop, &n->e.tr.views_published);
-	entry_config_unref(n->e.config);
-	target_list_unref(n->e.list);
-	origins_free(n->e.origins);
-	notices_free(n->e.notices);
-	evacuations_free(n->e.evacuations);
+	virtual_node_clear(&n->e, n->sync);
 	g_free(n);
 }
 
-/* End a case with one node; its calls in progress are not waited for. */
+/* End a case with one node. */
 static void node_end(struct node *n, struct ev_loop *loop)
 {
-	node_free(n, loop);
-	ev_loop_destroy(loop);
-	virtual_ms = 0;
+	node_free(n);
+	virtual_loop_end(loop);
 }
 
 /*
@@ -247,17 +160,17 @@
 	struct ev_loop *loop = virtual_loop();
 	struct node *n = node_new(loop, true, 4000, 1);
 
-	step_for(loop, 1000);
+	virtual_step(loop, 1000);
 	n->e.tr.config = entry_config_ref(n->e.config);
 	g_assert_true(entry_config_is_valid(&n->e, time_boot_ms()));
 	store.down = true;
-	step_for(loop, 2 * REVOKE_MS);
+	virtual_step(loop, 2 * REVOKE_MS);
 	g_assert_false(entry_config_is_valid(&n->e, time_boot_ms()));
 	/* Acknowledged long ago by a store that this node did not reach. */
 	store.version += changed;
 	store.revision++;
 	store.down = false;
-	step_for(loop, 1000);
+	virtual_step(loop, 1000);
 	g_assert_cmpint(n->e.config->version, ==, 1 + changed);
 	g_assert_cmpint(entry_config_is_valid(&n->e, time_boot_ms()), ==,
 			!changed);
@@ -285,13 +198,13 @@
 	struct target_list *taken;
 	int64_t fresh_ms;
 
-	step_for(loop, 1000);
+	virtual_step(loop, 1000);
 	taken = target_list_ref(n->e.list);
 	fresh_ms = atomic_load(&taken->fresh_ms);
 	g_assert_cmpint(fresh_ms, >, VIRTUAL_START_MS);
 	store.target = NULL;
 	store.revision++;
-	step_for(loop, 2000);
+	virtual_step(loop, 2000);
 	g_assert_true(n->e.list != taken);
 	g_assert_cmpint(atomic_load(&taken->fresh_ms), <, fresh_ms + 1000);
 	g_assert_cmpint(atomic_load(&n->e.list->fresh_ms), >, fresh_ms + 1000);
@@ -315,18 +228,18 @@
 			struct node *n = node_new(loop, reader, drain_ms, seed);
 			int64_t left_ms;
 
-			step_for(loop, 5000);
+			virtual_step(loop, 5000);
 			while (!n->sync->targets_busy)
-				step(loop);
+				virtual_step(loop, 1);
 			while (n->sync->targets_busy)
-				step(loop);
+				virtual_step(loop, 1);
 			g_assert_cmpuint(n->e.list->n, ==, 1);
 			store.target = NULL;
 			store.revision++;
 			left_ms = time_boot_ms();
 			store.targets_ms = late_ms;
 			while (n->e.list->n) {
-				step(loop);
+				virtual_step(loop, 1);
 				if (n->e.list->n &&
 				    atomic_load(&n->e.list->until_ms) >
 					    time_boot_ms())
@@ -374,17 +287,17 @@
 		struct node *n = node_new(loop, reader, drain_ms, seed);
 		int64_t left_ms;
 
-		step_for(loop, 5000);
+		virtual_step(loop, 5000);
 		while (!n->sync->targets_busy)
-			step(loop);
+			virtual_step(loop, 1);
 		while (n->sync->targets_busy)
-			step(loop);
+			virtual_step(loop, 1);
 		store.target = NULL;
 		store.revision++;
 		left_ms = time_boot_ms();
 		store.refused = reads;
 		while (n->e.list->n) {
-			step(loop);
+			virtual_step(loop, 1);
 			if (n->e.list->n &&
 			    atomic_load(&n->e.list->until_ms) > time_boot_ms())
 				past_ms =
@@ -431,18 +344,18 @@
 		struct ev_loop *loop = virtual_loop();
 		struct node *n = node_new(loop, true, 4000, 1);
 
-		step_for(loop, 1000);
+		virtual_step(loop, 1000);
 		store.down = true;
-		step_for(loop, 5000 + shift_ms);
+		virtual_step(loop, 5000 + shift_ms);
 		store.target = NULL;
 		store.revision++;
 		store.targets_ms = targets_ms;
 		store.down = false;
-		step_for(loop, 1800);
+		virtual_step(loop, 1800);
 		store.target = "t";
 		store.revision++;
 		for (int ms = 0; ms < 6000; ms++) {
-			step(loop);
+			virtual_step(loop, 1);
 			lost_ms += !n->e.list->n;
 		}
 		g_assert_cmpuint(n->e.list->n, ==, 1);
@@ -456,7 +369,7 @@
 
 static void test_back_in_time(void)
 {
-	check_back_in_time(CALL_MS);
+	check_back_in_time(VIRTUAL_CALL_MS);
 }
 
 static void test_back_in_time_slow(void)
@@ -478,10 +391,10 @@
 	int64_t due_ms[2] = {0}, oldest_ms = 0;
 	int reads, slot = 0;
 
-	step_for(loop, 1000);
+	virtual_step(loop, 1000);
 	reads = n->target_reads;
 	for (int ms = 0; ms < 20000; ms++) {
-		step(loop);
+		virtual_step(loop, 1);
 		for (int i = 0; i < 2; i++) {
 			struct target_update updates[TARGET_UPDATES_MAX];
 			struct store_query_answer answer;
@@ -507,7 +420,7 @@
 		       "%d ms",
 		       late_ms, n->target_reads - reads, (int)oldest_ms);
 	g_assert_cmpint(n->target_reads, ==, reads);
-	node_free(relay, loop);
+	node_free(relay);
 	node_end(n, loop);
 }
 
