--- a/entry/entry.h
+++ b/entry/entry.h
@@ -608,9 +608,7 @@
 	/* Of the last row, which rows may lack; NULL: there was no row. */
 	const char *last_key;
 	int64_t sent_ms; /* when the call was sent: the page is no older */
-	/* STORE_FAILED is an answer of a sound store that asks for fewer calls.
-	 */
-	bool refused;
+	bool refused;    /* failed, as a sound store asks for fewer calls */
 	const void *raw; /* private to struct store_api */
 };
 
