Soak of leaving targets: the header's name stands in the test rig

Names of the platform's wire belong into platform/ and its tests; the rig says to which target a request was sent.

--- a/soak/leaving.c
+++ b/soak/leaving.c
@@ -10,8 +10,7 @@
  * target later than bounds.drain after the store had acknowledged that it
  * leaves, from an entry that was in touch.
  *
- * Each attempt id names the entry that took the request from its caller, and
- * Auburnramp-Expected-Instance the target to which it was sent.
+ * Each attempt id names the entry that took the request from its caller.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -133,12 +132,14 @@
 	return NULL;
 }
 
-/* Return an instance by its name in a request; the lock is held. */
-static struct instance find_instance(struct leaving_soak *s, const char *text)
+/* Return the instance to which a request was sent; the lock is held. */
+static struct instance find_instance(struct leaving_soak *s,
+				     const struct rig_request *req)
 {
-	const char *p = strstr(text, "Auburnramp-Expected-Instance: i");
-	unsigned number = p ? (unsigned)atoi(strchr(p, ':') + 3) : 0;
+	char *name = named_target(req);
+	unsigned number = name ? (unsigned)atoi(name + 1) : 0;
 
+	g_free(name);
 	for (size_t i = 0; number && i < SLOTS; i++)
 		if (s->instances[i].number == number)
 			return s->instances[i];
@@ -156,7 +157,7 @@
 
 	g_mutex_lock(&s->lock);
 	note_beat(s, now_ms);
-	i = find_instance(s, req->text);
+	i = find_instance(s, req);
 	ago_ms = i.left_ms ? now_ms - i.left_ms : 0;
 	late = ago_ms > s->drain_ms + TRANSPORT_MS +
 				LOST_FACTOR * (s->lost_ms - i.lost_ms);
