test-list-bound: one piece each for a target that leaves and a list's use

check_late_answer and check_refused had the same two loops. Both cases assert now that the target was listed.

--- a/entry/test-list-bound.c
+++ b/entry/test-list-bound.c
@@ -212,6 +212,39 @@
 	node_end(n, loop);
 }
 
+/* The target leaves just after a read has shown it; return when. */
+static int64_t leave_after_read(struct node *n, struct ev_loop *loop)
+{
+	virtual_step(loop, 5000);
+	while (!n->sync->targets_busy)
+		virtual_step(loop, 1);
+	while (n->sync->targets_busy)
+		virtual_step(loop, 1);
+	g_assert_cmpuint(n->e.list->n, ==, 1);
+	store.target = NULL;
+	store.revision++;
+	return time_boot_ms();
+}
+
+/*
+ * Go on until the node knows that the target has left. Return for how much
+ * longer than the drain time its list could be used.
+ */
+static int64_t used_too_long_ms(struct node *n, struct ev_loop *loop,
+				int64_t left_ms, int drain_ms)
+{
+	int64_t past_ms = 0;
+
+	while (n->e.list->n) {
+		virtual_step(loop, 1);
+		if (n->e.list->n &&
+		    atomic_load(&n->e.list->until_ms) > time_boot_ms())
+			past_ms = MAX(past_ms,
+				      time_boot_ms() - left_ms - drain_ms);
+	}
+	return past_ms;
+}
+
 /*
  * One read of the targets is answered late, by a machine that is busy, and the
  * list of a target that has left meanwhile is used beyond the drain time.
@@ -226,27 +259,11 @@
 		for (guint32 seed = 0; seed < 10; seed++) {
 			struct ev_loop *loop = virtual_loop();
 			struct node *n = node_new(loop, reader, drain_ms, seed);
-			int64_t left_ms;
-
-			virtual_step(loop, 5000);
-			while (!n->sync->targets_busy)
-				virtual_step(loop, 1);
-			while (n->sync->targets_busy)
-				virtual_step(loop, 1);
-			g_assert_cmpuint(n->e.list->n, ==, 1);
-			store.target = NULL;
-			store.revision++;
-			left_ms = time_boot_ms();
+			int64_t left_ms = leave_after_read(n, loop), used_ms;
+
 			store.targets_ms = late_ms;
-			while (n->e.list->n) {
-				virtual_step(loop, 1);
-				if (n->e.list->n &&
-				    atomic_load(&n->e.list->until_ms) >
-					    time_boot_ms())
-					past_ms = MAX(past_ms,
-						      time_boot_ms() - left_ms -
-							      drain_ms);
-			}
+			used_ms = used_too_long_ms(n, loop, left_ms, drain_ms);
+			past_ms = MAX(past_ms, used_ms);
 			node_end(n, loop);
 		}
 		g_test_message("answers late by %d ms: used %d ms too long",
@@ -285,25 +302,11 @@
 	for (guint32 seed = 0; seed < 20; seed++) {
 		struct ev_loop *loop = virtual_loop();
 		struct node *n = node_new(loop, reader, drain_ms, seed);
-		int64_t left_ms;
+		int64_t left_ms = leave_after_read(n, loop), used_ms;
 
-		virtual_step(loop, 5000);
-		while (!n->sync->targets_busy)
-			virtual_step(loop, 1);
-		while (n->sync->targets_busy)
-			virtual_step(loop, 1);
-		store.target = NULL;
-		store.revision++;
-		left_ms = time_boot_ms();
 		store.refused = reads;
-		while (n->e.list->n) {
-			virtual_step(loop, 1);
-			if (n->e.list->n &&
-			    atomic_load(&n->e.list->until_ms) > time_boot_ms())
-				past_ms =
-					MAX(past_ms, time_boot_ms() - left_ms -
-							     drain_ms);
-		}
+		used_ms = used_too_long_ms(n, loop, left_ms, drain_ms);
+		past_ms = MAX(past_ms, used_ms);
 		node_end(n, loop);
 	}
 	g_test_message("%d reads of a %s refused: used %d ms too long", reads,
