Logs name what the retry budget held when a retry was decided on

The incident's logs told neither which requests and retries a decision had counted nor the age of the process, so that the hypotheses on the sum over the nodes couldn't be told apart. request_repeated, and request_ended where the budget refused a retry, name the retries, requests and limit of the window with the least room, the nodes that share the allowance and the age of the process.

--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -84,6 +84,7 @@
 	uint64_t tried_targets[ATTEMPTS_MAX]; /* ids */
 	int attempts;
 	int possible_runs; /* attempts that the target may have run */
+	struct retry_room retry_room; /* when it last asked for a retry */
 	/*
 	 * Id of the version at which the stream began, and so has to go on; 0:
 	 * no event of it has been given to the caller.
@@ -146,7 +147,7 @@
  */
 bool exchange_may_retry(const struct exchange *x, int possible_runs);
 /* Take one retry from the service's retry budget; false when it is spent. */
-bool exchange_take_retry(const struct exchange *x);
+bool exchange_take_retry(struct exchange *x);
 /*
  * End a failed attempt and begin another one if that is safe. ran: the
  * target may have run it. charge: take the retry from the budget. Returns false
@@ -249,6 +250,11 @@
  * a new connection, on which nothing is sent before, has been established.
  */
 void exchange_note_send(struct exchange *x);
+/*
+ * Return the fields that say what the service's retry budget held when the
+ * request last asked for a retry; in the arena. retries=0: it has not.
+ */
+const char *exchange_budget_text(const struct exchange *x);
 /* Return the fields that say what the last send was based on; in the arena. */
 const char *exchange_basis_text(const struct exchange *x);
 /* Log and measure the end of the request. */
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -192,7 +192,7 @@
 /* The retry budget of a service. */
 struct service_retries {
 	struct str service;
-	struct retry_window window;
+	struct retry_share share;
 };
 
 static void service_retries_free(void *p)
@@ -376,9 +376,9 @@
 }
 
 /* Return the number of nodes, live or not, that share fleet-wide limits. */
-static double known_nodes(const struct traffic *tr)
+static size_t known_nodes(const struct traffic *tr)
 {
-	return tr->peers ? (double)MAX(tr->peers->known, 1) : 1;
+	return tr->peers ? MAX(tr->peers->known, 1) : 1;
 }
 
 /*
@@ -544,7 +544,7 @@
 static guint idle_links_max(const struct target *t)
 {
 	const struct entry_config *c = t->tr->config;
-	double nodes = known_nodes(t->tr);
+	double nodes = (double)known_nodes(t->tr);
 
 	for (size_t i = 0; c && i < c->service_count; i++) {
 		const struct entry_service *s = &c->services[i];
@@ -734,27 +734,21 @@
 
 struct retry_window *pool_retry_window(struct traffic *tr, struct str service)
 {
+	const struct entry_settings *s = tr->settings;
 	struct service_retries *r =
 		g_hash_table_lookup(tr->retry_windows, &service);
-	struct retry_window *w;
-	int64_t now = time_boot_ms();
-	double nodes = known_nodes(tr);
-	double age;
+	const struct retry_budget_limits limits = {
+		.ratio = s->bounds_retry_ratio,
+		.allowance = s->bounds_retry_allowance,
+		.window_ms = (int64_t)(s->bounds_retry_window_s * 1000),
+	};
 
 	if (!r) {
 		r = talloc_zero(NULL, struct service_retries);
 		r->service = str_dup(r, service);
+		r->share.started_ms = tr->started_ms;
 		g_hash_table_insert(tr->retry_windows, &r->service, r);
 	}
-	w = &r->window;
-	w->ratio = tr->settings->bounds_retry_ratio;
-	w->window_ms = (int64_t)(tr->settings->bounds_retry_window_s * 1000);
-	/*
-	 * The retries that an earlier process took are unknown, so the
-	 * allowance grows from 0 during the first window.
-	 */
-	age = (double)(now - tr->started_ms) / (double)MAX(w->window_ms, 1);
-	w->allowance =
-		tr->settings->bounds_retry_allowance / nodes * MIN(age, 1);
-	return w;
+	retry_share_update(&r->share, &limits, known_nodes(tr), time_boot_ms());
+	return &r->share.window;
 }
--- a/entry/request-log.c
+++ b/entry/request-log.c
@@ -1,4 +1,5 @@
 /* The lines of the log about a request, and what was known when it was sent. */
+#include <string.h>
 #include <talloc.h>
 
 #include "entry/exchange.h"
@@ -41,10 +42,25 @@
 		source_name(b->list_from).s, (int)b->list_wait_ms);
 }
 
+const char *exchange_budget_text(const struct exchange *x)
+{
+	const struct retry_room *r = &x->retry_room;
+	struct traffic *tr = x->tr;
+
+	return talloc_asprintf(
+		x->arena,
+		"retries=%u requests=%u allowed=%.1f nodes=%d process_ms=%d",
+		r->retries, r->requests, r->allowed,
+		tr->peers ? (int)tr->peers->known : 0,
+		(int)(time_boot_ms() - tr->started_ms));
+}
+
 void exchange_log_end(const struct exchange *x, int status, const char *how)
 {
 	int64_t now = time_boot_ms();
 	int64_t fresh = entry_config_fresh_ms(x->config);
+	bool over_budget = x->failure_cause &&
+			   !strcmp(x->failure_cause, "no_retry_budget");
 
 	metric_observe(M_REQUEST_MS, now - x->arrived_ms);
 	log_event(EV_REQUEST_ENDED,
@@ -54,7 +70,7 @@
 		  " status=%d how=%s ms=%d sends=%d runs=%d events=%d "
 		  "first_ms=%d gap_ms=%d "
 		  "cause=%s config=%d config_age_ms=%d version=" STR_FMT
-		  " %s resumes=" STR_FMT,
+		  " %s%s%s resumes=" STR_FMT,
 		  STR_ARG(x->request_id),
 		  STR_ARG(x->route ? x->route->name : STR_LIT("-")),
 		  (unsigned)x->whole, (unsigned)x->prompt.parts[0],
@@ -70,5 +86,7 @@
 		  x->config ? (int)x->config->version : 0,
 		  fresh ? (int)(now - fresh) : -1,
 		  STR_ARG(x->last_target_version), exchange_basis_text(x),
+		  over_budget ? " " : "",
+		  over_budget ? exchange_budget_text(x) : "",
 		  STR_ARG(x->resumes));
 }
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -20,10 +20,10 @@
 				 x->splitter.last_number >= 0);
 }
 
-bool exchange_take_retry(const struct exchange *x)
+bool exchange_take_retry(struct exchange *x)
 {
 	return retry_window_take(pool_retry_window(x->tr, x->service->name),
-				 time_boot_ms());
+				 time_boot_ms(), &x->retry_room);
 }
 
 /* End the attempt, which the target may have run if ran. */
@@ -46,12 +46,13 @@
 		EV_REQUEST_REPEATED,
 		"request=" STR_FMT " target=" STR_FMT " version=" STR_FMT
 		" cause=%s ran=%d sends=%d after=%d began=%d whole=%x parts=%s"
-		" %s",
+		" %s %s",
 		STR_ARG(x->request_id), STR_ARG(x->last_target_name),
 		STR_ARG(x->last_target_version), x->failure_cause, ran,
 		x->attempts, (int)x->splitter.last_number,
 		x->first_event_ms != 0, (unsigned)x->whole,
-		prompt_parts_text(x->arena, x->parts), exchange_basis_text(x));
+		prompt_parts_text(x->arena, x->parts), exchange_budget_text(x),
+		exchange_basis_text(x));
 	exchange_attempt(x);
 }
 
--- a/entry/test-retry.c
+++ b/entry/test-retry.c
@@ -100,7 +100,9 @@
 	struct entry_service service = {0};
 	struct route_rule route = {.retry = RETRY_RESUME, .runs_max = 2};
 	struct target target = {0};
+	struct traffic tr = {0};
 	struct exchange x = {
+		.tr = &tr,
 		.route = &route,
 		.service = &service,
 		.target = &target,
--- a/route/retry-window.c
+++ b/route/retry-window.c
@@ -1,5 +1,6 @@
 /* Retry budget of a sliding window that advances in slots. */
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "route/route.h"
@@ -82,9 +83,11 @@
 	s->requests[s->newest_slot % RETRY_WINDOW_SLOTS]++;
 }
 
-bool retry_window_take(struct retry_window *s, int64_t now_ms)
+bool retry_window_take(struct retry_window *s, int64_t now_ms,
+		       struct retry_room *room)
 {
 	unsigned retries = 1;
+	double least = INFINITY;
 
 	advance(s, now_ms);
 	/*
@@ -95,8 +98,15 @@
 	for (int64_t begin = s->newest_slot;
 	     begin >= 0 && begin >= s->newest_slot - SLOTS_PER_WINDOW;
 	     begin--) {
+		unsigned requests = requests_for(s, begin);
+		double allowed = s->ratio * requests + s->allowance;
+
 		retries += s->retries[begin % RETRY_WINDOW_SLOTS];
-		if (retries > s->ratio * requests_for(s, begin) + s->allowance)
+		if (room && allowed - retries < least) {
+			*room = (struct retry_room){requests, retries, allowed};
+			least = allowed - retries;
+		}
+		if (retries > allowed)
 			return false;
 	}
 	s->retries[s->newest_slot % RETRY_WINDOW_SLOTS]++;
--- a/route/route.h
+++ b/route/route.h
@@ -675,10 +675,42 @@
 	unsigned retries[RETRY_WINDOW_SLOTS];
 };
 
+/*
+ * What the window with the least room held when a retry was decided on; the
+ * retry itself counts.
+ */
+struct retry_room {
+	unsigned requests;
+	unsigned retries;
+	double allowed;
+};
+
 /* Count a request. */
 void retry_window_add_request(struct retry_window *s, int64_t now_ms);
-/* Take one retry. Return false when the window allows none. */
-bool retry_window_take(struct retry_window *s, int64_t now_ms);
+/*
+ * Take one retry. Return false when a window allows none. room may be NULL.
+ */
+bool retry_window_take(struct retry_window *s, int64_t now_ms,
+		       struct retry_room *room);
+
+/*
+ * retry-share.c: the part of a service's retry budget that a process may use.
+ */
+struct retry_budget_limits {
+	double ratio;
+	double allowance; /* of the fleet */
+	int64_t window_ms;
+};
+
+struct retry_share {
+	struct retry_window window;
+	int64_t started_ms; /* of the process */
+};
+
+/* Update the window for the limits and the nodes of the fleet, live or not. */
+void retry_share_update(struct retry_share *s,
+			const struct retry_budget_limits *l, size_t nodes,
+			int64_t now_ms);
 
 /*
  * stall.c: decides whether a request whose answer has not begun is stalled and
--- a/route/test-retry-window.c
+++ b/route/test-retry-window.c
@@ -29,7 +29,7 @@
 				retry_window_add_request(&w, t);
 				requests[t]++;
 			}
-			while (retry_window_take(&w, t))
+			while (retry_window_take(&w, t, NULL))
 				retries[t]++;
 		}
 		for (int t = 0; t < DURATION_MS; t++) {
@@ -81,7 +81,7 @@
 				requests[t]++;
 			}
 			/* Every retry is taken late in the burst and after. */
-			while (t >= 14000 && retry_window_take(&w, t))
+			while (t >= 14000 && retry_window_take(&w, t, NULL))
 				retries[t]++;
 		}
 		for (int from = 0; from < DURATION_MS - WINDOW_MS; from += 10) {
@@ -106,10 +106,10 @@
 
 	for (int i = 0; i < 110; i++)
 		retry_window_add_request(&w, 1000);
-	while (retry_window_take(&w, 1000))
+	while (retry_window_take(&w, 1000, NULL))
 		taken++;
 	g_assert_cmpint(taken, ==, 22);
-	g_assert_false(retry_window_take(&w, 1000 + 2 * WINDOW_MS));
+	g_assert_false(retry_window_take(&w, 1000 + 2 * WINDOW_MS, NULL));
 }
 
 /*
@@ -123,19 +123,19 @@
 	int64_t now = 10000000;
 	int taken = 0;
 
-	while (retry_window_take(&w, now))
+	while (retry_window_take(&w, now, NULL))
 		taken++;
 	g_assert_cmpint(taken, ==, 5);
 	w.window_ms = 2 * WINDOW_MS;
-	g_assert_false(retry_window_take(&w, now + 1));
+	g_assert_false(retry_window_take(&w, now + 1, NULL));
 	now += 5 * WINDOW_MS;
-	g_assert_true(retry_window_take(&w, now));
-	while (retry_window_take(&w, now))
+	g_assert_true(retry_window_take(&w, now, NULL));
+	while (retry_window_take(&w, now, NULL))
 		;
 	w.window_ms = WINDOW_MS;
-	g_assert_false(retry_window_take(&w, now + 1));
+	g_assert_false(retry_window_take(&w, now + 1, NULL));
 	now += 3 * WINDOW_MS;
-	g_assert_true(retry_window_take(&w, now));
+	g_assert_true(retry_window_take(&w, now, NULL));
 }
 
 int main(int argc, char **argv)
