Retries of all nodes together stay within the fleet's budget

Cause: each node kept to the largest of three windows. Over nodes, and over the processes of a node, maxima add up to more than the maximum of the sums: a process that was killed had taken its part, and the next one took retries for its own requests at once. Besides, a retry counted when it was decided on, though it arrives later, and the parts of nodes that left as planned were used again.

Mend: requests of the same window and of the one before pay for half of the ratio each; windows that began before the process knew its fleet have no allowance; a retry is pending until its target answers or its attempt ends.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -72,6 +72,7 @@
 {
 	if (x->link)
 		link_close(x->link);
+	exchange_settle_retry(x);
 	x->link = NULL;
 	x->response = NULL;
 	x->head_check_at_ms = 0;
@@ -364,6 +365,7 @@
 {
 	struct exchange *x = ctx;
 
+	exchange_settle_retry(x);
 	x->target->last_received_ms = time_boot_ms();
 	x->target->last_failed = false;
 	if (!x->helper)
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -92,7 +92,9 @@
 	uint64_t version;
 	int64_t take_up_deadline_ms; /* of that wait; 0: has not waited */
 	struct sse_splitter splitter;
-	bool head_sent; /* the caller has got the head of a stream */
+	bool head_sent;     /* the caller has got the head of a stream */
+	bool retry_taken;   /* of the budget, for the next attempt */
+	bool retry_pending; /* until this one is settled */
 	/* What the caller has seen of the stream, over all attempts. */
 	int64_t first_given_ms; /* first event; 0: none yet */
 	int64_t last_given_ms;  /* latest event */
@@ -148,6 +150,8 @@
 bool exchange_may_retry(const struct exchange *x, int possible_runs);
 /* Take one retry from the service's retry budget; false when it is spent. */
 bool exchange_take_retry(struct exchange *x);
+/* The attempt has reached its target, or has ended. */
+void exchange_settle_retry(struct exchange *x);
 /*
  * End a failed attempt and begin another one if that is safe. ran: the
  * target may have run it. charge: take the retry from the budget. Returns false
--- a/entry/request-log.c
+++ b/entry/request-log.c
@@ -49,7 +49,7 @@
 
 	return talloc_asprintf(
 		x->arena,
-		"retries=%u requests=%u allowed=%.1f nodes=%d process_ms=%d",
+		"retries=%u requests=%.1f allowed=%.1f nodes=%d process_ms=%d",
 		r->retries, r->requests, r->allowed,
 		tr->peers ? (int)tr->peers->known : 0,
 		(int)(time_boot_ms() - tr->started_ms));
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -22,8 +22,19 @@
 
 bool exchange_take_retry(struct exchange *x)
 {
-	return retry_window_take(pool_retry_window(x->tr, x->service->name),
-				 time_boot_ms(), &x->retry_room);
+	x->retry_taken =
+		retry_window_take(pool_retry_window(x->tr, x->service->name),
+				  time_boot_ms(), &x->retry_room);
+	return x->retry_taken;
+}
+
+void exchange_settle_retry(struct exchange *x)
+{
+	if (!x->retry_pending)
+		return;
+	x->retry_pending = false;
+	retry_window_settle(pool_retry_window(x->tr, x->service->name),
+			    time_boot_ms());
 }
 
 /* End the attempt, which the target may have run if ran. */
@@ -38,9 +49,17 @@
 		x->possible_runs++;
 }
 
+/* The retry that was taken belongs to the next attempt from now on. */
+static void begin_pending(struct exchange *x)
+{
+	x->retry_pending = x->retry_taken;
+	x->retry_taken = false;
+}
+
 /* Begin another attempt after end_attempt; may free the exchange. */
 static void begin_retry(struct exchange *x, bool ran)
 {
+	begin_pending(x);
 	metric_add(M_RETRIES_TOTAL, 1);
 	log_event(
 		EV_REQUEST_REPEATED,
@@ -64,9 +83,17 @@
 
 bool exchange_retry(struct exchange *x, bool ran, bool charge)
 {
+	/* An attempt that reached no target leaves what it took to the next. */
+	if (!charge && x->retry_pending) {
+		x->retry_pending = false;
+		x->retry_taken = true;
+	}
 	end_attempt(x, ran);
-	if (!exchange_may_retry(x, x->possible_runs))
+	if (!exchange_may_retry(x, x->possible_runs)) {
+		begin_pending(x);
+		exchange_settle_retry(x);
 		return false;
+	}
 	if (charge && !exchange_take_retry(x)) {
 		x->failure_cause = "no_retry_budget";
 		return false;
--- a/route/retry-window.c
+++ b/route/retry-window.c
@@ -5,7 +5,17 @@
 
 #include "route/route.h"
 
-#define SLOTS_PER_WINDOW 10
+#define SLOTS_PER_WINDOW 40
+/*
+ * Parts of the requests of the same window and of the one before that pay for
+ * retries. Their sum is 1: if each node took whichever has more, callers that
+ * move between nodes would be counted twice.
+ */
+#define SAME_PART   0.5
+#define BEFORE_PART 0.5
+
+/* All windows that can contain a retry, and the ones before them. */
+G_STATIC_ASSERT(RETRY_WINDOW_SLOTS == 2 * SLOTS_PER_WINDOW + 2);
 
 /* Advance to a slot and clear the slots that are reused. */
 static void advance_to(struct retry_window *s, int64_t number)
@@ -62,19 +72,22 @@
 }
 
 /*
- * Return the requests that count for a window which begins within a slot: only
- * slots that lie in it wherever in the slot it begins.
+ * Return the requests that pay in a window which begins within a slot: only
+ * slots count that lie in it wherever in the slot it begins.
  */
-static unsigned requests_for(const struct retry_window *s, int64_t begin)
+static double requests_for(const struct retry_window *s, int64_t begin)
 {
-	const int64_t half = SLOTS_PER_WINDOW / 2;
 	unsigned same = sum(s, s->requests, begin + 1, s->newest_slot);
-	unsigned half_before =
-		sum(s, s->requests, begin - half + 1, begin + half - 1);
 	unsigned before =
 		sum(s, s->requests, begin - SLOTS_PER_WINDOW + 1, begin - 1);
 
-	return MAX(same, MAX(half_before, before));
+	return SAME_PART * same + BEFORE_PART * before;
+}
+
+/* Return the allowance of a window which begins within a slot. */
+static double allowance_for(const struct retry_window *s, int64_t begin)
+{
+	return begin * s->slot_ms >= s->allowance_from_ms ? s->allowance : 0;
 }
 
 void retry_window_add_request(struct retry_window *s, int64_t now_ms)
@@ -86,7 +99,7 @@
 bool retry_window_take(struct retry_window *s, int64_t now_ms,
 		       struct retry_room *room)
 {
-	unsigned retries = 1;
+	unsigned retries = s->pending + 1;
 	double least = INFINITY;
 
 	advance(s, now_ms);
@@ -98,8 +111,8 @@
 	for (int64_t begin = s->newest_slot;
 	     begin >= 0 && begin >= s->newest_slot - SLOTS_PER_WINDOW;
 	     begin--) {
-		unsigned requests = requests_for(s, begin);
-		double allowed = s->ratio * requests + s->allowance;
+		double requests = requests_for(s, begin);
+		double allowed = s->ratio * requests + allowance_for(s, begin);
 
 		retries += s->retries[begin % RETRY_WINDOW_SLOTS];
 		if (room && allowed - retries < least) {
@@ -109,6 +122,13 @@
 		if (retries > allowed)
 			return false;
 	}
-	s->retries[s->newest_slot % RETRY_WINDOW_SLOTS]++;
+	s->pending++;
 	return true;
 }
+
+void retry_window_settle(struct retry_window *s, int64_t now_ms)
+{
+	advance(s, now_ms);
+	s->pending--;
+	s->retries[s->newest_slot % RETRY_WINDOW_SLOTS]++;
+}
--- a/route/route.h
+++ b/route/route.h
@@ -657,22 +657,30 @@
 double place_weight(int64_t joined_for_ms);
 
 /*
- * retry-window.c: retry budget over a sliding window. In any window retries are
- * at most ratio x requests + allowance, where the requests are those of that
- * window, of the one half a window before it, or of the one before, whichever
- * has most. To begin, set the first three fields and zero the rest.
+ * retry-window.c: a node's retries over a sliding window, such that the sum
+ * over nodes which each keep to their own window stays below ratio x requests +
+ * allowance, where the requests are those of the same window or of the one
+ * before, whichever are more over all nodes. A node can't know which are, so
+ * each counts a fixed part of both.
+ *
+ * A retry counts from when it is taken until a window after it was settled, as
+ * it may arrive at any moment in between.
+ *
+ * To begin, zero it and set the first four fields.
  */
-/* Twice a window, and two slots that windows cover in part. */
-#define RETRY_WINDOW_SLOTS 22
+#define RETRY_WINDOW_SLOTS 82
 
 struct retry_window {
 	double ratio;     /* retries per request */
 	double allowance; /* retries; this node's part of the fleet's number */
+	/* Windows that begin earlier have no allowance. */
+	int64_t allowance_from_ms;
 	int64_t window_ms;
 	int64_t slot_ms;     /* length of a slot */
 	int64_t newest_slot; /* time / slot_ms */
+	unsigned pending;    /* retries that were taken and not settled */
 	unsigned requests[RETRY_WINDOW_SLOTS];
-	unsigned retries[RETRY_WINDOW_SLOTS];
+	unsigned retries[RETRY_WINDOW_SLOTS]; /* by when they were settled */
 };
 
 /*
@@ -680,7 +688,7 @@
  * retry itself counts.
  */
 struct retry_room {
-	unsigned requests;
+	double requests; /* that paid for it */
 	unsigned retries;
 	double allowed;
 };
@@ -692,6 +700,8 @@
  */
 bool retry_window_take(struct retry_window *s, int64_t now_ms,
 		       struct retry_room *room);
+/* A retry that was taken has arrived, or never will. */
+void retry_window_settle(struct retry_window *s, int64_t now_ms);
 
 /*
  * retry-share.c: the part of a service's retry budget that a process may use.
@@ -702,9 +712,13 @@
 	int64_t window_ms;
 };
 
+/* To begin, zero it and set started_ms. */
 struct retry_share {
 	struct retry_window window;
 	int64_t started_ms; /* of the process */
+	size_t nodes;       /* that share the allowance */
+	/* No fewer nodes share it before, as those that left have used it. */
+	int64_t nodes_until_ms;
 };
 
 /* Update the window for the limits and the nodes of the fleet, live or not. */
--- a/route/test-retry-fleet.c
+++ b/route/test-retry-fleet.c
@@ -34,12 +34,14 @@
 
 struct node {
 	struct retry_share share;
-	int down_until;   /* tick; no process runs before */
-	int paused_until; /* the process stands still */
-	int cut_until;    /* what it sends arrives then */
-	bool left;        /* until then others don't count it */
-	double weight;    /* of callers */
-	unsigned backlog; /* requests that wait for the process */
+	int down_until;              /* tick; no process runs before */
+	int paused_until;            /* the process stands still */
+	int cut_until;               /* what it sends arrives then */
+	bool left;                   /* until then others don't count it */
+	double weight;               /* of callers */
+	unsigned backlog;            /* requests that wait for the process */
+	int settled_to;              /* tick up to which answers were read */
+	unsigned answers[TICKS + 1]; /* to retries of the process, by tick */
 };
 
 /* A fleet, and what operators count of it by tick. */
@@ -71,6 +73,8 @@
 	memset(&v->share, 0, sizeof(v->share));
 	v->share.started_ms = (int64_t)tick * TICK_MS;
 	v->left = false;
+	v->settled_to = tick;
+	memset(v->answers, 0, sizeof(v->answers));
 }
 
 static void begin_trouble(struct fleet *f, int tick)
@@ -138,7 +142,20 @@
 	return MIN(MAX(at, v->cut_until), TICKS);
 }
 
-/* Count the requests that wait, and take each retry that is allowed. */
+/* Take each retry that is allowed; its answer comes some time later. */
+static void take_retries(struct fleet *f, struct node *v, int tick)
+{
+	while (retry_window_take(&v->share.window, (int64_t)tick * TICK_MS,
+				 NULL)) {
+		int at = arrival(f, v, tick);
+
+		f->arrivals[at]++;
+		at += g_rand_int_range(f->rand, 1, 200 / TICK_MS);
+		v->answers[MIN(at, TICKS)]++;
+	}
+}
+
+/* Count the requests that wait, read the answers, and take retries. */
 static void run_node(struct fleet *f, struct node *v, int tick, bool eager)
 {
 	int64_t now = (int64_t)tick * TICK_MS;
@@ -152,8 +169,11 @@
 	retry_share_update(&v->share, &limits, known(f, tick), now);
 	for (; v->backlog; v->backlog--)
 		retry_window_add_request(&v->share.window, now);
-	while (eager && retry_window_take(&v->share.window, now, NULL))
-		f->arrivals[arrival(f, v, tick)]++;
+	for (; v->settled_to <= tick; v->settled_to++)
+		for (; v->answers[v->settled_to]; v->answers[v->settled_to]--)
+			retry_window_settle(&v->share.window, now);
+	if (eager)
+		take_retries(f, v, tick);
 }
 
 /* Events in the WINDOW ticks from a tick on. */
