A connection on which a response is due is reset when it is given up

A request that a node gave up during a cut stayed in the kernel's send queue and arrived when the cut ended: it joined the retries of that time, and ran though its caller had been answered.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -114,10 +114,8 @@
 
 void caller_reset(struct caller *c)
 {
-	struct linger reset = {1, 0};
-
 	/* After a plain close the response could be taken as complete. */
-	(void)setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	sock_reset_on_close(c->fd);
 	c->exchange = NULL;
 	close_caller(c);
 }
--- a/entry/link.c
+++ b/entry/link.c
@@ -48,7 +48,8 @@
 	bool response_started; /* bytes of the response have arrived */
 	bool keep_alive;       /* the response lets the connection be reused */
 	bool paused;
-	bool closed; /* freed once no callback is running */
+	bool awaiting; /* a response is due, or a part of it */
+	bool closed;   /* freed once no callback is running */
 };
 
 static void free_link(void *p)
@@ -70,6 +71,9 @@
 	l->closed = true;
 	ev_io_stop(l->loop, &l->io);
 	ev_timer_stop(l->loop, &l->connect_timer);
+	/* What a cut holds back of the request must not arrive any more. */
+	if (l->fd >= 0 && l->awaiting && l->connected)
+		sock_reset_on_close(l->fd);
 	if (l->fd >= 0)
 		close(l->fd);
 	l->fd = -1;
@@ -153,6 +157,7 @@
 	 * Not reusable while a part of the request is unsent: the peer would
 	 * read that part as the beginning of the next request.
 	 */
+	l->awaiting = false;
 	l->ops->end(l->ctx, l->keep_alive && !buf_len(&l->output));
 	return !l->closed;
 }
@@ -389,6 +394,7 @@
 	l->ops = ops;
 	l->ctx = ctx;
 	l->response_started = false;
+	l->awaiting = true;
 	l->interim = 0;
 	l->paused = false;
 	update_events(l);
--- a/entry/sock.c
+++ b/entry/sock.c
@@ -41,6 +41,13 @@
 	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS);
 }
 
+void sock_reset_on_close(int fd)
+{
+	struct linger l = {1, 0};
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
 bool parse_address(const char *text, struct sockaddr_in *out)
 {
 	const char *colon = strrchr(text, ':');
--- a/entry/test-link.c
+++ b/entry/test-link.c
@@ -1,4 +1,5 @@
 /* Tests of connections to targets: what is sent once they are established. */
+#include <errno.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -80,10 +81,27 @@
 	close_all(&f, fd);
 }
 
+/* A request that was given up arrives when a cut ends, and runs. */
+static void test_given_up(void)
+{
+	struct fixture f = {.wanted = true};
+	char p[16];
+	int fd;
+
+	open_link(&f);
+	fd = accept(f.listener, NULL, NULL);
+	g_assert_cmpint(recv(fd, p, sizeof(p), 0), ==, 7);
+	link_close(f.link);
+	g_assert_cmpint(recv(fd, p, sizeof(p), 0), ==, -1);
+	g_assert_cmpint(errno, ==, ECONNRESET);
+	close_all(&f, fd);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/link/not-wanted", test_not_wanted);
 	g_test_add_func("/link/wanted", test_wanted);
+	g_test_add_func("/link/given-up", test_given_up);
 	return g_test_run();
 }
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -87,8 +87,6 @@
 /* Close both sides; reset: the one that is left must not look complete. */
 static void close_tunnel(struct tunnel *t, bool reset)
 {
-	struct linger l = {1, 0};
-
 	if (t->closed)
 		return;
 	t->closed = true;
@@ -100,8 +98,7 @@
 			continue;
 		ev_io_stop(t->tr->loop, &s->io);
 		if (reset)
-			(void)setsockopt(s->fd, SOL_SOCKET, SO_LINGER, &l,
-					 sizeof(l));
+			sock_reset_on_close(s->fd);
 		close(s->fd);
 	}
 	g_queue_delete_link(t->tr->tunnels, t->queue_link);
