Test: a target that answers late uses a call that has ended

node/test-error-in-stream ended with SIGSEGV at load, in send_response at a target that got GET /v1/streams/ID?from=2. It was the stand-in, not a request sent to a wrong address: the target finds the call's script under the lock and uses it after the node has given the request up (1.5 s of silence), the call has ended and its memory is freed.

Calls live until all targets have stopped now, and the tables are emptied under their lock. The checks are unchanged.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -363,7 +363,7 @@
 int sock_listen(const char *address, GError **err);
 /* Begin to connect. Return a descriptor, or -1 on failure. */
 int sock_connect(const struct sockaddr_in *to);
-/* Discard what is unsent when the socket is closed, and reset the connection. */
+/* Discard what is unsent when the socket is closed; the peer gets a reset. */
 void sock_reset_on_close(int fd);
 /* Accept a connection. Return a descriptor, or -1 when there is none. */
 int sock_accept(int fd);
--- a/node/test-error-in-stream.c
+++ b/node/test-error-in-stream.c
@@ -131,6 +131,8 @@
 static GHashTable *by_key;     /* script: of a call's word in its prompt */
 static GHashTable *by_request; /* script: of the request's id */
 static struct rig *rig;
+/* All calls; a target may still write an answer that its node gave up. */
+static GPtrArray *all_calls;
 
 static char *replace_ids(const char *text, const char *id)
 {
@@ -468,8 +470,10 @@
 		resumed += atomic_load(&c->script.resumed);
 		wrong += !c->right;
 	}
+	g_mutex_lock(&lock);
 	g_hash_table_remove_all(by_key);
 	g_hash_table_remove_all(by_request);
+	g_mutex_unlock(&lock);
 	g_test_message("%u calls, %d answers after the break, %d wrong",
 		       calls->len, resumed, wrong);
 	g_assert_cmpint(resumed, >=, (int)calls->len);
@@ -489,6 +493,7 @@
 	c->service = n % 5 == 4 ? "report" : "assistant";
 	c->events = BEGUN;
 	g_ptr_array_add(calls, c);
+	g_ptr_array_add(all_calls, c);
 	return c;
 }
 
@@ -524,7 +529,7 @@
 static void test_error(gconstpointer data)
 {
 	const struct stream_break *b = data;
-	GPtrArray *calls = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *calls = g_ptr_array_new();
 
 	for (size_t row = 0; row < ERROR_ROWS; row += stride(b))
 		add_error(calls, b, row);
@@ -592,7 +597,7 @@
 		NAMED "Content-Type: Text/Event-Stream; charset=utf-8\r\n",
 		NAMED};
 	const struct resumed_stream *s = data;
-	GPtrArray *calls = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *calls = g_ptr_array_new();
 
 	for (int i = 0; i < 8; i++) {
 		struct call *c = add_call(calls, &breaks[0]);
@@ -615,7 +620,7 @@
 	int wrong = 0;
 
 	for (size_t row = 0; row < ERROR_ROWS; row += 11) {
-		GPtrArray *calls = g_ptr_array_new_with_free_func(g_free);
+		GPtrArray *calls = g_ptr_array_new();
 		char *key = g_strdup_printf("key-taken-up-%zu", row);
 		struct chat_stream *a;
 		const char *outcome;
@@ -648,9 +653,11 @@
 		}
 		chat_stream_free(a);
 		g_mutex_lock(&lock);
+		g_mutex_lock(&lock);
 		g_hash_table_remove_all(by_key);
 		g_hash_table_remove_all(by_request);
 		g_mutex_unlock(&lock);
+		g_mutex_unlock(&lock);
 		g_ptr_array_unref(calls);
 	}
 	g_assert_cmpint(wrong, ==, 0);
@@ -663,6 +670,7 @@
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_ALL);
 	block_stop_signals();
+	all_calls = g_ptr_array_new_with_free_func(g_free);
 	by_key = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	by_request =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -693,5 +701,6 @@
 		>, 0);
 	rig_free(rig);
 	raw_targets_stop();
+	g_ptr_array_unref(all_calls);
 	return failed;
 }
--- a/route/brittle.c
+++ b/route/brittle.c
@@ -49,8 +49,8 @@
 }
 
 /*
- * Requests that were sent unseen, as a multiple of what nodes expect: in a burst
- * the rate of the last second is too low.
+ * Requests that were sent unseen, as a multiple of what nodes expect: in a
+ * burst the rate of the last second is too low.
  */
 #define UNSEEN_PART 2.5
 
