Brittle targets: a small service beside a large one goes by its rate too

Whether a node has a part of some target's slots was judged by the number of all targets, not of those of the service; four targets beside 140 others would have had no rate.

--- a/entry/brittle.c
+++ b/entry/brittle.c
@@ -24,6 +24,7 @@
 	double load, slots; /* of these */
 	bool fails;         /* one of its targets does, or has no room */
 	struct brittle_rate rate;
+	int targets;    /* that were listed at the last check */
 	bool has_share; /* this node has a part of a target's slots */
 };
 
@@ -101,7 +102,8 @@
 	s->room = s->load = s->slots = 0;
 	s->fails = false;
 	/* Where there are as many targets, each node has a part of some. */
-	s->has_share = (int)g_hash_table_size(tr->targets) >= node_count(tr);
+	s->has_share = s->targets >= node_count(tr);
+	s->targets = 0;
 	g_hash_table_iter_init(&it, tr->targets);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct target *t = v;
@@ -113,6 +115,7 @@
 		if (limit != LIMIT_NONE &&
 		    (s->per_1000_s == LIMIT_NONE || limit < s->per_1000_s))
 			s->per_1000_s = limit;
+		s->targets += t->listed;
 		if (!pool_takes_requests(t, now_ms))
 			continue;
 		if (t->last_failed || t->ejected_until_ms > now_ms ||
--- a/route/route.h
+++ b/route/route.h
@@ -757,7 +757,7 @@
 /*
  * The requests that a node may send to a service whose requests end before
  * their load is seen: by their time at the targets, so that all nodes together
- * keep them to BRITTLE_CALM_SHARE of the slots. To begin, zero it.
+ * take a fixed share of the slots. To begin, zero it.
  */
 struct brittle_rate {
 	double work_ms;     /* of a request, on average; INFINITY: not known */
@@ -784,8 +784,8 @@
 /* Whether this node may send the target a request as any other may. */
 bool brittle_is_calm(const struct brittle_load *b);
 /*
- * Return a node's part of the target's slots. nodes: that are live; before: of
- * these, in the target's rendezvous order.
+ * Return a node's part of the target's slots. nodes: that are live;
+ * nodes_before: of these, in the target's rendezvous order.
  */
 int brittle_share(int64_t slots, int nodes, int nodes_before);
 
