--- a/node/test-error-in-stream.c
+++ b/node/test-error-in-stream.c
@@ -653,11 +653,9 @@
 		}
 		chat_stream_free(a);
 		g_mutex_lock(&lock);
-		g_mutex_lock(&lock);
 		g_hash_table_remove_all(by_key);
 		g_hash_table_remove_all(by_request);
 		g_mutex_unlock(&lock);
-		g_mutex_unlock(&lock);
 		g_ptr_array_unref(calls);
 	}
 	g_assert_cmpint(wrong, ==, 0);
