--- a/entry/brittle.c
+++ b/entry/brittle.c
@@ -1,6 +1,4 @@
 /* Brittle targets as the traffic thread sees them. See brittle.h. */
-#include <string.h>
-
 #include "entry/brittle.h"
 
 /* Time after a rejection in which the part of each node counts. */
@@ -169,13 +167,10 @@
 static double unseen(struct traffic *tr, const struct service *s,
 		     int64_t now_ms)
 {
-	double others = node_count(tr) - 1;
-
-	double sent = others * (double)loads_lag_ms(tr->e->loads, now_ms) *
-		      retry_window_requests_per_ms(
-			      pool_retry_window(tr, s->name), now_ms);
-
-	return sent;
+	return (node_count(tr) - 1) *
+	       (double)loads_lag_ms(tr->e->loads, now_ms) *
+	       retry_window_requests_per_ms(pool_retry_window(tr, s->name),
+					    now_ms);
 }
 
 bool brittle_is_short(struct traffic *tr, struct str service, int64_t now_ms)
--- a/entry/test-brittle-fleet.c
+++ b/entry/test-brittle-fleet.c
@@ -46,7 +46,6 @@
 	int64_t down_until_ms;       /* 0: it is up */
 	int64_t back_ms;             /* when it last came back; 0: never fell */
 	int rejected[PLAY_MS / 100]; /* by tenth of a second */
-	int falls;                   /* that count */
 	GQueue *queue;               /* requests that wait */
 };
 
@@ -59,13 +58,12 @@
 struct request {
 	int64_t at_ms; /* of its next event */
 	struct node *node;
-	struct target *target;
 	int place;   /* of the target's stand-in */
 	uint64_t id; /* of the target */
 	uint64_t tried[SENDS_MAX];
 	int sends;
 	struct prompt prompt;
-	bool runs, done, was_rejected, broke;
+	bool arrived, runs, was_rejected, broke;
 };
 
 struct play {
@@ -225,9 +223,8 @@
 	return g_hash_table_lookup(r->node->e.tr.targets, &r->id);
 }
 
-static void end(struct play *p, struct request *r, int *count)
+static void end(struct request *r, int *count)
 {
-	(void)p;
 	++*count;
 	g_free(r);
 }
@@ -240,13 +237,13 @@
 				   r->tried, (size_t)r->sends, 1, &source);
 
 	if (!t) {
-		end(p, r, &p->refused);
+		end(r, &p->refused);
 		return;
 	}
 	pool_add_running(t, 1);
 	r->id = t->info.id;
 	r->tried[r->sends++] = r->id;
-	r->runs = r->done = r->was_rejected = r->broke = false;
+	r->arrived = r->runs = r->was_rejected = r->broke = false;
 	r->place = -1;
 	for (int i = 0; i < p->site->targets; i++)
 		if (p->targets[i].id == r->id)
@@ -259,7 +256,7 @@
 	/* What has reached no target is charged to no budget. */
 	if (r->sends == SENDS_MAX ||
 	    (!r->broke && p->retries + 1 > RETRY_RATIO * p->offered + 20)) {
-		end(p, r, failed);
+		end(r, failed);
 		return;
 	}
 	p->retries += !r->broke;
@@ -361,19 +358,13 @@
 		s->waiting--;
 		run(p, s, next);
 	}
-	end(p, r, &p->served);
+	end(r, &p->served);
 }
 
 static void handle(struct play *p, struct request *r)
 {
-	if (!r->done && !r->runs && !r->was_rejected && !r->broke) {
-		struct stand_in *s =
-			r->place < 0 ? NULL : &p->targets[r->place];
-
-		/* Arrives, unless it waited at a target that has fallen. */
-		r->done = true;
-		if (s && s->id == r->id && s->down_until_ms)
-			r->broke = true;
+	if (!r->arrived) {
+		r->arrived = true;
 		arrive(p, r);
 		return;
 	}
--- a/entry/test-link.c
+++ b/entry/test-link.c
@@ -67,15 +67,23 @@
 	close_all(&f, fd);
 }
 
-static void test_wanted(void)
+/* Open a connection, and return the target's end once it has the request. */
+static int receive_request(struct fixture *f)
 {
-	struct fixture f = {.wanted = true};
 	char p[16];
 	int fd;
 
-	open_link(&f);
-	fd = accept(f.listener, NULL, NULL);
+	open_link(f);
+	fd = accept(f->listener, NULL, NULL);
 	g_assert_cmpint(recv(fd, p, sizeof(p), 0), ==, 7);
+	return fd;
+}
+
+static void test_wanted(void)
+{
+	struct fixture f = {.wanted = true};
+	int fd = receive_request(&f);
+
 	g_assert_cmpint(f.asked, ==, 1);
 	link_close(f.link);
 	close_all(&f, fd);
@@ -85,12 +93,9 @@
 static void test_given_up(void)
 {
 	struct fixture f = {.wanted = true};
+	int fd = receive_request(&f);
 	char p[16];
-	int fd;
 
-	open_link(&f);
-	fd = accept(f.listener, NULL, NULL);
-	g_assert_cmpint(recv(fd, p, sizeof(p), 0), ==, 7);
 	link_close(f.link);
 	g_assert_cmpint(recv(fd, p, sizeof(p), 0), ==, -1);
 	g_assert_cmpint(errno, ==, ECONNRESET);
--- a/route/place.c
+++ b/route/place.c
@@ -195,18 +195,6 @@
 	return chosen;
 }
 
-/* Return a target for a request that goes to no target of its key. */
-static size_t any_target(const struct place_limits *l,
-			 const struct place_target *t, size_t n,
-			 bool allow_avoided, struct route_random random)
-{
-	size_t i = SIZE_MAX;
-
-	if (l->spread > 0)
-		i = by_room(t, n, allow_avoided, l->spread, random);
-	return i != SIZE_MAX ? i : least_loaded(t, n, allow_avoided, random);
-}
-
 static bool has_limited(const struct place_target *t, size_t n)
 {
 	for (size_t i = 0; i < n; i++)
@@ -239,8 +227,12 @@
 		mean = mean_load(t, n, true);
 	if (mean < 0)
 		return SIZE_MAX;
+	if (l->spread > 0)
+		i = by_room(t, n, allow_avoided, l->spread, random);
 	if (!key || l->spread > 0)
-		return any_target(l, t, n, allow_avoided, random);
+		return i != SIZE_MAX
+			       ? i
+			       : least_loaded(t, n, allow_avoided, random);
 	bound = mean * l->factor + l->slack;
 	if (has_limited(t, n))
 		bound = MAX(bound, l->room);
@@ -248,12 +240,12 @@
 		i = share_room(l, key, t, n, allow_avoided, bound, random);
 		return i != SIZE_MAX
 			       ? i
-			       : any_target(l, t, n, allow_avoided, random);
+			       : least_loaded(t, n, allow_avoided, random);
 	}
 	i = highest_score(t, n, allow_avoided, key, true, INFINITY);
 	if (t[i].load + 1 > bound)
 		i = highest_score(t, n, allow_avoided, key, false, bound);
-	return i != SIZE_MAX ? i : any_target(l, t, n, allow_avoided, random);
+	return i != SIZE_MAX ? i : least_loaded(t, n, allow_avoided, random);
 }
 
 /* Whether the request prefers a warming target to the chosen one. */
--- a/route/test-retry-fleet.c
+++ b/route/test-retry-fleet.c
@@ -245,8 +245,9 @@
 	return worst_excess(&f);
 }
 
-static void check(const struct trouble *b)
+static void check(gconstpointer data)
 {
+	const struct trouble *b = data;
 	double worst = -INFINITY, used = 0;
 	int broken = 0;
 
@@ -265,56 +266,24 @@
 	g_assert_cmpfloat(used, >, 0.25);
 }
 
-static void test_calm(void)
-{
-	check(&(struct trouble){0});
-}
-
-static void test_kills(void)
-{
-	check(&(struct trouble){.kills = true});
-}
-
-static void test_pauses(void)
-{
-	check(&(struct trouble){.pauses = true});
-}
-
-static void test_late_arrivals(void)
-{
-	check(&(struct trouble){.delays = true});
-}
-
-static void test_callers_move(void)
-{
-	check(&(struct trouble){.moves = true});
-}
-
-static void test_load_falls(void)
-{
-	check(&(struct trouble){.surges = true});
-}
-
-static void test_planned_stops(void)
-{
-	check(&(struct trouble){.leaves = true});
-}
-
-static void test_all(void)
-{
-	check(&(struct trouble){true, true, true, true, true, true});
-}
+static const struct {
+	const char *path;
+	struct trouble trouble;
+} runs[] = {
+	{"/route/retry-fleet/calm", {0}},
+	{"/route/retry-fleet/kills", {.kills = true}},
+	{"/route/retry-fleet/pauses", {.pauses = true}},
+	{"/route/retry-fleet/late-arrivals", {.delays = true}},
+	{"/route/retry-fleet/callers-move", {.moves = true}},
+	{"/route/retry-fleet/load-falls", {.surges = true}},
+	{"/route/retry-fleet/planned-stops", {.leaves = true}},
+	{"/route/retry-fleet/all", {true, true, true, true, true, true}},
+};
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/route/retry-fleet/calm", test_calm);
-	g_test_add_func("/route/retry-fleet/kills", test_kills);
-	g_test_add_func("/route/retry-fleet/pauses", test_pauses);
-	g_test_add_func("/route/retry-fleet/late-arrivals", test_late_arrivals);
-	g_test_add_func("/route/retry-fleet/callers-move", test_callers_move);
-	g_test_add_func("/route/retry-fleet/load-falls", test_load_falls);
-	g_test_add_func("/route/retry-fleet/planned-stops", test_planned_stops);
-	g_test_add_func("/route/retry-fleet/all", test_all);
+	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++)
+		g_test_add_data_func(runs[i].path, &runs[i].trouble, check);
 	return g_test_run();
 }
