--- a/entry/test-brittle-fleet.c
+++ b/entry/test-brittle-fleet.c
@@ -272,6 +272,27 @@
 			   g_rand_double_range(p->rand, 0.5, 1.5)));
 }
 
+/* Break off the requests that the target runs, which are due later. */
+static void break_running(struct play *p, const struct stand_in *s)
+{
+	size_t last = MIN((size_t)p->now_ms + 2 * (size_t)p->site->work_ms,
+			  G_N_ELEMENTS(p->due) - 1);
+
+	for (size_t at = (size_t)p->now_ms + 2; at <= last; at++) {
+		GList *next, *l = p->due[at] ? p->due[at]->head : NULL;
+
+		for (; l; l = next) {
+			struct request *r = l->data;
+
+			next = l->next;
+			if (!r->runs || r->id != s->id)
+				continue;
+			g_queue_delete_link(p->due[at], l);
+			schedule(p, r, 1);
+		}
+	}
+}
+
 /* It falls over; what it holds is broken off. */
 static void fall(struct play *p, struct stand_in *s)
 {
@@ -287,6 +308,7 @@
 	memset(s->rejected, 0, sizeof(s->rejected));
 	while ((r = g_queue_pop_head(s->queue)))
 		schedule(p, r, 1);
+	break_running(p, s);
 	s->running = 0;
 }
 
