A late response to another request no longer settles a retry

A retry counts as pending until its target has begun to answer. Found by reading the change, no test plays it. platform/test-entry, test-responses, test-refusal-again, test-error-in-stream, test-bad-framing and entry/test-retry pass (188 cases).

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -366,7 +366,6 @@
 {
 	struct exchange *x = ctx;
 
-	exchange_settle_retry(x);
 	x->target->last_received_ms = time_boot_ms();
 	x->target->last_failed = false;
 	if (!x->helper)
@@ -381,6 +380,7 @@
 	case OWNER_THIS:
 		break;
 	}
+	exchange_settle_retry(x);
 	x->response = m;
 	x->head_check_at_ms = 0;
 	pool_record_begun(x->target, exchange_priority(x), x->sent_ms);
