--- a/review/2/case.c
+++ b/review/2/case.c
@@ -143,7 +143,7 @@
 	}
 	manifest_write(store, &manifest);
 	entry = entry_start(store, &options);
-	sleep_ms(4000); /* it is in touch: over ContactMs without disruption */
+	sleep_ms(5000); /* it is in touch: over ContactMs without disruption */
 	for (int i = 0; i < REQUESTERS; i++) {
 		v[i].index = i;
 		v[i].port = entry->callers_port;
