--- a/review/stand/conn.c
+++ b/review/stand/conn.c
@@ -130,6 +130,20 @@
 	return NULL;
 }
 
+bool conn_take_event(struct conn *c, int *id, char **version)
+{
+	char *text = strstr(c->input->str, "id: "), *data, *end;
+
+	if (!text || !(data = strstr(text, "\ndata: ")) ||
+	    !(end = strstr(data, "\n\n")))
+		return false;
+	data += strlen("\ndata: ");
+	*id = (int)strtol(text + strlen("id: "), NULL, 10);
+	*version = g_strndup(data, (gsize)(end - data));
+	g_string_erase(c->input, 0, end + 2 - c->input->str);
+	return true;
+}
+
 bool conn_read_body(struct conn *c, struct message *m, int64_t until_ms)
 {
 	char *length = message_header(m, "Content-Length");
--- a/review/stand/engine.c
+++ b/review/stand/engine.c
@@ -32,14 +32,13 @@
 	message_clear(&call.request);
 }
 
-struct engine *engine_start(struct store *s, const char *name,
-			    const char *service, const char *version,
-			    engine_fn *fn)
+struct engine *engine_start(struct store *s, const char *service,
+			    const char *version, engine_fn *fn)
 {
 	struct engine *e = g_new0(struct engine, 1);
 	char *address;
 
-	e->name = g_strdup(name);
+	e->name = g_strdup_printf("i-%08x", g_random_int());
 	e->service = service;
 	e->version = version;
 	e->serve = fn;
@@ -49,7 +48,7 @@
 	e->listener = listen_free(&e->port);
 	serve_connections(e->listener, serve, e);
 	address = g_strdup_printf("127.0.0.1:%d", e->port);
-	store_put(s, "servers", name,
+	store_put(s, "servers", e->name,
 		  json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
 			    "Service", service, "Address", address, "Zone",
 			    "zone-a", "Version", version, "Slots", SLOTS,
@@ -153,6 +152,27 @@
 	return found;
 }
 
+static json_t *model_service(const char *name)
+{
+	return json_pack("{s:s, s:s, s:i, s:s, s:b, s:{s:i, s:i, s:i, s:f}}",
+			 "Name", name, "HealthPath", "/healthz",
+			 "MaxConnections", CONNECTIONS_MAX, "Protocol", "h1",
+			 "Tls", 0, "Engine", "Slots", SLOTS, "KvCapacity",
+			 659175, "KvTokenBytes", 18432, "BandwidthMbps",
+			 550000.0);
+}
+
+static json_t *chat_route(const char *path, const char *service)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:i,"
+			 " s:b, s:b, s:b}",
+			 "Name", service, "Host", HOST, "PathPrefix", path,
+			 "RouteType", "streaming", "TimeoutMs", 15000,
+			 "TargetLatencyMs", 800, "TargetItlMs", 400, "Priority",
+			 0, "Service", service, "MaxAttempts", 2, "Public", 0,
+			 "StreamResume", 1, "SessionAffinity", 1);
+}
+
 void manifest_write(struct store *s, const struct manifest *m)
 {
 	json_t *route = json_pack(
@@ -160,23 +180,9 @@
 		"r-app", "Host", HOST, "PathPrefix", "/app/", "RouteType",
 		"unsafe", "TimeoutMs", m->timeout_ms, "TargetLatencyMs", 100,
 		"Priority", 2, "Service", "app", "MaxAttempts", 1, "Public", 0);
-	json_t *chat = json_pack(
-		"{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:i, s:b, s:b,"
-		" s:b}",
-		"Name", "r-chat", "Host", HOST, "PathPrefix", "/chat/",
-		"RouteType", "streaming", "TimeoutMs", 15000, "TargetLatencyMs",
-		800, "TargetItlMs", 400, "Priority", 0, "Service", "model",
-		"MaxAttempts", 2, "Public", 0, "StreamResume", 1,
-		"SessionAffinity", 1);
 	json_t *app = json_pack("{s:s, s:s, s:i, s:s, s:b}", "Name", "app",
 				"HealthPath", "/healthz", "MaxConnections",
 				CONNECTIONS_MAX, "Protocol", "h1", "Tls", 0);
-	json_t *model = json_pack(
-		"{s:s, s:s, s:i, s:s, s:b, s:{s:i, s:i, s:i, s:f}}", "Name",
-		"model", "HealthPath", "/healthz", "MaxConnections",
-		CONNECTIONS_MAX, "Protocol", "h1", "Tls", 0, "Engine", "Slots",
-		SLOTS, "KvCapacity", 659175, "KvTokenBytes", 18432,
-		"BandwidthMbps", 550000.0);
 	json_t *limits =
 		json_pack("{s:i, s:i, s:i, s:i}", "MaxHeaderBytes",
 			  m->header_bytes, "MaxBodyBytes", 4194304,
@@ -184,11 +190,23 @@
 	json_t *tenant = json_pack("{s:s, s:[s], s:i}", "Name", "t1", "ApiKeys",
 				   KEY, "Priority", 1);
 
+	json_t *routes = json_pack("[o]", route);
+	json_t *services = json_pack("[o]", app);
+
+	for (int i = 0; i < m->models; i++) {
+		char *path = g_strdup_printf("/chat/%d/", i);
+		char *name = g_strdup_printf("model-%d", i);
+
+		json_array_append_new(routes, chat_route(path, name));
+		json_array_append_new(services, model_service(name));
+		g_free(path);
+		g_free(name);
+	}
 	record("operator: version %d, MaxHeaderBytes %d, MaxBodyBytes 4194304,"
 	       " IdleTimeoutMs 15000, TimeoutMs of /app/ %d",
 	       m->version, m->header_bytes, m->timeout_ms);
 	store_put(s, "op", "config",
-		  json_pack("{s:i, s:[oo], s:[oo], s:o, s:[o]}", "Version",
-			    m->version, "Routes", route, chat, "Services", app,
-			    model, "Limits", limits, "Tenants", tenant));
+		  json_pack("{s:i, s:o, s:o, s:o, s:[o]}", "Version",
+			    m->version, "Routes", routes, "Services", services,
+			    "Limits", limits, "Tenants", tenant));
 }
--- a/review/stand/entry.c
+++ b/review/stand/entry.c
@@ -198,7 +198,7 @@
 	p->ready_port = free_port();
 	p->registry_port = free_port();
 	p->peers_port = free_port();
-	p->store_port = store_port(s);
+	p->store_port = store_listen(s, o->name);
 	start(p, true);
 	return p;
 }
--- a/review/stand/internal.h
+++ b/review/stand/internal.h
@@ -7,8 +7,6 @@
 /* The process is killed when the case ends, if it runs then. */
 void case_add_process(const struct entry_process *p);
 /* Listen on a free port of loopback. */
-/* The port of the store. */
-int store_port(const struct store *s);
 int listen_free(int *port);
 /* Accept connections on a thread; serve runs on one thread each. */
 void serve_connections(int listener, void (*serve)(struct conn *c, void *ctx),
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -52,6 +52,12 @@
  * body is read apart from it.
  */
 bool conn_read_head(struct conn *c, struct message *m, int64_t until_ms);
+/*
+ * Take the event at the front of the input, which has the form of
+ * engine_stream; false: it is not all there. The version is to be freed with
+ * g_free.
+ */
+bool conn_take_event(struct conn *c, int *id, char **version);
 /* Read the body that the head announces by its length. */
 bool conn_read_body(struct conn *c, struct message *m, int64_t until_ms);
 /* Receive more input; false: the end, a reset, or until_ms has passed. */
@@ -74,6 +80,13 @@
 struct store;
 
 struct store *store_start(void);
+/*
+ * Return the port of a listener for one machine. All listeners serve the same
+ * rows.
+ */
+int store_listen(struct store *s, const char *machine);
+/* How often the machine has read the list of engines since then. */
+int store_reads(struct store *s, const char *machine, int64_t since_ms);
 /* Write a row as the operator or an engine does; NULL removes it. */
 void store_put(struct store *s, const char *table, const char *key,
 	       json_t *value);
@@ -101,10 +114,12 @@
 	GHashTable *ran;     /* those that it ran */
 };
 
-/* Start an engine and write its row, state ready; version: of its software. */
-struct engine *engine_start(struct store *s, const char *name,
-			    const char *service, const char *version,
-			    engine_fn *serve);
+/*
+ * Start an engine with a name of its own, and write its row, state ready;
+ * version: of its software.
+ */
+struct engine *engine_start(struct store *s, const char *service,
+			    const char *version, engine_fn *serve);
 /*
  * Read the body; true: the request is for this engine, and is noted as run.
  * False: it was rejected with 421, or the connection broke.
@@ -125,11 +140,12 @@
 struct manifest {
 	int version;
 	int header_bytes, timeout_ms;
+	int models; /* services model-0 and so on, with routes /chat/0/ ... */
 };
 /*
  * Write the manifest: tenant t1 with key KEY, route /app/ of kind unsafe to
- * service app, and route /chat/ of kind streaming, which may be resumed, to
- * service model.
+ * service app, and routes of kind streaming, which may be resumed, to the
+ * model services.
  */
 #define KEY  "n2ctnfzs989anu6wsjnb"
 #define HOST "ficu95.example"
--- a/review/stand/store.c
+++ b/review/stand/store.c
@@ -16,19 +16,21 @@
 	json_int_t version;
 };
 
+/* A listener for one machine, and when it read the list of engines. */
+struct listener {
+	struct store *store;
+	char *machine;
+	GArray *reads_ms; /* int64_t; under the store's lock */
+};
+
 struct store {
-	int port;
 	GMutex lock;
 	GCond changed;
 	GPtrArray *rows; /* struct row, by table and key */
+	GPtrArray *listeners;
 	json_int_t version;
 };
 
-int store_port(const struct store *s)
-{
-	return s->port;
-}
-
 static int compare_rows(gconstpointer a, gconstpointer b)
 {
 	const struct row *x = *(struct row *const *)a;
@@ -202,8 +204,11 @@
 	return v;
 }
 
-static json_t *answer_of(struct store *s, const struct message *m, int *status)
+static json_t *answer_of(struct listener *l, const struct message *m,
+			 int *status)
 {
+	struct store *s = l->store;
+	int64_t now = now_ms();
 	char **words = g_strsplit(m->head, " ", 3);
 	GHashTable *query = parse_query(words[1]);
 	json_t *tx, *answer = NULL;
@@ -211,6 +216,8 @@
 	g_mutex_lock(&s->lock);
 	if (strstr(words[1], "/rows-get")) {
 		answer = get_rows(s, query);
+		if (strstr(words[1], "TableName=servers"))
+			g_array_append_val(l->reads_ms, now);
 	} else if (strstr(words[1], "/rows-feed")) {
 		answer = feed_rows(s, query);
 	} else if (strstr(words[1], "/rows-tx")) {
@@ -256,10 +263,41 @@
 	struct store *s = g_new0(struct store, 1);
 
 	s->rows = g_ptr_array_new();
-	serve_connections(listen_free(&s->port), serve, s);
+	s->listeners = g_ptr_array_new();
 	return s;
 }
 
+int store_listen(struct store *s, const char *machine)
+{
+	struct listener *l = g_new0(struct listener, 1);
+	int port;
+
+	l->store = s;
+	l->machine = g_strdup(machine);
+	l->reads_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	g_mutex_lock(&s->lock);
+	g_ptr_array_add(s->listeners, l);
+	g_mutex_unlock(&s->lock);
+	serve_connections(listen_free(&port), serve, l);
+	return port;
+}
+
+int store_reads(struct store *s, const char *machine, int64_t since_ms)
+{
+	int n = 0;
+
+	g_mutex_lock(&s->lock);
+	for (guint i = 0; i < s->listeners->len; i++) {
+		const struct listener *l = s->listeners->pdata[i];
+
+		for (guint k = 0; k < l->reads_ms->len; k++)
+			n += !strcmp(l->machine, machine) &&
+			     g_array_index(l->reads_ms, int64_t, k) >= since_ms;
+	}
+	g_mutex_unlock(&s->lock);
+	return n;
+}
+
 void store_put(struct store *s, const char *table, const char *key,
 	       json_t *value)
 {
