--- a/review/stand/entry.c
+++ b/review/stand/entry.c
@@ -15,6 +15,7 @@
 
 #define PROGRAM       "target/bin/rampentry"
 #define TEMPLATE      "deploy/entry.conf.in"
+#define METRICS_PORT  ":19464" /* in the template */
 #define READY_WAIT_MS 15000
 /* Below the system's range for connections that go out. */
 #define PORT_MIN 12000
@@ -76,6 +77,15 @@
 	g_free(value);
 }
 
+/* The template has one port that is the same on all machines. */
+static void use_free_port(GString *text, const char *fixed, int port)
+{
+	char *value = g_strdup_printf(":%d", port);
+
+	g_string_replace(text, fixed, value, 0);
+	g_free(value);
+}
+
 /* The settings of a small deployment (SYSTEM.md), in the project's format. */
 static GString *settings_of(const struct entry_process *p, bool bootstrap)
 {
@@ -113,6 +123,7 @@
 	fill_in_address(text, "Listen.Registry", p->registry_port);
 	fill_in_address(text, "Platform.Address", p->store_port);
 	fill_in_number(text, "EphemeralPorts.0", p->peers_port);
+	use_free_port(text, METRICS_PORT, p->metrics_port);
 	fill_in_number(text, "Limits.MemoryMb", p->options.memory_mb);
 	fill_in_number(text, "Limits.MaxFds", p->options.files);
 	return text;
@@ -153,7 +164,7 @@
 	return ready;
 }
 
-void entry_await_ready(const struct entry_process *p)
+static void await_ready(const struct entry_process *p)
 {
 	int64_t until_ms = now_ms() + READY_WAIT_MS;
 
@@ -184,7 +195,7 @@
 	case_add_process(p);
 	record("platform: starts " PROGRAM " as %s, MemoryMb %d, MaxFds %d",
 	       p->options.name, p->options.memory_mb, p->options.files);
-	entry_await_ready(p);
+	await_ready(p);
 	unlink(path);
 }
 
@@ -198,6 +209,7 @@
 	p->ready_port = free_port();
 	p->registry_port = free_port();
 	p->peers_port = free_port();
+	p->metrics_port = free_port();
 	p->store_port = store_listen(s, o->name);
 	start(p, true);
 	return p;
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -1,9 +1,10 @@
 /*
  * Stand-ins for the cases of this review: the platform's store, engines,
  * requesters, and the start of the project's own entry as the deploy file
- * says. Everything listens on loopback addresses, at free ports. The
- * functions are for the thread of a case, unless they say otherwise. They end
- * the program with exit status 2 when the stand-in itself fails.
+ * says. Everything listens on loopback addresses, at free ports. The functions
+ * on connections, messages and the record are for any thread, the others for
+ * that of the case. All end the program with exit status 2 when a stand-in
+ * itself fails.
  */
 #ifndef REVIEW_STAND_H
 #define REVIEW_STAND_H
@@ -24,14 +25,14 @@
 /* End all processes that were started; write the verdict and exit. */
 void case_end(int status, const char *fmt, ...)
 	G_GNUC_PRINTF(2, 3) G_GNUC_NORETURN;
-/* Write a line to the record, with the time since the start. Any thread. */
+/* Write a line to the record, with the time since the start. */
 void record(const char *fmt, ...) G_GNUC_PRINTF(1, 2);
 int64_t now_ms(void);
 void sleep_ms(int64_t ms);
 
 /* A connection and the bytes that were received and not used yet. */
 struct conn {
-	int fd; /* -1: closed */
+	int fd;
 	GString *input;
 };
 
@@ -42,7 +43,7 @@
 	int status; /* of an answer */
 };
 
-/* Any thread. rcvbuf 0: the system's receive buffer. */
+/* rcvbuf 0: the system's receive buffer. NULL: it was refused. */
 struct conn *conn_connect(int port, int rcvbuf);
 struct conn *conn_new(int fd);
 void conn_free(struct conn *c);
@@ -74,7 +75,7 @@
 	int deadline_ms;
 };
 
-/* Any thread. */
+/* Send a request with the key of the manifest. */
 bool conn_send_request(struct conn *c, const struct request *r);
 
 struct store;
@@ -158,7 +159,7 @@
 struct entry_process {
 	struct entry_options options;
 	pid_t pid; /* 0: it does not run */
-	int callers_port, ready_port, registry_port, peers_port;
+	int callers_port, ready_port, registry_port, peers_port, metrics_port;
 	int store_port;
 };
 
@@ -171,10 +172,8 @@
 				  const struct entry_options *o);
 /* Kill the process, as a loss of power does. */
 void entry_kill(struct entry_process *p);
-/* Start it again with the same settings, but Bootstrap false. */
+/* Start it again with the same settings but Bootstrap false, and wait too. */
 void entry_start_again(struct entry_process *p);
-/* Wait until its readiness check answers 200. */
-void entry_await_ready(const struct entry_process *p);
 /* Resident memory in KiB; 0: the process has ended. */
 int64_t entry_memory_kib(const struct entry_process *p);
 /* Whether the readiness check on a connection answers 200 in time. */
--- a/review/stand/store.c
+++ b/review/stand/store.c
@@ -8,7 +8,8 @@
 
 #include "internal.h"
 
-#define ROWS_MAX 500
+#define ROWS_MAX  500
+#define ANSWER_MS 4 /* SYSTEM.md: "4 ms an answer" */
 
 struct row {
 	char *table, *key;
@@ -247,7 +248,10 @@
 			"HTTP/1.1 %d OK\r\nContent-Type: application/json\r\n"
 			"Content-Length: %zu\r\n\r\n%s",
 			status, strlen(text), text);
-		bool ok = conn_send(c, answer, strlen(answer));
+		bool ok;
+
+		sleep_ms(ANSWER_MS);
+		ok = conn_send(c, answer, strlen(answer));
 
 		g_free(answer);
 		free(text);
