--- a/review/1/case.c
+++ b/review/1/case.c
@@ -107,6 +107,9 @@
 		} while (!s->complete && !s->joined && !is_leaving(s) &&
 			 conn_receive(c, now_ms() + 2000));
 	}
+	record("requester: %s at %s, %s%s: status %d, has events to %d",
+	       s->attempt, s->entry->options.name, headers ? "resumes " : "new",
+	       headers ? s->id : "", m.status, s->last);
 	message_clear(&m);
 	conn_free(c);
 	g_free(headers);
--- a/review/stand/engine.c
+++ b/review/stand/engine.c
@@ -72,6 +72,8 @@
 	g_free(expected);
 	if (mine) {
 		note(e, e->ran, call->id);
+		record("engine %s of %s %s: runs %s", e->name, e->service,
+		       e->version, call->id);
 		return true;
 	}
 	text = g_strdup_printf("HTTP/1.1 421 Misdirected Request\r\n"
--- a/review/stand/entry.c
+++ b/review/stand/entry.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -135,6 +136,8 @@
 	struct rlimit limit = {(rlim_t)files, (rlim_t)files};
 	int null = open("/dev/null", O_WRONLY);
 
+	/* When the case itself is killed, too. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	setrlimit(RLIMIT_NOFILE, &limit);
 	dup2(null, STDOUT_FILENO);
 	dup2(null, STDERR_FILENO);
