review: case 2, keys are not needed once the last tenant is gone

Cause, read and shown: an empty Tenants counts as a manifest without tenants. Ruled out: a tenant with empty ApiKeys (401).

--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,194 +1,185 @@
 /*
- * Engines of two software versions serve side by side. Streams are in
- * progress when all entries are killed; once the entries are back and in
- * touch, requesters take the streams up again, and others begin new ones.
- * Without the disruption the requesters leave their streams themselves.
+ * The operator takes the tenants' keys away, one tenant after the other, by new
+ * versions of the manifest. Requesters that are connected go on with the keys
+ * that were taken away, and one uses a key that was never given.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "review/stand/stand.h"
 
 #define ENTRIES 3
-#define ENGINES 4 /* two of each version */
-#define STREAMS 24
-
-#define EVENTS       76
-#define EVENT_GAP_MS 40
-/* Events after which a requester leaves when there is no disruption. */
-#define EVENTS_KEPT 25
-#define BEGUN_MS    1000
-#define DOWN_MS     1000
-/* Over ContactMs, after which a machine is in touch. */
-#define IN_TOUCH_MS 3500
-#define DEADLINE_MS 15000
-#define TRIES       3
-#define TRY_GAP_MS  1000
-
-struct stream {
-	struct entry_process *entry; /* of the next attempt */
-	char id[24];                 /* of the attempt that began it */
-	char attempt[32];
-	int last;        /* event that the requester has */
-	char version[8]; /* of the engine that made its events */
-	int status;      /* of the last attempt's answer; 0: none */
-	bool complete;   /* its last event has come */
-	bool joined;     /* it has events of two versions */
-	int leave_after; /* events; 0: stays */
+#define ENGINES 3
+#define TENANTS 10 /* as many as the sheet names */
+/* The keys of all tenants and one that no manifest ever held. */
+#define KEYS      (TENANTS + 1)
+#define NEVER     TENANTS
+#define GAP_MS    1500 /* between two versions */
+#define REVOKE_MS 5000
+/* A request is judged if it is sent this long after that, or later. */
+#define MARGIN_MS   200
+#define DEADLINE_MS 1500
+
+struct requester {
+	struct entry_process *entry;
+	struct conn *conn;
+	int key;
+	int sent;
 };
 
+static struct engine *engines[ENGINES];
+/* When the store acknowledged the version that took a key away; 0: none. */
+static int64_t revoked_ms[KEYS];
+
 static bool serve(struct engine_call *call)
 {
-	return engine_run(call) && engine_stream(call, EVENTS, EVENT_GAP_MS);
+	char *tenant = message_header(&call->request, "Auburnramp-Tenant");
+	bool ran = engine_run(call);
+
+	if (ran)
+		record("engine %s: %s is of tenant %s", call->engine->name,
+		       call->id, tenant ? tenant : "(none named)");
+	g_free(tenant);
+	return ran && engine_answer(call, 800);
 }
 
-/* Take the event at the front of the input; false: it is not all there. */
-static bool take_event(struct stream *s, struct conn *c)
+static char *key_of(int i)
 {
-	char *version;
-
-	if (!conn_take_event(c, &s->last, &version))
-		return false;
-	s->joined |= *s->version && strcmp(s->version, version) != 0;
-	g_strlcpy(s->version, version, sizeof(s->version));
-	g_free(version);
-	return true;
+	if (i == NEVER)
+		return g_strdup("never-in-any-manifest");
+	return g_strdup_printf("key-of-t%d-%s", i + 1, KEY);
 }
 
-static void read_events(struct stream *s, struct conn *c)
+/* Write a version without the first so many tenants. */
+static void write_version(struct store *store, int version, int removed)
 {
-	do {
-		while (take_event(s, c))
-			;
-		s->complete = s->last == EVENTS &&
-			      strstr(c->input->str, "\r\n0\r\n\r\n");
-	} while (!s->complete &&
-		 (!s->leave_after || s->last < s->leave_after) &&
-		 conn_receive(c, now_ms() + DEADLINE_MS));
-}
+	struct manifest manifest = {version, 16384, 800, 0};
+	json_t *tenants = json_array();
 
-/* Make one attempt at the stream. */
-static void attempt(struct stream *s)
-{
-	struct conn *c = conn_connect(s->entry->callers_port, 0);
-	char *headers = s->last ? g_strdup_printf("Last-Event-Id: %d\r\n"
-						  "Resumes: %s\r\n",
-						  s->last, s->id)
-				: NULL;
-	struct request q = {"POST",  "/chat/0/1", s->attempt,
-			    headers, 100,         DEADLINE_MS};
-	struct message m = {0};
+	for (int i = removed; i < TENANTS; i++) {
+		char *name = g_strdup_printf("t%d", i + 1), *key = key_of(i);
 
-	s->status = 0;
-	if (c && conn_send_request(c, &q) &&
-	    conn_read_head(c, &m, now_ms() + 2000)) {
-		s->status = m.status;
-		if (s->status == 200)
-			read_events(s, c);
+		json_array_append_new(
+			tenants, json_pack("{s:s, s:[s], s:i}", "Name", name,
+					   "ApiKeys", key, "Priority", 1));
+		g_free(name);
+		g_free(key);
 	}
-	record("requester: %s%s%s at %s: status %d, events to %d, %s",
-	       s->attempt, headers ? " resumes " : "", headers ? s->id : "",
-	       s->entry->options.name, s->status, s->last,
-	       s->complete ? "complete" : "not complete");
-	message_clear(&m);
-	conn_free(c);
-	g_free(headers);
+	manifest_write_for(store, &manifest, tenants);
+	record("store: has acknowledged version %d with %d tenants", version,
+	       TENANTS - removed);
+	if (!removed)
+		return;
+	revoked_ms[removed - 1] = now_ms();
+	record("operator: the key of t%d is taken away", removed);
 }
 
-static void *begin(void *p)
+/* Send a request; return its status, 0 without an answer. */
+static int ask(struct requester *r, char *id, size_t id_size)
 {
-	struct stream *s = p;
-
-	g_strlcpy(s->attempt, s->id, sizeof(s->attempt));
-	attempt(s);
-	return NULL;
-}
-
-static void *take_up(void *p)
-{
-	struct stream *s = p;
-
-	s->leave_after = 0;
-	for (int i = 1; i <= TRIES && !s->complete; i++) {
-		if (i > 1)
-			sleep_ms(TRY_GAP_MS);
-		g_snprintf(s->attempt, sizeof(s->attempt), "%s-again-%d", s->id,
-			   i);
-		attempt(s);
+	struct request q = {"POST", "/app/1", id, NULL, 600, DEADLINE_MS};
+	char *key = key_of(r->key);
+	int64_t until_ms = now_ms() + DEADLINE_MS;
+	struct message m = {0};
+	int status = 0;
+
+	if (r->key == NEVER)
+		g_snprintf(id, id_size, "%s-no-tenant-%d",
+			   r->entry->options.name, r->sent++);
+	else
+		g_snprintf(id, id_size, "%s-t%d-%d", r->entry->options.name,
+			   r->key + 1, r->sent++);
+	if (r->conn && conn_send_request_with_key(r->conn, &q, key) &&
+	    conn_read_head(r->conn, &m, until_ms) &&
+	    conn_read_body(r->conn, &m, until_ms))
+		status = m.status;
+	message_clear(&m);
+	g_free(key);
+	if (!status) {
+		/* The channel was closed: go on with a new one. */
+		conn_free(r->conn);
+		r->conn = conn_connect(r->entry->callers_port, 0);
 	}
-	return NULL;
+	return status;
 }
 
-static void start_threads(GThread **threads, GThreadFunc fn, struct stream *v)
-{
-	for (int i = 0; i < STREAMS; i++)
-		threads[i] = g_thread_new("requester", fn, &v[i]);
-}
-
-static void join_threads(GThread **threads)
+/*
+ * Let each requester send a request. Return how many ran though their keys had
+ * been taken away over REVOKE_MS before they were sent, or never given.
+ */
+static int send_all(struct requester *v, int n, int *never_ran)
 {
-	for (int i = 0; i < STREAMS; i++)
-		g_thread_join(threads[i]);
+	int revoked_ran = 0;
+
+	for (int i = 0; i < n; i++) {
+		struct requester *r = &v[i];
+		int64_t sent_ms = now_ms();
+		bool is_revoked =
+			revoked_ms[r->key] &&
+			sent_ms > revoked_ms[r->key] + REVOKE_MS + MARGIN_MS;
+		char id[48];
+		int status = ask(r, id, sizeof(id));
+		bool ran = engines_ran(engines, ENGINES, id);
+
+		if (r->key == NEVER)
+			record("requester: %s, with a key never given: status"
+			       " %d, %s",
+			       id, status, ran ? "it ran" : "it did not run");
+		else if (is_revoked)
+			record("requester: %s, with a key taken away %d ms"
+			       " before: status %d, %s",
+			       id, (int)(sent_ms - revoked_ms[r->key]), status,
+			       ran ? "it ran" : "it did not run");
+		else
+			record("requester: %s: status %d", id, status);
+		*never_ran += ran && r->key == NEVER;
+		revoked_ran += ran && is_revoked;
+	}
+	return revoked_ran;
 }
 
 int main(int argc, char **argv)
 {
-	static const char *const names[] = {"edge-a-1", "edge-a-2", "edge-a-3"};
-	struct manifest manifest = {1, 16384, 1500, 1};
-	struct stream old[STREAMS] = {0}, new[STREAMS] = {0};
-	GThread *old_threads[STREAMS], *new_threads[STREAMS];
 	struct entry_process *entries[ENTRIES];
-	int taken_up = 0, goes_on = 0, begun = 0, joined = 0;
+	struct requester v[ENTRIES * KEYS] = {0};
+	int n = 0, ran = 0, never_ran = 0, before, version = 1;
 	struct store *store;
 
 	case_begin(argc, argv);
 	store = store_start();
-	for (int i = 0; i < ENGINES; i++) {
-		engine_start(store, "model-0", i % 2 ? "v2" : "v1", serve);
-	}
-	manifest_write(store, &manifest);
+	for (int i = 0; i < ENGINES; i++)
+		engines[i] = engine_start(store, "app", "v1", serve);
+	write_version(store, version, 0);
 	for (int i = 0; i < ENTRIES; i++) {
-		struct entry_options options = {names[i], 260, 4100};
+		struct entry_options options = {.memory_mb = 260,
+						.files = 4100};
 
+		options.name = g_strdup_printf("edge-a-%d", i + 1);
 		entries[i] = entry_start(store, &options);
 	}
-	sleep_ms(8000); /* all have saved what they save at intervals */
-	for (int i = 0; i < STREAMS; i++) {
-		old[i].entry = entries[i % ENTRIES];
-		old[i].leave_after = case_has_trouble() ? 0 : EVENTS_KEPT;
-		g_snprintf(old[i].id, sizeof(old[i].id), "stream-%d", i);
-		new[i].entry = entries[i % ENTRIES];
-		g_snprintf(new[i].id, sizeof(new[i].id), "new-%d", i);
-	}
-	start_threads(old_threads, begin, old);
-	sleep_ms(BEGUN_MS);
-	for (int i = 0; case_has_trouble() && i < ENTRIES; i++)
-		entry_kill(entries[i]);
-	sleep_ms(DOWN_MS);
-	for (int i = 0; case_has_trouble() && i < ENTRIES; i++)
-		entry_start_again(entries[i]);
-	join_threads(old_threads);
-	sleep_ms(IN_TOUCH_MS);
-	record("all entries are in touch; engines of both versions serve");
-	for (int i = 0; i < STREAMS; i++) {
-		taken_up += old[i].last > 0 && !old[i].complete;
-		old[i].entry = entries[(i + 1) % ENTRIES];
-	}
-	start_threads(old_threads, take_up, old);
-	start_threads(new_threads, begin, new);
-	join_threads(old_threads);
-	join_threads(new_threads);
-	for (int i = 0; i < STREAMS; i++) {
-		goes_on += old[i].complete;
-		begun += new[i].last > 0;
-		joined += old[i].joined;
+	sleep_ms(4000); /* they are in touch: over ContactMs */
+	for (int i = 0; i < ENTRIES; i++)
+		for (int key = 0; key < KEYS; key++) {
+			v[n] = (struct requester){.entry = entries[i],
+						  .key = key};
+			v[n++].conn = conn_connect(entries[i]->callers_port, 0);
+		}
+	send_all(v, n, &never_ran);
+	for (int i = 1; i < TENANTS; i++) {
+		write_version(store, ++version, case_has_trouble() ? i : 0);
+		sleep_ms(GAP_MS);
+		ran += send_all(v, n, &never_ran);
 	}
-	if (taken_up < 12)
-		case_end(CASE_NOT_RUN, "only %d streams had begun", taken_up);
-	/* Under half of the share of new streams that begin. */
-	case_end(2 * goes_on * STREAMS < begun * taken_up ? CASE_BROKEN
-							  : CASE_HELD,
-		 "LOST: of %d streams that were taken up %d went on; of %d new"
-		 " ones %d began; %d were joined from two versions",
-		 taken_up, goes_on, STREAMS, begun, joined);
+	sleep_ms(REVOKE_MS + 2 * MARGIN_MS);
+	ran += send_all(v, n, &never_ran);
+	before = ran + never_ran;
+	write_version(store, ++version, case_has_trouble() ? TENANTS : 0);
+	sleep_ms(REVOKE_MS + 2 * MARGIN_MS);
+	for (int i = 0; i < 3; i++)
+		ran += send_all(v, n, &never_ran);
+	case_end(ran || never_ran ? CASE_BROKEN : CASE_HELD,
+		 "CONFIG: %d requests ran whose keys had been taken away over"
+		 " %d ms before they were sent; ROUTE: %d ran whose key no"
+		 " manifest ever held; none is allowed (%d of them while a"
+		 " tenant was left)",
+		 ran, REVOKE_MS, never_ran, before);
 }
--- a/review/stand/conn.c
+++ b/review/stand/conn.c
@@ -162,16 +162,22 @@
 }
 
 bool conn_send_request(struct conn *c, const struct request *r)
+{
+	return conn_send_request_with_key(c, r, KEY);
+}
+
+bool conn_send_request_with_key(struct conn *c, const struct request *r,
+				const char *key)
 {
 	GString *s = g_string_new(NULL);
 	bool ok;
 
 	g_string_printf(s,
 			"%s %s HTTP/1.1\r\nHost: " HOST
-			"\r\nAuburnramp-Attempt-Id: %s\r\nApi-Key: " KEY
+			"\r\nAuburnramp-Attempt-Id: %s\r\nApi-Key: %s"
 			"\r\nAuburnramp-Deadline-Ms: %d\r\n%s"
 			"Content-Length: %zu\r\n\r\n",
-			r->method, r->path, r->id, r->deadline_ms,
+			r->method, r->path, r->id, key, r->deadline_ms,
 			r->headers ? r->headers : "", r->body_bytes);
 	for (size_t i = 0; i < r->body_bytes; i++)
 		g_string_append_c(s, 'b');
--- a/review/stand/engine.c
+++ b/review/stand/engine.c
@@ -176,6 +176,14 @@
 }
 
 void manifest_write(struct store *s, const struct manifest *m)
+{
+	manifest_write_for(s, m,
+			   json_pack("[{s:s, s:[s], s:i}]", "Name", "t1",
+				     "ApiKeys", KEY, "Priority", 1));
+}
+
+void manifest_write_for(struct store *s, const struct manifest *m,
+			json_t *tenants)
 {
 	json_t *route = json_pack(
 		"{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}", "Name",
@@ -189,9 +197,6 @@
 		json_pack("{s:i, s:i, s:i, s:i}", "MaxHeaderBytes",
 			  m->header_bytes, "MaxBodyBytes", 4194304,
 			  "HeaderTimeoutMs", 3000, "IdleTimeoutMs", 15000);
-	json_t *tenant = json_pack("{s:s, s:[s], s:i}", "Name", "t1", "ApiKeys",
-				   KEY, "Priority", 1);
-
 	json_t *routes = json_pack("[o]", route);
 	json_t *services = json_pack("[o]", app);
 
@@ -205,10 +210,11 @@
 		g_free(name);
 	}
 	record("operator: version %d, MaxHeaderBytes %d, MaxBodyBytes 4194304,"
-	       " IdleTimeoutMs 15000, TimeoutMs of /app/ %d",
-	       m->version, m->header_bytes, m->timeout_ms);
+	       " IdleTimeoutMs 15000, TimeoutMs of /app/ %d, %d tenants",
+	       m->version, m->header_bytes, m->timeout_ms,
+	       (int)json_array_size(tenants));
 	store_put(s, "op", "config",
-		  json_pack("{s:i, s:o, s:o, s:o, s:[o]}", "Version",
-			    m->version, "Routes", routes, "Services", services,
-			    "Limits", limits, "Tenants", tenant));
+		  json_pack("{s:i, s:o, s:o, s:o, s:o}", "Version", m->version,
+			    "Routes", routes, "Services", services, "Limits",
+			    limits, "Tenants", tenants));
 }
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -77,6 +77,8 @@
 
 /* Send a request with the key of the manifest. */
 bool conn_send_request(struct conn *c, const struct request *r);
+bool conn_send_request_with_key(struct conn *c, const struct request *r,
+				const char *key);
 
 struct store;
 
@@ -151,6 +153,9 @@
 #define KEY  "n2ctnfzs989anu6wsjnb"
 #define HOST "ficu95.example"
 void manifest_write(struct store *s, const struct manifest *m);
+/* The same with other tenants; takes the reference. */
+void manifest_write_for(struct store *s, const struct manifest *m,
+			json_t *tenants);
 
 struct entry_options {
 	const char *name;
