entry: streams begin at a new version only once all nodes know of it

Cause: a node without a record concluded "the only version" from a list of up to 1.5 s ago, and others agreed by lists of any age, while a reader began streams at a version as soon as it had read of it. Records waited for the next tick and died with their node. All streams went on with 200 at nodes that had not been restarted, so neither lost records nor restarts explain it.

Agreement needs a fresh list, or an outage shared with most nodes. Records are sent at once. The versions have a row of their own, written at once, and read again after a gap in the lists.

/entry/origins/version-expires looked up by lists that nobody had confirmed for a minute; such lists don't count any more, so the test confirms them all the time. Its assertions are unchanged.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -56,6 +56,7 @@
 	{ 2012, LOG_WARNING, "store_era" },
 	{ 2013, LOG_INFO, "store_read_own" },
 	{ 2014, LOG_INFO, "version_serves" },
+	{ 2020, LOG_INFO, "version_known" },
 	{ 4013, LOG_WARNING, "prompt_blocked" },
 	{ 4014, LOG_INFO, "prompt_freed" },
 	{ 4015, LOG_WARNING, "request_blocked" },
--- a/entry/control.c
+++ b/entry/control.c
@@ -206,6 +206,16 @@
 	warmup_set_nodes(c->e->warmup, l->known_ids, l->known, now_ms);
 }
 
+static void exchange_origins(struct control *c, const struct peer_list *l,
+			     int64_t now_ms)
+{
+	/* First, as a node that knows of a version needs the records. */
+	peers_send_origins(c, l, now_ms);
+	peers_send_versions(c, l, now_ms);
+	peers_ask_origins(c, l, now_ms);
+	versions_store_tick(c->versions_store, now_ms);
+}
+
 /* Send the messages to other nodes that are due. */
 static void exchange_with_peers(struct control *c, int64_t now_ms)
 {
@@ -217,8 +227,7 @@
 	peers_send_loads(c, l, now_ms);
 	peers_query_relays(c, l, now_ms);
 	peers_relay_loads(c, l, now_ms);
-	peers_send_origins(c, l, now_ms);
-	peers_ask_origins(c, l, now_ms);
+	exchange_origins(c, l, now_ms);
 	peers_send_records(c, l, now_ms);
 	peer_list_unref(l);
 }
@@ -319,7 +328,7 @@
 	(void)events;
 	if (!l)
 		return;
-	peers_ask_origins(c, l, time_boot_ms());
+	exchange_origins(c, l, time_boot_ms());
 	peer_list_unref(l);
 }
 
@@ -454,6 +463,7 @@
 	c->discovery = discovery_new(e, c->loop);
 	c->causes_store = causes_store_new(e, c->loop);
 	c->holders_store = holders_store_new(e, c->loop, c->causes_store);
+	c->versions_store = versions_store_new(e);
 	return c;
 }
 
@@ -481,6 +491,8 @@
 		discovery_free(c->discovery);
 	if (c->holders_store)
 		holders_store_free(c->holders_store);
+	if (c->versions_store)
+		versions_store_free(c->versions_store);
 	if (c->causes_store)
 		causes_store_free(c->causes_store);
 	if (c->load_relay)
--- a/entry/control.h
+++ b/entry/control.h
@@ -33,12 +33,14 @@
 	ev_timer tick;
 	ev_signal term, hup;
 	ev_async stop, leave;
-	ev_async origin_asked; /* the traffic thread looks a stream up */
+	/* A stream is looked up, its record is needed, or a version joined. */
+	ev_async origin_asked;
 	uint8_t key[MEMBER_KEY_BYTES]; /* authenticates messages */
 	bool has_key; /* nothing is sent or accepted without the key */
 	struct discovery *discovery;
 	struct store_sync *sync;
 	struct holders_store *holders_store;
+	struct versions_store *versions_store;
 	struct causes_store *causes_store;
 	uint64_t published_view;   /* member_view_version that was published */
 	int64_t peers_known_at_ms; /* all live nodes have reported by then */
@@ -110,6 +112,14 @@
 			  const struct origin_query *query);
 void peers_apply_origins(struct control *c, const struct origin_answer *answer);
 
+/* peer-versions.c: messages about software versions that nodes know of. */
+
+/* Send the news that is due, and begin streams at versions known to all. */
+void peers_send_versions(struct control *c, const struct peer_list *l,
+			 int64_t now_ms);
+void peers_apply_versions(struct control *c, const struct sockaddr_in *from,
+			  const struct version_notices *notices);
+
 /* peer-records.c: the exchange of records of all kinds. */
 
 /*
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -97,7 +97,8 @@
 	struct target_list *old;
 
 	/* First, so that no stream begins at a version that is not known. */
-	origins_set_targets(e->origins, l, time_boot_ms());
+	if (origins_set_targets(e->origins, l, time_boot_ms()) && e->control)
+		control_ask_origins(e->control);
 	/* It has all that the one before had then. */
 	if (e->list) {
 		atomic_store(&l->fresh_from, atomic_load(&e->list->fresh_from));
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -245,9 +245,10 @@
 	if (x->version)
 		return;
 	x->version = x->attempt_version;
-	if (x->route->retry == RETRY_RESUME)
-		origins_record(x->tr->e->origins, x->request_id,
-			       x->service->name, x->version, time_boot_ms());
+	if (x->route->retry == RETRY_RESUME &&
+	    origins_record(x->tr->e->origins, x->request_id, x->service->name,
+			   x->version, time_boot_ms()))
+		control_ask_origins(x->tr->e->control);
 }
 
 /* Keep the times at which the caller gets events, for the log. */
@@ -606,11 +607,13 @@
 	if (!exchange_is_wanted(x) || refuse_blocked(x) ||
 	    exchange_await_list(x))
 		return;
-	t = pool_choose_target(x->tr, x->service, &x->prompt, x->version,
-			       x->tried_targets, (size_t)x->attempts,
-			       /* What a caller has begun to get goes first. */
-			       x->head_sent ? 0 : exchange_priority(x),
-			       &source);
+	t = pool_choose_target(
+		x->tr, x->service, &x->prompt, exchange_target_version(x),
+		x->tried_targets, (size_t)x->attempts,
+		/* What a caller has begun to get goes first. */
+		x->head_sent ? 0 : exchange_priority(x), &source);
+	if (!t && exchange_await_version(x))
+		return;
 	if (!t) {
 		x->failure_cause = "no_target";
 		if (!pool_list_is_usable(x->tr, time_boot_ms())) {
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -272,6 +272,14 @@
  */
 enum ramp_error exchange_resolve(struct exchange *x);
 
+/* Return at which version the next attempt may run; see VERSION_ANY. */
+static inline uint64_t exchange_target_version(const struct exchange *x)
+{
+	if (x->version)
+		return x->version;
+	return x->route->retry == RETRY_RESUME ? VERSION_KNOWN : VERSION_ANY;
+}
+
 /* forward.c: writes the request to a target. */
 
 /* Return the priority by organisation or route; 0 is the most urgent. */
@@ -286,6 +294,8 @@
 
 /* Wait if the list is too old, once a request; return whether it waits. */
 bool exchange_await_list(struct exchange *x);
+/* The same if targets wait until their version is known to all nodes. */
+bool exchange_await_version(struct exchange *x);
 /* Go on after the wait. May end and free the exchange. */
 void exchange_end_list_wait(struct exchange *x);
 /* Take the exchange, which ends, out of the queue if it waits. */
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -261,8 +261,9 @@
 	q->c.targets = talloc_array(x->arena, struct target *, max);
 	q->c.p = talloc_array(x->arena, struct place_target, max);
 	q->c.alone = talloc_array(x->arena, struct place_target, max);
-	pool_list_candidates(x->tr, x->service, &x->prompt, x->version,
-			     exchange_priority(x), q->now_ms, &q->c);
+	pool_list_candidates(x->tr, x->service, &x->prompt,
+			     exchange_target_version(x), exchange_priority(x),
+			     q->now_ms, &q->c);
 	q->chosen = place_choose(&q->c.limits, x->prompt.parts[0], q->c.p,
 				 q->c.n, random_of(q));
 	x->all_resting = q->chosen == SIZE_MAX;
--- a/entry/holders-store.c
+++ b/entry/holders-store.c
@@ -1,9 +1,10 @@
 /*
  * Saves the index of prompt holders to a row of the store, so that it survives
  * a restart of the whole fleet, and beside it the software versions that have
- * served lately. One node writes the row; each node reads it once, when it
- * starts, and with it the row of stored-causes.c. A holder that is out of date
- * costs one needless cache lookup at a target. Runs on the control thread.
+ * served lately, for nodes of earlier releases. One node writes the row; each
+ * node reads it once, when it starts, and with it the rows of stored-causes.c
+ * and versions-store.c. A holder that is out of date costs one needless cache
+ * lookup at a target. Runs on the control thread.
  */
 #include "entry/origins.h"
 #include "entry/store-clients.h"
@@ -13,8 +14,6 @@
 /* Pause after a failed read. */
 #define RETRY_MS 1500
 #define ROW_KEY  "held"
-/* Field of the row that holds the versions; see origins_versions. */
-#define VERSIONS_FIELD "versions"
 
 struct holders_store {
 	struct entry *e;
@@ -76,15 +75,6 @@
 	g_free(p);
 }
 
-/* A row of an earlier release has no versions, which are then not known. */
-static void load_versions(struct holders_store *s, const json_t *row)
-{
-	const json_t *versions = json_object_get(row, VERSIONS_FIELD);
-
-	if (json_is_array(versions))
-		origins_load_versions(s->e->origins, versions, time_boot_ms());
-}
-
 static void on_read(void *ctx, const struct store_page *p)
 {
 	struct holders_store *s = ctx;
@@ -97,7 +87,8 @@
 		json_t *row = s->api->value(p, i);
 
 		decode_row(s, row);
-		load_versions(s, row);
+		/* Not in a row of an earlier release. */
+		versions_load_row(s->e, row);
 		causes_store_load(s->causes, row);
 		json_decref(row);
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -83,6 +83,7 @@
 	struct target_info info;
 	struct traffic *tr;
 	uint64_t version;       /* id of its software's version */
+	bool version_known;     /* to all nodes; see version-gate.h */
 	uint64_t zone;          /* evacuation_zone_id of its zone */
 	int64_t joined_ms;      /* when it was first listed; 0: unknown */
 	bool listed;            /* is in the current target list */
@@ -333,9 +334,12 @@
 void pool_update_targets(struct traffic *tr, struct target_list *l);
 /* Close expired idle links and free targets that are no longer used. */
 void pool_sweep(struct traffic *tr);
+/* Instead of a version's id: any, or any that all nodes know of. */
+#define VERSION_ANY   0
+#define VERSION_KNOWN UINT64_MAX
 /*
  * Choose a target for a request to the service, or NULL when there is none.
- * version: only targets with that version of the software; 0: any.
+ * version: only targets with that version of the software.
  * Targets whose ids are in tried are chosen only when no other is left.
  * priority: see place_limit_overflow. *source
  * is set to the target from which the chosen one should fetch the prompt, or
--- a/entry/list-wait.c
+++ b/entry/list-wait.c
@@ -1,7 +1,8 @@
 /*
  * Requests for which the list of targets is too old, as after a pause of the
  * process, wait for a moment: the control thread asks for a confirmation at the
- * same time. Traffic thread.
+ * same time. So do those for which all targets are of a version that the other
+ * nodes are being told of. Traffic thread.
  */
 #include "entry/exchange.h"
 
@@ -18,12 +19,9 @@
 	x->awaiting_list = false;
 }
 
-bool exchange_await_list(struct exchange *x)
+/* Wait, unless the request has done so for long enough. */
+static bool await(struct exchange *x, int64_t now)
 {
-	int64_t now = time_boot_ms();
-
-	if (!x->tr->list || pool_list_is_usable(x->tr, now))
-		return false;
 	if (!x->list_wait_end_ms)
 		x->list_wait_end_ms = now + LIST_WAIT_MS;
 	if (now >= x->list_wait_end_ms)
@@ -36,6 +34,23 @@
 	return true;
 }
 
+bool exchange_await_list(struct exchange *x)
+{
+	int64_t now = time_boot_ms();
+
+	if (!x->tr->list || pool_list_is_usable(x->tr, now))
+		return false;
+	return await(x, now);
+}
+
+bool exchange_await_version(struct exchange *x)
+{
+	if (exchange_target_version(x) != VERSION_KNOWN ||
+	    !pool_serves_version(x->tr, x->service, VERSION_ANY))
+		return false;
+	return await(x, time_boot_ms());
+}
+
 void exchange_end_list_wait(struct exchange *x)
 {
 	exchange_leave_list_wait(x);
--- a/entry/loads-gen.c
+++ b/entry/loads-gen.c
@@ -343,6 +343,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_version_notice (XDR *xdrs, version_notice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->open))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_version_notices (XDR *xdrs, version_notices *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->confirm))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, VERSION_NOTICES_MAX,
+		sizeof (version_notice), (xdrproc_t) xdr_version_notice))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cause_crash_report (XDR *xdrs, cause_crash_report *objp)
 {
@@ -580,6 +609,10 @@
 		 if (!xdr_peer_records (xdrs, &objp->peer_message_u.records))
 			 return FALSE;
 		break;
+	case PEER_VERSIONS:
+		 if (!xdr_version_notices (xdrs, &objp->peer_message_u.versions))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/entry/loads-gen.h
+++ b/entry/loads-gen.h
@@ -181,6 +181,24 @@
 	} entries;
 };
 typedef struct origin_answer origin_answer;
+#define VERSION_NOTICES_MAX 32
+
+struct version_notice {
+	u_quad_t service;
+	u_quad_t software;
+	bool_t open;
+};
+typedef struct version_notice version_notice;
+
+struct version_notices {
+	u_quad_t node;
+	bool_t confirm;
+	struct {
+		u_int entries_len;
+		version_notice *entries_val;
+	} entries;
+};
+typedef struct version_notices version_notices;
 #define CAUSE_REPORT_CRASHES_MAX 12
 
 struct cause_crash_report {
@@ -259,6 +277,7 @@
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
 	PEER_RECORDS = 11,
+	PEER_VERSIONS = 12,
 };
 typedef enum peer_kind peer_kind;
 
@@ -277,6 +296,7 @@
 		origin_query origin_query;
 		origin_answer origin_answer;
 		peer_records records;
+		version_notices versions;
 	} peer_message_u;
 };
 typedef struct peer_message peer_message;
@@ -300,6 +320,8 @@
 extern  bool_t xdr_origin_query (XDR *, origin_query*);
 extern  bool_t xdr_origin_reply (XDR *, origin_reply*);
 extern  bool_t xdr_origin_answer (XDR *, origin_answer*);
+extern  bool_t xdr_version_notice (XDR *, version_notice*);
+extern  bool_t xdr_version_notices (XDR *, version_notices*);
 extern  bool_t xdr_cause_crash_report (XDR *, cause_crash_report*);
 extern  bool_t xdr_cause_report (XDR *, cause_report*);
 extern  bool_t xdr_limit_report (XDR *, limit_report*);
@@ -327,6 +349,8 @@
 extern bool_t xdr_origin_query ();
 extern bool_t xdr_origin_reply ();
 extern bool_t xdr_origin_answer ();
+extern bool_t xdr_version_notice ();
+extern bool_t xdr_version_notices ();
 extern bool_t xdr_cause_crash_report ();
 extern bool_t xdr_cause_report ();
 extern bool_t xdr_limit_report ();
--- a/entry/origins.c
+++ b/entry/origins.c
@@ -7,19 +7,14 @@
  * send their records to others, those of earlier streams included. A node
  * without a record asks the nodes that should hold it; when none does, the
  * stream goes on only if these nodes know of a single version as well: a node
- * whose list of targets is out of date can't tell by itself.
+ * whose list of targets is out of date can't tell by itself. Streams begin at
+ * a version only once all nodes know of it; see version-gate.h.
  */
 #include <jansson.h>
 #include <string.h>
 
 #include "entry/origins.h"
 
-/*
- * Time for which a stream may be taken up after its first event, and for which
- * a version counts as serving after its last target was removed, as streams may
- * still run there. Longer than the timeouts of routes.
- */
-#define ORIGIN_TTL_MS 60000
 /* Limit of the records; the oldest are dropped. Some 100 bytes each. */
 #define RECORDS_MAX 65536
 /* A question without an answer is sent again after this time. */
@@ -29,8 +24,6 @@
  * It is out of date once another version serves.
  */
 #define LOOKUP_KEPT_MS 100
-/* A list of targets that is older says nothing of other versions. */
-#define LIST_FRESH_MS 1500
 /* Nodes that a question goes to, at most. */
 #define ASKED_MAX 32
 
@@ -77,8 +70,11 @@
 	uint64_t changes;
 	/* Versions that served before are all known from then on; 0: no list */
 	int64_t history_complete_ms;
+	bool lacks_history;        /* see origins_lacks_history */
 	bool has_settled;          /* a look-up, since origins_take_settled */
 	int64_t list_confirmed_ms; /* the targets were the newest then */
+	bool outage;               /* see origins_set_list_time */
+	struct version_gate *gate;
 };
 
 uint64_t software_version_id(struct str service, struct str version)
@@ -118,6 +114,7 @@
 					    service_free);
 	o->lookups = g_hash_table_new_full(question_hash, question_equal, NULL,
 					   g_free);
+	o->gate = version_gate_new();
 	return o;
 }
 
@@ -127,6 +124,7 @@
 	g_queue_clear_full(&o->by_age, g_free);
 	g_hash_table_unref(o->services);
 	g_hash_table_unref(o->lookups);
+	version_gate_free(o->gate);
 	g_free(o);
 }
 
@@ -200,7 +198,7 @@
 }
 
 /* Drop the versions that have expired; return whether there were any. */
-static bool drop_expired(struct service *s, int64_t now_ms)
+static bool drop_expired(struct origins *o, struct service *s, int64_t now_ms)
 {
 	bool dropped = false;
 
@@ -210,6 +208,7 @@
 
 		if (v->listed || now_ms < v->expires_ms)
 			continue;
+		version_gate_drop(o->gate, v->id);
 		g_array_remove_index_fast(s->versions, i);
 		dropped = true;
 	}
@@ -237,13 +236,55 @@
 	}
 }
 
-void origins_set_targets(struct origins *o, const struct target_list *l,
+/* A version that has served alone is known to all nodes. */
+static void open_sole_versions(struct origins *o, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		uint64_t sole = sole_version(o, p, now_ms);
+
+		if (sole)
+			version_gate_open(o->gate, sole);
+	}
+}
+
+/* What was concluded of a service may be wrong now. */
+static void forget_conclusions(struct origins *o, uint64_t service,
+			       int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->lookups);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct lookup *l = p;
+
+		if (l->settled && l->question.service == service)
+			l->forget_ms = now_ms;
+	}
+}
+
+static void add_version(struct origins *o, struct service *s,
+			const struct version *added, int64_t now_ms)
+{
+	g_array_append_val(s->versions, *added);
+	o->changes++;
+	forget_conclusions(o, s->id, now_ms);
+}
+
+bool origins_set_targets(struct origins *o, const struct target_list *l,
 			 int64_t now_ms)
 {
+	bool news;
+
 	g_mutex_lock(&o->lock);
 	if (!o->history_complete_ms)
 		o->history_complete_ms = now_ms + ORIGIN_TTL_MS;
 	unlist_all(o, now_ms);
+	version_gate_unlist_all(o->gate);
 	for (size_t i = 0; i < l->n; i++) {
 		const struct target_info *t = &l->v[i];
 		struct version added = {
@@ -252,18 +293,22 @@
 		struct service *s = service_of(o, str_hash(t->service, 0));
 		struct version *v = find_version(s, added.id);
 
+		version_gate_add(o->gate, s->id, added.id, true, now_ms);
 		if (v) {
 			v->listed = true;
 			continue;
 		}
-		g_array_append_val(s->versions, added);
-		o->changes++;
+		add_version(o, s, &added, now_ms);
 		log_event(EV_VERSION_SERVES,
 			  "service=" STR_FMT " version=" STR_FMT " versions=%u",
 			  STR_ARG(t->service), STR_ARG(t->version),
 			  s->versions->len);
 	}
+	version_gate_end_list(o->gate);
+	open_sole_versions(o, now_ms);
+	news = version_gate_has_due(o->gate, now_ms);
 	g_mutex_unlock(&o->lock);
+	return news;
 }
 
 json_t *origins_versions(struct origins *o, int64_t now_ms)
@@ -321,7 +366,110 @@
 			g_array_append_val(s->versions, added);
 	}
 	o->history_complete_ms = now_ms;
+	o->lacks_history = false;
+	open_sole_versions(o, now_ms);
+	g_mutex_unlock(&o->lock);
+}
+
+bool origins_lacks_history(struct origins *o)
+{
+	bool lacks;
+
+	g_mutex_lock(&o->lock);
+	lacks = o->lacks_history;
+	g_mutex_unlock(&o->lock);
+	return lacks;
+}
+
+/* Versions that other nodes know of. */
+
+bool origins_may_begin(struct origins *o, uint64_t version)
+{
+	bool may;
+
+	g_mutex_lock(&o->lock);
+	may = version_gate_is_open(o->gate, version);
+	g_mutex_unlock(&o->lock);
+	return may;
+}
+
+bool origins_check_versions(struct origins *o, const uint64_t *nodes, size_t n,
+			    int64_t now_ms)
+{
+	bool opened;
+
+	g_mutex_lock(&o->lock);
+	opened = version_gate_check(o->gate, nodes, n, o->list_confirmed_ms,
+				    now_ms);
+	g_mutex_unlock(&o->lock);
+	return opened;
+}
+
+size_t origins_take_news(struct origins *o, const uint64_t *nodes, size_t n,
+			 int64_t now_ms, struct version_news *out, size_t max)
+{
+	g_mutex_lock(&o->lock);
+	n = version_gate_take_due(o->gate, nodes, n, now_ms, out, max);
 	g_mutex_unlock(&o->lock);
+	return n;
+}
+
+bool origins_is_news_to(struct origins *o, const struct version_news *v,
+			uint64_t node)
+{
+	bool is_news;
+
+	g_mutex_lock(&o->lock);
+	is_news = v->to_all ||
+		  !version_gate_has_confirmed(o->gate, v->version, node);
+	g_mutex_unlock(&o->lock);
+	return is_news;
+}
+
+/* Note that another node knows of a version; called with the lock held. */
+static void note_version(struct origins *o, const struct version_notice *v,
+			 int64_t now_ms)
+{
+	struct version added = {.id = v->software,
+				.expires_ms = now_ms + ORIGIN_TTL_MS};
+	struct service *s = service_of(o, v->service);
+	struct version *known = find_version(s, v->software);
+
+	if (!known)
+		add_version(o, s, &added, now_ms);
+	else if (!known->listed)
+		known->expires_ms = added.expires_ms;
+	version_gate_add(o->gate, v->service, v->software, false, now_ms);
+}
+
+/* The same of a notice, which says more. Return whether it opens the version.
+ */
+static bool apply_notice(struct origins *o, uint64_t node,
+			 const struct version_notice *v, int64_t now_ms)
+{
+	bool before = version_gate_is_open(o->gate, v->software);
+
+	note_version(o, v, now_ms);
+	version_gate_confirm(o->gate, v->software, node, v->open, now_ms);
+	return v->open && !before;
+}
+
+bool origins_apply_notices(struct origins *o, uint64_t node,
+			   const struct version_notice *v, size_t n,
+			   int64_t now_ms, struct version_notice *answer)
+{
+	bool opened = false;
+
+	g_mutex_lock(&o->lock);
+	for (size_t i = 0; i < n; i++) {
+		if (v[i].software)
+			opened |= apply_notice(o, node, &v[i], now_ms);
+		answer[i] = (struct version_notice){
+			v[i].service, v[i].software,
+			version_gate_is_open(o->gate, v[i].software)};
+	}
+	g_mutex_unlock(&o->lock);
+	return opened;
 }
 
 /* Records. */
@@ -352,16 +500,30 @@
 	return true;
 }
 
-void origins_record(struct origins *o, struct str request_id,
+/* Whether other nodes need the records of a service's streams. */
+static bool sends_records(const struct origins *o, const struct service *s,
+			  int64_t now_ms)
+{
+	/* Until the history is known there may have been other versions. */
+	return has_several(s, now_ms) || !is_history_known(o, now_ms);
+}
+
+bool origins_record(struct origins *o, struct str request_id,
 		    struct str service, uint64_t version, int64_t now_ms)
 {
 	struct stream_origin origin = {str_hash(request_id, 0), version};
+	bool needed = false;
+	struct service *s;
 
 	g_mutex_lock(&o->lock);
-	if (add_record(o, origin.request, version, now_ms))
-		g_queue_push_tail(&service_of(o, str_hash(service, 0))->unsent,
+	s = service_of(o, str_hash(service, 0));
+	if (add_record(o, origin.request, version, now_ms)) {
+		g_queue_push_tail(&s->unsent,
 				  g_memdup2(&origin, sizeof(origin)));
+		needed = sends_records(o, s, now_ms);
+	}
 	g_mutex_unlock(&o->lock);
+	return needed;
 }
 
 /* Forget the unsent records that have expired; called with the lock held. */
@@ -384,21 +546,31 @@
 	l->forget_ms = now_ms + LOOKUP_KEPT_MS;
 }
 
+/* Whether the list shows all versions at which streams began lately. */
+static bool is_list_fresh(const struct origins *o, int64_t now_ms)
+{
+	return now_ms - o->list_confirmed_ms <= LIST_FRESH_MS;
+}
+
 /*
  * Return the version at which a stream without a record began; 0: not known.
- * Without another node that agrees, this node's own list counts if it is not
- * out of date. Called with the lock held.
+ * Without another node that agrees, this node's own list counts if it is fresh;
+ * without a fresh list most of the nodes that were asked have to agree. Called
+ * with the lock held.
  */
 static uint64_t infer(struct origins *o, const struct lookup *l, int64_t now_ms)
 {
 	const struct service *s = service_of(o, l->question.service);
 	uint64_t own = sole_version(o, s, now_ms);
-	bool fresh = now_ms - o->list_confirmed_ms <= LIST_FRESH_MS;
-	uint64_t sole = l->sole || !fresh ? l->sole : own;
+	bool fresh = is_list_fresh(o, now_ms);
+	uint64_t sole = l->sole || !fresh ? l->sole : own, one = sole;
 
-	if (l->several || has_several(s, now_ms) || (own && own != sole))
+	if (l->several || has_several(s, now_ms))
+		return 0;
+	if (!fresh && 2 * l->reply_count <= l->asked_count)
 		return 0;
-	return sole;
+	recent_versions(s, now_ms, &one);
+	return one == sole ? sole : 0;
 }
 
 /* Settle a look-up of which no node has a record; the lock is held. */
@@ -443,7 +615,7 @@
 		drop_oldest_record(o);
 	g_hash_table_iter_init(&it, o->services);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		if (drop_expired(p, now_ms))
+		if (drop_expired(o, p, now_ms))
 			o->changes++;
 		drop_unsent(o, p);
 	}
@@ -464,8 +636,7 @@
 		struct service *s = p;
 		struct stream_origin *v;
 
-		/* Until the history is known there may have been others. */
-		if (!has_several(s, now_ms) && is_history_known(o, now_ms))
+		if (!sends_records(o, s, now_ms))
 			continue;
 		while (n < max && (v = g_queue_pop_head(&s->unsent))) {
 			out[n++] = *v;
@@ -589,7 +760,8 @@
 		struct lookup *l = p;
 
 		/* A node that is late may be dead, and the others agree. */
-		if (!l->settled && l->sole && now_ms >= l->send_at_ms)
+		if (!l->settled && l->sole && now_ms >= l->send_at_ms &&
+		    infer(o, l, now_ms))
 			conclude(o, l, now_ms);
 		if (l->settled || now_ms < l->send_at_ms ||
 		    now_ms >= l->ends_ms)
@@ -636,10 +808,18 @@
 	g_mutex_unlock(&o->lock);
 }
 
-void origins_set_list_time(struct origins *o, int64_t confirmed_ms)
+void origins_set_list_time(struct origins *o, int64_t confirmed_ms, bool outage,
+			   int64_t now_ms)
 {
 	g_mutex_lock(&o->lock);
+	if (o->list_confirmed_ms &&
+	    confirmed_ms - o->list_confirmed_ms > LIST_FRESH_MS) {
+		o->history_complete_ms = now_ms + ORIGIN_TTL_MS;
+		o->lacks_history = true;
+	}
 	o->list_confirmed_ms = confirmed_ms;
+	/* A list that was too old before may lack what joined until then. */
+	o->outage = outage && (o->outage || is_list_fresh(o, now_ms));
 	g_mutex_unlock(&o->lock);
 }
 
@@ -648,20 +828,31 @@
 {
 	const struct record *r;
 	const struct service *s;
+	bool current;
 
 	g_mutex_lock(&o->lock);
 	r = g_hash_table_lookup(o->records, &q->request);
 	s = service_of(o, q->service);
+	current = is_list_fresh(o, now_ms) || o->outage;
 	*out = (struct origin_reply){
 		.request = q->request,
 		.service = q->service,
 		.software = r ? r->version : 0,
-		.sole = sole_version(o, s, now_ms),
+		.sole = current ? sole_version(o, s, now_ms) : 0,
 		.several = has_several(s, now_ms),
 	};
 	g_mutex_unlock(&o->lock);
 }
 
+/* Whether only a record would help, and none has come up to now. */
+static bool is_hopeless(struct origins *o, const struct lookup *l,
+			int64_t now_ms)
+{
+	return l->rounds > 1 &&
+	       (l->several ||
+		has_several(service_of(o, l->question.service), now_ms));
+}
+
 /* Note the first reply of a node; false for any other. */
 static bool note_reply(struct lookup *l, uint64_t node)
 {
@@ -692,7 +883,7 @@
 			add_record(o, q.request, reply->software, now_ms);
 			settle(o, l, reply->software, now_ms);
 		} else if (l->reply_count == l->asked_count &&
-			   (l->rounds > 1 || infer(o, l, now_ms))) {
+			   (is_hopeless(o, l, now_ms) || infer(o, l, now_ms))) {
 			conclude(o, l, now_ms);
 		}
 	}
--- a/entry/origins.h
+++ b/entry/origins.h
@@ -11,6 +11,7 @@
 
 #include "entry/entry.h"
 #include "entry/loads-gen.h"
+#include "entry/version-gate.h"
 
 struct origins;
 
@@ -27,8 +28,11 @@
 /* Return the id of a version of a service's software; never 0. */
 uint64_t software_version_id(struct str service, struct str version);
 
-/* Record the version at which a caller's attempt has begun a stream. */
-void origins_record(struct origins *o, struct str request_id,
+/*
+ * Record the version at which a caller's attempt has begun a stream. Return
+ * whether other nodes need the record now.
+ */
+bool origins_record(struct origins *o, struct str request_id,
 		    struct str service, uint64_t version, int64_t now_ms);
 /*
  * Look up the version at which the stream of an attempt began; the id is empty
@@ -37,6 +41,12 @@
  * ORIGIN_LOOKUP_MS.
  */
 #define ORIGIN_LOOKUP_MS 300
+/*
+ * Time for which a stream may be taken up after its first event, and for which
+ * a version counts as serving after its last target was removed, as streams may
+ * still run there. Longer than the timeouts of routes.
+ */
+#define ORIGIN_TTL_MS 60000
 enum origin_status origins_find(struct origins *o, struct str request_id,
 				struct str service, int64_t now_ms,
 				uint64_t *version);
@@ -46,8 +56,11 @@
 				      struct str service, int64_t now_ms,
 				      uint64_t *version);
 
-/* Update the versions that serve from the list of targets. */
-void origins_set_targets(struct origins *o, const struct target_list *l,
+/*
+ * Update the versions that serve from the list of targets. Return whether a
+ * version has joined that the other nodes are to be told of.
+ */
+bool origins_set_targets(struct origins *o, const struct target_list *l,
 			 int64_t now_ms);
 /* Forget what has expired. */
 void origins_sweep(struct origins *o, int64_t now_ms);
@@ -65,6 +78,11 @@
  */
 void origins_load_versions(struct origins *o, const json_t *rows,
 			   int64_t now_ms);
+/*
+ * Whether the versions should be loaded again, as this node had no list of
+ * targets for a time in which one may have joined and left.
+ */
+bool origins_lacks_history(struct origins *o);
 
 /*
  * Take records for other nodes, at most max, of services of which several
@@ -93,8 +111,34 @@
 /* Note that a node has been asked. */
 void origins_asked(struct origins *o, const struct origin_question *q,
 		   uint64_t node);
-/* Note when the list of targets was last known to be the newest. */
-void origins_set_list_time(struct origins *o, int64_t confirmed_ms);
+/*
+ * Note when the list of targets was last known to be the newest. outage: the
+ * store doesn't answer this node, which is in contact with most of the others:
+ * the list then counts for longer, as they would know of a newer one.
+ */
+void origins_set_list_time(struct origins *o, int64_t confirmed_ms, bool outage,
+			   int64_t now_ms);
+
+/*
+ * Whether streams that may be resumed may begin at a version. The functions
+ * below are version_gate_check and version_gate_take_due of version-gate.h.
+ */
+bool origins_may_begin(struct origins *o, uint64_t version);
+bool origins_check_versions(struct origins *o, const uint64_t *nodes, size_t n,
+			    int64_t now_ms);
+size_t origins_take_news(struct origins *o, const uint64_t *nodes, size_t n,
+			 int64_t now_ms, struct version_news *out, size_t max);
+/* Whether a node is to be told of a version. */
+bool origins_is_news_to(struct origins *o, const struct version_news *v,
+			uint64_t node);
+/*
+ * Apply another node's notices. Write what this node says of these versions to
+ * answer, which has room for n. Return whether streams may begin at a version
+ * at which they could not before.
+ */
+bool origins_apply_notices(struct origins *o, uint64_t node,
+			   const struct version_notice *v, size_t n,
+			   int64_t now_ms, struct version_notice *answer);
 /* Settle a look-up by this node's list if it can, as no other node is live. */
 void origins_settle_alone(struct origins *o, const struct origin_question *q,
 			  int64_t now_ms);
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -274,6 +274,9 @@
 	case PEER_RECORDS:
 		peers_receive_records(c, &m->peer_message_u.records);
 		break;
+	case PEER_VERSIONS:
+		peers_apply_versions(c, from, &m->peer_message_u.versions);
+		break;
 	}
 }
 
@@ -500,6 +503,7 @@
 		!r.n || r.all[0] == member_id(c->e->control_settings.node_name);
 	holders_store_set_writer(c->holders_store, writer);
 	causes_store_set_writer(c->causes_store, writer);
+	versions_store_set_writer(c->versions_store, writer);
 	if (r.reader)
 		return;
 	peer = find_peer(l, r.own[c->next_relay++ % r.own_count]);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -76,6 +76,7 @@
 		return;
 	t->info.version = str_dup(t, info->version);
 	t->version = software_version_id(info->service, info->version);
+	t->version_known = false;
 }
 
 static struct target *target_new(struct traffic *tr,
@@ -315,12 +316,28 @@
 	return per_ms * others * (double)loads_lag_ms(tr->e->loads, now_ms);
 }
 
-/* Whether the target is listed for the service, with that version if any. */
-static bool is_candidate(const struct target *t, const struct entry_service *s,
+/* Whether streams that may be resumed may begin at the target. */
+static bool is_version_known(struct target *t)
+{
+	if (!t->version_known)
+		t->version_known =
+			origins_may_begin(t->tr->e->origins, t->version);
+	return t->version_known;
+}
+
+static bool has_version(struct target *t, uint64_t version)
+{
+	if (version == VERSION_KNOWN)
+		return is_version_known(t);
+	return version == VERSION_ANY || version == t->version;
+}
+
+/* Whether the target is listed for the service, with such a version. */
+static bool is_candidate(struct target *t, const struct entry_service *s,
 			 uint64_t version)
 {
 	return t->listed && str_eq(t->info.service, s->name) &&
-	       (!version || version == t->version);
+	       has_version(t, version);
 }
 
 static bool may_send(struct place_target p)
@@ -340,7 +357,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct place_target p;
 
-		if (!is_candidate(v, s, 0))
+		if (!is_candidate(v, s, VERSION_ANY))
 			continue;
 		p = pool_candidate(v, now_ms);
 		if (p.draining || p.avoid)
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -111,7 +111,8 @@
 {
 	/* A target that is late is better than none. */
 	if (!exchange_may_retry(x, x->possible_runs + 1) ||
-	    !pool_serves_version(x->tr, x->service, x->version) ||
+	    !pool_serves_version(x->tr, x->service,
+				 exchange_target_version(x)) ||
 	    !exchange_take_retry(x))
 		return false;
 	x->failure_cause = cause;
--- a/entry/store-clients.h
+++ b/entry/store-clients.h
@@ -68,6 +68,20 @@
 				const struct store_query_answer *answer,
 				int64_t now_ms);
 
+/* versions-store.c: see there. */
+
+/* Key of the row, and its field with the rows of origins_versions. */
+#define VERSIONS_FIELD "versions"
+struct versions_store;
+struct versions_store *versions_store_new(struct entry *e);
+void versions_store_free(struct versions_store *s);
+/* Make the call that is due. */
+void versions_store_tick(struct versions_store *s, int64_t now_ms);
+/* Set whether this node writes the row. */
+void versions_store_set_writer(struct versions_store *s, bool writer);
+/* Load the versions of a row; false if it has none. */
+bool versions_load_row(struct entry *e, const json_t *row);
+
 struct store_sync *store_sync_new(struct entry *e, struct ev_loop *loop);
 void store_sync_free(struct store_sync *s);
 /*
@@ -78,6 +92,8 @@
 			   size_t fleet_size);
 /* Return when the list of targets was last known to be the newest; 0: never. */
 int64_t store_sync_targets_confirmed_ms(const struct store_sync *s);
+/* Whether the store did not answer the last call, or is late with one. */
+bool store_sync_is_failing(const struct store_sync *s);
 /*
  * Set the node that the next queries go to. Only the answer to the last query
  * changes the list of targets, so that is also the node that answers.
--- a/entry/store-sync.c
+++ b/entry/store-sync.c
@@ -776,6 +776,11 @@
 	return s->targets_confirmed_ms;
 }
 
+bool store_sync_is_failing(const struct store_sync *s)
+{
+	return !s->store_up || s->outage.hanging_ms;
+}
+
 struct store_sync *store_sync_new(struct entry *e, struct ev_loop *loop)
 {
 	struct store_sync *s = g_new0(struct store_sync, 1);
--- a/entry/test-origins.c
+++ b/entry/test-origins.c
@@ -30,7 +30,7 @@
 		l->v[l->n++] = (struct target_info){
 			.id = 2, .service = service, .version = str_c(second)};
 	origins_set_targets(o, l, now_ms);
-	origins_set_list_time(o, now_ms);
+	origins_set_list_time(o, now_ms, false, now_ms);
 	target_list_unref(l);
 }
 
@@ -174,6 +174,16 @@
 	origins_free(b);
 }
 
+/* Go on reading lists that don't change. */
+static void confirm_lists(struct origins *a, struct origins *b, int64_t from_ms,
+			  int64_t to_ms)
+{
+	for (int64_t now = from_ms; now <= to_ms; now += 1000) {
+		origins_set_list_time(a, now, false, now);
+		origins_set_list_time(b, now, false, now);
+	}
+}
+
 /* A version is forgotten while its streams may be taken up, or never. */
 static void test_version_expires(void)
 {
@@ -183,12 +193,14 @@
 
 	set_versions(a, gone_ms, "v2", NULL);
 	set_versions(b, gone_ms, "v2", NULL);
+	confirm_lists(a, b, gone_ms, gone_ms + KEPT_MS - 2000);
 	find(a, "s", gone_ms + KEPT_MS - 2000, &version);
 	ask(a, b, 7, gone_ms + KEPT_MS - 2000);
 	ask(a, b, 7, gone_ms + KEPT_MS - 1900);
 	g_assert_cmpint(find(a, "s", gone_ms + KEPT_MS - 1900, &version), ==,
 			ORIGIN_UNKNOWN);
 	origins_sweep(a, gone_ms + KEPT_MS);
+	confirm_lists(a, b, gone_ms + KEPT_MS - 2000, gone_ms + KEPT_MS);
 	find(a, "s", gone_ms + KEPT_MS, &version);
 	ask(a, b, 7, gone_ms + KEPT_MS);
 	g_assert_cmpint(find(a, "s", gone_ms + KEPT_MS, &version), ==,
--- a/schema/loads.x
+++ b/schema/loads.x
@@ -146,6 +146,21 @@
 	origin_reply entries<ORIGIN_QUESTIONS_MAX>;
 };
 
+const VERSION_NOTICES_MAX = 32;
+
+/* The sender knows of a version of a service's software; see version-gate.h. */
+struct version_notice {
+	unsigned hyper service;	/* hash of its name */
+	unsigned hyper software;	/* as in stream_origin */
+	bool open;	/* streams may begin there */
+};
+
+struct version_notices {
+	unsigned hyper node;	/* hash of the sender's name */
+	bool confirm;	/* the receiver answers with the same versions */
+	version_notice entries<VERSION_NOTICES_MAX>;
+};
+
 const CAUSE_REPORT_CRASHES_MAX = 12;
 
 /* A target crashed that was to begin a response; see route/crash-causes.h. */
@@ -217,7 +232,8 @@
 	PEER_ORIGINS = 8,
 	PEER_ORIGIN_QUERY = 9,
 	PEER_ORIGIN_ANSWER = 10,
-	PEER_RECORDS = 11
+	PEER_RECORDS = 11,
+	PEER_VERSIONS = 12
 };
 
 union peer_message switch (peer_kind kind) {
@@ -245,4 +261,6 @@
 	origin_answer origin_answer;
 case PEER_RECORDS:
 	peer_records records;
+case PEER_VERSIONS:
+	version_notices versions;
 };
