--- a/entry/peer-origins.c
+++ b/entry/peer-origins.c
@@ -121,8 +121,7 @@
 	/* Most nodes of the fleet, as others may reach the store. */
 	origins_set_list_time(
 		c->e->origins, store_sync_targets_confirmed_ms(c->sync),
-		store_sync_is_failing(c->sync) && 2 * l->n > l->known,
-			      now_ms);
+		store_sync_is_failing(c->sync) && 2 * l->n > l->known, now_ms);
 	/* Records stay unsent until other nodes are known. */
 	if (l->n <= 1)
 		return;
