node: an empty secret file is an error

Cause: with node.secret_file set to a file without content, calls between nodes were signed, and resume tokens sealed, with the hash of nothing, which everybody can compute.

Change: such a file ends the process with status 2, as one that can't be read.

--- a/node/node.h
+++ b/node/node.h
@@ -348,7 +348,7 @@
  * secret for tests when path is empty.
  *
  * Return: the key, to be freed with g_free, or NULL when the file can't be
- * read.
+ * read or is empty.
  */
 struct resume_key *resume_key_load(const char *path);
 /* Return the token as text for a header or a URL, allocated in the arena. */
--- a/node/peer-api.c
+++ b/node/peer-api.c
@@ -38,6 +38,10 @@
 	if (!g_file_get_contents(s->node_secret_file, &text, &n, NULL))
 		return false;
 	g_strstrip(text);
+	if (!*text) {
+		g_free(text);
+		return false;
+	}
 	crypto_generichash(secret.bytes, sizeof(secret.bytes),
 			   (const unsigned char *)text, strlen(text), NULL, 0);
 	secret.is_set = true;
--- a/node/peer-api.h
+++ b/node/peer-api.h
@@ -11,8 +11,8 @@
 
 /*
  * Read the shared secret from node.secret_file, before any thread starts.
- * Return false when the file is set but can't be read. Without a file calls
- * aren't checked.
+ * Return false when the file is set but can't be read or is empty. Without a
+ * file calls aren't checked.
  */
 bool peer_api_load_secret(const struct settings *s);
 /*
--- a/node/resume.c
+++ b/node/resume.c
@@ -31,6 +31,10 @@
 		return NULL;
 	g_strstrip(secret);
 	n = strlen(secret);
+	if (!n) {
+		g_free(secret);
+		return NULL;
+	}
 	k = g_new0(struct resume_key, 1);
 	crypto_generichash(k->bytes, sizeof(k->bytes), (unsigned char *)secret,
 			   n, (const unsigned char *)KEY_CONTEXT,
--- a/node/test-resume.c
+++ b/node/test-resume.c
@@ -30,6 +30,15 @@
 	return k;
 }
 
+/* An empty file gives the key that everybody can compute. */
+static void test_empty_secret(void)
+{
+	static const char *const texts[] = {"", "\n", " \t\r\n"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		g_assert_null(key_from_secret(texts[i]));
+}
+
 static void test_round_trip(void)
 {
 	void *arena = talloc_new(NULL);
@@ -116,6 +125,7 @@
 	g_test_init(&argc, &argv, NULL);
 	if (sodium_init() < 0)
 		return 1;
+	g_test_add_func("/node/resume/empty-secret", test_empty_secret);
 	g_test_add_func("/node/resume/round-trip", test_round_trip);
 	g_test_add_func("/node/resume/tampered", test_tampered);
 	g_test_add_func("/node/resume/no-secret", test_no_secret);
