--- a/entry/entry.h
+++ b/entry/entry.h
@@ -99,7 +99,7 @@
 	GHashTable *hosts;
 	struct entry_service *services;
 	size_t service_count;
-	GHashTable *keys; /* API key -> struct entry_organisation */
+	GHashTable *keys;       /* API key -> struct entry_organisation */
 	bool has_organisations; /* a list of them, which may be empty */
 	struct caller_limits limits;
 };
