--- a/entry/version-gate.c
+++ b/entry/version-gate.c
@@ -154,6 +154,7 @@
 	return nodes != NULL;
 }
 
+/* Whether streams may begin though some nodes have not confirmed. */
 static bool has_waited(const struct gate *e, int64_t list_confirmed_ms,
 		       int64_t now_ms)
 {
@@ -171,7 +172,6 @@
 	g_hash_table_iter_init(&it, g->v);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct gate *e = p;
-
 		bool all = all_have_confirmed(e, nodes, n);
 
 		if (e->open ||
