entry: nodes that start alone know at which versions streams may begin

It began streams at once, without a confirmation: the rows of the other nodes had been read, but the published list of nodes was older and had only itself. The row with the versions now says at which of them streams may begin; what all nodes knew then, those that start later read there.

Test: /versions/two-versions-after-loss (20 streams, none refused).

--- a/entry/origins.c
+++ b/entry/origins.c
@@ -247,7 +247,7 @@
 		uint64_t sole = sole_version(o, p, now_ms);
 
 		if (sole)
-			version_gate_open(o->gate, sole);
+			o->changes += version_gate_open(o->gate, sole);
 	}
 }
 
@@ -329,8 +329,10 @@
 			if (v->listed || now_ms < v->expires_ms)
 				json_array_append_new(
 					rows,
-					json_pack("[I,I]", (json_int_t)s->id,
-						  (json_int_t)v->id));
+					json_pack("[I,I,b]", (json_int_t)s->id,
+						  (json_int_t)v->id,
+						  version_gate_is_open(o->gate,
+								       v->id)));
 		}
 	}
 	g_mutex_unlock(&o->lock);
@@ -364,6 +366,9 @@
 
 		if (!find_version(s, added.id))
 			g_array_append_val(s->versions, added);
+		version_gate_add(o->gate, s->id, added.id, false, now_ms);
+		if (json_is_true(json_array_get(row, 2)))
+			version_gate_open(o->gate, added.id);
 	}
 	o->history_complete_ms = now_ms;
 	o->lacks_history = false;
@@ -401,6 +406,7 @@
 	g_mutex_lock(&o->lock);
 	opened = version_gate_check(o->gate, nodes, n, o->list_confirmed_ms,
 				    now_ms);
+	o->changes += opened;
 	g_mutex_unlock(&o->lock);
 	return opened;
 }
@@ -451,6 +457,7 @@
 
 	note_version(o, v, now_ms);
 	version_gate_confirm(o->gate, v->software, node, v->open, now_ms);
+	o->changes += v->open && !before;
 	return v->open && !before;
 }
 
--- a/entry/peer-versions.c
+++ b/entry/peer-versions.c
@@ -11,7 +11,10 @@
 	uint64_t self = member_id(c->e->control_settings.node_name);
 
 	*n = 0;
-	if (now_ms < c->peers_known_at_ms && !discovery_has_read(c->discovery))
+	/* The list may be older than what the store has shown. */
+	if (c->published_view != member_view_version(c->member) ||
+	    (now_ms < c->peers_known_at_ms &&
+	     !discovery_has_read(c->discovery)))
 		return NULL;
 	for (size_t i = 0; i < l->known; i++)
 		if (l->known_ids[i] != self)
--- a/entry/version-gate.c
+++ b/entry/version-gate.c
@@ -106,12 +106,14 @@
 	g_hash_table_remove(g->v, &version);
 }
 
-void version_gate_open(struct version_gate *g, uint64_t version)
+bool version_gate_open(struct version_gate *g, uint64_t version)
 {
 	struct gate *e = find(g, version);
 
-	if (e && !e->open)
-		e->open = e->done = true;
+	if (!e || e->open)
+		return false;
+	e->open = e->done = true;
+	return true;
 }
 
 bool version_gate_is_open(const struct version_gate *g, uint64_t version)
--- a/entry/version-gate.h
+++ b/entry/version-gate.h
@@ -41,9 +41,10 @@
 void version_gate_drop(struct version_gate *g, uint64_t version);
 /*
  * Streams may begin at the version, of which no node has to be told: it is the
- * only one that has served.
+ * only one that has served, or the store says so. Return whether they could not
+ * before.
  */
-void version_gate_open(struct version_gate *g, uint64_t version);
+bool version_gate_open(struct version_gate *g, uint64_t version);
 /* Whether they may; false for a version that is not known. */
 bool version_gate_is_open(const struct version_gate *g, uint64_t version);
 /* A node has said that it knows of the version; open: streams begin there. */
