--- a/entry/origins.h
+++ b/entry/origins.h
@@ -66,9 +66,9 @@
 void origins_sweep(struct origins *o, int64_t now_ms);
 /*
  * The versions that served lately, as rows of [service, version, whether
- * streams may begin there]. They are saved in the store, as a fleet of which all
- * nodes have restarted knows only those that serve now. The counter grows with
- * each change.
+ * streams may begin there]. They are saved in the store, as a fleet of which
+ * all nodes have restarted knows only those that serve now. The counter grows
+ * with each change.
  */
 json_t *origins_versions(struct origins *o, int64_t now_ms);
 uint64_t origins_versions_changes(struct origins *o);
