tests: one function reads the memory of a process

Bounds are unchanged; the test of the own interface also checks that the memory could be read.

The benchmarks were built, not run.

--- a/bench/bench-path.c
+++ b/bench/bench-path.c
@@ -235,18 +235,7 @@
 
 static double rss_mb(const struct proc *p)
 {
-	char *path = g_strdup_printf("/proc/%d/status", p->pid);
-	char *text = NULL;
-	const char *s;
-	double kb = 0;
-
-	if (g_file_get_contents(path, &text, NULL, NULL)) {
-		s = strstr(text, "VmRSS:");
-		kb = s ? g_ascii_strtod(s + strlen("VmRSS:"), NULL) : 0;
-	}
-	g_free(text);
-	g_free(path);
-	return kb / 1024;
+	return (double)proc_memory_bytes(p) / 1048576;
 }
 
 static void print_failed_row(const char *name, const char *unit, double bound)
--- a/bench/capacity-path.c
+++ b/bench/capacity-path.c
@@ -51,23 +51,6 @@
 	return ticks / (double)sysconf(_SC_CLK_TCK);
 }
 
-static double process_rss_bytes(const struct proc *p)
-{
-	char *path = g_strdup_printf("/proc/%d/statm", p->pid);
-	char *text = NULL;
-	double pages = 0;
-
-	if (g_file_get_contents(path, &text, NULL, NULL)) {
-		char **f = g_strsplit(text, " ", 3);
-
-		pages = g_ascii_strtod(f[1], NULL);
-		g_strfreev(f);
-	}
-	g_free(text);
-	g_free(path);
-	return pages * (double)sysconf(_SC_PAGESIZE);
-}
-
 /* A thread that reads one stream. */
 struct reader {
 	int port;
@@ -229,8 +212,8 @@
 {
 	struct memory_sample *m = ctx;
 
-	m->bytes.entry = process_rss_bytes(&m->g->nodes[0]);
-	m->bytes.admitter = process_rss_bytes(&m->g->nodes[1]);
+	m->bytes.entry = (double)proc_memory_bytes(&m->g->nodes[0]);
+	m->bytes.admitter = (double)proc_memory_bytes(&m->g->nodes[1]);
 }
 
 /* Memory as a function of the number of open streams. */
--- a/node/test-endless.c
+++ b/node/test-endless.c
@@ -94,22 +94,6 @@
 	return !endless;
 }
 
-/* Return the memory of a process in bytes. */
-static int64_t memory_of(const struct proc *p)
-{
-	char *path = g_strdup_printf("/proc/%d/statm", (int)p->pid);
-	char *text = NULL, **fields;
-	int64_t pages;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	fields = g_strsplit(text, " ", -1);
-	pages = g_ascii_strtoll(fields[1], NULL, 10);
-	g_strfreev(fields);
-	g_free(text);
-	g_free(path);
-	return pages * 4096;
-}
-
 static struct reply call_plain(int port, const char *method, const char *path)
 {
 	static const char *const headers[] = {"Authorization: Bearer key-recif",
@@ -173,18 +157,19 @@
 	rig_start(g);
 	port = g->nodes[0].port;
 	WAIT_UNTIL(is_sound(port));
-	before = memory_of(&g->nodes[0]);
+	before = proc_memory_bytes(&g->nodes[0]);
+	g_assert_cmpint(before, >, 0);
 	for (size_t i = 0; i < CALLERS; i++)
 		threads[i] = g_thread_new("caller", call_endless,
 					  GINT_TO_POINTER(port));
 	for (int i = 0; i < 50; i++) {
-		most = MAX(most, memory_of(&g->nodes[0]));
+		most = MAX(most, proc_memory_bytes(&g->nodes[0]));
 		unsound += !is_sound(port);
 		g_usleep(20 * 1000);
 	}
 	for (size_t i = 0; i < CALLERS; i++)
 		whole += GPOINTER_TO_INT(g_thread_join(threads[i]));
-	most = MAX(most, memory_of(&g->nodes[0]));
+	most = MAX(most, proc_memory_bytes(&g->nodes[0]));
 	WAIT_UNTIL(atomic_load(&begun) > 0 &&
 		   atomic_load(&ended) == atomic_load(&begun));
 	g_test_message("%d begun, %d sound calls failed, at most %d MB sent,"
--- a/node/test-harness.c
+++ b/node/test-harness.c
@@ -365,6 +365,22 @@
 	return sum_engine_counts(g, "runs");
 }
 
+int64_t proc_memory_bytes(const struct proc *p)
+{
+	char *path = g_strdup_printf("/proc/%d/statm", (int)p->pid);
+	char *text = NULL, **fields;
+	int64_t pages = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		fields = g_strsplit(text, " ", 3);
+		pages = g_ascii_strtoll(fields[1], NULL, 10);
+		g_strfreev(fields);
+	}
+	g_free(text);
+	g_free(path);
+	return pages * sysconf(_SC_PAGESIZE);
+}
+
 int64_t proc_metric(const struct proc *p, const char *name)
 {
 	struct reply r = call_local(p->port, "GET", "/metrics", NULL, NULL);
--- a/node/test-harness.h
+++ b/node/test-harness.h
@@ -89,6 +89,8 @@
 int proc_wait(struct proc *p);
 /* Return a counter of GET /metrics, or -1 if the process has none of it. */
 int64_t proc_metric(const struct proc *p, const char *name);
+/* Return the resident memory of a process in bytes; 0: it can't be read. */
+int64_t proc_memory_bytes(const struct proc *p);
 /* Set the faults of a stand-in with PUT /standin/faults. */
 void proc_set_faults(const struct proc *p, const char *json);
 
