entry: the gate derives what origins already knows of a version

Cause: version-gate kept its own mark of what is listed, set in two passes beside that of origins, the time of learning beside that of opening, and each caller of version_gate_confirm worked out whether it opened the version.

Change: origins tells the gate of each list once (version_gate_set_listed), a version is added to both in one place, and version_gate_confirm returns whether it opened it. Behaviour as before.

--- a/entry/origins.c
+++ b/entry/origins.c
@@ -236,6 +236,26 @@
 	}
 }
 
+/* Tell the gate which versions the list has. */
+static void tell_gate_of_list(struct origins *o, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct service *s = p;
+
+		for (guint i = 0; i < s->versions->len; i++) {
+			const struct version *v =
+				&g_array_index(s->versions, struct version, i);
+
+			version_gate_set_listed(o->gate, v->id, v->listed,
+						now_ms);
+		}
+	}
+}
+
 /* A version that has served alone is known to all nodes. */
 static void open_sole_versions(struct origins *o, int64_t now_ms)
 {
@@ -267,10 +287,18 @@
 	}
 }
 
+static void append_version(struct origins *o, struct service *s,
+			   const struct version *added, int64_t now_ms)
+{
+	g_array_append_val(s->versions, *added);
+	version_gate_add(o->gate, s->id, added->id, now_ms);
+}
+
+/* Add a version that is not saved yet. */
 static void add_version(struct origins *o, struct service *s,
 			const struct version *added, int64_t now_ms)
 {
-	g_array_append_val(s->versions, *added);
+	append_version(o, s, added, now_ms);
 	o->changes++;
 	forget_conclusions(o, s->id, now_ms);
 }
@@ -284,7 +312,6 @@
 	if (!o->history_complete_ms)
 		o->history_complete_ms = now_ms + ORIGIN_TTL_MS;
 	unlist_all(o, now_ms);
-	version_gate_unlist_all(o->gate);
 	for (size_t i = 0; i < l->n; i++) {
 		const struct target_info *t = &l->v[i];
 		struct version added = {
@@ -293,7 +320,6 @@
 		struct service *s = service_of(o, str_hash(t->service, 0));
 		struct version *v = find_version(s, added.id);
 
-		version_gate_add(o->gate, s->id, added.id, true, now_ms);
 		if (v) {
 			v->listed = true;
 			continue;
@@ -304,7 +330,7 @@
 			  STR_ARG(t->service), STR_ARG(t->version),
 			  s->versions->len);
 	}
-	version_gate_end_list(o->gate);
+	tell_gate_of_list(o, now_ms);
 	open_sole_versions(o, now_ms);
 	news = version_gate_has_due(o->gate, now_ms);
 	g_mutex_unlock(&o->lock);
@@ -365,8 +391,7 @@
 			(uint64_t)json_integer_value(json_array_get(row, 0)));
 
 		if (!find_version(s, added.id))
-			g_array_append_val(s->versions, added);
-		version_gate_add(o->gate, s->id, added.id, false, now_ms);
+			append_version(o, s, &added, now_ms);
 		if (json_is_true(json_array_get(row, 2)))
 			version_gate_open(o->gate, added.id);
 	}
@@ -445,20 +470,22 @@
 		add_version(o, s, &added, now_ms);
 	else if (!known->listed)
 		known->expires_ms = added.expires_ms;
-	version_gate_add(o->gate, v->service, v->software, false, now_ms);
 }
 
-/* The same of a notice, which says more. Return whether it opens the version.
+/*
+ * Apply a notice; return whether streams may begin at its version and could not
+ * before. Called with the lock held.
  */
 static bool apply_notice(struct origins *o, uint64_t node,
 			 const struct version_notice *v, int64_t now_ms)
 {
-	bool before = version_gate_is_open(o->gate, v->software);
+	bool opened;
 
 	note_version(o, v, now_ms);
-	version_gate_confirm(o->gate, v->software, node, v->open, now_ms);
-	o->changes += v->open && !before;
-	return v->open && !before;
+	opened = version_gate_confirm(o->gate, v->software, node, v->open,
+				      now_ms);
+	o->changes += opened;
+	return opened;
 }
 
 bool origins_apply_notices(struct origins *o, uint64_t node,
--- a/entry/version-gate.c
+++ b/entry/version-gate.c
@@ -14,12 +14,10 @@
 
 struct gate {
 	uint64_t version, service;
-	bool listed;
 	bool open;
 	bool opened_here; /* the other nodes have to be told that it is open */
 	bool done;        /* no node has to be told any more */
 	int64_t opens_at_ms;
-	int64_t learned_ms;
 	int64_t listed_since_ms; /* 0: it is not */
 	int64_t send_at_ms;
 	GHashTable *nodes; /* ids of those that have confirmed it */
@@ -58,47 +56,32 @@
 }
 
 void version_gate_add(struct version_gate *g, uint64_t service,
-		      uint64_t version, bool listed, int64_t now_ms)
+		      uint64_t version, int64_t now_ms)
 {
 	struct gate *e = find(g, version);
 
-	if (!e) {
-		e = g_new0(struct gate, 1);
-		e->version = version;
-		e->service = service;
-		e->learned_ms = now_ms;
-		e->opens_at_ms = now_ms + VERSION_GATE_MS;
-		e->nodes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						 g_free, NULL);
-		g_hash_table_insert(g->v, &e->version, e);
-	}
-	e->listed |= listed;
-	if (listed && !e->listed_since_ms)
-		e->listed_since_ms = now_ms;
-}
-
-void version_gate_unlist_all(struct version_gate *g)
-{
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, g->v);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		((struct gate *)p)->listed = false;
+	if (e)
+		return;
+	e = g_new0(struct gate, 1);
+	e->version = version;
+	e->service = service;
+	e->opens_at_ms = now_ms + VERSION_GATE_MS;
+	e->nodes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 NULL);
+	g_hash_table_insert(g->v, &e->version, e);
 }
 
-void version_gate_end_list(struct version_gate *g)
+void version_gate_set_listed(struct version_gate *g, uint64_t version,
+			     bool listed, int64_t now_ms)
 {
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, g->v);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct gate *e = p;
+	struct gate *e = find(g, version);
 
-		if (!e->listed)
-			e->listed_since_ms = 0;
-	}
+	if (!e)
+		return;
+	if (!listed)
+		e->listed_since_ms = 0;
+	else if (!e->listed_since_ms)
+		e->listed_since_ms = now_ms;
 }
 
 void version_gate_drop(struct version_gate *g, uint64_t version)
@@ -127,24 +110,26 @@
 {
 	log_event(EV_VERSION_KNOWN,
 		  "version_id=%" G_GINT64_MODIFIER "x why=%s ms=%d nodes=%u",
-		  e->version, why, (int)(now_ms - e->learned_ms),
+		  e->version, why,
+		  (int)(now_ms - e->opens_at_ms + VERSION_GATE_MS),
 		  g_hash_table_size(e->nodes));
 }
 
-void version_gate_confirm(struct version_gate *g, uint64_t version,
+bool version_gate_confirm(struct version_gate *g, uint64_t version,
 			  uint64_t node, bool open, int64_t now_ms)
 {
 	struct gate *e = find(g, version);
 
 	if (!e)
-		return;
+		return false;
 	if (!g_hash_table_contains(e->nodes, &node))
 		g_hash_table_add(e->nodes, g_memdup2(&node, sizeof(node)));
 	if (!open || e->open)
-		return;
+		return false;
 	/* That node tells the others. */
 	e->open = e->done = true;
 	log_open(e, "node", now_ms);
+	return true;
 }
 
 static bool all_have_confirmed(const struct gate *e, const uint64_t *nodes,
@@ -188,7 +173,7 @@
 
 static bool is_due(const struct gate *e, int64_t now_ms)
 {
-	return e->listed && !e->done && now_ms >= e->send_at_ms;
+	return e->listed_since_ms && !e->done && now_ms >= e->send_at_ms;
 }
 
 bool version_gate_has_due(const struct version_gate *g, int64_t now_ms)
--- a/entry/version-gate.h
+++ b/entry/version-gate.h
@@ -30,13 +30,12 @@
 struct version_gate *version_gate_new(void);
 void version_gate_free(struct version_gate *g);
 
-/* This node knows of the version; listed: by its list of targets. */
+/* This node knows of the version from now on. */
 void version_gate_add(struct version_gate *g, uint64_t service,
-		      uint64_t version, bool listed, int64_t now_ms);
-/* A list begins that has only the versions that are added as listed next. */
-void version_gate_unlist_all(struct version_gate *g);
-/* It ends. */
-void version_gate_end_list(struct version_gate *g);
+		      uint64_t version, int64_t now_ms);
+/* Whether a list of targets has the version. */
+void version_gate_set_listed(struct version_gate *g, uint64_t version,
+			     bool listed, int64_t now_ms);
 /* The version is forgotten. */
 void version_gate_drop(struct version_gate *g, uint64_t version);
 /*
@@ -47,8 +46,11 @@
 bool version_gate_open(struct version_gate *g, uint64_t version);
 /* Whether they may; false for a version that is not known. */
 bool version_gate_is_open(const struct version_gate *g, uint64_t version);
-/* A node has said that it knows of the version; open: streams begin there. */
-void version_gate_confirm(struct version_gate *g, uint64_t version,
+/*
+ * A node has said that it knows of the version; open: streams begin there.
+ * Return whether they may begin here now and could not before.
+ */
+bool version_gate_confirm(struct version_gate *g, uint64_t version,
 			  uint64_t node, bool open, int64_t now_ms);
 /*
  * Open the versions that all of the given nodes have confirmed, and those whose
@@ -64,6 +66,7 @@
 size_t version_gate_take_due(struct version_gate *g, const uint64_t *nodes,
 			     size_t n, int64_t now_ms, struct version_news *out,
 			     size_t max);
+/* Whether there is any. */
 bool version_gate_has_due(const struct version_gate *g, int64_t now_ms);
 /* Whether the node has confirmed the version. */
 bool version_gate_has_confirmed(const struct version_gate *g, uint64_t version,
