entry: one answer to whether all nodes are known, and to what is news to one

Change: control_knows_nodes serves warm-ups, records, relays and versions; origins_news_for serves both senders, with one lock a node. Behaviour as before.

--- a/entry/control.c
+++ b/entry/control.c
@@ -190,6 +190,12 @@
 			member_join(c->member, address);
 }
 
+bool control_knows_nodes(const struct control *c, int64_t now_ms)
+{
+	return now_ms >= c->peers_known_at_ms ||
+	       discovery_has_read(c->discovery);
+}
+
 /*
  * Tell the warm-ups which nodes are known, live or not. A node that knows only
  * some of the others would take more than its share, so they have to be read
@@ -199,8 +205,7 @@
 			     int64_t now_ms)
 {
 	if (c->warmup_view == c->published_view ||
-	    (now_ms < c->peers_known_at_ms &&
-	     !discovery_has_read(c->discovery)))
+	    !control_knows_nodes(c, now_ms))
 		return;
 	c->warmup_view = c->published_view;
 	warmup_set_nodes(c->e->warmup, l->known_ids, l->known, now_ms);
--- a/entry/control.h
+++ b/entry/control.h
@@ -67,6 +67,12 @@
 	size_t next_relay;             /* round-robin position for queries */
 };
 
+/*
+ * Whether all nodes are known, live or not: they have been read from the store
+ * or have had time to introduce themselves.
+ */
+bool control_knows_nodes(const struct control *c, int64_t now_ms);
+
 /*
  * peer-messages.c: load reports and store queries between nodes, one datagram
  * per message, in addition to the membership protocol.
--- a/entry/origins.c
+++ b/entry/origins.c
@@ -445,16 +445,19 @@
 	return n;
 }
 
-bool origins_is_news_to(struct origins *o, const struct version_news *v,
-			uint64_t node)
+size_t origins_news_for(struct origins *o, const struct version_news *v,
+			size_t n, uint64_t node, struct version_notice *out)
 {
-	bool is_news;
+	size_t count = 0;
 
 	g_mutex_lock(&o->lock);
-	is_news = v->to_all ||
-		  !version_gate_has_confirmed(o->gate, v->version, node);
+	for (size_t i = 0; i < n; i++)
+		if (v[i].to_all ||
+		    !version_gate_has_confirmed(o->gate, v[i].version, node))
+			out[count++] = (struct version_notice){
+				v[i].service, v[i].version, v[i].open};
 	g_mutex_unlock(&o->lock);
-	return is_news;
+	return count;
 }
 
 /* Note that another node knows of a version; called with the lock held. */
--- a/entry/origins.h
+++ b/entry/origins.h
@@ -129,9 +129,12 @@
 			    int64_t now_ms);
 size_t origins_take_news(struct origins *o, const uint64_t *nodes, size_t n,
 			 int64_t now_ms, struct version_news *out, size_t max);
-/* Whether a node is to be told of a version. */
-bool origins_is_news_to(struct origins *o, const struct version_news *v,
-			uint64_t node);
+/*
+ * Write what a node is to be told of the news to out, which has room for n.
+ * Return how many entries there are.
+ */
+size_t origins_news_for(struct origins *o, const struct version_news *v,
+			size_t n, uint64_t node, struct version_notice *out);
 /*
  * Apply another node's notices. Write what this node says of these versions to
  * answer, which has room for n. Return whether streams may begin at a version
--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -494,8 +494,7 @@
 		MIN(r.relay ? RELAY_QUERY_INTERVAL_MS : QUERY_INTERVAL_MS,
 		    c->e->control_settings.bounds_drain_ms / QUERIES_PER_DRAIN);
 	/* Until the other nodes are known, each is the only one to itself. */
-	if (r.n <= 1 && l->n <= 1 && now_ms < c->peers_known_at_ms &&
-	    !discovery_has_read(c->discovery))
+	if (r.n <= 1 && l->n <= 1 && !control_knows_nodes(c, now_ms))
 		return;
 	store_sync_set_reader(c->sync, r.reader, l->n);
 	discovery_set_reader(c->discovery, r.reader);
--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -289,8 +289,7 @@
 static bool knows_peers(const struct control *c, const struct peer_list *l,
 			int64_t now_ms)
 {
-	return l->n > 1 || now_ms >= c->peers_known_at_ms ||
-	       discovery_has_read(c->discovery);
+	return l->n > 1 || control_knows_nodes(c, now_ms);
 }
 
 static void set_nodes(struct control *c, const struct peer_list *l,
--- a/entry/peer-versions.c
+++ b/entry/peer-versions.c
@@ -13,8 +13,7 @@
 	*n = 0;
 	/* The list may be older than what the store has shown. */
 	if (c->published_view != member_view_version(c->member) ||
-	    (now_ms < c->peers_known_at_ms &&
-	     !discovery_has_read(c->discovery)))
+	    !control_knows_nodes(c, now_ms))
 		return NULL;
 	for (size_t i = 0; i < l->known; i++)
 		if (l->known_ids[i] != self)
@@ -34,19 +33,13 @@
 	struct peer_message m = {.kind = PEER_VERSIONS};
 	struct version_notices *notices = &m.peer_message_u.versions;
 	struct version_notice entries[VERSION_NOTICES_MAX];
-	u_int count = 0;
+	size_t count = origins_news_for(c->e->origins, v, n, peer->id, entries);
 
-	for (size_t i = 0; i < n; i++) {
-		if (!origins_is_news_to(c->e->origins, &v[i], peer->id))
-			continue;
-		entries[count++] = (struct version_notice){
-			v[i].service, v[i].version, v[i].open};
-	}
 	if (!count)
 		return;
 	notices->node = member_id(c->e->control_settings.node_name);
 	notices->confirm = true;
-	notices->entries.entries_len = count;
+	notices->entries.entries_len = (u_int)count;
 	notices->entries.entries_val = entries;
 	peers_send_message(c, &peer->report_address, &m);
 }
--- a/entry/test-version-gate.c
+++ b/entry/test-version-gate.c
@@ -216,10 +216,7 @@
 			continue;
 		m = post(f, MESSAGE_NOTICES, n, to, now_ms);
 		m->notices.confirm = true;
-		for (size_t k = 0; k < count; k++)
-			if (origins_is_news_to(n->o, &v[k], to->id))
-				m->versions[m->n++] = (struct version_notice){
-					v[k].service, v[k].version, v[k].open};
+		m->n = origins_news_for(n->o, v, count, to->id, m->versions);
 		posted(m);
 	}
 }
