--- a/entry/control.c
+++ b/entry/control.c
@@ -232,6 +232,7 @@
 	peers_send_loads(c, l, now_ms);
 	peers_query_relays(c, l, now_ms);
 	peers_relay_loads(c, l, now_ms);
+	peers_sweep_origins(c, l, now_ms);
 	exchange_origins(c, l, now_ms);
 	peers_send_records(c, l, now_ms);
 	peer_list_unref(l);
--- a/entry/control.h
+++ b/entry/control.h
@@ -108,6 +108,9 @@
 
 /* peer-origins.c: messages about the versions at which streams began. */
 
+/* Forget what has expired, and note how new the list of targets is. */
+void peers_sweep_origins(struct control *c, const struct peer_list *l,
+			 int64_t now_ms);
 /* Send the records of streams that other nodes need. */
 void peers_send_origins(struct control *c, const struct peer_list *l,
 			int64_t now_ms);
--- a/entry/peer-origins.c
+++ b/entry/peer-origins.c
@@ -109,6 +109,16 @@
 	return true;
 }
 
+void peers_sweep_origins(struct control *c, const struct peer_list *l,
+			 int64_t now_ms)
+{
+	origins_sweep(c->e->origins, now_ms);
+	/* Most nodes of the fleet, as others may reach the store. */
+	origins_set_list_time(
+		c->e->origins, store_sync_targets_confirmed_ms(c->sync),
+		store_sync_is_failing(c->sync) && 2 * l->n > l->known, now_ms);
+}
+
 void peers_send_origins(struct control *c, const struct peer_list *l,
 			int64_t now_ms)
 {
@@ -117,11 +127,6 @@
 	struct outboxes b;
 	size_t n;
 
-	origins_sweep(c->e->origins, now_ms);
-	/* Most nodes of the fleet, as others may reach the store. */
-	origins_set_list_time(
-		c->e->origins, store_sync_targets_confirmed_ms(c->sync),
-		store_sync_is_failing(c->sync) && 2 * l->n > l->known, now_ms);
 	/* Records stay unsent until other nodes are known. */
 	if (l->n <= 1)
 		return;
