entry: one walk tells the gate of the versions

Cause: two functions walked all services after each list, one to tell the gate what is listed, one to open versions that have served alone.

Change: update_gate does both.

--- a/entry/origins.c
+++ b/entry/origins.c
@@ -236,8 +236,11 @@
 	}
 }
 
-/* Tell the gate which versions the list has. */
-static void tell_gate_of_list(struct origins *o, int64_t now_ms)
+/*
+ * Tell the gate which versions the list has. One that has served alone is known
+ * to all nodes.
+ */
+static void update_gate(struct origins *o, int64_t now_ms)
 {
 	GHashTableIter it;
 	gpointer p;
@@ -245,6 +248,7 @@
 	g_hash_table_iter_init(&it, o->services);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct service *s = p;
+		uint64_t sole = sole_version(o, s, now_ms);
 
 		for (guint i = 0; i < s->versions->len; i++) {
 			const struct version *v =
@@ -253,19 +257,6 @@
 			version_gate_set_listed(o->gate, v->id, v->listed,
 						now_ms);
 		}
-	}
-}
-
-/* A version that has served alone is known to all nodes. */
-static void open_sole_versions(struct origins *o, int64_t now_ms)
-{
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, o->services);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		uint64_t sole = sole_version(o, p, now_ms);
-
 		if (sole)
 			o->changes += version_gate_open(o->gate, sole);
 	}
@@ -330,8 +321,7 @@
 			  STR_ARG(t->service), STR_ARG(t->version),
 			  s->versions->len);
 	}
-	tell_gate_of_list(o, now_ms);
-	open_sole_versions(o, now_ms);
+	update_gate(o, now_ms);
 	news = version_gate_has_due(o->gate, now_ms);
 	g_mutex_unlock(&o->lock);
 	return news;
@@ -397,7 +387,7 @@
 	}
 	o->history_complete_ms = now_ms;
 	o->lacks_history = false;
-	open_sole_versions(o, now_ms);
+	update_gate(o, now_ms);
 	g_mutex_unlock(&o->lock);
 }
 
