--- a/review/stand-ins-2/stand-in.c
+++ b/review/stand-ins-2/stand-in.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdatomic.h>
@@ -52,6 +53,8 @@
 	struct entry entries[ENTRIES_MAX];
 	size_t entry_count;
 	int store_port, first_port;
+	bool relayed;    /* see start_relay */
+	GList *channels; /* struct channel, those open in the relay */
 	atomic_int ids;
 } s;
 
@@ -802,10 +805,96 @@
 
 /* Requesters. */
 
+/* A requester's channel in the relay; its thread owns it. */
+struct channel {
+	int fds[2]; /* to the requester, to the entry */
+	size_t entry;
+	atomic_bool reset;
+};
+
+/* Pass on what one side has sent; false: it has ended. */
+static bool copy_bytes(int from, int to)
+{
+	char p[4096];
+	ssize_t n = recv(from, p, sizeof(p), MSG_DONTWAIT);
+
+	if (n < 0)
+		return errno == EAGAIN;
+	return n > 0 && send_bytes(to, p, (size_t)n);
+}
+
+static void *serve_channel(void *p)
+{
+	struct channel *c = p;
+	struct linger at_once = {1, 0};
+	bool open = true;
+
+	while (open && !atomic_load(&c->reset)) {
+		struct pollfd polls[2] = {{c->fds[0], POLLIN, 0},
+					  {c->fds[1], POLLIN, 0}};
+
+		if (poll(polls, 2, 2) <= 0)
+			continue;
+		for (int i = 0; i < 2 && open; i++)
+			if (polls[i].revents)
+				open = copy_bytes(c->fds[i], c->fds[!i]);
+	}
+	g_mutex_lock(&s.lock);
+	s.channels = g_list_remove(s.channels, c);
+	g_mutex_unlock(&s.lock);
+	for (int i = 0; i < 2; i++) {
+		if (atomic_load(&c->reset))
+			setsockopt(c->fds[i], SOL_SOCKET, SO_LINGER, &at_once,
+				   sizeof(at_once));
+		close(c->fds[i]);
+	}
+	g_free(c);
+	return NULL;
+}
+
+void start_relay(void)
+{
+	s.relayed = true;
+}
+
+int reset_channels(size_t entry, double share)
+{
+	int n = 0;
+
+	g_mutex_lock(&s.lock);
+	for (GList *l = s.channels; l; l = l->next) {
+		struct channel *c = l->data;
+
+		if (c->entry != entry || g_random_double() >= share)
+			continue;
+		atomic_store(&c->reset, true);
+		n++;
+	}
+	g_mutex_unlock(&s.lock);
+	return n;
+}
+
 int connect_to(size_t entry, int receive_bytes)
 {
-	return dial(s.entries[entry].ip, s.first_port + PORT_CALLERS,
-		    receive_bytes);
+	int fd = dial(s.entries[entry].ip, s.first_port + PORT_CALLERS,
+		      receive_bytes);
+	struct channel *c;
+	int ends[2];
+
+	if (fd < 0 || !s.relayed)
+		return fd;
+	/* The requester has the other end of a pair of sockets. */
+	if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends) < 0)
+		give_up("no sockets: %s", g_strerror(errno));
+	c = g_new0(struct channel, 1);
+	c->fds[0] = ends[0];
+	c->fds[1] = fd;
+	c->entry = entry;
+	g_mutex_lock(&s.lock);
+	s.channels = g_list_prepend(s.channels, c);
+	g_mutex_unlock(&s.lock);
+	g_thread_unref(g_thread_new("relay", serve_channel, c));
+	return ends[1];
 }
 
 char *new_id(void)
--- a/review/stand-ins-2/stand-in.h
+++ b/review/stand-ins-2/stand-in.h
@@ -75,6 +75,13 @@
 	bool reset;           /* the channel was reset */
 };
 
+/*
+ * Have the requesters' channels to the entries pass through a relay from now
+ * on, which can reset them.
+ */
+void start_relay(void);
+/* Reset a share of an entry's channels that are open; return their number. */
+int reset_channels(size_t entry, double share);
 /* Connect to an entry; receive_bytes: SO_RCVBUF, 0: the default. */
 int connect_to(size_t entry, int receive_bytes);
 /* Return an id that no request has had. */
