--- a/review/stand-ins-2/stand-in.c
+++ b/review/stand-ins-2/stand-in.c
@@ -25,6 +25,8 @@
 #define PORT_ENTRIES  2
 #define PORT_PEERS    3 /* and the next one */
 #define PORT_METRICS  19464
+#define MEMORY_MB     260
+#define RESTART_MS    500
 #define READY_MAX_MS  20000
 #define HEARTBEAT_MS  1200
 #define REQUEST_MAX   65536
@@ -37,6 +39,8 @@
 
 struct entry {
 	pid_t pid; /* 0: does not run */
+	int kills; /* for its memory */
+	int most_mb;
 	char ip[48];
 	char *settings;
 };
@@ -56,6 +60,8 @@
 	bool relayed;    /* see start_relay */
 	GList *channels; /* struct channel, those open in the relay */
 	atomic_int ids;
+	atomic_int_least64_t silent_until_us; /* see silence_engines */
+	atomic_bool stopping;
 } s;
 
 static void write_line(const char *fmt, va_list ap)
@@ -165,6 +171,47 @@
 	return NULL;
 }
 
+/*
+ * Read a head, and a body with a length, which is dropped; the engine may fall
+ * silent. NULL when the connection ends.
+ */
+static char *read_upload(int fd)
+{
+	GString *text = g_string_new(NULL);
+	char *end = NULL, *length, p[16384];
+	int64_t missing = 1;
+
+	while (missing > 0) {
+		ssize_t n;
+
+		while (g_get_monotonic_time() < atomic_load(&s.silent_until_us))
+			g_usleep(5000);
+		n = recv(fd, p, sizeof(p), 0);
+		if (n <= 0 || text->len > REQUEST_MAX) {
+			g_string_free(text, TRUE);
+			return NULL;
+		}
+		if (end) {
+			missing -= n;
+			continue;
+		}
+		g_string_append_len(text, p, n);
+		end = strstr(text->str, "\r\n\r\n");
+		if (!end)
+			continue;
+		length = strcasestr(text->str, "\r\nContent-Length:");
+		missing = (length && length < end ? atol(length + 17) : 0) -
+			  (int64_t)(text->len - (gsize)(end + 4 - text->str));
+	}
+	return g_string_free(text, FALSE);
+}
+
+void silence_engines(int ms)
+{
+	atomic_store(&s.silent_until_us,
+		     g_get_monotonic_time() + (int64_t)ms * 1000);
+}
+
 /* Copy the value of a header; NULL: the message has none. */
 static char *copy_header(const char *message, const char *name)
 {
@@ -469,7 +516,7 @@
 	bool keep = true;
 	char *message;
 
-	while (keep && (message = read_message(c->fd))) {
+	while (keep && (message = read_upload(c->fd))) {
 		struct engine_request r = {.engine = c->engine, .fd = c->fd};
 		char *after = copy_header(message, "Last-Event-Id");
 		char *expected =
@@ -729,6 +776,55 @@
 		start_entry(&s.entries[i]);
 }
 
+/* Return the resident memory of a process in bytes; 0: it has ended. */
+static int64_t resident_bytes(pid_t pid)
+{
+	char *path = g_strdup_printf("/proc/%d/statm", (int)pid), *text = NULL;
+	long pages = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		(void)sscanf(text, "%*d %ld", &pages);
+	g_free(text);
+	g_free(path);
+	return (int64_t)pages * sysconf(_SC_PAGESIZE);
+}
+
+static void *check_memory(void *p)
+{
+	(void)p;
+	while (!atomic_load(&s.stopping)) {
+		for (size_t i = 0; i < s.entry_count; i++) {
+			struct entry *e = &s.entries[i];
+			int mb = (int)(resident_bytes(e->pid) >> 20);
+
+			e->most_mb = MAX(e->most_mb, mb);
+			if (mb <= MEMORY_MB)
+				continue;
+			record("entry %d has %d MB, over its %d, and is killed",
+			       (int)i + 1, mb, MEMORY_MB);
+			signal_entry(i, SIGKILL);
+			e->kills++;
+			g_usleep(RESTART_MS * 1000);
+			start_entry(e);
+		}
+		g_usleep(5000);
+	}
+	return NULL;
+}
+
+static GThread *memory_watch;
+
+void watch_memory(void)
+{
+	memory_watch = g_thread_new("memory", check_memory, NULL);
+}
+
+int memory_kills(size_t i, int *most_mb)
+{
+	*most_mb = s.entries[i].most_mb;
+	return s.entries[i].kills;
+}
+
 static int dial(const char *ip, int port, int receive_bytes)
 {
 	struct sockaddr_in at = {.sin_family = AF_INET,
@@ -791,6 +887,9 @@
 
 void stop_entries(void)
 {
+	atomic_store(&s.stopping, true);
+	if (memory_watch)
+		g_thread_join(memory_watch);
 	for (size_t i = 0; i < s.entry_count; i++) {
 		struct entry *e = &s.entries[i];
 
@@ -914,6 +1013,26 @@
 			path, id, deadline_ms, headers);
 }
 
+bool send_upload(int fd, const char *path, const char *id, int deadline_ms,
+		 size_t n)
+{
+	static const char zeros[65536];
+	bool ok = send_text(fd,
+			    "POST %s HTTP/1.1\r\nHost: a.example\r\n"
+			    "Auburnramp-Attempt-Id: %s\r\n"
+			    "Auburnramp-Deadline-Ms: %d\r\n"
+			    "Content-Length: %zu\r\n\r\n",
+			    path, id, deadline_ms, n);
+
+	while (ok && n) {
+		size_t part = MIN(n, sizeof(zeros));
+
+		ok = send_bytes(fd, zeros, part);
+		n -= part;
+	}
+	return ok;
+}
+
 /* Return the number of the last whole event in the text; 0: there is none. */
 static int last_event_of(const char *text)
 {
--- a/review/stand-ins-2/stand-in.h
+++ b/review/stand-ins-2/stand-in.h
@@ -47,6 +47,8 @@
 /* Write op/config with routes /safe/ and /stream/ to the service pool. */
 void write_manifest(void);
 struct engine *start_engine(const char *version, engine_fn *answer);
+/* Have all engines read nothing for a time. */
+void silence_engines(int ms);
 /* Send bytes; false when the connection has ended. */
 bool send_bytes(int fd, const char *p, size_t n);
 bool send_text(int fd, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
@@ -63,6 +65,13 @@
 void wait_until_ready(void);
 void signal_entry(size_t i, int sig);
 bool entry_runs(size_t i);
+/*
+ * From now on, kill each entry whose memory exceeds the limit of its settings,
+ * and start it again, as the platform does.
+ */
+void watch_memory(void);
+/* Return how often that was so, and the most MB that it was seen to have. */
+int memory_kills(size_t i, int *most_mb);
 /* End all entries that still run. */
 void stop_entries(void);
 
@@ -88,6 +97,9 @@
 char *new_id(void);
 void send_request(int fd, const char *path, const char *id, int deadline_ms,
 		  const char *headers);
+/* The same with a body of n bytes; false when the channel has ended. */
+bool send_upload(int fd, const char *path, const char *id, int deadline_ms,
+		 size_t n);
 /*
  * Read the answer; after the first bytes of it, do not read for pause_ms.
  */
