Review case 6: a key that was taken away is in use after a drill of the store

When the store has come back from a copy, entries take its older manifest after 5 s, with a key that they had refused since RevokeMs.

--- a/review/stand-ins-2/stand-in.c
+++ b/review/stand-ins-2/stand-in.c
@@ -52,6 +52,11 @@
 	GMutex lock;      /* guards what follows */
 	GHashTable *rows; /* "table/key" -> struct row */
 	json_int_t revision;
+	/* What a copy has of them. */
+	GHashTable *copied_rows;
+	json_int_t copied_revision;
+	int era;   /* Store-Era */
+	bool away; /* the store is */
 	struct engine engines[ENGINES_MAX];
 	size_t engine_count;
 	struct entry entries[ENTRIES_MAX];
@@ -351,16 +356,20 @@
 }
 
 /* Wait until a table has rows that are newer than a revision. */
-static json_t *await_rows(const char *table, json_int_t since, int wait_ms)
+static json_t *await_rows(const char *table, json_int_t since, int wait_ms,
+			  int era)
 {
 	int64_t end_us = g_get_monotonic_time() + (int64_t)wait_ms * 1000;
 	json_t *rows;
+	bool ended;
 
 	while (true) {
 		g_mutex_lock(&s.lock);
 		rows = list_rows(table, "", since);
+		ended = s.away || s.era != era || since > s.revision ||
+			g_get_monotonic_time() >= end_us;
 		g_mutex_unlock(&s.lock);
-		if (json_array_size(rows) || g_get_monotonic_time() >= end_us)
+		if (json_array_size(rows) || ended)
 			return rows;
 		json_decref(rows);
 		g_usleep(STORE_FEED_MS * 1000);
@@ -374,21 +383,27 @@
 	char *since = copy_query(call, "SinceRevision");
 	char *wait = copy_query(call, "WaitMs");
 	json_t *rows = NULL, *tx = NULL, *body;
-	int status = 200;
+	int status = 200, era;
 	char *text;
 
+	g_mutex_lock(&s.lock);
+	era = s.era;
 	if (strstr(call, "/rows-feed?")) {
-		rows = await_rows(table, atoll(since), atoi(wait));
-		g_mutex_lock(&s.lock);
-	} else {
+		g_mutex_unlock(&s.lock);
+		rows = await_rows(table, atoll(since), atoi(wait), era);
 		g_mutex_lock(&s.lock);
-		if (strstr(call, "/rows-get?")) {
-			rows = list_rows(table, from, 0);
-		} else {
-			tx = json_loads(strstr(call, "\r\n\r\n") + 4, 0, NULL);
-			status = write_rows(tx, &rows);
-		}
+		/* A version that the store doesn't have. */
+		if (atoll(since) > s.revision)
+			status = 410;
+	} else if (strstr(call, "/rows-get?")) {
+		rows = list_rows(table, from, 0);
+	} else if (!s.away) {
+		tx = json_loads(strstr(call, "\r\n\r\n") + 4, 0, NULL);
+		status = write_rows(tx, &rows);
 	}
+	if (s.away || s.era != era)
+		status = 503;
+	era = s.era;
 	body = json_pack("{s:o, s:b, s:I, s:I}", "Rows",
 			 rows ? rows : json_array(), "HasMore", 0, "RowVersion",
 			 s.revision, "NowMs",
@@ -396,9 +411,10 @@
 	g_mutex_unlock(&s.lock);
 	text = json_dumps(body, JSON_COMPACT);
 	send_text(fd,
-		  "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+		  "HTTP/1.1 %d X\r\nStore-Era: %d\r\n"
+		  "Content-Type: application/json\r\n"
 		  "Content-Length: %zu\r\n\r\n%s",
-		  status, strlen(text), text);
+		  status, era, strlen(text), text);
 	free(text);
 	json_decref(body);
 	json_decref(tx);
@@ -437,14 +453,58 @@
 	char *encoded = g_base64_encode((guchar *)text, strlen(text));
 
 	g_mutex_lock(&s.lock);
-	s.revision++;
-	set_row(table, key, encoded);
+	/* Engines write again; the operator only writes while it is there. */
+	if (!s.away) {
+		s.revision++;
+		set_row(table, key, encoded);
+	}
 	g_mutex_unlock(&s.lock);
 	g_free(encoded);
 	free(text);
 	json_decref(value);
 }
 
+static GHashTable *copy_rows(GHashTable *from)
+{
+	GHashTable *to = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	gpointer name, v;
+
+	g_hash_table_iter_init(&it, from);
+	while (g_hash_table_iter_next(&it, &name, &v)) {
+		struct row *row = g_memdup2(v, sizeof(*row));
+
+		row->value = g_strdup(row->value);
+		g_hash_table_insert(to, g_strdup(name), row);
+	}
+	return to;
+}
+
+void copy_store(void)
+{
+	g_mutex_lock(&s.lock);
+	s.copied_rows = copy_rows(s.rows);
+	s.copied_revision = s.revision;
+	g_mutex_unlock(&s.lock);
+	record("the store is copied");
+}
+
+void restore_copy(int away_ms)
+{
+	record("the store is away for %d ms", away_ms);
+	g_mutex_lock(&s.lock);
+	s.away = true;
+	g_mutex_unlock(&s.lock);
+	g_usleep((gulong)away_ms * 1000);
+	g_mutex_lock(&s.lock);
+	s.rows = copy_rows(s.copied_rows);
+	s.revision = s.copied_revision;
+	s.era++;
+	s.away = false;
+	g_mutex_unlock(&s.lock);
+	record("the store is back from the copy");
+}
+
 static void remove_folder(void)
 {
 	for (size_t i = 0; i < s.entry_count; i++) {
@@ -472,11 +532,23 @@
 	listener = listen_any(&s.store_port);
 	g_thread_unref(
 		g_thread_new("store", accept_store, GINT_TO_POINTER(listener)));
-	write_manifest();
+	s.era = 1;
+	write_manifest(1, NULL, NULL);
+}
+
+/* Return a tenant, with its key unless that is NULL. */
+static json_t *tenant_json(const char *name, const char *key)
+{
+	json_t *keys = json_array();
+
+	if (key)
+		json_array_append_new(keys, json_string(key));
+	return json_pack("{s:s, s:o}", "Name", name, "ApiKeys", keys);
 }
 
-void write_manifest(void)
+void write_manifest(int version, const char *key, const char *second_key)
 {
+	json_t *manifest;
 	json_t *safe = json_pack(
 		"{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, "
 		"s:i}",
@@ -497,10 +569,19 @@
 		"{s:i, s:i, s:i, s:i}", "MaxHeaderBytes", 16384, "MaxBodyBytes",
 		4194304, "HeaderTimeoutMs", 3000, "IdleTimeoutMs", 15000);
 
-	write_row("op", "config",
-		  json_pack("{s:i, s:[o, o], s:[o], s:o}", "Version", 1,
-			    "Routes", safe, stream, "Services", service,
-			    "Limits", limits));
+	manifest = json_pack("{s:i, s:[o, o], s:[o], s:o}", "Version", version,
+			     "Routes", safe, stream, "Services", service,
+			     "Limits", limits);
+	if (key)
+		json_object_set_new(
+			manifest, "Tenants",
+			json_pack("[o, o]", tenant_json("tenant-1", key),
+				  tenant_json("tenant-2", second_key)));
+	write_row("op", "config", manifest);
+	record("the operator writes version %d, %s", version,
+	       second_key ? "with both keys"
+	       : key      ? "without the second key"
+			  : "without tenants");
 }
 
 /* Engines. */
--- a/review/stand-ins-2/stand-in.h
+++ b/review/stand-ins-2/stand-in.h
@@ -44,8 +44,18 @@
 void record(const char *fmt, ...) G_GNUC_PRINTF(1, 2);
 /* The same for a failure of the case itself; ends the process with 2. */
 void give_up(const char *fmt, ...) G_GNUC_PRINTF(1, 2) G_GNUC_NORETURN;
-/* Write op/config with routes /safe/ and /stream/ to the service pool. */
-void write_manifest(void);
+/*
+ * Write op/config with routes /safe/ and /stream/ to the service pool, and with
+ * a tenant for each key, which is not NULL: the second may have none.
+ */
+void write_manifest(int version, const char *key, const char *second_key);
+/* Keep a copy of the store's rows as they are. */
+void copy_store(void);
+/*
+ * Take the store away for a moment (503), and bring it back from the copy:
+ * what was written since is gone, and Store-Era rises by one.
+ */
+void restore_copy(int away_ms);
 struct engine *start_engine(const char *version, engine_fn *answer);
 /* Have all engines read nothing for a time. */
 void silence_engines(int ms);
