--- a/review/stand-ins-2/stand-in.c
+++ b/review/stand-ins-2/stand-in.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -26,6 +27,7 @@
 #define PORT_PEERS    3 /* and the next one */
 #define PORT_METRICS  19464
 #define MEMORY_MB     260
+#define FILES_MAX     4100
 #define RESTART_MS    500
 #define READY_MAX_MS  20000
 #define HEARTBEAT_MS  1200
@@ -815,9 +817,11 @@
 	if (e->pid < 0)
 		give_up("cannot fork");
 	if (!e->pid) {
+		struct rlimit files = {FILES_MAX, FILES_MAX};
 		int fd = open(log, O_WRONLY | O_CREAT | O_TRUNC, 0600);
 
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		setrlimit(RLIMIT_NOFILE, &files);
 		if (fd < 0 || getppid() != parent)
 			_exit(2);
 		dup2(fd, STDOUT_FILENO);
