peer messages: compute the total before looking up a node's counts

A relay that got a load report which it could not use, from a node that had been silent, ended by itself on x86-64 (SIGFPE in g_hash_table_lookup on a freed table): all requests that it held were lost.

Cause: send_total() passed load_relay_total(), which forgets silent nodes and frees their counts, and load_relay_counts_of() as arguments of one call. On x86-64 the second one is evaluated first, on arm64 it isn't.

No other call with two such arguments was found by reading.

--- a/entry/peer-messages.c
+++ b/entry/peer-messages.c
@@ -214,9 +214,10 @@
 		       uint64_t node)
 {
 	struct peer_message m = {.kind = PEER_LOAD_TOTAL};
+	/* First, as this may forget the node, and free its counts. */
+	GHashTable *total = load_relay_total(c->load_relay, time_boot_ms());
 
-	send_table(c, to, &m, &m.peer_message_u.load_total,
-		   load_relay_total(c->load_relay, time_boot_ms()),
+	send_table(c, to, &m, &m.peer_message_u.load_total, total,
 		   load_relay_counts_of(c->load_relay, node));
 }
 
