target limits: shares of nodes that don't answer pass on at once

Cause: shares were computed over the nodes that are live or suspected. A node is suspected 0.8 to 2.4 s after its kill and dead 4 s later, and the share then began with an empty bucket.

Change: nodes that are suspected have no share. What their shares would have brought since the ping that they didn't answer (MEMBER_SILENT_MS) is added to the buckets of those that take them over, up to their burst. The bound of LIMIT is kept: a killed node sends nothing in that time. The shares of rejections at brittle targets stay as they were, as a suspicion may be wrong and the targets fall of it.

LIMIT holds in all windows of it.

--- a/entry/control.c
+++ b/entry/control.c
@@ -137,6 +137,7 @@
 		if (!loads_address(p->info.control, &peer->report_address))
 			continue;
 		peer->id = p->id;
+		peer->suspected = p->state == MEMBER_SUSPECT;
 		peer->address = str_dup(l->arena, str_c(p->info.address));
 		peer->zone = str_dup(l->arena, str_c(p->info.zone));
 		l->n++;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -156,6 +156,7 @@
 	struct str address; /* IP:PORT for callers */
 	struct str zone;
 	struct sockaddr_in report_address; /* UDP, for peer-messages.c */
+	bool suspected; /* it has not answered for MEMBER_SILENT_MS */
 };
 
 /* The live nodes. Immutable once published; reference-counted. */
--- a/entry/peer-records.c
+++ b/entry/peer-records.c
@@ -292,6 +292,24 @@
 	return l->n > 1 || control_knows_nodes(c, now_ms);
 }
 
+/*
+ * Those that are suspected have no share of the limits, and the others take
+ * over theirs: a node that was killed would leave it unused until it is known
+ * to be dead.
+ */
+static void set_limit_nodes(struct control *c, const struct peer_list *l)
+{
+	uint64_t *ids = g_new(uint64_t, l->n + 1);
+	size_t n = 0;
+
+	for (size_t i = 0; i < l->n; i++)
+		if (!l->v[i].suspected)
+			ids[n++] = l->v[i].id;
+	target_limits_set_nodes(c->e->target_limits, ids, n,
+				n < l->n ? MEMBER_SILENT_MS : 0);
+	g_free(ids);
+}
+
 static void set_nodes(struct control *c, const struct peer_list *l,
 		      int64_t now_ms)
 {
@@ -300,11 +318,11 @@
 	if (c->records_view == c->published_view || !knows_peers(c, l, now_ms))
 		return;
 	c->records_view = c->published_view;
+	set_limit_nodes(c, l);
 	ids = g_new(uint64_t, l->n + 1);
 	for (size_t i = 0; i < l->n; i++)
 		ids[i] = l->v[i].id;
-	target_limits_set_nodes(c->e->target_limits, ids, l->n);
-	target_limits_set_nodes(c->e->overflow_limits, ids, l->n);
+	target_limits_set_nodes(c->e->overflow_limits, ids, l->n, 0);
 	crash_causes_set_nodes(c->e->crash_causes,
 			       member_id(c->e->control_settings.node_name), ids,
 			       l->n);
--- a/entry/test-brittle-fleet.c
+++ b/entry/test-brittle-fleet.c
@@ -150,8 +150,8 @@
 		target_limits_new(&limit_overflow, peers->v[i].id, NULL, NULL);
 	for (size_t k = 0; k < peers->n; k++)
 		ids[k] = peers->v[k].id;
-	target_limits_set_nodes(e->target_limits, ids, peers->n);
-	target_limits_set_nodes(e->overflow_limits, ids, peers->n);
+	target_limits_set_nodes(e->target_limits, ids, peers->n, 0);
+	target_limits_set_nodes(e->overflow_limits, ids, peers->n, 0);
 	g_free(ids);
 	pool_init(&e->tr);
 	take_list(p, &p->nodes[i]);
--- a/member/internal.h
+++ b/member/internal.h
@@ -8,7 +8,8 @@
 
 #include "member/member.h"
 
-#define PROBE_PERIOD_MS         800  /* one member is probed per period */
+/* One member is probed per period, and may be suspected at its end. */
+#define PROBE_PERIOD_MS         MEMBER_SILENT_MS
 #define PING_TIMEOUT_MS         250  /* before relays are asked */
 #define RELAYED_PING_TIMEOUT_MS 300  /* before a relay sends its nack */
 #define PING_REQ_FANOUT         4    /* relays asked per probe */
--- a/member/member.h
+++ b/member/member.h
@@ -29,6 +29,8 @@
 /* Largest message in bytes, IPv4 and UDP headers included. */
 #define MEMBER_PACKET_MAX_BYTES 1000
 #define MEMBER_KEY_BYTES        32
+/* A member that is suspected has not answered for this long or longer. */
+#define MEMBER_SILENT_MS 800
 
 struct member;
 
--- a/route/target-limits.c
+++ b/route/target-limits.c
@@ -3,9 +3,10 @@
  * of another node, and there may be many more nodes than requests a second. So
  * the first nodes in the rendezvous order of the target share its limit, as
  * many as can each begin with one request without exceeding it together. Each
- * has a token bucket, which is empty when the node gets its share, as those
- * that had it before may have used it up.
+ * has a token bucket. When the node gets its share, the bucket holds what those
+ * that had it before are known not to have sent, else nothing.
  */
+#include <math.h>
 #include <stdatomic.h>
 
 #include "route/route.h"
@@ -31,8 +32,9 @@
 	uint64_t self;
 	uint64_t *nodes;
 	size_t node_count;
-	uint64_t version; /* of nodes; 0: not set yet */
-	size_t list_next; /* where target_limits_list goes on */
+	uint64_t version;  /* of nodes; 0: not set yet */
+	int64_t unsent_ms; /* see target_limits_set_nodes */
+	size_t list_next;  /* where target_limits_list goes on */
 	unsigned rounds;
 	bool forward;
 	bool has_updates;
@@ -73,10 +75,11 @@
 }
 
 void target_limits_set_nodes(struct target_limits *t, const uint64_t *nodes,
-			     size_t n)
+			     size_t n, int64_t unsent_ms)
 {
 	g_mutex_lock(&t->lock);
 	g_free(t->nodes);
+	t->unsent_ms = unsent_ms;
 	t->nodes = g_memdup2(nodes, n * sizeof(*nodes));
 	t->node_count = n;
 	t->version++;
@@ -91,7 +94,8 @@
 	double per_s = (double)MAX(x->l.per_1000_s, p->min_per_1000_s) / 1000;
 	double burst = p->burst_min + p->burst_s * per_s;
 	size_t n = MIN((size_t)burst, MAX(t->node_count, 1));
-	bool had_share = x->per_ms > 0;
+	double per_ms_before = x->per_ms;
+	bool took_over = x->version && x->version != t->version;
 
 	x->version = t->version;
 	x->per_ms = 0;
@@ -103,10 +107,12 @@
 	}
 	x->per_ms = per_s / 1000 / (double)n;
 	x->burst = burst / (double)n;
-	if (!had_share) {
+	if (!(per_ms_before > 0)) {
 		x->tokens = 0;
 		x->filled_ms = now_ms;
 	}
+	if (took_over && x->per_ms > per_ms_before)
+		x->tokens += (x->per_ms - per_ms_before) * (double)t->unsent_ms;
 	x->tokens = MIN(x->tokens, x->burst);
 }
 
@@ -145,6 +151,21 @@
 	return next_ms;
 }
 
+double target_limits_per_ms(struct target_limits *t, uint64_t target,
+			    int64_t now_ms)
+{
+	struct limited *x;
+	double per_ms;
+
+	if (!atomic_load(&t->count))
+		return INFINITY;
+	g_mutex_lock(&t->lock);
+	x = find_limited(t, target, now_ms);
+	per_ms = x ? x->per_ms : INFINITY;
+	g_mutex_unlock(&t->lock);
+	return per_ms;
+}
+
 void target_limits_take(struct target_limits *t, uint64_t target,
 			int64_t now_ms)
 {
--- a/route/target-limits.h
+++ b/route/target-limits.h
@@ -56,11 +56,13 @@
 					limit_changed_fn *changed, void *ctx);
 void target_limits_free(struct target_limits *t);
 /*
- * Set the live nodes, this one included. Until the first call nothing is sent
- * to targets with limits.
+ * Set the nodes that share limits, this one included. Until the first call
+ * nothing is sent to targets with limits. unsent_ms: time for which the nodes
+ * that no longer do have sent nothing; what they might have sent since then
+ * falls to those that take over their shares.
  */
 void target_limits_set_nodes(struct target_limits *t, const uint64_t *nodes,
-			     size_t n);
+			     size_t n, int64_t unsent_ms);
 
 /* A response names a limit, or LIMIT_NONE. */
 void target_limits_name(struct target_limits *t, uint64_t target,
@@ -71,6 +73,12 @@
  */
 int64_t target_limits_next_ms(struct target_limits *t, uint64_t target,
 			      int64_t now_ms);
+/*
+ * Return the requests a ms that this node may send the target: 0 without a
+ * share of its limit, INFINITY if it has none.
+ */
+double target_limits_per_ms(struct target_limits *t, uint64_t target,
+			    int64_t now_ms);
 /* Count a request that is sent to the target. */
 void target_limits_take(struct target_limits *t, uint64_t target,
 			int64_t now_ms);
--- a/route/test-target-limits.c
+++ b/route/test-target-limits.c
@@ -41,7 +41,7 @@
 						NULL, NULL);
 		target_limits_set_rounds(f->nodes[i], n > DIRECT_MAX ? 3 : 2,
 					 n > DIRECT_MAX);
-		target_limits_set_nodes(f->nodes[i], f->ids, n);
+		target_limits_set_nodes(f->nodes[i], f->ids, n, 0);
 	}
 	return f;
 }
@@ -111,14 +111,19 @@
  * Play seconds in which callers send more than the limit, every two seconds so
  * many at once that each node gets some.
  */
-static void play(struct fleet *f, int seconds)
+static void play_ms(struct fleet *f, int ms)
 {
-	int end = f->ticks + seconds * 1000 / TICK_MS;
+	int end = f->ticks + ms / TICK_MS;
 
 	while (f->ticks < end)
 		tick(f, f->ticks % (2000 / TICK_MS) ? 5 : 3 * (int)f->n);
 }
 
+static void play(struct fleet *f, int seconds)
+{
+	play_ms(f, seconds * 1000);
+}
+
 /* Assert that no window from a tick on has more than the limit allows. */
 static int assert_windows(const struct fleet *f, int from)
 {
@@ -177,13 +182,67 @@
 		for (size_t k = 0; k < f->n; k++)
 			target_limits_set_nodes(
 				f->nodes[k], f->ids,
-				f->n - (size_t)((i + (int)k % 2) % 4));
+				f->n - (size_t)((i + (int)k % 2) % 4), 0);
 		play(f, 2);
 	}
 	assert_windows(f, from);
 	fleet_free(f);
 }
 
+/* Count the requests of a window that begins after a tick. */
+static int sent_after(const struct fleet *f, int tick)
+{
+	int n = 0;
+
+	for (int i = tick + 1; i <= tick + WINDOW_MS / TICK_MS; i++)
+		n += f->sent[i];
+	return n;
+}
+
+/*
+ * Play seconds after a third of the nodes are killed; the others learn of it
+ * after a time.
+ */
+static void play_kill(struct fleet *f, int learn_ms, int64_t unsent_ms)
+{
+	size_t all = f->n;
+
+	f->n = all - all / 3;
+	play_ms(f, learn_ms);
+	for (size_t i = 0; i < f->n; i++)
+		target_limits_set_nodes(f->nodes[i], f->ids, f->n, unsent_ms);
+	play_ms(f, 2 * WINDOW_MS - learn_ms);
+	f->n = all;
+}
+
+/* The shares of killed nodes go unused until long after the kill. */
+static void test_killed_nodes(void)
+{
+	static const size_t sizes[] = {3, 6, 70};
+	static const double limits[] = {0.5, 1, 3, 10};
+	double before = 0, after = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		for (size_t k = 0; k < G_N_ELEMENTS(limits); k++) {
+			struct fleet *f = fleet_new(sizes[i]);
+			int from, killed;
+
+			play(f, 2);
+			from = tick_after_contact(f);
+			f->limit_per_s = limits[k];
+			play(f, 12);
+			killed = f->ticks;
+			play_kill(f, 1600, 800);
+			before += sent_after(f, killed - WINDOW_MS / TICK_MS);
+			after += sent_after(f, killed);
+			assert_windows(f, from);
+			fleet_free(f);
+		}
+	g_test_message("%.0f requests before the kills, %.0f after", before,
+		       after);
+	g_assert_cmpfloat(after, >=, 0.85 * before);
+}
+
 /* A node that has just started begins with a share that it may not have. */
 static void test_unknown_nodes(void)
 {
@@ -193,7 +252,7 @@
 
 	target_limits_name(t, TARGET, 4000, 1000);
 	g_assert_cmpint(target_limits_next_ms(t, TARGET, 60000), ==, INT64_MAX);
-	target_limits_set_nodes(t, nodes, 2);
+	target_limits_set_nodes(t, nodes, 2, 0);
 	g_assert_cmpint(target_limits_next_ms(t, TARGET, 60000), >, 60000);
 	g_assert_cmpint(target_limits_next_ms(t, TARGET, 61000), ==, 61000);
 	target_limits_free(t);
@@ -226,7 +285,7 @@
 	static const uint64_t nodes[] = {1};
 	struct target_limit old = {TARGET, 1000, 5000};
 
-	target_limits_set_nodes(t, nodes, 1);
+	target_limits_set_nodes(t, nodes, 1, 0);
 	target_limits_receive(t, &old);
 	target_limits_name(t, TARGET, LIMIT_NONE, 6000);
 	target_limits_receive(t, &old);
@@ -245,6 +304,7 @@
 	g_test_add_func("/target-limits/sum-over-nodes", test_sum_over_nodes);
 	g_test_add_func("/target-limits/nodes-come-and-go",
 			test_nodes_come_and_go);
+	g_test_add_func("/target-limits/killed-nodes", test_killed_nodes);
 	g_test_add_func("/target-limits/unknown-nodes", test_unknown_nodes);
 	g_test_add_func("/target-limits/limit-ends-everywhere",
 			test_limit_ends);
