entry: streams of which a caller has a part go before new requests

Cause: whoever asked first got what the limits allow, and what no target took at the moment counted as refused. A version whose targets had no token counted as gone (exchange_version_service).

Change: each admission is asked with a rank (RANK_BEGUN before priorities). A request that has begun and finds no target waits in a queue by deadline if the targets will take it in time (route/supply.c), and each new request lets the queue look first; so the rule holds for limits, rests, warm-ups, brittle and full targets and the retry budget. Else it is refused at once, with a Retry-After from the prediction. New requests are not held. The wait ends when the key is withdrawn.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -43,6 +43,7 @@
 	{ 8005, LOG_WARNING, "api_denied" },
 	{ 4010, LOG_INFO, "request_ended" },
 	{ 4012, LOG_INFO, "stream_taken_up" },
+	{ 4020, LOG_INFO, "begun_waited" },
 	{ 4011, LOG_INFO, "request_repeated" },
 	{ 2015, LOG_WARNING, "zone_evacuated" },
 	{ 2016, LOG_INFO, "zone_taken_back" },
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -139,6 +139,8 @@
 					      LEAVE_ACCEPT_MAX_PART * grace_ms);
 	tr->stop_at_ms = now + (int64_t)grace_ms - LEAVE_MARGIN_MS;
 	log_event(EV_NODE_STOPPING, "requests=%d", tr->exchanges);
+	/* Their callers go on elsewhere. */
+	begun_queue_close(tr->begun);
 }
 
 /* Use a new list, of those published since published_ms. */
@@ -184,6 +186,7 @@
 	tr->peers = peers;
 	warmups_update(tr);
 	exchanges_on_list(tr);
+	begun_queue_check(tr->begun, time_boot_ms());
 	if (leaving && !tr->leaving_ms)
 		begin_leave(tr);
 	if (atomic_load(&e->stop_now))
@@ -351,6 +354,7 @@
 	tr->callers = g_queue_new();
 	tr->taking_up = g_queue_new();
 	tr->awaiting_list = g_queue_new();
+	tr->begun = begun_queue_new(tr, &exchange_begun_ops);
 	tr->rand = g_rand_new();
 	tr->shed = shed_new(tr);
 	tr->started_ms = time_boot_ms();
@@ -452,6 +456,7 @@
 	g_queue_free(tr->callers);
 	g_queue_free(tr->taking_up);
 	g_queue_free(tr->awaiting_list);
+	begun_queue_free(tr->begun);
 	g_queue_free(tr->tunnels);
 	g_rand_free(tr->rand);
 	entry_config_unref(tr->config);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -89,6 +89,7 @@
 	exchange_abandon_attempt(x);
 	exchange_leave_take_up(x);
 	exchange_leave_list_wait(x);
+	exchange_end_wait(x, "ended");
 	ev_timer_stop(x->tr->loop, &x->timer);
 	sse_splitter_clear(&x->splitter);
 	buf_clear(&x->response_body);
@@ -123,6 +124,9 @@
 
 	if (x->shed_retry_after_ms)
 		return x->shed_retry_after_ms;
+	if (x->wait.retry_at_ms)
+		return MAX(RETRY_AFTER_MIN_MS, x->wait.retry_at_ms - now) +
+		       g_rand_int_range(rand, 0, RETRY_AFTER_SPREAD_MS);
 	/* None is served earlier. */
 	if (kind == RAMP_ERR_PROMPT_BLOCKED || kind == RAMP_ERR_REQUEST_BLOCKED)
 		return CAUSE_BLOCK_IDLE_MS;
@@ -228,7 +232,7 @@
 {
 	int64_t at = x->deadline_ms + DEADLINE_SLACK_MS;
 
-	if (x->stall_deadline_ms)
+	if (x->target && x->stall_deadline_ms)
 		at = MIN(at, x->stall_deadline_ms);
 	if (x->head_check_at_ms)
 		at = MIN(at, x->head_check_at_ms);
@@ -607,12 +611,11 @@
 	if (!exchange_is_wanted(x) || refuse_blocked(x) ||
 	    exchange_await_list(x))
 		return;
-	t = pool_choose_target(
-		x->tr, x->service, &x->prompt, exchange_target_version(x),
-		x->tried_targets, (size_t)x->attempts,
-		/* What a caller has begun to get goes first. */
-		x->head_sent ? 0 : exchange_priority(x), &source);
-	if (!t && exchange_await_version(x))
+	begun_queue_serve(x->tr->begun);
+	t = pool_choose_target(x->tr, x->service, &x->prompt,
+			       exchange_target_version(x), x->tried_targets,
+			       (size_t)x->attempts, exchange_rank(x), &source);
+	if (!t && (exchange_await_version(x) || exchange_wait_begun(x, false)))
 		return;
 	if (!t) {
 		x->failure_cause = "no_target";
@@ -627,6 +630,9 @@
 			exchange_reply_error(x, RAMP_ERR_NO_TARGET);
 		return;
 	}
+	if (x->wait.since_ms && x->stall_deadline_ms)
+		x->stall_deadline_ms = time_boot_ms() + stall_timeout_ms(x);
+	exchange_end_wait(x, "placed");
 	x->target = t;
 	x->attempt_version = t->version;
 	x->last_target_name = str_dup(x->arena, t->info.name);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -12,6 +12,7 @@
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
 
+#include "entry/begun-queue.h"
 #include "entry/internal.h"
 
 /* Most attempts of one request, including those that did not run. */
@@ -83,7 +84,8 @@
 
 	uint64_t tried_targets[ATTEMPTS_MAX]; /* ids */
 	int attempts;
-	int possible_runs; /* attempts that the target may have run */
+	int possible_runs;      /* attempts that the target may have run */
+	struct begun_wait wait; /* see begun-wait.c */
 	struct retry_room retry_room; /* when it last asked for a retry */
 	/*
 	 * Id of the version at which the stream began, and so has to go on; 0:
@@ -141,6 +143,21 @@
 /* End the attempt. Closing its connection cancels the work at the target. */
 void exchange_abandon_attempt(struct exchange *x);
 
+/* begun-wait.c: waits of those whose callers have a part of the answer. */
+
+/* Whether the caller has got a part of the answer, here or elsewhere. */
+bool exchange_is_begun(const struct exchange *x);
+/* Return the rank with which the request asks for admission: see RANK_BEGUN. */
+int exchange_rank(const struct exchange *x);
+/*
+ * Wait for a target, or for room in the retry budget, if the request is one of
+ * those and will be served in time; return whether it waits.
+ */
+bool exchange_wait_begun(struct exchange *x, bool for_retry);
+/* Stop waiting, if it does, and log what came of it. */
+void exchange_end_wait(struct exchange *x, const char *result);
+extern const struct begun_ops exchange_begun_ops;
+
 /* retry.c: whether and when a request is retried at another target. */
 
 /*
@@ -159,6 +176,8 @@
  * true the exchange may have been freed.
  */
 bool exchange_retry(struct exchange *x, bool ran, bool charge);
+/* Begin the attempt for which a retry was taken; may free the exchange. */
+void exchange_begin_retry(struct exchange *x, bool ran);
 /*
  * End an attempt that may have run and begin another one, after both
  * exchange_may_retry and exchange_take_retry have allowed it. May free the
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -198,6 +198,12 @@
 	return exchange_is_take_up(&q->x) && !q->c.n;
 }
 
+/* It would wait, if a target is expected to take it in time. */
+static bool may_wait(const struct question *q)
+{
+	return exchange_is_take_up(&q->x) && q->x.version;
+}
+
 /* The first one of the refusal's kind that applies is the answer's rule. */
 static const struct {
 	enum ramp_error kind;
@@ -218,6 +224,7 @@
 	{RAMP_ERR_NO_TARGET, has_no_version, "version_unknown"},
 	{RAMP_ERR_NO_TARGET, has_old_list, "targets_unconfirmed"},
 	{RAMP_ERR_NO_TARGET, has_version_gone, "version_gone"},
+	{RAMP_ERR_NO_TARGET, may_wait, "no_target_yet"},
 	{RAMP_ERR_NO_TARGET, is_always, "no_target"},
 };
 
@@ -262,7 +269,7 @@
 	q->c.p = talloc_array(x->arena, struct place_target, max);
 	q->c.alone = talloc_array(x->arena, struct place_target, max);
 	pool_list_candidates(x->tr, x->service, &x->prompt,
-			     exchange_target_version(x), exchange_priority(x),
+			     exchange_target_version(x), exchange_rank(x),
 			     q->now_ms, &q->c);
 	q->chosen = place_choose(&q->c.limits, x->prompt.parts[0], q->c.p,
 				 q->c.n, random_of(q));
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -15,6 +15,7 @@
 #include "member/member.h"
 #include "route/crash-causes.h"
 #include "route/notices.h"
+#include "route/supply.h"
 #include "route/target-limits.h"
 #include "route/warmup.h"
 
@@ -23,6 +24,7 @@
 struct exchange;
 struct caller;
 struct shed;
+struct begun_queue;
 
 /* What a listening port serves. */
 enum port_kind {
@@ -133,11 +135,12 @@
 	struct shed *shed;           /* NULL: admits all; see shed.h */
 	GRand *rand;
 	struct port ports[PORT_COUNT];
-	ev_async views_published; /* signalled by the control thread */
-	ev_async origins_settled; /* the same; see take-up.c */
-	GQueue *taking_up;        /* exchanges that wait for a look-up */
-	GQueue *awaiting_list;    /* others, for a newer target_list */
-	ev_timer housekeeping;    /* periodic */
+	ev_async views_published;  /* signalled by the control thread */
+	ev_async origins_settled;  /* the same; see take-up.c */
+	GQueue *taking_up;         /* exchanges that wait for a look-up */
+	GQueue *awaiting_list;     /* others, for a newer target_list */
+	struct begun_queue *begun; /* others, for a target */
+	ev_timer housekeeping;     /* periodic */
 	/* struct caller, by the time of connecting or of the last response */
 	GQueue *callers;
 	int exchanges;                   /* requests in progress */
@@ -341,15 +344,15 @@
  * Choose a target for a request to the service, or NULL when there is none.
  * version: only targets with that version of the software.
  * Targets whose ids are in tried are chosen only when no other is left.
- * priority: see place_limit_overflow. *source
- * is set to the target from which the chosen one should fetch the prompt, or
- * NULL.
+ * rank: see RANK_BEGUN; one that has begun gets a target that fails only if no
+ * sound one will take it later. *source is set to the target from which the
+ * chosen one should fetch the prompt, or NULL.
  */
 struct target *pool_choose_target(struct traffic *tr,
 				  const struct entry_service *s,
 				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
-				  int priority, struct target **source);
+				  int rank, struct target **source);
 /* Whether the list of targets is new enough to send requests by it. */
 bool pool_list_is_usable(const struct traffic *tr, int64_t now_ms);
 /*
@@ -386,8 +389,31 @@
  */
 void pool_list_candidates(struct traffic *tr, const struct entry_service *s,
 			  const struct prompt *prompt, uint64_t version,
-			  int priority, int64_t now_ms,
-			  struct pool_candidates *c);
+			  int rank, int64_t now_ms, struct pool_candidates *c);
+
+/* What holds back the targets that will take requests later. */
+enum supply_cause {
+	SUPPLY_LIMIT = 1, /* limits that they named */
+	SUPPLY_REST = 2,  /* they asked for rest */
+	SUPPLY_WARM_UP = 4,
+	SUPPLY_EJECTED = 8, /* they failed */
+	SUPPLY_ROOM = 16,   /* their load, or that they fail too often */
+	SUPPLY_RETRY = 32,  /* the retry budget, not the targets */
+};
+
+/* When the targets of a service will take requests of this node. */
+struct pool_supply {
+	struct supply *known; /* room for all of the traffic thread's targets */
+	size_t known_count;
+	struct supply *room; /* the same; those that are held back by load */
+	size_t room_count;
+	unsigned causes; /* of enum supply_cause */
+};
+
+/* List it for a service and version, of which no target takes one now. */
+void pool_list_supply(struct traffic *tr, const struct entry_service *s,
+		      uint64_t version, int64_t now_ms,
+		      struct pool_supply *out);
 
 /* Load and slots of the targets of a service that take new requests. */
 struct service_room {
@@ -403,6 +429,9 @@
 /* Whether a target of the service and version takes new requests. */
 bool pool_serves_version(struct traffic *tr, const struct entry_service *s,
 			 uint64_t version);
+/* Whether one does, now or once a limit, a warm-up or a rest lets it. */
+bool pool_keeps_version(struct traffic *tr, const struct entry_service *s,
+			uint64_t version);
 /*
  * Return an idle link to the target, or a new one that is still connecting, or
  * NULL when no socket can be opened. *reused tells which. *helper is the node
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -28,6 +28,14 @@
  * beyond it they slow each other down.
  */
 #define ROOM_SHARE 0.5
+/*
+ * Time between looks at a target that takes no request until one of those that
+ * it runs ends, and the requests a ms that it is taken to accept then.
+ */
+#define ROOM_CHECK_MS 100
+#define ROOM_PER_MS   (1.0 / ROOM_CHECK_MS)
+/* Most requests a ms that are expected of a target without a limit. */
+#define SUPPLY_MAX_PER_MS 1.0
 /* A load report of a target is used for this long. */
 #define LOAD_REPORT_VALID_MS 250
 
@@ -231,15 +239,21 @@
 	return tr->list && now_ms < atomic_load(&tr->list->until_ms);
 }
 
-bool pool_takes_requests(const struct target *t, int64_t now_ms)
+/* Whether it takes requests, if not now then after a rest. */
+static bool is_in_service(const struct target *t, int64_t now_ms)
 {
 	return pool_list_is_usable(t->tr, now_ms) && t->listed &&
 	       !t->info.draining && !t->says_leaving &&
-	       t->resting_until_ms <= now_ms && !target_is_evacuated(t) &&
+	       !target_is_evacuated(t) &&
 	       !notices_get(t->tr->e->notices, NOTICE_TARGET_LEAVING,
 			    t->info.id, now_ms, 0);
 }
 
+bool pool_takes_requests(const struct target *t, int64_t now_ms)
+{
+	return t->resting_until_ms <= now_ms && is_in_service(t, now_ms);
+}
+
 struct place_target pool_candidate(struct target *t, int64_t now_ms)
 {
 	bool ejected = t->ejected_until_ms > now_ms;
@@ -385,10 +399,92 @@
 	return false;
 }
 
+bool pool_keeps_version(struct traffic *tr, const struct entry_service *s,
+			uint64_t version)
+{
+	int64_t now = time_boot_ms();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (is_candidate(v, s, version) && is_in_service(v, now))
+			return true;
+	return false;
+}
+
+/* Add when the target takes requests; without a share of its limit never. */
+static void add_supply(struct target *t, int64_t now_ms,
+		       struct pool_supply *out)
+{
+	struct target_limits *l = t->tr->e->target_limits;
+	double per_ms = MIN(target_limits_per_ms(l, t->info.id, now_ms),
+			    SUPPLY_MAX_PER_MS);
+	int64_t warm_ms = warmups_next_ms(t, now_ms);
+	const struct {
+		enum supply_cause cause;
+		int64_t until_ms;
+	} holds[] = {
+		{SUPPLY_LIMIT, target_limits_next_ms(l, t->info.id, now_ms)},
+		{SUPPLY_REST, t->resting_until_ms},
+		{SUPPLY_WARM_UP, warm_ms},
+		{SUPPLY_EJECTED, t->ejected_until_ms},
+	};
+	int64_t next_ms = now_ms;
+
+	if (!(per_ms > 0))
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(holds); i++) {
+		next_ms = MAX(next_ms, holds[i].until_ms);
+		out->causes |= holds[i].until_ms > now_ms ? holds[i].cause : 0;
+	}
+	if (warm_ms > now_ms)
+		per_ms = MIN(per_ms, 1.0 / (double)(warm_ms - now_ms));
+	if (next_ms > now_ms) {
+		out->known[out->known_count++] =
+			(struct supply){next_ms, per_ms};
+		return;
+	}
+	out->causes |= SUPPLY_ROOM;
+	out->room[out->room_count++] = (struct supply){
+		now_ms + ROOM_CHECK_MS, MIN(per_ms, ROOM_PER_MS)};
+}
+
+void pool_list_supply(struct traffic *tr, const struct entry_service *s,
+		      uint64_t version, int64_t now_ms, struct pool_supply *out)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	out->known_count = out->room_count = 0;
+	out->causes = 0;
+	g_hash_table_iter_init(&it, tr->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (is_candidate(v, s, version) && is_in_service(v, now_ms))
+			add_supply(v, now_ms, out);
+}
+
+/*
+ * Leave no target to a request that can wait but sound ones, if one of these
+ * will take it.
+ */
+static void await_sound(struct pool_candidates *c, int64_t now_ms)
+{
+	struct target_limits *l;
+	bool any = false;
+
+	for (size_t i = 0; i < c->n; i++) {
+		l = c->targets[i]->tr->e->target_limits;
+		any |= !c->p[i].avoid && !c->p[i].draining &&
+		       target_limits_next_ms(l, c->p[i].id, now_ms) < INT64_MAX;
+	}
+	for (size_t i = 0; any && i < c->n; i++)
+		c->p[i].limited |= c->p[i].avoid;
+}
+
 void pool_list_candidates(struct traffic *tr, const struct entry_service *s,
 			  const struct prompt *prompt, uint64_t version,
-			  int priority, int64_t now_ms,
-			  struct pool_candidates *c)
+			  int rank, int64_t now_ms, struct pool_candidates *c)
 {
 	GHashTableIter it;
 	gpointer v;
@@ -413,15 +509,17 @@
 		memcpy(c->alone, c->p, c->n * sizeof(*c->p));
 	c->limits.spread =
 		brittle_is_short(tr, s->name, now_ms) ? BRITTLE_CALM_SHARE : 0;
-	place_limit_overflow(c->p, c->n, priority);
+	place_limit_overflow(c->p, c->n, rank_priority(rank));
 	avoid_outliers(c->p, c->targets, c->n);
+	if (rank == RANK_BEGUN)
+		await_sound(c, now_ms);
 }
 
 struct target *pool_choose_target(struct traffic *tr,
 				  const struct entry_service *s,
 				  const struct prompt *prompt, uint64_t version,
 				  const uint64_t *tried, size_t tried_count,
-				  int priority, struct target **source)
+				  int rank, struct target **source)
 {
 	size_t max = g_hash_table_size(tr->targets), n, chosen, donor;
 	struct place_target *p = g_newa(struct place_target, max + 1);
@@ -430,7 +528,7 @@
 	int64_t now = time_boot_ms();
 
 	*source = NULL;
-	pool_list_candidates(tr, s, prompt, version, priority, now, &c);
+	pool_list_candidates(tr, s, prompt, version, rank, now, &c);
 	n = c.n;
 	if (prompt->parts[0])
 		key_rates_record(tr->key_rates, prompt->parts[0], now);
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -22,6 +22,8 @@
 
 bool exchange_take_retry(struct exchange *x)
 {
+	if (!exchange_is_begun(x))
+		begun_queue_serve(x->tr->begun);
 	x->retry_taken =
 		retry_window_take(pool_retry_window(x->tr, x->service->name),
 				  time_boot_ms(), &x->retry_room);
@@ -56,8 +58,7 @@
 	x->retry_taken = false;
 }
 
-/* Begin another attempt after end_attempt; may free the exchange. */
-static void begin_retry(struct exchange *x, bool ran)
+void exchange_begin_retry(struct exchange *x, bool ran)
 {
 	begin_pending(x);
 	metric_add(M_RETRIES_TOTAL, 1);
@@ -78,7 +79,7 @@
 void exchange_replace_attempt(struct exchange *x)
 {
 	end_attempt(x, true);
-	begin_retry(x, true);
+	exchange_begin_retry(x, true);
 }
 
 bool exchange_retry(struct exchange *x, bool ran, bool charge)
@@ -95,10 +96,12 @@
 		return false;
 	}
 	if (charge && !exchange_take_retry(x)) {
+		if (exchange_wait_begun(x, true))
+			return true;
 		x->failure_cause = "no_retry_budget";
 		return false;
 	}
-	begin_retry(x, ran);
+	exchange_begin_retry(x, ran);
 	return true;
 }
 
--- a/entry/take-up.c
+++ b/entry/take-up.c
@@ -19,20 +19,33 @@
 	x->taking_up = false;
 }
 
-const struct entry_service *exchange_version_service(const struct exchange *x,
-						     uint64_t version)
+/* Return the first of the route's services for which has() holds, or NULL. */
+static const struct entry_service *
+find_service(const struct exchange *x, uint64_t version,
+	     bool (*has)(struct traffic *tr, const struct entry_service *s,
+			 uint64_t version))
 {
 	for (size_t i = 0; i < x->route->destination_count; i++) {
 		const struct entry_service *s =
 			&x->config->services[x->route->destinations[i].service];
 
 		if (x->route->destinations[i].weight > 0 &&
-		    pool_serves_version(x->tr, s, version))
+		    has(x->tr, s, version))
 			return s;
 	}
 	return NULL;
 }
 
+const struct entry_service *exchange_version_service(const struct exchange *x,
+						     uint64_t version)
+{
+	const struct entry_service *s =
+		find_service(x, version, pool_serves_version);
+
+	/* All may be held back for a time: see begun-wait.c. */
+	return s ? s : find_service(x, version, pool_keeps_version);
+}
+
 static void log_take_up(const struct exchange *x, uint64_t version,
 			const char *result)
 {
--- a/entry/test-brittle-fleet.c
+++ b/entry/test-brittle-fleet.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "entry/brittle.h"
+#include "entry/test-pool-node.h"
 #include "entry/evacuations.h"
 #include "entry/test-virtual.h"
 
@@ -119,60 +120,17 @@
 
 static void take_list(struct play *p, struct node *v)
 {
-	struct target_list *l = make_list(p);
-
-	pool_update_targets(&v->e.tr, l);
-	target_list_unref(v->e.tr.list);
-	v->e.tr.list = l;
+	pool_node_take_list(&v->e, make_list(p));
 	v->list_version = p->list_version;
 }
 
 static void node_init(struct play *p, int i, struct peer_list *peers)
 {
-	struct entry *e = &p->nodes[i].e;
-	uint64_t *ids = g_new0(uint64_t, peers->n);
-
-	e->settings.node_name = g_strdup_printf("node-%d", i);
-	e->settings.bounds_load_factor = 2;
-	e->settings.bounds_retry_window_s = 10;
-	e->tr.e = e;
-	e->tr.settings = &e->settings;
-	e->tr.rand = g_rand_new_with_seed((guint32)i + 1);
-	e->tr.peers = peer_list_ref(peers);
-	e->loads = loads_new(member_id(e->settings.node_name));
-	loads_set_send_interval(e->loads, EXCHANGE_MS);
-	e->notices = notices_new();
-	notices_set_rounds(e->notices, 1, false);
-	e->evacuations = entry_evacuations_new(e);
-	e->target_limits =
-		target_limits_new(&limit_requests, peers->v[i].id, NULL, NULL);
-	e->overflow_limits =
-		target_limits_new(&limit_overflow, peers->v[i].id, NULL, NULL);
-	for (size_t k = 0; k < peers->n; k++)
-		ids[k] = peers->v[k].id;
-	target_limits_set_nodes(e->target_limits, ids, peers->n, 0);
-	target_limits_set_nodes(e->overflow_limits, ids, peers->n, 0);
-	g_free(ids);
-	pool_init(&e->tr);
+	pool_node_init(&p->nodes[i].e, i, peers);
+	loads_set_send_interval(p->nodes[i].e.loads, EXCHANGE_MS);
 	take_list(p, &p->nodes[i]);
 }
 
-static void node_free(struct node *v)
-{
-	struct entry *e = &v->e;
-
-	pool_free(&e->tr);
-	target_list_unref(e->tr.list);
-	peer_list_unref(e->tr.peers);
-	target_limits_free(e->target_limits);
-	target_limits_free(e->overflow_limits);
-	evacuations_free(e->evacuations);
-	notices_free(e->notices);
-	loads_free(e->loads);
-	g_rand_free(e->tr.rand);
-	g_free(e->settings.node_name);
-}
-
 /* Tell each node the requests of all others, and notices. */
 static void exchange(struct play *p)
 {
@@ -232,9 +190,9 @@
 static void send_request(struct play *p, struct request *r)
 {
 	struct target *source;
-	struct target *t =
-		pool_choose_target(&r->node->e.tr, &p->service, &r->prompt, 0,
-				   r->tried, (size_t)r->sends, 1, &source);
+	struct target *t = pool_choose_target(
+		&r->node->e.tr, &p->service, &r->prompt, 0, r->tried,
+		(size_t)r->sends, rank_of(false, 1), &source);
 
 	if (!t) {
 		end(r, &p->refused);
@@ -459,7 +417,7 @@
 static struct play *play(const struct site *s, guint32 seed)
 {
 	struct play *p = g_new0(struct play, 1);
-	struct peer_list *peers = peer_list_new((size_t)s->nodes);
+	struct peer_list *peers = pool_node_peers(s->nodes);
 
 	virtual_ms = VIRTUAL_START_MS;
 	p->site = s;
@@ -472,13 +430,6 @@
 		p->targets[i].id = ++p->next_id;
 		p->targets[i].queue = g_queue_new();
 	}
-	for (int i = 0; i < s->nodes; i++) {
-		char *name = g_strdup_printf("node-%d", i);
-
-		peers->v[peers->n++].id = member_id(name);
-		g_free(name);
-	}
-	peers->known = peers->n;
 	for (int i = 0; i < s->nodes; i++)
 		node_init(p, i, peers);
 	for (; p->now_ms < PLAY_MS; p->now_ms++, virtual_ms++) {
@@ -498,7 +449,7 @@
 	for (int i = 0; i < s->targets; i++)
 		g_queue_free_full(p->targets[i].queue, g_free);
 	for (int i = 0; i < s->nodes; i++)
-		node_free(&p->nodes[i]);
+		pool_node_clear(&p->nodes[i].e);
 	peer_list_unref(peers);
 	g_rand_free(p->rand);
 	g_free(p->nodes);
--- a/entry/test-retry.c
+++ b/entry/test-retry.c
@@ -79,6 +79,24 @@
 	return version_served;
 }
 
+bool exchange_is_begun(const struct exchange *x)
+{
+	(void)x;
+	return true;
+}
+
+bool exchange_wait_begun(struct exchange *x, bool for_retry)
+{
+	(void)x;
+	(void)for_retry;
+	return false;
+}
+
+void begun_queue_serve(struct begun_queue *q)
+{
+	(void)q;
+}
+
 struct retry_window *pool_retry_window(struct traffic *tr, struct str service)
 {
 	static struct retry_window w;
--- a/route/route.h
+++ b/route/route.h
@@ -19,6 +19,23 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/*
+ * The rank with which a request asks for admission, lowest first: the rest of
+ * an answer of which its caller has a part, then new requests by priority.
+ */
+#define RANK_BEGUN 0
+
+static inline int rank_of(bool begun, int priority)
+{
+	return begun ? RANK_BEGUN : priority + 1;
+}
+
+/* Return the priority that the rank has where only priorities are known. */
+static inline int rank_priority(int rank)
+{
+	return rank == RANK_BEGUN ? 0 : rank - 1;
+}
+
 /* A candidate that can serve a key. */
 struct rendezvous_candidate {
 	uint64_t id;
@@ -614,7 +631,6 @@
  * coming.
  */
 void place_limit_overflow(struct place_target *t, size_t n, int priority);
-
 /*
  * Choose a target: the first in the key's weighted rendezvous order when its
  * load is within the limits, else the first within the limits in the unweighted
