--- a/node/test-limits.c
+++ b/node/test-limits.c
@@ -267,6 +267,41 @@
 	rig_free(g);
 }
 
+/* Call a node until it refuses, as the organisation's limit is used up. */
+static void use_up(const struct proc *p)
+{
+	int status = 200;
+
+	while (status == 200) {
+		struct reply r = call_as(p, "key-recif");
+
+		status = r.status;
+		reply_clear(&r);
+	}
+	g_assert_cmpint(status, ==, 429);
+}
+
+/* An answer in progress can't go on elsewhere while new requests use a limit.
+ */
+static void test_resume_at_limit(void)
+{
+	struct rig *g = start_rig_with_limit("requests_per_s", PER_S);
+	struct chat_stream *a = chat_stream_open(g->nodes[0].port, "assistant",
+						 "one", LONG_TOKENS);
+
+	chat_stream_read(a, 10);
+	proc_signal(&g->nodes[0], SIGKILL);
+	proc_wait(&g->nodes[0]);
+	chat_stream_read(a, LONG_TOKENS); /* bytes already in transit */
+	use_up(&g->nodes[1]);
+	chat_stream_resume(a, g->nodes[1].port, "key-recif");
+	g_assert_cmpint(a->status, ==, 200);
+	chat_stream_read(a, a->words + 10);
+	g_assert_cmpint(rig_engine_runs(g), >, 0);
+	chat_stream_free(a);
+	rig_free(g);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -275,5 +310,6 @@
 	g_test_add_func("/limits/rate", test_rate);
 	g_test_add_func("/limits/concurrent", test_concurrent);
 	g_test_add_func("/limits/concurrent-killed", test_concurrent_killed);
+	g_test_add_func("/limits/resume", test_resume_at_limit);
 	return g_test_run();
 }
