entry: a stream that is taken up after its last event is whole

Cause: sse_splitter_is_cut() took a stream without events for one that broke off, also behind a Last-Event-Id, where nothing may be left to send. And the end would have been written without a head.

Change: only a first run without events is cut; the head goes before the end where no event went before it.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -505,8 +505,9 @@
 void sse_splitter_follow(struct sse_splitter *c, struct str last_id);
 /*
  * Whether a run that has ended can't have been whole: it ended in an event,
- * without any, or before an event that was passed on. until_close: its end was
- * that of the connection, which says nothing of a run without events.
+ * before an event that was passed on, or without any though it was the first.
+ * until_close: its end was that of the connection, which says nothing of a run
+ * without events.
  */
 bool sse_splitter_is_cut(const struct sse_splitter *c, bool until_close);
 void sse_splitter_clear(struct sse_splitter *c);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -266,6 +266,14 @@
 	x->last_given_ms = now_ms;
 }
 
+/* Send the head of a stream, before its first event or its end. */
+static void deliver_stream_head(struct exchange *x, struct buf *out)
+{
+	write_response_head(x, out);
+	buf_fmt(out, "Transfer-Encoding: chunked\r\n\r\n");
+	x->head_sent = true;
+}
+
 /* Send one complete event of a stream to the caller, as one chunk. */
 static void deliver_event(void *ctx, const char *p, size_t n)
 {
@@ -281,9 +289,7 @@
 			exchange_record_begin(x, x->first_event_ms);
 	}
 	if (!x->head_sent) {
-		write_response_head(x, &out);
-		buf_fmt(&out, "Transfer-Encoding: chunked\r\n\r\n");
-		x->head_sent = true;
+		deliver_stream_head(x, &out);
 		note_version(x);
 		metric_observe(M_FIRST_EVENT_MS, now - x->arrived_ms);
 	}
@@ -438,6 +444,21 @@
 	return false;
 }
 
+/*
+ * Send the end of a stream; one that is taken up after its last event has no
+ * event before it.
+ */
+static void deliver_stream_end(struct exchange *x)
+{
+	struct buf out = {0};
+
+	if (!x->head_sent)
+		deliver_stream_head(x, &out);
+	buf_add(&out, "0\r\n\r\n", 5);
+	caller_write(x->caller, buf_data(&out), buf_len(&out));
+	buf_clear(&out);
+}
+
 static void finish_stream(struct exchange *x)
 {
 	sse_splitter_end(&x->splitter, deliver_event, x);
@@ -450,11 +471,12 @@
 		return;
 	}
 	pool_record_response(x->target, true);
-	exchange_record_begin(x, x->first_event_ms);
+	exchange_record_begin(x, x->first_event_ms ? x->first_event_ms
+						   : time_boot_ms());
 	shed_record_end(x);
 	exchange_log_end(x, 200, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
-	caller_write(x->caller, "0\r\n\r\n", 5);
+	deliver_stream_end(x);
 	finish(x, keeps_alive(x));
 }
 
--- a/entry/sse-split.c
+++ b/entry/sse-split.c
@@ -273,10 +273,10 @@
 
 bool sse_splitter_is_cut(const struct sse_splitter *c, bool until_close)
 {
-	if (buf_len(&c->partial) || !c->event_count)
+	if (buf_len(&c->partial))
 		return true;
 	if (!c->resumed)
-		return false;
+		return !c->event_count;
 	if (c->run_number < 0)
 		return until_close;
 	return c->run_number < c->last_number;
--- a/entry/test-sse-split.c
+++ b/entry/test-sse-split.c
@@ -94,6 +94,29 @@
 	sse_splitter_clear(&c);
 }
 
+/*
+ * A stream that is taken up after its last event seems to be cut, as nothing is
+ * left to send; one that begins without an event is.
+ */
+static void test_taken_up_at_end(void)
+{
+	struct sse_splitter c = {.last_number = -1}, first = c;
+	GString *out = g_string_new(NULL);
+
+	sse_splitter_follow(&c, (struct str)STR_LIT("3"));
+	sse_splitter_feed(&c, ": pause\n\n", 9, collect, out);
+	sse_splitter_end(&c, collect, out);
+	g_assert_false(sse_splitter_is_cut(&c, false));
+	/* The close of the connection may be a break. */
+	g_assert_true(sse_splitter_is_cut(&c, true));
+	sse_splitter_feed(&c, "id: 4\n", 6, collect, out);
+	g_assert_true(sse_splitter_is_cut(&c, false));
+	g_assert_true(sse_splitter_is_cut(&first, false));
+	g_assert_cmpstr(out->str, ==, "");
+	sse_splitter_clear(&c);
+	g_string_free(out, TRUE);
+}
+
 /* Whether a text is the first events of a stream, each of them whole. */
 static bool is_whole_events(const char *text, const char *all)
 {
@@ -208,6 +231,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/entry/cut/any-split", test_any_split);
 	g_test_add_func("/entry/cut/resume", test_resume);
+	g_test_add_func("/entry/cut/taken-up-at-end", test_taken_up_at_end);
 	g_test_add_func("/entry/cut/comments", test_comments);
 	g_test_add_func("/entry/cut/framing", test_framing);
 	g_test_add_func("/entry/cut/crlf", test_crlf);
