pool: predict warm-ups by the time of a slot

Cause: the prediction took the time to the next slot, which is up to 1.5 slots at the beginning, for the time between two.

Change: WARMUP_SLOT_MS, which the Retry-After of cold targets uses, is the time between two; it moves to the header.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -492,6 +492,8 @@
  * the settings have no bounds.warmup_overshoot.
  */
 
+/* A slot of this node at a cold target is free again after this long. */
+#define WARMUP_SLOT_MS 1100
 /*
  * Return when this node may next send the target a request, as far as its
  * warm-up goes: now_ms if it may at once.
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -439,7 +439,7 @@
 		out->causes |= holds[i].until_ms > now_ms ? holds[i].cause : 0;
 	}
 	if (warm_ms > now_ms)
-		per_ms = MIN(per_ms, 1.0 / (double)(warm_ms - now_ms));
+		per_ms = MIN(per_ms, 1.0 / WARMUP_SLOT_MS);
 	if (next_ms > now_ms) {
 		out->known[out->known_count++] =
 			(struct supply){next_ms, per_ms};
--- a/entry/warmups.c
+++ b/entry/warmups.c
@@ -11,11 +11,6 @@
  * running node does, which reads rows up to 2 s old.
  */
 #define PAUSE_MS 2000
-/*
- * A refused caller may come to any node, and each slot of a node is free again
- * after about a second.
- */
-#define RETRY_MAX_MS 1100
 /* Time in which the list of targets is read again after a pause. */
 #define CATCH_UP_MS 1500
 
@@ -138,7 +133,7 @@
 
 int64_t warmups_retry_ms(struct target *t, int64_t now_ms)
 {
-	return MIN(warmups_next_ms(t, now_ms), now_ms + RETRY_MAX_MS);
+	return MIN(warmups_next_ms(t, now_ms), now_ms + WARMUP_SLOT_MS);
 }
 
 /* Whether any of the targets is cold and without a slot of this node. */
