pool: targets that fail count as limited only where none is sound now

Found by reading the change: for a request that has begun, any target to be avoided counted as limited, also where a sound one took the request at once. Placement allows more load on a target while another is limited, so such requests could exceed the bound on load in calm times.

--- a/entry/pool.c
+++ b/entry/pool.c
@@ -465,8 +465,8 @@
 }
 
 /*
- * Leave no target to a request that can wait but sound ones, if one of these
- * will take it.
+ * Keep a request that can wait from targets that fail, if a sound one takes it
+ * later and none does now.
  */
 static void await_sound(struct pool_candidates *c, int64_t now_ms)
 {
@@ -474,9 +474,12 @@
 	bool any = false;
 
 	for (size_t i = 0; i < c->n; i++) {
+		if (c->p[i].avoid || c->p[i].draining)
+			continue;
+		if (may_send(c->p[i]))
+			return;
 		l = c->targets[i]->tr->e->target_limits;
-		any |= !c->p[i].avoid && !c->p[i].draining &&
-		       target_limits_next_ms(l, c->p[i].id, now_ms) < INT64_MAX;
+		any |= target_limits_next_ms(l, c->p[i].id, now_ms) < INT64_MAX;
 	}
 	for (size_t i = 0; any && i < c->n; i++)
 		c->p[i].limited |= c->p[i].avoid;
--- a/entry/test-begun-queue.c
+++ b/entry/test-begun-queue.c
@@ -287,6 +287,25 @@
 	tear_down();
 }
 
+/* A target that fails counts as limited: placement allows others more load. */
+static void test_sound_target_free(void)
+{
+	struct target *targets[2];
+	struct place_target p[2];
+	struct pool_candidates c = {.targets = targets, .p = p};
+	struct prompt prompt = {0};
+
+	set_up(2);
+	for (int i = 0; i < 2; i++)
+		pool_record_fault(target_at(1));
+	pool_list_candidates(&node.tr, &service, &prompt, VERSION_ANY,
+			     RANK_BEGUN, virtual_ms, &c);
+	g_assert_cmpuint(c.n, ==, 2);
+	g_assert_false(p[0].limited || p[1].limited);
+	g_assert_true(p[0].avoid || p[1].avoid);
+	tear_down();
+}
+
 /* Requests that wait take ever more memory. */
 static void test_bounds(void)
 {
@@ -342,6 +361,8 @@
 	g_test_add_func("/begun-queue/rest", test_rest);
 	g_test_add_func("/begun-queue/room", test_room);
 	g_test_add_func("/begun-queue/failing-target", test_failing_target);
+	g_test_add_func("/begun-queue/sound-target-free",
+			test_sound_target_free);
 	g_test_add_func("/begun-queue/bounds", test_bounds);
 	g_test_add_func("/begun-queue/close", test_close);
 	return g_test_run();
