begun queue: a pass queues requests at the tail

Found by reading the change: each new request lets the queue look for targets, and that pass queued each request that goes on waiting anew by a sorted insertion from the head.

Now a request goes to the tail unless its deadline is before the last one's.

--- a/entry/begun-queue.c
+++ b/entry/begun-queue.c
@@ -93,7 +93,13 @@
 
 static void enqueue(struct begun_queue *q, struct begun_wait *w)
 {
-	g_queue_insert_sorted(&q->waiting, w, by_deadline, NULL);
+	const struct begun_wait *last = g_queue_peek_tail(&q->waiting);
+
+	/* A pass queues all of them anew, in their order. */
+	if (!last || last->deadline_ms <= w->deadline_ms)
+		g_queue_push_tail(&q->waiting, w);
+	else
+		g_queue_insert_sorted(&q->waiting, w, by_deadline, NULL);
 	w->queued = true;
 	q->bytes += w->bytes;
 	count(q);
