http messages: keep a head as one text, find its headers in it

Callers saw: requests of legal size, 16,000 bytes of short header lines, ended entries of 260 MB, and held the traffic thread.

Cause, confirmed: add_header made two talloc chunks and a slot of a doubled array a line, so that memory went by lines, 0.85 MB for such a head. And header_is_hop_by_hop read every line for each line, message_header all for each name.

A head is now one text, the URL and the lines as name:value, of exactly its size once it is complete. A set of 64 bits tells for most names that the head doesn't have them. What Connection headers list is collected once, sorted, when a message is forwarded (struct end_to_end). Trailers, which are dropped, go to another text, as the first must not move. It is one reader: responses, the other ports, the store's client have the same. A name with a NUL byte no longer passes for valid.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -273,13 +273,20 @@
 	struct str value;
 };
 
+/*
+ * The head is kept as one text: the URL, then each header as "name:value\n"
+ * without the white space around the value. Neither part of a header contains
+ * the byte that ends it.
+ */
 struct message {
 	void *arena;
 	int status;        /* of a response */
 	struct str method; /* of a request */
 	struct str url;    /* of a request */
-	struct header *headers;
-	size_t header_count;
+	char *text;
+	size_t text_len, text_size; /* used and allocated */
+	size_t headers_at;          /* where the headers begin in text */
+	uint64_t names;             /* set of name_bit of all headers */
 	/*
 	 * False also where the end of the body is the end of the connection, or
 	 * where it is uncertain whether a response that has none is followed by
@@ -291,14 +298,38 @@
 	bool until_close; /* a response's body ends with the connection */
 };
 
-/* Return the value of a header, or {NULL, 0}. */
+/* Return the value of the first such header, or {NULL, 0}. */
 struct str message_header(const struct message *m, struct str name);
+/*
+ * Take the next header, in their order; *at is 0 at first. Return whether there
+ * was one.
+ */
+bool message_next_header(const struct message *m, size_t *at, struct header *h);
+/*
+ * Append a header; false when it is invalid. Those that were read before must
+ * not be used after it.
+ */
+bool message_add_header(struct message *m, struct header h);
+
+/*
+ * The headers of a message that are to be forwarded: all but hop-by-hop ones,
+ * which include those that Connection headers name.
+ */
+struct end_to_end {
+	const struct message *message;
+	size_t at;
+	struct str *listed; /* by Connection headers, sorted */
+	size_t listed_count;
+};
+
+void end_to_end_begin(struct end_to_end *e, const struct message *m);
+bool end_to_end_next(struct end_to_end *e, struct header *h);
+void end_to_end_end(struct end_to_end *e);
+
 /* Compare two strings, ignoring ASCII case. */
 bool str_eq_nocase(struct str a, struct str b);
 /* Return a URL without its query. */
 struct str url_path(struct str url);
-/* Whether the header is hop-by-hop and must not be forwarded. */
-bool header_is_hop_by_hop(const struct message *m, struct str name);
 /* Parse a non-negative decimal integer; -1 when the text is not one. */
 int64_t str_parse_number(struct str s);
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -172,17 +172,16 @@
 static void write_response_head(struct exchange *x, struct buf *out)
 {
 	const struct message *m = x->response;
+	struct end_to_end headers;
+	struct header h;
 
 	buf_fmt(out, "HTTP/1.1 %d %s\r\n", m->status,
 		http_status_str((enum http_status)m->status));
-	for (size_t i = 0; i < m->header_count; i++) {
-		const struct header *h = &m->headers[i];
-
-		if (header_is_hop_by_hop(m, h->name) ||
-		    str_eq_nocase(h->name, STR_LIT("Content-Length")))
-			continue;
-		buf_add_header(out, h->name, h->value);
-	}
+	end_to_end_begin(&headers, m);
+	while (end_to_end_next(&headers, &h))
+		if (!str_eq_nocase(h.name, STR_LIT("Content-Length")))
+			buf_add_header(out, h.name, h.value);
+	end_to_end_end(&headers);
 	if (!keeps_alive(x))
 		buf_fmt(out, "Connection: close\r\n");
 }
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -358,15 +358,6 @@
 	return (struct str){NULL, 0};
 }
 
-static void add_header(struct question *q, struct str name, struct str value)
-{
-	struct message *m = &q->request;
-
-	m->headers = talloc_realloc(q->x.arena, m->headers, struct header,
-				    m->header_count + 1);
-	m->headers[m->header_count++] = (struct header){name, value};
-}
-
 /* Take one member of a question; return what is wrong with it, or NULL. */
 static const char *read_member(struct question *q, const char *name,
 			       struct str value)
@@ -374,7 +365,9 @@
 	struct str header = header_name(q->x.tr->dialect, name);
 
 	if (header.len) {
-		add_header(q, header, value);
+		if (!message_add_header(&q->request,
+					(struct header){header, value}))
+			return "not valid in a header";
 	} else if (!strcmp(name, "path")) {
 		q->request.url = value;
 	} else if (!strcmp(name, "method")) {
@@ -385,7 +378,9 @@
 		value = organisation_key(q->x.config, value);
 		if (!value.len)
 			return "no key of this organisation in force";
-		add_header(q, q->x.tr->dialect->key, value);
+		message_add_header(
+			&q->request,
+			(struct header){q->x.tr->dialect->key, value});
 	} else {
 		return "unknown member";
 	}
@@ -439,6 +434,7 @@
 	q->rand = g_rand_new_with_seed((guint32)g_get_monotonic_time());
 	q->refusal = RAMP_OK;
 	q->chosen = q->source = q->home = SIZE_MAX;
+	q->request.arena = q;
 	q->request.method = (struct str)STR_LIT("POST");
 	q->x.arena = q;
 	q->x.tr = tr;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -39,24 +39,25 @@
 	/* After the first event a retry asks for those that follow. */
 	bool resumes = x->splitter.event_count && x->splitter.last_id.len;
 	struct buf b = {0};
+	struct end_to_end headers;
+	struct header h;
 
 	buf_add(&b, m->method.data, m->method.len);
 	buf_add(&b, " ", 1);
 	buf_add(&b, m->url.data, m->url.len);
 	buf_add(&b, " HTTP/1.1\r\n", 11);
-	for (size_t i = 0; i < m->header_count; i++) {
-		const struct header *h = &m->headers[i];
-
+	end_to_end_begin(&headers, m);
+	while (end_to_end_next(&headers, &h)) {
 		/* Deadline, length and resume position are written below. */
-		if (header_is_hop_by_hop(m, h->name) ||
-		    is_reserved(d, h->name) ||
-		    str_eq_nocase(h->name, d->deadline) ||
-		    str_eq_nocase(h->name, STR_LIT("Expect")) ||
-		    str_eq_nocase(h->name, STR_LIT("Content-Length")) ||
-		    (resumes && str_eq_nocase(h->name, d->last_event)))
+		if (is_reserved(d, h.name) ||
+		    str_eq_nocase(h.name, d->deadline) ||
+		    str_eq_nocase(h.name, STR_LIT("Expect")) ||
+		    str_eq_nocase(h.name, STR_LIT("Content-Length")) ||
+		    (resumes && str_eq_nocase(h.name, d->last_event)))
 			continue;
-		buf_add_header(&b, h->name, h->value);
+		buf_add_header(&b, h.name, h.value);
 	}
+	end_to_end_end(&headers);
 	if (resumes)
 		buf_add_header(&b, d->last_event, x->splitter.last_id);
 	if (x->organisation)
--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -3,6 +3,7 @@
  * stream into messages with http_parser.
  */
 #include <http_parser.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 #include <strings.h>
@@ -12,20 +13,24 @@
 
 /* Largest head of a response; targets send a few hundred bytes. */
 #define RESPONSE_HEAD_MAX_BYTES 65536
-#define INITIAL_HEADER_SLOTS    16
+/* Heads grow by doubling up to this size, and by as much beyond it. */
+#define HEAD_GROWTH_MAX_BYTES 65536
+#define HEAD_INITIAL_BYTES    512
 
 struct reader {
 	http_parser parser;
 	const struct reader_ops *ops;
 	void *ctx;
 	struct message *message; /* being read, or NULL */
-	/* The URL, or the name and value of one header, as received so far. */
-	struct buf head_text;
-	size_t value_offset; /* of the header's value in head_text */
-	bool in_value;
+	/*
+	 * Gets the headers that are read: the message, or once its head is
+	 * complete and must not move, another one, which is dropped.
+	 */
+	struct message *into;
+	size_t header_at, value_at; /* in its text, of the header being read */
+	bool in_header, in_value;
 	bool in_trailer; /* the header section is complete */
 	size_t header_max_bytes;
-	size_t header_slots; /* allocated size of message->headers */
 	enum read_error error;
 	bool is_request;
 	bool no_body;       /* the next response answers a HEAD request */
@@ -45,16 +50,113 @@
 	return q ? (struct str){url.data, (size_t)(q - url.data)} : url;
 }
 
+/* Return the bit of a name in struct message's names. */
+static uint64_t name_bit(struct str name)
+{
+	unsigned first = (unsigned)g_ascii_tolower(name.data[0]);
+	unsigned last = (unsigned)g_ascii_tolower(name.data[name.len - 1]);
+
+	return 1ULL << ((name.len * 31 + first + last * 7) % 64);
+}
+
+/* Make room for n more bytes of text. */
+static void reserve_text(struct message *m, size_t n)
+{
+	size_t size = MAX(m->text_size, HEAD_INITIAL_BYTES);
+
+	if (m->text_len + n <= m->text_size)
+		return;
+	while (size < m->text_len + n)
+		size += MIN(size, HEAD_GROWTH_MAX_BYTES);
+	m->text = talloc_realloc(m->arena, m->text, char, size);
+	m->text_size = size;
+}
+
+static void add_text(struct message *m, const char *p, size_t n)
+{
+	if (!n)
+		return;
+	reserve_text(m, n);
+	memcpy(m->text + m->text_len, p, n);
+	m->text_len += n;
+}
+
+bool message_next_header(const struct message *m, size_t *at, struct header *h)
+{
+	const char *p = m->text + m->headers_at + *at;
+	const char *end = m->text + m->text_len;
+	const char *colon, *stop;
+
+	if (!m->text || p >= end)
+		return false;
+	colon = memchr(p, ':', (size_t)(end - p));
+	stop = memchr(colon, '\n', (size_t)(end - colon));
+	h->name = (struct str){p, (size_t)(colon - p)};
+	h->value = (struct str){colon + 1, (size_t)(stop - colon - 1)};
+	*at += (size_t)(stop + 1 - p);
+	return true;
+}
+
+/* http_parser accepts some bytes that a name or value may not contain. */
+static bool is_valid_header(struct header h)
+{
+	static const char token_chars[] = "!#$%&'*+-.^_`|~";
+
+	if (!h.name.len)
+		return false;
+	for (size_t i = 0; i < h.name.len; i++)
+		if (!g_ascii_isalnum(h.name.data[i]) &&
+		    !memchr(token_chars, h.name.data[i],
+			    sizeof(token_chars) - 1))
+			return false;
+	for (size_t i = 0; i < h.value.len; i++) {
+		unsigned char c = (unsigned char)h.value.data[i];
+
+		if ((c < ' ' && c != '\t') || c == 0x7f)
+			return false;
+	}
+	return true;
+}
+
+bool message_add_header(struct message *m, struct header h)
+{
+	if (!is_valid_header(h))
+		return false;
+	add_text(m, h.name.data, h.name.len);
+	add_text(m, ":", 1);
+	add_text(m, h.value.data, h.value.len);
+	add_text(m, "\n", 1);
+	m->names |= name_bit(h.name);
+	return true;
+}
+
 struct str message_header(const struct message *m, struct str name)
 {
-	for (size_t i = 0; i < m->header_count; i++)
-		if (str_eq_nocase(m->headers[i].name, name))
-			return m->headers[i].value;
+	struct header h;
+	size_t at = 0;
+
+	if (!name.len || !(m->names & name_bit(name)))
+		return (struct str){NULL, 0};
+	while (message_next_header(m, &at, &h))
+		if (str_eq_nocase(h.name, name))
+			return h.value;
 	return (struct str){NULL, 0};
 }
 
-/* Whether a comma-separated list contains the item. */
-static bool list_contains(struct str list, struct str item)
+static const struct str connection = STR_LIT("Connection");
+
+/* Order of names, without regard to case. */
+static int compare_names(const void *a, const void *b)
+{
+	const struct str *x = a, *y = b;
+
+	if (x->len != y->len)
+		return x->len < y->len ? -1 : 1;
+	return strncasecmp(x->data, y->data, x->len);
+}
+
+/* Append the items of a comma-separated list to v, unless it is NULL. */
+static size_t list_items(struct str list, struct str *v, size_t n)
 {
 	const char *p = list.data, *end = list.data + list.len;
 
@@ -67,14 +169,44 @@
 			p++;
 		while (q > p && (q[-1] == ' ' || q[-1] == '\t'))
 			q--;
-		if (str_eq_nocase((struct str){p, (size_t)(q - p)}, item))
-			return true;
+		if (q > p && v)
+			v[n] = (struct str){p, (size_t)(q - p)};
+		n += q > p;
 		p = stop + 1;
 	}
-	return false;
+	return n;
 }
 
-bool header_is_hop_by_hop(const struct message *m, struct str name)
+/* List the names in all Connection headers in v; NULL: only count them. */
+static size_t listed_names(const struct message *m, struct str *v)
+{
+	struct header h;
+	size_t at = 0, n = 0;
+
+	while (message_next_header(m, &at, &h))
+		if (str_eq_nocase(h.name, connection))
+			n = list_items(h.value, v, n);
+	return n;
+}
+
+void end_to_end_begin(struct end_to_end *e, const struct message *m)
+{
+	*e = (struct end_to_end){.message = m};
+	if (!(m->names & name_bit(connection)))
+		return;
+	e->listed_count = listed_names(m, NULL);
+	e->listed = g_new(struct str, e->listed_count);
+	listed_names(m, e->listed);
+	qsort(e->listed, e->listed_count, sizeof(*e->listed), compare_names);
+}
+
+void end_to_end_end(struct end_to_end *e)
+{
+	g_free(e->listed);
+	e->listed = NULL;
+}
+
+static bool is_hop_by_hop(const struct end_to_end *e, struct str name)
 {
 	static const struct str hop_by_hop[] = {
 		STR_LIT("Connection"),
@@ -91,10 +223,14 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
 		if (str_eq_nocase(hop_by_hop[i], name))
 			return true;
-	/* The Connection header names further ones. */
-	for (size_t i = 0; i < m->header_count; i++)
-		if (str_eq_nocase(m->headers[i].name, hop_by_hop[0]) &&
-		    list_contains(m->headers[i].value, name))
+	return e->listed_count && bsearch(&name, e->listed, e->listed_count,
+					  sizeof(*e->listed), compare_names);
+}
+
+bool end_to_end_next(struct end_to_end *e, struct header *h)
+{
+	while (message_next_header(e->message, &e->at, h))
+		if (!is_hop_by_hop(e, h->name))
 			return true;
 	return false;
 }
@@ -175,60 +311,21 @@
 
 	r->message = talloc_zero(NULL, struct message);
 	r->message->arena = r->message;
-	r->header_slots = 0;
+	r->into = r->message;
+	r->in_header = false;
 	r->in_value = false;
 	r->in_trailer = false;
-	buf_consume(&r->head_text, buf_len(&r->head_text));
 	return 0;
 }
 
-/* http_parser accepts some bytes that a name or value may not contain. */
-static bool is_valid_header(struct header h)
-{
-	static const char token_chars[] = "!#$%&'*+-.^_`|~";
-
-	if (!h.name.len)
-		return false;
-	for (size_t i = 0; i < h.name.len; i++)
-		if (!g_ascii_isalnum(h.name.data[i]) &&
-		    !strchr(token_chars, h.name.data[i]))
-			return false;
-	for (size_t i = 0; i < h.value.len; i++) {
-		unsigned char c = (unsigned char)h.value.data[i];
-
-		if ((c < ' ' && c != '\t') || c == 0x7f)
-			return false;
-	}
-	return true;
-}
-
-/* Return the header that is complete; it points into head_text. */
-static struct header last_header(const struct reader *r)
-{
-	struct header h = {
-		{r->head_text.data, r->value_offset},
-		{r->head_text.data + r->value_offset,
-		 r->head_text.len - r->value_offset},
-	};
-
-	while (h.value.len && (h.value.data[h.value.len - 1] == ' ' ||
-			       h.value.data[h.value.len - 1] == '\t'))
-		h.value.len--;
-	return h;
-}
-
-static void add_header(struct reader *r, struct header h)
+/* End the name of the header that is being read; its value follows. */
+static void begin_value(struct reader *r)
 {
-	struct message *m = r->message;
-
-	if (m->header_count == r->header_slots) {
-		r->header_slots = r->header_slots ? r->header_slots * 2
-						  : INITIAL_HEADER_SLOTS;
-		m->headers = talloc_realloc(m, m->headers, struct header,
-					    r->header_slots);
-	}
-	m->headers[m->header_count++] =
-		(struct header){str_dup(m, h.name), str_dup(m, h.value)};
+	if (r->in_value)
+		return;
+	add_text(r->into, ":", 1);
+	r->value_at = r->into->text_len;
+	r->in_value = true;
 }
 
 /*
@@ -238,23 +335,37 @@
  */
 static bool finish_header(struct reader *r)
 {
+	struct message *m = r->into;
 	struct header h;
-	bool valid;
 
-	if (!r->in_value)
+	if (!r->in_header)
 		return true;
-	h = last_header(r);
-	valid = is_valid_header(h);
-	if (!r->in_trailer)
-		add_header(r, h);
-	r->in_value = false;
-	buf_consume(&r->head_text, buf_len(&r->head_text));
-	return valid;
+	begin_value(r);
+	while (m->text_len > r->value_at && (m->text[m->text_len - 1] == ' ' ||
+					     m->text[m->text_len - 1] == '\t'))
+		m->text_len--;
+	h.name = (struct str){m->text + r->header_at,
+			      r->value_at - 1 - r->header_at};
+	h.value =
+		(struct str){m->text + r->value_at, m->text_len - r->value_at};
+	r->in_header = r->in_value = false;
+	if (!is_valid_header(h))
+		return false;
+	if (r->in_trailer) {
+		m->text_len = r->header_at;
+		return true;
+	}
+	m->names |= name_bit(h.name);
+	add_text(m, "\n", 1);
+	return true;
 }
 
 static int on_url(http_parser *p, const char *at, size_t n)
 {
-	buf_add(&reader_of(p)->head_text, at, n);
+	struct message *m = reader_of(p)->message;
+
+	add_text(m, at, n);
+	m->headers_at = m->text_len;
 	return 0;
 }
 
@@ -262,15 +373,16 @@
 {
 	struct reader *r = reader_of(p);
 
-	if (r->is_request && !r->message->url.len) {
-		r->message->url = str_dup(r->message,
-					  (struct str){buf_data(&r->head_text),
-						       buf_len(&r->head_text)});
-		buf_consume(&r->head_text, buf_len(&r->head_text));
-	}
-	if (!finish_header(r))
+	if (r->in_value && !finish_header(r))
 		return 1;
-	buf_add(&r->head_text, at, n);
+	if (r->in_trailer && r->into == r->message) {
+		r->into = talloc_zero(r->message, struct message);
+		r->into->arena = r->into;
+	}
+	if (!r->in_header)
+		r->header_at = r->into->text_len;
+	r->in_header = true;
+	add_text(r->into, at, n);
 	return 0;
 }
 
@@ -278,11 +390,8 @@
 {
 	struct reader *r = reader_of(p);
 
-	if (!r->in_value) {
-		r->in_value = true;
-		r->value_offset = r->head_text.len;
-	}
-	buf_add(&r->head_text, at, n);
+	begin_value(r);
+	add_text(r->into, at, n);
 	return 0;
 }
 
@@ -314,11 +423,12 @@
 
 	if (!finish_header(r))
 		return -1;
-	if (r->is_request && !m->url.len)
-		m->url = str_dup(m, (struct str){buf_data(&r->head_text),
-						 buf_len(&r->head_text)});
-	if (r->is_request)
+	m->text = talloc_realloc(m->arena, m->text, char, m->text_len);
+	m->text_size = m->text_len;
+	if (r->is_request) {
+		m->url = (struct str){m->text, m->headers_at};
 		m->method = str_c(http_method_str(p->method));
+	}
 	m->status = p->status_code;
 	m->keep_alive = http_should_keep_alive(p);
 	m->has_body =
@@ -373,6 +483,9 @@
 {
 	struct reader *r = g_new0(struct reader, 1);
 
+	/* The reader has a limit of its own, which may be above the parser's.
+	 */
+	http_parser_set_max_header_size(INT32_MAX);
 	http_parser_init(&r->parser, request ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->parser.data = r;
 	r->ops = ops;
@@ -388,7 +501,6 @@
 		return;
 	/* A message that has not ended still belongs to the reader. */
 	talloc_free(r->message);
-	buf_clear(&r->head_text);
 	g_free(r);
 }
 
--- a/entry/test-http-message.c
+++ b/entry/test-http-message.c
@@ -15,16 +15,17 @@
 static bool on_head(void *ctx, struct message *m)
 {
 	struct received *s = ctx;
+	struct header h;
+	size_t at = 0;
 
 	s->heads++;
 	g_free(s->headers);
 	s->headers = g_strdup("");
-	for (size_t i = 0; i < m->header_count; i++) {
+	while (message_next_header(m, &at, &h)) {
 		char *old = s->headers;
 
 		s->headers = g_strdup_printf("%s[" STR_FMT "=" STR_FMT "]", old,
-					     STR_ARG(m->headers[i].name),
-					     STR_ARG(m->headers[i].value));
+					     STR_ARG(h.name), STR_ARG(h.value));
 		g_free(old);
 	}
 	return true;
@@ -39,9 +40,11 @@
 static bool on_end(void *ctx, struct message *m)
 {
 	struct received *s = ctx;
+	struct header h;
 
 	s->ends++;
-	s->headers_at_end += m->header_count;
+	for (size_t at = 0; message_next_header(m, &at, &h);)
+		s->headers_at_end++;
 	talloc_free(m);
 	return true;
 }
@@ -237,6 +240,128 @@
 	clear(&s);
 }
 
+/* What the head of one message takes, and how often it was reported. */
+struct taken {
+	size_t bytes;
+	size_t headers;
+};
+
+static bool measure_head(void *ctx, struct message *m)
+{
+	struct taken *t = ctx;
+	struct header h;
+
+	t->bytes = talloc_total_size(m);
+	for (size_t at = 0; message_next_header(m, &at, &h);)
+		t->headers++;
+	return true;
+}
+
+static bool ignore_body(void *ctx, const char *p, size_t n)
+{
+	(void)ctx;
+	(void)p;
+	(void)n;
+	return true;
+}
+
+static bool free_message(void *ctx, struct message *m)
+{
+	(void)ctx;
+	talloc_free(m);
+	return true;
+}
+
+/* A head takes memory by its lines, not by its bytes. */
+static void test_many_lines(void)
+{
+	static const struct reader_ops measure = {measure_head, ignore_body,
+						  free_message};
+	static const char *const lines[] = {"a:\r\n", "a:\n", "ab: cd\r\n"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		GString *s = g_string_new("GET / HTTP/1.1\r\n");
+		struct taken t = {0, 0};
+		struct reader *r = reader_new(true, &measure, &t);
+		enum read_error err;
+		size_t n = 0;
+
+		reader_set_header_max(r, 16384);
+		for (; s->len < 16000; n++)
+			g_string_append(s, lines[i]);
+		g_string_append(s, "\r\n");
+		reader_feed(r, s->str, s->len, &err);
+		g_assert_cmpint(err, ==, READ_OK);
+		g_assert_cmpuint(t.headers, ==, n);
+		g_assert_cmpuint(t.bytes, <=, s->len + 1024);
+		reader_free(r);
+		g_string_free(s, TRUE);
+	}
+}
+
+/* Write the headers of a message that are to be forwarded, as NAME,... */
+static bool list_end_to_end(void *ctx, struct message *m)
+{
+	struct end_to_end e;
+	struct header h;
+
+	end_to_end_begin(&e, m);
+	while (end_to_end_next(&e, &h))
+		g_string_append_printf(ctx, STR_FMT ",", STR_ARG(h.name));
+	end_to_end_end(&e);
+	return true;
+}
+
+/* A header that concerns one connection is forwarded, or another is not. */
+static void test_end_to_end(void)
+{
+	static const struct reader_ops list = {list_end_to_end, ignore_body,
+					       free_message};
+	static const char text[] =
+		"GET / HTTP/1.1\r\nHost: x\r\nA: 1\r\nB: 2\r\n"
+		"Connection: close, b ,,\r\nC:\r\nTE: x\r\n"
+		"connection: CC, c\r\ncc: y\r\nAA: z\r\nKeep-Alive: 3\r\n"
+		"A: 4\r\n\r\n";
+	GString *names = g_string_new(NULL);
+	struct reader *r = reader_new(true, &list, names);
+	enum read_error err;
+
+	reader_feed(r, text, sizeof(text) - 1, &err);
+	g_assert_cmpint(err, ==, READ_OK);
+	g_assert_cmpstr(names->str, ==, "Host,A,AA,A,");
+	reader_free(r);
+	g_string_free(names, TRUE);
+}
+
+/* Names that share a bit of the set of names are taken for each other. */
+static void test_names(void)
+{
+	struct message m = {.arena = talloc_new(NULL)};
+	char name[3] = "";
+	int found = 0;
+
+	for (char c = 'a'; c <= 'z'; c += 2) {
+		struct header h = {{name, 2}, {&c, 1}};
+
+		name[0] = name[1] = c;
+		g_assert_true(message_add_header(&m, h));
+	}
+	for (char c = 'a'; c <= 'z'; c++) {
+		struct str value;
+
+		name[0] = g_ascii_toupper(c);
+		name[1] = c;
+		value = message_header(&m, (struct str){name, 2});
+		found += value.len == 1 && value.data[0] == c;
+	}
+	g_assert_cmpint(found, ==, 13);
+	g_assert_false(message_add_header(
+		&m, (struct header){STR_LIT("a b"), STR_LIT("c")}));
+	g_assert_false(message_add_header(
+		&m, (struct header){STR_LIT("a"), STR_LIT("c\nd:e")}));
+	talloc_free(m.arena);
+}
+
 static void test_retry_after(void)
 {
 	static const struct {
@@ -275,6 +400,9 @@
 	g_test_add_func("/entry/message/trailer", test_trailer);
 	g_test_add_func("/entry/message/bodiless", test_bodiless);
 	g_test_add_func("/entry/message/header-limit", test_header_limit);
+	g_test_add_func("/entry/message/many-lines", test_many_lines);
+	g_test_add_func("/entry/message/end-to-end", test_end_to_end);
+	g_test_add_func("/entry/message/names", test_names);
 	g_test_add_func("/entry/http-message/retry-after", test_retry_after);
 	return g_test_run();
 }
