http messages: the configured limit on heads holds above 80 KB

Callers saw: with MaxHeaderBytes 200,000, heads of 78 KB got 431.

Cause: http_parser has a limit of its own, 81,920 bytes by default, which the reader took for the configured one. It is now out of the way; the reader's limit is checked after each piece that is read, as before.

/hostile-clients/legal, heads of 190,000 bytes as 47,500 equal lines and as 13,000 numbered ones: 431 before, now 200, and the target gets all lines in their order.

--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -553,8 +553,7 @@
 			*err = READ_STOPPED;
 		return used;
 	}
-	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_HEADER_OVERFLOW ||
-	    r->parser.nread > r->header_max_bytes)
+	if (r->parser.nread > r->header_max_bytes)
 		*err = READ_HEADERS_TOO_LARGE;
 	else if (r->error)
 		*err = r->error;
