callers: a refusal reaches a caller that is still sending

Callers saw: a refusal that came before a request was read whole (400, 408, 413, 431, 503) was followed by a reset, with which the refusal may be lost.

Cause: reply_error closed the connection at once; Linux resets a connection that is closed with unread input. The same for a response that closes the connection while pipelined input waits.

The entry now ends its own direction, and reads and drops what the caller sends until that closes too, for 3 s at most. Connections without unread input are closed at once, as before.

/hostile-clients/refused: three requests with 4.5 MB behind the refusal; sends failed or the connection was reset in all three before, now the whole is taken, the refusal is read, and the connection ends without a reset.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -32,6 +32,12 @@
  * segment is sent again after 200 ms.
  */
 #define REQUEST_DUE_MS 500
+/*
+ * Time for which the rest of a request that was refused is read and dropped. A
+ * close with unread input would reset the connection, and the caller might lose
+ * the refusal.
+ */
+#define LINGER_MS 3000
 
 struct caller {
 	struct traffic *tr;
@@ -53,6 +59,8 @@
 	int64_t body_deadline_ms;  /* of its last byte; set by its head */
 	bool keep_alive;           /* another request may follow */
 	bool close_when_sent;      /* close once output is empty */
+	bool parsing;              /* the reader uses input */
+	bool refused;              /* what follows of its request is dropped */
 	bool closed;               /* freed once no callback is running */
 };
 
@@ -146,6 +154,31 @@
 	timer_start_once(c->tr->loop, &c->timeout, ms);
 }
 
+/* Drop what the caller has sent and what it sends from now on. */
+static void drop_input(struct caller *c)
+{
+	c->refused = true;
+	/* The reader still uses it; see parse_input. */
+	if (!c->parsing)
+		buf_clear(&c->input);
+}
+
+/*
+ * All is sent that the caller gets: close, but first read what it is sending
+ * still.
+ */
+static void end_output(struct caller *c)
+{
+	if (!c->refused && !buf_len(&c->input) && !sock_has_input(c->fd)) {
+		close_caller(c);
+		return;
+	}
+	drop_input(c);
+	(void)shutdown(c->fd, SHUT_WR);
+	set_timeout(c, LINGER_MS);
+	update_events(c);
+}
+
 static void flush_output(struct caller *c)
 {
 	ssize_t n;
@@ -164,7 +197,7 @@
 		return;
 	}
 	if (!buf_len(&c->output) && c->close_when_sent)
-		close_caller(c);
+		end_output(c);
 }
 
 void caller_write(struct caller *c, const char *p, size_t n)
@@ -191,6 +224,7 @@
 
 	local_reply_error(&out, c->tr, arena, kind, 0, false);
 	c->close_when_sent = true;
+	drop_input(c);
 	/* The request has its answer; from here on the caller only reads it. */
 	c->request_began_ms = 0;
 	set_timeout(c, limits_of(c).idle_ms);
@@ -198,7 +232,7 @@
 	buf_clear(&out);
 	talloc_free(arena);
 	if (!buf_len(&c->output))
-		close_caller(c);
+		end_output(c);
 }
 
 /*
@@ -304,8 +338,12 @@
 			c->request_began_ms = time_boot_ms();
 			set_timeout(c, limits_of(c).header_ms);
 		}
+		c->parsing = true;
 		used = reader_feed(c->reader, buf_data(&c->input),
 				   buf_len(&c->input), &err);
+		c->parsing = false;
+		if (c->refused)
+			drop_input(c);
 		if (c->closed || err == READ_STOPPED)
 			return;
 		buf_consume(&c->input, used);
@@ -333,7 +371,7 @@
 	if (!keep || !c->keep_alive) {
 		c->close_when_sent = true;
 		if (!buf_len(&c->output))
-			close_caller(c);
+			end_output(c);
 		return;
 	}
 	g_queue_unlink(c->tr->callers, c->queue_link);
@@ -350,7 +388,8 @@
 	ssize_t n = recv(c->fd, p, sizeof(p), 0);
 
 	if (n > 0) {
-		buf_add(&c->input, p, (size_t)n);
+		if (!c->refused)
+			buf_add(&c->input, p, (size_t)n);
 		return;
 	}
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
@@ -476,13 +515,11 @@
  */
 static bool is_busy(const struct caller *c, int64_t now_ms)
 {
-	char byte;
-
 	if (c->exchange || c->request_began_ms || buf_len(&c->output) ||
 	    buf_len(&c->input))
 		return true;
 	return now_ms - c->quiet_since_ms < REQUEST_DUE_MS ||
-	       recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	       sock_has_input(c->fd);
 }
 
 void callers_close_idle(struct traffic *tr)
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -410,6 +410,8 @@
  * before has been received.
  */
 bool sock_peer_has_closed(int fd);
+/* Whether bytes have been received that were not read. */
+bool sock_has_input(int fd);
 
 /* link.c: a client connection to a target or to the store. */
 enum link_fault {
--- a/entry/sock.c
+++ b/entry/sock.c
@@ -130,6 +130,13 @@
 			 sizeof(program));
 }
 
+bool sock_has_input(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool sock_peer_has_closed(int fd)
 {
 	char byte;
