entry: hold each byte of requests and responses once

A request's head and body were put together in a buffer and copied into the link; now the link sends the body from where it was read. A complete response was copied behind its head and again into the caller's output; now the head is sent, the rest of the body moves. Queues double only up to 64 KB, give back more than 4 KB once empty, and idle links keep no buffers and no head of their last response.

--- a/entry/buf.c
+++ b/entry/buf.c
@@ -7,6 +7,18 @@
 
 /* Consumed space at the front is reclaimed from this size on. */
 #define COMPACT_BYTES 4096
+/* Queues grow by doubling up to this size, and by as much beyond it. */
+#define GROWTH_MAX_BYTES 65536
+/* A queue that becomes empty keeps no more than this. */
+#define EMPTY_MAX_BYTES 4096
+
+static void resize(struct buf *b, size_t cap)
+{
+	if (b->account)
+		*b->account += (int64_t)cap - (int64_t)b->cap;
+	b->cap = cap;
+	b->data = g_realloc(b->data, cap);
+}
 
 /* Make room for n more bytes. */
 static void reserve(struct buf *b, size_t n)
@@ -20,9 +32,23 @@
 	}
 	if (b->len + n <= b->cap)
 		return;
-	b->cap = MAX(b->cap * 2, b->len + n);
-	b->cap = MAX(b->cap, 256);
-	b->data = g_realloc(b->data, b->cap);
+	resize(b, MAX(b->len + n,
+		      MAX(b->cap + MIN(b->cap, GROWTH_MAX_BYTES), 256)));
+}
+
+void buf_reserve(struct buf *b, size_t n)
+{
+	if (b->len + n > b->cap)
+		resize(b, b->len + n);
+}
+
+void buf_set_account(struct buf *b, int64_t *account)
+{
+	if (b->account)
+		*b->account -= (int64_t)b->cap;
+	b->account = account;
+	if (account)
+		*account += (int64_t)b->cap;
 }
 
 void buf_add(struct buf *b, const void *p, size_t n)
@@ -54,14 +80,29 @@
 void buf_consume(struct buf *b, size_t n)
 {
 	b->off += n;
-	if (b->off == b->len)
-		b->off = b->len = 0;
+	if (b->off < b->len)
+		return;
+	b->off = b->len = 0;
+	if (b->cap > EMPTY_MAX_BYTES)
+		buf_clear(b);
 }
 
 void buf_clear(struct buf *b)
 {
+	if (b->account)
+		*b->account -= (int64_t)b->cap;
 	g_free(b->data);
-	memset(b, 0, sizeof(*b));
+	*b = (struct buf){.account = b->account};
+}
+
+void buf_move(struct buf *to, struct buf *from)
+{
+	int64_t *account = from->account;
+
+	buf_clear(to);
+	buf_set_account(from, to->account);
+	*to = *from;
+	*from = (struct buf){.account = account};
 }
 
 void buf_add_header(struct buf *b, struct str name, struct str value)
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -200,19 +200,38 @@
 		end_output(c);
 }
 
+/* Send as much as the socket takes, if nothing waits; return how much. */
+static size_t send_at_once(struct caller *c, const char *p, size_t n, int flags)
+{
+	ssize_t sent;
+
+	if (buf_len(&c->output) || !n)
+		return 0;
+	sent = send(c->fd, p, n, MSG_NOSIGNAL | flags);
+	/* An error shows up again at the next I/O event. */
+	return sent > 0 ? (size_t)sent : 0;
+}
+
 void caller_write(struct caller *c, const char *p, size_t n)
 {
-	bool waiting = buf_len(&c->output) > 0;
+	size_t sent = send_at_once(c, p, n, 0);
+
+	buf_add(&c->output, p + sent, n - sent);
+	update_events(c);
+}
 
-	buf_add(&c->output, p, n);
-	if (!waiting) {
-		ssize_t sent = send(c->fd, buf_data(&c->output),
-				    buf_len(&c->output), MSG_NOSIGNAL);
+void caller_write_last(struct caller *c, const struct buf *head,
+		       struct buf *body)
+{
+	size_t sent = send_at_once(c, buf_data(head), buf_len(head),
+				   buf_len(body) ? MSG_MORE : 0);
 
-		/* An error shows up again at the next I/O event. */
-		if (sent > 0)
-			buf_consume(&c->output, (size_t)sent);
-	}
+	buf_add(&c->output, buf_data(head) + sent, buf_len(head) - sent);
+	buf_consume(body, send_at_once(c, buf_data(body), buf_len(body), 0));
+	if (!buf_len(&c->output))
+		buf_move(&c->output, body);
+	buf_add(&c->output, buf_data(body), buf_len(body));
+	buf_clear(body);
 	update_events(c);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -248,16 +248,24 @@
 struct buf {
 	char *data;
 	size_t off, len, cap; /* unread bytes are data[off] to data[len - 1] */
+	/* Sum of the capacities of several queues, or NULL; see held.h. */
+	int64_t *account;
 };
 
 void buf_add(struct buf *b, const void *p, size_t n);
 void buf_fmt(struct buf *b, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 /* Append an HTTP header line. */
 void buf_add_header(struct buf *b, struct str name, struct str value);
-/* Consume n bytes. */
+/* Consume n bytes. Memory of a large queue is freed once it is empty. */
 void buf_consume(struct buf *b, size_t n);
-/* Free the memory. */
+/* Make room for just n more bytes. */
+void buf_reserve(struct buf *b, size_t n);
+/* Empty the queue and free its memory; it keeps its account. */
 void buf_clear(struct buf *b);
+/* Replace the queue by another one, which is empty afterwards. */
+void buf_move(struct buf *to, struct buf *from);
+/* Count the queue's memory in an account; NULL: in none. */
+void buf_set_account(struct buf *b, int64_t *account);
 static inline size_t buf_len(const struct buf *b)
 {
 	return b->len - b->off;
@@ -287,6 +295,7 @@
 	size_t text_len, text_size; /* used and allocated */
 	size_t headers_at;          /* where the headers begin in text */
 	uint64_t names;             /* set of name_bit of all headers */
+	int64_t *account; /* counts text_size; see held.h. NULL: none */
 	/*
 	 * False also where the end of the body is the end of the connection, or
 	 * where it is uncertain whether a response that has none is followed by
@@ -295,7 +304,8 @@
 	bool keep_alive;
 	bool has_body; /* by the headers; a response may have none all the same
 			*/
-	bool until_close; /* a response's body ends with the connection */
+	bool until_close;   /* a response's body ends with the connection */
+	int64_t body_bytes; /* by Content-Length; -1: none is given */
 };
 
 /* Return the value of the first such header, or {NULL, 0}. */
@@ -372,6 +382,10 @@
 void reader_free(struct reader *r);
 /* Limit the size of the header section. */
 void reader_set_header_max(struct reader *r, size_t header_bytes);
+/* Count the heads of its messages in an account, from the next one on. */
+void reader_set_account(struct reader *r, int64_t *account);
+/* Return what the reader holds of a message that has not ended, in bytes. */
+size_t reader_held_bytes(const struct reader *r);
 /* Expect a response without a body, as to a HEAD request. */
 void reader_set_no_body(struct reader *r, bool no_body);
 /*
@@ -465,8 +479,19 @@
 /* Deliver the next response to ctx. */
 void link_expect_response(struct link *l, const struct link_ops *ops,
 			  void *ctx);
-/* Queue bytes for sending. */
-void link_send(struct link *l, const char *p, size_t n);
+/*
+ * Queue bytes for sending, and after them the body, which must stay valid until
+ * the link is idle or closed.
+ */
+void link_send(struct link *l, const char *p, size_t n, struct str body);
+/* Count what the link holds in an account. */
+void link_set_account(struct link *l, int64_t *account);
+/* Return what the link holds in buffers and heads, in bytes. */
+size_t link_held_bytes(const struct link *l);
+/* Count the heads of its messages in an account, from the next one on. */
+void reader_set_account(struct reader *r, int64_t *account);
+/* Return what the reader holds of a message that has not ended, in bytes. */
+size_t reader_held_bytes(const struct reader *r);
 /* Expect a response without a body, as to a HEAD request. */
 void link_expect_no_body(struct link *l, bool no_body);
 /* Stop reading from the socket, or resume. */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -210,12 +210,11 @@
 			buf_len(&x->response_body));
 	}
 	buf_add(&out, "\r\n", 2);
-	if (!is_head_request(x))
-		buf_add(&out, buf_data(&x->response_body),
-			buf_len(&x->response_body));
+	if (is_head_request(x))
+		buf_clear(&x->response_body);
 	exchange_log_end(x, status, "answered");
 	metric_add(M_ANSWERS_COMPLETE_TOTAL, 1);
-	caller_write(x->caller, buf_data(&out), buf_len(&out));
+	caller_write_last(x->caller, &out, &x->response_body);
 	buf_clear(&out);
 	finish(x, keeps_alive(x));
 }
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -73,7 +73,6 @@
 	if (x->body.len || m->has_body || !str_eq(m->method, STR_LIT("GET")))
 		buf_fmt(&b, "Content-Length: %zu\r\n", x->body.len);
 	buf_add(&b, "\r\n", 2);
-	buf_add(&b, x->body.data, x->body.len);
-	link_send(x->link, buf_data(&b), buf_len(&b));
+	link_send(x->link, buf_data(&b), buf_len(&b), x->body);
 	buf_clear(&b);
 }
--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -31,6 +31,7 @@
 	bool in_header, in_value;
 	bool in_trailer; /* the header section is complete */
 	size_t header_max_bytes;
+	int64_t *account; /* of messages; NULL: none */
 	enum read_error error;
 	bool is_request;
 	bool no_body;       /* the next response answers a HEAD request */
@@ -59,6 +60,14 @@
 	return 1ULL << ((name.len * 31 + first + last * 7) % 64);
 }
 
+static void resize_text(struct message *m, size_t size)
+{
+	if (m->account)
+		*m->account += (int64_t)size - (int64_t)m->text_size;
+	m->text = talloc_realloc(m->arena, m->text, char, size);
+	m->text_size = size;
+}
+
 /* Make room for n more bytes of text. */
 static void reserve_text(struct message *m, size_t n)
 {
@@ -68,8 +77,7 @@
 		return;
 	while (size < m->text_len + n)
 		size += MIN(size, HEAD_GROWTH_MAX_BYTES);
-	m->text = talloc_realloc(m->arena, m->text, char, size);
-	m->text_size = size;
+	resize_text(m, size);
 }
 
 static void add_text(struct message *m, const char *p, size_t n)
@@ -305,12 +313,29 @@
 	return p->data;
 }
 
+/* Destructor of a message that a reader has created. */
+static int leave_account(struct message *m)
+{
+	if (m->account)
+		*m->account -= (int64_t)m->text_size;
+	return 0;
+}
+
+static struct message *message_new(const struct reader *r, void *parent)
+{
+	struct message *m = talloc_zero(parent, struct message);
+
+	m->arena = m;
+	m->account = r->account;
+	talloc_set_destructor(m, leave_account);
+	return m;
+}
+
 static int on_message_begin(http_parser *p)
 {
 	struct reader *r = reader_of(p);
 
-	r->message = talloc_zero(NULL, struct message);
-	r->message->arena = r->message;
+	r->message = message_new(r, NULL);
 	r->into = r->message;
 	r->in_header = false;
 	r->in_value = false;
@@ -375,10 +400,8 @@
 
 	if (r->in_value && !finish_header(r))
 		return 1;
-	if (r->in_trailer && r->into == r->message) {
-		r->into = talloc_zero(r->message, struct message);
-		r->into->arena = r->into;
-	}
+	if (r->in_trailer && r->into == r->message)
+		r->into = message_new(r, r->message);
 	if (!r->in_header)
 		r->header_at = r->into->text_len;
 	r->in_header = true;
@@ -423,8 +446,7 @@
 
 	if (!finish_header(r))
 		return -1;
-	m->text = talloc_realloc(m->arena, m->text, char, m->text_len);
-	m->text_size = m->text_len;
+	resize_text(m, m->text_len);
 	if (r->is_request) {
 		m->url = (struct str){m->text, m->headers_at};
 		m->method = str_c(http_method_str(p->method));
@@ -434,6 +456,10 @@
 	m->has_body =
 		(p->flags & F_CHUNKED) ||
 		(p->content_length > 0 && p->content_length != UINT64_MAX);
+	m->body_bytes =
+		p->content_length == UINT64_MAX || (p->flags & F_CHUNKED)
+			? -1
+			: (int64_t)MIN(p->content_length, INT64_MAX);
 	m->until_close = !r->is_request && !is_bodiless(r, m) &&
 			 !(p->flags & F_CHUNKED) &&
 			 p->content_length == UINT64_MAX;
@@ -509,6 +535,16 @@
 	r->header_max_bytes = header_bytes;
 }
 
+void reader_set_account(struct reader *r, int64_t *account)
+{
+	r->account = account;
+}
+
+size_t reader_held_bytes(const struct reader *r)
+{
+	return r->message ? r->message->text_size : 0;
+}
+
 void reader_set_no_body(struct reader *r, bool no_body)
 {
 	r->no_body = no_body;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -264,6 +264,9 @@
 void caller_accept(struct port *p);
 /* Queue bytes for the caller and send what the socket takes. */
 void caller_write(struct caller *c, const char *p, size_t n);
+/* The same for a response's head and its body, whose memory it takes. */
+void caller_write_last(struct caller *c, const struct buf *head,
+		       struct buf *body);
 /* Return the number of queued bytes that the socket has not taken. */
 size_t caller_unsent_bytes(const struct caller *c);
 /*
--- a/entry/link.c
+++ b/entry/link.c
@@ -37,7 +37,8 @@
 	void *ctx;
 	struct buf output;
 	struct buf request;       /* waits until the tunnel is open */
-	struct message *response; /* last complete one; ops may use it */
+	struct str body;          /* what is unsent of it; follows output */
+	struct message *response; /* complete; ops->end may use it */
 	int64_t idle_timeout_ms;  /* see IDLE_TIMEOUT_SHARE */
 	bool connected;
 	bool tunnel;     /* through another node */
@@ -77,9 +78,17 @@
 	if (l->fd >= 0)
 		close(l->fd);
 	l->fd = -1;
+	buf_clear(&l->output);
+	buf_clear(&l->request);
+	l->body.len = 0;
 	defer_free(l->loop, l, free_link);
 }
 
+static bool has_unsent(const struct link *l)
+{
+	return buf_len(&l->output) || l->body.len;
+}
+
 static void update_events(struct link *l)
 {
 	int events = 0;
@@ -88,7 +97,7 @@
 		return;
 	if (!l->paused)
 		events |= EV_READ;
-	if (!l->connected || buf_len(&l->output))
+	if (!l->connected || has_unsent(l))
 		events |= EV_WRITE;
 	if (!l->connected)
 		events = l->hello_sent ? EV_READ : EV_WRITE;
@@ -158,7 +167,11 @@
 	 * read that part as the beginning of the next request.
 	 */
 	l->awaiting = false;
-	l->ops->end(l->ctx, l->keep_alive && !buf_len(&l->output));
+	l->ops->end(l->ctx, l->keep_alive && !has_unsent(l));
+	if (l->response == m) {
+		talloc_free(m);
+		l->response = NULL;
+	}
 	return !l->closed;
 }
 
@@ -241,17 +254,39 @@
 		on_eof(l, false);
 }
 
-static void flush_output(struct link *l)
+/* Send what the socket takes; false: the connection is broken. */
+static bool send_some(struct link *l)
 {
 	ssize_t n;
 
-	if (!buf_len(&l->output))
-		return;
-	n = send(l->fd, buf_data(&l->output), buf_len(&l->output),
-		 MSG_NOSIGNAL);
-	if (n > 0)
-		buf_consume(&l->output, (size_t)n);
-	else if (n < 0 && errno != EAGAIN && errno != EINTR)
+	while (has_unsent(l)) {
+		bool head = buf_len(&l->output) > 0;
+		size_t len = head ? buf_len(&l->output) : l->body.len;
+
+		/* Another node gets the hello first. */
+		if (!head && !l->connected)
+			break;
+		n = send(l->fd, head ? buf_data(&l->output) : l->body.data, len,
+			 MSG_NOSIGNAL |
+				 (head && l->connected && l->body.len ? MSG_MORE
+								      : 0));
+		if (n < 0)
+			return errno == EAGAIN || errno == EINTR;
+		if (head) {
+			buf_consume(&l->output, (size_t)n);
+		} else {
+			l->body.data += n;
+			l->body.len -= (size_t)n;
+		}
+		if ((size_t)n < len)
+			break;
+	}
+	return true;
+}
+
+static void flush_output(struct link *l)
+{
+	if (!send_some(l))
 		report_fault(l, LINK_BROKEN);
 }
 
@@ -386,6 +421,11 @@
 	l->on_lost = on_lost;
 	l->ctx = ctx;
 	l->paused = false;
+	/* Memory that the response needed. */
+	if (!buf_len(&l->output))
+		buf_clear(&l->output);
+	if (!buf_len(&l->frames))
+		buf_clear(&l->frames);
 	update_events(l);
 }
 
@@ -400,20 +440,31 @@
 	update_events(l);
 }
 
-void link_send(struct link *l, const char *p, size_t n)
+void link_send(struct link *l, const char *p, size_t n, struct str body)
 {
 	buf_add(l->tunnel && !l->connected ? &l->request : &l->output, p, n);
-	if (l->connected) {
-		ssize_t sent = send(l->fd, buf_data(&l->output),
-				    buf_len(&l->output), MSG_NOSIGNAL);
-
-		/* An error shows up again at the next I/O event. */
-		if (sent > 0)
-			buf_consume(&l->output, (size_t)sent);
-	}
+	l->body = body;
+	/* An error shows up again at the next I/O event. */
+	if (l->connected)
+		(void)send_some(l);
 	update_events(l);
 }
 
+void link_set_account(struct link *l, int64_t *account)
+{
+	buf_set_account(&l->output, account);
+	buf_set_account(&l->request, account);
+	buf_set_account(&l->frames, account);
+	reader_set_account(l->reader, account);
+}
+
+size_t link_held_bytes(const struct link *l)
+{
+	return l->output.cap + l->request.cap + l->frames.cap +
+	       reader_held_bytes(l->reader) +
+	       (l->response ? l->response->text_size : 0);
+}
+
 void link_expect_no_body(struct link *l, bool no_body)
 {
 	reader_set_no_body(l->reader, no_body);
--- a/entry/test-link.c
+++ b/entry/test-link.c
@@ -41,7 +41,7 @@
 	defer_init(f->loop);
 	f->link = link_open(f->loop, &at);
 	link_expect_response(f->link, &ops, f);
-	link_send(f->link, "request", 7);
+	link_send(f->link, "request", 7, (struct str){NULL, 0});
 	while (!f->asked)
 		ev_run(f->loop, EVRUN_ONCE);
 }
