entry: one account of the memory that callers make a node hold

Callers saw: a process that exceeded its memory. Bodies and responses had shares of it, 0.4 and 0.15; half-read heads, pipelined input, output that nobody reads, copies in links and the buffers of idle callers had none.

All of it is counted in traffic.held: each queue and head by what it has allocated, connections and requests by a fixed amount. held.c decides, without a network: callers may take half of the process's memory; one that holds more than 64 KB has 0.8 of that, so that large requests deny nothing to small ones. Beyond it idle connections are closed first, the longest idle first, then requests that no target has are refused, the largest first, with 503; the caller that asks is one of them. What a target has, or of which a caller has a part, is never ended; its response is read no faster than the caller reads, up to 256 KB, 32 KB from half of the share on, and nothing at 0.8 of it. Room for a body with a length is asked for, and the body refused, before it is read. Pipelined input is read up to 16 KB. Large buffers are mapped one by one and memory that was freed is given back, which the allocator did not do.

Each refusal has the event caller_refused and callers_refused_total; the sum is caller_memory_bytes.

--- a/base/events-gen.h
+++ b/base/events-gen.h
@@ -76,6 +76,7 @@
 	EV_EXPLAINED,
 	EV_EXPLAIN_DENIED,
 	EV_REQUEST_SHED,
+	EV_CALLER_REFUSED,
 	EV_COUNT
 };
 #endif
--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -137,4 +137,12 @@
 	  "Requests refused by their rank for want of room." },
 	{ "ramp_overload_floor_admissions_total", "counter",
 	  "Requests admitted for want of room by a floor of their route or organisation." },
+	{ "ramp_caller_memory_bytes", "gauge",
+	  "Memory that callers make this node hold: heads, bodies, responses and connections, in bytes." },
+	{ "ramp_caller_memory_refusals_total", "counter",
+	  "Responses of targets that were given up as callers held too much memory." },
+	{ "ramp_callers_refused_total", "counter",
+	  "Requests refused before they were read whole." },
+	{ "ramp_callers_ended_total", "counter",
+	  "Connections closed, and requests refused before they ran, so that other callers have room." },
 };
--- a/entry/buf.c
+++ b/entry/buf.c
@@ -14,8 +14,7 @@
 
 static void resize(struct buf *b, size_t cap)
 {
-	if (b->account)
-		*b->account += (int64_t)cap - (int64_t)b->cap;
+	account_add(b->account, (int64_t)cap - (int64_t)b->cap);
 	b->cap = cap;
 	b->data = g_realloc(b->data, cap);
 }
@@ -42,13 +41,11 @@
 		resize(b, b->len + n);
 }
 
-void buf_set_account(struct buf *b, int64_t *account)
+void buf_set_account(struct buf *b, struct account *account)
 {
-	if (b->account)
-		*b->account -= (int64_t)b->cap;
+	account_add(b->account, -(int64_t)b->cap);
 	b->account = account;
-	if (account)
-		*account += (int64_t)b->cap;
+	account_add(account, (int64_t)b->cap);
 }
 
 void buf_add(struct buf *b, const void *p, size_t n)
@@ -89,15 +86,14 @@
 
 void buf_clear(struct buf *b)
 {
-	if (b->account)
-		*b->account -= (int64_t)b->cap;
+	account_add(b->account, -(int64_t)b->cap);
 	g_free(b->data);
 	*b = (struct buf){.account = b->account};
 }
 
 void buf_move(struct buf *to, struct buf *from)
 {
-	int64_t *account = from->account;
+	struct account *account = from->account;
 
 	buf_clear(to);
 	buf_set_account(from, to->account);
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -5,21 +5,31 @@
 #include <errno.h>
 #include <http_parser.h>
 #include <linux/sockios.h>
+#include <malloc.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
 
+#include "entry/held.h"
 #include "entry/internal.h"
 
 #define READ_CHUNK_BYTES 16384
 /* Most pipelined bytes read while a request is in progress. */
-#define PIPELINED_MAX_BYTES 65536
+#define PIPELINED_MAX_BYTES 16384
 /* Descriptors of the limit that are reserved for connections to targets. */
 #define TARGET_FILES_RESERVED 400
-/* Share of the memory limit that request bodies may take. */
-#define BODY_MEMORY_SHARE 0.4
+/* After this, a caller that was refused for want of memory may come back. */
+#define MEMORY_RETRY_MS 500
+/* Memory is given back to the system after this share of the limit was freed.
+ */
+#define TRIM_SHARE 0.1
+/*
+ * Buffers from this size on are mapped each on its own, so that they grow in
+ * place and leave no holes. The allocator's own limit rises to 32 MB.
+ */
+#define MAPPED_MIN_BYTES (128 << 10)
 /* Limits until a configuration is known. */
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES   (4 << 20)
@@ -95,13 +105,17 @@
 	g_free(c);
 }
 
-/* Free the memory of a request's body and subtract it from the total. */
-static void discard_body(struct caller *c)
+static void discard_request(struct caller *c)
 {
-	c->tr->buffered_body_bytes -= (int64_t)buf_len(&c->body);
-	buf_consume(&c->body, buf_len(&c->body));
-	if (c->body.cap > READ_CHUNK_BYTES)
-		buf_clear(&c->body);
+	/* The reader still uses it; see parse_input. */
+	if (c->parsing)
+		return;
+	buf_clear(&c->input);
+	buf_clear(&c->body);
+	talloc_free(c->request);
+	c->request = NULL;
+	reader_free(c->reader);
+	c->reader = NULL;
 }
 
 static void close_caller(struct caller *c)
@@ -112,7 +126,9 @@
 	if (c->exchange)
 		exchange_cancel(c->exchange);
 	c->exchange = NULL;
-	discard_body(c);
+	discard_request(c);
+	buf_clear(&c->output);
+	account_add(&c->tr->held, -HELD_CONNECTION_BYTES);
 	ev_io_stop(c->tr->loop, &c->io);
 	ev_timer_stop(c->tr->loop, &c->timeout);
 	close(c->fd);
@@ -158,9 +174,7 @@
 static void drop_input(struct caller *c)
 {
 	c->refused = true;
-	/* The reader still uses it; see parse_input. */
-	if (!c->parsing)
-		buf_clear(&c->input);
+	discard_request(c);
 }
 
 /*
@@ -235,13 +249,37 @@
 	update_events(c);
 }
 
+static const char *const port_names[PORT_COUNT] = {
+	[PORT_CALLERS] = "callers", [PORT_READY] = "ready",
+	[PORT_ENTRIES] = "entries", [PORT_METRICS] = "metrics",
+	[PORT_EXPLAIN] = "explain", [PORT_TUNNELS] = "tunnels",
+};
+
+/* Return what the caller makes this node hold, in bytes. */
+static size_t held_by(const struct caller *c)
+{
+	return HELD_CONNECTION_BYTES + c->input.cap + c->body.cap +
+	       c->output.cap + (c->reader ? reader_held_bytes(c->reader) : 0) +
+	       (c->request ? c->request->text_size : 0) +
+	       (c->exchange ? exchange_held_bytes(c->exchange) : 0);
+}
+
 /* Answer with an error and close, as the rest of the request is not read. */
 static void reply_error(struct caller *c, enum ramp_error kind)
 {
 	struct buf out = {0};
 	void *arena = talloc_new(NULL);
-
-	local_reply_error(&out, c->tr, arena, kind, 0, false);
+	int64_t wait_ms = error_responses[kind].retry ? MEMORY_RETRY_MS : 0;
+
+	metric_add(M_CALLERS_REFUSED_TOTAL, 1);
+	log_event(EV_CALLER_REFUSED,
+		  "port=%s error=%s ms=%d bytes=%zu held_mb=%d",
+		  port_names[c->kind], error_responses[kind].name,
+		  c->request_began_ms
+			  ? (int)(time_boot_ms() - c->request_began_ms)
+			  : 0,
+		  held_by(c), (int)(c->tr->held.bytes / MB_BYTES));
+	local_reply_error(&out, c->tr, arena, kind, wait_ms, false);
 	c->close_when_sent = true;
 	drop_input(c);
 	/* The request has its answer; from here on the caller only reads it. */
@@ -254,6 +292,90 @@
 		end_output(c);
 }
 
+static struct holder holder_of(const struct caller *c)
+{
+	struct holder h = {HOLDER_IDLE, held_by(c), c->quiet_since_ms};
+
+	if (c->exchange ? exchange_is_served(c->exchange)
+			: buf_len(&c->output) > 0)
+		h.state = HOLDER_SERVED;
+	else if (c->exchange || c->request_began_ms)
+		h.state = HOLDER_UNSERVED;
+	if (c->request_began_ms)
+		h.since_ms = c->request_began_ms;
+	return h;
+}
+
+/* Return the caller to be ended first so that c may hold more, or NULL. */
+static struct caller *first_to_end(const struct caller *c, struct holder *worst)
+{
+	struct caller *found = NULL;
+
+	for (GList *l = c->tr->callers->head; l; l = l->next) {
+		struct caller *other = l->data;
+		struct holder h = holder_of(other);
+
+		if (other == c || other->parsing || !held_may_end(&h) ||
+		    (found && !held_ends_before(&h, worst)))
+			continue;
+		found = other;
+		*worst = h;
+	}
+	return found;
+}
+
+/* End a caller that has got nothing; a request is told that it did not run. */
+static void end_for_room(struct caller *c, const struct holder *h)
+{
+	metric_add(M_CALLERS_ENDED_TOTAL, 1);
+	if (h->state == HOLDER_IDLE)
+		close_caller(c);
+	else if (c->exchange)
+		exchange_refuse_for_memory(c->exchange);
+	else
+		reply_error(c, RAMP_ERR_OVERLOADED);
+}
+
+bool caller_make_room(struct caller *c, size_t n)
+{
+	struct traffic *tr = c->tr;
+	struct holder own = holder_of(c), other;
+	int64_t max;
+
+	own.bytes += n;
+	max = held_max(tr->settings->limits_memory_mb, own.bytes);
+	while (tr->held.bytes + (int64_t)n > max) {
+		struct caller *first = first_to_end(c, &other);
+		int64_t before = tr->held.bytes;
+
+		if (!first || !held_ends_before(&other, &own))
+			return false;
+		end_for_room(first, &other);
+		/* It may be parsing, or be freed later. */
+		if (tr->held.bytes >= before)
+			return false;
+	}
+	return true;
+}
+
+void callers_init_memory(void)
+{
+	mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
+}
+
+void callers_trim_memory(struct traffic *tr)
+{
+	double limit =
+		(double)tr->settings->limits_memory_mb * MB_BYTES * TRIM_SHARE;
+
+	metric_set(M_CALLER_MEMORY_BYTES, tr->held.bytes);
+	tr->held_most_bytes = MAX(tr->held_most_bytes, tr->held.bytes);
+	if ((double)(tr->held_most_bytes - tr->held.bytes) < limit)
+		return;
+	tr->held_most_bytes = tr->held.bytes;
+	malloc_trim(0);
+}
+
 /*
  * Allow the body as much time between its pieces as the head has in all: a
  * large one on a slow connection takes longer than that.
@@ -273,6 +395,16 @@
 	struct str expect = message_header(m, STR_LIT("Expect"));
 	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
+	if (m->body_bytes > limits_of(c).body_bytes) {
+		reply_error(c, RAMP_ERR_TOO_LARGE);
+		return false;
+	}
+	if (!caller_make_room(c, (size_t)MAX(m->body_bytes, 0))) {
+		reply_error(c, RAMP_ERR_OVERLOADED);
+		return false;
+	}
+	if (m->body_bytes > 0)
+		buf_reserve(&c->body, (size_t)m->body_bytes);
 	if (m->has_body && str_eq_nocase(expect, STR_LIT("100-continue")))
 		caller_write(c, interim, sizeof(interim) - 1);
 	c->body_deadline_ms =
@@ -290,13 +422,10 @@
 		reply_error(c, RAMP_ERR_TOO_LARGE);
 		return false;
 	}
-	if ((double)(c->tr->buffered_body_bytes + (int64_t)n) >
-	    BODY_MEMORY_SHARE * (double)c->tr->settings->limits_memory_mb *
-		    MB_BYTES) {
+	if (c->body.len + n > c->body.cap && !caller_make_room(c, n)) {
 		reply_error(c, RAMP_ERR_OVERLOADED);
 		return false;
 	}
-	c->tr->buffered_body_bytes += (int64_t)n;
 	buf_add(&c->body, p, n);
 	await_body(c);
 	return true;
@@ -374,6 +503,8 @@
 		}
 		if (c->request)
 			handle_request(c);
+		else if (!caller_make_room(c, 0))
+			reply_error(c, RAMP_ERR_OVERLOADED);
 	}
 }
 
@@ -382,7 +513,7 @@
 	c->exchange = NULL;
 	c->request_began_ms = 0;
 	c->quiet_since_ms = time_boot_ms();
-	discard_body(c);
+	buf_consume(&c->body, buf_len(&c->body));
 	if (c->closed)
 		return;
 	/* Also of one that is to be closed: its caller may never read. */
@@ -472,6 +603,11 @@
 	c->fd = fd;
 	c->quiet_since_ms = time_boot_ms();
 	c->reader = reader_new(true, &reader_ops, c);
+	reader_set_account(c->reader, &c->tr->held);
+	buf_set_account(&c->input, &c->tr->held);
+	buf_set_account(&c->body, &c->tr->held);
+	buf_set_account(&c->output, &c->tr->held);
+	account_add(&c->tr->held, HELD_CONNECTION_BYTES);
 	reader_set_header_max(c->reader, (size_t)limits_of(c).header_bytes);
 	ev_io_init(&c->io, on_io, fd, EV_READ);
 	c->io.data = c;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -266,6 +266,7 @@
 	pool_sweep(tr);
 	warmups_tick(tr, now);
 	ways_probe(tr, now);
+	callers_trim_memory(tr);
 	update_serving(tr, now);
 	if (tr->list && atomic_load(&tr->list->fresh_ms))
 		metric_set(M_LIST_AGE_MS,
@@ -346,10 +347,12 @@
 	tr->e = e;
 	tr->settings = &e->settings;
 	tr->dialect = e->o->dialect;
+	callers_init_memory();
 	tr->loop = ev_loop_new(EVFLAG_AUTO);
 	defer_init(tr->loop);
 	pool_init(tr);
 	reach_checks_init(tr);
+	tr->held_responses.sum = &tr->held;
 	tr->tunnels = g_queue_new();
 	tr->callers = g_queue_new();
 	tr->taking_up = g_queue_new();
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -244,12 +244,23 @@
 	struct str query_zone;
 };
 
+/* A count of memory, which is also part of another one. */
+struct account {
+	int64_t bytes;
+	struct account *sum; /* or NULL */
+};
+
+static inline void account_add(struct account *a, int64_t bytes)
+{
+	for (; a; a = a->sum)
+		a->bytes += bytes;
+}
+
 /* buf.c: a byte queue, appended to at the end and consumed from the start. */
 struct buf {
 	char *data;
 	size_t off, len, cap; /* unread bytes are data[off] to data[len - 1] */
-	/* Sum of the capacities of several queues, or NULL; see held.h. */
-	int64_t *account;
+	struct account *account; /* counts cap; see held.h. NULL: none */
 };
 
 void buf_add(struct buf *b, const void *p, size_t n);
@@ -265,7 +276,7 @@
 /* Replace the queue by another one, which is empty afterwards. */
 void buf_move(struct buf *to, struct buf *from);
 /* Count the queue's memory in an account; NULL: in none. */
-void buf_set_account(struct buf *b, int64_t *account);
+void buf_set_account(struct buf *b, struct account *account);
 static inline size_t buf_len(const struct buf *b)
 {
 	return b->len - b->off;
@@ -295,7 +306,7 @@
 	size_t text_len, text_size; /* used and allocated */
 	size_t headers_at;          /* where the headers begin in text */
 	uint64_t names;             /* set of name_bit of all headers */
-	int64_t *account; /* counts text_size; see held.h. NULL: none */
+	struct account *account; /* counts text_size; see held.h. NULL: none */
 	/*
 	 * False also where the end of the body is the end of the connection, or
 	 * where it is uncertain whether a response that has none is followed by
@@ -383,7 +394,7 @@
 /* Limit the size of the header section. */
 void reader_set_header_max(struct reader *r, size_t header_bytes);
 /* Count the heads of its messages in an account, from the next one on. */
-void reader_set_account(struct reader *r, int64_t *account);
+void reader_set_account(struct reader *r, struct account *account);
 /* Return what the reader holds of a message that has not ended, in bytes. */
 size_t reader_held_bytes(const struct reader *r);
 /* Expect a response without a body, as to a HEAD request. */
@@ -485,11 +496,11 @@
  */
 void link_send(struct link *l, const char *p, size_t n, struct str body);
 /* Count what the link holds in an account. */
-void link_set_account(struct link *l, int64_t *account);
+void link_set_account(struct link *l, struct account *account);
 /* Return what the link holds in buffers and heads, in bytes. */
 size_t link_held_bytes(const struct link *l);
 /* Count the heads of its messages in an account, from the next one on. */
-void reader_set_account(struct reader *r, int64_t *account);
+void reader_set_account(struct reader *r, struct account *account);
 /* Return what the reader holds of a message that has not ended, in bytes. */
 size_t reader_held_bytes(const struct reader *r);
 /* Expect a response without a body, as to a HEAD request. */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -10,6 +10,7 @@
 
 #include "entry/brittle.h"
 #include "entry/exchange.h"
+#include "entry/held.h"
 #include "entry/origins.h"
 #include "entry/shed.h"
 #include "entry/tunnel.h"
@@ -17,11 +18,13 @@
 /* Largest response that is buffered until complete; a longer one fails. */
 #define RESPONSE_MAX_BYTES (8 << 20)
 /*
- * Share of the process's memory that all buffered responses may take. One that
- * is complete is copied for its caller.
+ * Share of the process's memory that responses may take until they are
+ * complete.
  */
 #define RESPONSE_MEMORY_SHARE 0.15
-#define SMALL_RESPONSE_BYTES  (256 << 10)
+/* Responses of this size count for nothing in that, or have always room. */
+#define MEDIUM_RESPONSE_BYTES (256 << 10)
+#define SMALL_RESPONSE_BYTES  (64 << 10)
 /*
  * Time past the deadline before the entry answers with an error: the target has
  * the same deadline, and its own error response should arrive first.
@@ -48,25 +51,47 @@
 	return x->route && x->route->stream;
 }
 
-/* Update the memory that responses take; 0 once it is freed. */
-static void count_buffered(struct exchange *x, size_t bytes)
+size_t exchange_held_bytes(const struct exchange *x)
 {
-	x->tr->buffered_response_bytes +=
-		(int64_t)bytes - (int64_t)x->buffered_bytes;
-	x->buffered_bytes = bytes;
+	return HELD_REQUEST_BYTES + x->request->text_size +
+	       x->response_body.cap + x->splitter.partial.cap +
+	       x->splitter.padding.cap +
+	       (x->link ? link_held_bytes(x->link) : 0);
 }
 
-/*
- * Whether the response takes more memory than there is for all responses. Small
- * ones always have room.
- */
-static bool is_out_of_memory(const struct exchange *x)
+bool exchange_is_served(const struct exchange *x)
+{
+	return x->target || x->possible_runs || x->head_sent;
+}
+
+/* Return how much of the response may wait for the caller, in bytes. */
+static size_t unsent_max(const struct exchange *x)
+{
+	return held_unsent_max(x->tr->settings->limits_memory_mb,
+			       x->tr->held.bytes);
+}
+
+/* Whether the response takes more memory than there is. */
+static bool is_out_of_memory(struct exchange *x)
+{
+	size_t bytes = x->response_body.cap + x->splitter.partial.cap;
+	double max = RESPONSE_MEMORY_SHARE * MB_BYTES *
+		     (double)x->tr->settings->limits_memory_mb;
+
+	if (bytes <= SMALL_RESPONSE_BYTES)
+		return false;
+	if ((bytes <= MEDIUM_RESPONSE_BYTES ||
+	     (double)x->tr->held_responses.bytes <= max) &&
+	    caller_make_room(x->caller, 0))
+		return false;
+	metric_add(M_CALLER_MEMORY_REFUSALS_TOTAL, 1);
+	return true;
+}
+
+void exchange_refuse_for_memory(struct exchange *x)
 {
-	return x->buffered_bytes > SMALL_RESPONSE_BYTES &&
-	       (double)x->tr->buffered_response_bytes >
-		       RESPONSE_MEMORY_SHARE *
-			       (double)x->tr->settings->limits_memory_mb *
-			       MB_BYTES;
+	x->failure_cause = "memory";
+	exchange_reply_error(x, RAMP_ERR_OVERLOADED);
 }
 
 void exchange_abandon_attempt(struct exchange *x)
@@ -80,8 +105,8 @@
 	if (x->target)
 		pool_add_running(x->target, -1);
 	x->target = NULL;
+	x->caller_is_slow = false;
 	buf_clear(&x->response_body);
-	count_buffered(x, 0);
 }
 
 static void destroy(struct exchange *x)
@@ -95,6 +120,7 @@
 	buf_clear(&x->response_body);
 	entry_config_unref(x->config);
 	x->tr->exchanges--;
+	account_add(&x->tr->held, -HELD_REQUEST_BYTES);
 	metric_set(M_REQUESTS_RUNNING, x->tr->exchanges);
 	talloc_free(x->request);
 	talloc_free(x->arena);
@@ -311,7 +337,11 @@
 
 void exchange_caller_drained(struct exchange *x)
 {
-	if (x->link && caller_unsent_bytes(x->caller) < UNSENT_MAX_BYTES)
+	if (!x->caller_is_slow ||
+	    caller_unsent_bytes(x->caller) > unsent_max(x))
+		return;
+	x->caller_is_slow = false;
+	if (x->link)
 		link_set_paused(x->link, false);
 }
 
@@ -421,13 +451,14 @@
 			on_link_fault(x, LINK_MALFORMED, true);
 			return false;
 		}
-		count_buffered(x, x->splitter.partial.cap);
 		if (is_out_of_memory(x)) {
 			on_link_fault(x, LINK_MALFORMED, true);
 			return false;
 		}
-		if (caller_unsent_bytes(x->caller) > UNSENT_MAX_BYTES)
+		if (caller_unsent_bytes(x->caller) > unsent_max(x)) {
+			x->caller_is_slow = true;
 			link_set_paused(l, true);
+		}
 		return true;
 	}
 	if (buf_len(&x->response_body) + n > RESPONSE_MAX_BYTES) {
@@ -435,7 +466,6 @@
 		return false;
 	}
 	buf_add(&x->response_body, p, n);
-	count_buffered(x, x->response_body.cap);
 	if (!is_out_of_memory(x))
 		return true;
 	on_link_fault(x, LINK_MALFORMED, true);
@@ -672,6 +702,7 @@
 			exchange_fail(x);
 		return;
 	}
+	link_set_account(x->link, &x->tr->held);
 	link_expect_response(x->link, &link_ops, x);
 	link_expect_no_body(x->link, is_head_request(x));
 	/* On a new connection the bytes are sent once it is established. */
@@ -712,6 +743,10 @@
 	ev_set_priority(&x->timer, EV_MINPRI);
 	x->timer.data = x;
 	tr->exchanges++;
+	account_add(&tr->held, HELD_REQUEST_BYTES);
+	buf_set_account(&x->response_body, &tr->held_responses);
+	buf_set_account(&x->splitter.partial, &tr->held_responses);
+	buf_set_account(&x->splitter.padding, &tr->held_responses);
 	metric_add(M_REQUESTS_TOTAL, 1);
 	metric_set(M_REQUESTS_RUNNING, tr->exchanges);
 	return x;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -20,12 +20,6 @@
 /* No attempt begins with less time than this before the deadline. */
 #define ATTEMPT_MIN_MS 20
 
-/*
- * Response bytes queued for a slow caller above which the target's response is
- * no longer read (backpressure).
- */
-#define UNSENT_MAX_BYTES (256 << 10)
-
 /* What this node knew of the target when it sent the request. */
 struct send_basis {
 	struct target_source row;
@@ -77,9 +71,9 @@
 	bool foreign_response; /* the one being read has another request's id */
 	bool foreign_seen;     /* such a response came on the connection */
 	bool streaming;
+	bool caller_is_slow; /* the link is paused until it has read more */
 	struct message *response; /* its head; owned by the link */
 	struct buf response_body; /* so far, unless streaming */
-	size_t buffered_bytes;    /* of it, or of an incomplete event */
 	size_t foreign_bytes;     /* of responses to other requests */
 
 	uint64_t tried_targets[ATTEMPTS_MAX]; /* ids */
--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -31,7 +31,7 @@
 	bool in_header, in_value;
 	bool in_trailer; /* the header section is complete */
 	size_t header_max_bytes;
-	int64_t *account; /* of messages; NULL: none */
+	struct account *account; /* of messages; NULL: none */
 	enum read_error error;
 	bool is_request;
 	bool no_body;       /* the next response answers a HEAD request */
@@ -62,8 +62,7 @@
 
 static void resize_text(struct message *m, size_t size)
 {
-	if (m->account)
-		*m->account += (int64_t)size - (int64_t)m->text_size;
+	account_add(m->account, (int64_t)size - (int64_t)m->text_size);
 	m->text = talloc_realloc(m->arena, m->text, char, size);
 	m->text_size = size;
 }
@@ -316,8 +315,7 @@
 /* Destructor of a message that a reader has created. */
 static int leave_account(struct message *m)
 {
-	if (m->account)
-		*m->account -= (int64_t)m->text_size;
+	account_add(m->account, -(int64_t)m->text_size);
 	return 0;
 }
 
@@ -535,7 +533,7 @@
 	r->header_max_bytes = header_bytes;
 }
 
-void reader_set_account(struct reader *r, int64_t *account)
+void reader_set_account(struct reader *r, struct account *account)
 {
 	r->account = account;
 }
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -143,9 +143,10 @@
 	ev_timer housekeeping;     /* periodic */
 	/* struct caller, by the time of connecting or of the last response */
 	GQueue *callers;
-	int exchanges;                   /* requests in progress */
-	int64_t buffered_body_bytes;     /* request bodies held in memory */
-	int64_t buffered_response_bytes; /* the same of responses */
+	int exchanges;       /* requests in progress */
+	struct account held; /* what callers make this node hold; see held.h */
+	struct account held_responses; /* the part that is read of targets */
+	int64_t held_most_bytes;       /* since memory was given back last */
 	bool serving; /* last advertised state: callers may be sent here */
 	int64_t started_ms;
 	int64_t awake_ms;     /* last sign that this thread runs */
@@ -267,6 +268,15 @@
 /* The same for a response's head and its body, whose memory it takes. */
 void caller_write_last(struct caller *c, const struct buf *head,
 		       struct buf *body);
+/*
+ * Whether this caller may hold n bytes more. Ends others that have to give way
+ * first; the caller itself isn't ended.
+ */
+bool caller_make_room(struct caller *c, size_t n);
+/* Set up the allocator; for the whole process. */
+void callers_init_memory(void);
+/* Give memory back to the system after much of it was freed. */
+void callers_trim_memory(struct traffic *tr);
 /* Return the number of queued bytes that the socket has not taken. */
 size_t caller_unsent_bytes(const struct caller *c);
 /*
@@ -325,6 +335,12 @@
 void exchange_start(struct exchange *x);
 /* The caller has disconnected: free the exchange without a response. */
 void exchange_cancel(struct exchange *x);
+/* What the exchange holds, in bytes. */
+size_t exchange_held_bytes(const struct exchange *x);
+/* Whether a target has the request, may have run it, or is answering it. */
+bool exchange_is_served(const struct exchange *x);
+/* Refuse a request that is not, as callers hold too much. */
+void exchange_refuse_for_memory(struct exchange *x);
 /* The caller's socket took output: resume reading from the target. */
 void exchange_caller_drained(struct exchange *x);
 /* Go on with the exchanges that wait for a newer list; see list-wait.c. */
--- a/entry/link.c
+++ b/entry/link.c
@@ -450,7 +450,7 @@
 	update_events(l);
 }
 
-void link_set_account(struct link *l, int64_t *account)
+void link_set_account(struct link *l, struct account *account)
 {
 	buf_set_account(&l->output, account);
 	buf_set_account(&l->request, account);
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -128,9 +128,7 @@
 {
 	struct target *t = x->target;
 
-	/* With a full output queue the caller is slow, not the target. */
-	if (caller_unsent_bytes(x->caller) > UNSENT_MAX_BYTES ||
-	    !replace_attempt(x, "stream_stalled"))
+	if (x->caller_is_slow || !replace_attempt(x, "stream_stalled"))
 		return false;
 	pool_record_error(t);
 	return true;
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "entry/held.h"
 #include "entry/tunnel.h"
 
 /* Bytes of a side that wait for the other; it is not read beyond that. */
@@ -196,6 +197,7 @@
 	struct side *s = &t->sides[i];
 
 	s->fd = fd;
+	buf_set_account(&s->output, &t->tr->held);
 	ev_io_init(&s->io, on_io, fd, 0);
 	s->io.data = t;
 }
@@ -301,7 +303,8 @@
 static bool has_room(const struct traffic *tr)
 {
 	return 2.0 * g_queue_get_length(tr->tunnels) <
-	       FILES_SHARE * (double)tr->settings->limits_files;
+		       FILES_SHARE * (double)tr->settings->limits_files &&
+	       tr->held.bytes < held_max(tr->settings->limits_memory_mb, 0);
 }
 
 void tunnels_accept(struct port *p)
