entry: descriptors are freed before accept fails

Cause: only callers' connections were counted, up to limits.files - 400, though those to targets take as many again, and 200 descriptors are kept for files: accept failed at 3,900 of 4,100. evict_idle took the longest idle one, which a connection that was just accepted is too, and found none where all hold half a request. After a failed accept the listener was ready at once, and the loop spun.

sock.c now counts open connections. When they come within 264 of the limit, a new one, or a link to a target, first closes: one idle for 500 ms or more, the longest first; else the oldest request that is not read whole, with 503; else one that has just connected. What is in progress is left alone. Where accept fails all the same, accept_failed is logged, one is closed, and the port rests until the next tick of 100 ms.

--- a/base/events-gen.c
+++ b/base/events-gen.c
@@ -76,4 +76,5 @@
 	{ 7102, LOG_WARNING, "explain_denied" },
 	{ 4017, LOG_INFO, "request_shed" },
 	{ 4021, LOG_INFO, "caller_refused" },
+	{ 7009, LOG_WARNING, "accept_failed" },
 };
--- a/base/events-gen.h
+++ b/base/events-gen.h
@@ -77,6 +77,7 @@
 	EV_EXPLAIN_DENIED,
 	EV_REQUEST_SHED,
 	EV_CALLER_REFUSED,
+	EV_ACCEPT_FAILED,
 	EV_COUNT
 };
 #endif
--- a/base/metrics-gen.c
+++ b/base/metrics-gen.c
@@ -145,4 +145,6 @@
 	  "Requests refused before they were read whole." },
 	{ "ramp_callers_ended_total", "counter",
 	  "Connections closed, and requests refused before they ran, so that other callers have room." },
+	{ "ramp_accept_errors_total", "counter",
+	  "Connections that could not be accepted, for instance for want of descriptors." },
 };
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -18,8 +18,13 @@
 #define READ_CHUNK_BYTES 16384
 /* Most pipelined bytes read while a request is in progress. */
 #define PIPELINED_MAX_BYTES 16384
-/* Descriptors of the limit that are reserved for connections to targets. */
+/* Descriptors of the limit that callers leave to connections to targets. */
 #define TARGET_FILES_RESERVED 400
+/*
+ * Descriptors of the limit that are no connections: the platform keeps 200 for
+ * files; listeners, datagrams and event loops take some.
+ */
+#define OTHER_FILES_RESERVED 264
 /* After this, a caller that was refused for want of memory may come back. */
 #define MEMORY_RETRY_MS 500
 /* Memory is given back to the system after this share of the limit was freed.
@@ -131,7 +136,7 @@
 	account_add(&c->tr->held, -HELD_CONNECTION_BYTES);
 	ev_io_stop(c->tr->loop, &c->io);
 	ev_timer_stop(c->tr->loop, &c->timeout);
-	close(c->fd);
+	sock_close(c->fd);
 	g_queue_delete_link(c->tr->callers, c->queue_link);
 	defer_free(c->tr->loop, c, free_caller);
 }
@@ -603,12 +608,12 @@
 	c->fd = fd;
 	c->quiet_since_ms = time_boot_ms();
 	c->reader = reader_new(true, &reader_ops, c);
+	reader_set_header_max(c->reader, (size_t)limits_of(c).header_bytes);
 	reader_set_account(c->reader, &c->tr->held);
 	buf_set_account(&c->input, &c->tr->held);
 	buf_set_account(&c->body, &c->tr->held);
 	buf_set_account(&c->output, &c->tr->held);
 	account_add(&c->tr->held, HELD_CONNECTION_BYTES);
-	reader_set_header_max(c->reader, (size_t)limits_of(c).header_bytes);
 	ev_io_init(&c->io, on_io, fd, EV_READ);
 	c->io.data = c;
 	c->io_events = EV_READ;
@@ -621,33 +626,88 @@
 	return c;
 }
 
-/* Make room for a new connection by closing the one idle for longest. */
-static void evict_idle(struct traffic *tr)
+/* Whether one more connection would take a descriptor that others need. */
+static bool is_short_of_files(const struct traffic *tr)
+{
+	int64_t files = tr->settings->limits_files;
+
+	return (int64_t)g_queue_get_length(tr->callers) >=
+		       MAX(files - TARGET_FILES_RESERVED, 16) ||
+	       sock_open_connections() >= MAX(files - OTHER_FILES_RESERVED, 32);
+}
+
+/* Close the connection that has to give way first; false: there is none. */
+static bool close_first(struct traffic *tr, const struct caller *except)
 {
+	int64_t now = time_boot_ms();
+	struct caller *found = NULL;
+	struct holder first = {0};
+
 	for (GList *l = tr->callers->head; l; l = l->next) {
 		struct caller *c = l->data;
+		struct holder h = holder_of(c);
 
-		if (!c->exchange && !c->request_began_ms &&
-		    !buf_len(&c->output)) {
-			close_caller(c);
-			return;
-		}
+		if (c == except || c->parsing || c->exchange ||
+		    !held_may_end(&h) ||
+		    (found && !held_closes_before(&h, &first, now)))
+			continue;
+		found = c;
+		first = h;
+		/* The queue is in the order of idle times. */
+		if (h.state == HOLDER_IDLE && !c->refused &&
+		    now - h.since_ms >= HELD_REQUEST_DUE_MS)
+			break;
 	}
+	if (!found)
+		return false;
+	end_for_room(found, &first);
+	/* The refusal is sent; the descriptor is needed now. */
+	close_caller(found);
+	return true;
+}
+
+void callers_make_room_for_link(struct traffic *tr)
+{
+	if (is_short_of_files(tr))
+		(void)close_first(tr, NULL);
+}
+
+void port_check_accept(struct port *p)
+{
+	struct traffic *tr = &p->e->tr;
+
+	if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
+		return;
+	/* The connection still waits; without a pause the loop would spin. */
+	metric_add(M_ACCEPT_ERRORS_TOTAL, 1);
+	log_event(EV_ACCEPT_FAILED, "port=%s error=\"%s\" connections=%d",
+		  port_names[p->kind], g_strerror(errno),
+		  sock_open_connections());
+	(void)close_first(tr, NULL);
+	ev_io_stop(tr->loop, &p->io);
 }
 
 void caller_accept(struct port *p)
 {
 	struct traffic *tr = &p->e->tr;
+	struct caller *c;
 	int fd;
 
 	while ((fd = sock_accept(p->fd)) >= 0) {
-		int64_t max =
-			tr->settings->limits_files - TARGET_FILES_RESERVED;
+		bool is_short = is_short_of_files(tr);
 
-		if ((int64_t)g_queue_get_length(tr->callers) >= MAX(max, 16))
-			evict_idle(tr);
-		caller_new(p, fd);
+		c = caller_new(p, fd);
+		if (is_short && !close_first(tr, c))
+			close_caller(c);
 	}
+	port_check_accept(p);
+}
+
+void callers_accept_again(struct traffic *tr)
+{
+	for (int i = 0; i < PORT_COUNT; i++)
+		if (tr->ports[i].fd > 0 && !ev_is_active(&tr->ports[i].io))
+			ev_io_start(tr->loop, &tr->ports[i].io);
 }
 
 bool caller_close_if_left(struct caller *c)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -267,6 +267,7 @@
 	warmups_tick(tr, now);
 	ways_probe(tr, now);
 	callers_trim_memory(tr);
+	callers_accept_again(tr);
 	update_serving(tr, now);
 	if (tr->list && atomic_load(&tr->list->fresh_ms))
 		metric_set(M_LIST_AGE_MS,
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -435,6 +435,10 @@
  * before has been received.
  */
 bool sock_peer_has_closed(int fd);
+/* Close a connection that sock_connect or sock_accept has returned. */
+void sock_close(int fd);
+/* Return how many of these are open. */
+int sock_open_connections(void);
 /* Whether bytes have been received that were not read. */
 bool sock_has_input(int fd);
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -273,6 +273,15 @@
  * first; the caller itself isn't ended.
  */
 bool caller_make_room(struct caller *c, size_t n);
+/* Close a connection of a caller if a new link needs its descriptor. */
+void callers_make_room_for_link(struct traffic *tr);
+/*
+ * Look at errno after the last sock_accept of a port: if it failed for another
+ * reason than that no connection waits, make room and pause the port.
+ */
+void port_check_accept(struct port *p);
+/* Accept again on ports that are paused. */
+void callers_accept_again(struct traffic *tr);
 /* Set up the allocator; for the whole process. */
 void callers_init_memory(void);
 /* Give memory back to the system after much of it was freed. */
--- a/entry/link.c
+++ b/entry/link.c
@@ -76,7 +76,7 @@
 	if (l->fd >= 0 && l->awaiting && l->connected)
 		sock_reset_on_close(l->fd);
 	if (l->fd >= 0)
-		close(l->fd);
+		sock_close(l->fd);
 	l->fd = -1;
 	buf_clear(&l->output);
 	buf_clear(&l->request);
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -577,6 +577,7 @@
 		}
 		link_close(l);
 	}
+	callers_make_room_for_link(t->tr);
 	return link_open(t->tr->loop, &t->info.address);
 }
 
--- a/entry/sock.c
+++ b/entry/sock.c
@@ -25,6 +25,9 @@
 #define TCP_SYN          0x02
 #define TCP_ACK          0x10
 
+/* Of all threads. */
+static atomic_int open_connections;
+
 static void set_option(int fd, int level, int name, int value)
 {
 	/* Without the option the system's default applies. */
@@ -98,8 +101,10 @@
 		return -1;
 	set_connection_options(fd);
 	if (!connect(fd, (const struct sockaddr *)to, sizeof(*to)) ||
-	    errno == EINPROGRESS)
+	    errno == EINPROGRESS) {
+		atomic_fetch_add(&open_connections, 1);
 		return fd;
+	}
 	close(fd);
 	return -1;
 }
@@ -108,11 +113,24 @@
 {
 	int conn = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-	if (conn >= 0)
-		set_connection_options(conn);
+	if (conn < 0)
+		return -1;
+	set_connection_options(conn);
+	atomic_fetch_add(&open_connections, 1);
 	return conn;
 }
 
+void sock_close(int fd)
+{
+	close(fd);
+	atomic_fetch_sub(&open_connections, 1);
+}
+
+int sock_open_connections(void)
+{
+	return atomic_load(&open_connections);
+}
+
 void sock_ignore_new(int fd)
 {
 	/* A listener's filter sees each packet from its TCP header on. */
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -100,7 +100,7 @@
 		ev_io_stop(t->tr->loop, &s->io);
 		if (reset)
 			sock_reset_on_close(s->fd);
-		close(s->fd);
+		sock_close(s->fd);
 	}
 	g_queue_delete_link(t->tr->tunnels, t->queue_link);
 	metric_set(M_TUNNELS, g_queue_get_length(t->tr->tunnels));
@@ -328,6 +328,7 @@
 			refuse(t, TUNNEL_REFUSED);
 		update_events(t);
 	}
+	port_check_accept(p);
 }
 
 void tunnels_close_all(struct traffic *tr)
