callers: the limit on heads of a new configuration holds on open connections

Cause: the reader's limit was set when the connection was accepted. It is now set when a head begins.

/hostile-clients/legal/limit-changed: 431 where 200 is wanted before, passes now; after a lower limit the next head on a kept connection gets 431.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -489,6 +489,8 @@
 
 		if (!c->request_began_ms) {
 			c->request_began_ms = time_boot_ms();
+			reader_set_header_max(
+				c->reader, (size_t)limits_of(c).header_bytes);
 			set_timeout(c, limits_of(c).header_ms);
 		}
 		c->parsing = true;
@@ -608,7 +610,6 @@
 	c->fd = fd;
 	c->quiet_since_ms = time_boot_ms();
 	c->reader = reader_new(true, &reader_ops, c);
-	reader_set_header_max(c->reader, (size_t)limits_of(c).header_bytes);
 	reader_set_account(c->reader, &c->tr->held);
 	buf_set_account(&c->input, &c->tr->held);
 	buf_set_account(&c->body, &c->tr->held);
