callers: making room for bodies does not reset refusals or close idle connections

A refused connection, whose rest is read and dropped, counted as idle, and the next body that needed room closed it. Idle connections hold some KB, so closing them makes no room for a body.

Refused connections are a state of their own, never ended for memory; idle ones are only for a caller that holds 64 KB or less.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -304,6 +304,8 @@
 	if (c->exchange ? exchange_is_served(c->exchange)
 			: buf_len(&c->output) > 0)
 		h.state = HOLDER_SERVED;
+	else if (c->refused)
+		h.state = HOLDER_REFUSED;
 	else if (c->exchange || c->request_began_ms)
 		h.state = HOLDER_UNSERVED;
 	if (c->request_began_ms)
@@ -312,7 +314,9 @@
 }
 
 /* Return the caller to be ended first so that c may hold more, or NULL. */
-static struct caller *first_to_end(const struct caller *c, struct holder *worst)
+static struct caller *first_to_end(const struct caller *c,
+				   const struct holder *asker,
+				   struct holder *worst)
 {
 	struct caller *found = NULL;
 
@@ -320,7 +324,7 @@
 		struct caller *other = l->data;
 		struct holder h = holder_of(other);
 
-		if (other == c || other->parsing || !held_may_end(&h) ||
+		if (other == c || other->parsing || !held_may_end(&h, asker) ||
 		    (found && !held_ends_before(&h, worst)))
 			continue;
 		found = other;
@@ -333,7 +337,7 @@
 static void end_for_room(struct caller *c, const struct holder *h)
 {
 	metric_add(M_CALLERS_ENDED_TOTAL, 1);
-	if (h->state == HOLDER_IDLE)
+	if (h->state == HOLDER_IDLE || h->state == HOLDER_REFUSED)
 		close_caller(c);
 	else if (c->exchange)
 		exchange_refuse_for_memory(c->exchange);
@@ -350,7 +354,7 @@
 	own.bytes += n;
 	max = held_max(tr->settings->limits_memory_mb, own.bytes);
 	while (tr->held.bytes + (int64_t)n > max) {
-		struct caller *first = first_to_end(c, &other);
+		struct caller *first = first_to_end(c, &own, &other);
 		int64_t before = tr->held.bytes;
 
 		if (!first || !held_ends_before(&other, &own))
@@ -649,13 +653,13 @@
 		struct holder h = holder_of(c);
 
 		if (c == except || c->parsing || c->exchange ||
-		    !held_may_end(&h) ||
+		    h.state == HOLDER_SERVED ||
 		    (found && !held_closes_before(&h, &first, now)))
 			continue;
 		found = c;
 		first = h;
 		/* The queue is in the order of idle times. */
-		if (h.state == HOLDER_IDLE && !c->refused &&
+		if (h.state == HOLDER_IDLE &&
 		    now - h.since_ms >= HELD_REQUEST_DUE_MS)
 			break;
 	}
--- a/entry/held.c
+++ b/entry/held.c
@@ -32,9 +32,10 @@
 	return taken < 1 - SMALL_PART ? UNSENT_SHORT_BYTES : 0;
 }
 
-bool held_may_end(const struct holder *h)
+bool held_may_end(const struct holder *h, const struct holder *asker)
 {
-	return h->state != HOLDER_SERVED;
+	return h->state == HOLDER_UNSERVED ||
+	       (h->state == HOLDER_IDLE && asker->bytes <= SMALL_BYTES);
 }
 
 bool held_ends_before(const struct holder *a, const struct holder *b)
@@ -49,11 +50,16 @@
 /* Rank of a connection whose descriptor is needed; the lowest goes first. */
 static int rank(const struct holder *h, int64_t now_ms)
 {
-	if (h->state == HOLDER_UNSERVED)
+	switch (h->state) {
+	case HOLDER_IDLE:
+		return now_ms - h->since_ms < HELD_REQUEST_DUE_MS ? 3 : 0;
+	case HOLDER_REFUSED:
 		return 1;
-	if (h->state == HOLDER_SERVED)
-		return 3;
-	return now_ms - h->since_ms < HELD_REQUEST_DUE_MS ? 2 : 0;
+	case HOLDER_UNSERVED:
+		return 2;
+	default:
+		return 4;
+	}
 }
 
 bool held_closes_before(const struct holder *a, const struct holder *b,
--- a/entry/held.h
+++ b/entry/held.h
@@ -18,6 +18,7 @@
 
 enum holder_state {
 	HOLDER_IDLE,     /* no request is in progress */
+	HOLDER_REFUSED,  /* the same; the rest of the last one is dropped */
 	HOLDER_UNSERVED, /* nothing of its request runs or may have run */
 	HOLDER_SERVED,   /* a target has it, or the caller has got a part */
 };
@@ -42,15 +43,21 @@
  */
 size_t held_unsent_max(int64_t memory_mb, int64_t held_bytes);
 /*
- * Whether a is ended before b: idle ones first, the longest idle of them, then
- * the one that holds most. One that is served is never ended: see held_may_end.
+ * Whether a gives up its memory before b: idle ones first, the longest idle of
+ * them, then the one that holds most.
  */
 bool held_ends_before(const struct holder *a, const struct holder *b);
-bool held_may_end(const struct holder *h);
 /*
- * The same for descriptors: first who is idle, but for those that have just
- * connected and whose request may be on its way, then the request that began
- * first of those that are not read whole.
+ * Whether h may be ended for that of the one that asks. Never one that is
+ * served, nor one that is refused, which holds nothing; idle ones, which hold
+ * little, only for one that asks for little.
+ */
+bool held_may_end(const struct holder *h, const struct holder *asker);
+/*
+ * Whether a gives up its descriptor before b: first who is idle, but for those
+ * that have just connected and whose request may be on its way, then those that
+ * were refused, then the request that began first of those that are not read
+ * whole. One that is served gives up none.
  */
 #define HELD_REQUEST_DUE_MS 500
 bool held_closes_before(const struct holder *a, const struct holder *b,
--- a/entry/test-held.c
+++ b/entry/test-held.c
@@ -27,6 +27,7 @@
 static const struct holder new_idle = {HOLDER_IDLE, 1024, 99900};
 static const struct holder small = {HOLDER_UNSERVED, 6000, 99000};
 static const struct holder large = {HOLDER_UNSERVED, 4 << 20, 99950};
+static const struct holder refused = {HOLDER_REFUSED, 1024, 99950};
 static const struct holder served = {HOLDER_SERVED, 8 << 20, 500};
 
 /* One that holds little, or has its answer begun, is ended before others. */
@@ -36,9 +37,12 @@
 	g_assert_true(held_ends_before(&new_idle, &large));
 	g_assert_true(held_ends_before(&large, &small));
 	g_assert_false(held_ends_before(&small, &large));
-	g_assert_true(held_ends_before(&small, &served));
-	g_assert_false(held_may_end(&served));
-	g_assert_true(held_may_end(&large));
+	g_assert_false(held_may_end(&served, &small));
+	g_assert_true(held_may_end(&large, &small));
+	/* A close would lose the refusal. */
+	g_assert_false(held_may_end(&refused, &small));
+	g_assert_true(held_may_end(&old_idle, &small));
+	g_assert_false(held_may_end(&old_idle, &large));
 	/* Of two that hold as much, neither ends the other. */
 	g_assert_false(held_ends_before(&large, &large));
 }
@@ -51,7 +55,8 @@
 {
 	const int64_t now = 100000;
 
-	g_assert_true(held_closes_before(&old_idle, &small, now));
+	g_assert_true(held_closes_before(&old_idle, &refused, now));
+	g_assert_true(held_closes_before(&refused, &small, now));
 	g_assert_true(held_closes_before(&small, &large, now));
 	g_assert_true(held_closes_before(&large, &new_idle, now));
 	g_assert_true(held_closes_before(&new_idle, &served, now));
