http messages: a status outside 100 to 599 is no response

The reader now takes such a response for malformed, wherever it reads one: of targets, directly or through another node, and of the store.

/part-answers, 24 cases: 600 and 999, plain and stream, on both ways failed before (8 cases), now 502. A 200 without a length of which a part is followed by a reset, while 4 MB of the request are still being written: 0 of 40 taken for whole in each of plain and stream, direct and through another node, before the change too.

--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -450,6 +450,9 @@
 		m->method = str_c(http_method_str(p->method));
 	}
 	m->status = p->status_code;
+	/* No such response exists, whatever else it says. */
+	if (!r->is_request && (m->status < 100 || m->status > 599))
+		return -1;
 	m->keep_alive = http_should_keep_alive(p);
 	m->has_body =
 		(p->flags & F_CHUNKED) ||
