http: a status outside 100 to 599 is no response at the own interface

Callers saw: a plain service that answered with status 600 or 999 had that passed on, with the outcome complete, though nothing says that it is whole or what became of the request. Chats gave 502.

Cause: libcurl reports any number of three digits, and call_target passes on what is no refusal. A call with such a status now fails when its status line has come, so that the outcome is unknown; in struct fetcher it has no response.

--- a/http/call.c
+++ b/http/call.c
@@ -82,11 +82,17 @@
 {
 	struct http_call *c = arg;
 	size_t len = size * n;
+	long status = 0;
 
-	if (len >= 5 && !memcmp(data, "HTTP/", 5))
+	if (len >= 5 && !memcmp(data, "HTTP/", 5)) {
 		c->headers_done = false;
-	else if (len <= 2 && (data[0] == '\r' || data[0] == '\n'))
+		/* libcurl takes any number; a failed call has no response. */
+		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+		if (!http_status_exists(status))
+			return 0;
+	} else if (len <= 2 && (data[0] == '\r' || data[0] == '\n')) {
 		c->headers_done = true;
+	}
 	return len;
 }
 
--- a/http/fetch.c
+++ b/http/fetch.c
@@ -128,7 +128,11 @@
 
 	if (code == CURLE_OK) {
 		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-		r.body = (struct str){(char *)c->body->data, c->body->len};
+		if (http_status_exists(status))
+			r.body = (struct str){(char *)c->body->data,
+					      c->body->len};
+		else
+			status = 0;
 	} else if (code == CURLE_OPERATION_TIMEDOUT) {
 		/* 0 if the connection was never ready for the request. */
 		curl_easy_getinfo(c->easy, CURLINFO_PRETRANSFER_TIME_T,
--- a/http/http.h
+++ b/http/http.h
@@ -95,6 +95,12 @@
 /* Wait for SIGTERM or SIGINT, which block_stop_signals has blocked. */
 void wait_for_stop_signal(void);
 
+/* Whether HTTP has such a status; a response with another one is none. */
+static inline bool http_status_exists(long status)
+{
+	return status >= 100 && status <= 599;
+}
+
 /* The result of a fetch(); the body is valid during the callback only. */
 struct fetch_result {
 	int status;      /* HTTP status; 0 without a complete response */
--- a/node/test-raw-targets.c
+++ b/node/test-raw-targets.c
@@ -26,6 +26,10 @@
 static unsigned target_count;
 static atomic_bool stop;
 static atomic_int threads; /* of connections */
+atomic_bool raw_targets_early;
+
+/* A body of this size is read before the answer in any case. */
+#define SHORT_BODY_BYTES 65536
 
 void raw_send(int fd, const char *text)
 {
@@ -73,7 +77,8 @@
 		ssize_t n;
 
 		g_free(length);
-		if (s->len >= want)
+		if (s->len >= want || (end && atomic_load(&raw_targets_early) &&
+				       want > SHORT_BODY_BYTES))
 			return g_string_free(s, FALSE);
 		if (poll(&p, 1, POLL_MS) != 1)
 			continue;
--- a/node/test-raw-targets.h
+++ b/node/test-raw-targets.h
@@ -5,6 +5,8 @@
 #ifndef TEST_RAW_TARGETS_H
 #define TEST_RAW_TARGETS_H
 
+#include <stdatomic.h>
+
 #include "node/test-harness.h"
 
 /*
@@ -16,6 +18,9 @@
  */
 typedef bool raw_serve_fn(int fd, const char *request, int on_connection);
 
+/* Whether servers answer a long request before they have read its body. */
+extern atomic_bool raw_targets_early;
+
 /* Start one server on a free port, and return the port. */
 int raw_server_start(raw_serve_fn *serve);
 /* Start the targets of a rig and put them in the place of its stand-ins. */
