--- a/entry/caller.c
+++ b/entry/caller.c
@@ -16,6 +16,8 @@
 #include "entry/internal.h"
 
 #define READ_CHUNK_BYTES 16384
+/* A body of this size is sent together with the head. */
+#define COPIED_BODY_MAX_BYTES 4096
 /* Most pipelined bytes read while a request is in progress. */
 #define PIPELINED_MAX_BYTES 16384
 /* Descriptors of the limit that callers leave to connections to targets. */
@@ -239,12 +241,17 @@
 	update_events(c);
 }
 
-void caller_write_last(struct caller *c, const struct buf *head,
-		       struct buf *body)
+void caller_write_last(struct caller *c, struct buf *head, struct buf *body)
 {
-	size_t sent = send_at_once(c, buf_data(head), buf_len(head),
-				   buf_len(body) ? MSG_MORE : 0);
+	size_t sent;
 
+	/* A copy costs less than another system call. */
+	if (buf_len(body) <= COPIED_BODY_MAX_BYTES) {
+		buf_add(head, buf_data(body), buf_len(body));
+		buf_clear(body);
+	}
+	sent = send_at_once(c, buf_data(head), buf_len(head),
+			    buf_len(body) ? MSG_MORE : 0);
 	buf_add(&c->output, buf_data(head) + sent, buf_len(head) - sent);
 	buf_consume(body, send_at_once(c, buf_data(body), buf_len(body), 0));
 	if (!buf_len(&c->output))
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -266,8 +266,7 @@
 /* Queue bytes for the caller and send what the socket takes. */
 void caller_write(struct caller *c, const char *p, size_t n);
 /* The same for a response's head and its body, whose memory it takes. */
-void caller_write_last(struct caller *c, const struct buf *head,
-		       struct buf *body);
+void caller_write_last(struct caller *c, struct buf *head, struct buf *body);
 /*
  * Whether this caller may hold n bytes more. Ends others that have to give way
  * first; the caller itself isn't ended.
--- a/entry/link.c
+++ b/entry/link.c
@@ -11,6 +11,8 @@
 #include "entry/tunnel.h"
 
 #define READ_CHUNK_BYTES 16384
+/* A body of this size is sent together with the head. */
+#define COPIED_BODY_MAX_BYTES 4096
 /* Time to establish a connection; the network takes about 1 ms one way. */
 #define CONNECT_TIMEOUT_MS 400
 /* The same through another node, which connects within the time above. */
@@ -442,8 +444,14 @@
 
 void link_send(struct link *l, const char *p, size_t n, struct str body)
 {
-	buf_add(l->tunnel && !l->connected ? &l->request : &l->output, p, n);
-	l->body = body;
+	struct buf *b = l->tunnel && !l->connected ? &l->request : &l->output;
+
+	buf_add(b, p, n);
+	/* A copy costs less than another system call. */
+	if (body.len <= COPIED_BODY_MAX_BYTES)
+		buf_add(b, body.data, body.len);
+	else
+		l->body = body;
 	/* An error shows up again at the next I/O event. */
 	if (l->connected)
 		(void)send_some(l);
