http messages: no sort of an empty list; lint

A sanitizer build (address, undefined) of hostile-clients stopped at qsort with a null pointer and no elements, where a head has a name that shares the bit of Connection. It is undefined behaviour without effect in the plain build.

The linter's findings in tests are mended.

--- a/entry/http-message.c
+++ b/entry/http-message.c
@@ -202,6 +202,8 @@
 	if (!(m->names & name_bit(connection)))
 		return;
 	e->listed_count = listed_names(m, NULL);
+	if (!e->listed_count)
+		return;
 	e->listed = g_new(struct str, e->listed_count);
 	listed_names(m, e->listed);
 	qsort(e->listed, e->listed_count, sizeof(*e->listed), compare_names);
--- a/entry/test-http-message.c
+++ b/entry/test-http-message.c
@@ -336,23 +336,24 @@
 /* Names that share a bit of the set of names are taken for each other. */
 static void test_names(void)
 {
+	static const char letters[] = "abcdefghijklmnopqrstuvwxyz";
 	struct message m = {.arena = talloc_new(NULL)};
 	char name[3] = "";
 	int found = 0;
 
-	for (char c = 'a'; c <= 'z'; c += 2) {
-		struct header h = {{name, 2}, {&c, 1}};
+	for (const char *c = letters; *c; c += 2) {
+		struct header h = {{name, 2}, {c, 1}};
 
-		name[0] = name[1] = c;
+		name[0] = name[1] = *c;
 		g_assert_true(message_add_header(&m, h));
 	}
-	for (char c = 'a'; c <= 'z'; c++) {
+	for (const char *c = letters; *c; c++) {
 		struct str value;
 
-		name[0] = g_ascii_toupper(c);
-		name[1] = c;
+		name[0] = g_ascii_toupper(*c);
+		name[1] = *c;
 		value = message_header(&m, (struct str){name, 2});
-		found += value.len == 1 && value.data[0] == c;
+		found += value.len == 1 && value.data[0] == *c;
 	}
 	g_assert_cmpint(found, ==, 13);
 	g_assert_false(message_add_header(
