held: nobody is ended for one that holds more

Found by reading: a response of over 64 KB that is read while callers hold too much counted as served, and so ended every request that waits, however small, before it was given up itself. Now a request gives way only to a caller that holds less. 408 keeps its form without Retry-After, as before the account.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -281,7 +281,7 @@
 {
 	struct buf out = {0};
 	void *arena = talloc_new(NULL);
-	int64_t wait_ms = error_responses[kind].retry ? MEMORY_RETRY_MS : 0;
+	int64_t wait_ms = kind == RAMP_ERR_OVERLOADED ? MEMORY_RETRY_MS : 0;
 
 	metric_add(M_CALLERS_REFUSED_TOTAL, 1);
 	log_event(EV_CALLER_REFUSED,
@@ -364,7 +364,7 @@
 		struct caller *first = first_to_end(c, &own, &other);
 		int64_t before = tr->held.bytes;
 
-		if (!first || !held_ends_before(&other, &own))
+		if (!first)
 			return false;
 		end_for_room(first, &other);
 		/* It may be parsing, or be freed later. */
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -503,10 +503,6 @@
 void link_set_account(struct link *l, struct account *account);
 /* Return what the link holds in buffers and heads, in bytes. */
 size_t link_held_bytes(const struct link *l);
-/* Count the heads of its messages in an account, from the next one on. */
-void reader_set_account(struct reader *r, struct account *account);
-/* Return what the reader holds of a message that has not ended, in bytes. */
-size_t reader_held_bytes(const struct reader *r);
 /* Expect a response without a body, as to a HEAD request. */
 void link_expect_no_body(struct link *l, bool no_body);
 /* Stop reading from the socket, or resume. */
--- a/entry/held.c
+++ b/entry/held.c
@@ -34,8 +34,9 @@
 
 bool held_may_end(const struct holder *h, const struct holder *asker)
 {
-	return h->state == HOLDER_UNSERVED ||
-	       (h->state == HOLDER_IDLE && asker->bytes <= SMALL_BYTES);
+	if (h->state == HOLDER_IDLE)
+		return asker->bytes <= SMALL_BYTES;
+	return h->state == HOLDER_UNSERVED && h->bytes > asker->bytes;
 }
 
 bool held_ends_before(const struct holder *a, const struct holder *b)
--- a/entry/held.h
+++ b/entry/held.h
@@ -48,9 +48,10 @@
  */
 bool held_ends_before(const struct holder *a, const struct holder *b);
 /*
- * Whether h may be ended for that of the one that asks. Never one that is
- * served, nor one that is refused, which holds nothing; idle ones, which hold
- * little, only for one that asks for little.
+ * Whether h may be ended for that of the one that asks, who counts with what it
+ * asks for. Never one that is served, nor one that is refused, which holds
+ * nothing, nor one that holds no more than the one that asks; idle ones, which
+ * hold little, only for one that asks for little.
  */
 bool held_may_end(const struct holder *h, const struct holder *asker);
 /*
--- a/entry/test-held.c
+++ b/entry/test-held.c
@@ -43,8 +43,11 @@
 	g_assert_false(held_may_end(&refused, &small));
 	g_assert_true(held_may_end(&old_idle, &small));
 	g_assert_false(held_may_end(&old_idle, &large));
+	g_assert_false(held_may_end(&small, &large));
 	/* Of two that hold as much, neither ends the other. */
-	g_assert_false(held_ends_before(&large, &large));
+	g_assert_false(held_may_end(&large, &large));
+	/* Nor does a response that is read end a small request that waits. */
+	g_assert_false(held_may_end(&small, &served));
 }
 
 /*
