entry: one constant each for copied bodies and for a request that is due

Found on reading the change again: COPIED_BODY_MAX_BYTES stood in link.c and caller.c, and REQUEST_DUE_MS beside HELD_REQUEST_DUE_MS with the same value and meaning. The comment in held.h named a field that no longer exists, and stood between a constant and its function.

Linter clean; tests of entry/, test-shutdown and test-entry: 256 passed, 0 failed, 5 known reds.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -16,8 +16,6 @@
 #include "entry/internal.h"
 
 #define READ_CHUNK_BYTES 16384
-/* A body of this size is sent together with the head. */
-#define COPIED_BODY_MAX_BYTES 4096
 /* Most pipelined bytes read while a request is in progress. */
 #define PIPELINED_MAX_BYTES 16384
 /* Descriptors of the limit that callers leave to connections to targets. */
@@ -44,11 +42,6 @@
 #define DEFAULT_IDLE_MS      15000
 /* Time for a body to arrive when its caller names no deadline. */
 #define BODY_MS 60000
-/*
- * A planned stop waits this long for the request of a new connection. A lost
- * segment is sent again after 200 ms.
- */
-#define REQUEST_DUE_MS 500
 /*
  * Time for which the rest of a request that was refused is read and dropped. A
  * close with unread input would reset the connection, and the caller might lose
@@ -745,7 +738,7 @@
 	if (c->exchange || c->request_began_ms || buf_len(&c->output) ||
 	    buf_len(&c->input))
 		return true;
-	return now_ms - c->quiet_since_ms < REQUEST_DUE_MS ||
+	return now_ms - c->quiet_since_ms < HELD_REQUEST_DUE_MS ||
 	       sock_has_input(c->fd);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -256,6 +256,9 @@
 		a->bytes += bytes;
 }
 
+/* A body of this size is copied behind its head and sent together with it. */
+#define COPIED_BODY_MAX_BYTES 4096
+
 /* buf.c: a byte queue, appended to at the end and consumed from the start. */
 struct buf {
 	char *data;
--- a/entry/held.h
+++ b/entry/held.h
@@ -1,7 +1,7 @@
 /*
  * What callers make this node hold in memory, and who has to give way when that
  * is too much. Buffers, heads and connections are counted in one account,
- * traffic.held_bytes: see buf_set_account and reader_set_account. Decisions
+ * traffic.held: see buf_set_account and reader_set_account. Decisions
  * only; caller.c carries them out. Any thread.
  */
 #ifndef HELD_H
@@ -16,6 +16,12 @@
 #define HELD_CONNECTION_BYTES 1024
 #define HELD_REQUEST_BYTES    3072
 
+/*
+ * The request of a new connection may be on its way for so long: a lost segment
+ * is sent again after 200 ms.
+ */
+#define HELD_REQUEST_DUE_MS 500
+
 enum holder_state {
 	HOLDER_IDLE,     /* no request is in progress */
 	HOLDER_REFUSED,  /* the same; the rest of the last one is dropped */
@@ -60,7 +66,6 @@
  * were refused, then the request that began first of those that are not read
  * whole. One that is served gives up none.
  */
-#define HELD_REQUEST_DUE_MS 500
 bool held_closes_before(const struct holder *a, const struct holder *b,
 			int64_t now_ms);
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -11,8 +11,6 @@
 #include "entry/tunnel.h"
 
 #define READ_CHUNK_BYTES 16384
-/* A body of this size is sent together with the head. */
-#define COPIED_BODY_MAX_BYTES 4096
 /* Time to establish a connection; the network takes about 1 ms one way. */
 #define CONNECT_TIMEOUT_MS 400
 /* The same through another node, which connects within the time above. */
